Lay out the workspace, its base package and the interfaces between packages

Cause: an empty repository; the issues can only go side by side once borders are fixed. Conclusion: packages can be built independently from here.

--- /dev/null
+++ b/packages/bench/src/banyanbank_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/packages/cli/src/banyanbank_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The banyanbank command line for operators and callers."""
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Quorum-replicated log: election, leases, storage and voter changes."""
--- /dev/null
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated control state: configuration, keys, usage, orders and intents."""
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The banyanbankd process: entry, control and membership on one loop."""
--- /dev/null
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch decisions: queues, fairness, routing, limits and retries."""
--- /dev/null
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Transport between instances: websockets carrying CBOR frames."""
--- /dev/null
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout decisions: sample ledger, batches, staleness, weights."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the packages."""
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the banyanbank_bench package."""
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the banyanbank_cli package."""
--- /dev/null
+++ b/tests/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the banyanbank_mesh package."""
