Add dispatch decisions: queue, router, health, retry, ownership

Cause: the daemon needs the public names of dispatch to be wired. Change: EngineQueue (weighted deficit round robin, priorities with least shares, deadlines, slots, cancel, key withdrawal, retire), Router (power of two choices on expected delay with prefix affinity), HealthTracker, RetryPolicy and rendezvous_owner, with table-driven tests.

--- a/packages/dispatch/src/banyanbank_dispatch/__init__.py
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -1,1 +1,46 @@
-"""Dispatch decisions: queues, fairness, routing, limits and retries."""
+"""Decisions about requests: queues, fairness, limits, routing, retries.
+
+Everything here is pure: it takes the time as an argument and does no I/O.
+"""
+
+from banyanbank_dispatch._fair import FairQueue
+from banyanbank_dispatch._health import HealthTracker
+from banyanbank_dispatch._ownership import rendezvous_owner
+from banyanbank_dispatch._prefix import CacheEvent
+from banyanbank_dispatch._prefix import PrefixIndex
+from banyanbank_dispatch._queue import CancelOutcome
+from banyanbank_dispatch._queue import EngineQueue
+from banyanbank_dispatch._queue import expired_refusal
+from banyanbank_dispatch._queue import QueueSettings
+from banyanbank_dispatch._queue import QueueStatus
+from banyanbank_dispatch._queue import Withdrawal
+from banyanbank_dispatch._retry import GiveUp
+from banyanbank_dispatch._retry import Retry
+from banyanbank_dispatch._retry import RetryPolicy
+from banyanbank_dispatch._router import Candidate
+from banyanbank_dispatch._router import RouteQuery
+from banyanbank_dispatch._router import Router
+from banyanbank_dispatch._work import Work
+from banyanbank_dispatch._work import WorkKind
+
+__all__ = [
+    "CacheEvent",
+    "CancelOutcome",
+    "Candidate",
+    "EngineQueue",
+    "FairQueue",
+    "GiveUp",
+    "HealthTracker",
+    "PrefixIndex",
+    "QueueSettings",
+    "QueueStatus",
+    "Retry",
+    "RetryPolicy",
+    "RouteQuery",
+    "Router",
+    "Withdrawal",
+    "Work",
+    "WorkKind",
+    "expired_refusal",
+    "rendezvous_owner",
+]
--- /dev/null
+++ b/tests/dispatch/test_router.py
@@ -0,0 +1,166 @@
+"""Tests of routing, health, prefix knowledge and ownership."""
+
+import collections
+import random
+
+import banyanbank_base as base
+import banyanbank_dispatch as dispatch
+
+from tests.dispatch import _case
+
+E1, E2, E3 = (base.EndpointId(name) for name in ("e1", "e2", "e3"))
+Z1 = base.FailureDomain("z1")
+
+
+class RouterTest(_case.DispatchCase):
+    """The router takes what fits and is least busy."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.router = dispatch.Router(Z1, random.Random(1))
+
+    def _choose(
+        self, query: dispatch.RouteQuery, *candidates: dispatch.Candidate
+    ) -> str:
+        return self.router.choose(query, candidates, 1.0).unwrap().endpoint_id
+
+    def test_choice_of_two(self) -> None:
+        plain = dispatch.RouteQuery()
+        cold = dispatch.RouteQuery(prefix="p", prefix_tokens=500.0)
+        newer = dispatch.RouteQuery(min_version=base.WeightVersion(2))
+        table = [
+            ("load", plain, {"load_tokens": 9.0}, {}),
+            ("domain", plain, {"failure_domain": "z2"}, {}),
+            ("leaving", plain, {"leaving": True}, {"load_tokens": 9.0}),
+            ("version", newer, {"version": 1}, {"version": 2}),
+            (
+                "safe",
+                dispatch.RouteQuery(safe_only=True),
+                {"reclaimable": True},
+                {"load_tokens": 9.0},
+            ),
+            (
+                "excluded",
+                dispatch.RouteQuery(excluded=frozenset({E1})),
+                {},
+                {"load_tokens": 9.0},
+            ),
+            ("cache", cold, {}, {"load_tokens": 300.0}),
+            ("no hot spot", cold, {"load_tokens": 3.0}, {"load_tokens": 2.0}),
+        ]
+        for name, query, first, second in table:
+            self.router.prefixes.forget(E2)
+            if name == "cache":
+                self.router.prefixes.note_sent(E2, "p", 1.0)
+            with self.subTest(name):
+                chosen = self._choose(
+                    query,
+                    _case.candidate("e1", **first),
+                    _case.candidate("e2", **second),
+                )
+                self.assertEqual(chosen, E2)
+
+    def test_popular_prefix_makes_no_hot_spot(self) -> None:
+        query = dispatch.RouteQuery(100.0, prefix="p", prefix_tokens=200.0)
+        candidates = [_case.candidate(name) for name in ("e1", "e2", "e3")]
+        counts: collections.Counter[str] = collections.Counter()
+        for number in range(300):
+            rid = base.RequestId(f"r{number}")
+            chosen = self.router.choose(query, candidates, 1.0).unwrap()
+            self.router.note_sent(rid, chosen.endpoint_id, query, 1.0)
+            counts[chosen.endpoint_id] += 1
+        self.assertLess(max(counts.values()), 120)
+
+    def test_refuses_without_candidates(self) -> None:
+        answer = self.router.choose(
+            dispatch.RouteQuery(), [_case.candidate("e1", leaving=True)], 1.0
+        )
+        self.assert_refused(answer, base.RefusalReason.NO_ENDPOINT)
+
+    def test_own_requests_count_until_reported(self) -> None:
+        query = dispatch.RouteQuery(50.0)
+        self.router.note_sent(base.RequestId("r"), E1, query, 1.0)
+        for reported_at, expected in ((0.5, 0.05), (1.5, 0.0)):
+            view = _case.candidate("e1", reported_at=reported_at)
+            delay = self.router.expected_delay(query, view, 2.0)
+            self.assertAlmostEqual(delay, expected)
+        self.router.note_done(base.RequestId("r"), E1, True, 2.0)
+        view = _case.candidate("e1")
+        self.assertEqual(self.router.expected_delay(query, view, 2.0), 0.0)
+
+
+class HealthTest(_case.DispatchCase):
+    """Failing endpoints leave for a while and return slowly."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.health = dispatch.HealthTracker()
+
+    def _fail(self, endpoint_id: base.EndpointId, now: float) -> None:
+        for _ in range(3):
+            self.health.record(endpoint_id, False, now)
+
+    def test_ejection_and_return(self) -> None:
+        self._fail(E1, 0.0)
+        table = [(0.1, 0.0), (1.9, 0.0), (2.0, 0.1), (7.0, 0.5), (12.0, 1.0)]
+        for now, weight in table:
+            with self.subTest(now=now):
+                self.assertAlmostEqual(self.health.weight(E1, now), weight)
+
+    def test_failure_on_return_ejects_for_longer(self) -> None:
+        self._fail(E1, 0.0)
+        self.health.record(E1, False, 3.0)
+        self.assertEqual(self.health.weight(E1, 6.9), 0.0)
+        self.assertGreater(self.health.weight(E1, 7.1), 0.0)
+
+    def test_success_clears_failures(self) -> None:
+        for ok in (False, False, True, False, False):
+            self.health.record(E1, ok, 0.0)
+        self.assertEqual(self.health.weight(E1, 0.0), 1.0)
+
+    def test_last_ones_stay(self) -> None:
+        for eid in (E1, E2, E3):
+            self._fail(eid, 0.0)
+        for pool in ([E1], [E1, E2], [E1, E2, E3]):
+            weights = self.health.weights(pool, 0.5)
+            serving = sum(weight > 0 for weight in weights.values())
+            self.assertGreaterEqual(serving, len(pool) / 2)
+
+
+class PrefixTest(_case.DispatchCase):
+    """Knowledge of caches survives late and lost events."""
+
+    def test_events(self) -> None:
+        index = dispatch.PrefixIndex()
+        table = [
+            (1, "p", True, {"p": 1.0}),
+            (2, "q", True, {"p": 1.0, "q": 1.0}),
+            (2, "q", False, {"q": 1.0}),  # A late duplicate.
+            (5, "r", True, {"p": 0.5, "q": 0.5, "r": 1.0}),  # Two were lost.
+            (6, "p", False, {"p": 0.0}),
+        ]
+        for sequence, prefix, stored, expected in table:
+            index.apply(dispatch.CacheEvent(E1, sequence, prefix, stored), 0.0)
+            for name, confidence in expected.items():
+                with self.subTest(sequence=sequence, name=name):
+                    self.assertEqual(
+                        index.confidence(E1, name, 0.0), confidence
+                    )
+        self.assertEqual(index.confidence(E1, "r", 60.0), 0.5)
+
+
+class OwnershipTest(_case.DispatchCase):
+    """One owner an endpoint, moved only when it must."""
+
+    def test_owner(self) -> None:
+        members = [base.InstanceId(f"i{number}") for number in range(8)]
+        endpoints = [base.EndpointId(f"e{number}") for number in range(200)]
+        owners = {e: dispatch.rendezvous_owner(e, members) for e in endpoints}
+        self.assertIsNone(dispatch.rendezvous_owner(E1, []))
+        gone = members[3]
+        rest = [m for m in reversed(members) if m != gone]
+        for endpoint, owner in owners.items():
+            after = dispatch.rendezvous_owner(endpoint, rest)
+            if owner != gone:
+                self.assertEqual(after, owner)
+        self.assertEqual(set(owners.values()), set(members))
