Add model jobs: engine host, event stream reader and job messages

Cause: one request to one engine has to run at that engine's owner, wherever the caller came in. Change: typed job messages, a parser of the engine's event stream that counts tokens by weight version, and the host that queues, runs, cancels and hands back jobs over dispatch.EngineQueue. An answer without its end mark or with another request's id fails, never passes. Conclusion: the same runner serves local and forwarded jobs.

--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
@@ -0,0 +1,357 @@
+"""Runs jobs on the engines that this instance owns."""
+
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_dispatch as dispatch
+from returns import result
+from twisted.internet import defer
+
+from banyanbank_daemon import _upstream
+from banyanbank_daemon._jobs import _messages
+from banyanbank_daemon._jobs import _sse
+
+MILLISECONDS = 1_000
+
+EngineUrl = typing.Callable[[str], str | None]
+
+
+@attrs.define
+class _Waiting:
+    """A job that has not been given an engine slot yet."""
+
+    granted: defer.Deferred[base.Refusal | None]
+    timer: typing.Any
+
+
+class EngineHost:
+    """Queues and runs jobs on engines.
+
+    Args:
+        reactor: Reactor that carries timers.
+        clock: Clock that deadlines are told on.
+        upstream: Client towards engines.
+        recorder: Takes time line events.
+        engine_url: Gives an engine's base URL; None once it is gone.
+        new_queue: Makes the queue of an engine seen for the first time.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: base.Clock,
+        upstream: _upstream.Upstream,
+        recorder: base.Recorder,
+        engine_url: EngineUrl,
+        new_queue: typing.Callable[[str], dispatch.EngineQueue],
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._upstream = upstream
+        self._recorder = recorder
+        self._engine_url = engine_url
+        self._new_queue = new_queue
+        self._waiting: dict[str, _Waiting] = {}
+        self._responses: dict[str, _upstream.UpstreamResponse] = {}
+        self.queues: dict[str, dispatch.EngineQueue] = {}
+
+    async def run(
+        self, job: _messages.ModelJob, sink: _messages.JobSink
+    ) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
+        """Runs a job to its end; see `JobRunner.run`."""
+        deadline = self._clock.now() + job.remaining_ms / MILLISECONDS
+        queue = self._queue(job.endpoint)
+        refusal = await self._wait_for_slot(queue, job, deadline, sink)
+        if refusal is not None:
+            return result.Failure(_messages.JobFailed.from_refusal(refusal))
+        used_tokens = 0
+        try:
+            ended = await self._run_on_engine(job, deadline, sink)
+            used_tokens = _tokens_of(ended)
+            return ended
+        finally:
+            queue.finish(
+                base.RequestId(job.request_id), used_tokens, self._clock.now()
+            )
+            self.pump(job.endpoint)
+
+    def pump(self, endpoint: str) -> None:
+        """Gives free slots of an engine to waiting jobs."""
+        queue = self._queue(endpoint)
+        for expired in queue.expire(self._clock.now()):
+            self._settle(expired.request_id, dispatch.expired_refusal())
+        while (work := queue.next(self._clock.now())) is not None:
+            self._settle(work.request_id, None)
+
+    def withdraw_key(self, key_id: base.KeyId) -> None:
+        """Refuses queued jobs of a withdrawn key and ends running ones."""
+        for queue in self.queues.values():
+            withdrawn = queue.withdraw_key(key_id)
+            for work in withdrawn.dropped:
+                refusal = base.Refusal(
+                    base.RefusalReason.KEY_WITHDRAWN,
+                    base.Outcome.NOT_RUN,
+                    "The key was withdrawn while the request was queued.",
+                )
+                self._settle(work.request_id, refusal)
+            for work in withdrawn.running:
+                self._cancel_running(work.request_id)
+
+    def retire(self, endpoint: base.EndpointId) -> None:
+        """Hands back the queued jobs of an engine that leaves."""
+        queue = self.queues.get(endpoint)
+        if queue is None:
+            return
+        for work in queue.retire():
+            refusal = base.Refusal(
+                base.RefusalReason.NO_ENDPOINT,
+                base.Outcome.NOT_RUN,
+                "The engine leaves; the request goes to another one.",
+            )
+            self._settle(work.request_id, refusal)
+
+    def forget(self, endpoint: base.EndpointId) -> None:
+        """Drops the queue of an engine that is gone, once it is idle."""
+        queue = self.queues.get(endpoint)
+        if queue is not None and not _is_busy(queue):
+            del self.queues[endpoint]
+
+    def _queue(self, endpoint: str) -> dispatch.EngineQueue:
+        if endpoint not in self.queues:
+            self.queues[endpoint] = self._new_queue(endpoint)
+        return self.queues[endpoint]
+
+    async def _wait_for_slot(
+        self,
+        queue: dispatch.EngineQueue,
+        job: _messages.ModelJob,
+        deadline: float,
+        sink: _messages.JobSink,
+    ) -> base.Refusal | None:
+        now = self._clock.now()
+        offered = queue.offer(_work_of(job, deadline), now)
+        if isinstance(offered, result.Failure):
+            return offered.failure()
+        granted: defer.Deferred[base.Refusal | None] = defer.Deferred()
+        timer = self._reactor.callLater(
+            max(0.0, deadline - now), self._expire, job.request_id, queue
+        )
+        self._waiting[job.request_id] = _Waiting(granted, timer)
+        sink.on_closed(lambda: self._abandon(job.request_id, queue))
+        self.pump(job.endpoint)
+        return await granted
+
+    def _expire(self, request_id: str, queue: dispatch.EngineQueue) -> None:
+        queue.cancel(base.RequestId(request_id))
+        self._settle(request_id, dispatch.expired_refusal())
+
+    def _abandon(self, request_id: str, queue: dispatch.EngineQueue) -> None:
+        if request_id in self._waiting:
+            queue.cancel(base.RequestId(request_id))
+            refusal = base.Refusal(
+                base.RefusalReason.DEADLINE_EXCEEDED,
+                base.Outcome.NOT_RUN,
+                "The caller is gone.",
+            )
+            self._settle(request_id, refusal)
+        else:
+            self._cancel_running(request_id)
+
+    def _settle(self, request_id: str, refusal: base.Refusal | None) -> None:
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is None:
+            return
+        if waiting.timer.active():
+            waiting.timer.cancel()
+        waiting.granted.callback(refusal)
+
+    def _cancel_running(self, request_id: str) -> None:
+        response = self._responses.pop(request_id, None)
+        if response is not None:
+            response.cancel()
+
+    async def _run_on_engine(
+        self,
+        job: _messages.ModelJob,
+        deadline: float,
+        sink: _messages.JobSink,
+    ) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
+        url = self._engine_url(job.endpoint)
+        if url is None:
+            return _failed(
+                base.RefusalReason.NO_ENDPOINT,
+                base.Outcome.NOT_RUN,
+                "The engine has left.",
+            )
+        self._recorder.record(
+            "job.sent", request=job.request_id, endpoint=job.endpoint
+        )
+        started_at = self._clock.now()
+        sent = await self._upstream.send(
+            _upstream.UpstreamRequest(
+                method="POST",
+                url=url + job.path,
+                headers=_engine_headers(job),
+                body=job.body,
+                deadline=deadline,
+            )
+        )
+        if isinstance(sent, result.Failure):
+            return _failed_upstream(sent.failure())
+        response = sent.unwrap()
+        self._responses[job.request_id] = response
+        try:
+            return await self._relay(job, response, sink, started_at)
+        except _messages.SinkClosed:
+            return _failed(
+                base.RefusalReason.DEADLINE_EXCEEDED,
+                base.Outcome.MAY_HAVE_RUN,
+                "The caller is gone.",
+            )
+        finally:
+            self._responses.pop(job.request_id, None)
+            response.cancel()
+
+    async def _relay(
+        self,
+        job: _messages.ModelJob,
+        response: _upstream.UpstreamResponse,
+        sink: _messages.JobSink,
+        started_at: float,
+    ) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
+        problem = _check_head(job, response)
+        if problem is not None:
+            return problem
+        parser = _sse.EventStreamParser()
+        tally = _Tally()
+        while True:
+            chunk = await response.next_chunk()
+            if isinstance(chunk, result.Failure):
+                return _failed_upstream(chunk.failure())
+            data = chunk.unwrap()
+            if not data:
+                break
+            try:
+                events = parser.feed(data)
+            except _sse.EventStreamError as exc:
+                return _broken(str(exc))
+            for event in events:
+                tally.add(event)
+                await sink.emit(_messages.JobChunk(event.data))
+        if not parser.is_done or tally.usage is None:
+            return _broken("The stream ended before its end mark.")
+        engine_s = self._clock.now() - started_at
+        self._recorder.record(
+            "job.ended", request=job.request_id, endpoint=job.endpoint
+        )
+        return result.Success(tally.ended(engine_s))
+
+
+class _Tally:
+    """Counts tokens by weight version as a stream goes on."""
+
+    def __init__(self) -> None:
+        self._stretches: list[_messages.VersionCount] = []
+        self.usage: dict[str, int] | None = None
+
+    def add(self, event: _sse.EngineEvent) -> None:
+        if event.usage is not None:
+            self.usage = event.usage
+        if event.version is None or event.tokens <= 0:
+            return
+        last = self._stretches[-1] if self._stretches else None
+        if last is not None and last.version == event.version:
+            count = last.tokens + event.tokens
+            self._stretches[-1] = attrs.evolve(last, tokens=count)
+        else:
+            stretch = _messages.VersionCount(event.version, event.tokens)
+            self._stretches.append(stretch)
+
+    def ended(self, engine_s: float) -> _messages.JobEnded:
+        usage = self.usage or {}
+        return _messages.JobEnded(
+            prompt_tokens=usage.get("prompt_tokens", 0),
+            completion_tokens=usage.get("completion_tokens", 0),
+            cached_tokens=usage.get("cached_tokens", 0),
+            engine_ms=int(engine_s * MILLISECONDS),
+            stretches=tuple(self._stretches),
+        )
+
+
+def _is_busy(queue: dispatch.EngineQueue) -> bool:
+    status = queue.status()
+    return status.waiting + status.running > 0
+
+
+def _work_of(job: _messages.ModelJob, deadline: float) -> dispatch.Work:
+    return dispatch.Work(
+        request_id=base.RequestId(job.request_id),
+        account=base.AccountId(job.account),
+        key_id=base.KeyId(job.key_id),
+        kind=dispatch.WorkKind(job.kind),
+        cost_tokens=job.cost_tokens,
+        prefix=job.prefix,
+        deadline=deadline,
+        idempotent=True,
+    )
+
+
+def _engine_headers(job: _messages.ModelJob) -> tuple[tuple[str, str], ...]:
+    return (
+        ("content-type", "application/json"),
+        ("accept", "text/event-stream"),
+        ("x-request-id", job.request_id),
+        ("x-priority", job.kind),
+    )
+
+
+def _check_head(
+    job: _messages.ModelJob, response: _upstream.UpstreamResponse
+) -> result.Result[_messages.JobEnded, _messages.JobFailed] | None:
+    echoed = response.header("x-request-id")
+    if echoed and echoed != job.request_id:
+        return _broken("The answer belongs to another request.")
+    if response.status == 503:
+        return _failed(
+            base.RefusalReason.ENDPOINT_FAILED,
+            base.Outcome.NOT_RUN,
+            "The engine refused the request.",
+        )
+    if response.status != 200:
+        return _broken(f"The engine answered with status {response.status}.")
+    return None
+
+
+def _tokens_of(
+    ended: result.Result[_messages.JobEnded, _messages.JobFailed],
+) -> int:
+    if isinstance(ended, result.Failure):
+        return 0
+    value = ended.unwrap()
+    return value.prompt_tokens + value.completion_tokens
+
+
+def _failed(
+    reason: base.RefusalReason, outcome: base.Outcome, detail: str
+) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
+    return result.Failure(
+        _messages.JobFailed(reason.value, outcome.value, detail)
+    )
+
+
+def _broken(
+    detail: str,
+) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
+    return _failed(
+        base.RefusalReason.ENDPOINT_FAILED, base.Outcome.MAY_HAVE_RUN, detail
+    )
+
+
+def _failed_upstream(
+    error: _upstream.UpstreamError,
+) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
+    reason = base.RefusalReason.ENDPOINT_FAILED
+    if error.is_timeout:
+        reason = base.RefusalReason.DEADLINE_EXCEEDED
+    return _failed(reason, error.outcome, error.detail)
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -0,0 +1,143 @@
+"""Messages of a model job between an entry and an engine's owner."""
+
+import typing
+
+import attrs
+import banyanbank_base as base
+from returns import result
+
+
+class SinkClosed(Exception):  # noqa: N818
+    """Nobody reads the job's output any more."""
+
+
+@attrs.frozen
+class ModelJob:
+    """A request for one engine."""
+
+    request_id: str
+    """Id of the caller's request or of the rollout attempt."""
+    account: str
+    """Client account that the request runs for."""
+    key_id: str
+    """Key that came with the request; empty for rollout attempts."""
+    kind: str
+    """Value of a `dispatch.WorkKind`."""
+    endpoint: str
+    """Engine that the request is for."""
+    path: str
+    """Path of the engine's call."""
+    body: bytes
+    """JSON body for the engine."""
+    cost_tokens: int
+    """Estimated cost in tokens."""
+    prefix: str
+    """Digest of the prompt's beginning, for cache affinity."""
+    remaining_ms: int
+    """Milliseconds left when the message was made; clocks are not compared
+    between processes."""
+
+
+@attrs.frozen
+class VersionCount:
+    """Tokens that one weight version made, in order of a stream."""
+
+    version: int
+    """Weight version as the engine reported it."""
+    tokens: int
+    """Tokens of this stretch."""
+
+
+@attrs.frozen
+class JobChunk:
+    """One event of the engine's stream, as JSON without framing."""
+
+    data: bytes
+    """JSON text of the event."""
+
+
+@attrs.frozen
+class JobEnded:
+    """The engine's answer is whole."""
+
+    prompt_tokens: int
+    """Tokens of the prompt."""
+    completion_tokens: int
+    """Tokens made."""
+    cached_tokens: int
+    """Prompt tokens found in the engine's cache."""
+    engine_ms: int
+    """Milliseconds that the engine worked on the request."""
+    stretches: tuple[VersionCount, ...]
+    """Weight versions that made the tokens, in order."""
+
+
+@attrs.frozen
+class JobFailed:
+    """The job gave no whole answer."""
+
+    reason: str
+    """Value of a `base.RefusalReason`."""
+    outcome: str
+    """Value of a `base.Outcome`."""
+    detail: str
+    """What happened."""
+    retry_after: float | None = None
+    """Seconds after which a retry may succeed; None when unknown."""
+
+    def to_refusal(self) -> base.Refusal:
+        """Returns the refusal that a caller is shown."""
+        return base.Refusal(
+            base.RefusalReason(self.reason),
+            base.Outcome(self.outcome),
+            self.detail,
+            self.retry_after,
+        )
+
+    @classmethod
+    def from_refusal(cls, refusal: base.Refusal) -> "JobFailed":
+        """Makes the message of a refusal."""
+        return cls(
+            refusal.reason.value,
+            refusal.outcome.value,
+            refusal.detail,
+            refusal.retry_after,
+        )
+
+
+JobEvent = JobChunk | JobEnded | JobFailed
+JOB_CODEC: base.Codec[ModelJob] = base.Codec(ModelJob)
+JOB_EVENT_CODEC: base.Codec[JobEvent] = base.Codec(
+    JobChunk, JobEnded, JobFailed
+)
+
+
+class JobSink(typing.Protocol):
+    """Takes the output of a job."""
+
+    async def emit(self, chunk: JobChunk) -> None:
+        """Takes one event; waits while the reader is slow.
+
+        Raises:
+            SinkClosed: Nobody reads any more.
+        """
+        ...
+
+    def on_closed(self, callback: typing.Callable[[], None]) -> None:
+        """Calls back once when nobody reads any more."""
+        ...
+
+
+class JobRunner(typing.Protocol):
+    """Runs jobs, here or at another instance."""
+
+    async def run(
+        self, job: ModelJob, sink: JobSink
+    ) -> result.Result[JobEnded, JobFailed]:
+        """Runs a job to its end.
+
+        Args:
+            job: What to run.
+            sink: Takes the events in order; none comes after the result.
+        """
+        ...
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_sse.py
@@ -0,0 +1,88 @@
+"""Reader of an engine's server-sent events."""
+
+import json
+import typing
+
+import attrs
+
+MAX_EVENT_BYTES = 1024 * 1024
+DONE = b"[DONE]"
+
+
+class EventStreamError(Exception):
+    """The engine's stream is not what its protocol says."""
+
+
+@attrs.frozen
+class EngineEvent:
+    """One event of an engine's stream."""
+
+    data: bytes
+    """JSON text."""
+    tokens: int
+    """Tokens made since the event before."""
+    version: int | None
+    """Weight version that made them; None when the event has none."""
+    usage: dict[str, int] | None
+    """Counts for the whole request; only in the last event."""
+
+
+class EventStreamParser:
+    """Cuts a byte stream into events."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self.is_done = False
+
+    def feed(self, data: bytes) -> list[EngineEvent]:
+        """Takes bytes and returns the events they complete.
+
+        Raises:
+            EventStreamError: The stream is malformed or goes on after its end.
+        """
+        self._buffer += data.replace(b"\r\n", b"\n")
+        events = []
+        while b"\n\n" in self._buffer:
+            block, self._buffer = self._buffer.split(b"\n\n", 1)
+            event = self._read_block(block)
+            if event is not None:
+                events.append(event)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventStreamError(f"An event is over {MAX_EVENT_BYTES} bytes.")
+        return events
+
+    def _read_block(self, block: bytes) -> EngineEvent | None:
+        lines = [
+            line[len(b"data:") :].strip()
+            for line in block.split(b"\n")
+            if line.startswith(b"data:")
+        ]
+        if not lines:
+            return None
+        data = b"\n".join(lines)
+        if self.is_done:
+            raise EventStreamError("The stream goes on after its end mark.")
+        if data == DONE:
+            self.is_done = True
+            return None
+        return _read_event(data)
+
+
+def _read_event(data: bytes) -> EngineEvent:
+    try:
+        document: typing.Any = json.loads(data)
+        version = document.get("weight_version")
+        return EngineEvent(
+            data=data,
+            tokens=int(document.get("tokens", 0)),
+            version=None if version is None else int(version),
+            usage=_read_usage(document.get("usage")),
+        )
+    except (ValueError, TypeError, AttributeError) as exc:
+        raise EventStreamError(f"An event is malformed: {exc}") from exc
+
+
+def _read_usage(usage: typing.Any) -> dict[str, int] | None:
+    if usage is None:
+        return None
+    return {name: int(value) for name, value in usage.items()}
