--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_dispatcher.py
@@ -0,0 +1,229 @@
+"""Chooses an engine for a request, sends it to the engine's owner, retries."""
+
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_dispatch as dispatch
+from returns import result
+from twisted.internet import task
+
+from banyanbank_daemon import _jobs
+
+MILLISECONDS = 1_000
+
+
+@attrs.frozen
+class ModelRequest:
+    """A request for a model, before an engine is chosen."""
+
+    request_id: str
+    """Id of the caller's request or of the rollout attempt."""
+    account: base.AccountId
+    """Client account that it runs for."""
+    key_id: base.KeyId
+    """Key that came with it; empty for rollout attempts."""
+    kind: dispatch.WorkKind
+    """Class of service."""
+    model: base.ModelName
+    """Model asked for."""
+    path: str
+    """Path of the engine's call."""
+    body: bytes
+    """JSON body for the engine."""
+    cost_tokens: int
+    """Estimated cost in tokens."""
+    prefix: str
+    """Digest of the prompt's beginning; empty when unknown."""
+    prefix_tokens: int
+    """Prompt tokens that a cached prefix saves."""
+    deadline: float
+    """When to give up, on the monotonic clock."""
+    min_version: base.WeightVersion = base.WeightVersion(0)  # noqa: RUF009
+    """Oldest weight version that will do."""
+    excluded: frozenset[base.EndpointId] = frozenset()
+    """Engines to avoid where others are left."""
+
+
+class FleetView(typing.Protocol):
+    """What a dispatcher knows of engines and their owners."""
+
+    def engine_candidates(
+        self, model: base.ModelName
+    ) -> typing.Sequence[dispatch.Candidate]:
+        """Returns the engines in service that hold a model."""
+        ...
+
+    def runner_of(self, endpoint: base.EndpointId) -> _jobs.JobRunner | None:
+        """Returns the way to an engine's owner; None when nobody owns it."""
+        ...
+
+
+class UsageSink(typing.Protocol):
+    """Counts what answered requests used."""
+
+    def count_job(self, account: base.AccountId, ended: _jobs.JobEnded) -> None:
+        """Counts one whole model answer."""
+        ...
+
+
+class _WatchedSink:
+    """Notes whether any output has reached the reader."""
+
+    def __init__(self, sink: _jobs.JobSink) -> None:
+        self._sink = sink
+        self.has_emitted = False
+
+    async def emit(self, chunk: _jobs.JobChunk) -> None:
+        self.has_emitted = True
+        await self._sink.emit(chunk)
+
+    def on_closed(self, callback: typing.Callable[[], None]) -> None:
+        self._sink.on_closed(callback)
+
+
+class Dispatcher:
+    """Runs model requests.
+
+    Args:
+        reactor: Reactor that carries timers.
+        clock: Clock that deadlines are told on.
+        fleet: What is known of engines.
+        router: Chooses among engines.
+        retries: Decides whether a failed attempt is repeated.
+        usage: Counts whole answers.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: base.Clock,
+        fleet: FleetView,
+        router: dispatch.Router,
+        retries: dispatch.RetryPolicy,
+        usage: UsageSink,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._fleet = fleet
+        self._router = router
+        self._retries = retries
+        self._usage = usage
+
+    async def run(
+        self, req: ModelRequest, sink: _jobs.JobSink
+    ) -> result.Result[_jobs.JobEnded, _jobs.JobFailed]:
+        """Runs a request to its end.
+
+        Attempts are repeated on other engines only before any output has
+        reached the reader.
+        """
+        watched = _WatchedSink(sink)
+        self._retries.note_first_attempt()
+        attempts = 0
+        while True:
+            attempts += 1
+            endpoint, ended = await self._attempt(req, attempts, watched)
+            if isinstance(ended, result.Success):
+                self._usage.count_job(req.account, ended.unwrap())
+                return ended
+            failed = ended.failure()
+            decision = self._decide(req, attempts, failed, watched)
+            if not isinstance(decision, dispatch.Retry):
+                return ended
+            if endpoint is not None:
+                excluded = req.excluded | {endpoint}
+                req = attrs.evolve(req, excluded=excluded)
+            pause_s = max(0.0, decision.at - self._clock.now())
+            await task.deferLater(self._reactor, pause_s)
+
+    def _decide(
+        self,
+        req: ModelRequest,
+        attempts: int,
+        failed: _jobs.JobFailed,
+        watched: _WatchedSink,
+    ) -> dispatch.Retry | dispatch.GiveUp:
+        if watched.has_emitted:
+            return dispatch.GiveUp("Part of the answer has been sent.")
+        if failed.reason == base.RefusalReason.KEY_WITHDRAWN.value:
+            return dispatch.GiveUp("The key was withdrawn.")
+        return self._retries.decide(
+            attempts=attempts,
+            outcome=base.Outcome(failed.outcome),
+            idempotent=True,
+            deadline=req.deadline,
+            now=self._clock.now(),
+            retry_after=failed.retry_after,
+        )
+
+    async def _attempt(
+        self, req: ModelRequest, number: int, sink: _jobs.JobSink
+    ) -> tuple[
+        base.EndpointId | None,
+        result.Result[_jobs.JobEnded, _jobs.JobFailed],
+    ]:
+        now = self._clock.now()
+        query = dispatch.RouteQuery(
+            cost_tokens=req.cost_tokens,
+            prefix=req.prefix,
+            prefix_tokens=req.prefix_tokens,
+            min_version=req.min_version,
+            excluded=req.excluded,
+        )
+        candidates = self._fleet.engine_candidates(req.model)
+        chosen = self._router.choose(query, candidates, now)
+        if isinstance(chosen, result.Failure):
+            failed = _jobs.JobFailed.from_refusal(chosen.failure())
+            return None, result.Failure(failed)
+        endpoint = chosen.unwrap().endpoint_id
+        runner = self._fleet.runner_of(endpoint)
+        if runner is None:
+            return endpoint, result.Failure(_no_owner())
+        # Each attempt has its own id, so that a late end of one can't be
+        # taken for the end of the next.
+        attempt_id = base.RequestId(f"{req.request_id}.{number}")
+        self._router.note_sent(attempt_id, endpoint, query, now)
+        ended = await runner.run(_job_of(req, attempt_id, endpoint, now), sink)
+        self._router.note_done(
+            attempt_id, endpoint, _is_healthy(ended), self._clock.now()
+        )
+        return endpoint, ended
+
+
+def _job_of(
+    req: ModelRequest,
+    attempt_id: str,
+    endpoint: base.EndpointId,
+    now: float,
+) -> _jobs.ModelJob:
+    remaining_ms = int((req.deadline - now) * MILLISECONDS)
+    return _jobs.ModelJob(
+        request_id=attempt_id,
+        account=req.account,
+        key_id=req.key_id,
+        kind=req.kind.value,
+        endpoint=endpoint,
+        path=req.path,
+        body=req.body,
+        cost_tokens=req.cost_tokens,
+        prefix=req.prefix,
+        remaining_ms=remaining_ms,
+    )
+
+
+def _is_healthy(
+    ended: result.Result[_jobs.JobEnded, _jobs.JobFailed],
+) -> bool:
+    if isinstance(ended, result.Success):
+        return True
+    return ended.failure().reason != base.RefusalReason.ENDPOINT_FAILED.value
+
+
+def _no_owner() -> _jobs.JobFailed:
+    return _jobs.JobFailed(
+        base.RefusalReason.NO_ENDPOINT.value,
+        base.Outcome.NOT_RUN.value,
+        "No instance owns the chosen engine now; try again.",
+        retry_after=0.2,
+    )
