Add the sample ledger and a first sample scheduler

Cause: the daemon and the control part need the names that the replicated log carries for rollouts.

Change: rollout.Ledger applies SubmitGroup, RecordSample, FormBatch, FetchBatch, RejectBatch, AcknowledgeBatch, CancelStep and PublishVersion (LEDGER_COMMANDS) and answers with the members of LEDGER_REPLIES. FetchBatch returns a manifest (BatchFetched.entries); bodies are read one by one with Ledger.body(slot). A body is inline (SampleBody.inline) or a reference to body stores (SampleBody.stored). rollout.SampleScheduler(rng).decide(ledger, attempts, engines, now) takes AttemptView and EngineView and returns StartAttempt, CancelAttempt, GradeSample and ProposeBatch; the shell proposes FormBatch for the last.

--- a/packages/rollout/src/banyanbank_rollout/__init__.py
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -1,1 +1,83 @@
 """Rollout decisions: sample ledger, batches, staleness, weights."""
+
+from banyanbank_rollout._commands import AcknowledgeBatch
+from banyanbank_rollout._commands import CancelStep
+from banyanbank_rollout._commands import FetchBatch
+from banyanbank_rollout._commands import FormBatch
+from banyanbank_rollout._commands import LEDGER_COMMANDS
+from banyanbank_rollout._commands import LedgerCommand
+from banyanbank_rollout._commands import PublishVersion
+from banyanbank_rollout._commands import RecordSample
+from banyanbank_rollout._commands import RejectBatch
+from banyanbank_rollout._commands import SubmitGroup
+from banyanbank_rollout._effects import CancelAttempt
+from banyanbank_rollout._effects import GradeSample
+from banyanbank_rollout._effects import ProposeBatch
+from banyanbank_rollout._effects import ResumePoint
+from banyanbank_rollout._effects import SchedulerEffect
+from banyanbank_rollout._effects import StartAttempt
+from banyanbank_rollout._ledger import Ledger
+from banyanbank_rollout._replies import BatchAcknowledged
+from banyanbank_rollout._replies import BatchEntry
+from banyanbank_rollout._replies import BatchFetched
+from banyanbank_rollout._replies import BatchFormed
+from banyanbank_rollout._replies import BatchPending
+from banyanbank_rollout._replies import BatchRejected
+from banyanbank_rollout._replies import GroupSubmitted
+from banyanbank_rollout._replies import LEDGER_REPLIES
+from banyanbank_rollout._replies import LedgerRefusal
+from banyanbank_rollout._replies import LedgerRefused
+from banyanbank_rollout._replies import LedgerReply
+from banyanbank_rollout._replies import SampleRecorded
+from banyanbank_rollout._replies import StepCancelled
+from banyanbank_rollout._replies import VersionPublished
+from banyanbank_rollout._samples import SampleBody
+from banyanbank_rollout._samples import SampleSlot
+from banyanbank_rollout._samples import VersionStretch
+from banyanbank_rollout._scheduler import SampleScheduler
+from banyanbank_rollout._snapshot import LedgerSnapshot
+from banyanbank_rollout._views import AttemptPhase
+from banyanbank_rollout._views import AttemptView
+from banyanbank_rollout._views import EngineView
+
+__all__ = [
+    "LEDGER_COMMANDS",
+    "LEDGER_REPLIES",
+    "AcknowledgeBatch",
+    "AttemptPhase",
+    "AttemptView",
+    "BatchAcknowledged",
+    "BatchEntry",
+    "BatchFetched",
+    "BatchFormed",
+    "BatchPending",
+    "BatchRejected",
+    "CancelAttempt",
+    "CancelStep",
+    "EngineView",
+    "FetchBatch",
+    "FormBatch",
+    "GradeSample",
+    "GroupSubmitted",
+    "Ledger",
+    "LedgerCommand",
+    "LedgerRefusal",
+    "LedgerRefused",
+    "LedgerReply",
+    "LedgerSnapshot",
+    "ProposeBatch",
+    "PublishVersion",
+    "RecordSample",
+    "RejectBatch",
+    "ResumePoint",
+    "SampleBody",
+    "SampleRecorded",
+    "SampleScheduler",
+    "SampleSlot",
+    "SchedulerEffect",
+    "StartAttempt",
+    "StepCancelled",
+    "SubmitGroup",
+    "VersionPublished",
+    "VersionStretch",
+]
--- /dev/null
+++ b/packages/rollout/src/banyanbank_rollout/_ledger.py
@@ -0,0 +1,95 @@
+"""The sample ledger: the rollout part of the replicated log's state."""
+
+import attrs
+import banyanbank_base as base
+
+from banyanbank_rollout import _batches
+from banyanbank_rollout import _commands
+from banyanbank_rollout import _groups
+from banyanbank_rollout import _replies
+from banyanbank_rollout import _samples
+from banyanbank_rollout import _snapshot
+from banyanbank_rollout import _state
+
+
+@attrs.frozen
+class Ledger:
+    """Groups, samples, batches and weight versions; immutable.
+
+    Applying a command costs the same however much the ledger holds, but for
+    the batch commands, which cost one pass over the samples of their step.
+    """
+
+    tables: _state.Tables = attrs.field(factory=_state.Tables)
+    """All that is held."""
+
+    def apply(
+        self, command: _commands.LedgerCommand
+    ) -> tuple["Ledger", _replies.LedgerReply]:
+        """Returns the next ledger and the reply to one committed command."""
+        tables, reply = _apply(self.tables, command)
+        if tables is self.tables:
+            return self, reply
+        return Ledger(tables), reply
+
+    def steps(self) -> tuple[_state.StepState, ...]:
+        """Returns the open steps in order of trainer and step."""
+        return tuple(step for _, step in sorted(self.tables.steps.items()))
+
+    def newest_version(self, model: base.ModelName) -> base.WeightVersion:
+        """Returns the newest version of a model, 0 when none is published."""
+        return self.tables.newest(model)
+
+    def publications(self) -> tuple[_commands.PublishVersion, ...]:
+        """Returns the newest publication of each model, by model name."""
+        return tuple(
+            published for _, published in sorted(self.tables.models.items())
+        )
+
+    def body(self, slot: _samples.SampleSlot) -> _samples.SampleBody | None:
+        """Returns the body that fills a slot, None when it is open or done."""
+        step = self.tables.steps.get((slot.trainer, slot.step))
+        if step is None:
+            return None
+        sample = step.samples.get((slot.group, slot.index))
+        return None if sample is None else sample.body
+
+    def stored_digests(self) -> frozenset[bytes]:
+        """Returns the digests of all bodies that body stores must hold."""
+        return frozenset(
+            sample.body.digest
+            for step in self.tables.steps.values()
+            for sample in step.samples.values()
+            if sample.body.data is None
+        )
+
+    def to_snapshot(self) -> _snapshot.LedgerSnapshot:
+        """Returns all that is held, in plain attrs classes and tuples."""
+        return _snapshot.take(self.tables)
+
+    @classmethod
+    def from_snapshot(cls, snapshot: _snapshot.LedgerSnapshot) -> "Ledger":
+        """Returns the ledger that a snapshot was taken of."""
+        return cls(_snapshot.restore(snapshot))
+
+
+def _apply(
+    tables: _state.Tables, command: _commands.LedgerCommand
+) -> _groups.Applied:
+    match command:
+        case _commands.SubmitGroup():
+            return _groups.submit_group(tables, command)
+        case _commands.RecordSample():
+            return _groups.record_sample(tables, command)
+        case _commands.FormBatch():
+            return _batches.form_batch(tables, command)
+        case _commands.FetchBatch():
+            return _batches.fetch_batch(tables, command)
+        case _commands.RejectBatch():
+            return _batches.reject_batch(tables, command)
+        case _commands.AcknowledgeBatch():
+            return _batches.acknowledge_batch(tables, command)
+        case _commands.CancelStep():
+            return _batches.cancel_step(tables, command)
+        case _commands.PublishVersion():
+            return _groups.publish_version(tables, command)
