--- a/packages/rollout/src/banyanbank_rollout/__init__.py
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -16,6 +16,7 @@
 from banyanbank_rollout._effects import ResumePoint
 from banyanbank_rollout._effects import SchedulerEffect
 from banyanbank_rollout._effects import StartAttempt
+from banyanbank_rollout._extras import ExtrasCfg
 from banyanbank_rollout._ledger import Ledger
 from banyanbank_rollout._replies import BatchAcknowledged
 from banyanbank_rollout._replies import BatchEntry
@@ -35,6 +36,7 @@
 from banyanbank_rollout._samples import SampleSlot
 from banyanbank_rollout._samples import VersionStretch
 from banyanbank_rollout._scheduler import SampleScheduler
+from banyanbank_rollout._scheduler import SchedulerCfg
 from banyanbank_rollout._snapshot import LedgerSnapshot
 from banyanbank_rollout._views import AttemptPhase
 from banyanbank_rollout._views import AttemptView
@@ -55,6 +57,7 @@
     "CancelAttempt",
     "CancelStep",
     "EngineView",
+    "ExtrasCfg",
     "FetchBatch",
     "FormBatch",
     "GradeSample",
@@ -74,6 +77,7 @@
     "SampleRecorded",
     "SampleScheduler",
     "SampleSlot",
+    "SchedulerCfg",
     "SchedulerEffect",
     "StartAttempt",
     "StepCancelled",
--- a/packages/rollout/src/banyanbank_rollout/_effects.py
+++ b/packages/rollout/src/banyanbank_rollout/_effects.py
@@ -55,6 +55,8 @@
     """The attempt."""
     reason: str
     """Why, for the time line."""
+    export_kv: bool = False
+    """Whether to export the KV cache, to go on elsewhere."""
 
 
 @attrs.frozen
--- a/packages/rollout/src/banyanbank_rollout/_ledger.py
+++ b/packages/rollout/src/banyanbank_rollout/_ledger.py
@@ -36,6 +36,14 @@
         """Returns the open steps in order of trainer and step."""
         return tuple(step for _, step in sorted(self.tables.steps.items()))
 
+    def has_stale_samples(self, step: _state.StepState) -> bool:
+        """Tells whether any sample of an open step breaks its bound now."""
+        newest = self.newest_version(step.model)
+        return any(
+            _batches.is_stale(step.groups[key[0]], sample, newest)
+            for key, sample in step.samples.items()
+        )
+
     def newest_version(self, model: base.ModelName) -> base.WeightVersion:
         """Returns the newest version of a model, 0 when none is published."""
         return self.tables.newest(model)
--- a/packages/rollout/src/banyanbank_rollout/_views.py
+++ b/packages/rollout/src/banyanbank_rollout/_views.py
@@ -52,6 +52,8 @@
     """Reported version of each model, in the order of `models`."""
     slots: int
     """Streams that rollouts may run on it at once; 0 when it is leaving."""
+    gone_at: float | None = None
+    """Clock seconds at which it is reclaimed; None without a notice."""
 
     def version_of(self, model: base.ModelName) -> base.WeightVersion | None:
         """Returns the reported version of a model, None when not served."""
