--- a/packages/mesh/src/banyanbank_mesh/__init__.py
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -1,1 +1,29 @@
-"""Transport between instances: websockets carrying CBOR frames."""
+"""Transport between instances: websockets that carry CBOR frames."""
+
+from banyanbank_mesh._errors import CallError
+from banyanbank_mesh._errors import CallErrorKind
+from banyanbank_mesh._errors import HandlerRefusalError
+from banyanbank_mesh._errors import StreamClosedError
+from banyanbank_mesh._frames import MAX_FRAME_BYTES
+from banyanbank_mesh._mesh import ListenError
+from banyanbank_mesh._mesh import Mesh
+from banyanbank_mesh._outbound import CallResult
+from banyanbank_mesh._stream import ReadResult
+from banyanbank_mesh._stream import Stream
+from banyanbank_mesh._tls import MeshTls
+from banyanbank_mesh._writer import StreamWriter
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "CallError",
+    "CallErrorKind",
+    "CallResult",
+    "HandlerRefusalError",
+    "ListenError",
+    "Mesh",
+    "MeshTls",
+    "ReadResult",
+    "Stream",
+    "StreamClosedError",
+    "StreamWriter",
+]
--- /dev/null
+++ b/tests/mesh/test_mesh.py
@@ -0,0 +1,251 @@
+"""Tests of messages and calls between instances."""
+
+import asyncio
+
+import banyanbank_base as base
+import banyanbank_mesh as mesh
+from returns import result
+from twisted.internet import defer
+
+from tests import support
+from tests.mesh import support as mesh_support
+
+A = mesh_support.A
+B = mesh_support.B
+KIND = mesh.CallErrorKind
+NOT_RUN = base.Outcome.NOT_RUN
+MAY_HAVE_RUN = base.Outcome.MAY_HAVE_RUN
+
+
+async def echo(sender: base.InstanceId, data: bytes) -> bytes:
+    return sender.encode() + b":" + data
+
+
+class CallTest(mesh_support.MeshCase):
+    """A call gives its own whole answer or a typed error."""
+
+    def test_answers_do_not_cross(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("echo", echo)
+            a.on_call("echo", echo)
+            calls = [
+                one.call(other, "echo", b"%d" % i, self.soon())
+                for i in range(50)
+                for one, other in ((a, B), (b, A))
+            ]
+            answers = await defer.gatherResults(calls)
+            expected = [
+                result.Success(b"%s:%d" % (who, i))
+                for i in range(50)
+                for who in (b"a", b"b")
+            ]
+            self.assertEqual(answers, expected)
+            self.assertEqual((a.calls_under_way, b.calls_running), (0, 0))
+
+        self.run_case(case)
+
+    def test_refused_before_handling(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            gone = base.InstanceId("gone")
+            closed = base.InstanceId("closed")
+            a.set_peer(closed, "127.0.0.1", 1)
+            big = b"x" * (mesh.MAX_FRAME_BYTES + 1)
+            cases = (
+                (B, "none", b"", self.soon(), KIND.NO_METHOD),
+                (gone, "none", b"", self.soon(), KIND.UNREACHABLE),
+                (closed, "none", b"", self.soon(), KIND.UNREACHABLE),
+                (B, "none", big, self.soon(), KIND.TOO_LARGE),
+                (B, "none", b"", self.clock.now() - 1, KIND.DEADLINE),
+            )
+            for peer, method, data, deadline, kind in cases:
+                with self.subTest(kind=kind, peer=peer):
+                    answer = await a.call(peer, method, data, deadline)
+                    self.expect_error(answer, kind, NOT_RUN)
+
+        self.run_case(case)
+
+    def test_handler_errors(self) -> None:
+        async def refuse(sender: base.InstanceId, data: bytes) -> bytes:
+            raise mesh.HandlerRefusalError(NOT_RUN, "The queue is full.")
+
+        async def crash(sender: base.InstanceId, data: bytes) -> bytes:
+            raise ZeroDivisionError
+
+        async def too_big(sender: base.InstanceId, data: bytes) -> bytes:
+            return b"x" * (mesh.MAX_FRAME_BYTES + 1)
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("refuse", refuse)
+            b.on_call("crash", crash)
+            b.on_call("big", too_big)
+            cases = (
+                ("refuse", KIND.REFUSED, NOT_RUN),
+                ("crash", KIND.HANDLER_FAILED, MAY_HAVE_RUN),
+                ("big", KIND.TOO_LARGE, base.Outcome.RAN),
+            )
+            for method, kind, execution in cases:
+                with self.subTest(method=method):
+                    answer = await a.call(B, method, b"", self.soon())
+                    self.expect_error(answer, kind, execution)
+
+        self.run_case(case)
+
+    def test_no_answer(self) -> None:
+        started: list[bytes] = []
+        never: defer.Deferred[bytes] = defer.Deferred()
+
+        async def hang(sender: base.InstanceId, data: bytes) -> bytes:
+            started.append(data)
+            return await never
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("hang", hang)
+            late = await a.call(B, "hang", b"1", self.clock.now() + 0.2)
+            self.expect_error(late, KIND.DEADLINE, MAY_HAVE_RUN)
+            cut = a.call(B, "hang", b"2", self.soon())
+            await support.until(lambda: len(started) == 2)
+            await b.stop()
+            self.expect_error(await cut, KIND.DISCONNECTED, MAY_HAVE_RUN)
+            self.assertEqual(a.calls_under_way, 0)
+
+        self.run_case(case)
+
+    def test_cancel_by_caller(self) -> None:
+        never: defer.Deferred[bytes] = defer.Deferred()
+
+        async def hang(sender: base.InstanceId, data: bytes) -> bytes:
+            return await never
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("hang", hang)
+            call = a.call(B, "hang", b"", self.soon())
+            call.cancel()
+            self.expect_error(await call, KIND.CANCELLED, NOT_RUN)
+            self.assertEqual(a.calls_under_way, 0)
+
+        self.run_case(case)
+
+
+class MessageTest(mesh_support.MeshCase):
+    """Messages arrive in order and never block their sender."""
+
+    def test_delivery(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            got: list[tuple[str, bytes]] = []
+            b.on_message("log", lambda sender, data: got.append((sender, data)))
+            for i in range(100):
+                a.send(B, "log", b"%d" % i)
+            await support.until(lambda: len(got) == 100)
+            self.assertEqual(got, [("a", b"%d" % i) for i in range(100)])
+
+        self.run_case(case)
+
+    def test_flood_is_bounded(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            got: list[bytes] = []
+            b.on_message("log", lambda sender, data: got.append(data))
+            for i in range(20_000):
+                a.send(B, "log", b"%d" % i)
+            await support.until(lambda: b"19999" in got)
+            self.assertLess(len(got), 20_000)
+
+        self.run_case(case)
+
+    def test_unknown_peer_is_ignored(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            a.send(base.InstanceId("gone"), "log", b"")
+            self.assertEqual(a.connected_peers(), [])
+
+        self.run_case(case)
+
+
+class LifeTest(mesh_support.MeshCase):
+    """Restarts, moves and mistaken addresses of peers."""
+
+    def test_restart_under_new_address(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("echo", echo)
+            await a.call(B, "echo", b"", self.soon())
+            await b.stop()
+            again = await self.start_mesh(B, incarnation=2)
+            again.on_call("echo", echo)
+            a.set_peer(B, "127.0.0.1", again.port)
+            answer = await a.call(B, "echo", b"x", self.soon())
+            self.assertEqual(answer, result.Success(b"a:x"))
+
+        self.run_case(case)
+
+    def test_older_life_is_refused(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            a.on_call("echo", echo)
+            later = await self.start_mesh(B, incarnation=5)
+            self.introduce(a, later)
+            self.assertEqual(
+                await later.call(A, "echo", b"", self.soon()),
+                result.Success(b"b:"),
+            )
+            answer = await b.call(A, "echo", b"", self.soon())
+            self.expect_error(answer, KIND.UNREACHABLE, NOT_RUN)
+            self.assertIn("older", answer.failure().detail)
+
+        self.run_case(case)
+
+    def test_wrong_instance_at_address(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            other = base.InstanceId("c")
+            a.set_peer(other, "127.0.0.1", b.port)
+            answer = await a.call(other, "echo", b"", self.soon())
+            self.expect_error(answer, KIND.UNREACHABLE, NOT_RUN)
+            self.assertIn("This is 'b'", answer.failure().detail)
+
+        self.run_case(case)
+
+    def test_removed_peer(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("echo", echo)
+            await a.call(B, "echo", b"", self.soon())
+            a.remove_peer(B)
+            await support.until(lambda: not a.connected_peers())
+            answer = await a.call(B, "echo", b"", self.soon())
+            self.expect_error(answer, KIND.UNREACHABLE, NOT_RUN)
+
+        self.run_case(case)
+
+    def test_names_are_not_looked_up(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            for host, port in (("localhost", 1), ("127.0.0.1", 0)):
+                with self.subTest(host=host), self.assertRaises(ValueError):
+                    a.set_peer(B, host, port)
+
+        self.run_case(case)
+
+    def test_address_in_use(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            with self.assertRaises(mesh.ListenError):
+                await self.start_mesh(A, port=b.port)
+
+        self.run_case(case)
+
+
+class ForeignBytesTest(mesh_support.MeshCase):
+    """A peer that sends no frames is disconnected; the instance goes on."""
+
+    def test_garbage_on_the_socket(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("echo", echo)
+            for data in (b"\x00" * 40 + b"\r\n", b"GET / HTTP/1.1\r\n\r\n"):
+                await defer.Deferred.fromFuture(
+                    asyncio.ensure_future(send_raw(b.port, data))
+                )
+            answer = await a.call(B, "echo", b"", self.soon())
+            self.assertEqual(answer, result.Success(b"a:"))
+
+        self.run_case(case)
+
+
+async def send_raw(port: int, data: bytes) -> None:
+    """Sends bytes to a port and waits for it to close."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    await reader.read()
+    writer.close()
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,79 @@
+"""Runs network tests of plain `unittest` on one event loop.
+
+The asyncio reactor is installed when this module is imported, so a test module
+that touches the network imports it before anything that imports the reactor.
+"""
+
+import asyncio
+import collections.abc
+import functools
+import typing
+
+from twisted.internet import asyncioreactor
+from twisted.internet import defer
+
+T = typing.TypeVar("T")
+
+TEST_LIMIT_S = 60.0
+"""A test that waits longer than this for a condition has failed."""
+
+POLL_S = 0.002
+"""Pause between two looks at a condition."""
+
+
+@functools.cache
+def event_loop() -> asyncio.AbstractEventLoop:
+    """Returns the one loop of the test process, with the reactor on it."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor
+
+    reactor.startRunning(installSignalHandlers=False)
+    return loop
+
+
+def run_async(
+    function: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, T]
+    ],
+    limit_s: float = TEST_LIMIT_S,
+) -> T:
+    """Runs a coroutine function of Twisted style to its end.
+
+    Args:
+        function: Takes nothing; awaits Deferreds.
+        limit_s: Seconds after which the test fails.
+
+    Returns:
+        What the coroutine returned.
+    """
+    loop = event_loop()
+
+    async def main() -> T:
+        running = defer.ensureDeferred(function())
+        return await asyncio.wait_for(running.asFuture(loop), limit_s)
+
+    return loop.run_until_complete(main())
+
+
+def next_turn(delay_s: float = 0.0) -> defer.Deferred[None]:
+    """Returns a Deferred that fires on a later turn of the loop."""
+    from twisted.internet import reactor
+
+    turn: defer.Deferred[None] = defer.Deferred()
+    reactor.callLater(delay_s, turn.callback, None)
+    return turn
+
+
+async def until(condition: collections.abc.Callable[[], object]) -> None:
+    """Waits until a condition holds; `run_async` bounds the wait.
+
+    Args:
+        condition: Looked at again and again; must have no side effect.
+    """
+    while not condition():
+        await next_turn(POLL_S)
+
+
+event_loop()
