--- a/packages/dispatch/src/banyanbank_dispatch/_queue.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_queue.py
@@ -125,6 +125,13 @@
         self._note_deadline(work)
         return result.Success(None)
 
+    def adopt(self, work: _work.Work, now: float) -> None:
+        """Counts work as running that an earlier owner had dispatched."""
+        if not self._running:
+            self._window_start, self._window_tokens = now, 0.0
+        self._running[work.request_id] = work
+        self._running_tokens += work.cost_tokens
+
     def next(self, now: float) -> _work.Work | None:
         """Returns the work to dispatch now and counts it as running.
 
