Cancel jobs before their answer has begun, and tell writers of lost readers

Cause: a job whose caller left while the engine had not answered ran on. Change: the host keeps what cancels each job from its sending; StreamWriter.on_closed tells handlers at once.

--- a/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
@@ -53,7 +53,7 @@
         self._engine_url = engine_url
         self._new_queue = new_queue
         self._waiting: dict[str, _Waiting] = {}
-        self._responses: dict[str, _upstream.UpstreamResponse] = {}
+        self._cancels: dict[str, typing.Callable[[], None]] = {}
         self.queues: dict[str, dispatch.EngineQueue] = {}
 
     async def run(
@@ -167,9 +167,9 @@
         waiting.granted.callback(refusal)
 
     def _cancel_running(self, request_id: str) -> None:
-        response = self._responses.pop(request_id, None)
-        if response is not None:
-            response.cancel()
+        cancel = self._cancels.pop(request_id, None)
+        if cancel is not None:
+            cancel()
 
     async def _run_on_engine(
         self,
@@ -188,19 +188,21 @@
             "job.sent", request=job.request_id, endpoint=job.endpoint
         )
         started_at = self._clock.now()
-        sent = await self._upstream.send(
-            _upstream.UpstreamRequest(
-                method="POST",
-                url=url + job.path,
-                headers=_engine_headers(job),
-                body=job.body,
-                deadline=deadline,
-            )
+        req = _upstream.UpstreamRequest(
+            method="POST",
+            url=url + job.path,
+            headers=_engine_headers(job),
+            body=job.body,
+            deadline=deadline,
         )
+        sending = defer.ensureDeferred(self._upstream.send(req))
+        self._cancels[job.request_id] = sending.cancel
+        sent = await sending
         if isinstance(sent, result.Failure):
+            self._cancels.pop(job.request_id, None)
             return _failed_upstream(sent.failure())
         response = sent.unwrap()
-        self._responses[job.request_id] = response
+        self._cancels[job.request_id] = response.cancel
         try:
             return await self._relay(job, response, sink, started_at)
         except _messages.SinkClosed:
@@ -210,7 +212,7 @@
                 "The caller is gone.",
             )
         finally:
-            self._responses.pop(job.request_id, None)
+            self._cancels.pop(job.request_id, None)
             response.cancel()
 
     async def _relay(
--- a/packages/mesh/src/banyanbank_mesh/_writer.py
+++ b/packages/mesh/src/banyanbank_mesh/_writer.py
@@ -1,5 +1,7 @@
 """Writing side of a stream between instances, and waiting for room."""
 
+import collections.abc
+
 from twisted.internet import defer
 
 from banyanbank_mesh import _errors
@@ -25,6 +27,7 @@
         self._credit = frame.credit
         self._closed = False
         self._waiter: defer.Deferred[None] | None = None
+        self._callbacks: list[collections.abc.Callable[[], None]] = []
         self.written = 0
         """Bytes written so far."""
 
@@ -33,6 +36,13 @@
         """Whether the reader is gone."""
         return self._closed
 
+    def on_closed(self, callback: collections.abc.Callable[[], None]) -> None:
+        """Calls back once the reader is gone, at once if it is already."""
+        if self._closed:
+            callback()
+        else:
+            self._callbacks.append(callback)
+
     async def write(self, data: bytes) -> None:
         """Writes bytes; waits while the reader has no room.
 
@@ -60,6 +70,9 @@
         """Notes that the reader is gone."""
         self._closed = True
         self._wake()
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            callback()
 
     def _wake(self) -> None:
         waiter = self._waiter
