Add the control state: declarations, commands, machine, sync and keys

Cause: the daemon needs a state machine for the replicated log, and entries need a configuration that says when it may no longer be relied on.

Example sheet: examples/demo.csv.

--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -1,1 +1,235 @@
-"""Replicated control state: configuration, keys, usage, orders and intents."""
+"""Replicated control state: configuration, keys, usage, orders, intents.
+
+All of it is pure: no sockets, no clock, no randomness. The daemon commits
+commands, sends sync messages and executes the effects of the duties.
+"""
+
+from banyanbank_control._machine import ControlMachine
+from banyanbank_control._snapshot import SnapshotError
+from banyanbank_control._state import ControlState
+from banyanbank_control.commands import AbandonIntent
+from banyanbank_control.commands import Action
+from banyanbank_control.commands import AddUsage
+from banyanbank_control.commands import ApplyDeclarations
+from banyanbank_control.commands import BeginIntent
+from banyanbank_control.commands import CloseWindow
+from banyanbank_control.commands import Command
+from banyanbank_control.commands import COMMAND_CODEC
+from banyanbank_control.commands import CompleteIntent
+from banyanbank_control.commands import ConfigAccepted
+from banyanbank_control.commands import CreateKey
+from banyanbank_control.commands import DecideOrder
+from banyanbank_control.commands import ExpireIntents
+from banyanbank_control.commands import IntentBegun
+from banyanbank_control.commands import IntentClosed
+from banyanbank_control.commands import IntentMismatch
+from banyanbank_control.commands import IntentOpen
+from banyanbank_control.commands import IntentReplay
+from banyanbank_control.commands import IntentsExpired
+from banyanbank_control.commands import LossNoted
+from banyanbank_control.commands import MarkOrder
+from banyanbank_control.commands import MarkReported
+from banyanbank_control.commands import NoteInstanceLost
+from banyanbank_control.commands import OrderDecided
+from banyanbank_control.commands import OrderExists
+from banyanbank_control.commands import OrderMarked
+from banyanbank_control.commands import OrderRequest
+from banyanbank_control.commands import OrderStatus
+from banyanbank_control.commands import Rejected
+from banyanbank_control.commands import RejectReason
+from banyanbank_control.commands import Reply
+from banyanbank_control.commands import REPLY_CODEC
+from banyanbank_control.commands import RevisionConflict
+from banyanbank_control.commands import RolloutCommand
+from banyanbank_control.commands import RolloutReply
+from banyanbank_control.commands import Supply
+from banyanbank_control.commands import UsageAdded
+from banyanbank_control.commands import UsageDelta
+from banyanbank_control.commands import UsageFigures
+from banyanbank_control.commands import UsageGap
+from banyanbank_control.commands import WindowClosed
+from banyanbank_control.commands import WindowReported
+from banyanbank_control.commands import WithdrawKey
+from banyanbank_control.config import ConfigState
+from banyanbank_control.config import Delta
+from banyanbank_control.declarations import Access
+from banyanbank_control.declarations import Account
+from banyanbank_control.declarations import Added
+from banyanbank_control.declarations import ANY_ACCOUNT
+from banyanbank_control.declarations import Capacity
+from banyanbank_control.declarations import Change
+from banyanbank_control.declarations import Changed
+from banyanbank_control.declarations import check
+from banyanbank_control.declarations import Declarations
+from banyanbank_control.declarations import diff
+from banyanbank_control.declarations import export_sheet
+from banyanbank_control.declarations import export_text
+from banyanbank_control.declarations import Grant
+from banyanbank_control.declarations import grant_ref
+from banyanbank_control.declarations import hash_secret
+from banyanbank_control.declarations import Item
+from banyanbank_control.declarations import ItemRef
+from banyanbank_control.declarations import Key
+from banyanbank_control.declarations import Kind
+from banyanbank_control.declarations import malformed
+from banyanbank_control.declarations import Model
+from banyanbank_control.declarations import parse_sheet
+from banyanbank_control.declarations import parse_text
+from banyanbank_control.declarations import Problem
+from banyanbank_control.declarations import Removed
+from banyanbank_control.declarations import Repeat
+from banyanbank_control.declarations import Route
+from banyanbank_control.declarations import SheetError
+from banyanbank_control.declarations import SheetErrors
+from banyanbank_control.declarations import Target
+from banyanbank_control.declarations import Trainer
+from banyanbank_control.intents import Intent
+from banyanbank_control.intents import IntentState
+from banyanbank_control.intents import MAX_ANSWER_BYTES
+from banyanbank_control.intents import MAX_RETENTION_S
+from banyanbank_control.orders import Order
+from banyanbank_control.orders import OrderState
+from banyanbank_control.sync import Admission
+from banyanbank_control.sync import Announcement
+from banyanbank_control.sync import Authenticator
+from banyanbank_control.sync import ConfigView
+from banyanbank_control.sync import ConfigWhole
+from banyanbank_control.sync import ENDPOINT_TTL_S
+from banyanbank_control.sync import EndpointKind
+from banyanbank_control.sync import EndpointTable
+from banyanbank_control.sync import Freshness
+from banyanbank_control.sync import FRESHNESS_S
+from banyanbank_control.sync import FreshnessGate
+from banyanbank_control.sync import Heard
+from banyanbank_control.sync import LEAVE_MEMORY_S
+from banyanbank_control.sync import MAX_SECRET_CHARS
+from banyanbank_control.sync import Member
+from banyanbank_control.sync import merge
+from banyanbank_control.sync import Phase
+from banyanbank_control.sync import POLL_S
+from banyanbank_control.sync import Principal
+from banyanbank_control.sync import ServedModel
+from banyanbank_control.sync import SoftVersion
+from banyanbank_control.sync import SYNC_CODEC
+from banyanbank_control.sync import SyncRefused
+from banyanbank_control.sync import SyncReply
+from banyanbank_control.sync import SyncRequest
+from banyanbank_control.sync import ViewUpdate
+from banyanbank_control.usage import UsageState
+from banyanbank_control.usage import Window
+
+__all__ = [
+    "ANY_ACCOUNT",
+    "COMMAND_CODEC",
+    "ENDPOINT_TTL_S",
+    "FRESHNESS_S",
+    "LEAVE_MEMORY_S",
+    "MAX_ANSWER_BYTES",
+    "MAX_RETENTION_S",
+    "MAX_SECRET_CHARS",
+    "POLL_S",
+    "REPLY_CODEC",
+    "SYNC_CODEC",
+    "AbandonIntent",
+    "Access",
+    "Account",
+    "Action",
+    "AddUsage",
+    "Added",
+    "Admission",
+    "Announcement",
+    "ApplyDeclarations",
+    "Authenticator",
+    "BeginIntent",
+    "Capacity",
+    "Change",
+    "Changed",
+    "CloseWindow",
+    "Command",
+    "CompleteIntent",
+    "ConfigAccepted",
+    "ConfigState",
+    "ConfigView",
+    "ConfigWhole",
+    "ControlMachine",
+    "ControlState",
+    "CreateKey",
+    "DecideOrder",
+    "Declarations",
+    "Delta",
+    "EndpointKind",
+    "EndpointTable",
+    "ExpireIntents",
+    "Freshness",
+    "FreshnessGate",
+    "Grant",
+    "Heard",
+    "Intent",
+    "IntentBegun",
+    "IntentClosed",
+    "IntentMismatch",
+    "IntentOpen",
+    "IntentReplay",
+    "IntentState",
+    "IntentsExpired",
+    "Item",
+    "ItemRef",
+    "Key",
+    "Kind",
+    "LossNoted",
+    "MarkOrder",
+    "MarkReported",
+    "Member",
+    "Model",
+    "NoteInstanceLost",
+    "Order",
+    "OrderDecided",
+    "OrderExists",
+    "OrderMarked",
+    "OrderRequest",
+    "OrderState",
+    "OrderStatus",
+    "Phase",
+    "Principal",
+    "Problem",
+    "RejectReason",
+    "Rejected",
+    "Removed",
+    "Repeat",
+    "Reply",
+    "RevisionConflict",
+    "RolloutCommand",
+    "RolloutReply",
+    "Route",
+    "ServedModel",
+    "SheetError",
+    "SheetErrors",
+    "SnapshotError",
+    "SoftVersion",
+    "Supply",
+    "SyncRefused",
+    "SyncReply",
+    "SyncRequest",
+    "Target",
+    "Trainer",
+    "UsageAdded",
+    "UsageDelta",
+    "UsageFigures",
+    "UsageGap",
+    "UsageState",
+    "ViewUpdate",
+    "Window",
+    "WindowClosed",
+    "WindowReported",
+    "WithdrawKey",
+    "check",
+    "diff",
+    "export_sheet",
+    "export_text",
+    "grant_ref",
+    "hash_secret",
+    "malformed",
+    "merge",
+    "parse_sheet",
+    "parse_text",
+]
--- /dev/null
+++ b/packages/control/src/banyanbank_control/_state.py
@@ -0,0 +1,30 @@
+"""Everything that the replicated log holds."""
+
+import attrs
+import banyanbank_base as base
+import immutables
+
+from banyanbank_control.config import _state as config_state
+from banyanbank_control.intents import _state as intents_state
+from banyanbank_control.orders import _state as orders_state
+from banyanbank_control.usage import _state as usage_state
+
+Lives = immutables.Map[base.InstanceId, base.Incarnation]
+
+
+@attrs.frozen
+class ControlState:
+    """The whole control state; immutable."""
+
+    config: config_state.ConfigState = attrs.Factory(config_state.ConfigState)
+    """Declarations and keys in force."""
+    usage: usage_state.UsageState = attrs.Factory(usage_state.UsageState)
+    """Usage windows."""
+    orders: orders_state.OrderState = attrs.Factory(orders_state.OrderState)
+    """Orders for endpoints."""
+    intents: intents_state.IntentState = attrs.Factory(
+        intents_state.IntentState
+    )
+    """Claims of non-idempotent requests."""
+    lives_over: Lives = attrs.Factory(immutables.Map)
+    """Newest life of each instance that is known to be over."""
--- /dev/null
+++ b/packages/control/src/banyanbank_control/commands/_codec.py
@@ -0,0 +1,89 @@
+"""The closed unions of commands and replies, and their codecs."""
+
+import banyanbank_base as base
+
+from banyanbank_control.commands import _common
+from banyanbank_control.commands import _config
+from banyanbank_control.commands import _intents
+from banyanbank_control.commands import _orders
+from banyanbank_control.commands import _usage
+
+Command = (
+    _common.RolloutCommand
+    | _config.ApplyDeclarations
+    | _config.CreateKey
+    | _config.WithdrawKey
+    | _intents.BeginIntent
+    | _intents.CompleteIntent
+    | _intents.AbandonIntent
+    | _intents.ExpireIntents
+    | _intents.NoteInstanceLost
+    | _usage.AddUsage
+    | _usage.CloseWindow
+    | _usage.MarkReported
+    | _orders.DecideOrder
+    | _orders.MarkOrder
+)
+"""Everything that the replicated log may hold."""
+
+Reply = (
+    _common.Rejected
+    | _common.RolloutReply
+    | _config.ConfigAccepted
+    | _config.RevisionConflict
+    | _intents.IntentBegun
+    | _intents.IntentReplay
+    | _intents.IntentOpen
+    | _intents.IntentMismatch
+    | _intents.IntentClosed
+    | _intents.IntentsExpired
+    | _intents.LossNoted
+    | _usage.UsageAdded
+    | _usage.UsageGap
+    | _usage.WindowClosed
+    | _usage.WindowReported
+    | _orders.OrderDecided
+    | _orders.OrderExists
+    | _orders.OrderMarked
+)
+"""Everything that a command may be answered with."""
+
+COMMAND_CODEC: base.Codec[Command] = base.Codec(
+    _common.RolloutCommand,
+    _config.ApplyDeclarations,
+    _config.CreateKey,
+    _config.WithdrawKey,
+    _intents.BeginIntent,
+    _intents.CompleteIntent,
+    _intents.AbandonIntent,
+    _intents.ExpireIntents,
+    _intents.NoteInstanceLost,
+    _usage.AddUsage,
+    _usage.CloseWindow,
+    _usage.MarkReported,
+    _orders.DecideOrder,
+    _orders.MarkOrder,
+)
+"""Bytes of commands."""
+
+REPLY_CODEC: base.Codec[Reply] = base.Codec(
+    _common.Rejected,
+    _common.RolloutReply,
+    _config.ConfigAccepted,
+    _config.RevisionConflict,
+    _intents.IntentBegun,
+    _intents.IntentReplay,
+    _intents.IntentOpen,
+    _intents.IntentMismatch,
+    _intents.IntentClosed,
+    _intents.IntentsExpired,
+    _intents.LossNoted,
+    _usage.UsageAdded,
+    _usage.UsageGap,
+    _usage.WindowClosed,
+    _usage.WindowReported,
+    _orders.OrderDecided,
+    _orders.OrderExists,
+    _orders.OrderMarked,
+)
+"""Bytes of replies."""
--- /dev/null
+++ b/packages/control/src/banyanbank_control/config/__init__.py
@@ -0,0 +1,21 @@
+"""Configuration in the replicated log: revisions, keys, history."""
+
+from banyanbank_control.config._apply import apply_declarations
+from banyanbank_control.config._apply import create_key
+from banyanbank_control.config._apply import withdraw_key
+from banyanbank_control.config._state import ConfigRecord
+from banyanbank_control.config._state import ConfigState
+from banyanbank_control.config._state import Delta
+from banyanbank_control.config._state import RequestRecord
+from banyanbank_control.config._state import Tombstone
+
+__all__ = [
+    "ConfigRecord",
+    "ConfigState",
+    "Delta",
+    "RequestRecord",
+    "Tombstone",
+    "apply_declarations",
+    "create_key",
+    "withdraw_key",
+]
--- /dev/null
+++ b/packages/control/src/banyanbank_control/declarations/__init__.py
@@ -0,0 +1,67 @@
+"""What operators declare, and its sheet and text forms."""
+
+from banyanbank_control.declarations._checks import check
+from banyanbank_control.declarations._checks import Problem
+from banyanbank_control.declarations._columns import malformed
+from banyanbank_control.declarations._diff import Added
+from banyanbank_control.declarations._diff import Change
+from banyanbank_control.declarations._diff import Changed
+from banyanbank_control.declarations._diff import diff
+from banyanbank_control.declarations._diff import Removed
+from banyanbank_control.declarations._errors import SheetError
+from banyanbank_control.declarations._errors import SheetErrors
+from banyanbank_control.declarations._models import Access
+from banyanbank_control.declarations._models import Account
+from banyanbank_control.declarations._models import ANY_ACCOUNT
+from banyanbank_control.declarations._models import Capacity
+from banyanbank_control.declarations._models import Declarations
+from banyanbank_control.declarations._models import Grant
+from banyanbank_control.declarations._models import grant_ref
+from banyanbank_control.declarations._models import hash_secret
+from banyanbank_control.declarations._models import Item
+from banyanbank_control.declarations._models import ItemRef
+from banyanbank_control.declarations._models import Key
+from banyanbank_control.declarations._models import Kind
+from banyanbank_control.declarations._models import Model
+from banyanbank_control.declarations._models import Repeat
+from banyanbank_control.declarations._models import Route
+from banyanbank_control.declarations._models import Target
+from banyanbank_control.declarations._models import Trainer
+from banyanbank_control.declarations._sheet import export_sheet
+from banyanbank_control.declarations._sheet import parse_sheet
+from banyanbank_control.declarations._text import export_text
+from banyanbank_control.declarations._text import parse_text
+
+__all__ = [
+    "ANY_ACCOUNT",
+    "Access",
+    "Account",
+    "Added",
+    "Capacity",
+    "Change",
+    "Changed",
+    "Declarations",
+    "Grant",
+    "Item",
+    "ItemRef",
+    "Key",
+    "Kind",
+    "Model",
+    "Problem",
+    "Removed",
+    "Repeat",
+    "Route",
+    "SheetError",
+    "SheetErrors",
+    "Target",
+    "Trainer",
+    "check",
+    "diff",
+    "export_sheet",
+    "export_text",
+    "grant_ref",
+    "hash_secret",
+    "malformed",
+    "parse_sheet",
+    "parse_text",
+]
--- /dev/null
+++ b/packages/control/src/banyanbank_control/intents/__init__.py
@@ -0,0 +1,27 @@
+"""Intents: claims that let a non-idempotent request run at most once."""
+
+from banyanbank_control.intents._apply import abandon
+from banyanbank_control.intents._apply import begin
+from banyanbank_control.intents._apply import complete
+from banyanbank_control.intents._apply import expire
+from banyanbank_control.intents._apply import MAX_ANSWER_BYTES
+from banyanbank_control.intents._apply import MAX_INTENTS_PER_ACCOUNT
+from banyanbank_control.intents._apply import MAX_RETENTION_S
+from banyanbank_control.intents._state import Intent
+from banyanbank_control.intents._state import IntentRecord
+from banyanbank_control.intents._state import IntentState
+from banyanbank_control.intents._state import IntentStatus
+
+__all__ = [
+    "MAX_ANSWER_BYTES",
+    "MAX_INTENTS_PER_ACCOUNT",
+    "MAX_RETENTION_S",
+    "Intent",
+    "IntentRecord",
+    "IntentState",
+    "IntentStatus",
+    "abandon",
+    "begin",
+    "complete",
+    "expire",
+]
--- /dev/null
+++ b/packages/control/src/banyanbank_control/intents/_state.py
@@ -0,0 +1,127 @@
+"""Intents by client account and idempotency key, bucketed by expiry."""
+
+import enum
+import math
+
+import attrs
+import banyanbank_base as base
+import immutables
+
+BUCKET_S = 60.0
+"""Width of an expiry bucket, in seconds."""
+
+CLOCK_MARGIN_S = 60.0
+"""Difference of wall clocks that never shortens a retention, in seconds."""
+
+IntentKey = tuple[str, str]
+"""Client account and idempotency key."""
+
+
+class IntentStatus(enum.Enum):
+    """What is known of an intent's request."""
+
+    OPEN = "open"
+    """It runs, or may have run."""
+    DONE = "done"
+    """It ran."""
+
+
+@attrs.frozen
+class Intent:
+    """One claim."""
+
+    account: base.AccountId
+    """Client account."""
+    idempotency_key: str
+    """The caller's `Idempotency-Key`."""
+    request_digest: bytes
+    """Digest of the request."""
+    request_id: base.RequestId
+    """Attempt that holds the claim."""
+    instance: base.InstanceId
+    """Entry of that attempt."""
+    incarnation: base.Incarnation
+    """Life of that entry."""
+    endpoint: base.EndpointId
+    """Endpoint chosen; empty when not known."""
+    retain_until: float
+    """Wall time up to which it is kept, in seconds."""
+    status: IntentStatus = IntentStatus.OPEN
+    """What is known."""
+    answer: bytes | None = None
+    """Answer of a request that ran; None when not kept."""
+
+    @property
+    def key(self) -> IntentKey:
+        """Account and idempotency key."""
+        return self.account, self.idempotency_key
+
+    @property
+    def bucket(self) -> int:
+        """Number of the expiry bucket, rounded towards later."""
+        return math.ceil((self.retain_until + CLOCK_MARGIN_S) / BUCKET_S)
+
+
+@attrs.frozen
+class IntentRecord:
+    """Intents as a snapshot holds them."""
+
+    intents: tuple[Intent, ...]
+    """Every intent kept."""
+
+
+_Bucket = immutables.Map[IntentKey, None]
+
+
+@attrs.frozen
+class IntentState:
+    """Every intent within its retention."""
+
+    intents: immutables.Map[IntentKey, Intent] = attrs.Factory(immutables.Map)
+    """Intents by account and idempotency key."""
+    buckets: immutables.Map[int, _Bucket] = attrs.Factory(immutables.Map)
+    """Keys by expiry bucket; empty buckets are absent."""
+    counts: immutables.Map[base.AccountId, int] = attrs.Factory(immutables.Map)
+    """Intents kept by account; accounts without any are absent."""
+
+    def with_intent(self, intent: Intent) -> "IntentState":
+        """Returns the state with a new intent."""
+        bucket = self.buckets.get(intent.bucket, immutables.Map())
+        count = self.counts.get(intent.account, 0) + 1
+        return IntentState(
+            self.intents.set(intent.key, intent),
+            self.buckets.set(intent.bucket, bucket.set(intent.key, None)),
+            self.counts.set(intent.account, count),
+        )
+
+    def with_answer(
+        self, intent: Intent, answer: bytes | None
+    ) -> "IntentState":
+        """Returns the state after an intent's request has run."""
+        done = attrs.evolve(intent, status=IntentStatus.DONE, answer=answer)
+        return attrs.evolve(self, intents=self.intents.set(done.key, done))
+
+    def without(self, intent: Intent) -> "IntentState":
+        """Returns the state without one intent."""
+        bucket = self.buckets[intent.bucket].delete(intent.key)
+        left = self.counts[intent.account] - 1
+        counts = self.counts.delete(intent.account)
+        buckets = self.buckets.delete(intent.bucket)
+        return IntentState(
+            self.intents.delete(intent.key),
+            buckets.set(intent.bucket, bucket) if bucket else buckets,
+            counts.set(intent.account, left) if left else counts,
+        )
+
+    def record(self) -> IntentRecord:
+        """Returns the intents for a snapshot."""
+        keys = sorted(self.intents)
+        return IntentRecord(tuple(self.intents[key] for key in keys))
+
+    @classmethod
+    def from_record(cls, record: IntentRecord) -> "IntentState":
+        """Returns the intents that a snapshot holds."""
+        state = cls()
+        for intent in record.intents:
+            state = state.with_intent(intent)
+        return state
--- /dev/null
+++ b/packages/control/src/banyanbank_control/orders/__init__.py
@@ -0,0 +1,9 @@
+"""Orders for endpoints: decided once, sent unchanged."""
+
+from banyanbank_control.orders._apply import decide
+from banyanbank_control.orders._apply import mark
+from banyanbank_control.orders._state import Order
+from banyanbank_control.orders._state import OrderRecord
+from banyanbank_control.orders._state import OrderState
+
+__all__ = ["Order", "OrderRecord", "OrderState", "decide", "mark"]
--- /dev/null
+++ b/packages/control/src/banyanbank_control/sync/__init__.py
@@ -0,0 +1,57 @@
+"""What entries and the leader of control tell each other."""
+
+from banyanbank_control.sync._authenticator import Admission
+from banyanbank_control.sync._authenticator import Authenticator
+from banyanbank_control.sync._authenticator import MAX_SECRET_CHARS
+from banyanbank_control.sync._authenticator import Principal
+from banyanbank_control.sync._endpoints import ENDPOINT_TTL_S
+from banyanbank_control.sync._endpoints import EndpointTable
+from banyanbank_control.sync._endpoints import LEAVE_MEMORY_S
+from banyanbank_control.sync._endpoints import merge
+from banyanbank_control.sync._gate import Freshness
+from banyanbank_control.sync._gate import FRESHNESS_S
+from banyanbank_control.sync._gate import FreshnessGate
+from banyanbank_control.sync._gate import POLL_S
+from banyanbank_control.sync._messages import Announcement
+from banyanbank_control.sync._messages import ConfigWhole
+from banyanbank_control.sync._messages import EndpointKind
+from banyanbank_control.sync._messages import Heard
+from banyanbank_control.sync._messages import Member
+from banyanbank_control.sync._messages import Phase
+from banyanbank_control.sync._messages import ServedModel
+from banyanbank_control.sync._messages import SoftVersion
+from banyanbank_control.sync._messages import SYNC_CODEC
+from banyanbank_control.sync._messages import SyncRefused
+from banyanbank_control.sync._messages import SyncReply
+from banyanbank_control.sync._messages import SyncRequest
+from banyanbank_control.sync._view import ConfigView
+from banyanbank_control.sync._view import ViewUpdate
+
+__all__ = [
+    "ENDPOINT_TTL_S",
+    "FRESHNESS_S",
+    "LEAVE_MEMORY_S",
+    "MAX_SECRET_CHARS",
+    "POLL_S",
+    "SYNC_CODEC",
+    "Admission",
+    "Announcement",
+    "Authenticator",
+    "ConfigView",
+    "ConfigWhole",
+    "EndpointKind",
+    "EndpointTable",
+    "Freshness",
+    "FreshnessGate",
+    "Heard",
+    "Member",
+    "Phase",
+    "Principal",
+    "ServedModel",
+    "SoftVersion",
+    "SyncRefused",
+    "SyncReply",
+    "SyncRequest",
+    "ViewUpdate",
+    "merge",
+]
--- /dev/null
+++ b/packages/control/src/banyanbank_control/usage/__init__.py
@@ -0,0 +1,23 @@
+"""Usage: exactly-once counts, frozen windows, reports."""
+
+from banyanbank_control.usage._apply import add
+from banyanbank_control.usage._apply import close_window
+from banyanbank_control.usage._apply import mark_reported
+from banyanbank_control.usage._apply import note_lives_over
+from banyanbank_control.usage._state import Flushes
+from banyanbank_control.usage._state import UsageRecord
+from banyanbank_control.usage._state import UsageState
+from banyanbank_control.usage._state import Window
+from banyanbank_control.usage._state import WindowRecord
+
+__all__ = [
+    "Flushes",
+    "UsageRecord",
+    "UsageState",
+    "Window",
+    "WindowRecord",
+    "add",
+    "close_window",
+    "mark_reported",
+    "note_lives_over",
+]
--- /dev/null
+++ b/tests/control/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of declarations and their forms."""
--- /dev/null
+++ b/tests/control/declarations/test_sheet.py
@@ -0,0 +1,107 @@
+"""Tests of reading and writing sheets."""
+
+import pathlib
+import unittest
+
+import banyanbank_control as control
+
+from tests.control import samples
+
+_DEMO = pathlib.Path(__file__).parents[3] / "examples" / "demo.csv"
+
+
+class RoundTripTest(unittest.TestCase):
+    """What is exported applies back unchanged."""
+
+    def test_round_trips(self) -> None:
+        demo = control.parse_sheet("demo.csv", _DEMO.read_bytes()).unwrap()
+        self.assertEqual(control.export_sheet(demo), _DEMO.read_bytes())
+        for declared in (samples.DECLARED, demo):
+            sheet = control.export_sheet(declared)
+            text = control.export_text(declared).encode()
+            read = control.parse_sheet("s.csv", sheet).unwrap()
+            self.assertEqual(read, declared)
+            self.assertEqual(
+                control.parse_text("s.yaml", text).unwrap(), declared
+            )
+
+
+class SpreadsheetTest(unittest.TestCase):
+    """The ways in which spreadsheets write the same table."""
+
+    def test_dialects(self) -> None:
+        plain = "kind,name,weight,accounts,service,access\n"
+        plain += "account,a,1.5,,,\nroute,/r,,a,r,keyed\n"
+        semicolons = plain.replace(",", ";").replace("1.5", "1,5")
+        sheets = {
+            "plain": plain.encode(),
+            "bom": plain.encode("utf-8-sig"),
+            "utf-16": plain.encode("utf-16"),
+            "crlf": plain.replace("\n", "\r\n").encode(),
+            "semicolons and decimal comma": semicolons.encode(),
+            "separator line": b"sep=;\r\n" + semicolons.encode(),
+            "tabs": plain.replace(",", "\t").encode(),
+            "quotes": plain.replace("1.5", '"1.5"').encode(),
+            "blank lines": plain.replace("\n", "\n\n,,\n").encode(),
+            "empty columns": plain.replace("\n", ",,,\n").encode(),
+            "headings": plain.replace("kind", " Kind ").encode(),
+        }
+        expected = control.Declarations.of(
+            [
+                control.Account("a", weight=1.5),
+                control.Route("/r", "r", control.Access.KEYED, ("a",)),
+            ]
+        )
+        for name, data in sheets.items():
+            with self.subTest(name):
+                read = control.parse_sheet(name, data).unwrap()
+                self.assertEqual(read, expected)
+
+
+class SheetErrorTest(unittest.TestCase):
+    """Every fault is told with row and column, all at once."""
+
+    def check(self, body: str, *places: tuple[int, str]) -> None:
+        """Checks the places of all faults of a sheet."""
+        errors = control.parse_sheet("s.csv", body.encode()).failure().errors
+        found = tuple((error.row, error.column) for error in errors)
+        self.assertEqual(found, places)
+        for error in errors:
+            self.assertTrue(error.problem and error.mend)
+            self.assertTrue(str(error).startswith("s.csv"))
+
+    def test_places(self) -> None:
+        head = "kind,name,account,secret_sha256,weight,concurrency\n"
+        cases = {
+            "": [(0, "")],
+            "name\nx\n": [(1, "kind")],
+            head + "account,a\nacount,b\n": [(3, "kind")],
+            head + "\naccount,a,,,x,0\nkey,k,a,s3cret\n": [
+                (3, "weight"),
+                (3, "concurrency"),
+                (4, "secret_sha256"),
+            ],
+            head + "account,a\naccount,a,,,2\n": [(3, "name")],
+            head + "key,k,nobody," + "0" * 64: [(2, "account")],
+            head + "account,a,b\n": [(2, "account")],
+            head + "account,a,,,,,,x\n": [(2, "")],
+            head + "account,a,,,1\u202f000\n": [(2, "weight")],
+            head + "account,a,,,1.000\n": [(2, "weight")],
+            head + "account,a,,,nan\naccount,é\n": [(2, "weight"), (3, "name")],
+            head + 'account,"a\n': [(0, "")],
+            "kind,nam,kind\n": [(1, "nam"), (1, "kind")],
+        }
+        for body, places in cases.items():
+            with self.subTest(body):
+                self.check(body, *places)
+
+    def test_secret_is_not_repeated(self) -> None:
+        body = "kind,name,account,secret_sha256\nkey,k,a,s3cret\n"
+        errors = control.parse_sheet("s.csv", body.encode()).failure()
+        self.assertNotIn("s3cret", str(errors))
+
+    def test_bytes(self) -> None:
+        for data in (b"\xff\xfe\x00", b"kind\n\xe9\n", b"a" * (9 << 20)):
+            with self.subTest(data[:5]):
+                errors = control.parse_sheet("s", data).failure().errors
+                self.assertEqual(errors[0].row, 0)
--- /dev/null
+++ b/tests/control/samples.py
@@ -0,0 +1,60 @@
+"""Declarations and shorthand that the tests of control share."""
+
+import banyanbank_control as control
+
+ACCOUNTS = (
+    control.Account("acme", weight=2.0),
+    control.Account("zeta", requests_per_s=0.5, concurrency=3),
+)
+KEYS = (
+    control.Key("acme-1", "acme", control.hash_secret("s-acme-1")),
+    control.Key("zeta-1", "zeta", control.hash_secret("s-zeta-1")),
+)
+ROUTES = (
+    control.Route("/grade", "grade", control.Access.KEYED, ("acme",)),
+    control.Route("/orders", "orders", control.Access.KEYED, ("*",)),
+    control.Route(
+        "/orders/book",
+        "orders",
+        control.Access.KEYED,
+        ("zeta",),
+        control.Repeat.NON_IDEMPOTENT,
+    ),
+    control.Route("/status", "status", control.Access.OPEN),
+)
+OTHERS = (
+    control.Model("coach", staleness_bound=2),
+    control.Trainer("folds", "acme", "coach", 4, 2, "/grade", 1),
+    control.Grant("acme", control.Target.MODEL, "coach"),
+    control.Grant("acme", control.Target.ROUTE, "/orders/book"),
+    control.Capacity("coach", 1, 4, 1, ("a", "b"), 2.5),
+)
+DECLARED = control.Declarations.of([*ACCOUNTS, *KEYS, *ROUTES, *OTHERS])
+
+
+def send(
+    machine: control.ControlMachine, cmd: control.Command
+) -> control.Reply:
+    """Applies a command as the log would."""
+    payload = control.COMMAND_CODEC.encode(cmd)
+    reply = machine.apply(machine.applied + 1, payload)
+    return control.REPLY_CODEC.decode(reply)
+
+
+def apply_cmd(
+    request_id: str,
+    expected_revision: int,
+    declared: control.Declarations = DECLARED,
+    operator: str = "ann",
+) -> control.ApplyDeclarations:
+    """Returns a command that puts declarations in force."""
+    return control.ApplyDeclarations(
+        request_id, operator, expected_revision, declared
+    )
+
+
+def machine_in_force() -> control.ControlMachine:
+    """Returns a machine with `DECLARED` in force as revision 1."""
+    machine = control.ControlMachine()
+    send(machine, apply_cmd("first", 0))
+    return machine
--- /dev/null
+++ b/tests/control/sync/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of freshness, membership and permissions."""
--- /dev/null
+++ b/tests/control/test_config.py
@@ -0,0 +1,138 @@
+"""Tests of revisions, keys and history in the control machine."""
+
+import unittest
+
+import attrs
+import banyanbank_control as control
+
+from tests.control import samples
+
+
+class RevisionTest(unittest.TestCase):
+    """Compare-and-set, resends and conflicts."""
+
+    def setUp(self) -> None:
+        self.machine = samples.machine_in_force()
+
+    def send(self, cmd: control.Command) -> control.Reply:
+        """Applies a command."""
+        return samples.send(self.machine, cmd)
+
+    def test_racing_operators(self) -> None:
+        model = control.Model("coach", staleness_bound=5)
+        items = [*samples.DECLARED.items(), model]
+        bob = control.Declarations.of(
+            {item.ref: item for item in items}.values()
+        )
+        won = self.send(samples.apply_cmd("b", 1, bob, "bob"))
+        self.assertEqual(won, control.ConfigAccepted(2, 1))
+        lost = self.send(samples.apply_cmd("c", 1, operator="eve"))
+        self.assertIsInstance(lost, control.RevisionConflict)
+        self.assertEqual(
+            (lost.winner_operator, lost.winner_request_id, lost.revision),
+            ("bob", "b", 2),
+        )
+        again = self.send(samples.apply_cmd("b", 1, bob, "bob"))
+        self.assertEqual(again, won)
+        same = self.send(samples.apply_cmd("d", 1, bob, "ann"))
+        self.assertEqual(same, control.ConfigAccepted(2, 0))
+
+    def test_request_id_of_other_content(self) -> None:
+        reply = self.send(samples.apply_cmd("first", 1))
+        self.assertEqual(reply.reason, control.RejectReason.REQUEST_ID_REUSED)
+
+    def test_faults_change_nothing(self) -> None:
+        declared = samples.DECLARED
+        acme = control.Account("acme", weight=float("nan"))
+        cases = {
+            "unknown account": attrs.evolve(declared, accounts=()),
+            "bad value": attrs.evolve(
+                declared, accounts=(acme, samples.ACCOUNTS[1])
+            ),
+            "orphaned key": attrs.evolve(
+                declared,
+                accounts=samples.ACCOUNTS[:1],
+                keys=(),
+                routes=samples.ROUTES[:2],
+                grants=samples.DECLARED.grants[:1],
+            ),
+            "altered key": declared.with_keys(
+                (attrs.evolve(samples.KEYS[0], account="zeta"),)
+            ),
+            "moved hash": declared.with_keys(
+                (attrs.evolve(samples.KEYS[0], key_id="other"),)
+            ),
+        }
+        before = self.machine.state.config
+        for name, case in cases.items():
+            with self.subTest(name):
+                reply = self.send(samples.apply_cmd(name, 1, case))
+                self.assertIsInstance(reply, control.Rejected)
+                self.assertEqual(reply.reason, control.RejectReason.INVALID)
+                after = self.machine.state.config
+                self.assertEqual(after.revision, 1)
+                self.assertEqual(after.declared(), before.declared())
+
+
+class KeyTest(unittest.TestCase):
+    """Keys come once and go for ever."""
+
+    def setUp(self) -> None:
+        self.machine = samples.machine_in_force()
+
+    def test_withdrawn_for_ever(self) -> None:
+        old = samples.KEYS[0]
+        withdraw = control.WithdrawKey("w", "ann", old.key_id)
+        reply = samples.send(self.machine, withdraw)
+        self.assertEqual(reply, control.ConfigAccepted(2, 1))
+        data = self.machine.snapshot()
+        self.machine = control.ControlMachine()
+        self.machine.restore(data)
+        new_id = attrs.evolve(old, key_id="acme-2")
+        new_hash = attrs.evolve(old, secret_sha256="0" * 64)
+        for number, key in enumerate((old, new_id, new_hash)):
+            create = control.CreateKey(f"c{number}", "ann", key)
+            sheet = samples.apply_cmd(
+                f"s{number}",
+                2,
+                samples.DECLARED.with_keys((key, samples.KEYS[1])),
+            )
+            for cmd in (create, sheet):
+                with self.subTest(cmd=cmd):
+                    reply = samples.send(self.machine, cmd)
+                    self.assertEqual(
+                        reply.reason, control.RejectReason.KEY_WITHDRAWN
+                    )
+
+    def test_sheet_without_keys_keeps_them(self) -> None:
+        declared = attrs.evolve(samples.DECLARED, keys=(), capacities=())
+        reply = samples.send(self.machine, samples.apply_cmd("x", 1, declared))
+        self.assertEqual(reply, control.ConfigAccepted(2, 1))
+        self.assertEqual(len(self.machine.state.config.keys), 2)
+
+    def test_sheet_with_keys_withdraws_absent_ones(self) -> None:
+        declared = samples.DECLARED.with_keys(samples.KEYS[:1])
+        samples.send(self.machine, samples.apply_cmd("x", 1, declared))
+        self.assertEqual(set(self.machine.state.config.keys), {"acme-1"})
+        self.assertEqual(set(self.machine.state.config.tombstones), {"zeta-1"})
+
+
+class BytesTest(unittest.TestCase):
+    """Any bytes get a reply; snapshots of unknown formats are refused."""
+
+    def test_foreign_commands(self) -> None:
+        machine = control.ControlMachine()
+        for payload in (b"", b"\xff" * 40, b"\xa1b_tcFoo", b"\x9f" * 5000):
+            reply = control.REPLY_CODEC.decode(machine.apply(1, payload))
+            self.assertEqual(reply.reason, control.RejectReason.UNDECODABLE)
+
+    def test_foreign_snapshots(self) -> None:
+        machine = samples.machine_in_force()
+        data = machine.snapshot()
+        before = machine.state
+        for bad in (b"", data[:-1], b"x" + data, data[:4] + b"\x07"):
+            with self.assertRaises(control.SnapshotError):
+                machine.restore(bad)
+        self.assertIs(machine.state, before)
+        machine.restore(data)
+        self.assertEqual(machine.snapshot(), data)
