--- a/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
@@ -12,7 +12,7 @@
 BYTES_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 1_024
 PREFIX_BYTES = 1_024
-MAX_PROMPT_BYTES = 2 * 1024 * 1024
+MOST_TOKENS = 1_000_000
 
 JsonObject = dict[str, typing.Any]
 
@@ -54,6 +54,10 @@
         """Digest of the prompt's beginning."""
         return prefix_digest(self.prompt)
 
+    def with_limit(self, most_tokens: int) -> "CompletionCall":
+        """Returns the call with `max_tokens` at most as given."""
+        return attrs.evolve(self, max_tokens=min(self.max_tokens, most_tokens))
+
     def engine_body(self) -> bytes:
         """Returns the body for the engine, which always streams."""
         document = dict(self.document)
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -0,0 +1,157 @@
+"""What this instance knows of endpoints, their owners and their load."""
+
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_control as control
+import banyanbank_dispatch as dispatch
+import banyanbank_rollout as rollout
+
+from banyanbank_daemon import _jobs
+
+DEFAULT_TOKENS_PER_S = 1_000.0
+
+
+@attrs.frozen
+class LoadReport:
+    """Load of one engine's queue, as its owner told with an answer."""
+
+    tokens: float
+    """Tokens waiting and running."""
+    tokens_per_s: float
+    """Rate of the engine."""
+    heard_at: float
+    """Monotonic seconds."""
+
+
+class Fleet:
+    """Endpoints, members and owners.
+
+    Args:
+        instance: This instance.
+        clock: Clock of deadlines.
+        local_runner: Runs jobs on the engines owned here.
+        remote_runner: Makes the way to a peer's engines.
+    """
+
+    def __init__(
+        self,
+        instance: base.InstanceId,
+        clock: base.Clock,
+        local_runner: _jobs.JobRunner,
+        remote_runner: typing.Callable[[base.InstanceId], _jobs.JobRunner],
+    ) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._local_runner = local_runner
+        self._remote_runner = remote_runner
+        self._loads: dict[base.EndpointId, LoadReport] = {}
+        self.endpoints = control.EndpointTable()
+        self.members: dict[base.InstanceId, control.Member] = {}
+
+    def engine_candidates(
+        self, model: base.ModelName
+    ) -> list[dispatch.Candidate]:
+        """Returns the engines in service that hold a model."""
+        return [
+            self._candidate(announcement, model)
+            for announcement in self.endpoints.serving()
+            if any(served.model == model for served in announcement.models)
+        ]
+
+    def service_candidates(self, service: str) -> list[dispatch.Candidate]:
+        """Returns the replicas of a plain service that are in service."""
+        return [
+            self._candidate(announcement, None)
+            for announcement in self.endpoints.serving()
+            if announcement.service == service
+        ]
+
+    def models(self) -> set[base.ModelName]:
+        """Returns the models that some engine in service holds."""
+        return {
+            served.model
+            for announcement in self.endpoints.serving()
+            for served in announcement.models
+        }
+
+    def engine_views(self) -> list[rollout.EngineView]:
+        """Returns the engines as the sample scheduler sees them."""
+        return [
+            _engine_view(announcement)
+            for announcement in self.endpoints.all()
+            if announcement.kind is control.EndpointKind.ENGINE
+        ]
+
+    def url_of(self, endpoint: str) -> str | None:
+        """Returns an endpoint's base URL; None once it is gone."""
+        announcement = self.endpoints.get(base.EndpointId(endpoint))
+        if announcement is None:
+            return None
+        return f"http://{announcement.address}"
+
+    def slots_of(self, endpoint: str) -> int:
+        """Returns how many requests an endpoint runs at once."""
+        announcement = self.endpoints.get(base.EndpointId(endpoint))
+        return 1 if announcement is None else announcement.slots
+
+    def owner_of(self, endpoint: base.EndpointId) -> base.InstanceId | None:
+        """Returns the instance that holds an engine's queue."""
+        live = [
+            member.instance
+            for member in self.members.values()
+            if not member.leaving
+        ]
+        return dispatch.rendezvous_owner(endpoint, live or [self._instance])
+
+    def runner_of(self, endpoint: base.EndpointId) -> _jobs.JobRunner | None:
+        """Returns the way to an engine's owner."""
+        owner = self.owner_of(endpoint)
+        if owner is None:
+            return None
+        if owner == self._instance:
+            return self._local_runner
+        return self._remote_runner(owner)
+
+    def note_load(self, endpoint: base.EndpointId, load: LoadReport) -> None:
+        """Takes in a load report."""
+        self._loads[endpoint] = load
+
+    def forget(self, endpoint: base.EndpointId) -> None:
+        """Drops the load of an endpoint that is gone."""
+        self._loads.pop(endpoint, None)
+
+    def _candidate(
+        self,
+        announcement: control.Announcement,
+        model: base.ModelName | None,
+    ) -> dispatch.Candidate:
+        versions = [
+            served.version
+            for served in announcement.models
+            if served.model == model
+        ]
+        load = self._loads.get(announcement.endpoint)
+        return dispatch.Candidate(
+            endpoint_id=announcement.endpoint,
+            failure_domain=announcement.failure_domain,
+            slots=announcement.slots,
+            load_tokens=0.0 if load is None else load.tokens,
+            reported_at=0.0 if load is None else load.heard_at,
+            tokens_per_s=(
+                DEFAULT_TOKENS_PER_S if load is None else load.tokens_per_s
+            ),
+            version=versions[0] if versions else base.WeightVersion(0),
+            reclaimable=announcement.supply is control.Supply.RECLAIMABLE,
+        )
+
+
+def _engine_view(announcement: control.Announcement) -> rollout.EngineView:
+    is_serving = announcement.phase is control.Phase.SERVING
+    return rollout.EngineView(
+        endpoint=announcement.endpoint,
+        models=tuple(served.model for served in announcement.models),
+        versions=tuple(served.version for served in announcement.models),
+        slots=announcement.slots if is_serving else 0,
+    )
