Add the replicated log: replica, storage and log node

Final names: LogNode(cfg, disk, machine, transport, clock, rng, recorder), NodeConfig(instance, initial_voters), FileDisk(path), MemoryDisk(), NodeStatus, ProposeError, ProposeErrorKind, StateMachine, PeerTransport. A log forms by itself once all initial_voters have said hello with empty stores; a single voter leads at once.

--- a/packages/consensus/src/banyanbank_consensus/__init__.py
+++ b/packages/consensus/src/banyanbank_consensus/__init__.py
@@ -1,1 +1,59 @@
 """Quorum-replicated log: election, leases, storage and voter changes."""
+
+from banyanbank_consensus._config import ELECTION_MAX_S
+from banyanbank_consensus._config import ELECTION_MIN_S
+from banyanbank_consensus._config import HEARTBEAT_S
+from banyanbank_consensus._config import LEASE_S
+from banyanbank_consensus._config import MAX_CLOCK_DRIFT
+from banyanbank_consensus._config import MAX_COMMAND_BYTES
+from banyanbank_consensus._config import NodeConfig
+from banyanbank_consensus._disk import Disk
+from banyanbank_consensus._errors import ConsensusDefectError
+from banyanbank_consensus._errors import CorruptLogError
+from banyanbank_consensus._errors import FolderLockedError
+from banyanbank_consensus._errors import FormatVersionError
+from banyanbank_consensus._errors import ProposeError
+from banyanbank_consensus._errors import ProposeErrorKind
+from banyanbank_consensus._errors import StorageError
+from banyanbank_consensus._members import Member
+from banyanbank_consensus._members import MemberRole
+from banyanbank_consensus._members import Members
+from banyanbank_consensus._memory_files import MemoryFiles
+from banyanbank_consensus._node import LogNode
+from banyanbank_consensus._ports import PeerTransport
+from banyanbank_consensus._ports import Scheduler
+from banyanbank_consensus._ports import StateMachine
+from banyanbank_consensus._state import Role
+from banyanbank_consensus._status import NodeStatus
+from banyanbank_consensus._store import FileDisk
+from banyanbank_consensus._store import MemoryDisk
+
+__all__ = [
+    "ELECTION_MAX_S",
+    "ELECTION_MIN_S",
+    "HEARTBEAT_S",
+    "LEASE_S",
+    "MAX_CLOCK_DRIFT",
+    "MAX_COMMAND_BYTES",
+    "ConsensusDefectError",
+    "CorruptLogError",
+    "Disk",
+    "FileDisk",
+    "FolderLockedError",
+    "FormatVersionError",
+    "LogNode",
+    "Member",
+    "MemberRole",
+    "Members",
+    "MemoryDisk",
+    "MemoryFiles",
+    "NodeConfig",
+    "NodeStatus",
+    "PeerTransport",
+    "ProposeError",
+    "ProposeErrorKind",
+    "Role",
+    "Scheduler",
+    "StateMachine",
+    "StorageError",
+]
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_lease.py
@@ -0,0 +1,69 @@
+"""Leader lease, check-quorum and confirmation of leadership.
+
+A heartbeat round that was sent at `s` and answered by a quorum proves that the
+answering voters grant no vote before `s + election_min_s` on their own clocks.
+The lease ends at `s + lease_s` on the leader's clock. `NodeConfig` checks that
+the first is later than the second on any two clocks within the drift bound.
+"""
+
+import banyanbank_base as base
+
+from banyanbank_consensus import _state
+
+
+def first_lease_at(state: _state.State, now: float) -> float:
+    """Returns when a replica elected now may take its first lease.
+
+    Voters grant votes only once earlier leases have ended. A full lease more
+    keeps a gap between the last outward write of the old leader, which may
+    have been on its way when its lease ended, and the first of the new one.
+    A store on which no epoch ever began has no earlier leader.
+    """
+    if state.epoch == 1 and state.members.quorum == 1:
+        return now
+    return now + state.cfg.lease_s
+
+
+def confirmed_at(state: _state.State, now: float) -> float:
+    """Returns the sending time of the newest round that a quorum answered."""
+    lead = state.leadership
+    if lead is None or not state.members.voters:
+        return _state.NEVER
+    times = [now] if state.is_voter else []
+    for member in state.members.voters:
+        if member.instance != state.me:
+            times.append(_member_confirmed_at(lead, member.instance))
+    times.sort(reverse=True)
+    return times[state.members.quorum - 1]
+
+
+def lease_deadline(state: _state.State, now: float) -> float:
+    """Returns when the lease ends; never, in the past, when none is held."""
+    lead = state.leadership
+    if lead is None or now < lead.lease_from:
+        return _state.NEVER
+    if not state.is_voter or not may_serve_reads(state):
+        return _state.NEVER
+    return confirmed_at(state, now) + state.cfg.lease_s
+
+
+def may_serve_reads(state: _state.State) -> bool:
+    """Whether the commit index covers all that earlier epochs committed."""
+    lead = state.leadership
+    return lead is not None and state.commit >= lead.noop_index
+
+
+def has_lost_quorum(state: _state.State, now: float) -> bool:
+    """Whether a leader went unconfirmed for the longest election timeout."""
+    lead = state.leadership
+    if lead is None:
+        return False
+    since = max(confirmed_at(state, now), lead.elected_at)
+    return since + state.cfg.election_max_s < now
+
+
+def _member_confirmed_at(
+    lead: _state.Leadership, instance: base.InstanceId
+) -> float:
+    progress = lead.progress.get(instance)
+    return _state.NEVER if progress is None else progress.confirmed_at
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_membership.py
@@ -0,0 +1,140 @@
+"""Changes of members through the log, one voter at a time."""
+
+import banyanbank_base as base
+
+from banyanbank_consensus import _formation
+from banyanbank_consensus import _lease
+from banyanbank_consensus import _log
+from banyanbank_consensus import _members
+from banyanbank_consensus import _replication
+from banyanbank_consensus import _state
+
+
+def tick(state: _state.State, now: float) -> None:
+    """Promotes members that caught up and replaces lost stores."""
+    if state.role is not _state.Role.LEADER or why_not_now(state):
+        return
+    changed = _promotion(state, now) or _replacement(state, now)
+    if changed is not None:
+        change(state, changed, now)
+
+
+def why_not_now(state: _state.State) -> str:
+    """Says why members cannot change now; empty when they can."""
+    if not _lease.may_serve_reads(state):
+        # Else two leaders could each have one change under way, whose
+        # quorums need not overlap.
+        return "The leader has not committed an entry of its epoch yet."
+    if state.log.members_index > state.commit:
+        return "Another change of members is not committed yet."
+    return ""
+
+
+def change(
+    state: _state.State, members: _members.Members, now: float
+) -> _log.Entry:
+    """Appends a member set, in force from now on."""
+    data = _members.MEMBERS_CODEC.encode(members)
+    entry = _replication.append_own(state, _log.EntryKind.MEMBERS, data)
+    _state.note(state, "members.changing", _describe(members))
+    _replication.start_round(state, now)
+    return entry
+
+
+def with_joining(
+    state: _state.State,
+    instance: base.InstanceId,
+    role: _members.MemberRole,
+    now: float,
+) -> _members.Members | str:
+    """Returns the members with a store added, or why that cannot be."""
+    greeting = _formation.fresh_greeting(state, instance, now)
+    if greeting is None:
+        return f"Instance {instance} has not said hello; start it first."
+    if greeting.cluster not in ("", state.hard.cluster):
+        return f"The store of {instance} belongs to another log; empty it."
+    if state.members.is_member(instance, greeting.store):
+        return f"Instance {instance} is a member already."
+    member = _members.Member(instance, greeting.store, role)
+    return state.members.with_member(member)
+
+
+def without(
+    state: _state.State, instance: base.InstanceId
+) -> _members.Members | str:
+    """Returns the members without one, or why that cannot be."""
+    if state.members.find(instance) is None:
+        return f"Instance {instance} is no member."
+    members = state.members.without(instance)
+    if not members.voters:
+        return f"Instance {instance} is the last voter."
+    return members
+
+
+def on_commit(state: _state.State, now: float) -> None:
+    """Steps down once the removal of the leader itself is committed."""
+    if state.role is not _state.Role.LEADER or state.is_voter:
+        return
+    if state.log.members_index <= state.commit:
+        _state.become_follower(state, state.epoch, None, now)
+
+
+def _promotion(state: _state.State, now: float) -> _members.Members | None:
+    lead = _state.leading(state)
+    for member in state.members.members:
+        if member.role is not _members.MemberRole.JOINING:
+            continue
+        progress = lead.progress.get(member.instance)
+        if progress is None or _is_silent(state, member, now):
+            continue
+        if progress.match >= max(lead.round_commit, lead.noop_index):
+            voter = member.with_role(_members.MemberRole.VOTER)
+            return state.members.with_member(voter)
+    return None
+
+
+def _replacement(state: _state.State, now: float) -> _members.Members | None:
+    """Replaces a member whose instance came back with another store.
+
+    The voter that lost its store leaves and the new store joins as a learner
+    in one entry: only one voter changes. The removal is thereby committed by
+    a majority of the voters that remain, so that each entry that the lost
+    store had helped to commit stands on a majority of them again.
+    """
+    for member in state.members.members:
+        greeting = _formation.fresh_greeting(state, member.instance, now)
+        if greeting is None or greeting.store == member.store:
+            continue
+        if greeting.cluster not in ("", state.hard.cluster):
+            continue
+        if member.instance == state.me or not _is_gone(state, member, now):
+            continue
+        role = member.role
+        if role is _members.MemberRole.VOTER:
+            role = _members.MemberRole.JOINING
+        new = _members.Member(member.instance, greeting.store, role)
+        return state.members.with_member(new)
+    return None
+
+
+def _is_gone(state: _state.State, member: _members.Member, now: float) -> bool:
+    """Whether a store was silent for so long that it counts as lost."""
+    lead = _state.leading(state)
+    since = lead.elected_at
+    progress = lead.progress.get(member.instance)
+    if progress is not None:
+        since = max(since, progress.confirmed_at)
+    return since + state.cfg.repair_after_s < now
+
+
+def _is_silent(
+    state: _state.State, member: _members.Member, now: float
+) -> bool:
+    progress = _state.leading(state).progress[member.instance]
+    return progress.confirmed_at + state.cfg.election_min_s < now
+
+
+def _describe(members: _members.Members) -> str:
+    return " ".join(
+        f"{m.instance}={m.store}/{m.role.value}" for m in members.members
+    )
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_node.py
@@ -0,0 +1,312 @@
+"""The log node: a replica joined to disk, network, clock and state machine."""
+
+import enum
+import random
+
+import banyanbank_base as base
+from returns import result
+from twisted.internet import defer
+
+from banyanbank_consensus import _applier
+from banyanbank_consensus import _config
+from banyanbank_consensus import _disk
+from banyanbank_consensus import _errors
+from banyanbank_consensus import _lease
+from banyanbank_consensus import _members
+from banyanbank_consensus import _membership
+from banyanbank_consensus import _messages
+from banyanbank_consensus import _output
+from banyanbank_consensus import _ports
+from banyanbank_consensus import _proposals
+from banyanbank_consensus import _replica
+from banyanbank_consensus import _state
+from banyanbank_consensus import _status
+from banyanbank_consensus import _turn
+
+
+class Phase(enum.Enum):
+    """Where a node is in its life."""
+
+    NEW = "new"
+    RUNNING = "running"
+    STOPPED = "stopped"
+    FAILED = "failed"
+
+
+class LogNode:
+    """One node of the replicated log, as the daemon sees it.
+
+    Args:
+        cfg: Settings.
+        disk: Durable storage; the node closes it.
+        machine: What committed commands are applied to.
+        transport: Sends frames to other instances.
+        clock: Source of time.
+        rng: Source of random numbers.
+        recorder: Sink of time line events.
+        schedule: Runs the end of a turn; None for the twisted reactor.
+    """
+
+    def __init__(
+        self,
+        cfg: _config.NodeConfig,
+        disk: _disk.Disk,
+        machine: _ports.StateMachine,
+        transport: _ports.PeerTransport,
+        clock: base.Clock,
+        rng: random.Random,
+        recorder: base.Recorder,
+        schedule: _ports.Scheduler | None = None,
+    ) -> None:
+        self._cfg = cfg
+        self._disk = disk
+        self._machine = machine
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._recorder = recorder
+        self._schedule = schedule or _ports.reactor_scheduler
+        self._desk = _proposals.Desk()
+        self._turn: _turn.Turn | None = None
+        self._phase = Phase.NEW
+        self._flush_is_due = False
+        self._flushing = False
+        self.failure: _errors.StorageError | None = None
+        """Why the node stopped by itself; None while it has not."""
+
+    @property
+    def leader(self) -> base.InstanceId | None:
+        """Best known leader; None when unknown."""
+        return None if self._turn is None else self._turn.replica.state.leader
+
+    @property
+    def epoch(self) -> int:
+        """Newest epoch seen; the fencing token of a leader."""
+        return 0 if self._turn is None else self._turn.replica.state.epoch
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this node leads, as far as it knows."""
+        turn = self._running
+        return turn is not None and turn.leads
+
+    def start(self) -> None:
+        """Recovers from the disk and begins to take part.
+
+        Raises:
+            StorageError: The data folder cannot be used.
+        """
+        if self._phase is not Phase.NEW:
+            raise _errors.ConsensusDefectError("A node starts only once.")
+        stored = self._disk.load(f"{self._rng.getrandbits(64):016x}")
+        self._turn = _turn.Turn(
+            replica=_replica.Replica(
+                self._cfg, stored, self._rng, self._clock.now()
+            ),
+            output=_output.Output(self._disk, self._transport),
+            applier=_applier.Applier(self._machine, self._disk, stored),
+            desk=self._desk,
+            clock=self._clock,
+            recorder=self._recorder,
+        )
+        self._phase = Phase.RUNNING
+        last_index = self._turn.replica.state.log.last_index
+        self._recorder.record(
+            "log.started", epoch=self.epoch, detail=f"last_index={last_index}"
+        )
+        self.tick()
+
+    def stop(self) -> None:
+        """Stops taking part; proposals that wait fail."""
+        if self._phase is Phase.RUNNING:
+            self._end(Phase.STOPPED)
+            self._desk.fire()
+
+    def tick(self) -> None:
+        """Lets time pass; to be called about every 20 ms."""
+        turn = self._running
+        if turn is None:
+            return
+        now = self._clock.now()
+        turn.replica.tick(now)
+        late = turn.error(_errors.ProposeErrorKind.TIMED_OUT, True)
+        self._desk.expire(now, late)
+        self.flush()
+
+    def handle_message(self, sender: base.InstanceId, data: bytes) -> None:
+        """Takes in a frame; a frame that cannot be read is dropped."""
+        turn = self._running
+        if turn is None:
+            return
+        try:
+            message = _messages.MESSAGE_CODEC.decode(data)
+        except base.CodecError as exc:
+            self._recorder.record("log.bad_frame", detail=f"{sender}: {exc}")
+            return
+        turn.replica.receive(sender, message, self._clock.now())
+        self._flush_later()
+
+    def propose(self, payload: bytes) -> "defer.Deferred[_proposals.Reply]":
+        """Proposes a command.
+
+        Args:
+            payload: The command, at most `MAX_COMMAND_BYTES` long.
+
+        Returns:
+            Fires with the reply of the state machine once the command is
+            committed and applied, or with why that is not known.
+
+        Raises:
+            ValueError: The payload is too long.
+        """
+        if len(payload) > _config.MAX_COMMAND_BYTES:
+            raise ValueError(
+                f"A command of {len(payload)} bytes exceeds "
+                f"{_config.MAX_COMMAND_BYTES}; split it."
+            )
+        return self._submit(_proposals.Proposal(payload, self._deadline()))
+
+    def add_voter(
+        self, instance: base.InstanceId
+    ) -> "defer.Deferred[_proposals.Reply]":
+        """Adds an instance as a learner that becomes a voter when caught up.
+
+        The reply tells that the learner was added; `status()` tells when it
+        has become a voter.
+        """
+        return self._add(instance, _members.MemberRole.JOINING)
+
+    def add_learner(
+        self, instance: base.InstanceId
+    ) -> "defer.Deferred[_proposals.Reply]":
+        """Adds an instance that receives the log and counts for nothing."""
+        return self._add(instance, _members.MemberRole.LEARNER)
+
+    def remove_voter(
+        self, instance: base.InstanceId
+    ) -> "defer.Deferred[_proposals.Reply]":
+        """Removes a member, be it a voter or a learner."""
+        return self._change_members(
+            lambda state: _membership.without(state, instance)
+        )
+
+    def confirm_leadership(
+        self,
+    ) -> "defer.Deferred[_proposals.Confirmation]":
+        """Asks a quorum whether this node still leads.
+
+        Returns:
+            Fires with success once a quorum has answered a round that was
+            sent after the call, so that the applied state was current then.
+        """
+        refusal = self._refusal(0)
+        if refusal is not None:
+            return defer.succeed(result.Failure(refusal))
+        waiting = _proposals.Waiting(self._clock.now(), self._deadline())
+        self._desk.waiting.append(waiting)
+        self._flush_later()
+        return waiting.deferred
+
+    def lease_held(self) -> bool:
+        """Whether this node may act outwards at this very moment.
+
+        To be asked immediately before each outward write: the clock is read
+        anew, so that a process that was stopped finds its lease expired.
+        """
+        turn = self._running
+        if turn is None or not turn.leads:
+            return False
+        state = turn.replica.state
+        if turn.applier.index < _state.leading(state).noop_index:
+            return False
+        now = self._clock.now()
+        return now < _lease.lease_deadline(state, now)
+
+    def status(self) -> _status.NodeStatus:
+        """Returns a copy of what the node knows of itself and the log."""
+        turn = self._turn
+        return _status.make_status(
+            self._cfg.instance,
+            None if turn is None else turn.replica.state,
+            self._phase.value,
+            0 if turn is None else turn.applier.index,
+            self._clock.now(),
+        )
+
+    def flush(self) -> None:
+        """Ends a turn of the loop at once; the schedule does so by itself."""
+        turn = self._running
+        if turn is None or self._flushing:
+            return
+        self._flushing = True
+        self._flush_is_due = False
+        try:
+            turn.run()
+        except _errors.StorageError as exc:
+            self._fail(exc)
+        finally:
+            self._flushing = False
+        self._desk.fire()
+
+    @property
+    def _running(self) -> _turn.Turn | None:
+        return self._turn if self._phase is Phase.RUNNING else None
+
+    def _deadline(self) -> float:
+        return self._clock.now() + self._cfg.propose_timeout_s
+
+    def _add(
+        self, instance: base.InstanceId, role: _members.MemberRole
+    ) -> "defer.Deferred[_proposals.Reply]":
+        return self._change_members(
+            lambda state: _membership.with_joining(
+                state, instance, role, self._clock.now()
+            )
+        )
+
+    def _change_members(
+        self, make: _proposals.MakeMembers
+    ) -> "defer.Deferred[_proposals.Reply]":
+        return self._submit(
+            _proposals.Proposal(b"", self._deadline(), make_members=make)
+        )
+
+    def _submit(
+        self, proposal: _proposals.Proposal
+    ) -> "defer.Deferred[_proposals.Reply]":
+        refusal = self._refusal(len(proposal.payload))
+        if refusal is not None:
+            return defer.succeed(result.Failure(refusal))
+        self._desk.queue(proposal)
+        self._flush_later()
+        return proposal.deferred
+
+    def _refusal(self, size: int) -> _errors.ProposeError | None:
+        """Says why nothing of a size can be proposed now."""
+        turn = self._running
+        if turn is None:
+            kind = _errors.ProposeErrorKind.STOPPED
+        elif not turn.leads:
+            kind = _errors.ProposeErrorKind.NOT_LEADER
+        elif self._desk.pending_bytes + size > self._cfg.pending_bytes:
+            kind = _errors.ProposeErrorKind.OVERLOADED
+        else:
+            return None
+        return _errors.ProposeError(kind, self.leader, maybe_committed=False)
+
+    def _flush_later(self) -> None:
+        if not self._flush_is_due:
+            self._flush_is_due = True
+            self._schedule(self.flush)
+
+    def _fail(self, exc: _errors.StorageError) -> None:
+        """Stops for good: what is on the disk is not known any more."""
+        self.failure = exc
+        self._recorder.record("log.failed", epoch=self.epoch, detail=str(exc))
+        self._end(Phase.FAILED)
+
+    def _end(self, phase: Phase) -> None:
+        if self._turn is not None:
+            self._turn.fail_waiting(_errors.ProposeErrorKind.STOPPED)
+        self._phase = phase
+        self._disk.close()
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_progress.py
@@ -0,0 +1,209 @@
+"""What a leader sends to each member, and when."""
+
+import banyanbank_base as base
+
+from banyanbank_consensus import _log
+from banyanbank_consensus import _members
+from banyanbank_consensus import _messages
+from banyanbank_consensus import _snapshot_send
+from banyanbank_consensus import _state
+
+
+def align(state: _state.State) -> None:
+    """Keeps one progress for each other member, by store."""
+    lead = _state.leading(state)
+    wanted = {m.instance: m for m in state.members.members}
+    wanted.pop(state.me, None)
+    for peer in tuple(lead.progress):
+        member = wanted.get(peer)
+        if member is None or member.store != lead.progress[peer].store:
+            del lead.progress[peer]
+    for peer, member in wanted.items():
+        if peer not in lead.progress:
+            lead.progress[peer] = _state.Progress(
+                store=member.store, next_index=state.log.last_index + 1
+            )
+
+
+def match_of(lead: _state.Leadership, member: _members.Member) -> int:
+    """Returns the last index known to be synced at a member."""
+    progress = lead.progress.get(member.instance)
+    if progress is None or progress.store != member.store:
+        return 0
+    return progress.match
+
+
+def of_answer(
+    state: _state.State,
+    sender: base.InstanceId,
+    head: _messages.Header,
+    sent_at: float,
+    now: float,
+) -> _state.Progress | None:
+    """Returns the progress that an answer concerns, and confirms its round.
+
+    None when the answer is of another epoch, or of a store that is not the
+    member's: a store made anew never counts for the one that was lost.
+    """
+    lead = state.leadership
+    if lead is None or head.epoch != state.epoch:
+        return None
+    progress = lead.progress.get(sender)
+    if progress is None or not _is_of_store(progress, head.store):
+        return None
+    if sent_at > now:
+        return None
+    progress.confirmed_at = max(progress.confirmed_at, sent_at)
+    return progress
+
+
+def _is_of_store(progress: _state.Progress, store: str) -> bool:
+    return progress.store == store
+
+
+def on_match(progress: _state.Progress, match: int, base_index: int) -> None:
+    """Takes note that a member's log matches up to an index.
+
+    Args:
+        progress: Of the member.
+        match: The index.
+        base_index: Last index that the leader's log has dropped.
+    """
+    progress.match = max(progress.match, match)
+    progress.next_index = max(progress.next_index, progress.match + 1)
+    while progress.in_flight and progress.in_flight[0][0] <= progress.match:
+        progress.in_flight_bytes -= progress.in_flight.popleft()[1]
+    snapshot_is_needed = progress.match < base_index
+    if progress.mode is _state.ProgressMode.SNAPSHOT and snapshot_is_needed:
+        return
+    progress.mode = _state.ProgressMode.REPLICATE
+    progress.resend_at = _state.NEVER
+
+
+def on_mismatch(progress: _state.Progress, prev_index: int, hint: int) -> bool:
+    """Goes back to where a member's log may match.
+
+    Returns:
+        Whether the refusal was news, and a new probe is due.
+    """
+    if progress.mode is _state.ProgressMode.SNAPSHOT:
+        return False
+    if prev_index <= progress.match or prev_index >= progress.next_index:
+        return False
+    wanted = max(min(prev_index, hint + 1), progress.match + 1)
+    progress.next_index = wanted
+    progress.mode = _state.ProgressMode.PROBE
+    progress.resend_at = _state.NEVER
+    progress.in_flight.clear()
+    progress.in_flight_bytes = 0
+    return True
+
+
+def heartbeat(state: _state.State, peer: base.InstanceId, now: float) -> None:
+    """Sends the message of a round to one member."""
+    progress = _state.leading(state).progress[peer]
+    if progress.mode is _state.ProgressMode.SNAPSHOT:
+        _snapshot_send.send_chunk(state, peer, now)
+        _send(state, peer, progress, progress.match, ())
+    elif progress.next_index <= state.log.base.index:
+        _snapshot_send.start(state, peer, now)
+    elif progress.mode is _state.ProgressMode.PROBE:
+        feed(state, peer, now, force=True)
+    else:
+        prev = progress.next_index - 1
+        _send(state, peer, progress, prev, ())
+
+
+def feed(
+    state: _state.State,
+    peer: base.InstanceId,
+    now: float,
+    force: bool = False,
+) -> None:
+    """Sends entries to one member as far as its mode allows.
+
+    Args:
+        state: The leader.
+        peer: The member.
+        now: Present time.
+        force: Whether to send at least one message.
+    """
+    progress = _state.leading(state).progress.get(peer)
+    if progress is None or progress.mode is _state.ProgressMode.SNAPSHOT:
+        return
+    if progress.next_index <= state.log.base.index:
+        _snapshot_send.start(state, peer, now)
+        return
+    if progress.mode is _state.ProgressMode.PROBE:
+        _probe(state, peer, progress, now, force)
+        return
+    while _has_room(state, progress):
+        _send_entries(state, peer, progress)
+
+
+def _probe(
+    state: _state.State,
+    peer: base.InstanceId,
+    progress: _state.Progress,
+    now: float,
+    force: bool,
+) -> None:
+    if now < progress.resend_at and not force:
+        return
+    progress.resend_at = now + state.cfg.heartbeat_s
+    if progress.match == progress.next_index - 1:
+        entries = _next_entries(state, progress)
+    else:
+        entries = ()
+    _send(state, peer, progress, progress.next_index - 1, entries)
+
+
+def _has_room(state: _state.State, progress: _state.Progress) -> bool:
+    return (
+        progress.next_index <= state.log.last_index
+        and progress.in_flight_bytes < state.cfg.window_bytes
+    )
+
+
+def _next_entries(
+    state: _state.State, progress: _state.Progress
+) -> tuple[_log.Entry, ...]:
+    if progress.next_index > state.log.last_index:
+        return ()
+    return state.log.entries_from(progress.next_index, state.cfg.append_bytes)
+
+
+def _send_entries(
+    state: _state.State, peer: base.InstanceId, progress: _state.Progress
+) -> None:
+    entries = _next_entries(state, progress)
+    _send(state, peer, progress, progress.next_index - 1, entries)
+    size = sum(entry.size for entry in entries)
+    last = entries[-1].index
+    progress.in_flight.append((last, size))
+    progress.in_flight_bytes += size
+    progress.next_index = last + 1
+
+
+def _send(
+    state: _state.State,
+    peer: base.InstanceId,
+    progress: _state.Progress,
+    prev_index: int,
+    entries: tuple[_log.Entry, ...],
+) -> None:
+    prev_epoch = state.log.epoch_at(prev_index)
+    if prev_epoch is None:
+        # The member lags behind the base; only a commit index is of use.
+        prev_index = state.log.last_index
+        prev_epoch = state.log.last_epoch
+        entries = ()
+    request = _messages.AppendRequest(
+        head=_state.header(state, progress.store),
+        sent_at=_state.leading(state).round_at,
+        prev_index=prev_index,
+        prev_epoch=prev_epoch,
+        commit=state.commit,
+        entries=entries,
+    )
+    _state.send(state, peer, request, early=True)
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_replication.py
@@ -0,0 +1,214 @@
+"""Replication: the leader's rounds and progress, and the follower's log."""
+
+import banyanbank_base as base
+
+from banyanbank_consensus import _disk
+from banyanbank_consensus import _effects
+from banyanbank_consensus import _errors
+from banyanbank_consensus import _lease
+from banyanbank_consensus import _log
+from banyanbank_consensus import _messages
+from banyanbank_consensus import _progress
+from banyanbank_consensus import _state
+
+
+def tick(state: _state.State, now: float) -> None:
+    """Sends heartbeat rounds, and steps down without a quorum."""
+    lead = state.leadership
+    if lead is None:
+        return
+    if _lease.has_lost_quorum(state, now):
+        _state.become_follower(state, state.epoch, None, now)
+        return
+    if now >= lead.next_round_at:
+        start_round(state, now)
+
+
+def start_round(state: _state.State, now: float) -> None:
+    """Sends one message to each member, to be confirmed by a quorum."""
+    lead = _state.leading(state)
+    lead.round_at = now
+    lead.round_commit = state.commit
+    lead.next_round_at = now + state.cfg.heartbeat_s
+    _progress.align(state)
+    for peer in lead.progress:
+        _progress.heartbeat(state, peer, now)
+
+
+def append_own(
+    state: _state.State, kind: _log.EntryKind, data: bytes
+) -> _log.Entry:
+    """Appends an entry of the leader's epoch."""
+    index = state.log.last_index + 1
+    entry = _log.Entry(index, state.epoch, kind, data)
+    state.log.append([entry])
+    state.effects.append(_effects.AppendLog((entry,)))
+    return entry
+
+
+def feed_all(state: _state.State, now: float) -> None:
+    """Sends new entries to every member that can take them."""
+    lead = _state.leading(state)
+    _progress.align(state)
+    for peer in lead.progress:
+        _progress.feed(state, peer, now)
+
+
+def on_synced(state: _state.State, index: int) -> None:
+    """Takes note that the own log is synced up to an index."""
+    lead = state.leadership
+    if lead is not None:
+        lead.synced = max(lead.synced, index)
+        advance_commit(state)
+
+
+def advance_commit(state: _state.State) -> None:
+    """Commits what a majority of the voters has synced.
+
+    Only entries of the own epoch are counted: an older entry on a majority
+    may still be replaced by a later leader, and is committed by one above it.
+    """
+    lead = _state.leading(state)
+    matches = []
+    for member in state.members.voters:
+        if member.instance == state.me:
+            matches.append(lead.synced if state.is_voter else 0)
+        else:
+            matches.append(_progress.match_of(lead, member))
+    if not matches:
+        return
+    matches.sort(reverse=True)
+    index = matches[state.members.quorum - 1]
+    if index > state.commit and _may_commit(state, index):
+        state.commit = index
+
+
+def _may_commit(state: _state.State, index: int) -> bool:
+    return state.log.epoch_at(index) == state.epoch
+
+
+def on_append_response(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.AppendResponse,
+    now: float,
+) -> None:
+    """Takes in what a member says of its log."""
+    if msg.head.epoch > state.epoch:
+        _state.become_follower(state, msg.head.epoch, None, now)
+        return
+    progress = _progress.of_answer(state, sender, msg.head, msg.sent_at, now)
+    if progress is None:
+        return
+    if msg.accepted:
+        _progress.on_match(progress, msg.match, state.log.base.index)
+        advance_commit(state)
+    elif not _progress.on_mismatch(progress, msg.prev_index, msg.match):
+        return
+    _progress.feed(state, sender, now)
+
+
+def on_append_request(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.AppendRequest,
+    now: float,
+) -> None:
+    """Takes entries of the leader into the log, or says why not."""
+    if msg.head.epoch < state.epoch:
+        _answer(state, sender, msg, accepted=False, match=0)
+        return
+    hear_leader(state, sender, msg.head.epoch, now)
+    prev_index, prev_epoch, entries = _skip_committed(state, msg)
+    if state.log.epoch_at(prev_index) != prev_epoch:
+        hint = _mismatch_hint(state, prev_index)
+        _answer(state, sender, msg, accepted=False, match=hint)
+        return
+    _take_entries(state, entries)
+    match = prev_index + len(entries)
+    state.commit = max(state.commit, min(msg.commit, match))
+    _answer(state, sender, msg, accepted=True, match=match)
+
+
+def hear_leader(
+    state: _state.State, sender: base.InstanceId, epoch: int, now: float
+) -> None:
+    """Follows a leader and renews the promise behind its lease."""
+    if (
+        epoch > state.epoch
+        or state.leader != sender
+        or state.role is not _state.Role.FOLLOWER
+    ):
+        _state.become_follower(state, epoch, sender, now)
+    state.promise_until = now + state.cfg.election_min_s
+    _state.reset_election(state, now)
+
+
+def take_over_log(state: _state.State, meta: _disk.SnapshotMeta) -> None:
+    """Aligns the log with a snapshot that was received."""
+    if state.log.epoch_at(meta.index) != meta.epoch:
+        state.log.reset(_log.LogBase(meta.index, meta.epoch, meta.members))
+    state.commit = max(state.commit, meta.index)
+
+
+def _skip_committed(
+    state: _state.State, msg: _messages.AppendRequest
+) -> tuple[int, int, tuple[_log.Entry, ...]]:
+    """Leaves out what is committed here, and so is equal at the leader."""
+    skip = state.commit - msg.prev_index
+    if skip <= 0:
+        return msg.prev_index, msg.prev_epoch, msg.entries
+    if skip > len(msg.entries):
+        # The request ends below the commit index: it matches by definition.
+        epoch = state.log.epoch_at(state.commit)
+        return state.commit, epoch or 0, ()
+    last = msg.entries[skip - 1]
+    return last.index, last.epoch, msg.entries[skip:]
+
+
+def _mismatch_hint(state: _state.State, prev_index: int) -> int:
+    """Returns the last index at which the leader may find a match."""
+    if prev_index > state.log.last_index:
+        return state.log.last_index
+    start = _log.last_epoch_start(state.log, prev_index)
+    return max(start - 1, state.commit)
+
+
+def _take_entries(state: _state.State, entries: tuple[_log.Entry, ...]) -> None:
+    """Appends entries, dropping own ones that are in conflict with them."""
+    for position, entry in enumerate(entries):
+        if _log.same_entry(state.log, entry):
+            continue
+        if entry.index <= state.log.last_index:
+            _truncate(state, entry.index)
+        rest = entries[position:]
+        state.log.append(rest)
+        state.effects.append(_effects.AppendLog(rest))
+        return
+
+
+def _truncate(state: _state.State, index: int) -> None:
+    if index <= state.commit:
+        raise _errors.ConsensusDefectError(
+            f"Leader {state.leader} of epoch {state.epoch} replaces entry "
+            f"{index}, which is committed up to {state.commit}."
+        )
+    state.log.truncate_from(index)
+    state.effects.append(_effects.TruncateLog(index))
+
+
+def _answer(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.AppendRequest,
+    accepted: bool,
+    match: int,
+) -> None:
+    response = _messages.AppendResponse(
+        head=_state.header(state, msg.head.store),
+        sent_at=msg.sent_at,
+        accepted=accepted,
+        prev_index=msg.prev_index,
+        match=match,
+    )
+    _state.send(state, sender, response)
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_snapshot.py
@@ -0,0 +1,135 @@
+"""Receipt of snapshots, and of the acknowledgements of their pieces."""
+
+import zlib
+
+import banyanbank_base as base
+
+from banyanbank_consensus import _disk
+from banyanbank_consensus import _effects
+from banyanbank_consensus import _messages
+from banyanbank_consensus import _progress
+from banyanbank_consensus import _replication
+from banyanbank_consensus import _snapshot_send
+from banyanbank_consensus import _state
+
+
+def on_ack(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.SnapshotAck,
+    now: float,
+) -> None:
+    """Sends the piece after those that have arrived."""
+    if msg.head.epoch > state.epoch:
+        _state.become_follower(state, msg.head.epoch, None, now)
+        return
+    progress = _progress.of_answer(state, sender, msg.head, msg.sent_at, now)
+    if progress is None or progress.mode is not _state.ProgressMode.SNAPSHOT:
+        return
+    if msg.index != progress.snapshot_index:
+        return
+    if msg.received == progress.snapshot_offset:
+        # A duplicate; the next round sends the piece again if it was lost.
+        return
+    progress.snapshot_offset = msg.received
+    progress.resend_at = _state.NEVER
+    _snapshot_send.send_chunk(state, sender, now)
+
+
+def on_chunk(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.SnapshotChunk,
+    now: float,
+) -> None:
+    """Takes in a piece, and installs the snapshot once it is whole."""
+    if msg.head.epoch < state.epoch:
+        _answer_match(state, sender, msg, accepted=False)
+        return
+    _replication.hear_leader(state, sender, msg.head.epoch, now)
+    if _is_stale(state, msg):
+        _answer_match(state, sender, msg, accepted=True)
+        return
+    inbound = _inbound(state, sender, msg)
+    if msg.offset == len(inbound.data):
+        inbound.data += msg.data
+    if len(inbound.data) < msg.size:
+        _answer_received(state, sender, msg, len(inbound.data))
+        return
+    state.inbound = None
+    if zlib.crc32(inbound.data) != msg.crc:
+        _state.note(state, "snapshot.damaged", f"index={msg.index}")
+        _answer_received(state, sender, msg, 0)
+        return
+    _install(state, inbound)
+    _answer_match(state, sender, msg, accepted=True)
+
+
+def _is_stale(state: _state.State, msg: _messages.SnapshotChunk) -> bool:
+    """Whether all that a snapshot holds is committed here."""
+    return msg.index <= state.commit
+
+
+def _inbound(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.SnapshotChunk,
+) -> _state.Inbound:
+    meta = _disk.SnapshotMeta(
+        index=msg.index,
+        epoch=msg.last_epoch,
+        members=msg.members,
+        size=msg.size,
+        crc=msg.crc,
+    )
+    current = state.inbound
+    if (
+        current is None
+        or current.meta != meta
+        or current.epoch != msg.head.epoch
+    ):
+        current = _state.Inbound(sender, msg.head.epoch, meta)
+        state.inbound = current
+    return current
+
+
+def _install(state: _state.State, inbound: _state.Inbound) -> None:
+    meta = inbound.meta
+    _replication.take_over_log(state, meta)
+    state.snapshot = meta
+    effect = _effects.InstallSnapshot(
+        meta, bytes(inbound.data), _state.log_image(state)
+    )
+    state.effects.append(effect)
+    _state.note(state, "snapshot.installed", f"index={meta.index}")
+
+
+def _answer_received(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.SnapshotChunk,
+    received: int,
+) -> None:
+    ack = _messages.SnapshotAck(
+        head=_state.header(state, msg.head.store),
+        sent_at=msg.sent_at,
+        index=msg.index,
+        received=received,
+    )
+    _state.send(state, sender, ack)
+
+
+def _answer_match(
+    state: _state.State,
+    sender: base.InstanceId,
+    msg: _messages.SnapshotChunk,
+    accepted: bool,
+) -> None:
+    response = _messages.AppendResponse(
+        head=_state.header(state, msg.head.store),
+        sent_at=msg.sent_at,
+        accepted=accepted,
+        prev_index=msg.index,
+        match=msg.index if accepted else 0,
+    )
+    _state.send(state, sender, response)
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_snapshot_send.py
@@ -0,0 +1,52 @@
+"""Sending of snapshots to members that lag behind the log."""
+
+import banyanbank_base as base
+
+from banyanbank_consensus import _effects
+from banyanbank_consensus import _messages
+from banyanbank_consensus import _state
+
+
+def start(state: _state.State, peer: base.InstanceId, now: float) -> None:
+    """Starts to send the newest snapshot to a member."""
+    meta = state.snapshot
+    progress = _state.leading(state).progress[peer]
+    if meta is None:
+        return
+    progress.mode = _state.ProgressMode.SNAPSHOT
+    progress.snapshot_index = meta.index
+    progress.snapshot_offset = 0
+    progress.in_flight.clear()
+    progress.in_flight_bytes = 0
+    send_chunk(state, peer, now)
+    _state.note(state, "snapshot.sending", f"peer={peer} index={meta.index}")
+
+
+def send_chunk(state: _state.State, peer: base.InstanceId, now: float) -> None:
+    """Sends the next piece of a snapshot, or the same again."""
+    meta = state.snapshot
+    lead = _state.leading(state)
+    progress = lead.progress[peer]
+    if meta is None:
+        return
+    if progress.snapshot_index != meta.index:
+        # A newer snapshot took the place of the one on its way.
+        progress.snapshot_index = meta.index
+        progress.snapshot_offset = 0
+    if now < progress.resend_at:
+        return
+    progress.resend_at = now + state.cfg.heartbeat_s
+    offset = progress.snapshot_offset
+    chunk = _messages.SnapshotChunk(
+        head=_state.header(state, progress.store),
+        sent_at=lead.round_at,
+        index=meta.index,
+        last_epoch=meta.epoch,
+        members=meta.members,
+        size=meta.size,
+        crc=meta.crc,
+        offset=offset,
+        data=b"",
+    )
+    length = min(state.cfg.chunk_bytes, meta.size - offset)
+    state.effects.append(_effects.SendChunk(peer, chunk, length))
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_turn.py
@@ -0,0 +1,157 @@
+"""One turn of the loop: append, write, sync, send, apply."""
+
+import attrs
+import banyanbank_base as base
+from returns import result
+
+from banyanbank_consensus import _applier
+from banyanbank_consensus import _effects
+from banyanbank_consensus import _errors
+from banyanbank_consensus import _lease
+from banyanbank_consensus import _membership
+from banyanbank_consensus import _output
+from banyanbank_consensus import _proposals
+from banyanbank_consensus import _replica
+from banyanbank_consensus import _replication
+from banyanbank_consensus import _state
+
+
+@attrs.define(eq=False)
+class Turn:
+    """Runs the turns of a started node.
+
+    Everything that happened since the turn before is written together and
+    synced once, before any answer leaves that rests on it.
+    """
+
+    replica: _replica.Replica
+    """Decides."""
+    output: _output.Output
+    """Writes and sends."""
+    applier: _applier.Applier
+    """Feeds the state machine."""
+    desk: _proposals.Desk
+    """Keeps what waits."""
+    clock: base.Clock
+    """Source of time."""
+    recorder: base.Recorder
+    """Sink of time line events."""
+
+    def run(self) -> None:
+        """Runs one turn.
+
+        Raises:
+            StorageError: The node must stop for good.
+        """
+        self._append_queued()
+        self._start_confirmation()
+        while True:
+            for effect in self.replica.take_effects():
+                self._perform(effect)
+            last_index = self.replica.state.log.last_index
+            if self.output.finish():
+                self.replica.synced(last_index, self.clock.now())
+            self._apply_committed()
+            if not self.replica.state.effects:
+                break
+        self.desk.confirm(self._confirmed_at())
+        if self.applier.is_due(self.replica.state):
+            self.applier.compact(self.replica)
+
+    def error(
+        self,
+        kind: _errors.ProposeErrorKind,
+        maybe_committed: bool,
+        detail: str = "",
+    ) -> _errors.ProposeError:
+        """Returns a failure that names the best known leader."""
+        leader = self.replica.state.leader
+        return _errors.ProposeError(kind, leader, maybe_committed, detail)
+
+    def fail_waiting(self, kind: _errors.ProposeErrorKind) -> None:
+        """Ends everything that waits."""
+        self.desk.fail_all(
+            queued=self.error(kind, False), appended=self.error(kind, True)
+        )
+
+    @property
+    def leads(self) -> bool:
+        """Whether the replica leads, as far as it knows."""
+        return self.replica.state.role is _state.Role.LEADER
+
+    def _append_queued(self) -> None:
+        queued = self.desk.take_queued()
+        for proposal in queued:
+            if not self.leads:
+                kind = _errors.ProposeErrorKind.NOT_LEADER
+                failure = self.error(kind, False)
+                self.desk.finish(proposal, result.Failure(failure))
+            elif proposal.make_members is None:
+                entry = self.replica.append(proposal.payload)
+                self.desk.place(proposal, entry)
+            else:
+                self._append_members(proposal, proposal.make_members)
+        if queued and self.leads:
+            self.replica.feed(self.clock.now())
+
+    def _append_members(
+        self,
+        proposal: _proposals.Proposal,
+        make: _proposals.MakeMembers,
+    ) -> None:
+        state = self.replica.state
+        made = _membership.why_not_now(state) or make(state)
+        if isinstance(made, str):
+            kind = _errors.ProposeErrorKind.REFUSED
+            failure = self.error(kind, False, made)
+            self.desk.finish(proposal, result.Failure(failure))
+            return
+        entry = _membership.change(state, made, self.clock.now())
+        self.desk.place(proposal, entry)
+
+    def _start_confirmation(self) -> None:
+        if not self.desk.waiting or not self.leads:
+            return
+        state = self.replica.state
+        newest = max(w.asked_at for w in self.desk.waiting)
+        if newest > _state.leading(state).round_at:
+            _replication.start_round(state, self.clock.now())
+
+    def _confirmed_at(self) -> float:
+        state = self.replica.state
+        if not _lease.may_serve_reads(state):
+            return _state.NEVER
+        return _lease.confirmed_at(state, self.clock.now())
+
+    def _perform(self, effect: _effects.Effect) -> None:
+        match effect:
+            case _effects.SaveHardState():
+                self.output.save_hard_state(effect)
+            case _effects.TruncateLog():
+                self.output.truncate(effect)
+            case _effects.AppendLog():
+                self.output.append(effect)
+            case _effects.Send():
+                self.output.send(effect)
+            case _effects.SendChunk():
+                self.output.send_chunk(effect)
+            case _:
+                self._perform_local(effect)
+
+    def _perform_local(self, effect: _effects.Effect) -> None:
+        match effect:
+            case _effects.InstallSnapshot():
+                self.applier.install(effect)
+            case _effects.LeadershipLost():
+                self.fail_waiting(_errors.ProposeErrorKind.LOST_LEADERSHIP)
+            case _effects.Note():
+                self.recorder.record(
+                    effect.kind,
+                    epoch=self.replica.state.epoch,
+                    detail=effect.detail,
+                )
+
+    def _apply_committed(self) -> None:
+        lost = self.error(_errors.ProposeErrorKind.LOST_LEADERSHIP, False)
+        for applied in self.applier.apply(self.replica.state):
+            self.desk.applied(applied.entry, applied.reply, lost)
--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,258 @@
+"""Several log nodes on one loop with fake time, disks and network."""
+
+from collections.abc import Callable
+import functools
+import heapq
+import random
+
+import attrs
+import banyanbank_base as base
+import banyanbank_consensus as consensus
+
+TICK_S = 0.02
+
+
+class DriftingClock:
+    """Clock of one process: global time at another rate and offset."""
+
+    def __init__(self, world: "World", rate: float, offset: float) -> None:
+        self._world = world
+        self._rate = rate
+        self._offset = offset
+
+    def now(self) -> float:
+        return self._world.now * self._rate + self._offset
+
+    def wall(self) -> float:
+        return self._world.now
+
+
+class ListMachine:
+    """Keeps every command; its replies prove index and place."""
+
+    def __init__(self) -> None:
+        self.commands: list[tuple[int, bytes]] = []
+
+    def apply(self, index: int, payload: bytes) -> bytes:
+        self.commands.append((index, payload))
+        return f"{index}:{len(self.commands)}".encode()
+
+    def snapshot(self) -> bytes:
+        return STATE_CODEC.encode(MachineState(tuple(self.commands)))
+
+    def restore(self, data: bytes) -> None:
+        self.commands = list(STATE_CODEC.decode(data).commands)
+
+
+@attrs.frozen
+class MachineState:
+    """Snapshot of a `ListMachine`."""
+
+    commands: tuple[tuple[int, bytes], ...]
+
+
+STATE_CODEC: base.Codec[MachineState] = base.Codec(MachineState)
+
+
+@attrs.define(eq=False)
+class Process:
+    """One life of a node."""
+
+    node: consensus.LogNode
+    machine: ListMachine
+    disk: consensus.MemoryDisk
+    paused: bool = False
+    backlog: list[tuple[base.InstanceId, bytes]] = attrs.field(factory=list)
+    due: list[Callable[[], None]] = attrs.field(factory=list)
+
+
+@attrs.define
+class Link:
+    """How frames from one instance to another fare."""
+
+    cut: bool = False
+    drop: float = 0.0
+    duplicate: float = 0.0
+    delay_s: float = 0.001
+    jitter_s: float = 0.0
+
+
+class World:
+    """Instances, their disks, the network and the time of all."""
+
+    def __init__(
+        self,
+        names: str = "abc",
+        seed: int = 0,
+        initial: str | None = None,
+        drift: float = 0.0,
+        **settings: float,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.names = [base.InstanceId(name) for name in names]
+        voters = initial if initial is not None else names
+        self.initial = tuple(base.InstanceId(name) for name in voters)
+        self.settings = settings
+        self.drift = drift
+        self.files = {name: consensus.MemoryFiles() for name in self.names}
+        self.processes: dict[base.InstanceId, Process] = {}
+        self.links = {
+            (a, b): Link() for a in self.names for b in self.names if a != b
+        }
+        self.sent = 0
+        self.on_step: Callable[[], None] = lambda: None
+        self._queue: list[tuple[float, int, str, str, bytes]] = []
+        self._order = 0
+
+    def config(self, name: base.InstanceId) -> consensus.NodeConfig:
+        return consensus.NodeConfig(
+            instance=name, initial_voters=self.initial, **self.settings
+        )
+
+    def start(self, *names: str) -> None:
+        for name in map(base.InstanceId, names or self.names):
+            rate = 1 + self.rng.uniform(-self.drift, self.drift)
+            clock = DriftingClock(self, rate, self.rng.uniform(0, 1000))
+            machine = ListMachine()
+            disk = consensus.MemoryDisk(self.files[name])
+            process = Process(None, machine, disk)  # type: ignore[arg-type]
+            process.node = consensus.LogNode(
+                self.config(name),
+                disk,
+                machine,
+                Sender(self, name),
+                clock,
+                random.Random(self.rng.getrandbits(64)),
+                base.MemoryRecorder(name, clock, capacity=200),
+                schedule=process.due.append,
+            )
+            self.processes[name] = process
+            process.node.start()
+            self.drain(process)
+
+    def crash(self, name: str, wipe: bool = False) -> None:
+        """Kills a process; with `wipe` its disk is lost as well."""
+        name = base.InstanceId(name)
+        self.processes.pop(name, None)
+        if wipe:
+            self.files[name] = consensus.MemoryFiles()
+        else:
+            self.files[name].crash(self.rng)
+
+    def pause(self, name: str) -> None:
+        self.processes[base.InstanceId(name)].paused = True
+
+    def resume(self, name: str) -> None:
+        process = self.processes[base.InstanceId(name)]
+        process.paused = False
+        backlog, process.backlog = process.backlog, []
+        for sender, data in backlog:
+            process.node.handle_message(sender, data)
+        self.drain(process)
+
+    def cut(self, *pairs: str, cut: bool = True) -> None:
+        """Cuts links, each named as sender and receiver."""
+        for source, target in pairs:
+            link = self.links[base.InstanceId(source), base.InstanceId(target)]
+            link.cut = cut
+
+    def isolate(self, name: str, cut: bool = True) -> None:
+        for (source, target), link in self.links.items():
+            if name in (source, target):
+                link.cut = cut
+
+    def node(self, name: str) -> consensus.LogNode:
+        return self.processes[base.InstanceId(name)].node
+
+    def machine(self, name: str) -> ListMachine:
+        return self.processes[base.InstanceId(name)].machine
+
+    def leaders(self) -> list[base.InstanceId]:
+        return [n for n, p in self.processes.items() if p.node.is_leader]
+
+    def holders(self) -> list[base.InstanceId]:
+        return [n for n, p in self.processes.items() if p.node.lease_held()]
+
+    def send(self, source: str, target: str, data: bytes) -> None:
+        self.sent += 1
+        link = self.links.get((source, target))  # type: ignore[call-overload]
+        if link is None or link.cut or self.rng.random() < link.drop:
+            return
+        copies = 2 if self.rng.random() < link.duplicate else 1
+        for _ in range(copies):
+            delay = link.delay_s + self.rng.random() * link.jitter_s
+            self._order += 1
+            item = (self.now + delay, self._order, source, target, data)
+            heapq.heappush(self._queue, item)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass, in ticks."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.step(min(TICK_S, end - self.now))
+
+    def run_until(
+        self, condition: Callable[[], bool], seconds: float = 10.0
+    ) -> float:
+        """Lets time pass until a condition holds; returns how long."""
+        begin = self.now
+        while not condition():
+            if self.now - begin > seconds:
+                raise AssertionError(
+                    f"Not reached in {seconds} s: "
+                    + "; ".join(str(p.node.status()) for p in self.alive())
+                )
+            self.step(TICK_S)
+        return self.now - begin
+
+    def step(self, seconds: float) -> None:
+        """Delivers what is due within a tick, then ticks every node."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            at, _, source, target, data = heapq.heappop(self._queue)
+            self.now = max(self.now, at)
+            self._deliver(source, target, data)
+            self.on_step()
+        self.now = end
+        for process in self.alive():
+            if not process.paused:
+                process.node.tick()
+                self.drain(process)
+        self.on_step()
+
+    def alive(self) -> list[Process]:
+        return list(self.processes.values())
+
+    def drain(self, process: Process) -> None:
+        while process.due:
+            process.due.pop(0)()
+
+    def propose(self, name: str, payload: bytes) -> list[object]:
+        """Proposes; the list gets the outcome once there is one."""
+        outcomes: list[object] = []
+        process = self.processes[base.InstanceId(name)]
+        process.node.propose(payload).addCallback(outcomes.append)
+        self.drain(process)
+        return outcomes
+
+    def _deliver(self, source: str, target: str, data: bytes) -> None:
+        process = self.processes.get(base.InstanceId(target))
+        if process is None:
+            return
+        sender = base.InstanceId(source)
+        if process.paused:
+            process.backlog.append((sender, data))
+            return
+        process.node.handle_message(sender, data)
+        self.drain(process)
+
+
+class Sender:
+    """The transport of one instance."""
+
+    def __init__(self, world: World, name: base.InstanceId) -> None:
+        self._send = functools.partial(world.send, name)
+
+    def send(self, peer: base.InstanceId, data: bytes) -> None:
+        self._send(peer, data)
