--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -26,6 +26,8 @@
 from banyanbank_control.commands import IntentOpen
 from banyanbank_control.commands import IntentReplay
 from banyanbank_control.commands import IntentsExpired
+from banyanbank_control.commands import LEDGER_COMMAND_CODEC
+from banyanbank_control.commands import LEDGER_REPLY_CODEC
 from banyanbank_control.commands import LossNoted
 from banyanbank_control.commands import MarkOrder
 from banyanbank_control.commands import MarkReported
@@ -124,6 +126,8 @@
     "ENDPOINT_TTL_S",
     "FRESHNESS_S",
     "LEAVE_MEMORY_S",
+    "LEDGER_COMMAND_CODEC",
+    "LEDGER_REPLY_CODEC",
     "MAX_ANSWER_BYTES",
     "MAX_RETENTION_S",
     "MAX_SECRET_CHARS",
--- a/packages/control/src/banyanbank_control/_handlers.py
+++ b/packages/control/src/banyanbank_control/_handlers.py
@@ -129,9 +129,16 @@
 
 
 def _rollout(state: _state.ControlState, cmd: commands.RolloutCommand) -> _Step:
-    return state, commands.Rejected(
-        commands.RejectReason.INVALID, "This build has no rollout ledger."
-    )
+    try:
+        command = cmd.command()
+    except base.CodecError:
+        return state, commands.Rejected(
+            commands.RejectReason.UNDECODABLE,
+            "The payload is no command of the rollout ledger.",
+        )
+    ledger, reply = state.rollouts.apply(command)
+    new = attrs.evolve(state, rollouts=ledger)
+    return new, commands.RolloutReply.of(reply)
 
 
 def _with_lives_over(
--- a/packages/control/src/banyanbank_control/_snapshot.py
+++ b/packages/control/src/banyanbank_control/_snapshot.py
@@ -2,6 +2,7 @@
 
 import attrs
 import banyanbank_base as base
+import banyanbank_rollout as rollout
 import immutables
 
 from banyanbank_control import _state
@@ -44,6 +45,8 @@
     """Orders."""
     intents: intents.IntentRecord
     """Intents."""
+    rollouts: rollout.LedgerSnapshot
+    """Rollout ledger."""
     lives_over: tuple[LifeOver, ...]
     """Lives that are over, by instance."""
 
@@ -59,6 +62,7 @@
         usage=state.usage.record(),
         orders=state.orders.record(),
         intents=state.intents.record(),
+        rollouts=state.rollouts.to_snapshot(),
         lives_over=tuple(
             LifeOver(instance, state.lives_over[instance])
             for instance in sorted(state.lives_over)
@@ -94,6 +98,7 @@
         usage=usage.UsageState.from_record(snapshot.usage),
         orders=orders.OrderState.from_record(snapshot.orders),
         intents=intents.IntentState.from_record(snapshot.intents),
+        rollouts=rollout.Ledger.from_snapshot(snapshot.rollouts),
         lives_over=immutables.Map(
             {life.instance: life.incarnation for life in snapshot.lives_over}
         ),
--- a/packages/control/src/banyanbank_control/_state.py
+++ b/packages/control/src/banyanbank_control/_state.py
@@ -2,6 +2,7 @@
 
 import attrs
 import banyanbank_base as base
+import banyanbank_rollout as rollout
 import immutables
 
 from banyanbank_control.config import _state as config_state
@@ -26,5 +27,7 @@
         intents_state.IntentState
     )
     """Claims of non-idempotent requests."""
+    rollouts: rollout.Ledger = attrs.Factory(rollout.Ledger)
+    """Rollout ledger."""
     lives_over: Lives = attrs.Factory(immutables.Map)
     """Newest life of each instance that is known to be over."""
--- a/packages/control/src/banyanbank_control/commands/__init__.py
+++ b/packages/control/src/banyanbank_control/commands/__init__.py
@@ -6,8 +6,6 @@
 from banyanbank_control.commands._codec import REPLY_CODEC
 from banyanbank_control.commands._common import Rejected
 from banyanbank_control.commands._common import RejectReason
-from banyanbank_control.commands._common import RolloutCommand
-from banyanbank_control.commands._common import RolloutReply
 from banyanbank_control.commands._config import ApplyDeclarations
 from banyanbank_control.commands._config import ConfigAccepted
 from banyanbank_control.commands._config import CreateKey
@@ -34,6 +32,10 @@
 from banyanbank_control.commands._orders import OrderRequest
 from banyanbank_control.commands._orders import OrderStatus
 from banyanbank_control.commands._orders import Supply
+from banyanbank_control.commands._rollouts import LEDGER_COMMAND_CODEC
+from banyanbank_control.commands._rollouts import LEDGER_REPLY_CODEC
+from banyanbank_control.commands._rollouts import RolloutCommand
+from banyanbank_control.commands._rollouts import RolloutReply
 from banyanbank_control.commands._usage import AddUsage
 from banyanbank_control.commands._usage import CloseWindow
 from banyanbank_control.commands._usage import MarkReported
@@ -46,6 +48,8 @@
 
 __all__ = [
     "COMMAND_CODEC",
+    "LEDGER_COMMAND_CODEC",
+    "LEDGER_REPLY_CODEC",
     "REPLY_CODEC",
     "AbandonIntent",
     "Action",
--- a/packages/control/src/banyanbank_control/commands/_codec.py
+++ b/packages/control/src/banyanbank_control/commands/_codec.py
@@ -6,10 +6,11 @@
 from banyanbank_control.commands import _config
 from banyanbank_control.commands import _intents
 from banyanbank_control.commands import _orders
+from banyanbank_control.commands import _rollouts
 from banyanbank_control.commands import _usage
 
 Command = (
-    _common.RolloutCommand
+    _rollouts.RolloutCommand
     | _config.ApplyDeclarations
     | _config.CreateKey
     | _config.WithdrawKey
@@ -28,7 +29,7 @@
 
 Reply = (
     _common.Rejected
-    | _common.RolloutReply
+    | _rollouts.RolloutReply
     | _config.ConfigAccepted
     | _config.RevisionConflict
     | _intents.IntentBegun
@@ -49,7 +50,7 @@
 """Everything that a command may be answered with."""
 
 COMMAND_CODEC: base.Codec[Command] = base.Codec(
-    _common.RolloutCommand,
+    _rollouts.RolloutCommand,
     _config.ApplyDeclarations,
     _config.CreateKey,
     _config.WithdrawKey,
@@ -68,7 +69,7 @@
 
 REPLY_CODEC: base.Codec[Reply] = base.Codec(
     _common.Rejected,
-    _common.RolloutReply,
+    _rollouts.RolloutReply,
     _config.ConfigAccepted,
     _config.RevisionConflict,
     _intents.IntentBegun,
--- a/packages/control/src/banyanbank_control/commands/_common.py
+++ b/packages/control/src/banyanbank_control/commands/_common.py
@@ -1,4 +1,4 @@
-"""Replies that any command may get, and the wrapper of rollout commands."""
+"""The reply that any command may get."""
 
 import enum
 
@@ -34,19 +34,3 @@
     """Machine-readable cause."""
     detail: str
     """What is wrong and what to do."""
-
-
-@attrs.frozen
-class RolloutCommand:
-    """A command of the rollout ledger."""
-
-    payload: bytes
-    """The command as bytes of the ledger's own codec."""
-
-
-@attrs.frozen
-class RolloutReply:
-    """The ledger's reply."""
-
-    payload: bytes
-    """The reply as bytes of the ledger's own codec."""
