--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -0,0 +1,326 @@
+"""Passes requests through to plain services."""
+
+import hashlib
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_control as control
+from banyanbank_daemon import _fleet
+from banyanbank_daemon import _http
+from banyanbank_daemon import _upstream
+from banyanbank_daemon import _usage
+from banyanbank_daemon._entry import _active
+from banyanbank_daemon._entry import _admission
+from banyanbank_daemon._entry import _deadlines
+from banyanbank_daemon._entry import _headers
+from banyanbank_daemon._entry import _intents
+import banyanbank_dispatch as dispatch
+from returns import result
+from twisted.internet import task
+
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
+SERVICE_UNAVAILABLE = 503
+BAD_GATEWAY = 502
+
+
+@attrs.frozen
+class ServiceCall:
+    """A request to a plain service that may go out."""
+
+    request_id: base.RequestId
+    """Id told to the caller and the endpoint."""
+    route: control.Route
+    """Route that it came in on."""
+    account: base.AccountId
+    """Client account; empty on a route open to all."""
+    key_id: base.KeyId
+    """Key; empty on a route open to all."""
+    method: str
+    """HTTP method."""
+    target: str
+    """Path with the query that may pass."""
+    headers: tuple[tuple[str, str], ...]
+    """Headers that may pass."""
+    body: bytes
+    """Body."""
+    deadline: float
+    """When to give up, on the monotonic clock."""
+    idempotency_key: str
+    """The caller's `Idempotency-Key`; empty when none came."""
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether running it twice does no harm."""
+        if self.route.repeat is control.Repeat.NON_IDEMPOTENT:
+            return self.method in SAFE_METHODS
+        return self.method in IDEMPOTENT_METHODS
+
+    @property
+    def digest(self) -> bytes:
+        """Digest that tells it apart under its idempotency key."""
+        text = f"{self.method}\0{self.target}\0".encode()
+        return hashlib.sha256(text + self.body).digest()
+
+
+class ServiceCalls:
+    """Serves requests on routes to plain services.
+
+    Args:
+        reactor: Reactor that carries timers.
+        clock: Clock that deadlines are told on.
+        admission: Authenticates callers.
+        active: Requests in progress.
+        fleet: Replicas known.
+        router: Chooses among replicas.
+        retries: Decides whether a failed attempt is repeated.
+        upstream: Client towards replicas.
+        intents: Runs what may run at most once.
+        usage: Counts whole answers.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: base.Clock,
+        admission: _admission.Admission,
+        active: _active.ActiveRequests,
+        fleet: _fleet.Fleet,
+        router: dispatch.Router,
+        retries: dispatch.RetryPolicy,
+        upstream: _upstream.Upstream,
+        intents: _intents.IntentRunner,
+        usage: _usage.UsageMeter,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._admission = admission
+        self._active = active
+        self._fleet = fleet
+        self._router = router
+        self._retries = retries
+        self._upstream = upstream
+        self._intents = intents
+        self._usage = usage
+
+    async def serve(self, exchange: _http.Exchange) -> None:
+        """Serves one request on any path that is not an own route."""
+        admitted = await self._admit(exchange)
+        if isinstance(admitted, result.Failure):
+            exchange.refuse(admitted.failure())
+            return
+        call = admitted.unwrap()
+        self._active.add(call.key_id, exchange)
+        try:
+            if call.is_idempotent or not call.idempotency_key:
+                await self._pass_through(exchange, call)
+            else:
+                await self._run_at_most_once(exchange, call)
+        finally:
+            self._active.remove(call.key_id, exchange)
+
+    async def _admit(
+        self, exchange: _http.Exchange
+    ) -> result.Result[ServiceCall, base.Refusal]:
+        read = _deadlines.read_deadline(exchange, self._clock.now())
+        if isinstance(read, result.Failure):
+            return read
+        deadline = read.unwrap()
+        admitted = await self._admission.admit_route(
+            exchange, exchange.path, deadline
+        )
+        if isinstance(admitted, result.Failure):
+            return admitted
+        admission = admitted.unwrap()
+        secret = _admission.bearer_secret(exchange) or ""
+        if _headers.holds_secret(
+            exchange.body, secret
+        ) or _headers.holds_secret(exchange.path.encode(), secret):
+            return result.Failure(_key_in_request())
+        principal = admission.principal
+        return result.Success(
+            ServiceCall(
+                request_id=exchange.request_id,
+                route=admission.route,
+                account=principal.account if principal else _NO_ACCOUNT,
+                key_id=principal.key_id if principal else _NO_KEY,
+                method=exchange.method,
+                target=_target_of(exchange, secret),
+                headers=tuple(
+                    _headers.pass_request_headers(
+                        exchange.header_items(), secret
+                    )
+                ),
+                body=exchange.body,
+                deadline=deadline,
+                idempotency_key=exchange.header("idempotency-key"),
+            )
+        )
+
+    async def _pass_through(
+        self, exchange: _http.Exchange, call: ServiceCall
+    ) -> None:
+        opened = await self.open(call)
+        if isinstance(opened, result.Failure):
+            exchange.refuse(opened.failure())
+            return
+        response = opened.unwrap()
+        exchange.on_closed(response.cancel)
+        if exchange.has_started or exchange.is_closed:
+            response.cancel()
+            return
+        exchange.start(
+            response.status, _headers.pass_answer_headers(response.headers)
+        )
+        while True:
+            chunk = await response.next_chunk()
+            if isinstance(chunk, result.Failure):
+                # The caller sees a cut connection, never a short answer.
+                exchange.abort()
+                return
+            data = chunk.unwrap()
+            if not data:
+                break
+            await exchange.write(data)
+        exchange.finish()
+        self._count(call)
+
+    async def _run_at_most_once(
+        self, exchange: _http.Exchange, call: ServiceCall
+    ) -> None:
+        ran = await self._intents.run(call, self.open)
+        if isinstance(ran, result.Failure):
+            exchange.refuse(ran.failure())
+            return
+        answer = ran.unwrap()
+        if not answer.is_replay:
+            self._count(call)
+        headers = _headers.pass_answer_headers(answer.headers)
+        if exchange.is_closed or exchange.has_started:
+            return
+        exchange.start(answer.status, headers)
+        await exchange.write(answer.body)
+        exchange.finish()
+
+    def _count(self, call: ServiceCall) -> None:
+        if call.account:
+            self._usage.count_call(call.account)
+
+    async def open(
+        self, call: ServiceCall
+    ) -> result.Result[_upstream.UpstreamResponse, base.Refusal]:
+        """Sends a call to a replica, to others where that does no harm.
+
+        Returns:
+            The answer once its headers are there, or a refusal that tells
+            whether a replica may have run the call.
+        """
+        self._retries.note_first_attempt()
+        excluded: frozenset[base.EndpointId] = frozenset()
+        attempts = 0
+        while True:
+            attempts += 1
+            endpoint, sent = await self._attempt(call, attempts, excluded)
+            if isinstance(sent, result.Success):
+                return sent
+            refusal = sent.failure()
+            decision = self._retries.decide(
+                attempts=attempts,
+                outcome=refusal.outcome,
+                idempotent=call.is_idempotent,
+                deadline=call.deadline,
+                now=self._clock.now(),
+                retry_after=refusal.retry_after,
+            )
+            if not isinstance(decision, dispatch.Retry):
+                return sent
+            if endpoint is not None:
+                excluded |= {endpoint}
+            pause_s = max(0.0, decision.at - self._clock.now())
+            await task.deferLater(self._reactor, pause_s)
+
+    async def _attempt(
+        self,
+        call: ServiceCall,
+        number: int,
+        excluded: frozenset[base.EndpointId],
+    ) -> tuple[
+        base.EndpointId | None,
+        result.Result[_upstream.UpstreamResponse, base.Refusal],
+    ]:
+        now = self._clock.now()
+        query = dispatch.RouteQuery(
+            safe_only=not call.is_idempotent, excluded=excluded
+        )
+        candidates = self._fleet.service_candidates(call.route.service)
+        chosen = self._router.choose(query, candidates, now)
+        if isinstance(chosen, result.Failure):
+            return None, chosen
+        endpoint = chosen.unwrap().endpoint_id
+        url = self._fleet.url_of(endpoint)
+        attempt_id = base.RequestId(f"{call.request_id}.{number}")
+        self._router.note_sent(attempt_id, endpoint, query, now)
+        sent = await self._upstream.send(
+            _upstream.UpstreamRequest(
+                method=call.method,
+                url=f"{url}{call.target}",
+                headers=(
+                    *call.headers,
+                    ("x-request-id", call.request_id),
+                    ("x-client-account", call.account),
+                ),
+                body=call.body,
+                deadline=call.deadline,
+                is_repeatable=call.is_idempotent,
+            )
+        )
+        is_ok = isinstance(sent, result.Success)
+        self._router.note_done(attempt_id, endpoint, is_ok, self._clock.now())
+        return endpoint, sent.alt(_refusal_of).bind(
+            lambda response: _check_echo(call, response)
+        )
+
+
+_NO_ACCOUNT = base.AccountId("")
+_NO_KEY = base.KeyId("")
+
+
+def _target_of(exchange: _http.Exchange, secret: str) -> str:
+    path, mark, query = exchange.uri.partition("?")
+    if not mark:
+        return path
+    passed = _headers.pass_query(query, secret)
+    return f"{path}?{passed}" if passed else path
+
+
+def _check_echo(
+    call: ServiceCall, response: _upstream.UpstreamResponse
+) -> result.Result[_upstream.UpstreamResponse, base.Refusal]:
+    echoed = response.header("x-request-id")
+    if not echoed or echoed == call.request_id:
+        return result.Success(response)
+    response.cancel()
+    return result.Failure(
+        base.Refusal(
+            base.RefusalReason.ENDPOINT_FAILED,
+            base.Outcome.MAY_HAVE_RUN,
+            "The endpoint answered another request.",
+        )
+    )
+
+
+def _refusal_of(error: _upstream.UpstreamError) -> base.Refusal:
+    reason = base.RefusalReason.ENDPOINT_FAILED
+    if error.is_timeout:
+        reason = base.RefusalReason.DEADLINE_EXCEEDED
+    return base.Refusal(reason, error.outcome, error.detail)
+
+
+def _key_in_request() -> base.Refusal:
+    return base.Refusal(
+        base.RefusalReason.BAD_REQUEST,
+        base.Outcome.NOT_RUN,
+        "The path or body holds the key; send it in the Authorization header"
+        " only.",
+    )
