--- a/packages/daemon/src/banyanbank_daemon/_entry/_active.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_active.py
@@ -3,6 +3,7 @@
 import collections
 
 import banyanbank_base as base
+
 from banyanbank_daemon import _http
 
 
--- a/packages/daemon/src/banyanbank_daemon/_entry/_admission.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_admission.py
@@ -4,10 +4,11 @@
 
 import banyanbank_base as base
 import banyanbank_control as control
-from banyanbank_daemon import _http
 from returns import result
 from twisted.internet import task
 
+from banyanbank_daemon import _http
+
 FRESHNESS_WAIT_S = 1.5
 FRESHNESS_PAUSE_S = 0.05
 BEARER = "bearer "
--- a/packages/daemon/src/banyanbank_daemon/_entry/_deadlines.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_deadlines.py
@@ -1,9 +1,10 @@
 """Deadlines that callers ask for."""
 
 import banyanbank_base as base
-from banyanbank_daemon import _http
 from returns import result
 
+from banyanbank_daemon import _http
+
 HEADER = "x-deadline-ms"
 MILLISECONDS = 1_000
 DEFAULT_S = 120.0
--- a/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
@@ -5,11 +5,12 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_control as control
-from banyanbank_daemon import _control_plane
-from banyanbank_daemon import _upstream
 from returns import result
 from twisted.internet import task
 
+from banyanbank_daemon import _control_plane
+from banyanbank_daemon import _upstream
+
 RETENTION_S = 24 * 3_600.0
 COMMIT_S = 10.0
 POLL_S = 0.25
--- a/packages/daemon/src/banyanbank_daemon/_entry/_models.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_models.py
@@ -6,6 +6,9 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_control as control
+import banyanbank_dispatch as dispatch
+from returns import result
+
 from banyanbank_daemon import _dispatcher
 from banyanbank_daemon import _fleet
 from banyanbank_daemon import _http
@@ -14,8 +17,6 @@
 from banyanbank_daemon._entry import _admission
 from banyanbank_daemon._entry import _deadlines
 from banyanbank_daemon._entry import _shapes
-import banyanbank_dispatch as dispatch
-from returns import result
 
 EVENT_STREAM_HEADERS = (
     (b"content-type", b"text/event-stream"),
--- a/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
@@ -6,13 +6,14 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_control as control
+import banyanbank_rollout as rollout
+from returns import result
+
 from banyanbank_daemon import _batches
 from banyanbank_daemon import _http
 from banyanbank_daemon import _rollout_plane
 from banyanbank_daemon._entry import _admission
 from banyanbank_daemon._entry import _deadlines
-import banyanbank_rollout as rollout
-from returns import result
 
 OK = 200
 ACCEPTED = 202
--- a/packages/daemon/src/banyanbank_daemon/_entry/_services.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -6,6 +6,10 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_control as control
+import banyanbank_dispatch as dispatch
+from returns import result
+from twisted.internet import task
+
 from banyanbank_daemon import _fleet
 from banyanbank_daemon import _http
 from banyanbank_daemon import _upstream
@@ -15,9 +19,6 @@
 from banyanbank_daemon._entry import _deadlines
 from banyanbank_daemon._entry import _headers
 from banyanbank_daemon._entry import _intents
-import banyanbank_dispatch as dispatch
-from returns import result
-from twisted.internet import task
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
--- a/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
@@ -6,9 +6,10 @@
 
 import attrs
 import banyanbank_base as base
-from banyanbank_daemon import _jobs
 from returns import result
 
+from banyanbank_daemon import _jobs
+
 BYTES_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 1_024
 PREFIX_BYTES = 1_024
--- a/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
@@ -149,6 +149,12 @@
             return
         self._closed.append(callback)
 
+    def close_after(self) -> None:
+        """Closes the connection after this answer, and says so."""
+        channel: typing.Any = self._request.channel
+        channel.persistent = False
+        self._request.setHeader(b"connection", b"close")
+
     def start(
         self, status: int, headers: typing.Iterable[tuple[bytes, bytes]]
     ) -> None:
--- a/packages/daemon/src/banyanbank_daemon/_http/_site.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_site.py
@@ -2,6 +2,7 @@
 
 import re
 import typing
+import weakref
 
 import attrs
 import banyanbank_base as base
@@ -139,15 +140,31 @@
         self.limits = limits
         self.new_request_id = new_request_id
         self.exchanges = 0
+        self.is_closing = False
         self.displayTracebacks = False
+        self._channels: weakref.WeakSet[typing.Any] = weakref.WeakSet()
 
     def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
         """Builds the protocol of one connection."""
         protocol: typing.Any = super().buildProtocol(addr)
         channel = getattr(protocol, "_channel", protocol)
         channel.maxHeaders = self.limits.max_headers
+        self._channels.add(channel)
         return protocol
 
+    def close_idle(self) -> None:
+        """Closes idle connections; others close after their answer."""
+        self.is_closing = True
+        for channel in list(self._channels):
+            if not channel.requests and channel.transport is not None:
+                channel.transport.loseConnection()
+
+    def abort_all(self) -> None:
+        """Cuts every connection."""
+        for channel in list(self._channels):
+            if channel.transport is not None:
+                channel.transport.abortConnection()
+
     def log(self, request: http.Request) -> None:
         """Writes no access log; the time line has the events."""
 
@@ -169,6 +186,8 @@
             found[1] if found else {},
             self._site.reactor,
         )
+        if self._site.is_closing:
+            exchange.close_after()
         refusal = self._refusal(request, path, found is not None)
         if refusal is not None:
             exchange.refuse(refusal)
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_loop.py
@@ -0,0 +1,79 @@
+"""Runs the leader's duties while this instance holds the lease."""
+
+import typing
+
+import banyanbank_base as base
+import banyanbank_consensus as consensus
+from loguru import logger
+from twisted.internet import task
+
+TICK_S = 0.02
+
+
+class Duty(typing.Protocol):
+    """Something that only the leader does."""
+
+    def tick(self) -> None:
+        """Does what is due; called while the lease is held."""
+        ...
+
+    def stop(self) -> None:
+        """Ends what is under way; the lease is not held any more."""
+        ...
+
+
+class LeaderLoop:
+    """Ticks the log and the duties.
+
+    Args:
+        reactor: Reactor that carries timers.
+        node: The log here.
+        recorder: Takes time line events.
+        duties: What the leader does.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        node: consensus.LogNode,
+        recorder: base.Recorder,
+        duties: typing.Sequence[Duty],
+    ) -> None:
+        self._node = node
+        self._recorder = recorder
+        self._duties = duties
+        self._is_leading = False
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = reactor
+
+    def start(self) -> None:
+        """Begins to tick."""
+        self._loop.start(TICK_S)
+
+    def stop(self) -> None:
+        """Ends the duties and the log."""
+        if self._loop.running:
+            self._loop.stop()
+        self._end()
+
+    def _tick(self) -> None:
+        self._node.tick()
+        if not self._node.lease_held():
+            self._end()
+            return
+        if not self._is_leading:
+            self._is_leading = True
+            self._recorder.record("lease.acquired", epoch=self._node.epoch)
+        for duty in self._duties:
+            try:
+                duty.tick()
+            except Exception as exc:
+                logger.exception("a duty of the leader failed: {}", exc)
+
+    def _end(self) -> None:
+        if not self._is_leading:
+            return
+        self._is_leading = False
+        self._recorder.record("lease.lost", epoch=self._node.epoch)
+        for duty in self._duties:
+            duty.stop()
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_listeners.py
@@ -0,0 +1,136 @@
+"""The listeners of an instance: callers and endpoints, and operators."""
+
+import typing
+
+import banyanbank_base as base
+from twisted.internet import defer
+
+from banyanbank_daemon import _announcements
+from banyanbank_daemon import _entry
+from banyanbank_daemon import _http
+from banyanbank_daemon import _settings
+
+OK = 200
+UNAVAILABLE = 503
+
+
+def caller_routes(
+    is_draining: typing.Callable[[], bool],
+    models: _entry.ModelCalls,
+    trainers: _entry.RolloutCalls,
+    endpoints: _announcements.EndpointCalls,
+    services: _entry.ServiceCalls,
+) -> list[_http.Route]:
+    """Returns the routes of the callers' listener.
+
+    Paths that are no own route go to the declared plain services.
+    """
+
+    async def healthz(exchange: _http.Exchange) -> None:
+        if is_draining():
+            exchange.respond_json(UNAVAILABLE, {"status": "draining"})
+        else:
+            exchange.respond_json(OK, {"status": "ok"})
+
+    rollouts = "/v1/rollouts/{trainer}"
+    return [
+        _http.Route("GET", "/healthz", healthz),
+        _http.Route("GET", "/v1/models", models.models),
+        _http.Route("POST", "/v1/chat/completions", models.chat_completions),
+        _http.Route("POST", "/v1/completions", models.completions),
+        _http.Route("POST", f"{rollouts}/groups", trainers.submit),
+        _http.Route("GET", f"{rollouts}/steps/{{step}}/batch", trainers.fetch),
+        _http.Route(
+            "POST", f"{rollouts}/steps/{{step}}/cancel", trainers.cancel
+        ),
+        _http.Route(
+            "POST",
+            f"{rollouts}/batches/{{batch...}}/acknowledge",
+            trainers.acknowledge,
+        ),
+        _http.Route(
+            "POST",
+            f"{rollouts}/batches/{{batch...}}/reject",
+            trainers.reject,
+        ),
+        _http.Route("POST", f"{rollouts}/versions", trainers.publish),
+        _http.Route("POST", "/endpoint/announce", endpoints.announce),
+        _http.Route("POST", "/endpoint/leave", endpoints.leave),
+        _http.Route(
+            "POST", "/endpoint/reclaim-notice", endpoints.reclaim_notice
+        ),
+        _http.Route("*", "/{path...}", services.serve),
+    ]
+
+
+class Listeners:
+    """Opens and closes the listeners.
+
+    Args:
+        settings: Addresses and limits.
+        reactor: Carries sockets.
+        callers: Routes for callers and endpoints.
+        operators: Routes for operators.
+        new_request_id: Draws ids.
+        caller_tls: TLS context factory for callers; None for plain HTTP.
+    """
+
+    def __init__(
+        self,
+        settings: _settings.Settings,
+        reactor: typing.Any,
+        callers: list[_http.Route],
+        operators: list[_http.Route],
+        new_request_id: typing.Callable[[], base.RequestId],
+        caller_tls: typing.Any,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._caller_tls = caller_tls
+        limits = _http.HttpLimits(max_body_bytes=settings.max_body_bytes)
+        self._callers = _http.LimitedSite(
+            _http.RouteTable(callers), limits, reactor, new_request_id
+        )
+        self._operators = _http.LimitedSite(
+            _http.RouteTable(operators), limits, reactor, new_request_id
+        )
+        self._ports: list[typing.Any] = []
+        self.caller_port = 0
+        self.operator_port = 0
+
+    @property
+    def exchanges(self) -> int:
+        """Requests of callers in progress."""
+        return self._callers.exchanges
+
+    def start(self) -> None:
+        """Opens both listeners."""
+        host = self._settings.listen_host
+        callers = self._open_callers(host)
+        operators = self._reactor.listenTCP(
+            self._settings.operator_port, self._operators, interface=host
+        )
+        self.caller_port = callers.getHost().port
+        self.operator_port = operators.getHost().port
+        self._ports = [callers, operators]
+
+    def _open_callers(self, host: str) -> typing.Any:
+        port = self._settings.caller_port
+        if self._caller_tls is None:
+            return self._reactor.listenTCP(port, self._callers, interface=host)
+        return self._reactor.listenSSL(
+            port, self._callers, self._caller_tls, interface=host
+        )
+
+    async def stop_listening(self) -> None:
+        """Takes no new connection; those that are open end by themselves."""
+        ports, self._ports = self._ports, []
+        for port in ports:
+            await defer.maybeDeferred(port.stopListening)
+        self._callers.close_idle()
+        self._operators.close_idle()
+
+    def close_connections(self) -> None:
+        """Cuts every connection."""
+        self._callers.abort_all()
+        self._operators.abort_all()
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_operators.py
@@ -0,0 +1,336 @@
+"""Serves operators: configuration, keys, status, metrics, time line."""
+
+import hmac
+import json
+import random
+import secrets
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_control as control
+from returns import result
+
+from banyanbank_daemon import _control_plane
+from banyanbank_daemon import _http
+from banyanbank_daemon import _metrics
+from banyanbank_daemon._entry import _admission
+
+OK = 200
+BAD_REQUEST = 400
+COMMIT_S = 10.0
+SECRET_BYTES = 32
+TEXT_SUFFIXES = (".yaml", ".yml")
+OPERATOR = "operator"
+
+Parsed = result.Result[control.Declarations, control.SheetErrors]
+StatusSource = typing.Callable[[], dict[str, typing.Any]]
+EventSource = typing.Callable[[], typing.Iterable[base.Event]]
+Drain = typing.Callable[
+    [base.InstanceId], typing.Coroutine[typing.Any, typing.Any, bool]
+]
+
+
+class OperatorCalls:
+    """Serves the operator interface.
+
+    Args:
+        clock: Clock that deadlines are told on.
+        token: Operator credential; empty refuses everybody.
+        plane: Way to the replicated log.
+        authenticator: Holds the configuration.
+        metrics: Metrics of this instance.
+        status: Returns the status document of this instance.
+        events: Returns the time line of this instance.
+        drain: Asks an instance to shut down gracefully.
+        rng: Source of key ids.
+    """
+
+    def __init__(
+        self,
+        clock: base.Clock,
+        token: str,
+        plane: _control_plane.ControlPlane,
+        authenticator: control.Authenticator,
+        metrics: _metrics.MetricsRegistry,
+        status: StatusSource,
+        events: EventSource,
+        drain: Drain,
+        rng: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._token = token
+        self._plane = plane
+        self._authenticator = authenticator
+        self._metrics = metrics
+        self._status = status
+        self._events = events
+        self._drain = drain
+        self._rng = rng
+
+    def routes(self) -> list[_http.Route]:
+        """Returns the routes of the operator listener."""
+        return [
+            _http.Route("GET", "/metrics", self.metrics),
+            _http.Route("GET", "/operator/config", self.config),
+            _http.Route("POST", "/operator/apply", self.apply),
+            _http.Route("GET", "/operator/keys", self.list_keys),
+            _http.Route("POST", "/operator/keys", self.create_key),
+            _http.Route(
+                "POST", "/operator/keys/{key}/withdraw", self.withdraw_key
+            ),
+            _http.Route("GET", "/operator/status", self.status),
+            _http.Route("GET", "/operator/timeline", self.timeline),
+            _http.Route("POST", "/operator/drain/{instance}", self.drain),
+        ]
+
+    async def metrics(self, exchange: _http.Exchange) -> None:
+        """Shows the metrics in the text exposition format."""
+        text = self._metrics.render().encode()
+        exchange.respond(OK, text, b"text/plain; version=0.0.4")
+
+    async def config(self, exchange: _http.Exchange) -> None:
+        """Shows what is in force here, as text and as a sheet."""
+        if not self._is_admitted(exchange):
+            return
+        declared = self._declared()
+        exchange.respond_json(
+            OK,
+            {
+                "revision": self._authenticator.view.revision,
+                "text": control.export_text(declared),
+                "sheet": control.export_sheet(declared).decode(),
+            },
+        )
+
+    async def apply(self, exchange: _http.Exchange) -> None:
+        """Puts a sheet or text in force, or shows what it would change."""
+        if not self._is_admitted(exchange):
+            return
+        parsed = self._parse(exchange)
+        if isinstance(parsed, result.Failure):
+            _refuse_sheet(exchange, parsed.failure())
+            return
+        declared = parsed.unwrap()
+        changes = _changes(self._declared(), declared)
+        if exchange.header("x-dry-run"):
+            revision = self._authenticator.view.revision
+            document = {"revision": revision, "changes": changes}
+            exchange.respond_json(OK, document)
+            return
+        expected = exchange.header("x-expect-revision")
+        if not (expected.isascii() and expected.isdigit()):
+            exchange.refuse(
+                _bad("Header X-Expect-Revision must give a revision.")
+            )
+            return
+        command = control.ApplyDeclarations(
+            request_id=_request_id(exchange),
+            operator=exchange.header("x-operator") or OPERATOR,
+            expected_revision=int(expected),
+            declared=declared,
+        )
+        await self._commit(exchange, command, {"changes": changes})
+
+    async def list_keys(self, exchange: _http.Exchange) -> None:
+        """Lists keys; hashes and secrets stay here."""
+        if not self._is_admitted(exchange):
+            return
+        keys = sorted(
+            (key.key_id, key.account)
+            for key in self._authenticator.view.key_ids.values()
+        )
+        document = [{"key": key, "account": account} for key, account in keys]
+        exchange.respond_json(OK, {"keys": document})
+
+    async def create_key(self, exchange: _http.Exchange) -> None:
+        """Creates a key and shows its secret, this once."""
+        if not self._is_admitted(exchange):
+            return
+        try:
+            document = exchange.json()
+            account = str(document["account"])
+            key_id = str(document.get("key") or self._new_key_id(account))
+        except (ValueError, KeyError, TypeError, AttributeError):
+            exchange.refuse(_bad('Send {"account": NAME, "key": ID}.'))
+            return
+        secret = secrets.token_urlsafe(SECRET_BYTES)
+        command = control.CreateKey(
+            request_id=_request_id(exchange),
+            operator=exchange.header("x-operator") or OPERATOR,
+            key=control.Key(
+                base.KeyId(key_id),
+                base.AccountId(account),
+                control.hash_secret(secret),
+            ),
+        )
+        extra = {"key": key_id, "account": account, "secret": secret}
+        await self._commit(exchange, command, extra)
+
+    async def withdraw_key(self, exchange: _http.Exchange) -> None:
+        """Withdraws a key for ever."""
+        if not self._is_admitted(exchange):
+            return
+        key_id = exchange.parameters["key"]
+        command = control.WithdrawKey(
+            request_id=_request_id(exchange),
+            operator=exchange.header("x-operator") or OPERATOR,
+            key_id=base.KeyId(key_id),
+        )
+        await self._commit(exchange, command, {"key": key_id})
+
+    async def status(self, exchange: _http.Exchange) -> None:
+        """Shows instances, roles, leases, revisions, endpoints, queues."""
+        if self._is_admitted(exchange):
+            exchange.respond_json(OK, self._status())
+
+    async def timeline(self, exchange: _http.Exchange) -> None:
+        """Shows this instance's events, filtered by the query."""
+        if not self._is_admitted(exchange):
+            return
+        wanted = {
+            name: exchange.query(name)
+            for name in ("request", "sample", "key", "endpoint", "kind")
+            if exchange.query(name)
+        }
+        events = [
+            attrs.asdict(event)
+            for event in self._events()
+            if all(
+                getattr(event, name).startswith(value)
+                for name, value in wanted.items()
+            )
+        ]
+        exchange.respond(OK, json.dumps({"events": events}).encode())
+
+    async def drain(self, exchange: _http.Exchange) -> None:
+        """Asks an instance to shut down gracefully."""
+        if not self._is_admitted(exchange):
+            return
+        instance = base.InstanceId(exchange.parameters["instance"])
+        if await self._drain(instance):
+            exchange.respond_json(OK, {"instance": instance})
+        else:
+            exchange.refuse(
+                base.Refusal(
+                    base.RefusalReason.NOT_FOUND,
+                    base.Outcome.NOT_RUN,
+                    f"Instance {instance!r} could not be reached.",
+                )
+            )
+
+    def _is_admitted(self, exchange: _http.Exchange) -> bool:
+        secret = _admission.bearer_secret(exchange) or ""
+        is_known = bool(self._token) and hmac.compare_digest(
+            secret.encode(), self._token.encode()
+        )
+        if not is_known:
+            exchange.refuse(
+                base.Refusal(
+                    base.RefusalReason.UNAUTHENTICATED,
+                    base.Outcome.NOT_RUN,
+                    "The operator credential is missing or wrong.",
+                )
+            )
+        return is_known
+
+    def _declared(self) -> control.Declarations:
+        view = self._authenticator.view
+        return control.Declarations.of(
+            [*view.items.values(), *view.key_ids.values()]
+        )
+
+    def _new_key_id(self, account: str) -> str:
+        return f"{account}-{self._rng.getrandbits(32):08x}"
+
+    def _parse(self, exchange: _http.Exchange) -> Parsed:
+        name = exchange.header("x-sheet-name") or "sheet.csv"
+        if name.endswith(TEXT_SUFFIXES):
+            return control.parse_text(name, exchange.body)
+        return control.parse_sheet(name, exchange.body)
+
+    async def _commit(
+        self,
+        exchange: _http.Exchange,
+        command: control.Command,
+        extra: dict[str, typing.Any],
+    ) -> None:
+        deadline = self._clock.now() + COMMIT_S
+        proposed = await self._plane.propose(command, deadline)
+        if isinstance(proposed, result.Failure):
+            exchange.refuse(_uncommitted(proposed.failure()))
+            return
+        match proposed.unwrap():
+            case control.ConfigAccepted(revision=revision):
+                exchange.respond_json(OK, {"revision": revision, **extra})
+            case control.RevisionConflict() as conflict:
+                exchange.refuse(
+                    base.Refusal(
+                        base.RefusalReason.CONFLICT,
+                        base.Outcome.NOT_RUN,
+                        conflict.detail,
+                    )
+                )
+            case control.Rejected(detail=detail):
+                exchange.refuse(_bad(detail))
+
+
+def _request_id(exchange: _http.Exchange) -> base.RequestId:
+    return base.RequestId(
+        exchange.header("x-request-id") or exchange.request_id
+    )
+
+
+def _changes(
+    old: control.Declarations, new: control.Declarations
+) -> list[dict[str, str]]:
+    if not new.keys:
+        new = new.with_keys(old.keys)
+    return [
+        {"change": type(change).__name__.lower(), "item": str(change.ref)}
+        for change in control.diff(old, new)
+    ]
+
+
+def _refuse_sheet(
+    exchange: _http.Exchange, errors: control.SheetErrors
+) -> None:
+    document = {
+        "type": "urn:banyanbank:problem:bad-request",
+        "title": "bad request",
+        "status": BAD_REQUEST,
+        "detail": "The sheet has errors; nothing was applied.",
+        "outcome": base.Outcome.NOT_RUN.value,
+        "request_id": exchange.request_id,
+        "errors": [
+            {
+                "file": error.file,
+                "row": error.row,
+                "column": error.column,
+                "message": error.problem,
+                "mend": error.mend,
+            }
+            for error in errors.errors
+        ],
+    }
+    body = json.dumps(document).encode()
+    exchange.respond(BAD_REQUEST, body, b"application/problem+json")
+
+
+def _bad(detail: str) -> base.Refusal:
+    return base.Refusal(
+        base.RefusalReason.BAD_REQUEST, base.Outcome.NOT_RUN, detail
+    )
+
+
+def _uncommitted(error: _control_plane.PlaneError) -> base.Refusal:
+    outcome = base.Outcome.NOT_RUN
+    if error.maybe_committed:
+        outcome = base.Outcome.MAY_HAVE_RUN
+    return base.Refusal(
+        base.RefusalReason.NO_LEADER,
+        outcome,
+        f"The change was not confirmed: {error.detail} Send it again with the"
+        " same X-Request-Id.",
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_status.py
@@ -0,0 +1,104 @@
+"""The status document that operators see."""
+
+import typing
+
+if typing.TYPE_CHECKING:
+    from banyanbank_daemon import _instance
+
+
+def status_document(instance: "_instance.Instance") -> dict[str, typing.Any]:
+    """Returns what one instance knows, ready for JSON."""
+    now = instance.around.clock.now()
+    return {
+        "instance": instance.name,
+        "incarnation": instance.incarnation,
+        "failure_domain": instance.settings.failure_domain,
+        "draining": instance.is_draining,
+        "leader": instance.plane.leader,
+        "revision": instance.authenticator.view.revision,
+        "fresh": instance.gate.is_fresh(now),
+        "fresh_for_s": round(max(0.0, instance.gate.deadline - now), 3),
+        "requests_in_progress": instance.listeners.exchanges,
+        "control": _control(instance),
+        "members": _members(instance),
+        "endpoints": _endpoints(instance),
+        "queues": _queues(instance),
+        "rollouts": _rollouts(instance),
+    }
+
+
+def _control(instance: "_instance.Instance") -> dict[str, typing.Any] | None:
+    if instance.node is None:
+        return None
+    status = instance.node.status()
+    return {
+        "role": status.role.value,
+        "epoch": status.epoch,
+        "lease_held": instance.node.lease_held(),
+        "last_index": status.last_index,
+        "commit_index": status.commit_index,
+        "applied_index": status.applied_index,
+        "voters": [member.instance for member in status.voters],
+        "learners": [member.instance for member in status.learners],
+    }
+
+
+def _members(instance: "_instance.Instance") -> list[dict[str, typing.Any]]:
+    return [
+        {
+            "instance": member.instance,
+            "incarnation": member.incarnation,
+            "address": member.address,
+            "failure_domain": member.failure_domain,
+            "roles": list(member.roles),
+            "leaving": member.leaving,
+        }
+        for _name, member in sorted(instance.fleet.members.items())
+    ]
+
+
+def _endpoints(instance: "_instance.Instance") -> list[dict[str, typing.Any]]:
+    return [
+        {
+            "endpoint": announcement.endpoint,
+            "kind": announcement.kind.value,
+            "phase": announcement.phase.value,
+            "failure_domain": announcement.failure_domain,
+            "supply": announcement.supply.value,
+            "service": announcement.service,
+            "models": {
+                served.model: served.version for served in announcement.models
+            },
+            "owner": instance.fleet.owner_of(announcement.endpoint),
+        }
+        for announcement in sorted(
+            instance.fleet.endpoints.all(), key=lambda item: item.endpoint
+        )
+    ]
+
+
+def _queues(instance: "_instance.Instance") -> list[dict[str, typing.Any]]:
+    documents = []
+    for endpoint, queue in sorted(instance.host.queues.items()):
+        status = queue.status()
+        documents.append(
+            {
+                "endpoint": endpoint,
+                "waiting": status.waiting,
+                "running": status.running,
+                "slots": status.slots,
+            }
+        )
+    return documents
+
+
+def _rollouts(instance: "_instance.Instance") -> list[dict[str, typing.Any]]:
+    return [
+        {
+            "trainer": step.trainer,
+            "step": step.step,
+            "samples": len(step.samples),
+            "batch_formed": step.batch is not None,
+        }
+        for step in instance.rollouts.ledger.steps()
+    ]
