Fuzz the replicated log against an oracle

Change: a world of nodes under fake time, drifting clocks, fake disks and network; an oracle of the promises; a hypothesis machine and a fuzzer by hand. Found and mended: a store made anew could not find a leader outside its initial voters; hellos now name the members.

--- a/packages/consensus/src/banyanbank_consensus/_formation.py
+++ b/packages/consensus/src/banyanbank_consensus/_formation.py
@@ -43,6 +43,7 @@
     state.greetings[sender] = _state.Greeting(
         store=msg.head.store, cluster=msg.head.cluster, heard_at=now
     )
+    state.heard_members |= frozenset(msg.members)
     if msg.answer:
         _say_hello(state, sender, target=msg.head.store, answer=False)
 
@@ -101,7 +102,7 @@
 
 
 def _audience(state: _state.State) -> set[base.InstanceId]:
-    audience = set(state.cfg.initial_voters)
+    audience = set(state.cfg.initial_voters) | state.heard_members
     audience.update(m.instance for m in state.members.members)
     audience.discard(state.me)
     return audience
@@ -110,5 +111,9 @@
 def _say_hello(
     state: _state.State, peer: base.InstanceId, target: str, answer: bool
 ) -> None:
-    hello = _messages.Hello(_state.header(state, target), answer)
+    hello = _messages.Hello(
+        head=_state.header(state, target),
+        answer=answer,
+        members=tuple(m.instance for m in state.members.members),
+    )
     _state.send(state, peer, hello)
--- a/packages/consensus/src/banyanbank_consensus/_state.py
+++ b/packages/consensus/src/banyanbank_consensus/_state.py
@@ -151,6 +151,8 @@
     """Set exactly while the role is leader."""
     greetings: dict[base.InstanceId, Greeting] = attrs.field(factory=dict)
     """Hellos heard."""
+    heard_members: frozenset[base.InstanceId] = frozenset()
+    """Instances that hellos named as members."""
     inbound: Inbound | None = None
     """Snapshot that is arriving; None when none is."""
     effects: list[_effects.Effect] = attrs.field(factory=list)
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self.commands: list[tuple[int, bytes]] = []
+        self.restores = 0
 
     def apply(self, index: int, payload: bytes) -> bytes:
         self.commands.append((index, payload))
@@ -42,6 +43,7 @@
 
     def restore(self, data: bytes) -> None:
         self.commands = list(STATE_CODEC.decode(data).commands)
+        self.restores += 1
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/consensus/oracle.py
@@ -0,0 +1,174 @@
+"""What must hold of a replicated log, checked after every event."""
+
+import collections
+
+import attrs
+import banyanbank_base as base
+import banyanbank_consensus as consensus
+from returns import result
+
+from tests.consensus import cluster
+
+
+class OracleError(AssertionError):
+    """A promise of the log was broken.
+
+    Args:
+        check: Short name of the promise.
+        detail: What was seen.
+    """
+
+    def __init__(self, check: str, detail: str) -> None:
+        super().__init__(f"{check}: {detail}")
+        self.check = check
+
+
+@attrs.define
+class _Tenure:
+    """The newest time at which an instance was seen to hold the lease."""
+
+    holder: cluster.Process
+    epoch: int
+    last_seen: float
+
+
+class Oracle:
+    """Watches a world; raises `OracleError` when a promise is broken.
+
+    Args:
+        world: What is watched.
+        handover_gap: Seconds of global time that must pass between the
+            leases of two processes.
+    """
+
+    def __init__(self, world: cluster.World, handover_gap: float) -> None:
+        self.world = world
+        self.committed: list[tuple[int, bytes]] = []
+        self.not_committed: set[bytes] = set()
+        self.successes = 0
+        self.failures: collections.Counter[str] = collections.Counter()
+        self.elections = 0
+        self.installs = 0
+        self._gap = handover_gap
+        self._leaders: dict[int, str] = {}
+        self._checked: dict[cluster.Process, int] = {}
+        self._tenure: _Tenure | None = None
+
+    def check(self) -> None:
+        for name, process in self.world.processes.items():
+            self._check_leader(name, process)
+            self._check_commands(name, process)
+        self._check_leases()
+
+    def on_reply(self, payload: bytes, outcome: object) -> None:
+        """Checks the outcome of a proposal."""
+        if isinstance(outcome, result.Success):
+            self.successes += 1
+            self._check_reply(payload, outcome.unwrap())
+            return
+        error = outcome.failure()  # type: ignore[attr-defined]
+        self.failures[error.kind.value] += 1
+        if not error.maybe_committed:
+            self.not_committed.add(payload)
+            if any(payload == command for _, command in self.committed):
+                raise OracleError("reply", f"{payload!r} was committed")
+
+    def on_confirmed(
+        self, process: cluster.Process, known: int, outcome: object
+    ) -> None:
+        """Checks a confirmation asked for when `known` were committed."""
+        if isinstance(outcome, result.Success):
+            have = len(process.machine.commands)
+            if have < known:
+                raise OracleError("confirmation", f"{have} of {known} known")
+
+    def _check_leader(
+        self, name: base.InstanceId, process: cluster.Process
+    ) -> None:
+        if not process.node.is_leader:
+            return
+        epoch = process.node.epoch
+        identity = f"{name}/{process.node.status().store}"
+        first = self._leaders.setdefault(epoch, identity)
+        if first != identity:
+            raise OracleError(
+                "one leader", f"epoch {epoch} has {first} and {identity}"
+            )
+        self.elections = len(self._leaders)
+
+    def _check_commands(
+        self, name: base.InstanceId, process: cluster.Process
+    ) -> None:
+        commands = process.machine.commands
+        checked = self._checked.get(process, 0)
+        if process.machine.restores:
+            process.machine.restores = 0
+            self.installs += 1
+            checked = 0
+        if checked == len(commands):
+            return
+        if len(commands) < checked:
+            raise OracleError("prefix", f"{name} went back in its commands")
+        for place in range(checked, len(commands)):
+            if place == len(self.committed):
+                self._commit(commands[place])
+            elif self.committed[place] != commands[place]:
+                raise OracleError(
+                    "committed",
+                    f"{name} has {commands[place]} at {place}, but "
+                    f"{self.committed[place]} was committed there",
+                )
+        self._checked[process] = len(commands)
+
+    def _commit(self, command: tuple[int, bytes]) -> None:
+        if self.committed and command[0] <= self.committed[-1][0]:
+            raise OracleError("committed", f"{command} lies in the past")
+        if command[1] in self.not_committed:
+            raise OracleError("reply", f"{command} was said not to commit")
+        self.committed.append(command)
+
+    def _check_leases(self) -> None:
+        now = self.world.now
+        holders = [
+            process
+            for process in self.world.processes.values()
+            if process.node.lease_held()
+        ]
+        if len(holders) > 1:
+            names = sorted(str(p.node.status().instance) for p in holders)
+            raise OracleError("one lease", f"held by {names} at {now:.3f}")
+        for holder in holders:
+            self._check_holder(holder, now)
+
+    def _check_holder(self, holder: cluster.Process, now: float) -> None:
+        have = len(holder.machine.commands)
+        if have < len(self.committed):
+            raise OracleError(
+                "lease reads",
+                f"holder knows {have} of {len(self.committed)} commands",
+            )
+        epoch = holder.node.epoch
+        before = self._tenure
+        if before is not None and before.holder is not holder:
+            gap = now - before.last_seen
+            if gap < self._gap:
+                raise OracleError("handover gap", f"only {gap:.3f} s")
+        self._tenure = _Tenure(holder, epoch, now)
+
+    def _check_reply(self, payload: bytes, reply: bytes) -> None:
+        index, place = reply.split(b":")
+        command = (int(index), payload)
+        at = int(place) - 1
+        # The reply may come before this step's check has seen the command.
+        self.check()
+        if at >= len(self.committed) or self.committed[at] != command:
+            raise OracleError("reply", f"{command} is not at {at}")
+
+
+def find_members(world: cluster.World) -> list[consensus.Members]:
+    """Returns the newest member set of every running node."""
+    found = []
+    for process in world.processes.values():
+        status = process.node.status()
+        found.append(consensus.Members(status.voters + status.learners))
+    return found
--- /dev/null
+++ b/tests/consensus/simulation.py
@@ -0,0 +1,289 @@
+"""Actions of the fuzzer on a world, each one line of a trace."""
+
+from collections.abc import Callable
+import random
+
+import banyanbank_base as base
+import banyanbank_consensus as consensus
+
+from tests.consensus import cluster
+from tests.consensus import oracle
+
+DRIFT = 0.05
+ELECTION_MIN_S = 0.6
+LEASE_S = ELECTION_MIN_S * (1 - DRIFT) / (1 + DRIFT)
+RUN_TICKS = (1, 2, 3, 5, 10, 25, 60)
+NAMES = "abcde"
+SETTLE_S = 60.0
+
+SETTINGS = {
+    "election_min_s": ELECTION_MIN_S,
+    "lease_s": LEASE_S,
+    "max_clock_drift": DRIFT,
+    "propose_timeout_s": 2.0,
+    "repair_after_s": 1.0,
+    "snapshot_entries": 9,
+    "keep_entries": 3,
+    "chunk_bytes": 48,
+    "append_bytes": 250,
+    "window_bytes": 600,
+}
+
+
+class Simulation:
+    """A world under fuzzing, with its oracle.
+
+    Args:
+        seed: Decides about clocks, losses and torn writes.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.world = cluster.World(
+            NAMES, seed=seed, initial="abc", drift=DRIFT, **SETTINGS
+        )
+        # What the leader waits on its own clock, in global time at least.
+        gap = LEASE_S / (1 + DRIFT) - 2 * cluster.TICK_S
+        self.oracle = oracle.Oracle(self.world, gap)
+        self.world.on_step = self.oracle.check
+        self.trace: list[str] = []
+        self.proposed = 0
+        self.world.start()
+        self.world.run_until(lambda: bool(self.world.holders()))
+
+    def perform(self, line: str) -> None:
+        """Runs one line of a trace; it does nothing where it cannot."""
+        self.trace.append(line)
+        name, *words = line.split()
+        ACTIONS[name](self, *words)
+        self.oracle.check()
+
+    def run(self, ticks: str) -> None:
+        self.world.run(int(ticks) * cluster.TICK_S)
+
+    def propose(self, name: str, size: str) -> None:
+        if name not in self.world.processes or self._paused(name):
+            return
+        self.proposed += 1
+        payload = f"{self.proposed}".encode().ljust(int(size), b".")
+        process = self.world.processes[base.InstanceId(name)]
+        deferred = process.node.propose(payload)
+        deferred.addCallback(lambda out: self.oracle.on_reply(payload, out))
+        # A broken promise must not rest inside the deferred.
+        deferred.addErrback(self._raise_later)
+        if self.world.rng.random() < 0.5:
+            self.world.drain(process)
+        self._raise_now()
+
+    def lead(self, size: str) -> None:
+        """Proposes at every node that believes it leads."""
+        for name in self.world.leaders():
+            self.propose(name, size)
+
+    def confirm(self) -> None:
+        for name in self.world.leaders():
+            process = self.world.processes[name]
+            if process.paused:
+                continue
+            known = len(self.oracle.committed)
+            deferred = process.node.confirm_leadership()
+            deferred.addCallback(
+                lambda out, p=process, k=known: self.oracle.on_confirmed(
+                    p, k, out
+                )
+            )
+            deferred.addErrback(self._raise_later)
+            self.world.drain(process)
+
+    def crash(self, name: str) -> None:
+        if name in self.world.processes:
+            self.world.crash(name)
+
+    def restart(self, name: str) -> None:
+        """Starts a process, after a crash if it is running."""
+        self.crash(name)
+        self._start(name)
+
+    def wipe(self, name: str) -> None:
+        """Loses a disk, if the one before has been made up for."""
+        if not self._may_wipe(name):
+            return
+        self.world.crash(name, wipe=True)
+        self._start(name)
+
+    def pause(self, name: str) -> None:
+        if name in self.world.processes:
+            self.world.pause(name)
+
+    def resume(self, name: str) -> None:
+        if name in self.world.processes and self._paused(name):
+            if self.world.rng.random() < 0.5:
+                self.world.node(name).tick()
+            self.world.resume(name)
+
+    def cut(self, source: str, target: str) -> None:
+        if source != target:
+            self.world.cut(source + target)
+
+    def isolate(self, name: str) -> None:
+        self.world.isolate(name)
+
+    def heal(self) -> None:
+        for link in self.world.links.values():
+            link.cut = False
+            link.drop = link.duplicate = link.jitter_s = 0.0
+
+    def noise(self, source: str, target: str, drop: str) -> None:
+        if source != target:
+            key = base.InstanceId(source), base.InstanceId(target)
+            link = self.world.links[key]
+            link.drop = float(drop)
+            link.duplicate = 0.2
+            link.jitter_s = 0.15
+
+    def sync_error(self, name: str) -> None:
+        self.world.files[base.InstanceId(name)].sync_errors = 1
+
+    def add_voter(self, name: str) -> None:
+        self._change(lambda node: node.add_voter(base.InstanceId(name)))
+
+    def remove_voter(self, name: str) -> None:
+        sizes = [len(members.voters) for members in self._member_sets()]
+        if min(sizes, default=0) > 3:
+            self._change(lambda node: node.remove_voter(base.InstanceId(name)))
+
+    def settle(self) -> None:
+        """Ends all faults; the log must then work and be equal everywhere."""
+        self.heal()
+        for name in NAMES:
+            self.world.files[base.InstanceId(name)].sync_errors = 0
+            self.resume(name)
+            process = self.world.processes.get(base.InstanceId(name))
+            if process is None or process.node.failure is not None:
+                self.restart(name)
+        self.world.run_until(lambda: bool(self.world.holders()), SETTLE_S)
+        [holder] = self.world.holders()
+        outcomes = self.world.propose(holder, b"settled")
+        self.world.run_until(lambda: bool(outcomes), SETTLE_S)
+        self.oracle.on_reply(b"settled", outcomes[0])
+        self.world.run_until(self._members_are_equal, SETTLE_S)
+
+    def _members_are_equal(self) -> bool:
+        holders = self.world.holders()
+        if not holders:
+            return False
+        status = self.world.node(holders[0]).status()
+        return all(
+            self.world.machine(m.instance).commands == self.oracle.committed
+            for m in status.voters
+            if m.instance in self.world.processes
+        )
+
+    def _change(self, change: Callable[..., object]) -> None:
+        for name in self.world.leaders():
+            process = self.world.processes[name]
+            if not process.paused:
+                change(process.node)
+                self.world.drain(process)
+
+    def _start(self, name: str) -> None:
+        """Starts a process, which may die of a sync error at once."""
+        try:
+            self.world.start(name)
+        except consensus.CorruptLogError:
+            raise
+        except consensus.StorageError:
+            self.world.crash(name)
+
+    def _paused(self, name: str) -> bool:
+        return self.world.processes[base.InstanceId(name)].paused
+
+    def _member_sets(self) -> list:
+        return [m for m in oracle.find_members(self.world) if m.voters]
+
+    def _may_wipe(self, name: str) -> bool:
+        """Whether no disk but this one is lost and not made up for."""
+        sets = self._member_sets()
+        if len(self.world.processes) < len(NAMES) or not sets:
+            return False
+        stores = {
+            str(n): p.node.status().store
+            for n, p in self.world.processes.items()
+        }
+        return all(
+            len(members.voters) >= 3
+            and all(stores[v.instance] == v.store for v in members.voters)
+            for members in sets
+        )
+
+    def _raise_later(self, failure: object) -> None:
+        self._broken = failure
+
+    _broken: object = None
+
+    def _raise_now(self) -> None:
+        if self._broken is not None:
+            self._broken.raiseException()  # type: ignore[attr-defined]
+
+
+ACTIONS: dict[str, Callable[..., None]] = {
+    name: getattr(Simulation, name)
+    for name in (
+        "run",
+        "propose",
+        "lead",
+        "confirm",
+        "crash",
+        "restart",
+        "wipe",
+        "pause",
+        "resume",
+        "cut",
+        "isolate",
+        "heal",
+        "noise",
+        "sync_error",
+        "add_voter",
+        "remove_voter",
+        "settle",
+    )
+}
+
+WEIGHTS = {
+    "run": 30,
+    "lead": 14,
+    "propose": 3,
+    "confirm": 3,
+    "crash": 3,
+    "restart": 6,
+    "wipe": 3,
+    "pause": 4,
+    "resume": 5,
+    "cut": 6,
+    "isolate": 4,
+    "heal": 5,
+    "noise": 5,
+    "sync_error": 1,
+    "add_voter": 2,
+    "remove_voter": 2,
+}
+
+
+def draw_line(rng: random.Random) -> str:
+    """Draws the next line of a trace."""
+    [name] = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))
+    who, other = rng.choice(NAMES), rng.choice(NAMES)
+    match name:
+        case "run":
+            return f"run {rng.choice(RUN_TICKS)}"
+        case "lead":
+            return f"lead {rng.choice((8, 40, 300))}"
+        case "propose":
+            return f"propose {who} 8"
+        case "cut":
+            return f"cut {who} {other}"
+        case "noise":
+            return f"noise {who} {other} {rng.choice((0.0, 0.3, 0.8))}"
+        case "confirm" | "heal":
+            return name
+        case _:
+            return f"{name} {who}"
--- /dev/null
+++ b/tests/consensus/test_stateful.py
@@ -0,0 +1,85 @@
+"""Stateful fuzzing of the replicated log against the oracle."""
+
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from tests.consensus import fuzz
+from tests.consensus import simulation
+
+WHO = st.sampled_from(simulation.NAMES)
+FAULTS = ("crash", "restart", "wipe", "pause", "isolate", "sync_error")
+MENDING = ("resume", "restart", "heal", "heal", "confirm")
+
+
+class LogMachine(stateful.RuleBasedStateMachine):
+    """Draws the same actions as the fuzzer by hand, but shrinks failures."""
+
+    @stateful.initialize(seed=st.integers(0, 1 << 16))
+    def begin(self, seed: int) -> None:
+        self.sim = simulation.Simulation(seed)
+
+    @stateful.rule(ticks=st.sampled_from(simulation.RUN_TICKS))
+    def run_ticks(self, ticks: int) -> None:
+        self.sim.perform(f"run {ticks}")
+
+    @stateful.rule(size=st.sampled_from((8, 40, 300)), ticks=st.integers(0, 9))
+    def lead(self, size: int, ticks: int) -> None:
+        self.sim.perform(f"lead {size}")
+        self.sim.perform(f"run {ticks}")
+
+    @stateful.rule(who=WHO, name=st.sampled_from(FAULTS))
+    def fault(self, who: str, name: str) -> None:
+        self.sim.perform(f"{name} {who}")
+
+    @stateful.rule(who=WHO, name=st.sampled_from(MENDING))
+    def mend(self, who: str, name: str) -> None:
+        line = name if name in ("heal", "confirm") else f"{name} {who}"
+        self.sim.perform(line)
+
+    @stateful.rule(who=WHO, other=WHO)
+    def cut(self, who: str, other: str) -> None:
+        self.sim.perform(f"cut {who} {other}")
+
+    @stateful.rule(who=WHO, other=WHO, drop=st.sampled_from((0.0, 0.3, 0.8)))
+    def noise(self, who: str, other: str, drop: float) -> None:
+        self.sim.perform(f"noise {who} {other} {drop}")
+
+    @stateful.rule(who=WHO, name=st.sampled_from(("add", "remove")))
+    def change_voters(self, who: str, name: str) -> None:
+        self.sim.perform(f"{name}_voter {who}")
+
+    def teardown(self) -> None:
+        if hasattr(self, "sim"):
+            self.sim.perform("settle")
+
+
+LogMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=40,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class StatefulTest(LogMachine.TestCase):  # type: ignore[misc, name-defined]
+    """Runs the machine with fixed examples."""
+
+
+class FixedTracesTest(unittest.TestCase):
+    """Long traces of fixed seeds."""
+
+    def test_traces_keep_every_promise(self) -> None:
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                sim = fuzz.run_trace(seed, fuzz.draw_trace(seed, 600))
+                self.assertGreater(sim.oracle.successes, 10)
+                self.assertGreater(sim.oracle.elections, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
