Add both ends of the sync exchange, members, and the leader's duties

Cause: entries must learn the configuration, members and endpoints in one small poll, and the leader must close windows, report, order endpoints and note lost instances from committed state alone.

Change: - EntrySync (request, take, serving, leave) and LeaderSync (answer, tick, hear_endpoint), MemberTable; an answer names the entry's life, so that one to an earlier life never freshens a later one; - UsageBuffer at an entry: numbered flushes, unchanged until acknowledged; - duties: UsageReporter, OrderPlanner, LossRecorder, IntentExpirer, plan_needs; effects Propose, SendReport, SendOrder.

--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -85,6 +85,18 @@
 from banyanbank_control.declarations import SheetErrors
 from banyanbank_control.declarations import Target
 from banyanbank_control.declarations import Trainer
+from banyanbank_control.duties import Effect
+from banyanbank_control.duties import IntentExpirer
+from banyanbank_control.duties import LossRecorder
+from banyanbank_control.duties import OrderPlanner
+from banyanbank_control.duties import OrderResult
+from banyanbank_control.duties import plan_needs
+from banyanbank_control.duties import Propose
+from banyanbank_control.duties import SendOrder
+from banyanbank_control.duties import SendReport
+from banyanbank_control.duties import UsageReport
+from banyanbank_control.duties import UsageReporter
+from banyanbank_control.duties import WINDOW_S
 from banyanbank_control.intents import Intent
 from banyanbank_control.intents import IntentState
 from banyanbank_control.intents import MAX_ANSWER_BYTES
@@ -94,19 +106,30 @@
 from banyanbank_control.sync import Admission
 from banyanbank_control.sync import Announcement
 from banyanbank_control.sync import Authenticator
+from banyanbank_control.sync import ChangeLog
 from banyanbank_control.sync import ConfigView
 from banyanbank_control.sync import ConfigWhole
 from banyanbank_control.sync import ENDPOINT_TTL_S
 from banyanbank_control.sync import EndpointKind
 from banyanbank_control.sync import EndpointTable
+from banyanbank_control.sync import EntrySync
+from banyanbank_control.sync import FORWARD_S
 from banyanbank_control.sync import Freshness
 from banyanbank_control.sync import FRESHNESS_S
 from banyanbank_control.sync import FreshnessGate
 from banyanbank_control.sync import Heard
+from banyanbank_control.sync import ISOLATED_S
+from banyanbank_control.sync import KnownEndpoints
+from banyanbank_control.sync import KnownMembers
+from banyanbank_control.sync import LeaderSync
 from banyanbank_control.sync import LEAVE_MEMORY_S
+from banyanbank_control.sync import Lost
 from banyanbank_control.sync import MAX_SECRET_CHARS
 from banyanbank_control.sync import Member
+from banyanbank_control.sync import MEMBER_TTL_S
+from banyanbank_control.sync import MemberTable
 from banyanbank_control.sync import merge
+from banyanbank_control.sync import Outbox
 from banyanbank_control.sync import Phase
 from banyanbank_control.sync import POLL_S
 from banyanbank_control.sync import Principal
@@ -116,7 +139,10 @@
 from banyanbank_control.sync import SyncRefused
 from banyanbank_control.sync import SyncReply
 from banyanbank_control.sync import SyncRequest
+from banyanbank_control.sync import SyncUpdate
 from banyanbank_control.sync import ViewUpdate
+from banyanbank_control.usage import FLUSH_S
+from banyanbank_control.usage import UsageBuffer
 from banyanbank_control.usage import UsageState
 from banyanbank_control.usage import Window
 
@@ -124,16 +150,21 @@
     "ANY_ACCOUNT",
     "COMMAND_CODEC",
     "ENDPOINT_TTL_S",
+    "FLUSH_S",
+    "FORWARD_S",
     "FRESHNESS_S",
+    "ISOLATED_S",
     "LEAVE_MEMORY_S",
     "LEDGER_COMMAND_CODEC",
     "LEDGER_REPLY_CODEC",
     "MAX_ANSWER_BYTES",
     "MAX_RETENTION_S",
     "MAX_SECRET_CHARS",
+    "MEMBER_TTL_S",
     "POLL_S",
     "REPLY_CODEC",
     "SYNC_CODEC",
+    "WINDOW_S",
     "AbandonIntent",
     "Access",
     "Account",
@@ -147,6 +178,7 @@
     "BeginIntent",
     "Capacity",
     "Change",
+    "ChangeLog",
     "Changed",
     "CloseWindow",
     "Command",
@@ -161,8 +193,10 @@
     "DecideOrder",
     "Declarations",
     "Delta",
+    "Effect",
     "EndpointKind",
     "EndpointTable",
+    "EntrySync",
     "ExpireIntents",
     "Freshness",
     "FreshnessGate",
@@ -171,6 +205,7 @@
     "Intent",
     "IntentBegun",
     "IntentClosed",
+    "IntentExpirer",
     "IntentMismatch",
     "IntentOpen",
     "IntentReplay",
@@ -180,22 +215,32 @@
     "ItemRef",
     "Key",
     "Kind",
+    "KnownEndpoints",
+    "KnownMembers",
+    "LeaderSync",
     "LossNoted",
+    "LossRecorder",
+    "Lost",
     "MarkOrder",
     "MarkReported",
     "Member",
+    "MemberTable",
     "Model",
     "NoteInstanceLost",
     "Order",
     "OrderDecided",
     "OrderExists",
     "OrderMarked",
+    "OrderPlanner",
     "OrderRequest",
+    "OrderResult",
     "OrderState",
     "OrderStatus",
+    "Outbox",
     "Phase",
     "Principal",
     "Problem",
+    "Propose",
     "RejectReason",
     "Rejected",
     "Removed",
@@ -205,6 +250,8 @@
     "RolloutCommand",
     "RolloutReply",
     "Route",
+    "SendOrder",
+    "SendReport",
     "ServedModel",
     "SheetError",
     "SheetErrors",
@@ -214,12 +261,16 @@
     "SyncRefused",
     "SyncReply",
     "SyncRequest",
+    "SyncUpdate",
     "Target",
     "Trainer",
     "UsageAdded",
+    "UsageBuffer",
     "UsageDelta",
     "UsageFigures",
     "UsageGap",
+    "UsageReport",
+    "UsageReporter",
     "UsageState",
     "ViewUpdate",
     "Window",
@@ -236,4 +287,5 @@
     "merge",
     "parse_sheet",
     "parse_text",
+    "plan_needs",
 ]
--- a/packages/control/src/banyanbank_control/commands/_orders.py
+++ b/packages/control/src/banyanbank_control/commands/_orders.py
@@ -81,6 +81,8 @@
     """Control epoch of the leader that learned it."""
     detail: str = ""
     """Platform's reference or reason of failure."""
+    endpoints: tuple[str, ...] = ()
+    """Endpoints that the platform promised; empty when it named none."""
 
 
 @attrs.frozen
--- a/packages/control/src/banyanbank_control/commands/_usage.py
+++ b/packages/control/src/banyanbank_control/commands/_usage.py
@@ -64,6 +64,9 @@
     """Number of the window to close."""
     end: float
     """Wall time at which it ends, in seconds."""
+    first_start: float = 0.0
+    """Wall time at which the very first window began, in seconds; others
+    begin at the end of the one before."""
 
 
 @attrs.frozen
--- a/packages/control/src/banyanbank_control/intents/__init__.py
+++ b/packages/control/src/banyanbank_control/intents/__init__.py
@@ -4,6 +4,7 @@
 from banyanbank_control.intents._apply import begin
 from banyanbank_control.intents._apply import complete
 from banyanbank_control.intents._apply import expire
+from banyanbank_control.intents._apply import has_due
 from banyanbank_control.intents._apply import MAX_ANSWER_BYTES
 from banyanbank_control.intents._apply import MAX_INTENTS_PER_ACCOUNT
 from banyanbank_control.intents._apply import MAX_RETENTION_S
@@ -24,4 +25,5 @@
     "begin",
     "complete",
     "expire",
+    "has_due",
 ]
--- a/packages/control/src/banyanbank_control/intents/_apply.py
+++ b/packages/control/src/banyanbank_control/intents/_apply.py
@@ -147,6 +147,12 @@
     return state, commands.IntentsExpired(count, len(due) > MAX_EXPIRED)
 
 
+def has_due(state: _state.IntentState, now: float) -> bool:
+    """Returns whether any intent is past its retention at a wall time."""
+    last = math.floor(now / _state.BUCKET_S)
+    return any(number <= last for number in state.buckets)
+
+
 def _due_keys(
     state: _state.IntentState, last: int
 ) -> collections.abc.Iterator[_state.IntentKey]:
--- a/packages/control/src/banyanbank_control/orders/_apply.py
+++ b/packages/control/src/banyanbank_control/orders/_apply.py
@@ -45,7 +45,12 @@
     state = attrs.evolve(state, epoch=cmd.epoch)
     if not _advances(order.status, cmd.status):
         return state, commands.OrderMarked(order.number, order.status)
-    moved = attrs.evolve(order, status=cmd.status, detail=cmd.detail)
+    moved = attrs.evolve(
+        order,
+        status=cmd.status,
+        detail=cmd.detail,
+        endpoints=cmd.endpoints,
+    )
     reply = commands.OrderMarked(order.number, moved.status)
     return state.with_order(moved), reply
 
--- a/packages/control/src/banyanbank_control/orders/_state.py
+++ b/packages/control/src/banyanbank_control/orders/_state.py
@@ -24,6 +24,8 @@
     """How far it has come."""
     detail: str = ""
     """Platform's reference or reason of failure; empty when none."""
+    endpoints: tuple[str, ...] = ()
+    """Endpoints that the platform promised; empty when it named none."""
 
     @property
     def idempotency_key(self) -> str:
--- a/packages/control/src/banyanbank_control/sync/__init__.py
+++ b/packages/control/src/banyanbank_control/sync/__init__.py
@@ -4,14 +4,24 @@
 from banyanbank_control.sync._authenticator import Authenticator
 from banyanbank_control.sync._authenticator import MAX_SECRET_CHARS
 from banyanbank_control.sync._authenticator import Principal
+from banyanbank_control.sync._changes import ChangeLog
 from banyanbank_control.sync._endpoints import ENDPOINT_TTL_S
 from banyanbank_control.sync._endpoints import EndpointTable
 from banyanbank_control.sync._endpoints import LEAVE_MEMORY_S
 from banyanbank_control.sync._endpoints import merge
+from banyanbank_control.sync._entry import EntrySync
+from banyanbank_control.sync._entry import ISOLATED_S
+from banyanbank_control.sync._entry import SyncUpdate
 from banyanbank_control.sync._gate import Freshness
 from banyanbank_control.sync._gate import FRESHNESS_S
 from banyanbank_control.sync._gate import FreshnessGate
 from banyanbank_control.sync._gate import POLL_S
+from banyanbank_control.sync._known import KnownEndpoints
+from banyanbank_control.sync._known import KnownMembers
+from banyanbank_control.sync._leader import LeaderSync
+from banyanbank_control.sync._members import Lost
+from banyanbank_control.sync._members import MEMBER_TTL_S
+from banyanbank_control.sync._members import MemberTable
 from banyanbank_control.sync._messages import Announcement
 from banyanbank_control.sync._messages import ConfigWhole
 from banyanbank_control.sync._messages import EndpointKind
@@ -24,27 +34,40 @@
 from banyanbank_control.sync._messages import SyncRefused
 from banyanbank_control.sync._messages import SyncReply
 from banyanbank_control.sync._messages import SyncRequest
+from banyanbank_control.sync._outbox import FORWARD_S
+from banyanbank_control.sync._outbox import Outbox
 from banyanbank_control.sync._view import ConfigView
 from banyanbank_control.sync._view import ViewUpdate
 
 __all__ = [
     "ENDPOINT_TTL_S",
+    "FORWARD_S",
     "FRESHNESS_S",
+    "ISOLATED_S",
     "LEAVE_MEMORY_S",
     "MAX_SECRET_CHARS",
+    "MEMBER_TTL_S",
     "POLL_S",
     "SYNC_CODEC",
     "Admission",
     "Announcement",
     "Authenticator",
+    "ChangeLog",
     "ConfigView",
     "ConfigWhole",
     "EndpointKind",
     "EndpointTable",
+    "EntrySync",
     "Freshness",
     "FreshnessGate",
     "Heard",
+    "KnownEndpoints",
+    "KnownMembers",
+    "LeaderSync",
+    "Lost",
     "Member",
+    "MemberTable",
+    "Outbox",
     "Phase",
     "Principal",
     "ServedModel",
@@ -52,6 +75,7 @@
     "SyncRefused",
     "SyncReply",
     "SyncRequest",
+    "SyncUpdate",
     "ViewUpdate",
     "merge",
 ]
--- a/packages/control/src/banyanbank_control/sync/_endpoints.py
+++ b/packages/control/src/banyanbank_control/sync/_endpoints.py
@@ -80,7 +80,7 @@
             return True
         entry = _merge_entries(known, heard)
         self._entries[announcement.endpoint] = entry
-        return entry.announcement != known.announcement
+        return not same(entry.announcement, known.announcement)
 
     def notice(
         self,
@@ -138,6 +138,10 @@
             if announcement.phase is _messages.Phase.SERVING
         )
 
+    def withdraw(self, endpoint: base.EndpointId) -> None:
+        """Drops an endpoint, as when somebody who knows says it is gone."""
+        self._entries.pop(endpoint, None)
+
     def heard(self, now: float) -> tuple[_messages.Heard, ...]:
         """Returns every announcement with its age, to pass it on."""
         return tuple(
@@ -152,6 +156,11 @@
         )
 
 
+def same(left: _messages.Announcement, right: _messages.Announcement) -> bool:
+    """Returns whether two announcements say the same, whenever they came."""
+    return attrs.evolve(left, sequence=0) == attrs.evolve(right, sequence=0)
+
+
 def _lifetime(announcement: _messages.Announcement) -> float:
     if announcement.phase is _messages.Phase.SERVING:
         return ENDPOINT_TTL_S
--- /dev/null
+++ b/packages/control/src/banyanbank_control/sync/_entry.py
@@ -0,0 +1,120 @@
+"""An entry's end of the sync exchange."""
+
+import attrs
+import banyanbank_base as base
+
+from banyanbank_control.sync import _authenticator
+from banyanbank_control.sync import _gate
+from banyanbank_control.sync import _known
+from banyanbank_control.sync import _messages
+from banyanbank_control.sync import _outbox
+from banyanbank_control.sync import _view
+
+ISOLATED_S = 3.0
+"""Time past freshness for which the leader's endpoints are used, seconds.
+
+A leave that another instance heard reaches an isolated one no more; after
+this time it uses only endpoints that it hears itself.
+"""
+
+
+@attrs.frozen
+class SyncUpdate:
+    """What a reply changed at the entry."""
+
+    taken: bool
+    """Whether the configuration is now as new as the reply's."""
+    config_changed: bool
+    """Whether the revision has risen."""
+    withdrawn: frozenset[base.KeyId]
+    """Keys whose open streams and queued work must end."""
+
+
+class EntrySync:
+    """Polls the leader and holds what it answers.
+
+    Attributes:
+        view: Configuration held.
+        gate: Its freshness.
+        authenticator: Checks callers against both.
+        members: Instances known.
+        endpoints: Endpoints known.
+
+    Args:
+        member: This instance.
+    """
+
+    def __init__(self, member: _messages.Member) -> None:
+        self.member = member
+        self.view = _view.ConfigView()
+        self.gate = _gate.FreshnessGate()
+        self.authenticator = _authenticator.Authenticator(self.gate)
+        self.members = _known.KnownMembers()
+        self.endpoints = _known.KnownEndpoints()
+        self._soft = _messages.SoftVersion()
+        self._outbox = _outbox.Outbox(self.endpoints.heard)
+        self._number = 0
+
+    def leave(self) -> None:
+        """Says from the next poll on that this instance shuts down."""
+        self.member = attrs.evolve(self.member, leaving=True)
+
+    def request(self, now: float, in_flight: int = 0) -> _messages.SyncRequest:
+        """Returns the next poll, to be sent at once.
+
+        Args:
+            now: Monotonic time in seconds.
+            in_flight: Requests that run here.
+        """
+        self.endpoints.expire(now)
+        self.members.expire(now)
+        self._number += 1
+        self.gate.note_sent(self._number, now)
+        return _messages.SyncRequest(
+            number=self._number,
+            member=self.member,
+            revision=self.view.revision,
+            soft=self._soft,
+            heard=self._outbox.collect(self._number, now),
+            in_flight=in_flight,
+        )
+
+    def take(self, reply: _messages.SyncReply, now: float) -> SyncUpdate:
+        """Takes in an answer.
+
+        Args:
+            reply: The answer; late, doubled and crossed ones do no harm.
+            now: Monotonic time in seconds.
+        """
+        mine = (self.member.instance, self.member.incarnation)
+        if (reply.instance, reply.incarnation) != mine:
+            return SyncUpdate(False, False, frozenset())
+        update = self.view.updated(reply)
+        changed = update.view.revision > self.view.revision
+        self.view = update.view
+        self.authenticator.view = update.view
+        if update.taken:
+            self.gate.note_answered(reply.number)
+        self._take_soft(reply, now)
+        return SyncUpdate(update.taken, changed, update.withdrawn)
+
+    def _take_soft(self, reply: _messages.SyncReply, now: float) -> None:
+        if reply.soft.epoch < self._soft.epoch:
+            return
+        if reply.soft.epoch > self._soft.epoch:
+            self._outbox.reset(reply.number)
+            self._soft = _messages.SoftVersion(reply.soft.epoch, -1)
+        self._outbox.confirm(reply.number)
+        if reply.soft.sequence > self._soft.sequence:
+            self.members.apply(reply, now)
+            self.endpoints.apply(reply, now)
+            self._soft = reply.soft
+
+    def serving(self, now: float) -> tuple[_messages.Announcement, ...]:
+        """Returns the endpoints that may get new work."""
+        trust = now < self.gate.deadline + ISOLATED_S
+        return tuple(
+            announcement
+            for announcement in self.endpoints.all(trust)
+            if announcement.phase is _messages.Phase.SERVING
+        )
--- /dev/null
+++ b/packages/control/src/banyanbank_control/sync/_known.py
@@ -0,0 +1,112 @@
+"""Members and endpoints as one entry knows them."""
+
+import attrs
+import banyanbank_base as base
+
+from banyanbank_control.sync import _endpoints
+from banyanbank_control.sync import _members
+from banyanbank_control.sync import _messages
+
+
+@attrs.define
+class _Told:
+    announcement: _messages.Announcement
+    expires_at: float | None = None
+
+
+@attrs.define
+class _ToldMember:
+    member: _messages.Member
+    expires_at: float | None = None
+
+
+class KnownMembers:
+    """Instances that the leader has told of."""
+
+    def __init__(self) -> None:
+        self._told: dict[base.InstanceId, _ToldMember] = {}
+
+    def apply(self, reply: _messages.SyncReply, now: float) -> None:
+        """Takes in a reply.
+
+        A new leader has not heard of every instance yet: what its first reply
+        lacks stays for the time of a few polls, so that a change of leader
+        moves no work between instances.
+        """
+        if reply.soft_whole:
+            deadline = now + _members.MEMBER_TTL_S
+            for told in self._told.values():
+                told.expires_at = told.expires_at or deadline
+        for instance in reply.members_gone:
+            self._told.pop(instance, None)
+        for member in reply.members:
+            self._told[member.instance] = _ToldMember(member)
+
+    def expire(self, now: float) -> None:
+        """Drops members past their deadline."""
+        self._told = {
+            instance: told
+            for instance, told in self._told.items()
+            if told.expires_at is None or told.expires_at > now
+        }
+
+    def all(self) -> tuple[_messages.Member, ...]:
+        """Returns every member, those that leave included."""
+        return tuple(told.member for told in self._told.values())
+
+
+class KnownEndpoints:
+    """Endpoints that the leader has told of and the entry itself has heard.
+
+    Attributes:
+        heard: What this entry heard itself.
+    """
+
+    def __init__(self) -> None:
+        self.heard = _endpoints.EndpointTable()
+        self._told: dict[base.EndpointId, _Told] = {}
+
+    def apply(self, reply: _messages.SyncReply, now: float) -> None:
+        """Takes in a reply.
+
+        A new leader has not heard of every endpoint yet: what its first reply
+        lacks stays for the time of one renewal.
+        """
+        if reply.soft_whole:
+            deadline = now + _endpoints.ENDPOINT_TTL_S
+            for told in self._told.values():
+                told.expires_at = told.expires_at or deadline
+        for endpoint in reply.endpoints_gone:
+            self._told.pop(endpoint, None)
+        for announcement in reply.endpoints:
+            self._take(announcement)
+
+    def _take(self, announcement: _messages.Announcement) -> None:
+        known = self._told.get(announcement.endpoint)
+        if known is not None:
+            announcement = _endpoints.merge(known.announcement, announcement)
+        self._told[announcement.endpoint] = _Told(announcement)
+
+    def expire(self, now: float) -> None:
+        """Drops endpoints past their deadline."""
+        self.heard.expire(now)
+        gone = [
+            endpoint
+            for endpoint, told in self._told.items()
+            if told.expires_at is not None and told.expires_at <= now
+        ]
+        for endpoint in gone:
+            del self._told[endpoint]
+
+    def all(self, trust_leader: bool) -> tuple[_messages.Announcement, ...]:
+        """Returns every endpoint known, those that leave included.
+
+        Args:
+            trust_leader: Whether what the leader told still counts.
+        """
+        known = {item.endpoint: item for item in self.heard.all()}
+        if trust_leader:
+            for endpoint, told in self._told.items():
+                mine = known.get(endpoint, told.announcement)
+                known[endpoint] = _endpoints.merge(mine, told.announcement)
+        return tuple(known.values())
--- a/packages/control/src/banyanbank_control/sync/_messages.py
+++ b/packages/control/src/banyanbank_control/sync/_messages.py
@@ -49,7 +49,8 @@
     incarnation: base.Incarnation
     """Its life; a later one is higher."""
     sequence: int
-    """Number of the announcement in that life, rising."""
+    """Number of the announcement in that life, rising; wall time in
+    milliseconds at the entry when the endpoint gives none."""
     kind: EndpointKind
     """What it is."""
     address: str
@@ -144,6 +145,10 @@
 
     number: int
     """Number of the poll."""
+    instance: base.InstanceId
+    """Entry that is answered."""
+    incarnation: base.Incarnation
+    """Its life: an answer to an earlier one counts for nothing."""
     epoch: int
     """Control epoch of the leader."""
     revision: int
--- a/packages/control/src/banyanbank_control/usage/_apply.py
+++ b/packages/control/src/banyanbank_control/usage/_apply.py
@@ -101,13 +101,17 @@
         return state, commands.WindowClosed(cmd.window, frozen.end)
     if cmd.window != state.open.number:
         return state, _no_window(cmd.window)
-    if not math.isfinite(cmd.end):
+    if not (math.isfinite(cmd.first_start) and math.isfinite(cmd.end)):
         return state, commands.Rejected(
             commands.RejectReason.INVALID, "The end is not a time."
         )
+    start = state.open.start
+    if state.open.number == 1:
+        start = cmd.first_start
     # A new leader's clock may be behind: windows never overlap.
-    end = max(cmd.end, state.open.start)
-    return state.with_closed(end), commands.WindowClosed(cmd.window, end)
+    end = max(cmd.end, start)
+    new = state.with_closed(start, end)
+    return new, commands.WindowClosed(cmd.window, end)
 
 
 def mark_reported(
--- a/packages/control/src/banyanbank_control/usage/_state.py
+++ b/packages/control/src/banyanbank_control/usage/_state.py
@@ -22,7 +22,7 @@
     number: int
     """Number, rising by one from 1."""
     start: float
-    """Wall time at which it began, in seconds; 0 for the first."""
+    """Wall time at which it began, in seconds; 0 while the first is open."""
     end: float | None = None
     """Wall time at which it was frozen, in seconds; None while open."""
     figures: Figures = attrs.Factory(immutables.Map)
@@ -118,6 +118,8 @@
     """The window that counts now."""
     closed: immutables.Map[int, Window] = attrs.Factory(immutables.Map)
     """Frozen windows by number: all unreported, the newest reported."""
+    pending: immutables.Map[int, None] = attrs.Factory(immutables.Map)
+    """Numbers of the frozen windows without a report."""
     oldest: int = 1
     """Number of the oldest window kept."""
     flushes: immutables.Map[base.InstanceId, tuple[Flushes, ...]] = (
@@ -127,30 +129,31 @@
 
     def unreported(self) -> tuple[Window, ...]:
         """Returns the frozen windows without a report, oldest first."""
-        return tuple(
-            self.closed[number]
-            for number in sorted(self.closed)
-            if not self.closed[number].reported
-        )
+        return tuple(self.closed[number] for number in sorted(self.pending))
 
     def with_open(self, window: Window) -> "UsageState":
         """Returns the state with other counts in the open window."""
         return attrs.evolve(self, open=window)
 
-    def with_closed(self, end: float) -> "UsageState":
+    def with_closed(self, start: float, end: float) -> "UsageState":
         """Returns the state with the open window frozen, the next open."""
-        frozen = attrs.evolve(self.open, end=end)
+        frozen = attrs.evolve(self.open, start=start, end=end)
         state = attrs.evolve(
             self,
             open=Window(frozen.number + 1, end),
             closed=self.closed.set(frozen.number, frozen),
+            pending=self.pending.set(frozen.number, None),
         )
         return state._trimmed()
 
     def with_reported(self, number: int) -> "UsageState":
         """Returns the state with one frozen window marked as reported."""
         window = attrs.evolve(self.closed[number], reported=True)
-        state = attrs.evolve(self, closed=self.closed.set(number, window))
+        state = attrs.evolve(
+            self,
+            closed=self.closed.set(number, window),
+            pending=self.pending.delete(number),
+        )
         return state._trimmed()
 
     def _trimmed(self) -> "UsageState":
@@ -203,6 +206,9 @@
             closed=immutables.Map(
                 {row.number: row.window() for row in record.closed}
             ),
+            pending=immutables.Map(
+                {row.number: None for row in record.closed if not row.reported}
+            ),
             oldest=record.oldest,
         )
         for flushes in record.flushes:
--- /dev/null
+++ b/tests/control/sync/test_exchange.py
@@ -0,0 +1,317 @@
+"""Tests of polls, answers, freshness and what entries know."""
+
+import unittest
+
+import attrs
+import banyanbank_control as control
+
+from tests.control import samples
+
+
+def member(name: str, incarnation: int = 1) -> control.Member:
+    """Returns an instance."""
+    return control.Member(name, incarnation, f"{name}:7000", "a")
+
+
+def engine(
+    name: str,
+    incarnation: int = 1,
+    sequence: int = 1,
+    phase: control.Phase = control.Phase.SERVING,
+) -> control.Announcement:
+    """Returns an announcement."""
+    return control.Announcement(
+        name,
+        incarnation,
+        sequence,
+        control.EndpointKind.ENGINE,
+        "10.0.0.1:1",
+        "a",
+        phase=phase,
+    )
+
+
+class ExchangeCase(unittest.TestCase):
+    """A leader, two entries and a clock."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.machine = samples.machine_in_force()
+        self.leader = control.LeaderSync(1, self.now)
+        self.ann = control.EntrySync(member("ann"))
+        self.bob = control.EntrySync(member("bob"))
+
+    def reply(self, req: control.SyncRequest) -> control.SyncReply:
+        """Returns the leader's answer, through bytes."""
+        read = control.SYNC_CODEC.decode(control.SYNC_CODEC.encode(req))
+        config = self.machine.state.config
+        answer = self.leader.answer(read, config, self.now)
+        return control.SYNC_CODEC.decode(control.SYNC_CODEC.encode(answer))
+
+    def poll(self, entry: control.EntrySync) -> control.SyncUpdate:
+        """Polls once."""
+        return entry.take(self.reply(entry.request(self.now)), self.now)
+
+
+class FreshnessTest(ExchangeCase):
+    """The deadline counts from the sending of an answered poll."""
+
+    def test_counts_from_sending(self) -> None:
+        req = self.ann.request(self.now)
+        reply = self.reply(req)
+        self.now += 2.0
+        self.assertTrue(self.ann.take(reply, self.now).taken)
+        gate = self.ann.gate
+        self.assertEqual(gate.deadline, 100.0 + control.FRESHNESS_S)
+        self.assertTrue(gate.is_fresh(102.4))
+        self.assertFalse(gate.is_fresh(102.5))
+
+    def test_foreign_answers_do_not_count(self) -> None:
+        mine = self.reply(self.ann.request(self.now))
+        cases = {
+            "another entry": self.reply(self.bob.request(self.now)),
+            "an earlier life": attrs.evolve(mine, incarnation=0),
+            "an unknown poll": attrs.evolve(mine, number=99),
+            "a gap": attrs.evolve(mine, revision=9),
+        }
+        for name, reply in cases.items():
+            with self.subTest(name):
+                self.ann.take(reply, self.now)
+                self.assertFalse(self.ann.gate.is_fresh(self.now))
+        self.ann.take(mine, self.now)
+        self.assertTrue(self.ann.gate.is_fresh(self.now))
+
+    def test_second_answer_to_one_poll(self) -> None:
+        reply = self.reply(self.ann.request(self.now))
+        self.ann.take(reply, self.now)
+        self.now += 5.0
+        self.ann.take(reply, self.now)
+        self.assertFalse(self.ann.gate.is_fresh(self.now))
+
+
+class ConfigViewTest(ExchangeCase):
+    """A view takes deltas or wholes and never goes back."""
+
+    def test_never_back(self) -> None:
+        old = self.reply(self.ann.request(self.now))
+        self.poll(self.ann)
+        withdraw = control.WithdrawKey("w", "ann", "acme-1")
+        samples.send(self.machine, withdraw)
+        update = self.poll(self.ann)
+        self.assertEqual(update.withdrawn, {"acme-1"})
+        for reply in (old, attrs.evolve(old, epoch=7)):
+            self.ann.take(reply, self.now)
+            self.assertEqual(self.ann.view.revision, 2)
+        held = control.ConfigView(epoch=7)
+        self.assertEqual(held.updated(old).view, held)
+
+    def test_deltas_equal_whole(self) -> None:
+        self.poll(self.ann)
+        declared = attrs.evolve(
+            samples.DECLARED, keys=samples.KEYS[:1], capacities=()
+        )
+        samples.send(self.machine, samples.apply_cmd("x", 1, declared))
+        self.poll(self.ann)
+        whole = control.ConfigWhole(2, self.machine.state.config.declared())
+        reply = self.reply(self.bob.request(self.now))
+        reply = attrs.evolve(reply, whole=whole, deltas=())
+        self.bob.take(reply, self.now)
+        for name in ("revision", "items", "keys", "key_ids"):
+            self.assertEqual(
+                getattr(self.ann.view, name), getattr(self.bob.view, name)
+            )
+
+    def test_history_too_short(self) -> None:
+        for number in range(1100):
+            key = control.Key(
+                f"k{number}", "acme", control.hash_secret(f"s{number}")
+            )
+            samples.send(
+                self.machine, control.CreateKey(f"r{number}", "ann", key)
+            )
+        self.assertEqual(len(self.machine.state.config.history), 1024)
+        reply = self.reply(self.ann.request(self.now))
+        self.assertIsNotNone(reply.whole)
+        self.ann.take(reply, self.now)
+        self.assertEqual(len(self.ann.view.keys), 1102)
+
+
+class AuthenticatorTest(ExchangeCase):
+    """Keyed routes need a fresh configuration and a right; open ones none."""
+
+    def outcome(self, path: str, secret: str | None) -> str:
+        """Returns the account, `open` or the reason of refusal."""
+        auth = self.ann.authenticator
+        result = auth.admit(path, secret, self.now)
+        try:
+            admission = result.unwrap()
+        except Exception:
+            refusal = result.failure()
+            self.assertEqual(refusal.outcome.value, "not run")
+            return refusal.reason.value
+        return admission.principal.account if admission.principal else "open"
+
+    def test_table(self) -> None:
+        self.poll(self.ann)
+        acme, zeta = "s-acme-1", "s-zeta-1"
+        cases = {
+            ("/status", None): "open",
+            ("/status/x", "wrong"): "open",
+            ("/statusx", acme): "not-found",
+            ("/orders", None): "unauthenticated",
+            ("/orders", "wrong"): "unauthenticated",
+            ("/orders", "x" * 600): "unauthenticated",
+            ("/orders/7", zeta): "zeta",
+            ("/orders/book/3/", acme): "acme",
+            ("/grade", zeta): "forbidden",
+            ("/", acme): "not-found",
+        }
+        for (path, secret), expected in cases.items():
+            with self.subTest(path=path, secret=secret):
+                self.assertEqual(self.outcome(path, secret), expected)
+        withdraw = control.WithdrawKey("w", "ann", "acme-1")
+        samples.send(self.machine, withdraw)
+        self.poll(self.ann)
+        self.assertEqual(self.outcome("/orders", acme), "key-withdrawn")
+        self.now += 3.0
+        self.assertEqual(self.outcome("/orders", zeta), "configuration-stale")
+        self.assertEqual(self.outcome("/new", zeta), "configuration-stale")
+        self.assertEqual(self.outcome("/status", None), "open")
+
+    def test_queued_work_and_models(self) -> None:
+        self.poll(self.ann)
+        auth = self.ann.authenticator
+        acme = auth.authenticate("s-acme-1", self.now).unwrap()
+        zeta = auth.authenticate("s-zeta-1", self.now).unwrap()
+        self.assertIsNone(auth.authorise_model(acme, "coach"))
+        reasons = [
+            auth.authorise_model(zeta, "coach").reason.value,
+            auth.authorise_model(acme, "none").reason.value,
+        ]
+        self.assertEqual(reasons, ["forbidden", "not-found"])
+        self.assertIsNone(auth.recheck(acme, self.now))
+        withdraw = control.WithdrawKey("w", "ann", "acme-1")
+        samples.send(self.machine, withdraw)
+        self.poll(self.ann)
+        reasons = [
+            auth.recheck(acme, self.now).reason.value,
+            auth.recheck(zeta, self.now + 3).reason.value,
+        ]
+        self.assertEqual(reasons, ["key-withdrawn", "configuration-stale"])
+
+
+class EndpointExchangeTest(ExchangeCase):
+    """Announcements reach every entry; leaves beat late renewals."""
+
+    def names(self, entry: control.EntrySync) -> set[str]:
+        """Returns the endpoints that an entry gives work."""
+        return {item.endpoint for item in entry.serving(self.now)}
+
+    def test_announce_leave_and_silence(self) -> None:
+        self.ann.endpoints.heard.hear(engine("e1"), self.now)
+        self.ann.endpoints.heard.hear(engine("e2"), self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), {"e1", "e2"})
+        leave = engine("e1", sequence=2, phase=control.Phase.LEAVING)
+        self.bob.endpoints.heard.hear(leave, self.now)
+        self.assertEqual(self.names(self.bob), {"e2"})
+        late = engine("e1", sequence=9)
+        self.ann.endpoints.heard.hear(late, self.now)
+        self.poll(self.bob)
+        self.poll(self.ann)
+        self.assertEqual(self.names(self.ann), {"e2"})
+        self.now += control.ENDPOINT_TTL_S
+        self.leader.tick(self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), set())
+        back = engine("e1", incarnation=2)
+        self.ann.endpoints.heard.hear(back, self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), {"e1"})
+
+    def test_notice(self) -> None:
+        heard = self.ann.endpoints.heard
+        heard.hear(engine("e1"), self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.assertTrue(heard.notice("e1", 130.0, self.now))
+        self.assertFalse(heard.notice("e9", None, self.now))
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), set())
+        (known,) = self.bob.endpoints.all(True)
+        self.assertEqual(known.gone_at, 130.0)
+
+    def test_new_leader_keeps_what_it_has_not_heard(self) -> None:
+        self.ann.endpoints.heard.hear(engine("e1"), self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.poll(self.ann)
+        self.leader = control.LeaderSync(2, self.now)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), {"e1"})
+        self.assertEqual(len(self.bob.members.all()), 2)
+        self.poll(self.ann)
+        self.poll(self.ann)
+        self.assertEqual(len(self.leader.endpoints.all()), 1)
+        self.now += control.ENDPOINT_TTL_S
+        self.leader.tick(self.now)
+        self.poll(self.bob)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), set())
+
+    def test_isolated_entry(self) -> None:
+        self.ann.endpoints.heard.hear(engine("e1"), self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.now += control.FRESHNESS_S + control.ISOLATED_S
+        self.assertEqual(self.names(self.bob), set())
+        self.assertEqual(self.names(self.ann), {"e1"})
+
+    def test_renewals_are_passed_on_now_and_then(self) -> None:
+        heard = self.ann.endpoints.heard
+        carried = []
+        for sequence in range(20):
+            heard.hear(engine("e1", sequence=sequence), self.now)
+            req = self.ann.request(self.now)
+            carried.append(len(req.heard))
+            self.ann.take(self.reply(req), self.now)
+            self.now += control.POLL_S
+        self.assertEqual(sum(carried), 4)
+        self.assertEqual(self.leader.tick(self.now), ())
+        self.assertEqual(len(self.leader.endpoints.all()), 1)
+
+
+class MemberTest(ExchangeCase):
+    """Instances join, leave, crash and come back."""
+
+    def names(self) -> set[tuple[str, int]]:
+        """Returns the members that bob knows."""
+        self.poll(self.bob)
+        known = self.bob.members.all()
+        return {(item.instance, item.incarnation) for item in known}
+
+    def test_lives(self) -> None:
+        self.poll(self.ann)
+        self.assertEqual(self.names(), {("ann", 1), ("bob", 1)})
+        moved = attrs.evolve(member("ann", 2), address="ann:9")
+        again = control.EntrySync(moved)
+        self.poll(again)
+        self.poll(self.ann)
+        self.assertEqual(self.names(), {("ann", 2), ("bob", 1)})
+        self.now += control.MEMBER_TTL_S
+        self.poll(self.bob)
+        (lost,) = self.leader.tick(self.now)
+        self.assertEqual(lost.member, moved)
+        self.poll(self.ann)
+        self.assertEqual(self.names(), {("bob", 1)})
+
+    def test_leaving_stays(self) -> None:
+        before = self.ann.request(self.now)
+        self.ann.leave()
+        self.poll(self.ann)
+        self.reply(before)
+        self.assertTrue(self.leader.members.get("ann").leaving)
