Fuzz ledger and scheduler against an oracle; catch 17 mutants

Cause: the promises on samples (exactly once, bound at hand-out, versions as used, same batch again) had no proof across faults.

Change: tests/rollout/world.py holds fake trainers, engines and a faulty shell; hypothesis (derandomised) and seeded random walks drive it.

--- a/packages/rollout/src/banyanbank_rollout/_retries.py
+++ b/packages/rollout/src/banyanbank_rollout/_retries.py
@@ -6,6 +6,7 @@
 import banyanbank_base as base
 
 from banyanbank_rollout import _effects
+from banyanbank_rollout import _ledger
 from banyanbank_rollout import _samples
 
 MAX_AVOIDED = 2
@@ -86,10 +87,14 @@
                 self._slots[slot], resume_from=None
             )
 
-    def keep_steps(self, keys: frozenset[tuple[base.TrainerId, int]]) -> None:
-        """Forgets the slots of all steps but these."""
-        gone = [s for s in self._slots if (s.trainer, s.step) not in keys]
-        for slot in gone:
+    def keep_open(self, ledger: _ledger.Ledger) -> None:
+        """Forgets all slots but the open ones of the ledger.
+
+        A slot that is reopened later has lost a whole sample to its age:
+        tokens from before that sample would only be older.
+        """
+        closed = [slot for slot in self._slots if not _is_open(ledger, slot)]
+        for slot in closed:
             del self._slots[slot]
 
     def _delay(self, earlier_failures: int) -> float:
@@ -98,3 +103,8 @@
         exponent = min(earlier_failures - 1, 16)
         delay = min(self._delay_s * 2.0**exponent, self._max_delay_s)
         return delay * self._rng.uniform(0.5, 1.0)
+
+
+def _is_open(ledger: _ledger.Ledger, slot: _samples.SampleSlot) -> bool:
+    step = ledger.tables.steps.get((slot.trainer, slot.step))
+    return step is not None and (slot.group, slot.index) not in step.samples
--- a/packages/rollout/src/banyanbank_rollout/_scheduler.py
+++ b/packages/rollout/src/banyanbank_rollout/_scheduler.py
@@ -22,6 +22,8 @@
 from banyanbank_rollout import _state
 from banyanbank_rollout import _views
 
+CANCEL_RETRY_S = 5.0
+
 
 @attrs.frozen
 class SchedulerCfg:
@@ -58,7 +60,7 @@
         self._incarnation = f"{rng.getrandbits(64):016x}"
         self._started = 0
         self._sequences: dict[_state.StepKey, int] = {}
-        self._cancelled: set[str] = set()
+        self._cancelled: dict[str, float] = {}
         self._moving: set[str] = set()
         self._grades = _followups.Grades()
         self._proposals = _followups.Proposals()
@@ -120,7 +122,8 @@
         now: float,
     ) -> None:
         ids = frozenset(attempt.attempt_id for attempt in attempts)
-        self._cancelled &= ids
+        for ended in self._cancelled.keys() - ids:
+            del self._cancelled[ended]
         self._moving &= ids
         self._rates.keep(ids)
         self._forecast.observe(ledger, now)
@@ -131,7 +134,7 @@
             tokens = 0 if progress is None else progress.token_count
             self._rates.observe(attempt.attempt_id, tokens, now)
         keys = frozenset(ledger.tables.steps)
-        self._retries.keep_steps(keys)
+        self._retries.keep_open(ledger)
         for gone in self._sequences.keys() - keys:
             del self._sequences[gone]
         for step in ledger.steps():
@@ -151,18 +154,27 @@
         effects = []
         for attempt in attempts:
             if attempt.attempt_id in self._cancelled:
+                effects += self._cancel_again(attempt, now)
                 continue
             reason = _cancels.cancel_reason(ledger, attempt)
             if not reason and attempt.phase is _views.AttemptPhase.RUNNING:
                 reason = self._stop_reason(ledger, attempt, freshest, now)
             if reason:
-                self._cancelled.add(attempt.attempt_id)
+                self._cancelled[attempt.attempt_id] = now
                 self._retries.forget_progress(attempt.slot)
                 effects.append(_cancels.cancel(attempt, reason))
             elif self._moves(attempt, by_endpoint):
                 effects.append(_cancels.cancel(attempt, "moved", True))
         return effects
 
+    def _cancel_again(
+        self, attempt: _views.AttemptView, now: float
+    ) -> list[_effects.CancelAttempt]:
+        if now < self._cancelled[attempt.attempt_id] + CANCEL_RETRY_S:
+            return []
+        self._cancelled[attempt.attempt_id] = now
+        return [_cancels.cancel(attempt, "still running")]
+
     def _moves(
         self,
         attempt: _views.AttemptView,
--- /dev/null
+++ b/tests/rollout/test_mutants.py
@@ -0,0 +1,203 @@
+"""Faults planted in the decisions are caught by seeded random walks."""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import contextlib
+import importlib
+import importlib.abc
+import importlib.machinery
+import sys
+import types
+import unittest
+from unittest import mock
+
+import attrs
+
+from tests.rollout import cases
+from tests.rollout import walks
+from tests.rollout import world
+
+PACKAGE = "banyanbank_rollout"
+MAX_WALKS = 120
+
+
+@attrs.frozen
+class Mutant:
+    """One fault: `old` source text of a module replaced by `new`."""
+
+    module: str
+    old: str
+    new: str
+    seed: int = 0
+    """Walk that catches it; others are tried when it no longer does."""
+
+
+MUTANTS = {
+    "bound off by one at hand-out": Mutant(
+        "_batches",
+        "newest - oldest > group.spec.staleness_bound",
+        "newest - oldest > group.spec.staleness_bound + 1",
+        seed=1,
+    ),
+    "no second check at first hand-out": Mutant(
+        "_batches",
+        "    fresh, discarded = _discard_stale(step, newest)\n"
+        "    if discarded:\n"
+        "        reopened",
+        "    fresh, discarded = _discard_stale(step, newest)\n"
+        "    if False:\n"
+        "        reopened",
+        seed=1,
+    ),
+    "hand-out not committed": Mutant(
+        "_batches",
+        "batch = attrs.evolve(step.batch, handed_out_at=newest)",
+        "batch = step.batch",
+    ),
+    "reopened batch keeps its id": Mutant(
+        "_batches", "generation=step.generation + 1", "generation=0", seed=52
+    ),
+    "acknowledged step stays open": Mutant(
+        "_batches",
+        "return tables.without_step(step), _replies.BatchAcknowledged",
+        "return tables, _replies.BatchAcknowledged",
+        seed=9,
+    ),
+    "last result wins": Mutant(
+        "_groups",
+        "if winner is not None and not _supersedes(step, winner, cmd):",
+        "if False:",
+        seed=21,
+    ),
+    "formed batch can be superseded": Mutant(
+        "_groups",
+        "if step.batch is not None or cmd.supersedes != winner.attempt_id:",
+        "if cmd.supersedes != winner.attempt_id:",
+        seed=113,
+    ),
+    "whole group takes spare samples": Mutant(
+        "_groups",
+        "(step.batch is not None or group.is_whole)",
+        "step.batch is not None",
+    ),
+    "incomplete report counts": Mutant(
+        "_groups", "if not _samples.is_full_report(", "if False and bool("
+    ),
+    "done step can be submitted again": Mutant(
+        "_state",
+        "return step < self.done_below or step in self.done",
+        "return False",
+        seed=23,
+    ),
+    "discarded sample still counts": Mutant(
+        "_state",
+        "self._with_filled(key[0], -1, ",
+        "self._with_filled(key[0], 0, ",
+        seed=1,
+    ),
+    "done step forgets its batch": Mutant(
+        "_state",
+        "self.done.set(step, generation)",
+        "self.done.set(step, 0)",
+        seed=1,
+    ),
+    "snapshot forgets the hand-out": Mutant(
+        "_snapshot",
+        "handed_out_at=None if batch is None else batch.handed_out_at",
+        "handed_out_at=None",
+    ),
+    "attempt ids repeat after a leader change": Mutant(
+        "_scheduler", 'f"{self._incarnation}-', 'f"'
+    ),
+    "one slot of a group is never started": Mutant(
+        "_plan", "idle[:missing]", "idle[: missing - 1]", seed=1
+    ),
+    "old tokens are resumed for ever": Mutant(
+        "_retries", "for slot in closed:", "for slot in closed[:0]:", seed=34
+    ),
+    "resumed tokens change their version": Mutant(
+        "_retries",
+        "resume_from=resume_from or before.resume_from",
+        "resume_from=resume_from and _effects.ResumePoint("
+        "resume_from.stretches[1:])",
+    ),
+}
+
+
+class MutantLoader(importlib.machinery.SourceFileLoader):
+    """Loads a module with its fault, never from cached bytecode."""
+
+    def __init__(self, fullname: str, path: str, mutant: Mutant) -> None:
+        super().__init__(fullname, path)
+        self._mutant = mutant
+
+    def get_code(self, fullname: str) -> types.CodeType:
+        source = self.get_data(self.path).decode()
+        if source.count(self._mutant.old) != 1:
+            raise ValueError(f"{self._mutant} does not fit its module.")
+        source = source.replace(self._mutant.old, self._mutant.new)
+        return self.source_to_code(source.encode(), self.path)
+
+
+class MutantFinder(importlib.abc.MetaPathFinder):
+    """Finds the one module of a mutant."""
+
+    def __init__(self, mutant: Mutant) -> None:
+        self._mutant = mutant
+
+    def find_spec(
+        self,
+        fullname: str,
+        path: Sequence[str] | None,
+        target: types.ModuleType | None = None,
+    ) -> importlib.machinery.ModuleSpec | None:
+        if fullname != f"banyanbank_rollout.{self._mutant.module}":
+            return None
+        spec = importlib.machinery.PathFinder.find_spec(fullname, path)
+        spec.loader = MutantLoader(fullname, spec.origin, self._mutant)
+        return spec
+
+
+@contextlib.contextmanager
+def planted(mutant: Mutant) -> Iterator[None]:
+    """Runs the world on a fresh copy of the package that has the fault."""
+    finder = MutantFinder(mutant)
+    with mock.patch.dict(sys.modules):
+        for name in [n for n in sys.modules if n.startswith(PACKAGE)]:
+            del sys.modules[name]
+        sys.meta_path.insert(0, finder)
+        try:
+            copy = importlib.import_module(PACKAGE)
+        finally:
+            sys.meta_path.remove(finder)
+        with (
+            mock.patch.object(world, "rollout", copy),
+            mock.patch.object(cases, "rollout", copy),
+        ):
+            yield
+
+
+def catching_seed(first: int = 0) -> int | None:
+    """Returns a seed whose walk breaks a promise, None for none."""
+    for seed in (first, *range(MAX_WALKS)):
+        try:
+            walks.walk(seed)
+        except AssertionError:
+            return seed
+    return None
+
+
+class MutantTest(unittest.TestCase):
+    """Unchanged decisions pass the walks; each mutant fails one."""
+
+    def test_unchanged(self) -> None:
+        self.assertIsNone(catching_seed())
+
+    def test_each_mutant_is_caught(self) -> None:
+        for name, mutant in MUTANTS.items():
+            with self.subTest(mutant=name), planted(mutant):
+                self.assertIsNotNone(catching_seed(mutant.seed))
+
+
+if __name__ == "__main__":
+    unittest.main()
