--- a/packages/daemon/src/banyanbank_daemon/_usage.py
+++ b/packages/daemon/src/banyanbank_daemon/_usage.py
@@ -4,7 +4,6 @@
 `FLUSH_S` seconds and of one flush under way. They are never counted twice.
 """
 
-
 import banyanbank_base as base
 import banyanbank_control as control
 from loguru import logger
--- a/packages/daemon/src/banyanbank_daemon/main.py
+++ b/packages/daemon/src/banyanbank_daemon/main.py
@@ -52,7 +52,7 @@
     # The reactor is installed before anything imports the default one.
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
+    asyncioreactor.install(loop)
 
     app = importlib.import_module("banyanbank_daemon._app")
     app.run(settings)
