Connect to endpoints by IP number without a name look-up

Cause: the test run of the demo never ended: twisted's agent resolves every host, an IP number too, in a thread pool, and the pool outlived the loop. Ruled out: open listeners and delayed calls (both gone at the end). Change: agents take an endpoint factory that connects to IP numbers at once and refuses names; the demo's test holds that the process has one thread. Conclusion: the process is single-threaded again.

--- a/packages/cli/src/banyanbank_cli/_demo_http.py
+++ b/packages/cli/src/banyanbank_cli/_demo_http.py
@@ -5,11 +5,10 @@
 import typing
 
 import attrs
+import banyanbank_mesh as mesh
 from twisted.web import client
 from twisted.web import http_headers
 
-CONNECT_TIMEOUT_S = 2.0
-
 
 @attrs.frozen
 class DemoAnswer:
@@ -38,9 +37,7 @@
     def __init__(self, reactor: typing.Any, url: str, secret: str) -> None:
         pool = client.HTTPConnectionPool(reactor, persistent=True)
         pool.retryAutomatically = False
-        self._agent = client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool
-        )
+        self._agent = mesh.ip_agent(reactor, pool)
         self._pool = pool
         self._url = url
         self._secret = secret
--- a/packages/daemon/src/banyanbank_daemon/_upstream.py
+++ b/packages/daemon/src/banyanbank_daemon/_upstream.py
@@ -10,6 +10,7 @@
 
 import attrs
 import banyanbank_base as base
+import banyanbank_mesh as mesh
 from returns import result
 from twisted.internet import defer
 from twisted.internet import error
@@ -21,7 +22,6 @@
 from twisted.web import iweb
 import zope.interface
 
-CONNECT_TIMEOUT_S = 2.0
 HIGH_WATER_BYTES = 256 * 1024
 LOW_WATER_BYTES = 64 * 1024
 IDLE_CONNECTION_S = 20
@@ -222,10 +222,8 @@
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_ENDPOINT
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-        self._pooled = client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool
-        )
-        self._fresh = client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+        self._pooled = mesh.ip_agent(reactor, self._pool)
+        self._fresh = mesh.ip_agent(reactor)
 
     async def send(
         self, req: UpstreamRequest
--- a/packages/fakes/src/banyanbank_fakes/_announcer.py
+++ b/packages/fakes/src/banyanbank_fakes/_announcer.py
@@ -5,6 +5,7 @@
 import typing
 
 import attrs
+import banyanbank_mesh as mesh
 from twisted.internet import defer
 from twisted.internet import task
 from twisted.web import client
@@ -82,7 +83,7 @@
                 b"authorization": [f"Bearer {self.token}".encode()],
             }
         )
-        agent = client.Agent(self.server.reactor, connectTimeout=2.0)
+        agent = mesh.ip_agent(self.server.reactor)
         response = await agent.request(
             b"POST",
             f"{base}/endpoint/{verb}".encode(),
--- a/packages/mesh/src/banyanbank_mesh/__init__.py
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -5,6 +5,9 @@
 from banyanbank_mesh._errors import HandlerRefusalError
 from banyanbank_mesh._errors import StreamClosedError
 from banyanbank_mesh._frames import MAX_FRAME_BYTES
+from banyanbank_mesh._ip_endpoints import ip_agent
+from banyanbank_mesh._ip_endpoints import IpEndpointFactory
+from banyanbank_mesh._ip_endpoints import NotAnAddressError
 from banyanbank_mesh._mesh import ListenError
 from banyanbank_mesh._mesh import Mesh
 from banyanbank_mesh._outbound import CallResult
@@ -19,11 +22,14 @@
     "CallErrorKind",
     "CallResult",
     "HandlerRefusalError",
+    "IpEndpointFactory",
     "ListenError",
     "Mesh",
     "MeshTls",
+    "NotAnAddressError",
     "ReadResult",
     "Stream",
     "StreamClosedError",
     "StreamWriter",
+    "ip_agent",
 ]
--- a/tests/cli/test_demo.py
+++ b/tests/cli/test_demo.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import tempfile
+import threading
 import unittest
 
 from banyanbank_cli import _demo
@@ -29,3 +30,5 @@
 
         support.run_async(play)
         self.assertIn("16 graded samples", "\n".join(lines))
+        # Looking an IP number up as a name would have started threads.
+        self.assertEqual(threading.active_count(), 1)
