--- /dev/null
+++ b/tests/control/test_duties.py
@@ -0,0 +1,241 @@
+"""Tests of orders and of the leader's duties."""
+
+import unittest
+
+import attrs
+import banyanbank_control as control
+
+from tests.control import samples
+from tests.control.sync import test_exchange
+
+REQUEST = control.OrderRequest(
+    need="coach/a/safe/1",
+    action=control.Action.START,
+    model="coach",
+    failure_domain="a",
+    supply=control.Supply.SAFE,
+    count=1,
+    price_ceiling=2.5,
+)
+DECIDE = control.DecideOrder(REQUEST, epoch=2)
+
+
+class OrderTest(unittest.TestCase):
+    """One live order a need; statuses and epochs never go back."""
+
+    def setUp(self) -> None:
+        self.machine = control.ControlMachine()
+
+    def send(self, cmd: control.Command) -> control.Reply:
+        """Applies a command."""
+        return samples.send(self.machine, cmd)
+
+    def test_one_live_order(self) -> None:
+        first = self.send(DECIDE)
+        self.assertEqual(first, control.OrderDecided(1, "order-1"))
+        self.assertEqual(self.send(DECIDE), control.OrderExists(1))
+        status = control.OrderStatus
+        for before, after in [
+            (status.ACKNOWLEDGED, status.ACKNOWLEDGED),
+            (status.SENT, status.ACKNOWLEDGED),
+            (status.FULFILLED, status.FULFILLED),
+            (status.FAILED, status.FULFILLED),
+            (status.SENT, status.FULFILLED),
+        ]:
+            reply = self.send(control.MarkOrder(1, before, 2))
+            self.assertEqual(reply, control.OrderMarked(1, after))
+        second = self.send(DECIDE)
+        self.assertEqual(second, control.OrderDecided(2, "order-2"))
+
+    def test_earlier_epoch(self) -> None:
+        self.send(DECIDE)
+        mark = control.MarkOrder(1, control.OrderStatus.SENT, 1)
+        old = attrs.evolve(
+            DECIDE, epoch=1, request=attrs.evolve(REQUEST, need="n")
+        )
+        for cmd in (mark, old):
+            reply = self.send(cmd)
+            self.assertEqual(reply.reason, control.RejectReason.STALE)
+
+
+class PlannerTest(unittest.TestCase):
+    """Orders leave committed, unchanged over leaders, once a need."""
+
+    def setUp(self) -> None:
+        self.machine = control.ControlMachine()
+        self.needs = (REQUEST,)
+        self.announced: tuple[str, ...] = ()
+
+    def decide(
+        self, planner: control.OrderPlanner, now: float
+    ) -> tuple[control.Effect, ...]:
+        """Decides, and commits what is proposed."""
+        orders = self.machine.state.orders
+        effects = planner.decide(orders, self.needs, self.announced, now)
+        for effect in effects:
+            if isinstance(effect, control.Propose):
+                samples.send(self.machine, effect.command)
+        return effects
+
+    def test_from_need_to_endpoint(self) -> None:
+        first = control.OrderPlanner(epoch=2)
+        (proposal,) = self.decide(first, 0.0)
+        self.assertEqual(proposal.command, DECIDE)
+        (sent,) = self.decide(first, 0.1)
+        self.assertEqual(self.decide(first, 0.2), ())
+        second = control.OrderPlanner(epoch=3)
+        (again,) = self.decide(second, 0.3)
+        self.assertEqual(again.order, sent.order)
+        self.assertEqual((sent.fencing_token, again.fencing_token), (2, 3))
+        result = control.OrderResult(1, True, ("e1",), "ref")
+        samples.send(self.machine, second.on_result(result).command)
+        self.assertEqual(self.decide(second, 5.0), ())
+        self.announced = ("e1",)
+        self.needs = ()
+        self.decide(second, 6.0)
+        self.assertEqual(len(self.machine.state.orders.live), 0)
+        order = self.machine.state.orders.get(1)
+        self.assertEqual(order.status, control.OrderStatus.FULFILLED)
+        self.assertEqual(self.decide(second, 7.0), ())
+
+    def test_failed_need_is_tried_ever_more_slowly(self) -> None:
+        planner = control.OrderPlanner(epoch=2)
+        decided = []
+        for tenth in range(200):
+            for effect in self.decide(planner, tenth / 10):
+                if isinstance(effect, control.SendOrder):
+                    result = control.OrderResult(effect.order.number, False)
+                    mark = planner.on_result(result).command
+                    samples.send(self.machine, mark)
+                    decided.append(tenth // 10)
+        self.assertEqual(decided, [0, 1, 3, 7, 15])
+
+    def test_endpoint_that_never_comes(self) -> None:
+        planner = control.OrderPlanner(epoch=2)
+        self.decide(planner, 0.0)
+        result = control.OrderResult(1, True, ("e1",))
+        samples.send(self.machine, planner.on_result(result).command)
+        self.decide(planner, 1.0)
+        self.decide(planner, 602.0)
+        order = self.machine.state.orders.get(1)
+        self.assertEqual(order.status, control.OrderStatus.FAILED)
+
+
+class PlanTest(unittest.TestCase):
+    """Places are filled over failure domains, safe ones first."""
+
+    def test_plans(self) -> None:
+        safe, cheap = control.Supply.SAFE, control.Supply.RECLAIMABLE
+        capacity = control.Capacity("coach", 1, 4, 2, ("a", "b"), 2.5)
+
+        def serving(*places: tuple[str, control.Supply]) -> list:
+            models = (control.ServedModel("coach", 1),)
+            return [
+                attrs.evolve(
+                    test_exchange.engine(f"e{number}"),
+                    failure_domain=domain,
+                    supply=supply,
+                    models=models,
+                )
+                for number, (domain, supply) in enumerate(places)
+            ]
+
+        cases = [
+            ((), 0, ["a/safe/1", "b/safe/1"]),
+            ((), 3, ["a/safe/1", "b/safe/1", "a/reclaimable/1"]),
+            ([("a", safe)], 0, ["b/safe/1"]),
+            ([("a", safe), ("b", safe)], 2, []),
+            ([("a", cheap), ("b", cheap)], 2, ["a/safe/1", "b/safe/1"]),
+            ([("a", cheap)] * 4, 9, []),
+            (
+                [("a", safe), ("b", safe), ("b", cheap)],
+                9,
+                ["a/reclaimable/1"],
+            ),
+        ]
+        for present, wanted, names in cases:
+            with self.subTest(present=present, wanted=wanted):
+                needs = control.plan_needs(capacity, wanted, serving(*present))
+                found = [need.need.partition("/")[2] for need in needs]
+                self.assertEqual(found, names)
+
+    def test_what_is_on_order_counts(self) -> None:
+        machine = control.ControlMachine()
+        capacity = control.Capacity("coach", 1, 4, 1, ("a", "b"), 2.5)
+        for wanted in (1, 3, 4, 4):
+            live = machine.state.orders.live.values()
+            for need in control.plan_needs(capacity, wanted, (), live):
+                samples.send(machine, control.DecideOrder(need, 1))
+        self.assertEqual(len(machine.state.orders.live), 4)
+
+
+class ReporterTest(unittest.TestCase):
+    """Windows close in time; reports are frozen, repeated and equal."""
+
+    def setUp(self) -> None:
+        self.machine = control.ControlMachine()
+
+    def decide(
+        self, reporter: control.UsageReporter, now: float
+    ) -> list[control.UsageReport]:
+        """Decides at a time, commits proposals and returns the reports."""
+        usage = self.machine.state.usage
+        reports = []
+        for effect in reporter.decide(usage, now, wall=1200.0 + now):
+            if isinstance(effect, control.Propose):
+                samples.send(self.machine, effect.command)
+            else:
+                reports.append(effect.report)
+        return reports
+
+    def test_reports_survive_a_new_leader(self) -> None:
+        delta = control.UsageDelta("acme", control.UsageFigures(calls=1))
+        add = control.AddUsage("ann", 1, 1, (delta,))
+        samples.send(self.machine, add)
+        first = control.UsageReporter(1)
+        self.assertEqual(self.decide(first, 0.0), [])
+        (report,) = self.decide(first, 0.1)
+        self.assertEqual((report.start, report.end), (1140.0, 1200.0))
+        self.assertEqual(report.rows, (delta,))
+        samples.send(self.machine, attrs.evolve(add, sequence=2))
+        self.assertEqual(self.decide(first, 0.5), [])
+        self.assertEqual(self.decide(first, 1.2), [report])
+        second = control.UsageReporter(2)
+        self.assertEqual(self.decide(second, 1.3), [report])
+        mark = second.on_reported(report).command
+        samples.send(self.machine, mark)
+        self.assertEqual(self.decide(second, 50.0), [])
+        self.assertEqual(self.decide(second, 61.0), [])
+        (next_report,) = self.decide(second, 62.0)
+        self.assertEqual(next_report.window, 2)
+        self.assertEqual(next_report.start, report.end)
+
+
+class LossTest(unittest.TestCase):
+    """Lives that the log knows and nobody hears are noted as over."""
+
+    def test_notes_once(self) -> None:
+        machine = control.ControlMachine()
+        samples.send(machine, control.AddUsage("ann", 1, 1, ()))
+        recorder = control.LossRecorder(epoch_began=0.0)
+        ann = test_exchange.member("ann")
+        cases = [(4.0, (), 0), (6.0, (ann,), 0), (7.0, (), 1), (7.5, (), 0)]
+        for now, members, count in cases:
+            effects = recorder.decide(machine.state, members, now)
+            self.assertEqual(len(effects), count, now)
+            for effect in effects:
+                samples.send(machine, effect.command)
+        self.assertEqual(recorder.decide(machine.state, (), 60.0), ())
+
+    def test_intents_expire_when_due(self) -> None:
+        machine = control.ControlMachine()
+        begin = control.BeginIntent(
+            "acme", "k", b"d", "r", "ann", 1, "e", 0.0, 10.0
+        )
+        samples.send(machine, begin)
+        expirer = control.IntentExpirer()
+        counts = [
+            len(expirer.decide(machine.state.intents, wall, wall))
+            for wall in (100.0, 119.0, 130.0, 135.0)
+        ]
+        self.assertEqual(counts, [0, 0, 1, 0])
