Give the entry named in a sync reply a default

Cause: an instance that answers polls by its own code names no entry yet, and stopped type checking.

Change: SyncReply.instance and .incarnation have defaults.

--- a/packages/control/src/banyanbank_control/sync/_messages.py
+++ b/packages/control/src/banyanbank_control/sync/_messages.py
@@ -145,16 +145,16 @@
 
     number: int
     """Number of the poll."""
-    instance: base.InstanceId
-    """Entry that is answered."""
-    incarnation: base.Incarnation
-    """Its life: an answer to an earlier one counts for nothing."""
     epoch: int
     """Control epoch of the leader."""
     revision: int
     """Revision in force."""
     soft: SoftVersion
     """Soft state after this reply."""
+    instance: base.InstanceId = base.InstanceId("")  # noqa: RUF009
+    """Entry that is answered."""
+    incarnation: base.Incarnation = base.Incarnation(0)  # noqa: RUF009
+    """Its life: an answer to an earlier one counts for nothing."""
     whole: ConfigWhole | None = None
     """The whole configuration, when the history is too short."""
     deltas: tuple[config.Delta, ...] = ()
