Hold control to its promises under any order of events

Change: two rule sets of hypothesis drive voters, leaders, entries, operators and a platform in one process under a fake clock, against plain dictionaries.

--- /dev/null
+++ b/tests/control/stateful/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful test of control against a simple oracle, and its mutants."""
--- /dev/null
+++ b/tests/control/stateful/config_oracle.py
@@ -0,0 +1,141 @@
+"""What configuration ought to be: plain dictionaries and the promises."""
+
+import attrs
+import banyanbank_control as control
+
+ACCOUNTS = (control.Account("a"), control.Account("b"))
+ROUTES = (
+    control.Route("/open", "s", control.Access.OPEN),
+    control.Route("/keyed", "s", control.Access.KEYED, ("*",)),
+)
+
+
+def key(number: int, alias: str = "") -> control.Key:
+    """Returns one of a few keys; an alias has the hash of another."""
+    account = "ab"[number % 2]
+    digest = control.hash_secret(f"secret-{number}")
+    return control.Key(f"k{number}{alias}", account, digest)
+
+
+def declared(bound: int, keys: tuple[control.Key, ...]) -> control.Declarations:
+    """Returns one of a few sets of declarations."""
+    model = control.Model("m", staleness_bound=bound)
+    return control.Declarations.of([*ACCOUNTS, *ROUTES, model, *keys])
+
+
+@attrs.define
+class ConfigOracle:
+    """Accepted contents by revision, and who made them."""
+
+    contents: list[control.Declarations] = attrs.Factory(
+        lambda: [control.Declarations()]
+    )
+    makers: list[tuple[str, str]] = attrs.Factory(lambda: [("", "")])
+    withdrawn_at: dict[str, float] = attrs.Factory(dict)
+    dead_hashes: set[str] = attrs.Factory(set)
+    first: dict[str, tuple[control.Command, control.Reply]] = attrs.Factory(
+        dict
+    )
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+        return len(self.contents) - 1
+
+    @property
+    def keys(self) -> dict[str, control.Key]:
+        """Keys in force."""
+        return {item.key_id: item for item in self.contents[-1].keys}
+
+    def check(
+        self, cmd: control.Command, reply: control.Reply, now: float
+    ) -> None:
+        """Holds a reply against what it ought to be."""
+        known = self.first.get(cmd.request_id)
+        if known is not None and known[0] == cmd:
+            assert reply == known[1], "A resend got another reply."
+            return
+        if known is not None:
+            assert isinstance(reply, control.Rejected)
+            return
+        self.first[cmd.request_id] = (cmd, reply)
+        content = self._wanted(cmd)
+        if content is None:
+            assert isinstance(reply, control.Rejected), reply
+        elif isinstance(cmd, control.ApplyDeclarations):
+            self._check_apply(cmd, reply, content, now)
+        else:
+            self._accept(cmd, reply, content, now)
+
+    def _wanted(self, cmd: control.Command) -> control.Declarations | None:
+        """Returns the content asked for; None when it must be refused."""
+        current = self.contents[-1]
+        match cmd:
+            case control.CreateKey(key=new):
+                hashes = {item.secret_sha256 for item in current.keys}
+                taken = new.key_id in self.keys or new.secret_sha256 in hashes
+                if taken or self._dead(new) or not current.accounts:
+                    return None
+                items = [*current.items(), new]
+                return control.Declarations.of(items)
+            case control.WithdrawKey(key_id=key_id):
+                if key_id not in self.keys and key_id not in self.withdrawn_at:
+                    return None
+                kept = [i for i in current.keys if i.key_id != key_id]
+                return current.with_keys(tuple(kept))
+            case control.ApplyDeclarations(declared=new):
+                return new if new.keys else new.with_keys(current.keys)
+        raise AssertionError(cmd)
+
+    def _dead(self, new: control.Key) -> bool:
+        return (
+            new.key_id in self.withdrawn_at
+            or new.secret_sha256 in self.dead_hashes
+        )
+
+    def _check_apply(
+        self,
+        cmd: control.ApplyDeclarations,
+        reply: control.Reply,
+        content: control.Declarations,
+        now: float,
+    ) -> None:
+        same = content == self.contents[-1]
+        behind = self.revision - cmd.expected_revision
+        if behind and not (behind == 1 and same):
+            assert isinstance(reply, control.RevisionConflict), reply
+            maker = self.makers[cmd.expected_revision + 1]
+            winner = (reply.winner_operator, reply.winner_request_id)
+            assert winner in (maker, self.makers[-1]), reply
+            return
+        if not same and any(self._dead(item) for item in cmd.declared.keys):
+            assert isinstance(reply, control.Rejected), reply
+            return
+        moved = {item.secret_sha256: item for item in self.contents[-1].keys}
+        if any(
+            moved.get(item.secret_sha256, item) != item
+            for item in cmd.declared.keys
+        ):
+            assert isinstance(reply, control.Rejected), reply
+            return
+        self._accept(cmd, reply, content, now)
+
+    def _accept(
+        self,
+        cmd: control.Command,
+        reply: control.Reply,
+        content: control.Declarations,
+        now: float,
+    ) -> None:
+        assert isinstance(reply, control.ConfigAccepted), reply
+        if content == self.contents[-1]:
+            assert reply.revision == self.revision
+            return
+        kept = {item.key_id for item in content.keys}
+        for gone in self.contents[-1].keys:
+            if gone.key_id not in kept:
+                self.withdrawn_at[gone.key_id] = now
+                self.dead_hashes.add(gone.secret_sha256)
+        self.contents.append(content)
+        self.makers.append((cmd.operator, cmd.request_id))
+        assert reply.revision == self.revision, "A revision was not counted."
--- /dev/null
+++ b/tests/control/stateful/effect_oracle.py
@@ -0,0 +1,108 @@
+"""What may happen outside: counts, reports, runs and orders."""
+
+import collections
+
+import attrs
+import banyanbank_control as control
+
+
+@attrs.define
+class UsageOracle:
+    """Counts each flush once and remembers frozen windows."""
+
+    served: collections.Counter[str] = attrs.Factory(collections.Counter)
+    at_risk: collections.Counter[str] = attrs.Factory(collections.Counter)
+    counted: collections.Counter[str] = attrs.Factory(collections.Counter)
+    flushes: dict[tuple[str, int, int], control.AddUsage] = attrs.Factory(dict)
+    frozen: dict[int, control.Window] = attrs.Factory(dict)
+    reports: dict[int, control.UsageReport] = attrs.Factory(dict)
+
+    def note_flush(self, cmd: control.AddUsage, reply: control.Reply) -> None:
+        """Counts a flush that committed."""
+        known = self.flushes.get((cmd.instance, cmd.incarnation, cmd.sequence))
+        if known is not None:
+            assert known == cmd, "A flush was sent again with other counts."
+            return
+        if isinstance(reply, control.Rejected):
+            assert reply.reason is control.RejectReason.STALE, reply
+            return
+        assert isinstance(reply, control.UsageAdded), reply
+        self.flushes[cmd.instance, cmd.incarnation, cmd.sequence] = cmd
+        for delta in cmd.deltas:
+            self.counted[delta.account] += delta.figures.calls
+
+    def check(
+        self, state: control.UsageState, buffered: collections.Counter[str]
+    ) -> None:
+        """Holds the committed windows against the counts."""
+        total: collections.Counter[str] = collections.Counter()
+        for window in (*state.closed.values(), state.open):
+            for account, figures in window.figures.items():
+                total[account] += figures.calls
+        assert total == self.counted, "Flushes do not add up to the windows."
+        for account, served in self.served.items():
+            counted = self.counted[account]
+            assert counted <= served, "A request was counted twice."
+            loss = served - counted - buffered[account]
+            assert loss <= self.at_risk[account], "Counts were lost."
+        for number, window in state.closed.items():
+            first = self.frozen.setdefault(number, window)
+            same = attrs.evolve(window, reported=first.reported) == first
+            assert same, "A frozen window has changed."
+
+    def take_report(self, report: control.UsageReport) -> None:
+        """Acts as the platform that takes reports."""
+        first = self.reports.setdefault(report.window, report)
+        assert first == report, "A window was reported with other figures."
+        figures = {row.account: row.figures for row in report.rows}
+        assert figures == dict(self.frozen[report.window].figures)
+
+
+@attrs.define
+class RunOracle:
+    """Runs of non-idempotent requests by account and idempotency key."""
+
+    kept_until: dict[tuple[str, str], float] = attrs.Factory(dict)
+    answers: dict[tuple[str, str], bytes] = attrs.Factory(dict)
+
+    def run(
+        self, cmd: control.BeginIntent, kept_until: float, now: float
+    ) -> bytes:
+        """Runs a request at an endpoint and returns its answer."""
+        name = (cmd.account, cmd.idempotency_key)
+        ran_before = now < self.kept_until.get(name, float("-inf"))
+        assert not ran_before, "A non-idempotent request ran twice."
+        self.kept_until[name] = kept_until
+        self.answers[name] = f"{cmd.request_id}@{now}".encode()
+        return self.answers[name]
+
+    def check_replay(
+        self, cmd: control.BeginIntent, reply: control.IntentReplay
+    ) -> None:
+        """Holds a repeated answer against the one that was given."""
+        name = (cmd.account, cmd.idempotency_key)
+        assert reply.answer == self.answers.get(name), "A foreign answer."
+
+
+@attrs.define
+class OrderOracle:
+    """The platform that takes orders for endpoints."""
+
+    orders: dict[str, control.OrderRequest] = attrs.Factory(dict)
+    live: dict[str, str] = attrs.Factory(dict)
+
+    def take(self, effect: control.SendOrder, accept: bool) -> bool:
+        """Takes an order and returns whether it is carried out."""
+        key = effect.order.idempotency_key
+        request = effect.order.request
+        if key not in self.orders:
+            assert request.need not in self.live, "A need was ordered twice."
+            if accept:
+                self.live[request.need] = key
+        first = self.orders.setdefault(key, request)
+        assert first == request, "An order was sent again with other content."
+        return self.live.get(request.need) == key
+
+    def close(self, need: str) -> None:
+        """Ends what is live for a need."""
+        self.live.pop(need, None)
--- /dev/null
+++ b/tests/control/stateful/mutants.py
@@ -0,0 +1,219 @@
+"""Faults put into the code on purpose; the rules must catch each one.
+
+A mutant is a context manager that breaks one thing while it lasts.
+"""
+
+import collections.abc
+import contextlib
+import typing
+import unittest.mock
+
+import attrs
+import banyanbank_control as control
+from banyanbank_control import _handlers
+from banyanbank_control import intents
+from banyanbank_control import orders
+from banyanbank_control import usage
+from banyanbank_control.config import _apply as config_apply
+from banyanbank_control.intents import _apply as intents_apply
+from banyanbank_control.intents import _state as intents_state
+from banyanbank_control.sync import _entry
+from banyanbank_control.sync import _view
+from banyanbank_control.usage import _apply as usage_apply
+import immutables
+
+Mutant = collections.abc.Callable[
+    [], contextlib.AbstractContextManager[typing.Any]
+]
+
+
+def _replaced(owner: object, name: str, value: object) -> Mutant:
+    return lambda: unittest.mock.patch.object(owner, name, value)
+
+
+def _wrapped(
+    owner: typing.Any, name: str, wrap: collections.abc.Callable
+) -> Mutant:
+    """Replaces a callable by `wrap(original, *args)`."""
+    original = getattr(owner, name)
+    return _replaced(owner, name, lambda *args: wrap(original, *args))
+
+
+def _snapshot_without(owner: typing.Any, **empty: object) -> Mutant:
+    return _wrapped(
+        owner,
+        "record",
+        lambda record, self: attrs.evolve(record(self), **empty),
+    )
+
+
+def _reverts(record: typing.Any, self: control.ConfigState) -> typing.Any:
+    taken = record(self)
+    kept = taken.declared.with_keys(taken.declared.keys[:1])
+    return attrs.evolve(taken, declared=kept)
+
+
+def _any_revision(
+    state: control.ConfigState, cmd: control.ApplyDeclarations
+) -> typing.Any:
+    cmd = attrs.evolve(cmd, expected_revision=state.revision)
+    return config_apply.apply_declarations(state, cmd)
+
+
+def _from_receipt(
+    take: typing.Any, self: control.EntrySync, reply: typing.Any, now: float
+) -> typing.Any:
+    if reply.number in self.gate._sent:
+        self.gate._sent[reply.number] = now
+    return take(self, reply, now)
+
+
+def _any_life(
+    take: typing.Any, self: control.EntrySync, reply: typing.Any, now: float
+) -> typing.Any:
+    me = self.member
+    mine = attrs.evolve(reply, instance=me.instance, incarnation=me.incarnation)
+    return take(self, mine, now)
+
+
+def _older_whole(
+    updated: typing.Any, self: control.ConfigView, reply: typing.Any
+) -> typing.Any:
+    if reply.whole is None or reply.revision >= self.revision:
+        return updated(self, reply)
+    return _view.ViewUpdate(self._with_whole(reply.whole), taken=True)
+
+
+def _for_queued_work(
+    without: typing.Any, self: control.ConfigView, key_id: typing.Any
+) -> typing.Any:
+    return attrs.evolve(without(self, key_id), key_ids=self.key_ids)
+
+
+def _count_again(
+    add: typing.Any, state: control.UsageState, cmd: control.AddUsage
+) -> typing.Any:
+    new, reply = add(state, cmd)
+    window = usage_apply._with_deltas(state.open, cmd.deltas)
+    return new.with_open(window), reply
+
+
+def _count_in_closed(
+    add: typing.Any, state: control.UsageState, cmd: control.AddUsage
+) -> typing.Any:
+    new, reply = add(state, cmd)
+    last = state.closed.get(state.open.number - 1)
+    if new is state or last is None:
+        return new, reply
+    late = usage_apply._with_deltas(last, cmd.deltas)
+    closed = new.closed.set(last.number, late)
+    return attrs.evolve(new, open=state.open, closed=closed), reply
+
+
+def _renumbered(
+    flush: typing.Any, self: control.UsageBuffer, final: bool = False
+) -> typing.Any:
+    pending, self._pending = self._pending, None
+    if pending is None:
+        return flush(self, final)
+    for delta in pending.deltas:
+        self.count(delta.account, delta.figures)
+    return flush(self, final)
+
+
+def _claim_after_restart(held: typing.Any, *args: typing.Any) -> typing.Any:
+    reply = held(*args)
+    if isinstance(reply, control.IntentOpen) and reply.may_have_run:
+        return control.IntentBegun()
+    return reply
+
+
+def _abandon_any(
+    abandon: typing.Any,
+    state: control.IntentState,
+    cmd: control.AbandonIntent,
+) -> typing.Any:
+    held = state.intents.get((cmd.account, cmd.idempotency_key))
+    if held is not None:
+        cmd = attrs.evolve(cmd, request_id=held.request_id)
+    return abandon(state, cmd)
+
+
+def _forget_needs(
+    decide: typing.Any, state: control.OrderState, cmd: control.DecideOrder
+) -> typing.Any:
+    return decide(attrs.evolve(state, needs=immutables.Map()), cmd)
+
+
+CONFIG_MUTANTS: dict[str, Mutant] = {
+    "snapshot reverts the newest change": _wrapped(
+        control.ConfigState, "record", _reverts
+    ),
+    "snapshot forgets tombstones": _snapshot_without(
+        control.ConfigState, tombstones=()
+    ),
+    "snapshot forgets request ids": _snapshot_without(
+        control.ConfigState, requests=()
+    ),
+    "no tombstone is kept": _replaced(
+        control.ConfigState, "with_tombstone", lambda self, tombstone: self
+    ),
+    "hash of a withdrawn key comes back": _wrapped(
+        config_apply,
+        "_withdrawn",
+        lambda check, state, keys: check(
+            attrs.evolve(state, dead_hashes=immutables.Map()), keys
+        ),
+    ),
+    "request id is not kept": _replaced(
+        control.ConfigState, "with_request", lambda self, record: self
+    ),
+    "revision is not compared": lambda: unittest.mock.patch.dict(
+        _handlers._CONFIG, {control.ApplyDeclarations: _any_revision}
+    ),
+    "freshness counts from receipt": _wrapped(
+        _entry.EntrySync, "take", _from_receipt
+    ),
+    "answer to an earlier life counts": _wrapped(
+        _entry.EntrySync, "take", _any_life
+    ),
+    "view takes an older revision": _wrapped(
+        control.ConfigView, "updated", _older_whole
+    ),
+    "withdrawn key goes on with queued work": _wrapped(
+        control.ConfigView, "_without_key", _for_queued_work
+    ),
+}
+"""What the rules of configuration must catch."""
+
+EFFECT_MUTANTS: dict[str, Mutant] = {
+    "snapshot forgets flush numbers": _snapshot_without(
+        control.UsageState, flushes=()
+    ),
+    "snapshot forgets intents": _snapshot_without(
+        control.IntentState, intents=()
+    ),
+    "snapshot forgets order numbers": _snapshot_without(
+        control.OrderState, next=1
+    ),
+    "flush number is ignored": _wrapped(usage, "add", _count_again),
+    "late flush changes a frozen window": _wrapped(
+        usage, "add", _count_in_closed
+    ),
+    "flush is sent again under another number": _wrapped(
+        control.UsageBuffer, "flush", _renumbered
+    ),
+    "claim passes on after a restart": _wrapped(
+        intents_apply, "_answer_held", _claim_after_restart
+    ),
+    "another attempt abandons the claim": _wrapped(
+        intents, "abandon", _abandon_any
+    ),
+    "intent expires without clock margin": _replaced(
+        intents_state, "CLOCK_MARGIN_S", 0.0
+    ),
+    "need with a live order is ordered": _wrapped(
+        orders, "decide", _forget_needs
+    ),
+}
+"""What the rules of usage, requests and orders must catch."""
--- /dev/null
+++ b/tests/control/stateful/test_promises.py
@@ -0,0 +1,38 @@
+"""The promises of control, held under any order of events.
+
+Longer runs by hand:
+    python -m tests.control.stateful.test_promises --seed 7 --examples 2000
+"""
+
+import argparse
+import unittest
+
+import hypothesis
+
+from tests.control.stateful import rules
+
+_PHASES = (hypothesis.Phase.generate, hypothesis.Phase.shrink)
+
+
+class PromisesTest(unittest.TestCase):
+    """A fixed search in CI."""
+
+    def test_promises(self) -> None:
+        for searched in (rules.ConfigRules, rules.EffectRules):
+            with self.subTest(searched.__name__):
+                rules.run(searched, examples=60, steps=60, phases=_PHASES)
+
+
+def main() -> None:
+    """Runs a search with settings of the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--examples", type=int, default=500)
+    parser.add_argument("--steps", type=int, default=100)
+    args = parser.parse_args()
+    for searched in (rules.ConfigRules, rules.EffectRules):
+        rules.run(searched, args.examples, args.steps, args.seed, _PHASES)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/control/stateful/world.py
@@ -0,0 +1,366 @@
+"""Voters, leaders, entries, operators and a clock, all in one process."""
+
+import collections
+
+import attrs
+import banyanbank_control as control
+
+from tests.control.stateful import config_oracle
+from tests.control.stateful import effect_oracle
+
+RETENTION_S = 90.0
+KEYS = tuple(range(5))
+
+
+@attrs.define
+class Attempt:
+    """A non-idempotent request at an entry."""
+
+    cmd: control.BeginIntent
+    kept_until: float
+    phase: str = "begin"
+    answer: bytes = b""
+
+
+@attrs.define
+class Entry:
+    """One life of an entry; its clocks differ from everyone else's."""
+
+    name: str
+    incarnation: int
+    offset: float
+    skew: float
+    sync: control.EntrySync
+    usage: control.UsageBuffer
+    linked: bool = True
+    revision: int = 0
+    buffered: collections.Counter[str] = attrs.Factory(collections.Counter)
+    flushed: collections.Counter[str] = attrs.Factory(collections.Counter)
+    attempts: list[Attempt] = attrs.Factory(list)
+    queued: list[control.Principal] = attrs.Factory(list)
+
+
+def new_entry(name: str, incarnation: int) -> Entry:
+    """Returns a life of an entry."""
+    member = control.Member(name, incarnation, f"{name}:1", "z")
+    place = ord(name) - ord("x")
+    return Entry(
+        name,
+        incarnation,
+        offset=1e6 * (place + 1) + 1e4 * incarnation,
+        skew=(-50.0, 50.0)[place],
+        sync=control.EntrySync(member),
+        usage=control.UsageBuffer(name, incarnation),
+    )
+
+
+class World:
+    """Everything that the rules act on."""
+
+    def __init__(self) -> None:
+        self.now = 10_000.0
+        self.voters = [control.ControlMachine(), control.ControlMachine()]
+        self.index = 0
+        self.requests: list[tuple[str, control.SyncRequest]] = []
+        self.replies: list[tuple[str, bytes]] = []
+        self.late: list[control.Command] = []
+        self.entries = {name: new_entry(name, 1) for name in "xy"}
+        self.config = config_oracle.ConfigOracle()
+        self.usage = effect_oracle.UsageOracle()
+        self.runs = effect_oracle.RunOracle()
+        self.orders = effect_oracle.OrderOracle()
+        self.epoch = 0
+        self.elect()
+
+    @property
+    def state(self) -> control.ControlState:
+        """Control state at the leader."""
+        return self.voters[0].state
+
+    def elect(self) -> None:
+        """Puts a new leader in office, whose soft state is empty."""
+        self.epoch += 1
+        self.leader = control.LeaderSync(self.epoch, self.now)
+        self.reporter = control.UsageReporter(self.epoch)
+        self.planner = control.OrderPlanner(self.epoch)
+
+    def commit(self, cmd: control.Command) -> control.Reply:
+        """Commits a command at all voters and holds the reply to account."""
+        self.index += 1
+        payload = control.COMMAND_CODEC.encode(cmd)
+        replies = {voter.apply(self.index, payload) for voter in self.voters}
+        assert len(replies) == 1, "Voters differ."
+        reply = control.REPLY_CODEC.decode(replies.pop())
+        if isinstance(reply, control.Rejected):
+            assert reply.reason is not control.RejectReason.DEFECT, cmd
+        match cmd:
+            case (
+                control.ApplyDeclarations()
+                | control.CreateKey()
+                | control.WithdrawKey()
+            ):
+                self.config.check(cmd, reply, self.now)
+            case control.AddUsage():
+                self.usage.note_flush(cmd, reply)
+        self.late.append(cmd)
+        return reply
+
+    def restart_voter(self, number: int) -> None:
+        """Restores a voter from its own snapshot or from the other's."""
+        data = self.voters[number].snapshot()
+        fresh = control.ControlMachine()
+        fresh.restore(data)
+        assert fresh.snapshot() == data, "A snapshot does not read back."
+        self.voters[0] = fresh
+        assert self.voters[1].snapshot() == data, "Voters differ."
+
+    # Entries.
+
+    def clock(self, entry: Entry) -> float:
+        """Returns the monotonic time of an entry."""
+        return self.now + entry.offset
+
+    def crash(self, name: str) -> None:
+        """Ends a life of an entry and begins the next."""
+        entry = self.entries[name]
+        self.usage.at_risk.update(entry.buffered)
+        self.entries[name] = new_entry(name, entry.incarnation + 1)
+
+    def poll(self, name: str) -> None:
+        """Lets an entry send a poll; a cut link loses it."""
+        entry = self.entries[name]
+        request = entry.sync.request(self.clock(entry))
+        if entry.linked:
+            self.requests.append((name, request))
+
+    def answer(self, number: int) -> None:
+        """Lets the leader answer a poll that is under way."""
+        name, request = self.requests.pop(number % len(self.requests))
+        config = self.state.config
+        reply = self.leader.answer(request, config, self.now)
+        self.replies.append((name, control.SYNC_CODEC.encode(reply)))
+
+    def deliver(self, number: int, again: bool) -> None:
+        """Delivers an answer to whichever life the entry now has."""
+        number %= len(self.replies)
+        name, data = self.replies[number]
+        if not again:
+            del self.replies[number]
+        entry = self.entries[name]
+        reply = control.SYNC_CODEC.decode(data)
+        update = entry.sync.take(reply, self.clock(entry))
+        for key_id in update.withdrawn:
+            assert key_id in self.config.withdrawn_at
+
+    def exchange(self, name: str) -> None:
+        """Polls, answers and delivers at once; then the entry must serve."""
+        entry = self.entries[name]
+        if not entry.linked:
+            return
+        self.poll(name)
+        self.answer(len(self.requests) - 1)
+        self.deliver(len(self.replies) - 1, again=False)
+        assert entry.sync.view.revision == self.config.revision
+        for number in KEYS:
+            granted = self.authenticate(entry, number)
+            held = any(
+                item.secret_sha256 == config_oracle.key(number).secret_sha256
+                for item in self.config.keys.values()
+            )
+            assert (granted is not None) == held, "A live key was refused."
+            if granted is not None:
+                entry.queued.append(granted)
+
+    def authenticate(
+        self, entry: Entry, number: int
+    ) -> control.Principal | None:
+        """Presents a secret at an entry."""
+        found = entry.sync.authenticator.authenticate(
+            f"secret-{number}", self.clock(entry)
+        )
+        return found.value_or(None)
+
+    # Usage.
+
+    def serve(self, name: str, account: str) -> None:
+        """Counts one answered request."""
+        entry = self.entries[name]
+        entry.usage.count(account, control.UsageFigures(calls=1))
+        entry.buffered[account] += 1
+        self.usage.served[account] += 1
+
+    def flush(self, name: str, answered: bool) -> None:
+        """Flushes an entry's counts; the answer may be lost."""
+        entry = self.entries[name]
+        cmd = entry.usage.flush()
+        if cmd is None:
+            return
+        self.commit(cmd)
+        if answered:
+            entry.usage.acknowledge(cmd)
+            for delta in cmd.deltas:
+                entry.buffered[delta.account] -= delta.figures.calls
+
+    def report(self, answered: bool) -> None:
+        """Lets the leader close and report windows."""
+        effects = self.reporter.decide(self.state.usage, self.now, self.now)
+        for effect in effects:
+            if isinstance(effect, control.Propose):
+                self.commit(effect.command)
+                continue
+            self.usage.take_report(effect.report)
+            if answered:
+                self.commit(self.reporter.on_reported(effect.report).command)
+
+    # Non-idempotent requests.
+
+    def begin(self, name: str, key: str, request_id: str) -> None:
+        """Lets a caller send a non-idempotent request to an entry."""
+        entry = self.entries[name]
+        wall = self.now + entry.skew
+        cmd = control.BeginIntent(
+            "a",
+            key,
+            b"digest",
+            request_id,
+            name,
+            entry.incarnation,
+            "e",
+            wall,
+            wall + RETENTION_S,
+        )
+        entry.attempts.append(Attempt(cmd, self.now + RETENTION_S))
+
+    def _granted(self, name: str, key: str, request_id: str) -> Attempt | None:
+        self.begin(name, key, request_id)
+        attempt = self.entries[name].attempts[-1]
+        self._claim(self.entries[name], attempt, answered=True)
+        return attempt if attempt.phase == "granted" else None
+
+    def run_request(self, name: str, key: str, request_id: str) -> None:
+        """Lets a request be claimed and run; its answer is not stored yet."""
+        if self._granted(name, key, request_id) is not None:
+            self.step_attempt(name, -1, choice=1)
+
+    def abandon_request(
+        self, name: str, key: str, request_id: str
+    ) -> control.AbandonIntent | None:
+        """Lets a request be claimed and given back; returns the latter."""
+        attempt = self._granted(name, key, request_id)
+        if attempt is None:
+            return None
+        cmd = attempt.cmd
+        self._end(self.entries[name], attempt, control.AbandonIntent)
+        return control.AbandonIntent(
+            cmd.account, cmd.idempotency_key, cmd.request_id
+        )
+
+    def step_attempt(self, name: str, number: int, choice: int) -> None:
+        """Moves one request at an entry on."""
+        entry = self.entries[name]
+        attempt = entry.attempts[number % len(entry.attempts)]
+        if self.now >= attempt.kept_until - 1.0:
+            entry.attempts.remove(attempt)
+        elif attempt.phase == "begin":
+            self._claim(entry, attempt, answered=choice > 0)
+        elif attempt.phase == "granted" and choice == 0:
+            self._end(entry, attempt, control.AbandonIntent)
+        elif attempt.phase == "granted":
+            attempt.phase = "ran"
+            attempt.answer = self.runs.run(
+                attempt.cmd, attempt.kept_until, self.now
+            )
+        elif choice == 0:
+            self.crash(name)
+        else:
+            self._end(entry, attempt, control.CompleteIntent, attempt.answer)
+
+    def _claim(self, entry: Entry, attempt: Attempt, answered: bool) -> None:
+        reply = self.commit(attempt.cmd)
+        if not answered:
+            return
+        if isinstance(reply, control.IntentBegun):
+            attempt.phase = "granted"
+            return
+        if isinstance(reply, control.IntentReplay):
+            self.runs.check_replay(attempt.cmd, reply)
+        entry.attempts.remove(attempt)
+
+    def _end(
+        self, entry: Entry, attempt: Attempt, kind: type, *rest: bytes
+    ) -> None:
+        cmd = attempt.cmd
+        name = (cmd.account, cmd.idempotency_key, cmd.request_id)
+        reply = self.commit(kind(*name, *rest))
+        assert isinstance(reply, control.IntentClosed), reply
+        entry.attempts.remove(attempt)
+
+    # Orders.
+
+    def order(self, needs: list[str], accept: bool, answered: bool) -> None:
+        """Lets the leader order endpoints and follow its orders up."""
+        requests = [
+            control.OrderRequest(
+                need,
+                control.Action.START,
+                "m",
+                "z",
+                control.Supply.SAFE,
+                1,
+                float(self.epoch),
+            )
+            for need in needs
+        ]
+        effects = self.planner.decide(self.state.orders, requests, (), self.now)
+        for effect in effects:
+            if isinstance(effect, control.Propose):
+                self.commit(effect.command)
+            elif isinstance(effect, control.SendOrder):
+                accepted = self.orders.take(effect, accept)
+                result = control.OrderResult(effect.order.number, accepted)
+                if answered:
+                    self.commit(self.planner.on_result(result).command)
+        for need in list(self.orders.live):
+            if need not in self.state.orders.needs:
+                self.orders.close(need)
+
+    # Promises that hold at all times.
+
+    def check(self) -> None:
+        """Checks every promise."""
+        config = self.state.config
+        assert config.revision == self.config.revision
+        assert config.declared() == self.config.contents[-1], "It reverted."
+        buffered: collections.Counter[str] = collections.Counter()
+        for entry in self.entries.values():
+            self._check_entry(entry)
+            buffered.update(entry.buffered)
+        self.usage.check(self.state.usage, buffered)
+
+    def _check_entry(self, entry: Entry) -> None:
+        view = entry.sync.view
+        assert view.revision >= entry.revision, "A view went back."
+        entry.revision = view.revision
+        content = self.config.contents[view.revision]
+        assert set(view.key_ids.values()) == set(content.keys)
+        assert set(view.items) == {
+            item.ref
+            for item in content.items()
+            if not isinstance(item, control.Key)
+        }
+        for number in KEYS:
+            self._check_grant(self.authenticate(entry, number))
+        for principal in entry.queued:
+            refused = entry.sync.authenticator.recheck(
+                principal, self.clock(entry)
+            )
+            if refused is None:
+                self._check_grant(principal)
+
+    def _check_grant(self, granted: control.Principal | None) -> None:
+        if granted is None:
+            return
+        gone = self.config.withdrawn_at.get(granted.key_id, float("inf"))
+        late = self.now - gone
+        assert late < control.FRESHNESS_S, f"Withdrawn for {late} s."
+        assert granted.account == "ab"[int(granted.key_id[1]) % 2]
