--- a/packages/control/src/banyanbank_control/_snapshot.py
+++ b/packages/control/src/banyanbank_control/_snapshot.py
@@ -89,7 +89,10 @@
         snapshot = _CODEC.decode(data[len(_MAGIC) + 1 :])
     except base.CodecError as exc:
         raise SnapshotError(f"The snapshot is damaged: {exc}") from exc
-    return _restore(snapshot), snapshot.applied
+    try:
+        return _restore(snapshot), snapshot.applied
+    except (ValueError, TypeError, LookupError) as exc:
+        raise SnapshotError(f"The snapshot is damaged: {exc!r}") from exc
 
 
 def _restore(snapshot: Snapshot) -> _state.ControlState:
--- a/packages/control/src/banyanbank_control/intents/__init__.py
+++ b/packages/control/src/banyanbank_control/intents/__init__.py
@@ -6,6 +6,8 @@
 from banyanbank_control.intents._apply import expire
 from banyanbank_control.intents._apply import has_due
 from banyanbank_control.intents._apply import MAX_ANSWER_BYTES
+from banyanbank_control.intents._apply import MAX_ANSWERS_BYTES
+from banyanbank_control.intents._apply import MAX_INTENTS
 from banyanbank_control.intents._apply import MAX_INTENTS_PER_ACCOUNT
 from banyanbank_control.intents._apply import MAX_RETENTION_S
 from banyanbank_control.intents._state import Intent
@@ -14,7 +16,9 @@
 from banyanbank_control.intents._state import IntentStatus
 
 __all__ = [
+    "MAX_ANSWERS_BYTES",
     "MAX_ANSWER_BYTES",
+    "MAX_INTENTS",
     "MAX_INTENTS_PER_ACCOUNT",
     "MAX_RETENTION_S",
     "Intent",
--- a/packages/control/src/banyanbank_control/intents/_apply.py
+++ b/packages/control/src/banyanbank_control/intents/_apply.py
@@ -18,12 +18,19 @@
 MAX_RETENTION_S = 172_800.0
 """Longest retention that may be asked for, in seconds."""
 
-MAX_INTENTS_PER_ACCOUNT = 100_000
+MAX_INTENTS = 50_000
+"""Intents that may be kept at once, over all accounts."""
+
+MAX_INTENTS_PER_ACCOUNT = 20_000
 """Intents that one account may have kept at once."""
 
 MAX_ANSWER_BYTES = 262_144
 """Largest answer kept, in bytes."""
 
+MAX_ANSWERS_BYTES = 33_554_432
+"""Bytes of all answers kept at once; a request whose answer finds no room
+still never runs again, but its resend is told that it ran in place of how."""
+
 MAX_EXPIRED = 1000
 """Intents that one command forgets at most."""
 
@@ -51,10 +58,10 @@
             commands.RejectReason.INVALID,
             f"The retention must be above 0 and at most {MAX_RETENTION_S} s.",
         )
-    if state.counts.get(cmd.account, 0) >= MAX_INTENTS_PER_ACCOUNT:
+    if _is_full(state, cmd.account):
         return state, commands.Rejected(
             commands.RejectReason.FULL,
-            f"Account {cmd.account!r} has {MAX_INTENTS_PER_ACCOUNT} requests"
+            f"Too many requests of account {cmd.account!r}, or of all, are"
             " within their retention; retry when older ones expire.",
         )
     intent = _state.Intent(
@@ -70,6 +77,12 @@
     return state.with_intent(intent), commands.IntentBegun()
 
 
+def _is_full(state: _state.IntentState, account: base.AccountId) -> bool:
+    if len(state.intents) >= MAX_INTENTS:
+        return True
+    return state.counts.get(account, 0) >= MAX_INTENTS_PER_ACCOUNT
+
+
 def _answer_held(
     held: _state.Intent, cmd: commands.BeginIntent, lives_over: Lives
 ) -> (
@@ -102,12 +115,16 @@
         return state, _not_held(cmd.request_id)
     if held.status is _state.IntentStatus.DONE:
         return state, commands.IntentClosed()
-    answer = cmd.answer
-    if answer is not None and len(answer) > MAX_ANSWER_BYTES:
-        answer = None
+    answer = cmd.answer if _has_room(state, cmd.answer) else None
     return state.with_answer(held, answer), commands.IntentClosed()
 
 
+def _has_room(state: _state.IntentState, answer: bytes | None) -> bool:
+    size = len(answer or b"")
+    fits = state.answer_bytes + size <= MAX_ANSWERS_BYTES
+    return fits and size <= MAX_ANSWER_BYTES
+
+
 def abandon(
     state: _state.IntentState, cmd: commands.AbandonIntent
 ) -> tuple[_state.IntentState, commands.IntentClosed | commands.Rejected]:
--- a/packages/control/src/banyanbank_control/intents/_state.py
+++ b/packages/control/src/banyanbank_control/intents/_state.py
@@ -2,9 +2,12 @@
 
 import enum
 import math
+import operator
+import typing
 
 import attrs
 import banyanbank_base as base
+import cbor2
 import immutables
 
 BUCKET_S = 60.0
@@ -62,12 +65,24 @@
         return math.ceil((self.retain_until + CLOCK_MARGIN_S) / BUCKET_S)
 
 
+_ROW = tuple(field.name for field in attrs.fields(Intent))
+_row_of: typing.Callable[[Intent], tuple[typing.Any, ...]] = (
+    operator.attrgetter(*_ROW)
+)
+_STATUS = _ROW.index("status")
+
+
 @attrs.frozen
 class IntentRecord:
-    """Intents as a snapshot holds them."""
+    """Intents as a snapshot holds them.
+
+    There may be very many, so their rows go without field names.
+    """
 
-    intents: tuple[Intent, ...]
-    """Every intent kept."""
+    columns: tuple[str, ...]
+    """Field of each value of a row."""
+    rows: bytes
+    """CBOR array of rows, sorted by account and idempotency key."""
 
 
 _Bucket = immutables.Map[IntentKey, None]
@@ -83,6 +98,8 @@
     """Keys by expiry bucket; empty buckets are absent."""
     counts: immutables.Map[base.AccountId, int] = attrs.Factory(immutables.Map)
     """Intents kept by account; accounts without any are absent."""
+    answer_bytes: int = 0
+    """Bytes of all answers kept."""
 
     def with_intent(self, intent: Intent) -> "IntentState":
         """Returns the state with a new intent."""
@@ -92,6 +109,7 @@
             self.intents.set(intent.key, intent),
             self.buckets.set(intent.bucket, bucket.set(intent.key, None)),
             self.counts.set(intent.account, count),
+            self.answer_bytes + len(intent.answer or b""),
         )
 
     def with_answer(
@@ -99,7 +117,11 @@
     ) -> "IntentState":
         """Returns the state after an intent's request has run."""
         done = attrs.evolve(intent, status=IntentStatus.DONE, answer=answer)
-        return attrs.evolve(self, intents=self.intents.set(done.key, done))
+        return attrs.evolve(
+            self,
+            intents=self.intents.set(done.key, done),
+            answer_bytes=self.answer_bytes + len(answer or b""),
+        )
 
     def without(self, intent: Intent) -> "IntentState":
         """Returns the state without one intent."""
@@ -111,17 +133,44 @@
             self.intents.delete(intent.key),
             buckets.set(intent.bucket, bucket) if bucket else buckets,
             counts.set(intent.account, left) if left else counts,
+            self.answer_bytes - len(intent.answer or b""),
         )
 
     def record(self) -> IntentRecord:
         """Returns the intents for a snapshot."""
-        keys = sorted(self.intents)
-        return IntentRecord(tuple(self.intents[key] for key in keys))
+        rows = [
+            [*row[:_STATUS], row[_STATUS].value, *row[_STATUS + 1 :]]
+            for row in map(_row_of, self.intents.values())
+        ]
+        rows.sort(key=operator.itemgetter(0, 1))
+        return IntentRecord(_ROW, cbor2.dumps(rows))
 
     @classmethod
     def from_record(cls, record: IntentRecord) -> "IntentState":
-        """Returns the intents that a snapshot holds."""
-        state = cls()
-        for intent in record.intents:
-            state = state.with_intent(intent)
-        return state
+        """Returns the intents that a snapshot holds.
+
+        Raises:
+            ValueError: The rows have other columns than this build's.
+        """
+        if record.columns != _ROW:
+            raise ValueError(f"Intents have columns {record.columns}.")
+        intents = immutables.Map[IntentKey, Intent]().mutate()
+        buckets: dict[int, dict[IntentKey, None]] = {}
+        counts: dict[base.AccountId, int] = {}
+        answer_bytes = 0
+        for row in cbor2.loads(record.rows):
+            row[_STATUS] = IntentStatus(row[_STATUS])
+            intent = Intent(*row)
+            intents[intent.key] = intent
+            buckets.setdefault(intent.bucket, {})[intent.key] = None
+            counts[intent.account] = counts.get(intent.account, 0) + 1
+            answer_bytes += len(intent.answer or b"")
+        filled: dict[int, _Bucket] = {
+            number: immutables.Map(keys) for number, keys in buckets.items()
+        }
+        return cls(
+            intents.finish(),
+            immutables.Map(filled),
+            immutables.Map(counts),
+            answer_bytes,
+        )
--- a/packages/control/src/banyanbank_control/usage/_apply.py
+++ b/packages/control/src/banyanbank_control/usage/_apply.py
@@ -56,7 +56,13 @@
 
 
 def _negative(figures: commands.UsageFigures) -> bool:
-    return min(attrs.astuple(figures)) < 0
+    return (
+        figures.calls < 0
+        or figures.tokens_in < 0
+        or figures.tokens_out < 0
+        or figures.tokens_cached < 0
+        or figures.engine_us < 0
+    )
 
 
 def _with_deltas(
--- a/tests/control/stateful/mutants.py
+++ b/tests/control/stateful/mutants.py
@@ -191,7 +191,7 @@
         control.UsageState, flushes=()
     ),
     "snapshot forgets intents": _snapshot_without(
-        control.IntentState, intents=()
+        control.IntentState, rows=b"\x80"
     ),
     "snapshot forgets order numbers": _snapshot_without(
         control.OrderState, next=1
--- a/tests/control/test_intents.py
+++ b/tests/control/test_intents.py
@@ -1,10 +1,12 @@
 """Tests of requests that may run at most once."""
 
 import unittest
+import unittest.mock
 
 import attrs
 import banyanbank_control as control
 from banyanbank_control import intents
+from banyanbank_control.intents import _apply as intents_apply
 
 from tests.control import samples
 
@@ -129,6 +131,34 @@
         )
         self.assertIsNone(reply.answer)
 
+    def test_bounds(self) -> None:
+        with (
+            unittest.mock.patch.object(intents_apply, "MAX_INTENTS", 3),
+            unittest.mock.patch.object(
+                intents_apply, "MAX_INTENTS_PER_ACCOUNT", 2
+            ),
+            unittest.mock.patch.object(intents_apply, "MAX_ANSWERS_BYTES", 7),
+        ):
+            self._fill()
+
+    def _fill(self) -> None:
+        begun, full = control.IntentBegun, control.Rejected
+        other = attrs.evolve(BEGIN, account="zeta")
+        second = attrs.evolve(COMPLETE, idempotency_key="l")
+        self.run_script(
+            (BEGIN, begun),
+            (attrs.evolve(BEGIN, idempotency_key="l"), begun),
+            (attrs.evolve(BEGIN, idempotency_key="m"), full),
+            (COMPLETE, control.IntentClosed),
+            (second, control.IntentClosed),
+            (other, begun),
+            (attrs.evolve(other, idempotency_key="l"), full),
+        )
+        held = self.machine.state.intents
+        answers = [intent.answer for intent in held.intents.values()]
+        self.assertEqual(answers.count(b"answer"), 1)
+        self.assertEqual(held.answer_bytes, 6)
+
     def test_expiry_is_bounded(self) -> None:
         for number in range(1500):
             samples.send(
