Lay down lifecycles of orders, intents, windows and endpoints in charts

Cause: the house style keeps state charts in files that the code interprets; the statuses stood in code.

--- a/packages/control/src/banyanbank_control/commands/_orders.py
+++ b/packages/control/src/banyanbank_control/commands/_orders.py
@@ -5,6 +5,8 @@
 import attrs
 import banyanbank_base as base
 
+from banyanbank_control import _lifecycles
+
 
 class Action(enum.Enum):
     """What is asked of the platform."""
@@ -34,7 +36,7 @@
     @property
     def live(self) -> bool:
         """Whether the platform may still act on it."""
-        return self not in (OrderStatus.FULFILLED, OrderStatus.FAILED)
+        return not _lifecycles.ORDER.is_final(self.value)
 
 
 @attrs.frozen
--- a/packages/control/src/banyanbank_control/intents/_apply.py
+++ b/packages/control/src/banyanbank_control/intents/_apply.py
@@ -12,6 +12,7 @@
 import banyanbank_base as base
 import immutables
 
+from banyanbank_control import _lifecycles
 from banyanbank_control import commands
 from banyanbank_control.intents import _state
 
@@ -113,7 +114,7 @@
     held = state.intents.get((cmd.account, cmd.idempotency_key))
     if held is None or held.request_id != cmd.request_id:
         return state, _not_held(cmd.request_id)
-    if held.status is _state.IntentStatus.DONE:
+    if _lifecycles.INTENT.next(held.status.value, "complete") is None:
         return state, commands.IntentClosed()
     answer = cmd.answer if _has_room(state, cmd.answer) else None
     return state.with_answer(held, answer), commands.IntentClosed()
@@ -134,7 +135,7 @@
         return state, commands.IntentClosed()
     if held.request_id != cmd.request_id:
         return state, _not_held(cmd.request_id)
-    if held.status is _state.IntentStatus.DONE:
+    if _lifecycles.INTENT.next(held.status.value, "abandon") is None:
         return state, commands.Rejected(
             commands.RejectReason.INVALID, "The request has run."
         )
--- a/packages/control/src/banyanbank_control/orders/_apply.py
+++ b/packages/control/src/banyanbank_control/orders/_apply.py
@@ -2,15 +2,10 @@
 
 import attrs
 
+from banyanbank_control import _lifecycles
 from banyanbank_control import commands
 from banyanbank_control.orders import _state
 
-_PROGRESS = (
-    commands.OrderStatus.DECIDED,
-    commands.OrderStatus.SENT,
-    commands.OrderStatus.ACKNOWLEDGED,
-)
-
 
 def decide(
     state: _state.OrderState, cmd: commands.DecideOrder
@@ -43,11 +38,12 @@
             f"There is no order {cmd.number}, or it closed long ago.",
         )
     state = attrs.evolve(state, epoch=cmd.epoch)
-    if not _advances(order.status, cmd.status):
+    status = _lifecycles.ORDER.next(order.status.value, cmd.status.value)
+    if status is None:
         return state, commands.OrderMarked(order.number, order.status)
     moved = attrs.evolve(
         order,
-        status=cmd.status,
+        status=commands.OrderStatus(status),
         detail=cmd.detail,
         endpoints=cmd.endpoints,
     )
@@ -55,16 +51,6 @@
     return state.with_order(moved), reply
 
 
-def _advances(
-    before: commands.OrderStatus, after: commands.OrderStatus
-) -> bool:
-    if not before.live:
-        return False
-    if not after.live:
-        return True
-    return _PROGRESS.index(after) > _PROGRESS.index(before)
-
-
 def _stale(epoch: int, current: int) -> commands.Rejected:
     return commands.Rejected(
         commands.RejectReason.STALE,
--- a/packages/control/src/banyanbank_control/sync/_endpoints.py
+++ b/packages/control/src/banyanbank_control/sync/_endpoints.py
@@ -3,6 +3,7 @@
 import attrs
 import banyanbank_base as base
 
+from banyanbank_control import _lifecycles
 from banyanbank_control.sync import _messages
 
 ENDPOINT_TTL_S = 6.0
@@ -101,14 +102,14 @@
         entry = self._entries.get(endpoint)
         if entry is None:
             return False
-        return self.hear(
-            attrs.evolve(
-                entry.announcement,
-                phase=_messages.Phase.RECLAIMED,
-                gone_at=gone_at,
-            ),
-            now,
+        before = entry.announcement
+        phase = _lifecycles.ENDPOINT.next(before.phase.value, "reclaim")
+        if phase is None:
+            return False
+        noticed = attrs.evolve(
+            before, phase=_messages.Phase(phase), gone_at=gone_at
         )
+        return self.hear(noticed, now)
 
     def expire(self, now: float) -> tuple[base.EndpointId, ...]:
         """Removes endpoints past their deadline and returns them."""
--- a/packages/control/src/banyanbank_control/usage/__init__.py
+++ b/packages/control/src/banyanbank_control/usage/__init__.py
@@ -11,6 +11,7 @@
 from banyanbank_control.usage._state import UsageState
 from banyanbank_control.usage._state import Window
 from banyanbank_control.usage._state import WindowRecord
+from banyanbank_control.usage._state import WindowStatus
 
 __all__ = [
     "FLUSH_S",
@@ -20,6 +21,7 @@
     "UsageState",
     "Window",
     "WindowRecord",
+    "WindowStatus",
     "add",
     "close_window",
     "mark_reported",
--- a/packages/control/src/banyanbank_control/usage/_apply.py
+++ b/packages/control/src/banyanbank_control/usage/_apply.py
@@ -111,13 +111,14 @@
         return state, commands.Rejected(
             commands.RejectReason.INVALID, "The end is not a time."
         )
-    start = state.open.start
-    if state.open.number == 1:
-        start = cmd.first_start
+    frozen = state.open.after("close")
+    if frozen is None:
+        return state, _no_window(cmd.window)
+    start = frozen.start if frozen.number > 1 else cmd.first_start
     # A new leader's clock may be behind: windows never overlap.
     end = max(cmd.end, start)
-    new = state.with_closed(start, end)
-    return new, commands.WindowClosed(cmd.window, end)
+    frozen = attrs.evolve(frozen, start=start, end=end)
+    return state.with_closed(frozen), commands.WindowClosed(cmd.window, end)
 
 
 def mark_reported(
@@ -130,9 +131,10 @@
         if 0 < cmd.window < state.oldest:
             return state, reply
         return state, _no_window(cmd.window)
-    if window.reported:
+    reported = window.after("report")
+    if reported is None:
         return state, reply
-    return state.with_reported(cmd.window), reply
+    return state.with_reported(reported), reply
 
 
 def _no_window(number: int) -> commands.Rejected:
--- a/packages/control/src/banyanbank_control/usage/_state.py
+++ b/packages/control/src/banyanbank_control/usage/_state.py
@@ -1,9 +1,12 @@
 """Usage windows and the flushes that they have counted."""
 
+import enum
+
 import attrs
 import banyanbank_base as base
 import immutables
 
+from banyanbank_control import _lifecycles
 from banyanbank_control import commands
 
 LIVES_KEPT = 4
@@ -15,6 +18,17 @@
 Figures = immutables.Map[base.AccountId, commands.UsageFigures]
 
 
+class WindowStatus(enum.Enum):
+    """How far a window has come."""
+
+    OPEN = "open"
+    """It counts."""
+    FROZEN = "frozen"
+    """Its figures never change again."""
+    REPORTED = "reported"
+    """The platform has taken the report."""
+
+
 @attrs.frozen
 class Window:
     """One usage window."""
@@ -30,8 +44,20 @@
     interrupted: int = 0
     """Lives of instances that ended without a final flush: each may have
     left at most one flush interval of counts unreported."""
-    reported: bool = False
-    """Whether the platform has taken the report."""
+    status: WindowStatus = WindowStatus.OPEN
+    """How far it has come."""
+
+    @property
+    def reported(self) -> bool:
+        """Whether the platform has taken the report."""
+        return self.status is WindowStatus.REPORTED
+
+    def after(self, event: str) -> "Window | None":
+        """Returns the window after an event; None when it has no effect."""
+        status = _lifecycles.WINDOW.next(self.status.value, event)
+        if status is None:
+            return None
+        return attrs.evolve(self, status=WindowStatus(status))
 
 
 @attrs.frozen
@@ -62,7 +88,7 @@
     """Counts sorted by account."""
     interrupted: int
     """See `Window`."""
-    reported: bool
+    status: WindowStatus
     """See `Window`."""
 
     @classmethod
@@ -77,7 +103,7 @@
                 for account in sorted(window.figures)
             ),
             window.interrupted,
-            window.reported,
+            window.status,
         )
 
     def window(self) -> Window:
@@ -88,7 +114,7 @@
             self.end,
             immutables.Map({row.account: row.figures for row in self.figures}),
             self.interrupted,
-            self.reported,
+            self.status,
         )
 
 
@@ -135,20 +161,19 @@
         """Returns the state with other counts in the open window."""
         return attrs.evolve(self, open=window)
 
-    def with_closed(self, start: float, end: float) -> "UsageState":
-        """Returns the state with the open window frozen, the next open."""
-        frozen = attrs.evolve(self.open, start=start, end=end)
+    def with_closed(self, frozen: Window) -> "UsageState":
+        """Returns the state after the open window froze, the next open."""
         state = attrs.evolve(
             self,
-            open=Window(frozen.number + 1, end),
+            open=Window(frozen.number + 1, frozen.end or 0.0),
             closed=self.closed.set(frozen.number, frozen),
             pending=self.pending.set(frozen.number, None),
         )
         return state._trimmed()
 
-    def with_reported(self, number: int) -> "UsageState":
-        """Returns the state with one frozen window marked as reported."""
-        window = attrs.evolve(self.closed[number], reported=True)
+    def with_reported(self, window: Window) -> "UsageState":
+        """Returns the state after the report of a frozen window."""
+        number = window.number
         state = attrs.evolve(
             self,
             closed=self.closed.set(number, window),
@@ -207,7 +232,11 @@
                 {row.number: row.window() for row in record.closed}
             ),
             pending=immutables.Map(
-                {row.number: None for row in record.closed if not row.reported}
+                {
+                    row.number: None
+                    for row in record.closed
+                    if row.status is WindowStatus.FROZEN
+                }
             ),
             oldest=record.oldest,
         )
--- a/tests/control/stateful/effect_oracle.py
+++ b/tests/control/stateful/effect_oracle.py
@@ -47,7 +47,7 @@
             assert loss <= self.at_risk[account], "Counts were lost."
         for number, window in state.closed.items():
             first = self.frozen.setdefault(number, window)
-            same = attrs.evolve(window, reported=first.reported) == first
+            same = attrs.evolve(window, status=first.status) == first
             assert same, "A frozen window has changed."
 
     def take_report(self, report: control.UsageReport) -> None:
