Drive the real sample ledger and scheduler in the experiments

Cause: samples are released by the rollout scheduler, not by the trainer. Change: the tool applies ledger commands and runs SampleScheduler; rollout work counts against its own slots, so lookups no longer take slots that stragglers could use; Router estimates the time to the answer when an engine reports its time between tokens; StreamMover moves the longest streams.

--- a/packages/bench/src/banyanbank_bench/_cluster.py
+++ b/packages/bench/src/banyanbank_bench/_cluster.py
@@ -1,4 +1,4 @@
-"""The modelled system: entries, engines, callers, trainers and faults."""
+"""The modelled system: entries, engine queues, callers and faults."""
 
 import collections
 import functools
@@ -8,253 +8,326 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_dispatch as dispatch
+from returns import result
 
 from banyanbank_bench import _engine
-from banyanbank_bench import _policies
-from banyanbank_bench import _sim
-from banyanbank_bench import _trainer
+from banyanbank_bench import _rollouts
 from banyanbank_bench import _workload
 
-REPORT_PERIOD_S = 1.0
+REPORT_S = 1.0
 REPORT_LAG_S = 0.5
-NOTICE_S = 5.0
 NOTICE_HEARD_S = 1.0
+NOTICE_S = 5.0
 REPLACED_S = 120.0
 RESEND_S = 1.0
+TAKEOVER_S = 3.0
 SWAP_S = 2.0
 WAVE_S = 4.0
-LOOKUP_DEADLINE_S = 60.0
-ROLLOUT_DEADLINE_S = 1800.0
-
-
-class Entry:
-    """One entry instance with its own router and its view of the engines."""
-
-    def __init__(self, number: int, domain: str, rng: random.Random) -> None:
-        self.number = number
-        self.instance_id = base.InstanceId(f"i{number}")
-        self.alive = True
-        self.router = dispatch.Router(base.FailureDomain(domain), rng)
-        self.retries = dispatch.RetryPolicy(rng)
-        self.views: dict[base.EndpointId, dispatch.Candidate] = {}
+PATIENCE_S = 1800.0
+HORIZON_S = 10_000.0
+
+
+@attrs.frozen
+class Policy:
+    """What is compared; the defaults are the naive ones."""
+
+    routing: str = "router"
+    """`round_robin`, `least_reported` or `router`."""
+    owned: bool = False
+    """Whether one instance holds each engine's queue."""
+    scheduled: int = 0
+    """Attempts started ahead of free slots; 0 starts all at once."""
+    choices: int = 2
+    """Candidates that the router compares."""
+    bulk_slots: int = 48
+    """Rollout streams on a normal engine."""
+    fast_slots: int = 0
+    """Rollout streams on the engine for stragglers; 0 for none."""
+
+
+POLICIES = {
+    "round_robin": Policy("round_robin"),
+    "least_reported": Policy("least_reported"),
+    "independent": Policy(),
+    "owned": Policy(owned=True),
+    "scheduled": Policy(owned=True, scheduled=4),
+    "all_choices": Policy(owned=True, scheduled=4, choices=99),
+    "fast_lane": Policy(owned=True, scheduled=4, choices=99, fast_slots=12),
+}
 
 
 @attrs.define
 class Record:
-    """Raw figures of one run."""
+    """Raw figures of one run; times are in seconds."""
 
     lookups: dict[str, list[tuple[float, float]]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
-    """Wait and latency in seconds of each lookup, by account."""
-    rollout_waits: dict[str, list[float]] = attrs.field(
+    """Wait and latency of each lookup, by account."""
+    waits: dict[str, list[float]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
-    """Seconds each sample waited, by account."""
-    used_tokens: collections.Counter[str] = attrs.field(
-        factory=collections.Counter
-    )
-    """Tokens delivered, by account."""
+    """Wait of each sample attempt, by account."""
+    tokens: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    """Tokens delivered, by failure domain."""
     wasted_tokens: float = 0.0
-    """Tokens generated for attempts that were lost."""
-    reclaimable_tokens: float = 0.0
-    """Tokens delivered by reclaimable engines."""
     refused: int = 0
-    """Lookups that got no answer."""
+    moves: int = 0
+
+
+class Entry:
+    """One instance with its router and its view of the engines."""
+
+    def __init__(
+        self, number: int, domain: str, choices: int, rng: random.Random
+    ) -> None:
+        self.number = number
+        self.instance_id = base.InstanceId(f"i{number}")
+        self.alive = True
+        self.router = dispatch.Router(
+            base.FailureDomain(domain), rng, choices=choices
+        )
+        self.retries = dispatch.RetryPolicy(rng)
+        self.views: dict[base.EndpointId, dispatch.Candidate] = {}
+        self.turn = itertools.count(number)
 
 
 class Cluster:
     """One run of one policy on one workload."""
 
     def __init__(
-        self, workload: _workload.Workload, policy: str, seed: int
+        self, workload: _workload.Workload, policy: Policy, seed: int
     ) -> None:
         self.workload = workload
-        self.sim = _sim.Simulator()
+        self.policy = policy
+        self.sim = _engine.Simulator()
         self.record = Record()
         self._rng = random.Random(f"{seed} policy")
         self._load_rng = random.Random(f"{seed} load")
         self._numbers = itertools.count()
-        self.engines = {
-            base.EndpointId(f"e{number}"): self._new_engine(number, domain)
-            for number, domain in enumerate(workload.engine_domains)
-        }
+        self.engines: dict[base.EndpointId, _engine.Engine] = {}
+        self._queues: dict[base.EndpointId, dispatch.EngineQueue] = {}
+        self._owners: dict[base.EndpointId, base.InstanceId | None] = {}
+        self._frozen: set[base.EndpointId] = set()
+        self._jobs: dict[base.RequestId, _engine.Job] = {}
         domains = sorted(set(workload.engine_domains))
         self.entries = [
-            Entry(number, domains[number % len(domains)], self._rng)
-            for number in range(workload.instances)
+            Entry(n, domains[n % len(domains)], policy.choices, self._rng)
+            for n in range(workload.instances)
         ]
-        self._report()
-        self.policy = _policies.make(self, policy)
-        self.trainers = [
-            _trainer.Trainer(self, number, seed)
-            for number in range(workload.trainers)
-        ]
-        self._versions: collections.Counter[str] = collections.Counter()
+        for number in range(len(workload.engine_domains)):
+            self._add_engine(number)
+        self.rollouts = _rollouts.Rollouts(self, seed)
 
     def run(self) -> Record:
         """Runs until every trainer has taken its steps."""
-        for trainer in self.trainers:
-            trainer.start()
-        if self.workload.lookups_per_s:
-            self._next_lookup()
+        self._report(0.0)
+        self.rollouts.start()
+        self._next_lookup()
         self.sim.after(self.workload.reclaim_at, self._notice)
         self.sim.after(self.workload.kill_at, self._kill)
-        horizon = 0.0
-        while not all(trainer.finished for trainer in self.trainers):
-            horizon += 60.0
-            self.sim.run(horizon)
+        trainers = self.rollouts.trainers
+        while not all(trainer.finished_at for trainer in trainers):
+            self.sim.run(self.sim.now + 60.0)
+            if self.sim.now > HORIZON_S:
+                raise RuntimeError(
+                    "A trainer waits for ever; samples are lost."
+                )
         return self.record
 
-    def live_ids(self) -> list[base.InstanceId]:
-        """Returns the live instances."""
-        return [entry.instance_id for entry in self.entries if entry.alive]
+    def rollout_slots(self, engine: _engine.Engine) -> int:
+        """Returns how many rollout streams an engine may run."""
+        if engine.gone_at is not None:
+            return 0
+        fast = self.policy.fast_slots and engine.endpoint_id == "e0"
+        return self.policy.fast_slots if fast else self.policy.bulk_slots
+
+    def lanes(self) -> list[dispatch.Lane]:
+        """Returns the engines as the mover of streams sees them."""
+        return [
+            dispatch.Lane(
+                endpoint_id=engine.endpoint_id,
+                token_s=engine.token_s(),
+                free_slots=self.rollout_slots(engine)
+                - self._rollouts_at(engine.endpoint_id),
+                is_fast=engine.endpoint_id == "e0",
+            )
+            for engine in self.engines.values()
+            if engine.alive and engine.gone_at is None
+        ]
 
-    def submit(self, job: _engine.Job) -> None:
-        """Takes a request in at a random live instance."""
-        job.submitted_at = self.sim.now
-        self.resubmit(job, self.workload.hop_s)
+    def _rollouts_at(self, engine_id: base.EndpointId) -> int:
+        lookup = dispatch.WorkKind.INTERACTIVE
+        running = self._queues[engine_id].running()
+        return sum(work.kind is not lookup for work in running)
 
-    def resubmit(self, job: _engine.Job, delay: float) -> None:
-        """Sends a job to an instance, after a delay."""
+    def new_job(
+        self,
+        account: str,
+        kind: dispatch.WorkKind,
+        prompt: int,
+        output: int,
+        estimate: float,
+        prefix: str = "",
+    ) -> _engine.Job:
+        """Builds a request that arrives now."""
+        work = dispatch.Work(
+            request_id=base.RequestId(f"r{next(self._numbers)}"),
+            account=base.AccountId(account),
+            key_id=base.KeyId(""),
+            kind=kind,
+            cost_tokens=estimate,
+            deadline=self.sim.now + PATIENCE_S,
+            prefix=prefix,
+        )
+        return _engine.Job(work, prompt, output, self.sim.now)
+
+    def submit(self, job: _engine.Job, delay: float = 0.0) -> None:
+        """Sends a request to a random live instance."""
         live = [entry for entry in self.entries if entry.alive]
-        entry = self.entries[job.entry]
-        if job.entry < 0 or not entry.alive:
-            entry = self._rng.choice(live)
+        entry = self._rng.choice(live)
         job.entry = entry.number
         job.attempts += 1
-        self.sim.after(delay, lambda: self._arrive(entry, job))
+        self._jobs[job.work.request_id] = job
+        delay += self.workload.hop_s
+        self.sim.after(delay, lambda: self._route(entry, job))
+
+    def drop(self, job: _engine.Job) -> None:
+        """Cancels a request wherever it is."""
+        self._jobs.pop(job.work.request_id, None)
+        if job.engine is not None:
+            self._leave(job, ok=True)
+        elif self.policy.owned:
+            for queue in self._queues.values():
+                queue.cancel(job.work.request_id)
+                queue.finish(job.work.request_id, 0.0, self.sim.now)
+
+    def swap(self, account: str, version: int) -> None:
+        """Swaps new weights in, engine by engine."""
+        for number, engine_id in enumerate(list(self.engines)):
+            swap = functools.partial(self._swap, engine_id, account, version)
+            self.sim.after(number * WAVE_S, swap)
 
-    def _arrive(self, entry: Entry, job: _engine.Job) -> None:
-        if entry.alive:
-            self.policy.route(entry, job)
-        else:
-            self.resubmit(job, RESEND_S)
+    def _swap(
+        self, engine_id: base.EndpointId, account: str, version: int
+    ) -> None:
+        self.engines[engine_id].pause(SWAP_S, account, version)
 
-    def choose(self, entry: Entry, job: _engine.Job) -> base.EndpointId:
-        """Asks the entry's router for an engine."""
+    def _route(self, entry: Entry, job: _engine.Job) -> None:
+        if job.work.request_id not in self._jobs:
+            return
+        if not entry.alive:
+            self.submit(job, RESEND_S)
+            return
+        engine_id = job.target or self._choose(entry, job)
+        job.target = None
+        hop = self.workload.hop_s
+        if self.policy.owned:
+            self.sim.after(hop, lambda: self._offer(engine_id, job))
+        else:
+            self.sim.after(hop, lambda: self._reach(engine_id, job))
+
+    def _choose(self, entry: Entry, job: _engine.Job) -> base.EndpointId:
+        views = [v for v in entry.views.values() if not v.leaving]
+        if self.policy.routing == "round_robin":
+            return views[next(entry.turn) % len(views)].endpoint_id
+        if self.policy.routing == "least_reported":
+            return min(views, key=lambda v: v.load_tokens).endpoint_id
         query = dispatch.RouteQuery(
             cost_tokens=job.work.cost_tokens,
             prefix=job.work.prefix,
-            prefix_tokens=job.prompt_tokens * 0.1,
+            prefix_tokens=job.prompt_tokens * 0.15,
         )
-        views = list(entry.views.values())
+        if job.start is not None and self.policy.fast_slots:
+            views = [v for v in views if v.endpoint_id != "e0"]
         chosen = entry.router.choose(query, views, self.sim.now).unwrap()
         entry.router.note_sent(
             job.work.request_id, chosen.endpoint_id, query, self.sim.now
         )
         return chosen.endpoint_id
 
-    def send(
-        self, engine_id: base.EndpointId, job: _engine.Job, hops: int
-    ) -> None:
-        """Lets a job travel to an engine."""
-        delay = hops * self.workload.hop_s
-        self.sim.after(delay, lambda: self._reach(engine_id, job))
+    def _offer(self, engine_id: base.EndpointId, job: _engine.Job) -> None:
+        if job.work.request_id not in self._jobs:
+            return
+        answer = self._queues[engine_id].offer(job.work, self.sim.now)
+        if isinstance(answer, result.Failure):
+            self._failed(job, answer.failure().outcome)
+        else:
+            self._pump(engine_id)
+
+    def _pump(self, engine_id: base.EndpointId) -> None:
+        if engine_id in self._frozen:
+            return
+        queue = self._queues[engine_id]
+        while (work := queue.next(self.sim.now)) is not None:
+            reach = functools.partial(
+                self._reach, engine_id, self._jobs[work.request_id]
+            )
+            self.sim.after(2 * self.workload.hop_s, reach)
 
     def _reach(self, engine_id: base.EndpointId, job: _engine.Job) -> None:
+        if job.work.request_id not in self._jobs:
+            return
         engine = self.engines[engine_id]
         if engine.alive:
             engine.submit(job)
         else:
-            self._lost(engine_id, job, base.Outcome.NOT_RUN)
-
-    def _lost(
-        self, engine_id: base.EndpointId, job: _engine.Job, why: base.Outcome
-    ) -> None:
-        self.policy.done(job, 0.0)
+            self._failed(job, base.Outcome.NOT_RUN)
+
+    def _leave(self, job: _engine.Job, *, ok: bool) -> None:
+        """Takes a job off its engine and frees its slot."""
+        engine = job.engine
+        assert engine is not None
+        job.endpoint_id = engine.endpoint_id
+        engine.cancel(job)
+        self._free(job, ok=ok)
+
+    def _free(self, job: _engine.Job, *, ok: bool) -> None:
+        rid, engine_id = job.work.request_id, job.endpoint_id
         entry = self.entries[job.entry]
-        rid = job.work.request_id
-        entry.router.note_done(rid, engine_id, False, self.sim.now)
-        self.failed(job, why)
-
-    def failed(self, job: _engine.Job, outcome: base.Outcome) -> None:
-        """Retries as the entry's policy says; the owner resends the rest."""
+        entry.router.note_done(rid, engine_id, ok, self.sim.now)
+        if self.policy.owned:
+            self._queues[engine_id].finish(rid, job.made, self.sim.now)
+            self._pump(engine_id)
+
+    def _failed(self, job: _engine.Job, outcome: base.Outcome) -> None:
+        """Retries as the entry's policy says; samples go to the leader."""
+        if job.start is not None:
+            self._jobs.pop(job.work.request_id, None)
+            self.rollouts.failed(job)
+            return
         decision = self.entries[job.entry].retries.decide(
             attempts=job.attempts,
             outcome=outcome,
-            idempotent=job.work.idempotent,
+            idempotent=True,
             deadline=job.work.deadline,
             now=self.sim.now,
         )
         if isinstance(decision, dispatch.Retry):
-            self.resubmit(job, decision.at - self.sim.now)
-        elif job.work.kind is dispatch.WorkKind.INTERACTIVE:
-            self.record.refused += 1
+            self.submit(job, decision.at - self.sim.now)
         else:
-            job.attempts = 0
-            self.resubmit(job, RESEND_S)
-
-    def new_job(
-        self,
-        account: str,
-        kind: dispatch.WorkKind,
-        prompt: int,
-        output: int,
-        estimate: float,
-        prefix: str = "",
-    ) -> _engine.Job:
-        """Builds a request; only its output length is hidden."""
-        lookup = kind is dispatch.WorkKind.INTERACTIVE
-        patience = LOOKUP_DEADLINE_S if lookup else ROLLOUT_DEADLINE_S
-        work = dispatch.Work(
-            request_id=base.RequestId(f"r{next(self._numbers)}"),
-            account=base.AccountId(account),
-            key_id=base.KeyId(f"key-{account}"),
-            kind=kind,
-            cost_tokens=estimate,
-            deadline=self.sim.now + patience,
-            prefix=prefix,
-        )
-        return _engine.Job(work, prompt, output, self._done)
+            self.record.refused += 1
 
     def _done(self, job: _engine.Job) -> None:
-        self.policy.done(job, job.output_tokens)
-        entry = self.entries[job.entry]
-        entry.retries.note_first_attempt()
-        for engine_id in self.engines:
-            entry.router.note_done(
-                job.work.request_id, engine_id, True, self.sim.now
-            )
-        account = job.work.account
-        self.record.used_tokens[account] += job.output_tokens
-        if job.domain == self.workload.reclaimed_domain:
-            self.record.reclaimable_tokens += job.output_tokens
+        engine = job.engine
+        assert engine is not None
+        job.endpoint_id, job.engine = engine.endpoint_id, None
+        self._free(job, ok=True)
+        del self._jobs[job.work.request_id]
+        self.entries[job.entry].retries.note_first_attempt()
+        self.record.tokens[engine.domain] += job.output_tokens
         wait = job.started_at - job.submitted_at
-        if job.work.kind is dispatch.WorkKind.INTERACTIVE:
-            latency = job.done_at - job.submitted_at
-            self.record.lookups[account].append((wait, latency))
-            return
-        self.record.rollout_waits[account].append(wait)
-        self.trainers[int(account[1:])].sample_done(job)
-
-    def publish(self, account: str) -> None:
-        """Swaps a trainer's new weights in, engine by engine."""
-        self._versions[account] += 1
-        version = self._versions[account]
-        for number, engine_id in enumerate(list(self.engines)):
-            self.sim.after(
-                number * WAVE_S,
-                functools.partial(self._swap, engine_id, account, version),
-            )
-
-    def version(self, account: str) -> int:
-        """Returns the newest published version."""
-        return self._versions[account]
-
-    def _swap(
-        self, engine_id: base.EndpointId, account: str, version: int
-    ) -> None:
-        engine = self.engines[engine_id]
-        engine.versions[account] = max(version, engine.versions[account])
-        if engine.alive:
-            engine.pause(SWAP_S)
+        if job.start is not None:
+            self.record.waits[job.work.account].append(wait)
+            self.rollouts.done(job)
+        else:
+            latency = self.sim.now - job.submitted_at
+            self.record.lookups[job.work.account].append((wait, latency))
 
     def _next_lookup(self) -> None:
         rate = self.workload.lookups_per_s
-        rate *= self.workload.callers_rate(self.sim.now)
-        gap = self._load_rng.expovariate(rate)
-        self.sim.after(gap, self._lookup)
+        rate *= 0.05 if self.workload.is_night(self.sim.now) else 1.0
+        self.sim.after(self._load_rng.expovariate(rate), self._lookup)
 
     def _lookup(self) -> None:
         shares = self.workload.account_shares
@@ -264,85 +337,114 @@
         self.submit(self.new_job(f"a{number}", kind, 300, tokens, 70.0))
         self._next_lookup()
 
-    def _new_engine(self, number: int, domain: str) -> _engine.Engine:
-        return _engine.Engine(
-            self.sim,
-            base.EndpointId(f"e{number}"),
-            base.FailureDomain(domain),
-            self.workload.engine,
+    def _add_engine(self, number: int) -> None:
+        engine_id = base.EndpointId(f"e{number}")
+        domain = self.workload.engine_domains[number]
+        spec = self.workload.engine
+        self.engines[engine_id] = _engine.Engine(
+            self.sim, engine_id, domain, spec, self._done
         )
+        self._open_queue(engine_id)
 
-    def _report(self) -> None:
+    def _open_queue(self, engine_id: base.EndpointId) -> None:
+        """Opens an engine's queue at its owner."""
+        engine = self.engines[engine_id]
+        slots = engine.spec.slots
+        reserve = max(4, slots - self.rollout_slots(engine))
+        settings = dispatch.QueueSettings(slots, reserve)
+        self._queues[engine_id] = dispatch.EngineQueue(engine_id, settings)
+        live = [entry.instance_id for entry in self.entries if entry.alive]
+        self._owners[engine_id] = dispatch.rendezvous_owner(engine_id, live)
+
+    def _report(self, lag: float = REPORT_LAG_S) -> None:
         """Engines report their load; entries hear of it later."""
-        now = self.sim.now
-        views = {
-            engine_id: dispatch.Candidate(
-                engine_id,
-                engine.domain,
-                slots=engine.spec.slots,
-                load_tokens=engine.load_tokens,
-                reported_at=now,
-                tokens_per_s=engine.spec.peak_tokens_per_s(),
-                reclaimable=engine.domain == self.workload.reclaimed_domain,
-            )
-            for engine_id, engine in self.engines.items()
-            if engine.alive
-        }
-        self._hear(views) if now == 0.0 else self.sim.after(
-            REPORT_LAG_S, lambda: self._hear(views)
+        views = [self._view(e) for e in self.engines.values() if e.alive]
+        self.sim.after(lag, lambda: self._hear(views))
+        self.sim.after(REPORT_S, self._report)
+        self.rollouts.decide_soon()
+
+    def _view(self, engine: _engine.Engine) -> dispatch.Candidate:
+        works = [job.work for job in engine.jobs()]
+        works += self._queues[engine.endpoint_id].waiting()
+        return dispatch.Candidate(
+            engine.endpoint_id,
+            base.FailureDomain(engine.domain),
+            slots=engine.spec.slots,
+            load_tokens=sum(work.cost_tokens for work in works),
+            reported_at=self.sim.now,
+            tokens_per_s=engine.spec.peak_tokens_per_s(),
+            requests=len(works),
+            token_s=engine.token_s(),
         )
-        self.sim.after(REPORT_PERIOD_S, self._report)
 
-    def _hear(self, views: dict[base.EndpointId, dispatch.Candidate]) -> None:
+    def _hear(self, views: list[dispatch.Candidate]) -> None:
         for entry in self.entries:
-            leaving = {e for e, v in entry.views.items() if v.leaving}
             entry.views = {
-                engine_id: attrs.evolve(view, leaving=engine_id in leaving)
-                for engine_id, view in views.items()
+                view.endpoint_id: attrs.evolve(view, leaving=True)
+                if self.engines[view.endpoint_id].is_leaving
+                else view
+                for view in views
             }
 
+    def _reclaimed(self) -> list[_engine.Engine]:
+        domain = self.workload.reclaimed_domain
+        return [e for e in self.engines.values() if e.domain == domain]
+
     def _notice(self) -> None:
         """A whole domain is to be reclaimed."""
         self.sim.after(NOTICE_HEARD_S, self._stop_new_work)
         self.sim.after(NOTICE_S, self._reclaim)
 
-    def _reclaimed(self) -> list[_engine.Engine]:
-        domain = self.workload.reclaimed_domain
-        return [e for e in self.engines.values() if e.domain == domain]
-
     def _stop_new_work(self) -> None:
         for engine in self._reclaimed():
+            engine.gone_at = self.sim.now + NOTICE_S - NOTICE_HEARD_S
+            engine.is_leaving = True
             for entry in self.entries:
-                view = entry.views[engine.endpoint_id]
-                leaving = attrs.evolve(view, leaving=True)
-                entry.views[engine.endpoint_id] = leaving
-            self.policy.engine_leaving(engine)
+                entry.views.pop(engine.endpoint_id, None)
+            for work in self._queues[engine.endpoint_id].retire():
+                self.submit(self._jobs[work.request_id])
+        self.rollouts.decide()
 
     def _reclaim(self) -> None:
         for engine in self._reclaimed():
-            for job in engine.jobs():
-                self.record.wasted_tokens += engine.cancel(job)
-                self._lost(engine.endpoint_id, job, base.Outcome.MAY_HAVE_RUN)
             engine.alive = False
-            self.sim.after(REPLACED_S, functools.partial(self._replace, engine))
-
-    def _replace(self, engine: _engine.Engine) -> None:
-        number = int(engine.endpoint_id[1:])
-        fresh = self._new_engine(number, engine.domain)
-        fresh.versions.update(self._versions)
-        self.engines[engine.endpoint_id] = fresh
-        for entry in self.entries:
-            entry.views.pop(engine.endpoint_id, None)
-            entry.router.forget(engine.endpoint_id)
-        self.policy.engine_joined(engine.endpoint_id)
+            for job in engine.jobs():
+                self._leave(job, ok=False)
+                self._failed(job, base.Outcome.MAY_HAVE_RUN)
+            number = int(engine.endpoint_id[1:])
+            add = functools.partial(self._add_engine, number)
+            self.sim.after(REPLACED_S, add)
 
     def _kill(self) -> None:
-        """Kills an instance: its streams break and are sent anew."""
+        """Kills an instance: its streams break, its queues move."""
         entry = self.entries[1]
         entry.alive = False
         for engine in self.engines.values():
-            for job in [j for j in engine.jobs() if j.entry == entry.number]:
-                self.record.wasted_tokens += engine.cancel(job)
-                self.policy.done(job, 0.0)
-                self.resubmit(job, RESEND_S)
-        self.policy.instance_lost(entry)
+            for job in engine.jobs():
+                if job.entry == entry.number:
+                    self._leave(job, ok=True)
+                    self._resend(job)
+        for engine_id, owner in self._owners.items():
+            if owner == entry.instance_id:
+                self._frozen.add(engine_id)
+                take_over = functools.partial(self._take_over, engine_id)
+                self.sim.after(TAKEOVER_S, take_over)
+
+    def _resend(self, job: _engine.Job) -> None:
+        if job.start is not None:
+            self._failed(job, base.Outcome.MAY_HAVE_RUN)
+            return
+        self.record.wasted_tokens += job.made
+        job.stretches = {}
+        self.submit(job, RESEND_S)
+
+    def _take_over(self, engine_id: base.EndpointId) -> None:
+        """The next owner hears from entries what waits and what runs."""
+        old = self._queues[engine_id]
+        self._open_queue(engine_id)
+        for work in old.running():
+            self._queues[engine_id].adopt(work, self.sim.now)
+        for work in old.waiting():
+            self._queues[engine_id].offer(work, self.sim.now)
+        self._frozen.discard(engine_id)
+        self._pump(engine_id)
--- a/packages/bench/src/banyanbank_bench/_engine.py
+++ b/packages/bench/src/banyanbank_bench/_engine.py
@@ -1,4 +1,4 @@
-"""Model of an engine: continuous batching, prefix cache, swaps, loss."""
+"""Discrete-event loop and the model of an engine that runs on it."""
 
 import collections
 import collections.abc
@@ -8,56 +8,105 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_dispatch as dispatch
+import banyanbank_rollout as rollout
 
-from banyanbank_bench import _sim
-from banyanbank_bench import _workload
+Action = collections.abc.Callable[[], None]
+PRIORITY = {kind: rank for rank, kind in enumerate(dispatch.WorkKind)}
+CACHED_SHARE = 0.1
+KV_IMPORT_S = 0.3
 
-PRIORITY = {
-    dispatch.WorkKind.INTERACTIVE: 0,
-    dispatch.WorkKind.TAIL: 1,
-    dispatch.WorkKind.ROLLOUT: 2,
-}
+
+class Simulator:
+    """Runs actions in the order of their times."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._events: list[tuple[float, int, Action]] = []
+        self._numbers = itertools.count()
+
+    def after(self, seconds: float, action: Action) -> None:
+        """Runs an action later."""
+        entry = (self.now + seconds, next(self._numbers), action)
+        heapq.heappush(self._events, entry)
+
+    def run(self, until: float) -> None:
+        """Runs until the time has come."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+
+
+@attrs.frozen
+class EngineSpec:
+    """Speed and limits of one model engine."""
+
+    slots: int = 48
+    step_s: float = 0.020
+    step_per_stream_s: float = 0.00025
+    prefill_tokens_per_s: float = 8000.0
+    prefill_slowdown: float = 0.7
+    cached_prefixes: int = 64
+
+    def token_s(self, batch: int) -> float:
+        """Returns seconds between tokens of each stream of a batch."""
+        return self.step_s + self.step_per_stream_s * batch
+
+    def peak_tokens_per_s(self) -> float:
+        """Returns tokens a second of a full batch."""
+        return self.slots / self.token_s(self.slots)
 
 
 @attrs.define(eq=False)
 class Job:
-    """One request and its true cost, which no policy may read."""
+    """One request; no policy may read its output length."""
 
     work: dispatch.Work
     prompt_tokens: int
     output_tokens: int
-    on_done: collections.abc.Callable[["Job"], None]
-    submitted_at: float = 0.0
-    started_at: float = 0.0
-    done_at: float = 0.0
-    attempts: int = 0
+    submitted_at: float
+    start: rollout.StartAttempt | None = None
+    """The sample attempt; None for a lookup."""
     entry: int = -1
+    attempts: int = 0
     engine: "Engine | None" = None
-    domain: base.FailureDomain | None = None
-    version: int = 0
-    """Oldest weight version that produced a token."""
+    started_at: float = -1.0
+    stretches: dict[int, float] = attrs.field(factory=dict)
+    """Tokens by the weight version that produced them."""
     finish_mark: float = 0.0
-    """Engine progress, in tokens a sequence, at which it is whole."""
+    """Progress of the engine at which it is whole."""
+    phase: rollout.AttemptPhase = rollout.AttemptPhase.RUNNING
+    endpoint_id: base.EndpointId = base.EndpointId("")  # noqa: RUF009
+    """Engine that it was on last."""
+    target: base.EndpointId | None = None
+    """Engine that it has to go to; None for a free choice."""
+
+    @property
+    def made(self) -> float:
+        """Tokens generated so far."""
+        return sum(self.stretches.values())
 
 
 class Engine:
-    """One engine; all sequences of its batch advance at the same rate."""
+    """All streams of its batch advance at the same rate."""
 
     def __init__(
         self,
-        sim: _sim.Simulator,
+        sim: Simulator,
         endpoint_id: base.EndpointId,
-        domain: base.FailureDomain,
-        spec: _workload.EngineSpec,
+        domain: str,
+        spec: EngineSpec,
+        on_done: collections.abc.Callable[[Job], None],
     ) -> None:
         self.endpoint_id = endpoint_id
         self.domain = domain
         self.spec = spec
         self.alive = True
-        self.versions: dict[str, int] = collections.defaultdict(int)
-        self.load_tokens = 0.0
+        self.is_leaving = False
+        self.gone_at: float | None = None
+        self.versions: collections.Counter[str] = collections.Counter()
         self._sim = sim
-        self._waiting: list[tuple[int, int, Job]] = []
+        self._on_done = on_done
+        self._queue: list[tuple[int, int, Job]] = []
         self._numbers = itertools.count()
         self._prefilling: Job | None = None
         self._batch: list[tuple[float, int, Job]] = []
@@ -66,72 +115,65 @@
         )
         self._progress = 0.0
         self._progress_at = 0.0
-        self._paused = False
+        self._paused = 0
         self._plan = 0
 
+    def jobs(self) -> list[Job]:
+        """Returns the jobs that are here, with their tokens up to date."""
+        self._advance()
+        held = [self._prefilling] if self._prefilling else []
+        return held + [entry[2] for entry in self._queue + self._batch]
+
+    def token_s(self) -> float:
+        """Returns the seconds between tokens at present."""
+        return self.spec.token_s(len(self._batch) + 1)
+
     def submit(self, job: Job) -> None:
         """Takes a job in; it waits here when all slots are busy."""
         job.engine = self
-        self.load_tokens += job.work.cost_tokens
-        priority = PRIORITY[job.work.kind]
-        heapq.heappush(self._waiting, (priority, next(self._numbers), job))
+        rank = PRIORITY[job.work.kind]
+        heapq.heappush(self._queue, (rank, next(self._numbers), job))
         self._prefill_next()
 
-    def jobs(self) -> list[Job]:
-        """Returns all jobs here."""
-        held = [self._prefilling] if self._prefilling else []
-        return held + [entry[2] for entry in self._waiting + self._batch]
-
-    def cancel(self, job: Job) -> float:
-        """Drops a job and returns the tokens it had generated."""
+    def cancel(self, job: Job) -> None:
+        """Drops a job; the tokens that it has so far stay with it."""
         self._advance()
-        made = 0.0
-        if any(entry[2] is job for entry in self._batch):
-            made = job.output_tokens - (job.finish_mark - self._progress)
-        elif job is self._prefilling:
+        if job is self._prefilling:
             self._prefilling = None
         self._batch = [entry for entry in self._batch if entry[2] is not job]
-        self._waiting = [e for e in self._waiting if e[2] is not job]
+        self._queue = [entry for entry in self._queue if entry[2] is not job]
         heapq.heapify(self._batch)
-        heapq.heapify(self._waiting)
-        self._leave(job)
+        heapq.heapify(self._queue)
+        job.engine = None
         self._prefill_next()
         self._replan()
-        return made
-
-    def crash(self) -> list[Job]:
-        """Stops the engine and returns the jobs it held."""
-        self.alive = False
-        lost = self.jobs()
-        for job in lost:
-            self.cancel(job)
-        self._cache.clear()
-        return lost
-
-    def pause(self, seconds: float) -> None:
-        """Stands still for a weight swap."""
+
+    def pause(self, seconds: float, account: str, version: int) -> None:
+        """Stands still to swap an account's weights."""
         self._advance()
-        self._paused = True
+        self.versions[account] = max(version, self.versions[account])
+        self._paused += 1
         self._replan()
         self._sim.after(seconds, self._resume)
 
     def _resume(self) -> None:
         self._advance()
-        self._paused = False
+        self._paused -= 1
         self._replan()
 
     def _prefill_next(self) -> None:
         free = self.spec.slots - len(self._batch)
-        if self._prefilling or not self._waiting or not self.alive or free <= 0:
+        if self._prefilling or not self._queue or not self.alive or free <= 0:
             return
         self._advance()
-        _, _, job = heapq.heappop(self._waiting)
+        _, _, job = heapq.heappop(self._queue)
         self._prefilling = job
-        job.started_at = self._sim.now
-        job.version = self.versions[job.work.account]
-        cached = job.work.prefix in self._cache
-        tokens = job.prompt_tokens * (0.1 if cached else 1.0)
-        seconds = tokens / self.spec.prefill_tokens_per_s
+        if job.started_at < 0:
+            job.started_at = self._sim.now
+        share = CACHED_SHARE if job.work.prefix in self._cache else 1.0
+        seconds = share * job.prompt_tokens / self.spec.prefill_tokens_per_s
+        if job.made:
+            seconds = KV_IMPORT_S
         self._sim.after(seconds, lambda: self._join(job))
         self._replan()
 
@@ -145,45 +187,42 @@
             self._cache.move_to_end(job.work.prefix)
             if len(self._cache) > self.spec.cached_prefixes:
                 self._cache.popitem(last=False)
-        job.finish_mark = self._progress + job.output_tokens
+        job.finish_mark = self._progress + job.output_tokens - job.made
         entry = (job.finish_mark, next(self._numbers), job)
         heapq.heappush(self._batch, entry)
         self._prefill_next()
         self._replan()
 
     def _rate(self) -> float:
-        """Returns tokens a second of each sequence."""
+        """Returns tokens a second of each stream."""
         if self._paused or not self._batch:
             return 0.0
-        rate = 1.0 / self.spec.step_time(len(self._batch))
-        return rate * (self.spec.prefill_slowdown if self._prefilling else 1.0)
+        slowdown = self.spec.prefill_slowdown if self._prefilling else 1.0
+        return slowdown / self.spec.token_s(len(self._batch))
 
     def _advance(self) -> None:
-        elapsed = self._sim.now - self._progress_at
-        self._progress += elapsed * self._rate()
+        tokens = (self._sim.now - self._progress_at) * self._rate()
         self._progress_at = self._sim.now
+        self._progress += tokens
+        if not tokens:
+            return
+        for _, _, job in self._batch:
+            version = self.versions[job.work.account]
+            job.stretches[version] = job.stretches.get(version, 0.0) + tokens
 
     def _replan(self) -> None:
         self._plan += 1
         rate = self._rate()
-        if rate == 0.0:
-            return
-        plan = self._plan
-        seconds = max(0.0, (self._batch[0][0] - self._progress) / rate)
-        self._sim.after(seconds, lambda: self._finish_first(plan))
+        if rate:
+            plan = self._plan
+            seconds = max(0.0, (self._batch[0][0] - self._progress) / rate)
+            self._sim.after(seconds, lambda: self._finish_first(plan))
 
     def _finish_first(self, plan: int) -> None:
         if plan != self._plan:
             return
         self._advance()
         _, _, job = heapq.heappop(self._batch)
-        self._leave(job)
-        job.done_at = self._sim.now
-        job.domain = self.domain
         self._prefill_next()
         self._replan()
-        job.on_done(job)
-
-    def _leave(self, job: Job) -> None:
-        job.engine = None
-        self.load_tokens -= job.work.cost_tokens
+        self._on_done(job)
--- a/packages/dispatch/src/banyanbank_dispatch/__init__.py
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -5,6 +5,10 @@
 
 from banyanbank_dispatch._fair import FairQueue
 from banyanbank_dispatch._health import HealthTracker
+from banyanbank_dispatch._mover import Lane
+from banyanbank_dispatch._mover import Move
+from banyanbank_dispatch._mover import Stream
+from banyanbank_dispatch._mover import StreamMover
 from banyanbank_dispatch._ownership import rendezvous_owner
 from banyanbank_dispatch._prefix import CacheEvent
 from banyanbank_dispatch._prefix import PrefixIndex
@@ -31,6 +35,8 @@
     "FairQueue",
     "GiveUp",
     "HealthTracker",
+    "Lane",
+    "Move",
     "PrefixIndex",
     "QueueSettings",
     "QueueStatus",
@@ -38,6 +44,8 @@
     "RetryPolicy",
     "RouteQuery",
     "Router",
+    "Stream",
+    "StreamMover",
     "Withdrawal",
     "Work",
     "WorkKind",
--- a/packages/dispatch/src/banyanbank_dispatch/_queue.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_queue.py
@@ -24,7 +24,7 @@
     slots: int
     """Requests that may run at the endpoint at once."""
     interactive_reserve: int = 0
-    """Slots that rollout work leaves free for interactive requests."""
+    """Slots that rollout work never takes."""
     max_waiting: int = 4096
     """Requests that may wait."""
     rollout_share: float = 0.2
@@ -96,6 +96,7 @@
         self._waiting_tokens = 0.0
         self._running: dict[base.RequestId, _work.Work] = {}
         self._running_tokens = 0.0
+        self._running_rollouts = 0
         self._deadlines: list[tuple[float, base.RequestId]] = []
         self._expired: list[_work.Work] = []
         self._rollout_credit = 0.0
@@ -127,10 +128,7 @@
 
     def adopt(self, work: _work.Work, now: float) -> None:
         """Counts work as running that an earlier owner had dispatched."""
-        if not self._running:
-            self._window_start, self._window_tokens = now, 0.0
-        self._running[work.request_id] = work
-        self._running_tokens += work.cost_tokens
+        self._run(work, now)
 
     def next(self, now: float) -> _work.Work | None:
         """Returns the work to dispatch now and counts it as running.
@@ -147,10 +145,7 @@
             return None
         del self._waiting[work.request_id]
         self._waiting_tokens -= work.cost_tokens
-        if not self._running:
-            self._window_start, self._window_tokens = now, 0.0
-        self._running[work.request_id] = work
-        self._running_tokens += work.cost_tokens
+        self._run(work, now)
         self._charge_level(work)
         return work
 
@@ -169,6 +164,7 @@
         if work is None:
             return
         self._running_tokens -= work.cost_tokens
+        self._running_rollouts -= _is_rollout(work)
         self._levels[work.kind].settle(work, used_tokens)
         self._observe_rate(used_tokens, now)
 
@@ -273,6 +269,13 @@
             )
         return None
 
+    def _run(self, work: _work.Work, now: float) -> None:
+        if not self._running:
+            self._window_start, self._window_tokens = now, 0.0
+        self._running[work.request_id] = work
+        self._running_tokens += work.cost_tokens
+        self._running_rollouts += _is_rollout(work)
+
     def _insert(self, work: _work.Work) -> None:
         self._waiting[work.request_id] = work
         self._waiting_tokens += work.cost_tokens
@@ -301,12 +304,12 @@
                 self._expired.append(work)
 
     def _choose_level(self) -> _work.WorkKind | None:
-        free = self._settings.slots - len(self._running)
-        if free <= 0:
+        if len(self._running) >= self._settings.slots:
             return None
-        rollout = self._choose_rollout_level()
-        if free <= self._settings.interactive_reserve:
-            rollout = None
+        limit = self._settings.slots - self._settings.interactive_reserve
+        rollout = None
+        if self._running_rollouts < limit:
+            rollout = self._choose_rollout_level()
         if not self._levels[_work.WorkKind.INTERACTIVE]:
             return rollout
         if rollout is not None:
@@ -352,6 +355,10 @@
         self._window_start, self._window_tokens = now, 0.0
 
 
+def _is_rollout(work: _work.Work) -> bool:
+    return work.kind is not _work.WorkKind.INTERACTIVE
+
+
 def expired_refusal() -> base.Refusal:
     """Returns the refusal of work whose deadline passed before dispatch."""
     return base.Refusal(
--- a/packages/dispatch/src/banyanbank_dispatch/_router.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_router.py
@@ -10,7 +10,9 @@
 from banyanbank_dispatch import _health
 from banyanbank_dispatch import _prefix
 
-CROSS_DOMAIN_TOKENS = 4.0
+CROSS_DOMAIN_S = 0.002
+DOUBLING_BATCH = 80
+"""Streams that double the seconds between tokens of an empty engine."""
 
 
 @attrs.frozen
@@ -29,6 +31,10 @@
     """Monotonic seconds when the report was heard."""
     tokens_per_s: float = 1000.0
     """Service rate as last reported."""
+    requests: int = 0
+    """Waiting and running requests as last reported."""
+    token_s: float = 0.0
+    """Seconds between tokens of one stream as reported; 0 when unknown."""
     version: base.WeightVersion = base.WeightVersion(0)  # noqa: RUF009
     """Weight version it serves as last reported; 0 for plain services."""
     reclaimable: bool = False
@@ -68,6 +74,7 @@
         rng: Source of the two choices.
         health: Judges endpoints by outcome.
         prefixes: What is known of prefix caches.
+        choices: Candidates that are drawn and compared.
     """
 
     def __init__(
@@ -76,9 +83,11 @@
         rng: random.Random,
         health: _health.HealthTracker | None = None,
         prefixes: _prefix.PrefixIndex | None = None,
+        choices: int = 2,
     ) -> None:
         self._domain = domain
         self._rng = rng
+        self._choices = choices
         self.health = health or _health.HealthTracker()
         self.prefixes = prefixes or _prefix.PrefixIndex()
         self._sent: dict[base.EndpointId, dict[base.RequestId, _Sent]] = {}
@@ -136,20 +145,32 @@
     def expected_delay(
         self, query: RouteQuery, candidate: Candidate, now: float
     ) -> float:
-        """Returns seconds until the request could start to decode."""
-        unseen = sum(
+        """Returns seconds until the request should be answered.
+
+        Without a report of the time between tokens it is the time until the
+        present load is worked off.
+        """
+        unseen = [
             sent.cost_tokens
             for sent in self._sent.get(candidate.endpoint_id, {}).values()
             if sent.at > candidate.reported_at
-        )
-        tokens = candidate.load_tokens + unseen
-        if candidate.failure_domain != self._domain:
-            tokens += CROSS_DOMAIN_TOKENS
+        ]
+        rate = max(candidate.tokens_per_s, 1.0)
+        load_s = (candidate.load_tokens + sum(unseen)) / rate
         cached = self.prefixes.confidence(
             candidate.endpoint_id, query.prefix, now
         )
-        tokens += query.prefix_tokens * (1.0 - cached)
-        return tokens / max(candidate.tokens_per_s, 1.0)
+        seconds = query.prefix_tokens * (1.0 - cached) / rate
+        if candidate.failure_domain != self._domain:
+            seconds += CROSS_DOMAIN_S
+        if not candidate.token_s:
+            return seconds + load_s
+        requests = candidate.requests + len(unseen)
+        surplus = requests + 1 - candidate.slots
+        if surplus > 0:
+            seconds += load_s * surplus / (requests + 1)
+        growth = 1 + len(unseen) / (DOUBLING_BATCH + candidate.requests)
+        return seconds + query.cost_tokens * candidate.token_s * growth
 
     def _fits(self, query: RouteQuery, candidate: Candidate) -> bool:
         if candidate.leaving or candidate.version < query.min_version:
@@ -159,14 +180,14 @@
     def _sample(
         self, candidates: list[Candidate], now: float
     ) -> list[Candidate]:
-        """Draws two candidates by health, and who holds the prefix."""
+        """Draws candidates in proportion to their health."""
         weights = self.health.weights([c.endpoint_id for c in candidates], now)
         pool = [c for c in candidates if weights[c.endpoint_id] > 0]
-        first = self._draw(pool, weights)
-        rest = [c for c in pool if c is not first]
-        if not rest:
-            return [first]
-        return [first, self._draw(rest, weights)]
+        drawn: list[Candidate] = []
+        while pool and len(drawn) < self._choices:
+            drawn.append(self._draw(pool, weights))
+            pool.remove(drawn[-1])
+        return drawn
 
     def _draw(
         self,
--- a/tests/bench/test_bench.py
+++ b/tests/bench/test_bench.py
@@ -5,7 +5,7 @@
 import attrs
 import banyanbank_base as base
 from banyanbank_bench import _cluster
-from banyanbank_bench import _policies
+from banyanbank_bench import _engine
 from banyanbank_bench import _report
 from banyanbank_bench import _workload
 
@@ -23,21 +23,23 @@
         )
 
     def _run(self, policy: str, seed: int = 1) -> _cluster.Cluster:
-        cluster = _cluster.Cluster(self.workload, policy, seed)
+        cluster = _cluster.Cluster(
+            self.workload, _cluster.POLICIES[policy], seed
+        )
         cluster.run()
         return cluster
 
     def test_every_policy_delivers_each_sample_once(self) -> None:
-        for policy in _policies.NAMES:
+        for policy in _cluster.POLICIES:
             with self.subTest(policy):
                 cluster = self._run(policy)
-                for trainer in cluster.trainers:
-                    self.assertEqual(len(trainer.staleness), 3 * 4 * 8)
-                    for step in trainer.steps:
-                        self.assertEqual(step.left, [0] * 4)
-                idle = sum(t.idle_s for t in cluster.trainers)
-                bound = _report.idle_bound(cluster.workload, cluster.trainers)
-                self.assertGreaterEqual(idle, bound)
+                rollouts = cluster.rollouts
+                samples = 3 * 4 * 8 * len(rollouts.trainers)
+                self.assertEqual(len(rollouts.staleness), samples)
+                bound = cluster.workload.staleness_bound
+                self.assertLessEqual(max(rollouts.staleness), bound)
+                idle = sum(t.idle_s for t in rollouts.trainers)
+                self.assertGreaterEqual(idle, _report.idle_bound(cluster))
 
     def test_same_seed_same_figures(self) -> None:
         first, second = (
@@ -46,8 +48,8 @@
         self.assertEqual(first, second)
 
     def test_engine_slows_with_its_batch(self) -> None:
-        spec = _workload.EngineSpec()
-        rates = [1 / spec.step_time(batch) for batch in (1, 24, 48)]
+        spec = _engine.EngineSpec()
+        rates = [1 / spec.token_s(batch) for batch in (1, 24, 48)]
         self.assertEqual(sorted(rates, reverse=True), rates)
         self.assertGreater(48 * rates[2], 24 * rates[1])
 
