Roll published weights out in waves, verified by reports

Cause: weights change every few minutes; swaps fail, or fail half way, and service must go on meanwhile.

Change: rollout.WeightRollout(WeightCfg).decide(publications, reports, now) takes EngineWeights and returns SwapOrder, TakeOutOfService and ReturnToService. Waves keep the available share in all and by failure domain, orders are paced to the store's rate, an engine has one load at a time, an engine without a whole version gets no work, failures are retried with delay and then the engine is taken out of service and repaired.

--- a/packages/rollout/src/banyanbank_rollout/__init__.py
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -41,6 +41,14 @@
 from banyanbank_rollout._views import AttemptPhase
 from banyanbank_rollout._views import AttemptView
 from banyanbank_rollout._views import EngineView
+from banyanbank_rollout._weight_rollout import WeightRollout
+from banyanbank_rollout._weights import EngineWeights
+from banyanbank_rollout._weights import estimate_swap_s
+from banyanbank_rollout._weights import ReturnToService
+from banyanbank_rollout._weights import SwapOrder
+from banyanbank_rollout._weights import TakeOutOfService
+from banyanbank_rollout._weights import WeightCfg
+from banyanbank_rollout._weights import WeightEffect
 
 __all__ = [
     "LEDGER_COMMANDS",
@@ -57,6 +65,7 @@
     "CancelAttempt",
     "CancelStep",
     "EngineView",
+    "EngineWeights",
     "ExtrasCfg",
     "FetchBatch",
     "FormBatch",
@@ -73,6 +82,7 @@
     "RecordSample",
     "RejectBatch",
     "ResumePoint",
+    "ReturnToService",
     "SampleBody",
     "SampleRecorded",
     "SampleScheduler",
@@ -82,6 +92,12 @@
     "StartAttempt",
     "StepCancelled",
     "SubmitGroup",
+    "SwapOrder",
+    "TakeOutOfService",
     "VersionPublished",
     "VersionStretch",
+    "WeightCfg",
+    "WeightEffect",
+    "WeightRollout",
+    "estimate_swap_s",
 ]
--- /dev/null
+++ b/tests/rollout/fleet.py
@@ -0,0 +1,213 @@
+"""Fake engines that load weights, with checks of service and store."""
+
+import collections
+import math
+import random
+
+import attrs
+import banyanbank_base as base
+import banyanbank_rollout as rollout
+
+from tests.rollout import cases
+
+ADAPTER = base.ModelName("folds-adapter")
+TICK_S = 0.25
+
+
+@attrs.define
+class Loader:
+    """One engine; loads take time, may fail, and may leave a mix."""
+
+    endpoint: base.EndpointId
+    domain: base.FailureDomain
+    versions: dict[base.ModelName, int | None]
+    failures: int = 0
+    half: bool = False
+    order: rollout.SwapOrder | None = None
+    done_at: float = math.inf
+    failed: str = ""
+    taken_out: set[base.ModelName] = attrs.field(factory=set)
+
+
+class Fleet:
+    """Engines under a `WeightRollout`, checked at each tick."""
+
+    def __init__(
+        self,
+        engines: int,
+        domains: int,
+        cfg: rollout.WeightCfg,
+        seed: int = 0,
+        adapters: bool = False,
+        load_s: tuple[float, float] = (1.0, 2.0),
+    ) -> None:
+        self.cfg = cfg
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.load_s = load_s
+        models = [cases.MODEL] + [ADAPTER] * adapters
+        self.loaders = {
+            base.EndpointId(f"e{i}"): Loader(
+                base.EndpointId(f"e{i}"),
+                base.FailureDomain(f"d{i % domains}"),
+                dict.fromkeys(models, 1),
+            )
+            for i in range(engines)
+        }
+        self.publications = [cases.publish(1)]
+        if adapters:
+            self.publish_adapter(1)
+        self.decider = rollout.WeightRollout(cfg)
+        self.downloads: list[tuple[float, int]] = []
+        self.orders: list[rollout.SwapOrder] = []
+
+    def publish(self, version: int, size_bytes: int) -> None:
+        """Publishes whole weights."""
+        self.publications[0] = cases.publish(version, size_bytes=size_bytes)
+
+    def publish_adapter(self, version: int) -> None:
+        """Publishes an adapter."""
+        self.publications[1:] = [
+            cases.publish(version, model=ADAPTER, base_model=cases.MODEL)
+        ]
+
+    def change_leader(self) -> None:
+        """Starts a decider that knows nothing."""
+        self.decider = rollout.WeightRollout(self.cfg)
+
+    def tick(self) -> None:
+        """Lets time pass, engines load and the decider decide."""
+        self.now += TICK_S
+        for loader in self.loaders.values():
+            if loader.done_at <= self.now:
+                self._end_load(loader)
+        reports = [
+            rollout.EngineWeights(
+                endpoint=loader.endpoint,
+                failure_domain=loader.domain,
+                model=model,
+                version=version,
+                loading=loader.order is not None,
+                failed_order=loader.failed,
+                in_service=model not in loader.taken_out,
+            )
+            for loader in self.loaders.values()
+            for model, version in loader.versions.items()
+        ]
+        for effect in self.decider.decide(self.publications, reports, self.now):
+            self._execute(effect)
+        self._check()
+
+    def _execute(self, effect: rollout.WeightEffect) -> None:
+        loader = self.loaders[effect.endpoint]
+        match effect:
+            case rollout.SwapOrder():
+                assert loader.order is None, "two loads on one engine"
+                self.orders.append(effect)
+                loader.order = effect
+                loader.done_at = self.now + self.rng.uniform(*self.load_s)
+                size = next(
+                    pub.size_bytes
+                    for pub in self.publications
+                    if pub.model == effect.model
+                )
+                self.downloads.append((self.now, size))
+            case rollout.TakeOutOfService():
+                loader.taken_out.add(effect.model)
+            case rollout.ReturnToService():
+                assert loader.versions[effect.model] is not None
+                loader.taken_out.remove(effect.model)
+
+    def _end_load(self, loader: Loader) -> None:
+        order = loader.order
+        loader.order, loader.done_at = None, math.inf
+        if loader.failures:
+            loader.failures -= 1
+            loader.failed = order.order_id
+            if loader.half:
+                loader.versions[order.model] = None
+            return
+        loader.versions[order.model] = int(order.version)
+
+    def _check(self) -> None:
+        paused: collections.Counter[str] = collections.Counter()
+        serving: collections.Counter[str] = collections.Counter()
+        for loader in self.loaders.values():
+            if cases.MODEL in loader.taken_out:
+                continue
+            order = loader.order
+            down = order is not None and order.base_model is None
+            for scope in ("all", loader.domain):
+                serving[scope] += 1
+                paused[scope] += down
+        for scope, count in paused.items():
+            limit = self.cfg.max_down(serving[scope])
+            assert count <= limit, f"{count} of {serving[scope]} swap"
+        for loader in self.loaders.values():
+            for model, version in loader.versions.items():
+                mixed = version is None and loader.order is None
+                assert not mixed or model in loader.taken_out, "mix serves"
+        budget = self.cfg.store_burst_s * self.cfg.store_bytes_per_s
+        last = max((size for _, size in self.downloads), default=0)
+        for start, _ in self.downloads[-200::20]:
+            ordered = sum(s for at, s in self.downloads if at >= start)
+            allowed = (self.now - start) * self.cfg.store_bytes_per_s
+            assert ordered <= allowed + budget + last, "store overrun"
+
+    def lag(self) -> int:
+        """Returns how many loads the fleet is behind."""
+        newest = {pub.model: pub.version for pub in self.publications}
+        return sum(
+            version != newest[model]
+            for loader in self.loaders.values()
+            for model, version in loader.versions.items()
+        )
+
+    def run_until_current(self, limit_s: float) -> float:
+        """Ticks until no engine lags; returns the seconds it took."""
+        start = self.now
+        while self.lag():
+            self.tick()
+            assert self.now - start < limit_s, f"{self.lag()} loads missing"
+        return self.now - start
+
+
+def walk(seed: int) -> None:
+    """Publishes to a small fleet under random faults.
+
+    Raises:
+        AssertionError: A promise was broken.
+    """
+    rng = random.Random(seed)
+    cfg = rollout.WeightCfg(
+        store_bytes_per_s=2e9, load_timeout_s=10.0, repair_delay_s=20.0
+    )
+    fleet = Fleet(5, 3, cfg, seed, adapters=True)
+    for version in range(2, 5):
+        fleet.publish(version, 1 << 30)
+        if rng.random() < 0.5:
+            fleet.publish_adapter(version)
+        for loader in rng.sample(list(fleet.loaders.values()), 2):
+            loader.failures = rng.randrange(5)
+            loader.half = rng.random() < 0.5
+        for _ in range(rng.randrange(40)):
+            fleet.tick()
+        if rng.random() < 0.3:
+            fleet.change_leader()
+    fleet.run_until_current(1_000.0)
+    fleet.tick()
+    out = [e for e in fleet.loaders.values() if e.taken_out]
+    assert not out, f"{out} loaded but out of service"
+
+
+def wide_walk(seed: int) -> None:
+    """Publishes to uneven failure domains over a slow store.
+
+    Raises:
+        AssertionError: A promise was broken.
+    """
+    cfg = rollout.WeightCfg(store_bytes_per_s=4e9)
+    fleet = Fleet(40, 4, cfg, seed, adapters=True)
+    fleet.publish(2, 1 << 30)
+    fleet.publish_adapter(2)
+    fleet.run_until_current(1_000.0)
--- a/tests/rollout/test_mutants.py
+++ b/tests/rollout/test_mutants.py
@@ -1,5 +1,6 @@
 """Faults planted in the decisions are caught by seeded random walks."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -14,11 +15,12 @@
 import attrs
 
 from tests.rollout import cases
+from tests.rollout import fleet
 from tests.rollout import walks
 from tests.rollout import world
 
 PACKAGE = "banyanbank_rollout"
-MAX_WALKS = 120
+MAX_WALKS = {walks.walk: 120, fleet.walk: 40, fleet.wide_walk: 2}
 
 
 @attrs.frozen
@@ -28,6 +30,7 @@
     module: str
     old: str
     new: str
+    walk: Callable[[int], object] = walks.walk
     seed: int = 0
     """Walk that catches it; others are tried when it no longer does."""
 
@@ -121,6 +124,48 @@
         "resume_from=resume_from and _effects.ResumePoint("
         "resume_from.stretches[1:])",
     ),
+    "wave ignores engines already swapping": Mutant(
+        "_weight_rollout",
+        "counts.down.update(scopes)\n            yield",
+        "yield",
+        fleet.walk,
+    ),
+    "wave ignores failure domains": Mutant(
+        "_weight_rollout",
+        "return (report.model, None), (report.model, report.failure_domain)",
+        "return (report.model, None), (report.model, None)",
+        fleet.wide_walk,
+    ),
+    "engine gets two orders at once": Mutant(
+        "_weight_rollout",
+        "if endpoint in busy or not _has_base",
+        "if not _has_base",
+        fleet.wide_walk,
+    ),
+    "swap is believed when ordered": Mutant(
+        "_weight_swap",
+        "current = report.version is not None and report.version >= newest",
+        "current = self.target == newest",
+        fleet.walk,
+    ),
+    "mixed weights stay in service": Mutant(
+        "_weight_rollout",
+        "(broken or (mixed and not report.loading))",
+        "broken",
+        fleet.walk,
+    ),
+    "broken engine is never repaired": Mutant(
+        "_weight_swap",
+        'return self.state == "out_of_service" and',
+        "return False and",
+        fleet.walk,
+    ),
+    "store limit ignored": Mutant(
+        "_weights",
+        "self._busy_until > now + self._burst_s",
+        "False",
+        fleet.wide_walk,
+    ),
 }
 
 
@@ -173,15 +218,16 @@
         with (
             mock.patch.object(world, "rollout", copy),
             mock.patch.object(cases, "rollout", copy),
+            mock.patch.object(fleet, "rollout", copy),
         ):
             yield
 
 
-def catching_seed(first: int = 0) -> int | None:
+def catching_seed(walk: Callable[[int], object], first: int = 0) -> int | None:
     """Returns a seed whose walk breaks a promise, None for none."""
-    for seed in (first, *range(MAX_WALKS)):
+    for seed in (first, *range(MAX_WALKS[walk])):
         try:
-            walks.walk(seed)
+            walk(seed)
         except AssertionError:
             return seed
     return None
@@ -191,12 +237,14 @@
     """Unchanged decisions pass the walks; each mutant fails one."""
 
     def test_unchanged(self) -> None:
-        self.assertIsNone(catching_seed())
+        for walk in MAX_WALKS:
+            with self.subTest(walk=walk):
+                self.assertIsNone(catching_seed(walk))
 
     def test_each_mutant_is_caught(self) -> None:
         for name, mutant in MUTANTS.items():
             with self.subTest(mutant=name), planted(mutant):
-                self.assertIsNotNone(catching_seed(mutant.seed))
+                self.assertIsNotNone(catching_seed(mutant.walk, mutant.seed))
 
 
 if __name__ == "__main__":
