Plan endpoints from need and price, with floors and hysteresis

Cause: endpoints cost money while they run, and reclaimable ones can go a whole failure domain at a time.

Change: rollout.CapacityPlanner(CapacityCfg).plan(demand, offers, endpoints, now) takes Demand, EndpointOffer and EndpointStatus and returns a CapacityPlan of EndpointNeed and DrainEndpoint, KeepEndpoint or ReleaseEndpoint. Safe endpoints have a floor by failure domain and carry all protected need; reclaimables are bounded by domain; a notice takes an endpoint out of the count at once and orders elsewhere; endpoints are drained after the need has been lower for a while and released when nothing runs. rollout.may_run_on keeps what must not be repeated off reclaimables, and rollout.DemandForecast gives the need by level and trend.

--- a/packages/rollout/src/banyanbank_rollout/__init__.py
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -1,5 +1,17 @@
 """Rollout decisions: sample ledger, batches, staleness, weights."""
 
+from banyanbank_rollout._capacity import CapacityCfg
+from banyanbank_rollout._capacity import CapacityPlan
+from banyanbank_rollout._capacity import Demand
+from banyanbank_rollout._capacity import DrainEndpoint
+from banyanbank_rollout._capacity import EndpointChange
+from banyanbank_rollout._capacity import EndpointNeed
+from banyanbank_rollout._capacity import EndpointOffer
+from banyanbank_rollout._capacity import EndpointStatus
+from banyanbank_rollout._capacity import KeepEndpoint
+from banyanbank_rollout._capacity import may_run_on
+from banyanbank_rollout._capacity import ReleaseEndpoint
+from banyanbank_rollout._capacity_planner import CapacityPlanner
 from banyanbank_rollout._commands import AcknowledgeBatch
 from banyanbank_rollout._commands import CancelStep
 from banyanbank_rollout._commands import FetchBatch
@@ -10,6 +22,7 @@
 from banyanbank_rollout._commands import RecordSample
 from banyanbank_rollout._commands import RejectBatch
 from banyanbank_rollout._commands import SubmitGroup
+from banyanbank_rollout._demand import DemandForecast
 from banyanbank_rollout._effects import CancelAttempt
 from banyanbank_rollout._effects import GradeSample
 from banyanbank_rollout._effects import ProposeBatch
@@ -64,6 +77,16 @@
     "BatchRejected",
     "CancelAttempt",
     "CancelStep",
+    "CapacityCfg",
+    "CapacityPlan",
+    "CapacityPlanner",
+    "Demand",
+    "DemandForecast",
+    "DrainEndpoint",
+    "EndpointChange",
+    "EndpointNeed",
+    "EndpointOffer",
+    "EndpointStatus",
     "EngineView",
     "EngineWeights",
     "ExtrasCfg",
@@ -71,6 +94,7 @@
     "FormBatch",
     "GradeSample",
     "GroupSubmitted",
+    "KeepEndpoint",
     "Ledger",
     "LedgerCommand",
     "LedgerRefusal",
@@ -81,6 +105,7 @@
     "PublishVersion",
     "RecordSample",
     "RejectBatch",
+    "ReleaseEndpoint",
     "ResumePoint",
     "ReturnToService",
     "SampleBody",
@@ -100,4 +125,5 @@
     "WeightEffect",
     "WeightRollout",
     "estimate_swap_s",
+    "may_run_on",
 ]
--- /dev/null
+++ b/tests/rollout/test_capacity.py
@@ -0,0 +1,157 @@
+"""Tests of the capacity planner's single decisions."""
+
+import unittest
+
+import attrs
+import banyanbank_base as base
+import banyanbank_rollout as rollout
+
+from tests.rollout import cases
+from tests.rollout import platform
+
+CFG = rollout.CapacityCfg(headroom=0.0, scale_down_after_s=100.0)
+
+
+def status(number: int, **changes: object) -> rollout.EndpointStatus:
+    """Returns a ready, safe endpoint in one of three failure domains."""
+    endpoint = rollout.EndpointStatus(
+        endpoint=base.EndpointId(f"x{number}"),
+        model=cases.MODEL,
+        failure_domain=platform.DOMAINS[number % 3],
+        reclaimable=False,
+    )
+    return attrs.evolve(endpoint, **changes)
+
+
+def counts(plan: rollout.CapacityPlan) -> tuple[int, int]:
+    """Returns how many safe and reclaimable endpoints are wanted."""
+    safe = sum(need.count for need in plan.needs if not need.reclaimable)
+    return safe, sum(need.count for need in plan.needs) - safe
+
+
+class NeedTest(unittest.TestCase):
+    """Need and price give the wanted mix."""
+
+    def test_mix(self) -> None:
+        table = (
+            # tokens, protected, spot price, available -> safe, spot
+            (0.0, 0.0, 3.0, 50, (3, 0)),
+            (9_000.0, 0.0, 3.0, 50, (3, 6)),
+            (9_000.0, 5_000.0, 3.0, 50, (5, 4)),
+            (9_000.0, 9_000.0, 3.0, 50, (9, 0)),
+            (9_000.0, 0.0, 12.0, 50, (9, 0)),
+            (9_000.0, 0.0, 3.0, 1, (3, 3)),
+        )
+        for tokens, protected, price, available, expected in table:
+            planner = rollout.CapacityPlanner(CFG)
+            plan = planner.plan(
+                rollout.Demand(cases.MODEL, tokens, protected),
+                platform.offers(spot_price=price, available=available),
+                (),
+                now=0.0,
+            )
+            with self.subTest(tokens=tokens, price=price):
+                self.assertEqual(counts(plan), expected)
+                short = max(0.0, tokens - 1_000.0 * sum(expected))
+                self.assertEqual(plan.unmet_tokens_per_s, short)
+
+    def test_notice_orders_elsewhere(self) -> None:
+        planner = rollout.CapacityPlanner(CFG)
+        lost = [
+            status(number, reclaimable=True, gone_at=5.0)
+            for number in (0, 3, 6)
+        ]
+        safe = [status(number) for number in range(3)]
+        plan = planner.plan(
+            rollout.Demand(cases.MODEL, 6_000.0),
+            platform.offers(),
+            (*safe, *lost),
+            now=0.0,
+        )
+        missing = {
+            need.failure_domain: need.missing
+            for need in plan.needs
+            if need.reclaimable
+        }
+        self.assertEqual(missing["d0"], 0)
+        self.assertEqual(sum(missing.values()), 3)
+
+
+class ScaleDownTest(unittest.TestCase):
+    """Endpoints leave late, idle, and never while others can't carry on."""
+
+    def setUp(self) -> None:
+        self.planner = rollout.CapacityPlanner(CFG)
+
+    def changes(
+        self, tokens: float, now: float, *endpoints: rollout.EndpointStatus
+    ) -> tuple[rollout.EndpointChange, ...]:
+        demand = rollout.Demand(cases.MODEL, tokens)
+        return self.planner.plan(
+            demand, platform.offers(), endpoints, now
+        ).changes
+
+    def test_drains_late_then_releases_when_idle(self) -> None:
+        four = [status(number, running=1) for number in range(4)]
+        self.assertEqual(self.changes(4_000.0, 0.0, *four), ())
+        self.assertEqual(self.changes(3_000.0, 90.0, *four), ())
+        drain = rollout.DrainEndpoint(base.EndpointId("x0"), "not needed")
+        self.assertEqual(self.changes(3_000.0, 101.0, *four), (drain,))
+        four[0] = status(0, running=1, draining=True)
+        self.assertEqual(self.changes(3_000.0, 102.0, *four), ())
+        four[0] = status(0, draining=True)
+        release = rollout.ReleaseEndpoint(base.EndpointId("x0"))
+        self.assertEqual(self.changes(3_000.0, 103.0, *four), (release,))
+
+    def test_need_that_returns_keeps_the_draining(self) -> None:
+        three = [status(number) for number in range(2)]
+        three.append(status(2, draining=True))
+        self.assertEqual(
+            self.changes(3_000.0, 0.0, *three),
+            (rollout.KeepEndpoint(base.EndpointId("x2")),),
+        )
+
+    def test_waits_for_replacements_to_be_ready(self) -> None:
+        starting = [
+            status(number, reclaimable=True, ready_by=50.0)
+            for number in range(3)
+        ]
+        safe = [status(number) for number in range(6)]
+        self.assertEqual(self.changes(6_000.0, 0.0, *safe, *starting), ())
+
+    def test_missing_offers_drain_nothing(self) -> None:
+        safe = [status(number) for number in range(3)]
+        self.changes(3_000.0, 0.0, *safe)
+        plan = self.planner.plan(
+            rollout.Demand(cases.MODEL, 3_000.0), (), safe, now=1.0
+        )
+        self.assertEqual(plan.changes, ())
+        self.assertEqual(plan.unmet_tokens_per_s, 0.0)
+
+
+class WalkTest(unittest.TestCase):
+    """Work that must not be repeated keeps off reclaimables."""
+
+    def test_may_run_on(self) -> None:
+        for reclaimable, repeatable, allowed, expected in (
+            (False, False, False, True),
+            (True, False, False, False),
+            (True, True, False, True),
+            (True, False, True, True),
+        ):
+            with self.subTest(reclaimable=reclaimable, repeatable=repeatable):
+                self.assertIs(
+                    rollout.may_run_on(reclaimable, repeatable, allowed),
+                    expected,
+                )
+
+    def test_forecast_follows_a_rise(self) -> None:
+        forecast = rollout.DemandForecast()
+        for second in range(0, 1_200, 10):
+            forecast.observe(1_000.0 + second, float(second))
+        ahead = forecast.at(1_190.0 + 90.0)
+        self.assertLess(abs(ahead - 2_280.0), 100.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/rollout/test_mutants.py
+++ b/tests/rollout/test_mutants.py
@@ -16,11 +16,17 @@
 
 from tests.rollout import cases
 from tests.rollout import fleet
+from tests.rollout import platform
 from tests.rollout import walks
 from tests.rollout import world
 
 PACKAGE = "banyanbank_rollout"
-MAX_WALKS = {walks.walk: 120, fleet.walk: 40, fleet.wide_walk: 2}
+MAX_WALKS = {
+    walks.walk: 120,
+    fleet.walk: 40,
+    fleet.wide_walk: 2,
+    platform.walk: 20,
+}
 
 
 @attrs.frozen
@@ -166,6 +172,48 @@
         "False",
         fleet.wide_walk,
     ),
+    "surplus is drained at once": Mutant(
+        "_demand",
+        "if at > start and old > value",
+        "if False",
+        platform.walk,
+    ),
+    "running work is stranded": Mutant(
+        "_capacity_planner",
+        "if e.draining and e.running == 0 and",
+        "if e.draining and",
+        platform.walk,
+    ),
+    "safe endpoints fill one domain first": Mutant(
+        "_capacity_planner",
+        "floor = min(self._cfg.safe_per_domain, fill.room(kind))",
+        "floor = 0",
+        platform.walk,
+    ),
+    "protected need on reclaimables": Mutant(
+        "_capacity_planner",
+        "while fill.capacity(safe) < protected:",
+        "while False:",
+        platform.walk,
+    ),
+    "reclaimables fill one domain": Mutant(
+        "_capacity_planner",
+        "fill.capacity((kind,)) + offer.tokens_per_s <= cap",
+        "True",
+        platform.walk,
+    ),
+    "reclaimed endpoints still count": Mutant(
+        "_capacity_planner",
+        "if endpoint.gone_at is not None:\n        return False",
+        "if False:\n        return False",
+        platform.walk,
+    ),
+    "drained before the rest carries the need": Mutant(
+        "_capacity_planner",
+        "capacity - speed < total",
+        "False",
+        platform.walk,
+    ),
 }
 
 
@@ -219,6 +267,7 @@
             mock.patch.object(world, "rollout", copy),
             mock.patch.object(cases, "rollout", copy),
             mock.patch.object(fleet, "rollout", copy),
+            mock.patch.object(platform, "rollout", copy),
         ):
             yield
 
