Add a body store on disk, so that a full step fits in memory

Change: rollout.FileBodyStore (Protocol rollout.BodyStore) keeps one append-only file a step: put, sync, get, retain, missing. The ledger then holds digests (SampleBody.stored); Ledger.stored_digests() names what a store must hold. Torn ends are cut, damage is never handed out, a failed write or sync ends the intake. Faults found on the way and mended: a body found at a start but never synced counted as durable, and a body put again after a failed sync did.

--- a/packages/rollout/src/banyanbank_rollout/__init__.py
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -1,5 +1,8 @@
 """Rollout decisions: sample ledger, batches, staleness, weights."""
 
+from banyanbank_rollout._bodies import BodyStore
+from banyanbank_rollout._bodies import BodyStoreError
+from banyanbank_rollout._bodies import FileBodyStore
 from banyanbank_rollout._capacity import CapacityCfg
 from banyanbank_rollout._capacity import CapacityPlan
 from banyanbank_rollout._capacity import Demand
@@ -75,6 +78,8 @@
     "BatchFormed",
     "BatchPending",
     "BatchRejected",
+    "BodyStore",
+    "BodyStoreError",
     "CancelAttempt",
     "CancelStep",
     "CapacityCfg",
@@ -91,6 +96,7 @@
     "EngineWeights",
     "ExtrasCfg",
     "FetchBatch",
+    "FileBodyStore",
     "FormBatch",
     "GradeSample",
     "GroupSubmitted",
