Add the operators' and trainers' command line

Cause: operators apply sheets, look at what is in force, handle keys, drain instances and read the merged time line; trainers submit and fetch rollouts.

Change: banyanbank with one method a command, an HTTP client without name look-ups that asks again for a lost answer under the same request id, and readable tables. Help is printed and starts no pager process. Events have a JSON form that daemon and command line share (banyanbank_daemon.timeline).

Found while testing: a refusal "not run" after a lost attempt was shown as it came, though the lost attempt may have run; it is now shown as such unless the server judged the request itself.

--- /dev/null
+++ b/packages/cli/src/banyanbank_cli/_rollouts.py
@@ -0,0 +1,97 @@
+"""Commands of trainers, as requests to the callers' interface."""
+
+import json
+import pathlib
+import typing
+
+from returns import result
+
+from banyanbank_cli import _client
+from banyanbank_cli import _operator
+
+SUBMIT_PATH = "/rollouts/{trainer}/groups"
+"""Takes a group of samples."""
+
+FETCH_PATH = "/rollouts/{trainer}/steps/{step}/batch"
+"""Hands out the batch of a step."""
+
+ACKNOWLEDGE_PATH = "/rollouts/{trainer}/batches/{batch}/acknowledge"
+"""Takes the acknowledgement of a batch."""
+
+NO_CONTENT = 204
+"""Status of a batch that is not whole yet."""
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+"""Headers of requests with a body."""
+
+
+def submit_call(
+    trainer: str, step: int, group: int, prompt: str, max_tokens: int
+) -> _client.Call:
+    """Returns the request that submits one group."""
+    call = _client.Call(
+        "POST",
+        SUBMIT_PATH.format(trainer=_client.quoted(trainer)),
+        headers=JSON_HEADERS,
+    )
+    document: dict[str, typing.Any] = {
+        "step": step,
+        "group": group,
+        "prompt": prompt,
+        "request_id": call.request_id,
+    }
+    if max_tokens:
+        document["max_tokens"] = max_tokens
+    return _client.Call(
+        call.method,
+        call.path,
+        json.dumps(document).encode(),
+        call.headers,
+        call.request_id,
+    )
+
+
+def acknowledge_call(trainer: str, batch: str) -> _client.Call:
+    """Returns the request that acknowledges a batch."""
+    path = ACKNOWLEDGE_PATH.format(
+        trainer=_client.quoted(trainer), batch=_client.quoted(batch)
+    )
+    return _client.Call("POST", path, b"{}", JSON_HEADERS)
+
+
+async def fetch(
+    client: _client.Client,
+    trainer: str,
+    step: int,
+    wait_s: int,
+    output: pathlib.Path | None,
+) -> _operator.CommandResult:
+    """Fetches the batch of a step.
+
+    Args:
+        client: Any entry.
+        trainer: Name of the trainer.
+        step: Its step.
+        wait_s: Seconds to wait for the batch to become whole.
+        output: File for the batch; None returns it as text.
+    """
+    path = FETCH_PATH.format(trainer=_client.quoted(trainer), step=step)
+    call = _client.Call("GET", f"{path}?wait_s={wait_s}")
+    answer = await client.send(call)
+    if isinstance(answer, result.Failure):
+        return answer
+    reply = answer.unwrap()
+    if reply.status == NO_CONTENT:
+        missing = reply.headers.getRawHeaders("x-samples-missing", ["some"])
+        return result.Failure(
+            _client.Problem(f"The batch is not whole: {missing[0]} missing.")
+        )
+    if output is None:
+        return result.Success(reply.body.decode("utf-8", "replace") + "\n")
+    try:
+        output.write_bytes(reply.body)
+    except OSError as exc:
+        return result.Failure(
+            _client.Problem(f"{output} cannot be written: {exc}")
+        )
+    return result.Success(f"{len(reply.body)} bytes are in {output}\n")
--- a/packages/daemon/src/banyanbank_daemon/_settings.py
+++ b/packages/daemon/src/banyanbank_daemon/_settings.py
@@ -14,7 +14,9 @@
 ENVIRONMENT_PREFIX = "BANYANBANK_"
 """Environment variables are this and the flag's name in capitals."""
 
-COMMAND_LINE_VARIABLES = frozenset({"TOKEN_FILE", "SERVER"})
+COMMAND_LINE_VARIABLES = frozenset(
+    {"TOKEN_FILE", "SERVER", "KEY_FILE", "ENTRY"}
+)
 """Variables of the `banyanbank` command line, which are no settings."""
 
 LOG_FORMATS = ("json", "readable")
--- a/packages/daemon/src/banyanbank_daemon/_timeline.py
+++ b/packages/daemon/src/banyanbank_daemon/_timeline.py
@@ -36,25 +36,25 @@
     """A text is no event."""
 
 
-def event_to_json(event: base.Event) -> str:
-    """Returns one event as one line of JSON; empty fields are left out."""
+def event_to_document(event: base.Event) -> dict[str, typing.Any]:
+    """Returns one event as a JSON object; empty fields are left out."""
     fields = {
         name: value
         for name, value in attrs.asdict(event, recurse=False).items()
         if value
     }
     fields["time"] = [event.time.wall_us, event.time.tick]
-    return json.dumps(fields, ensure_ascii=False)
+    return fields
 
 
-def event_from_json(text: str) -> base.Event:
-    """Reads one line of JSON.
+def event_from_document(document: typing.Any) -> base.Event:
+    """Reads one event from a JSON object.
 
     Raises:
         TimelineError: It is no event.
     """
     try:
-        fields = json.loads(text)
+        fields = dict(document)
         wall_us, tick = fields["time"]
         fields["time"] = {"wall_us": wall_us, "tick": tick}
         return _CONVERTER.structure(fields, base.Event)
@@ -63,9 +63,25 @@
         TypeError,
         KeyError,
         AttributeError,
-        RecursionError,
         cattrs.BaseValidationError,
     ) as exc:
+        raise TimelineError(f"No event: {str(document)[:80]!r}") from exc
+
+
+def event_to_json(event: base.Event) -> str:
+    """Returns one event as one line of JSON; empty fields are left out."""
+    return json.dumps(event_to_document(event), ensure_ascii=False)
+
+
+def event_from_json(text: str) -> base.Event:
+    """Reads one line of JSON.
+
+    Raises:
+        TimelineError: It is no event.
+    """
+    try:
+        return event_from_document(json.loads(text))
+    except (ValueError, RecursionError) as exc:
         raise TimelineError(f"No event: {text[:80]!r}") from exc
 
 
--- a/packages/daemon/src/banyanbank_daemon/main.py
+++ b/packages/daemon/src/banyanbank_daemon/main.py
@@ -3,8 +3,10 @@
 import importlib
 import os
 import sys
+import typing
 
 import fire
+import fire.core
 import fire.decorators
 from returns import result
 
@@ -40,10 +42,16 @@
 
     # Texts stay texts: an instance may be named 1e3.
     fire.decorators.SetParseFn(str)(banyanbankd)
+    # Help is printed: the usual way starts a pager, a process of its own.
+    fire.core.Display = _display
     fire.Fire(banyanbankd, command=arguments, name="banyanbankd")
     return read
 
 
+def _display(lines: list[str], out: typing.TextIO) -> None:
+    out.write("\n".join(lines) + "\n")
+
+
 def _run(settings: _settings.Settings) -> None:
     import asyncio
 
--- /dev/null
+++ b/tests/cli/test_operator.py
@@ -0,0 +1,276 @@
+"""Tests of the operators' commands."""
+
+import json
+
+from tests.cli import support
+
+Answer = support.Answer
+REFUSAL = {
+    "detail": "Revision 8 is in force.",
+    "outcome": "not run",
+    "errors": [
+        {
+            "file": "keys.csv",
+            "row": 3,
+            "column": "account",
+            "message": "No account 'x'.",
+            "mend": "Add it.",
+        }
+    ],
+}
+
+
+class ApplyTest(support.CommandCase):
+    """Sheets are sent whole, once, and refusals are shown in full."""
+
+    def test_apply(self) -> None:
+        sheet = self.folder / "keys.csv"
+        sheet.write_bytes(b"\xef\xbb\xbfkind;name\r\n")
+        scripted, url = self.serve(
+            Answer({"revision": 8, "changes": ["added account a"]})
+        )
+        ending = self.run_at(url, "apply", str(sheet), "--expect-revision=7")
+        self.assertEqual(ending.code, 0)
+        self.assertEqual(
+            ending.out, "revision 8 is accepted, 1 changes\n  added account a\n"
+        )
+        (taken,) = scripted.taken
+        self.assertEqual(taken.body, b"\xef\xbb\xbfkind;name\r\n")
+        self.assertEqual(taken.path, "/operator/apply")
+        expected = {
+            "x-expect-revision": "7",
+            "x-sheet-name": "keys.csv",
+            "authorization": f"Bearer {support.TOKEN}",
+        }
+        self.assertEqual(taken.headers, {**taken.headers, **expected})
+        self.assertNotIn("x-dry-run", taken.headers)
+
+    def test_refusal(self) -> None:
+        _, url = self.serve(Answer(REFUSAL, status=409))
+        sheet = self.folder / "keys.csv"
+        sheet.write_text("")
+        ending = self.run_at(url, "apply", str(sheet), "--expect-revision", "7")
+        self.assertEqual((ending.code, ending.out), (1, ""))
+        self.assertEqual(
+            ending.err,
+            "error (HTTP 409): Revision 8 is in force.\n"
+            "keys.csv, row 3, column account: No account 'x'. Add it.\n"
+            "outcome: not run\n",
+        )
+
+    def test_diff_changes_nothing(self) -> None:
+        scripted, url = self.serve(Answer({"revision": 7, "changes": []}))
+        sheet = self.folder / "a.csv"
+        sheet.write_text("")
+        ending = self.run_at(url, "diff", str(sheet))
+        self.assertEqual(ending.out, "0 changes against revision 7\n")
+        self.assertEqual(scripted.taken[0].headers["x-dry-run"], "1")
+
+    def test_usage(self) -> None:
+        cases = (
+            ("apply", "missing.csv", "--expect-revision", "1"),
+            ("apply", "missing.csv", "--expect-revision", "one"),
+            ("status", "--token-file", "/nowhere"),
+            ("status", "--server", "http://localhost:1"),
+            ("timeline", "--epoch", "-1"),
+        )
+        for arguments in cases:
+            with self.subTest(arguments=arguments):
+                ending = self.run_command(*arguments)
+                self.assertEqual((ending.code, ending.out), (1, ""))
+                self.assertTrue(ending.err.startswith("error"))
+
+
+class ResendTest(support.CommandCase):
+    """A lost answer is asked for again under the same request id."""
+
+    def test_lost_answers(self) -> None:
+        lost = Answer(lost=True)
+        no_leader = Answer({"outcome": "may have run"}, status=503)
+        scripted, url = self.serve(
+            lost, no_leader, lost, Answer({"revision": 8, "changes": []})
+        )
+        sheet = self.folder / "a.csv"
+        sheet.write_text("x")
+        ending = self.run_at(url, "apply", str(sheet), "--expect-revision=7")
+        self.assertEqual(ending.code, 0)
+        ids = [taken.headers["x-request-id"] for taken in scripted.taken]
+        self.assertEqual((len(ids), len(set(ids))), (4, 1))
+
+    def test_outcome_when_giving_up(self) -> None:
+        _, url = self.serve(Answer(lost=True))
+        not_run = {"outcome": "not run"}
+        _, busy = self.serve(Answer(not_run, status=503))
+        _, lost_then_busy = self.serve(
+            Answer(lost=True), Answer(not_run, status=503)
+        )
+        _, lost_then_denied = self.serve(
+            Answer(lost=True), Answer(not_run, status=401)
+        )
+        _, lost_then_judged = self.serve(
+            Answer(lost=True), Answer(not_run, status=409)
+        )
+        cases = (
+            (url, "outcome: may have run"),
+            (busy, "outcome: not run"),
+            (lost_then_busy, "outcome: may have run"),
+            (lost_then_denied, "outcome: may have run"),
+            (lost_then_judged, "outcome: not run"),
+            ("http://127.0.0.1:1", "outcome: not run"),
+        )
+        for server, words in cases:
+            with self.subTest(server=server):
+                ending = self.run_at(server, "drain", "e1")
+                self.assertEqual(ending.code, 1)
+                self.assertIn(words, ending.err)
+                self.assertNotIn(support.TOKEN, ending.err)
+
+    def test_refusals_are_not_repeated(self) -> None:
+        scripted, url = self.serve(Answer(REFUSAL, status=409))
+        self.run_at(url, "drain", "e1")
+        self.assertEqual(len(scripted.taken), 1)
+
+
+class ShowTest(support.CommandCase):
+    """Answers are readable, and exports are byte for byte."""
+
+    def test_export(self) -> None:
+        document = {"revision": 3, "sheet": "a;b\r\n1;2\r\n", "text": "{}\n"}
+        _, url = self.serve(Answer(document))
+        self.assertEqual(self.run_at(url, "export").out, "a;b\r\n1;2\r\n")
+        self.assertEqual(self.run_at(url, "export", "--text").out, "{}\n")
+
+    def test_status(self) -> None:
+        document = {
+            "revision": 3,
+            "leader": None,
+            "instances": [
+                {"instance": "e1", "voter": True, "roles": ["entry", "x"]},
+                {"instance": "e22", "queue": 5},
+            ],
+        }
+        _, url = self.serve(Answer(document))
+        self.assertEqual(
+            self.run_at(url, "status").out,
+            "revision: 3\n"
+            "leader: -\n"
+            "instances:\n"
+            "  instance  voter  roles     queue\n"
+            "  e1        yes    entry, x  -\n"
+            "  e22       -      -         5\n",
+        )
+        shown = self.run_at(url, "status", "--json").out
+        self.assertEqual(json.loads(shown), document)
+
+    def test_paths(self) -> None:
+        cases = (
+            (("keys", "create", "tesfaye"), "POST", "/operator/keys"),
+            (("keys", "list"), "GET", "/operator/keys"),
+            (
+                ("keys", "withdraw", "k/1"),
+                "POST",
+                "/operator/keys/k%2F1/withdraw",
+            ),
+            (("drain", "0012"), "POST", "/operator/drain/0012"),
+        )
+        for arguments, method, path in cases:
+            with self.subTest(arguments=arguments):
+                scripted, url = self.serve(Answer({"done": True}))
+                ending = self.run_at(url, *arguments)
+                self.assertEqual(ending.out, "done: yes\n")
+                taken = scripted.taken[0]
+                self.assertEqual((taken.method, taken.path), (method, path))
+
+    def test_foreign_answers(self) -> None:
+        cases = (("status", "x"), ("export", [1]), ("export", {"no": 1}))
+        for command, document in cases:
+            with self.subTest(command=command, document=document):
+                _, url = self.serve(Answer(document))
+                ending = self.run_at(url, command)
+                self.assertIn(ending.code, (0, 1))
+                self.assertTrue(ending.out or ending.err)
+
+    def test_help(self) -> None:
+        shown = self.run_command("--help")
+        for word in ("apply", "timeline", "--token-file"):
+            self.assertIn(word, shown.out + shown.err)
+
+
+class TimelineTest(support.CommandCase):
+    """The time line is merged over all instances that can be asked."""
+
+    def answers(self) -> tuple[support.ScriptedResource, str]:
+        event = {"kind": "a.b", "request": "r1", "instance": "e1"}
+        later = {**event, "instance": "e2", "time": [2_000_000, 0]}
+        first = {**event, "time": [1_000_000, 0]}
+        other = {**first, "request": "r2"}
+        _, peer = self.serve(Answer({"events": [later]}))
+        status: dict[str, object] = {}
+        scripted, url = self.serve(
+            Answer(status), Answer({"events": [other, first]})
+        )
+        status["instances"] = [
+            {"instance": "e2", "operator_url": peer},
+            {"instance": "e1", "operator_url": url},
+            {"instance": "e3", "operator_url": "http://127.0.0.1:1"},
+        ]
+        return scripted, url
+
+    def test_text(self) -> None:
+        scripted, url = self.answers()
+        ending = self.run_at(url, "timeline", "--request", "r1")
+        self.assertEqual(
+            ending.out,
+            "1970-01-01T00:00:01.000000Z+0 e1 a.b request=r1\n"
+            "1970-01-01T00:00:02.000000Z+0 e2 a.b request=r1\n",
+        )
+        self.assertIn("events of e3 are missing", ending.err)
+        self.assertEqual(
+            scripted.taken[1].path, "/operator/timeline?request=r1"
+        )
+
+    def test_html(self) -> None:
+        _, url = self.answers()
+        page = self.folder / "page.html"
+        ending = self.run_at(url, "timeline", "--request=r1", f"--html={page}")
+        self.assertIn("2 events", ending.out)
+        self.assertIn("<svg", page.read_text())
+
+
+class RolloutTest(support.CommandCase):
+    """Trainers submit, fetch and acknowledge."""
+
+    def run_at_entry(self, url: str, *arguments: str) -> support.Ending:
+        """Runs a command against an entry, with a key."""
+        flags = ("--entry", url, "--key-file", str(self.token_file))
+        return self.run_command("rollout", *arguments, *flags)
+
+    def test_submit(self) -> None:
+        scripted, url = self.serve(Answer({"result": "GroupAccepted"}, 202))
+        ending = self.run_at_entry(
+            url, "submit", "t", "3", "0", "--prompt=12", "--max-tokens=9"
+        )
+        self.assertEqual(ending.code, 0, ending.err)
+        (taken,) = scripted.taken
+        document = json.loads(taken.body)
+        self.assertEqual(document["request_id"], taken.headers["x-request-id"])
+        self.assertEqual(
+            (document["step"], document["group"], document["prompt"]),
+            (3, 0, "12"),
+        )
+
+    def test_fetch_and_acknowledge(self) -> None:
+        _, url = self.serve(Answer({"batch": "b"}))
+        file = self.folder / "batch.json"
+        self.run_at_entry(url, "fetch", "t", "3", f"--output={file}")
+        self.assertEqual(json.loads(file.read_text()), {"batch": "b"})
+        ending = self.run_at_entry(url, "acknowledge", "t", "b")
+        self.assertEqual(ending.out, "batch: b\n")
+
+    def test_batch_not_whole(self) -> None:
+        _, url = self.serve(
+            Answer(None, 204, headers=(("x-samples-missing", "4"),))
+        )
+        ending = self.run_at_entry(url, "fetch", "t", "3")
+        self.assertEqual(ending.code, 1)
+        self.assertIn("4 missing", ending.err)
