Follow moved and restarted peers, and bound what is remembered

Cause: a call made just after a peer had moved was dropped with the dial to the old address; an instance whose clock was set back at a restart was shut out for ever as an older life; one connection could queue 32 MiB.

Change: what waits goes to the new address; the newest life is remembered for 60 s after its last connection; a connection queues 8 MiB, or one larger frame; names in handshakes are bounded; opening sockets moves to a module.

--- a/packages/mesh/src/banyanbank_mesh/_connections.py
+++ b/packages/mesh/src/banyanbank_mesh/_connections.py
@@ -1,13 +1,11 @@
 """Listening, dialling and the links to all peers."""
 
 import asyncio
-import logging
 import random
 import typing
 
 import attrs
 import banyanbank_base as base
-import websockets.asyncio.client
 import websockets.asyncio.connection
 import websockets.asyncio.server
 import websockets.exceptions
@@ -17,20 +15,9 @@
 from banyanbank_mesh import _handshake
 from banyanbank_mesh import _link
 from banyanbank_mesh import _peer
+from banyanbank_mesh import _sockets
 from banyanbank_mesh import _tls
 
-CONNECT_LIMIT_S = 3.0
-"""A dial that has not succeeded by then has failed."""
-
-PING_PERIOD_S = 5.0
-"""Period of the pings that find a silent peer."""
-
-PING_LIMIT_S = 10.0
-"""A peer that answers no ping for this long is disconnected."""
-
-CLOSE_LIMIT_S = 1.0
-"""Time for the closing handshake."""
-
 MAX_ACCEPTED_LINKS = 2048
 """Connections that other instances may hold open to this one."""
 
@@ -97,12 +84,11 @@
         self._rng = rng
         self._owner = owner
         self._peers: dict[base.InstanceId, _peer.Peer] = {}
+        self._lives = _peer.LifeMemory(clock)
         self._server: websockets.asyncio.server.Server | None = None
         self._accepted = 0
         self._stopped = False
         self._tasks: set[asyncio.Task[None]] = set()
-        self._logger = logging.getLogger("banyanbank_mesh.websockets")
-        self._logger.addHandler(logging.NullHandler())
 
     async def listen(self, host: str, port: int) -> int:
         """Starts listening and returns the TCP port.
@@ -110,20 +96,7 @@
         Raises:
             OSError: The address cannot be bound.
         """
-        self._server = await websockets.asyncio.server.serve(
-            self._serve,
-            host,
-            port,
-            ssl=None if self._tls is None else self._tls.server_context(),
-            compression=None,
-            server_header=None,
-            open_timeout=_handshake.HANDSHAKE_LIMIT_S,
-            ping_interval=PING_PERIOD_S,
-            ping_timeout=PING_LIMIT_S,
-            close_timeout=CLOSE_LIMIT_S,
-            max_size=_frames.MAX_FRAME_BYTES,
-            logger=self._logger,
-        )
+        self._server = await _sockets.listen(self._serve, host, port, self._tls)
         sockets = list(self._server.sockets)
         return int(sockets[0].getsockname()[1])
 
@@ -134,7 +107,7 @@
             peer.close(_link.CODE_GOING, "The instance stops.")
         tasks = list(self._tasks)
         if tasks:
-            await asyncio.wait(tasks, timeout=2 * CLOSE_LIMIT_S)
+            await asyncio.wait(tasks, timeout=2 * _sockets.CLOSE_LIMIT_S)
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -202,6 +175,7 @@
         """Forgets a link."""
         peer = self._peers[link.peer]
         peer.lanes[link.lane].links.remove(link)
+        self._lives.note(link.peer, link.incarnation)
         self._recorder.record(
             "mesh.disconnected",
             detail=f"peer={link.peer} lane={link.lane.value}",
@@ -235,7 +209,7 @@
     async def _dial(self, peer: _peer.Peer, lane: _frames.Lane) -> None:
         state = peer.lanes[lane]
         try:
-            async with asyncio.timeout(CONNECT_LIMIT_S):
+            async with asyncio.timeout(_sockets.CONNECT_LIMIT_S):
                 conn, identity = await self._connect(peer, lane)
         except (
             OSError,
@@ -247,7 +221,7 @@
             self._dial_ended(peer, lane, repr(exc)[:200])
             return
         except asyncio.CancelledError:
-            self._dial_ended(peer, lane, "The peer has moved or was removed.")
+            self._dial_cancelled(peer, lane)
             return
         link = self._add_link(conn, identity, lane, dialled=True)
         state.backoff.succeeded()
@@ -257,6 +231,13 @@
         self._owner.connected(link)
         await link.run()
 
+    def _dial_cancelled(self, peer: _peer.Peer, lane: _frames.Lane) -> None:
+        if peer.address is None or self._stopped:
+            self._dial_ended(peer, lane, "The peer was removed.")
+            return
+        # The peer has moved: what waits goes to its new address.
+        peer.lanes[lane].dial = self._spawn(self._dial(peer, lane))
+
     def _dial_ended(
         self, peer: _peer.Peer, lane: _frames.Lane, detail: str
     ) -> None:
@@ -275,20 +256,7 @@
         address = peer.address
         if address is None:
             raise OSError(f"The address of {peer.instance!r} is not known.")
-        scheme = "ws" if self._tls is None else "wss"
-        conn = await websockets.asyncio.client.connect(
-            f"{scheme}://{_bracketed(address.host)}:{address.port}/",
-            ssl=None if self._tls is None else self._tls.client_context(),
-            compression=None,
-            proxy=None,
-            user_agent_header=None,
-            open_timeout=CONNECT_LIMIT_S,
-            ping_interval=PING_PERIOD_S,
-            ping_timeout=PING_LIMIT_S,
-            close_timeout=CLOSE_LIMIT_S,
-            max_size=_frames.MAX_FRAME_BYTES,
-            logger=self._logger,
-        )
+        conn = await _sockets.connect(address, self._tls)
         try:
             identity = await _handshake.greet(
                 conn, self._me, peer.instance, lane, self._tls
@@ -328,13 +296,16 @@
         await link.run()
 
     def _check_life(self, identity: _handshake.Identity) -> None:
+        newest = self._lives.newest(identity.instance)
         peer = self._peers.get(identity.instance)
-        if peer is None or identity.incarnation >= peer.incarnation:
+        if peer is not None:
+            newest = max(newest, peer.connected_life())
+        if identity.incarnation >= newest:
             return
         raise _errors.HandshakeError(
             _link.CODE_REFUSED,
             f"Incarnation {identity.incarnation} of {identity.instance!r} is "
-            f"older than {peer.incarnation}.",
+            f"older than {newest}.",
         )
 
     def _add_link(
@@ -349,8 +320,8 @@
         link = _link.Link(
             conn, peer.instance, identity.incarnation, lane, dialled, self
         )
-        if identity.incarnation > peer.incarnation:
-            peer.advance(identity.incarnation)
+        self._lives.note(identity.instance, identity.incarnation)
+        peer.close_older(identity.incarnation)
         peer.lanes[lane].links.append(link)
         self._recorder.record(
             "mesh.connected",
@@ -367,7 +338,3 @@
     if link.send(item):
         return Submission(accepted=True, link=link)
     return Submission(accepted=False, overloaded=True)
-
-
-def _bracketed(host: str) -> str:
-    return f"[{host}]" if ":" in host else host
--- a/packages/mesh/src/banyanbank_mesh/_handshake.py
+++ b/packages/mesh/src/banyanbank_mesh/_handshake.py
@@ -17,6 +17,10 @@
 """A connection that has not shaken hands by then is closed."""
 
 
+MAX_NAME_CHARS = 128
+"""Longest name of an instance."""
+
+
 @attrs.frozen
 class Identity:
     """Who an instance is, as it says in handshakes."""
@@ -108,8 +112,12 @@
             f"Protocol {frame.version} is not {_frames.PROTOCOL_VERSION}; "
             "run one release on all instances."
         )
+    if not 0 < len(frame.instance) <= MAX_NAME_CHARS:
+        raise _refused("The name of the instance is empty or too long.")
     if frame.target != me.instance:
-        raise _refused(f"This is {me.instance!r}, not {frame.target!r}.")
+        raise _refused(
+            f"This is {me.instance!r}, not {frame.target[:MAX_NAME_CHARS]!r}."
+        )
     check_certificate(conn, frame.instance, tls)
     peer = Identity(
         base.InstanceId(frame.instance), base.Incarnation(frame.incarnation)
--- a/packages/mesh/src/banyanbank_mesh/_link.py
+++ b/packages/mesh/src/banyanbank_mesh/_link.py
@@ -12,8 +12,8 @@
 
 from banyanbank_mesh import _frames
 
-MAX_QUEUED_BYTES = 32 * 1024 * 1024
-"""Bytes that may wait for one connection."""
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
+"""Bytes that may wait for one connection, or one larger frame."""
 
 MAX_QUEUED_FRAMES = 4096
 """Frames that may wait for one connection."""
@@ -81,6 +81,8 @@
         return item
 
     def _has_room(self, size: int) -> bool:
+        if not self._items:
+            return True
         if len(self._items) >= MAX_QUEUED_FRAMES:
             return False
         return self._bytes + size <= MAX_QUEUED_BYTES
--- a/packages/mesh/src/banyanbank_mesh/_peer.py
+++ b/packages/mesh/src/banyanbank_mesh/_peer.py
@@ -20,6 +20,51 @@
 """Largest mean delay between two dials."""
 
 
+LIFE_MEMORY_S = 60.0
+"""Time for which the newest life of a disconnected peer is remembered."""
+
+MAX_REMEMBERED = 4096
+"""Instances whose lives are remembered."""
+
+
+class LifeMemory:
+    """Newest life of each instance, remembered for a while.
+
+    An older life is refused while a newer one is connected or remembered. The
+    memory ends so that an instance whose clock was set back, and which draws
+    lower numbers since, is not shut out for ever.
+
+    Args:
+        clock: Clock of the memory.
+    """
+
+    def __init__(self, clock: base.Clock) -> None:
+        self._clock = clock
+        self._newest: dict[base.InstanceId, tuple[base.Incarnation, float]] = {}
+
+    def note(
+        self, instance: base.InstanceId, incarnation: base.Incarnation
+    ) -> None:
+        """Remembers a life from now on."""
+        if self.newest(instance) > incarnation:
+            return
+        # Reinserted at the end, so that the stalest is the first.
+        self._newest.pop(instance, None)
+        until = self._clock.now() + LIFE_MEMORY_S
+        self._newest[instance] = (incarnation, until)
+        if len(self._newest) > MAX_REMEMBERED:
+            del self._newest[next(iter(self._newest))]
+
+    def newest(self, instance: base.InstanceId) -> base.Incarnation:
+        """Returns the newest life remembered; 0 when there is none."""
+        incarnation, until = self._newest.get(
+            instance, (base.Incarnation(0), 0.0)
+        )
+        if self._clock.now() >= until:
+            return base.Incarnation(0)
+        return incarnation
+
+
 @attrs.define(eq=False)
 class Backoff:
     """Exponential delay with jitter between failed dials."""
@@ -90,7 +135,6 @@
     def __init__(self, instance: base.InstanceId, rng: random.Random) -> None:
         self.instance = instance
         self.address: Address | None = None
-        self.incarnation = base.Incarnation(0)
         self.lanes = {lane: LaneState(Backoff(rng)) for lane in _frames.Lane}
 
     def all_links(self) -> list[_link.Link]:
@@ -118,9 +162,13 @@
             if lane.dial is not None:
                 lane.dial.cancel()
 
-    def advance(self, incarnation: base.Incarnation) -> None:
-        """Takes note of a later life and closes links to earlier ones."""
-        self.incarnation = incarnation
+    def connected_life(self) -> base.Incarnation:
+        """Returns the newest life with an open link; 0 when there is none."""
+        lives = [link.incarnation for link in self.all_links() if link.usable]
+        return max(lives, default=base.Incarnation(0))
+
+    def close_older(self, incarnation: base.Incarnation) -> None:
+        """Closes links to earlier lives."""
         for link in self.all_links():
-            if link.incarnation != incarnation:
+            if link.incarnation < incarnation:
                 link.close(_link.CODE_REPLACED, "A later life has connected.")
--- a/tests/mesh/test_frames.py
+++ b/tests/mesh/test_frames.py
@@ -196,6 +196,7 @@
             ("text", ["hello"]),
             ("no hello", [_frames.Welcome("x", 1)]),
             ("version", [attrs.evolve(hello, version=9)]),
+            ("long name", [attrs.evolve(hello, instance="x" * 10**6)]),
             ("target", [attrs.evolve(hello, target="c")]),
             ("oversize", [hello, b"x" * (mesh.MAX_FRAME_BYTES + 1)]),
             ("late text", [hello, "text"]),
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -1,9 +1,13 @@
 """Tests of messages and calls between instances."""
 
 import asyncio
+import unittest
+import unittest.mock
 
 import banyanbank_base as base
 import banyanbank_mesh as mesh
+from banyanbank_mesh import _peer
+from banyanbank_mesh import _sockets
 from returns import result
 from twisted.internet import defer
 
@@ -190,6 +194,60 @@
 
         self.run_case(case)
 
+    def test_older_life_after_the_newer_has_gone(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            a.on_call("echo", echo)
+            later = await self.start_mesh(B, incarnation=5)
+            later.set_peer(A, "127.0.0.1", a.port)
+            await later.call(A, "echo", b"", self.soon())
+            await later.stop()
+            answer = await b.call(A, "echo", b"", self.soon())
+            self.expect_error(answer, KIND.UNREACHABLE, NOT_RUN)
+
+        self.run_case(case)
+
+    def test_restart_at_the_same_address(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("echo", echo)
+            await a.call(B, "echo", b"", self.soon())
+            await b.stop()
+            failed = await a.call(B, "echo", b"", self.soon())
+            self.assertIsInstance(failed, result.Failure)
+            again = await self.start_mesh(B, incarnation=2, port=b.port)
+            again.on_call("echo", echo)
+            # Dials follow calls, after the delay of the failed one.
+            while True:
+                answer = await a.call(B, "echo", b"x", self.soon())
+                if isinstance(answer, result.Success):
+                    break
+                self.expect_error(answer, KIND.UNREACHABLE, NOT_RUN)
+                await support.next_turn(support.POLL_S)
+
+        self.run_case(case)
+
+    def test_silent_peer_is_disconnected(self) -> None:
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            b.on_call("echo", echo)
+            relay = mesh_support.Relay(b.port)
+            await relay.start()
+            a.set_peer(B, "127.0.0.1", relay.port)
+            await a.call(B, "echo", b"", self.soon())
+            relay.freeze()
+            cut = await a.call(B, "echo", b"", self.soon())
+            self.expect_error(cut, KIND.DISCONNECTED, MAY_HAVE_RUN)
+            late = await a.call(B, "echo", b"", self.clock.now() + 0.1)
+            self.expect_error(late, KIND.DEADLINE, NOT_RUN)
+            a.set_peer(B, "127.0.0.1", b.port)
+            answer = await a.call(B, "echo", b"", self.soon())
+            self.assertEqual(answer, result.Success(b"a:"))
+            await relay.stop()
+
+        with (
+            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 0.05),
+            unittest.mock.patch.object(_sockets, "PING_LIMIT_S", 0.1),
+        ):
+            self.run_case(case)
+
     def test_wrong_instance_at_address(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             other = base.InstanceId("c")
@@ -227,6 +285,28 @@
         self.run_case(case)
 
 
+class LifeMemoryTest(unittest.TestCase):
+    """The newest life counts for a while, also over a clock set back."""
+
+    def test_memory(self) -> None:
+        clock = base.ManualClock(100.0)
+        memory = _peer.LifeMemory(clock)
+        memory.note(B, base.Incarnation(5))
+        memory.note(B, base.Incarnation(3))
+        self.assertEqual(memory.newest(B), 5)
+        clock.advance(_peer.LIFE_MEMORY_S)
+        self.assertEqual(memory.newest(B), 0)
+        memory.note(B, base.Incarnation(3))
+        self.assertEqual(memory.newest(B), 3)
+
+    def test_memory_is_bounded(self) -> None:
+        memory = _peer.LifeMemory(base.ManualClock())
+        for number in range(_peer.MAX_REMEMBERED + 1):
+            memory.note(base.InstanceId(str(number)), base.Incarnation(1))
+        self.assertEqual(memory.newest(base.InstanceId("0")), 0)
+        self.assertEqual(memory.newest(base.InstanceId("1")), 1)
+
+
 class ForeignBytesTest(mesh_support.MeshCase):
     """A peer that sends no frames is disconnected; the instance goes on."""
 
