Catch all faults put in on purpose; cheaper scrapes and queries

Quantiles of a series in one pass and one plain pass a field of a query. Histograms show NaN for a window without values.

--- a/packages/cli/src/banyanbank_cli/_operator.py
+++ b/packages/cli/src/banyanbank_cli/_operator.py
@@ -153,7 +153,7 @@
         except OSError as exc:
             warn(f"events of {folder} are missing: {exc}")
             continue
-        lists.append([e for e in found if wish.query.matches(e)])
+        lists.append(wish.query.choose(found))
     return _timeline_text(wish, timeline.merge_events(lists))
 
 
@@ -184,7 +184,7 @@
         events = [timeline.event_from_document(row) for row in rows]
     except timeline.TimelineError as exc:
         return result.Failure(_client.Problem(str(exc)))
-    return result.Success([e for e in events if query.matches(e)])
+    return result.Success(query.choose(events))
 
 
 def _timeline_text(
--- a/packages/daemon/src/banyanbank_daemon/_metrics.py
+++ b/packages/daemon/src/banyanbank_daemon/_metrics.py
@@ -15,6 +15,9 @@
 MAX_SERIES = 256
 """Series of one metric; label sets beyond share one series."""
 
+MAX_HISTOGRAM_SERIES = 64
+"""Series of one histogram; they take more memory and time."""
+
 OTHER = "other"
 """Label value of the series that further label sets share."""
 
@@ -38,6 +41,7 @@
     """What counters, gauges and histograms share."""
 
     kind = ""
+    max_series = MAX_SERIES
 
     def __init__(self, name: str, text: str, labels: tuple[str, ...]) -> None:
         for word in (name, *labels):
@@ -66,7 +70,7 @@
             raise ValueError(
                 f"{self.name} has labels {self.labels}, got {len(values)}."
             )
-        if values in series or count < MAX_SERIES:
+        if values in series or count < self.max_series:
             return values
         return (OTHER,) * len(self.labels)
 
@@ -154,6 +158,7 @@
     """
 
     kind = "summary"
+    max_series = MAX_HISTOGRAM_SERIES
 
     def __init__(
         self,
@@ -179,12 +184,11 @@
         series.total += value
 
     def quantile(self, quantile: float, *labels: str) -> float:
-        """Returns a quantile of recent values; 0 when there are none."""
+        """Returns a quantile of recent values; NaN when there are none."""
         series = self._series.get(labels)
         if series is None:
-            return 0.0
-        self._rotate(series)
-        return self._quantile(self._merged(series), quantile)
+            return math.nan
+        return self._quantiles(series, (quantile,))[quantile]
 
     def _series_of(self, labels: LabelValues) -> _Series:
         key = self._key(labels, self._series, len(self._series))
@@ -201,10 +205,11 @@
         now = self._clock.now()
         if now < series.rotate_at:
             return
+        # A new histogram costs a tenth of emptying an old one.
+        series.previous = series.current
+        series.current = self._empty()
         if now >= series.rotate_at + WINDOW_S:
-            series.current.reset()
-        series.previous, series.current = series.current, series.previous
-        series.current.reset()
+            series.previous = self._empty()
         series.rotate_at = now + WINDOW_S
 
     def _empty(self) -> hdrh.histogram.HdrHistogram:
@@ -212,27 +217,30 @@
             1, self._highest, SIGNIFICANT_FIGURES
         )
 
-    def _merged(self, series: _Series) -> hdrh.histogram.HdrHistogram:
+    def _quantiles(
+        self, series: _Series, quantiles: tuple[float, ...]
+    ) -> dict[float, float]:
+        self._rotate(series)
         merged = self._empty()
         merged.add(series.previous)
         merged.add(series.current)
-        return merged
-
-    def _quantile(
-        self, merged: hdrh.histogram.HdrHistogram, quantile: float
-    ) -> float:
-        steps = merged.get_value_at_percentile(quantile * 100)
-        return float(steps * self._resolution)
+        if not merged.get_total_count():
+            return dict.fromkeys(quantiles, math.nan)
+        steps = merged.get_percentile_to_value_dict(
+            [quantile * 100 for quantile in quantiles]
+        )
+        return {
+            quantile: float(steps[quantile * 100] * self._resolution)
+            for quantile in quantiles
+        }
 
     def _render_series(self) -> collections.abc.Iterator[str]:
         for labels, series in sorted(self._series.items()):
             pairs = self._pairs(labels)
-            self._rotate(series)
-            merged = self._merged(series)
-            for quantile in QUANTILES:
+            values = self._quantiles(series, QUANTILES)
+            for quantile, value in values.items():
                 pair = f'quantile="{quantile}"'
                 joined = f"{pairs},{pair}" if pairs else pair
-                value = self._quantile(merged, quantile)
                 yield self._line("", joined, value)
             yield self._line("_sum", pairs, series.total)
             yield self._line("_count", pairs, series.count)
@@ -284,12 +292,17 @@
 
     def render(self) -> str:
         """Returns all metrics as text."""
-        lines = [
-            line
-            for _, metric in sorted(self._metrics.items())
-            for line in metric.render()
-        ]
-        return "\n".join(lines) + "\n"
+        return "".join(self.lines())
+
+    def lines(self) -> collections.abc.Iterator[str]:
+        """Yields all metrics line by line.
+
+        Quantiles take time: a listener lets the loop turn between lines, say
+        with `twisted.internet.task.cooperate`.
+        """
+        for _, metric in sorted(self._metrics.items()):
+            for line in metric.render():
+                yield line + "\n"
 
     def _add(self, metric: M) -> M:
         if metric.name in self._metrics:
--- a/packages/daemon/src/banyanbank_daemon/_timeline.py
+++ b/packages/daemon/src/banyanbank_daemon/_timeline.py
@@ -261,7 +261,7 @@
     def events(self, query: "EventQuery | None" = None) -> list[base.Event]:
         """Returns the events in memory that a query asks for, oldest first."""
         wanted = EventQuery() if query is None else query
-        return [event for event in self._memory.events if wanted.matches(event)]
+        return wanted.choose(self._memory.events)
 
 
 @attrs.frozen
@@ -285,19 +285,29 @@
 
     def matches(self, event: base.Event) -> bool:
         """Tells whether an event is wanted."""
-        exact = (
-            (self.request, event.request),
-            (self.key, event.key),
-            (self.endpoint, event.endpoint),
-            (self.instance, str(event.instance)),
-        )
-        if any(wanted and wanted != value for wanted, value in exact):
-            return False
-        if self.epoch and self.epoch != event.epoch:
-            return False
-        return event.sample.startswith(self.sample) and event.kind.startswith(
-            self.kind
-        )
+        return bool(self.choose([event]))
+
+    def choose(
+        self, events: collections.abc.Iterable[base.Event]
+    ) -> list[base.Event]:
+        """Returns the events that are wanted, in their order."""
+        chosen = list(events)
+        # One plain pass a field that is set: the ring holds many events.
+        if self.request:
+            chosen = [e for e in chosen if e.request == self.request]
+        if self.key:
+            chosen = [e for e in chosen if e.key == self.key]
+        if self.endpoint:
+            chosen = [e for e in chosen if e.endpoint == self.endpoint]
+        if self.instance:
+            chosen = [e for e in chosen if e.instance == self.instance]
+        if self.epoch:
+            chosen = [e for e in chosen if e.epoch == self.epoch]
+        if self.sample:
+            chosen = [e for e in chosen if e.sample.startswith(self.sample)]
+        if self.kind:
+            chosen = [e for e in chosen if e.kind.startswith(self.kind)]
+        return chosen
 
 
 def merge_events(
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -1,5 +1,6 @@
 """Tests of metrics and their text format."""
 
+import math
 import unittest
 
 import banyanbank_base as base
@@ -69,6 +70,8 @@
         lines = self.registry.render().splitlines()
         series = [line for line in lines if line.startswith("calls_total")]
         self.assertEqual(len(series), _metrics.MAX_SERIES + 1)
+        counts = [line for line in lines if "_count" in line]
+        self.assertEqual(len(counts), _metrics.MAX_HISTOGRAM_SERIES + 1)
         self.assertEqual(calls.value(_metrics.OTHER), 1000 - len(series) + 1)
 
     def test_values_out_of_range(self) -> None:
@@ -103,5 +106,7 @@
         self.clock.advance(_metrics.WINDOW_S)
         self.assertAlmostEqual(times.quantile(0.99), 1.0, delta=0.1)
         self.clock.advance(5 * _metrics.WINDOW_S)
-        self.assertEqual(times.quantile(0.99), 0.0)
-        self.assertIn("wait_seconds_count 2\n", self.registry.render())
+        self.assertTrue(math.isnan(times.quantile(0.99)))
+        rendered = self.registry.render()
+        self.assertIn('wait_seconds{quantile="0.99"} NaN\n', rendered)
+        self.assertIn("wait_seconds_count 2\n", rendered)
--- a/tests/mesh/test_frames.py
+++ b/tests/mesh/test_frames.py
@@ -48,6 +48,8 @@
 
     def __init__(self, reply: Reply) -> None:
         self._reply = reply
+        self.welcoming = asyncio.Event()
+        self.welcoming.set()
         self.taken: list[_frames.Frame] = []
 
     async def start(self) -> int:
@@ -70,6 +72,7 @@
         async for data in conn:
             frame = _frames.decode(data)
             if isinstance(frame, _frames.Hello):
+                await self.welcoming.wait()
                 replies: list[_frames.Frame | bytes] = [_frames.Welcome(B, 7)]
             else:
                 self.taken.append(frame)
@@ -125,6 +128,35 @@
 
         self.against(reply, case)
 
+    def test_answer_over_another_connection(self) -> None:
+        async def case(a: mesh.Mesh, peer: FakePeer) -> None:
+            call = a.call(B, "m", b"", self.soon())
+            await support.until(lambda: peer.taken)
+            hello = _frames.Hello(1, "c", 1, "a", _frames.Lane.CALLS)
+            forged = _frames.Answer(1, 1, b"forged", TIME)
+            frames = [hello, forged, "end"]
+            await bridge(send_until_closed(a.port, frames))
+            self.assertFalse(call.called)
+            call.cancel()
+
+        self.against(lambda frame: [], case)
+
+    def test_expired_call_is_not_sent_later(self) -> None:
+        def reply(frame: _frames.Frame) -> list[_frames.Frame | bytes]:
+            assert isinstance(frame, _frames.Call)
+            return [_frames.Answer(frame.id, 1, frame.data, TIME)]
+
+        async def case(a: mesh.Mesh, peer: FakePeer) -> None:
+            peer.welcoming.clear()
+            late = a.call(B, "m", b"late", self.clock.now() + 0.05)
+            kept = a.call(B, "m", b"kept", self.soon())
+            self.expect_error(await late, KIND.DEADLINE, base.Outcome.NOT_RUN)
+            peer.welcoming.set()
+            self.assertEqual(await kept, result.Success(b"kept"))
+            self.assertEqual(len(peer.taken), 1)
+
+        self.against(reply, case)
+
     def test_far_clock_is_not_taken_in(self) -> None:
         far = base.HybridTime(1 << 62, 1 << 40)
 
@@ -165,6 +197,7 @@
                     lambda frame, script=script: [
                         kind(id=frame.id, incarnation=1, **fields)
                         for kind, fields in script
+                        if isinstance(frame, _frames.Open)
                     ],
                     self.expect_protocol_error,
                 )
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -194,6 +194,24 @@
 
         self.run_case(case)
 
+    def test_later_life_ends_calls_to_the_older(self) -> None:
+        never: defer.Deferred[bytes] = defer.Deferred()
+
+        async def hang(sender: base.InstanceId, data: bytes) -> bytes:
+            return await never
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            a.on_call("echo", echo)
+            b.on_call("hang", hang)
+            cut = a.call(B, "hang", b"", self.soon())
+            await support.until(lambda: b.calls_running)
+            later = await self.start_mesh(B, incarnation=5)
+            later.set_peer(A, "127.0.0.1", a.port)
+            await later.call(A, "echo", b"", self.soon())
+            self.expect_error(await cut, KIND.DISCONNECTED, MAY_HAVE_RUN)
+
+        self.run_case(case)
+
     def test_older_life_after_the_newer_has_gone(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             a.on_call("echo", echo)
