Call the demo from the command line

Cause: the command looked for a name the demo does not have. Change: the demo runs on the command line's own runner.

--- a/packages/cli/src/banyanbank_cli/_commands.py
+++ b/packages/cli/src/banyanbank_cli/_commands.py
@@ -1,7 +1,6 @@
 """The command line as `fire` sees it: one method a command."""
 
 import collections.abc
-import importlib
 import json as _json
 import os
 import pathlib
@@ -13,6 +12,7 @@
 from twisted.internet import ssl
 
 from banyanbank_cli import _client
+from banyanbank_cli import _demo
 from banyanbank_cli import _operator
 from banyanbank_cli import _reactor
 from banyanbank_cli import _rollouts
@@ -272,7 +272,7 @@
 
     def demo(self) -> None:
         """Shows rollouts and lookups from end to end in one process."""
-        importlib.import_module("banyanbank_cli._demo").main()
+        _demo.run_demo()
 
 
 def keep_texts(*classes: type) -> None:
--- a/packages/cli/src/banyanbank_cli/_demo.py
+++ b/packages/cli/src/banyanbank_cli/_demo.py
@@ -1,6 +1,5 @@
 """The demo: rollouts reach a trainer, lookups are answered, keys withdrawn."""
 
-import asyncio
 import collections
 import pathlib
 import sys
@@ -9,11 +8,10 @@
 
 import attrs
 from loguru import logger
-from twisted.internet import asyncioreactor
-from twisted.internet import defer
 
 from banyanbank_cli import _demo_http
 from banyanbank_cli import _demo_world
+from banyanbank_cli import _reactor
 
 OK = 200
 ACCEPTED = 202
@@ -240,38 +238,27 @@
 
 
 def run_demo() -> None:
-    """Plays the demo in this process; exits with 1 when it fails."""
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
-    from twisted.internet import reactor
+    """Plays the demo in this process.
 
+    Raises:
+        SystemExit: A step went otherwise than it must.
+    """
     logger.remove()
     logger.add(sys.stderr, level="WARNING")
-    failures: list[str] = []
-    run: typing.Any = reactor
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
-        run.callLater(
-            0, lambda: defer.ensureDeferred(_play(run, path, failures))
-        )
-        run.run()
-    for failure in failures:
-        sys.stderr.write(f"the demo failed: {failure}\n")
-    if failures:
-        raise SystemExit(1)
+        try:
+            _reactor.run(lambda: _play(path))
+        except _demo_world.DemoError as exc:
+            sys.stderr.write(f"the demo failed: {exc}\n")
+            raise SystemExit(1) from exc
 
 
-async def _play(
-    reactor: typing.Any, folder: pathlib.Path, failures: list[str]
-) -> None:
+async def _play(folder: pathlib.Path) -> None:
+    from twisted.internet import reactor
+
     world = _demo_world.DemoWorld(reactor, folder)
-    demo = Demo(world, lambda line: print(f"- {line}"))
     try:
-        await demo.play()
-    except Exception as exc:
-        logger.opt(exception=exc).debug("demo")
-        failures.append(f"{type(exc).__name__}: {exc}")
+        await Demo(world, lambda line: print(f"- {line}")).play()
     finally:
         await world.stop()
-        reactor.stop()
