Show that every mutant is caught

Cause: one mutant was not caught, another only by chance. Conclusion: the checks can fail, each for its own fault.

--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -3,6 +3,7 @@
 import attrs
 
 START = ("run 30", "lead 8", "run 10")
+INITIAL = ("abc", "abcde")
 END = ("lead 8", "run 30", "mend", "run 100", "lead 8", "settle")
 
 
@@ -52,8 +53,8 @@
     ),
     _scenario(
         "the leader is stopped with answers in its backlog",
-        "lead 8; run 4; pause *; isolate *; run 150; lead 8; run 9;"
-        "resume a; resume b; resume c; run 5",
+        "alias P *; slow 0.05; run 20; pause P; run 5; isolate P; run 200;"
+        "lead 8; run 20; resume P; run 5",
     ),
     _scenario(
         "old entries come again after newer ones",
@@ -68,6 +69,11 @@
         + ("run 3; " + "lead 8; " * 6) * 8
         + "run 9; isolate *; run 150",
     ),
+    _scenario(
+        "a voter crashes after every few entries",
+        "lead 8; run 3; restart 1#; run 2; lead 8; run 2; restart 2#; run 9;"
+        * 12,
+    ),
     _scenario(
         "entries that stand on learners only",
         "add_learner 3#; add_learner 4#; run 20; cut * 1#; cut * 2#; lead 8;"
@@ -89,10 +95,10 @@
     _scenario(
         "an entry of an old epoch is on a majority and then replaced",
         "alias P *; alias R 1#; alias S 2#; alias T 3#; alias U 4#; slow 0.1;"
-        "isolate P; lead 300; lead 300; crash P;"
+        "isolate P; lead 300; run 1; lead 300; run 1; crash P;"
         "cut S T; cut T S; cut S U; cut U S; cut T U; cut U T; elect;"
         "isolate R; lose; rejoin P; isolate R; restart P; elect;"
-        "run 22; isolate P; lose; rejoin R; isolate P; elect; run 30",
+        "run 32; isolate P; lose; rejoin R; isolate P; elect; run 30",
     ),
     _scenario(
         "an hour of isolation",
