--- a/packages/consensus/src/banyanbank_consensus/_status.py
+++ b/packages/consensus/src/banyanbank_consensus/_status.py
@@ -38,6 +38,8 @@
     """Members that vote."""
     learners: tuple[_members.Member, ...]
     """Members that count for nothing, or not yet."""
+    members_committed: bool
+    """Whether the newest change of members is known to be committed."""
     lease_deadline: float | None
     """When the lease ends on the own clock; None when none is held."""
 
@@ -65,6 +67,7 @@
             cluster="",
             voters=(),
             learners=(),
+            members_committed=False,
             lease_deadline=None,
         )
     members = state.members
@@ -87,5 +90,6 @@
             for m in members.members
             if m.role is not _members.MemberRole.VOTER
         ),
+        members_committed=state.log.members_index <= state.commit,
         lease_deadline=deadline if deadline > now else None,
     )
