--- /dev/null
+++ b/packages/bench/src/banyanbank_bench/_report.py
@@ -0,0 +1,140 @@
+"""Figures of a run, the clairvoyant bound, table and plot."""
+
+import collections.abc
+import pathlib
+import statistics
+import typing
+
+import matplotlib.figure
+
+from banyanbank_bench import _cluster
+from banyanbank_bench import _rollouts
+
+PRICE_SAFE = 1.0
+PRICE_RECLAIMABLE = 0.35
+
+Figures = dict[str, typing.Any]
+
+
+def quantile(values: collections.abc.Iterable[float], share: float) -> float:
+    """Returns a quantile; 0 without values."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def idle_bound(cluster: _cluster.Cluster) -> float:
+    """Returns a lower bound of the trainers' total idle seconds.
+
+    No policy beats the longest sample of each step run alone, and none
+    finishes all work faster than all engines with full batches, taking the
+    trainers' work one after another from the least.
+    """
+    shape, spec = cluster.workload, cluster.workload.engine
+    prompt = _rollouts.PROMPT_TOKENS / spec.prefill_tokens_per_s
+    alone, work = 0.0, []
+    for trainer in cluster.rollouts.trainers:
+        for number, groups in enumerate(trainer.lengths):
+            longest = max(max(group) for group in groups)
+            critical = longest * spec.token_s(1) + prompt
+            critical -= shape.train_s if number else 0.0
+            alone += max(0.0, critical)
+        work.append(sum(sum(map(sum, groups)) for groups in trainer.lengths))
+    peak = spec.peak_tokens_per_s() * len(shape.engine_domains)
+    spans, done = 0.0, 0.0
+    for tokens in sorted(work):
+        done += tokens / peak
+        spans += done + shape.train_s
+    return max(alone, spans - len(work) * shape.steps * shape.train_s)
+
+
+def summarise(cluster: _cluster.Cluster) -> Figures:
+    """Returns the figures of a finished run."""
+    record, trainers = cluster.record, cluster.rollouts.trainers
+    idle = sum(trainer.idle_s for trainer in trainers)
+    span = sum(trainer.finished_at for trainer in trainers)
+    bound = idle_bound(cluster)
+    ages = cluster.rollouts.staleness
+    delivered = sum(record.tokens.values())
+    reclaimable = record.tokens[cluster.workload.reclaimed_domain]
+    end = max(trainer.finished_at for trainer in trainers)
+    return {
+        "idle_share": idle / span,
+        "idle_s_per_step": idle / (len(trainers) * cluster.workload.steps),
+        "idle_bound_share": bound / (bound + span - idle),
+        "idle_over_bound": idle / bound,
+        **{f"age_{n}": ages.count(n) / len(ages) for n in range(3)},
+        **_lookup_figures(record),
+        "rollout_wait_ratio": _worst_ratio(record.waits),
+        "cost_per_1000_samples": 1000 * _cost(cluster, end) / len(ages),
+        "reclaimable_share": reclaimable / delivered,
+        "wasted_share": record.wasted_tokens / delivered,
+        "moves": record.moves,
+        "refused": record.refused,
+    }
+
+
+def _lookup_figures(record: _cluster.Record) -> Figures:
+    pairs = [pair for of_one in record.lookups.values() for pair in of_one]
+    waits = {a: [w for w, _ in p] for a, p in record.lookups.items()}
+    slowest = {
+        account: quantile((latency for _, latency in of_one), 0.99)
+        for account, of_one in record.lookups.items()
+    }
+    worst = max(slowest, key=lambda account: slowest[account])
+    latencies = [latency for _, latency in record.lookups[worst]]
+    return {
+        "lookup_p50_s": quantile((latency for _, latency in pairs), 0.5),
+        "lookup_p99_s": quantile((latency for _, latency in pairs), 0.99),
+        "wait_mean_s": statistics.fmean(wait for wait, _ in pairs),
+        "wait_p99_s": quantile((wait for wait, _ in pairs), 0.99),
+        "worst_account_p50_s": quantile(latencies, 0.5),
+        "worst_account_p99_s": slowest[worst],
+        "worst_wait_ratio": _worst_ratio(waits),
+    }
+
+
+def _worst_ratio(waits: dict[str, list[float]]) -> float:
+    """Returns the worst account's mean wait over the mean of accounts."""
+    means = [statistics.fmean(values) for values in waits.values()]
+    return max(means) / statistics.fmean(means)
+
+
+def _cost(cluster: _cluster.Cluster, seconds: float) -> float:
+    """Returns what the engines cost, in hours of a safe one."""
+    shape = cluster.workload
+    cheap = shape.engine_domains.count(shape.reclaimed_domain)
+    safe = len(shape.engine_domains) - cheap
+    return (safe * PRICE_SAFE + cheap * PRICE_RECLAIMABLE) * seconds / 3600
+
+
+def mean(rows: list[Figures], policy: str) -> Figures:
+    """Returns the means over the seeds of one policy."""
+    mine = [row for row in rows if row["policy"] == policy]
+    names = [k for k, v in mine[0].items() if not isinstance(v, str)]
+    return {
+        name: statistics.fmean(row[name] for row in mine)
+        for name in names
+        if name != "seed"
+    }
+
+
+def table(means: dict[str, Figures]) -> str:
+    """Returns figures as text, a column a policy."""
+    lines = [" " * 25 + "".join(f"{name:>15}" for name in means)]
+    for figure in next(iter(means.values())):
+        cells = "".join(f"{row[figure]:15.3f}" for row in means.values())
+        lines.append(f"{figure:25}{cells}")
+    return "\n".join(lines)
+
+
+def plot(means: dict[str, Figures], path: pathlib.Path) -> None:
+    """Draws the main figures as bars."""
+    names = ("idle_share", "lookup_p99_over_unloaded", "worst_wait_ratio")
+    figure = matplotlib.figure.Figure(figsize=(11, 4), layout="constrained")
+    for axes, name in zip(figure.subplots(1, len(names)), names, strict=True):
+        axes.bar(list(means), [row[name] for row in means.values()])
+        axes.set_title(name.replace("_", " "))
+        axes.tick_params(axis="x", rotation=45)
+    figure.savefig(path, metadata={"Date": None})
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_client.py
@@ -0,0 +1,132 @@
+"""Polls the leader and acts on what it answers."""
+
+import typing
+
+import banyanbank_base as base
+import banyanbank_control as control
+import banyanbank_mesh as mesh
+from loguru import logger
+from returns import result
+from twisted.internet import defer
+from twisted.internet import task
+
+from banyanbank_daemon import _control_plane
+from banyanbank_daemon._sync import _server
+
+CALL_S = 1.0
+
+Reply = control.SyncReply | control.SyncRefused | None
+
+
+class SyncListener(typing.Protocol):
+    """Acts on what a poll has changed."""
+
+    def keys_withdrawn(self, key_ids: frozenset[base.KeyId]) -> None:
+        """Ends what runs and waits under withdrawn keys."""
+        ...
+
+    def endpoints_changed(self) -> None:
+        """Acts on endpoints that came, left or will leave."""
+        ...
+
+
+class SyncClient:
+    """Keeps an entry's configuration, members and endpoints current.
+
+    Args:
+        reactor: Reactor that carries timers.
+        clock: Clock of deadlines.
+        transport: Mesh of this instance.
+        plane: Knows the leader.
+        entry: Holds what was learned.
+        listener: Acts on changes.
+        server: Answers polls here; None on an instance that is no voter.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: base.Clock,
+        transport: mesh.Mesh,
+        plane: _control_plane.ControlPlane,
+        entry: control.EntrySync,
+        listener: SyncListener,
+        server: _server.SyncServer | None,
+    ) -> None:
+        self._clock = clock
+        self._mesh = transport
+        self._plane = plane
+        self._entry = entry
+        self._listener = listener
+        self._server = server
+        self._loop = task.LoopingCall(self._poll)
+        self._loop.clock = reactor
+
+    def start(self) -> None:
+        """Begins to poll."""
+        self._loop.start(control.POLL_S)
+
+    def stop(self) -> None:
+        """Stops polling."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def poll_soon(self) -> None:
+        """Polls at once, after something was heard that others should know."""
+        if self._loop.running:
+            self._loop.reset()
+            self._poll()
+
+    def hear(self, announcement: control.Announcement) -> None:
+        """Takes in an endpoint's announcement that came to this instance."""
+        heard = self._entry.endpoints.heard
+        if heard.hear(announcement, self._clock.now()):
+            self._listener.endpoints_changed()
+            self.poll_soon()
+
+    def _poll(self) -> None:
+        polling = defer.ensureDeferred(self._exchange())
+        polling.addErrback(
+            lambda failure: logger.error("poll: {}", failure.getTraceback())
+        )
+
+    async def _exchange(self) -> None:
+        req = self._entry.request(self._clock.now())
+        reply = await self._ask(req)
+        if not isinstance(reply, control.SyncReply):
+            return
+        update = self._entry.take(reply, self._clock.now())
+        if update.withdrawn:
+            self._listener.keys_withdrawn(update.withdrawn)
+        self._note_peers()
+        self._listener.endpoints_changed()
+
+    async def _ask(self, req: control.SyncRequest) -> Reply:
+        target = self._plane.next_target()
+        if target == self._entry.member.instance:
+            return self._server.answer(req) if self._server else None
+        called = await self._mesh.call(
+            target,
+            _server.METHOD,
+            control.SYNC_CODEC.encode(req),
+            self._clock.now() + CALL_S,
+        )
+        if isinstance(called, result.Failure):
+            self._plane.note_unreachable(target)
+            return None
+        reply = control.SYNC_CODEC.decode(called.unwrap())
+        if isinstance(reply, control.SyncRefused):
+            hint = "" if reply.leader == target else reply.leader or ""
+            self._plane.note_leader(hint)
+            return reply
+        if isinstance(reply, control.SyncReply):
+            self._plane.note_leader(target)
+            return reply
+        return None
+
+    def _note_peers(self) -> None:
+        for member in self._entry.members.all():
+            if member.instance == self._entry.member.instance:
+                continue
+            host, _, port = member.address.rpartition(":")
+            self._mesh.set_peer(member.instance, host, int(port))
