--- a/packages/daemon/src/banyanbank_daemon/_timeline.py
+++ b/packages/daemon/src/banyanbank_daemon/_timeline.py
@@ -36,25 +36,25 @@
     """A text is no event."""
 
 
-def event_to_json(event: base.Event) -> str:
-    """Returns one event as one line of JSON; empty fields are left out."""
+def event_to_document(event: base.Event) -> dict[str, typing.Any]:
+    """Returns one event as a JSON object; empty fields are left out."""
     fields = {
         name: value
         for name, value in attrs.asdict(event, recurse=False).items()
         if value
     }
     fields["time"] = [event.time.wall_us, event.time.tick]
-    return json.dumps(fields, ensure_ascii=False)
+    return fields
 
 
-def event_from_json(text: str) -> base.Event:
-    """Reads one line of JSON.
+def event_from_document(document: typing.Any) -> base.Event:
+    """Reads one event from a JSON object.
 
     Raises:
         TimelineError: It is no event.
     """
     try:
-        fields = json.loads(text)
+        fields = dict(document)
         wall_us, tick = fields["time"]
         fields["time"] = {"wall_us": wall_us, "tick": tick}
         return _CONVERTER.structure(fields, base.Event)
@@ -63,9 +63,25 @@
         TypeError,
         KeyError,
         AttributeError,
-        RecursionError,
         cattrs.BaseValidationError,
     ) as exc:
+        raise TimelineError(f"No event: {str(document)[:80]!r}") from exc
+
+
+def event_to_json(event: base.Event) -> str:
+    """Returns one event as one line of JSON; empty fields are left out."""
+    return json.dumps(event_to_document(event), ensure_ascii=False)
+
+
+def event_from_json(text: str) -> base.Event:
+    """Reads one line of JSON.
+
+    Raises:
+        TimelineError: It is no event.
+    """
+    try:
+        return event_from_document(json.loads(text))
+    except (ValueError, RecursionError) as exc:
         raise TimelineError(f"No event: {text[:80]!r}") from exc
 
 
@@ -245,7 +261,7 @@
     def events(self, query: "EventQuery | None" = None) -> list[base.Event]:
         """Returns the events in memory that a query asks for, oldest first."""
         wanted = EventQuery() if query is None else query
-        return [event for event in self._memory.events if wanted.matches(event)]
+        return wanted.choose(self._memory.events)
 
 
 @attrs.frozen
@@ -269,19 +285,29 @@
 
     def matches(self, event: base.Event) -> bool:
         """Tells whether an event is wanted."""
-        exact = (
-            (self.request, event.request),
-            (self.key, event.key),
-            (self.endpoint, event.endpoint),
-            (self.instance, str(event.instance)),
-        )
-        if any(wanted and wanted != value for wanted, value in exact):
-            return False
-        if self.epoch and self.epoch != event.epoch:
-            return False
-        return event.sample.startswith(self.sample) and event.kind.startswith(
-            self.kind
-        )
+        return bool(self.choose([event]))
+
+    def choose(
+        self, events: collections.abc.Iterable[base.Event]
+    ) -> list[base.Event]:
+        """Returns the events that are wanted, in their order."""
+        chosen = list(events)
+        # One plain pass a field that is set: the ring holds many events.
+        if self.request:
+            chosen = [e for e in chosen if e.request == self.request]
+        if self.key:
+            chosen = [e for e in chosen if e.key == self.key]
+        if self.endpoint:
+            chosen = [e for e in chosen if e.endpoint == self.endpoint]
+        if self.instance:
+            chosen = [e for e in chosen if e.instance == self.instance]
+        if self.epoch:
+            chosen = [e for e in chosen if e.epoch == self.epoch]
+        if self.sample:
+            chosen = [e for e in chosen if e.sample.startswith(self.sample)]
+        if self.kind:
+            chosen = [e for e in chosen if e.kind.startswith(self.kind)]
+        return chosen
 
 
 def merge_events(
--- a/packages/rollout/src/banyanbank_rollout/__init__.py
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -1,5 +1,20 @@
 """Rollout decisions: sample ledger, batches, staleness, weights."""
 
+from banyanbank_rollout._bodies import BodyStore
+from banyanbank_rollout._bodies import BodyStoreError
+from banyanbank_rollout._bodies import FileBodyStore
+from banyanbank_rollout._capacity import CapacityCfg
+from banyanbank_rollout._capacity import CapacityPlan
+from banyanbank_rollout._capacity import Demand
+from banyanbank_rollout._capacity import DrainEndpoint
+from banyanbank_rollout._capacity import EndpointChange
+from banyanbank_rollout._capacity import EndpointNeed
+from banyanbank_rollout._capacity import EndpointOffer
+from banyanbank_rollout._capacity import EndpointStatus
+from banyanbank_rollout._capacity import KeepEndpoint
+from banyanbank_rollout._capacity import may_run_on
+from banyanbank_rollout._capacity import ReleaseEndpoint
+from banyanbank_rollout._capacity_planner import CapacityPlanner
 from banyanbank_rollout._commands import AcknowledgeBatch
 from banyanbank_rollout._commands import CancelStep
 from banyanbank_rollout._commands import FetchBatch
@@ -10,6 +25,7 @@
 from banyanbank_rollout._commands import RecordSample
 from banyanbank_rollout._commands import RejectBatch
 from banyanbank_rollout._commands import SubmitGroup
+from banyanbank_rollout._demand import DemandForecast
 from banyanbank_rollout._effects import CancelAttempt
 from banyanbank_rollout._effects import GradeSample
 from banyanbank_rollout._effects import ProposeBatch
@@ -41,6 +57,14 @@
 from banyanbank_rollout._views import AttemptPhase
 from banyanbank_rollout._views import AttemptView
 from banyanbank_rollout._views import EngineView
+from banyanbank_rollout._weight_rollout import WeightRollout
+from banyanbank_rollout._weights import EngineWeights
+from banyanbank_rollout._weights import estimate_swap_s
+from banyanbank_rollout._weights import ReturnToService
+from banyanbank_rollout._weights import SwapOrder
+from banyanbank_rollout._weights import TakeOutOfService
+from banyanbank_rollout._weights import WeightCfg
+from banyanbank_rollout._weights import WeightEffect
 
 __all__ = [
     "LEDGER_COMMANDS",
@@ -54,14 +78,29 @@
     "BatchFormed",
     "BatchPending",
     "BatchRejected",
+    "BodyStore",
+    "BodyStoreError",
     "CancelAttempt",
     "CancelStep",
+    "CapacityCfg",
+    "CapacityPlan",
+    "CapacityPlanner",
+    "Demand",
+    "DemandForecast",
+    "DrainEndpoint",
+    "EndpointChange",
+    "EndpointNeed",
+    "EndpointOffer",
+    "EndpointStatus",
     "EngineView",
+    "EngineWeights",
     "ExtrasCfg",
     "FetchBatch",
+    "FileBodyStore",
     "FormBatch",
     "GradeSample",
     "GroupSubmitted",
+    "KeepEndpoint",
     "Ledger",
     "LedgerCommand",
     "LedgerRefusal",
@@ -72,7 +111,9 @@
     "PublishVersion",
     "RecordSample",
     "RejectBatch",
+    "ReleaseEndpoint",
     "ResumePoint",
+    "ReturnToService",
     "SampleBody",
     "SampleRecorded",
     "SampleScheduler",
@@ -82,6 +123,13 @@
     "StartAttempt",
     "StepCancelled",
     "SubmitGroup",
+    "SwapOrder",
+    "TakeOutOfService",
     "VersionPublished",
     "VersionStretch",
+    "WeightCfg",
+    "WeightEffect",
+    "WeightRollout",
+    "estimate_swap_s",
+    "may_run_on",
 ]
