--- a/tests/control/measure.py
+++ b/tests/control/measure.py
@@ -156,6 +156,20 @@
         show(f"restore a {name}", seconds / count * 1e6, "us")
 
 
+def measure_tombstones() -> None:
+    """Prints what a withdrawn key leaves in snapshots for ever."""
+    machine, count = filled(keys=5000), 5000
+    for number in range(count):
+        cmd = control.WithdrawKey(f"w{number}", "ann", f"k{number}")
+        samples.send(machine, cmd)
+    held = machine.snapshot()
+    none = control.ConfigState().tombstones
+    config = attrs.evolve(machine.state.config, tombstones=none)
+    machine.state = attrs.evolve(machine.state, config=config)
+    size = (len(held) - len(machine.snapshot())) / count
+    show("snapshot a withdrawn key", size, "B")
+
+
 def reply_size(
     machine: control.ControlMachine,
     leader: control.LeaderSync,
@@ -244,6 +258,7 @@
     )
     measure_large_set()
     measure_snapshots()
+    measure_tombstones()
     measure_sync()
 
 
