--- a/tests/control/measure.py
+++ b/tests/control/measure.py
@@ -93,21 +93,40 @@
     return seconds / len(payloads) * 1e6, size
 
 
-def measure_commands(name: str, machine: control.ControlMachine) -> None:
-    """Prints the cost of commands over one state."""
-    pairs = [intent(10**6 + n) for n in range(1000)]
-    batches = {
-        "CreateKey": [create_key(10**6 + n) for n in range(1000)],
-        "AddUsage, 8 accounts": [usage(n) for n in range(1000)],
+def batches(number: int) -> dict[str, list[control.Command]]:
+    """Returns 1,000 new commands of each kind."""
+    numbers = range(number * 1000, (number + 1) * 1000)
+    pairs = [intent(10**6 + n) for n in numbers]
+    return {
+        "CreateKey": [create_key(10**6 + n) for n in numbers],
+        "AddUsage, 8 accounts": [usage(n) for n in numbers],
         "BeginIntent": [begin for begin, _ in pairs],
         "CompleteIntent, 200 B": [complete for _, complete in pairs],
-        "DecideOrder": [order(n) for n in range(1000)],
+        "DecideOrder": [order(n) for n in numbers],
     }
-    for kind, batch in batches.items():
-        microseconds, size = rate(machine, batch)
-        show(f"{name}: {kind}", microseconds, "us a command")
-        show(f"{name}: {kind}", 1e6 / microseconds, "commands/s")
-        show(f"{name}: {kind}", size, "B in the log")
+
+
+def measure_commands() -> None:
+    """Prints the cost of commands over an empty and over a full state.
+
+    Both are measured in turn, and the least of five counts: other work on the
+    machine only ever adds.
+    """
+    states = {
+        "empty": filled(),
+        "5,000 keys, 15,000 intents": filled(keys=5000, intents=15_000),
+    }
+    best: dict[tuple[str, str], float] = {}
+    for number in range(5):
+        for kind, batch in batches(number).items():
+            for name, machine in states.items():
+                microseconds, size = rate(machine, batch)
+                known = best.get((kind, name), microseconds)
+                best[kind, name] = min(known, microseconds)
+            if number == 0:
+                show(kind, size, "B in the log")
+    for (kind, name), microseconds in best.items():
+        show(f"{kind}; {name}", microseconds, "us a command")
 
 
 def measure_large_set() -> None:
@@ -252,10 +271,7 @@
 
 def main() -> None:
     """Prints every figure."""
-    measure_commands("small", filled())
-    measure_commands(
-        "5,000 keys, 15,000 intents", filled(keys=5000, intents=15_000)
-    )
+    measure_commands()
     measure_large_set()
     measure_snapshots()
     measure_tombstones()
