--- a/packages/bench/src/banyanbank_bench/_report.py
+++ b/packages/bench/src/banyanbank_bench/_report.py
@@ -35,11 +35,16 @@
     prompt = _rollouts.PROMPT_TOKENS / spec.prefill_tokens_per_s
     alone, work = 0.0, []
     for trainer in cluster.rollouts.trainers:
+        handed_out: list[float] = []
         for number, groups in enumerate(trainer.lengths):
             longest = max(max(group) for group in groups)
-            critical = longest * spec.token_s(1) + prompt
-            critical -= shape.train_s if number else 0.0
-            alone += max(0.0, critical)
+            asked = number - cluster.policy.steps_ahead
+            earliest = handed_out[asked] if asked >= 0 else 0.0
+            earliest += longest * spec.token_s(1) + prompt
+            if handed_out:
+                earliest = max(earliest, handed_out[-1] + shape.train_s)
+            handed_out.append(earliest)
+        alone += handed_out[-1] - (shape.steps - 1) * shape.train_s
         work.append(sum(sum(map(sum, groups)) for groups in trainer.lengths))
     peak = spec.peak_tokens_per_s() * len(shape.engine_domains)
     spans, done = 0.0, 0.0
--- a/packages/dispatch/src/banyanbank_dispatch/__init__.py
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -5,6 +5,12 @@
 
 from banyanbank_dispatch._fair import FairQueue
 from banyanbank_dispatch._health import HealthTracker
+from banyanbank_dispatch._limits import AccountLimit
+from banyanbank_dispatch._limits import AdmissionLimits
+from banyanbank_dispatch._limits import Demand
+from banyanbank_dispatch._limits import Share
+from banyanbank_dispatch._limits import SHARE_S
+from banyanbank_dispatch._limits import ShareAllocator
 from banyanbank_dispatch._mover import Lane
 from banyanbank_dispatch._mover import Move
 from banyanbank_dispatch._mover import Stream
@@ -28,9 +34,13 @@
 from banyanbank_dispatch._work import WorkKind
 
 __all__ = [
+    "SHARE_S",
+    "AccountLimit",
+    "AdmissionLimits",
     "CacheEvent",
     "CancelOutcome",
     "Candidate",
+    "Demand",
     "EngineQueue",
     "FairQueue",
     "GiveUp",
@@ -44,6 +54,8 @@
     "RetryPolicy",
     "RouteQuery",
     "Router",
+    "Share",
+    "ShareAllocator",
     "Stream",
     "StreamMover",
     "Withdrawal",
--- a/packages/dispatch/src/banyanbank_dispatch/_fair.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_fair.py
@@ -45,6 +45,8 @@
             collections.OrderedDict()
         )
         self._size = 0
+        self.tokens = 0.0
+        """Estimated tokens that wait."""
 
     def __len__(self) -> int:
         return self._size
@@ -58,11 +60,13 @@
         flow.weight = work.weight
         flow.waiting[work.request_id] = work
         self._size += 1
+        self.tokens += work.cost_tokens
 
     def remove(self, work: _work.Work) -> None:
         """Takes out work that waits here."""
         del self._flows[work.account].waiting[work.request_id]
         self._size -= 1
+        self.tokens -= work.cost_tokens
         self._forget_if_idle(work.account)
 
     def peek(self) -> _work.Work | None:
@@ -81,6 +85,7 @@
         self._grant(flow.rounds_to_serve(self._quantum))
         _, work = flow.waiting.popitem(last=False)
         self._size -= 1
+        self.tokens -= work.cost_tokens
         flow.deficit -= work.cost_tokens
         if flow.deficit < self._quantum * flow.weight:
             self._flows.move_to_end(account)
--- a/packages/dispatch/src/banyanbank_dispatch/_mover.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_mover.py
@@ -22,6 +22,13 @@
     """Engine that runs it."""
     tokens: float
     """Tokens generated so far."""
+    rank: int = 0
+    """How many older steps its trainer still waits for."""
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """Sorts what a trainer waits for soonest and longest to the front."""
+        return self.rank, -self.tokens
 
 
 @attrs.frozen
@@ -73,7 +80,7 @@
             if (lane := by_id.get(stream.endpoint_id)) and not lane.is_fast
             if stream.tokens >= MIN_TOKENS_RATIO * typical
         ]
-        slow.sort(key=lambda stream: -stream.tokens)
+        slow.sort(key=lambda stream: stream.order)
         moves: list[Move] = []
         for lane in fast:
             held = [s for s in streams if s.endpoint_id == lane.endpoint_id]
@@ -86,13 +93,13 @@
 
 def _fill(lane: Lane, held: list[Stream], waiting: list[Stream]) -> list[Move]:
     """Takes the longest in; the shortest held ones make room."""
-    held = sorted(held, key=lambda stream: -stream.tokens)
+    held = sorted(held, key=lambda stream: stream.order)
     free = max(0, lane.free_slots)
     moves: list[Move] = []
     for stream in waiting:
         if free:
             free -= 1
-        elif held and held[-1].tokens + MIN_LEAD_TOKENS < stream.tokens:
+        elif held and _yields(held[-1], stream):
             moves.append(Move(held.pop().request_id, None))
         else:
             break
@@ -100,6 +107,12 @@
     return moves
 
 
+def _yields(held: Stream, stream: Stream) -> bool:
+    if held.rank != stream.rank:
+        return held.rank > stream.rank
+    return held.tokens + MIN_LEAD_TOKENS < stream.tokens
+
+
 def _gain_s(
     stream: Stream,
     lanes: collections.abc.Mapping[base.EndpointId, Lane],
--- a/packages/dispatch/src/banyanbank_dispatch/_queue.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_queue.py
@@ -267,8 +267,28 @@
                 f"The queue of endpoint {self.endpoint_id} is full; retry.",
                 self.retry_after(),
             )
+        if self._expected_wait(work.kind) > work.deadline - now:
+            return base.Refusal(
+                base.RefusalReason.OVERLOADED,
+                base.Outcome.NOT_RUN,
+                f"Endpoint {self.endpoint_id} is not expected to be free"
+                " before the deadline; retry later or allow more time.",
+                self.retry_after(),
+            )
         return None
 
+    def _expected_wait(self, kind: _work.WorkKind) -> float:
+        """Returns seconds until what waits in the class has been served."""
+        if len(self._running) < self._settings.slots:
+            return 0.0
+        tokens = self._levels[kind].tokens
+        share = 1.0
+        if kind is not _work.WorkKind.INTERACTIVE:
+            tokens = self._waiting_tokens
+        elif self._levels[_work.WorkKind.ROLLOUT]:
+            share -= self._settings.rollout_share
+        return tokens / max(self._tokens_per_s * share, 1.0)
+
     def _run(self, work: _work.Work, now: float) -> None:
         if not self._running:
             self._window_start, self._window_tokens = now, 0.0
@@ -346,6 +366,10 @@
             self._bulk_credit += work.cost_tokens * share / (1 - share)
 
     def _observe_rate(self, used_tokens: float, now: float) -> None:
+        """Learns the service rate, which shows only while work waits."""
+        if not self._waiting:
+            self._window_start, self._window_tokens = now, 0.0
+            return
         self._window_tokens += used_tokens
         elapsed = now - self._window_start
         if elapsed < 1.0:
--- a/tests/dispatch/_case.py
+++ b/tests/dispatch/_case.py
@@ -10,6 +10,7 @@
 from returns import result
 
 Kind = dispatch.WorkKind
+ACCEPTED: result.Result[None, base.Refusal] = result.Success(None)
 
 
 class DispatchCase(unittest.TestCase):
