--- a/packages/mesh/src/banyanbank_mesh/_errors.py
+++ b/packages/mesh/src/banyanbank_mesh/_errors.py
@@ -30,7 +30,7 @@
     PROTOCOL = "protocol"
     """The peer broke the protocol."""
     STOPPED = "stopped"
-    """This side's mesh has been stopped."""
+    """The mesh of either side has been stopped."""
 
 
 @attrs.frozen
--- a/packages/mesh/src/banyanbank_mesh/_inbound.py
+++ b/packages/mesh/src/banyanbank_mesh/_inbound.py
@@ -246,6 +246,14 @@
             return
         if running.writer is not None and running.writer.closed:
             return
+        if isinstance(exc, defer.CancelledError):
+            self._send_failure(
+                running,
+                _errors.CallErrorKind.STOPPED,
+                base.Outcome.MAY_HAVE_RUN,
+                "The instance stopped while the handler ran.",
+            )
+            return
         self._handler_failed(running.link, method, exc)
         self._send_failure(
             running,
--- a/tests/mesh/support.py
+++ b/tests/mesh/support.py
@@ -133,7 +133,8 @@
             endpoint = endpoints.TCP4ClientEndpoint(
                 reactor, "127.0.0.1", self.target
             )
-            endpoints.connectProtocol(endpoint, far)
+            connecting = endpoints.connectProtocol(endpoint, far)
+            connecting.addErrback(lambda _: near.transport.abortConnection())
         return near
 
 
