Gather the time line over the mesh; meet the daemon's routes

Cause: the status names no operators' addresses, so the command line could not find the other instances; recorders of the daemon are MemoryRecorders; the rollout routes are below /v1.

Timeline is a MemoryRecorder with files. Paths of rollouts and the shape of changes follow the daemon.

--- a/packages/cli/src/banyanbank_cli/_client.py
+++ b/packages/cli/src/banyanbank_cli/_client.py
@@ -159,6 +159,11 @@
             reactor, _IpEndpoints(reactor, authority)
         )
 
+    @property
+    def server(self) -> str:
+        """Base URL of the server."""
+        return self._server
+
     def at(self, server: str) -> "Client":
         """Returns a client of another server with the same token."""
         other = Client(self._reactor, server, self._token)
@@ -311,9 +316,14 @@
     return f"{place}: " + " ".join(str(word) for word in words if word)
 
 
-def quoted(text: str) -> str:
-    """Returns a text as one part of a path."""
-    return urllib.parse.quote(text, safe="")
+def quoted(text: str, safe: str = "") -> str:
+    """Returns a text as part of a path.
+
+    Args:
+        text: Any text.
+        safe: Characters that stay as they are.
+    """
+    return urllib.parse.quote(text, safe=safe)
 
 
 def query(fields: collections.abc.Mapping[str, str]) -> str:
--- a/packages/cli/src/banyanbank_cli/_commands.py
+++ b/packages/cli/src/banyanbank_cli/_commands.py
@@ -253,8 +253,13 @@
         instance: str = "",
         html: str = "",
         folders: str = "",
+        servers: str = "",
     ) -> None:
-        """Merges the time lines of all instances; --html FILE draws them."""
+        """Merges the time lines of all instances; --html FILE draws them.
+
+        --servers asks further instances, such as those beyond a partition;
+        --folders reads files of instances that are gone.
+        """
         wish = _operator.make_wish(
             request=request,
             sample=sample,
@@ -265,6 +270,7 @@
             instance=instance,
             html=html,
             folders=folders,
+            servers=servers,
         )
         self._connection.execute(
             lambda client: _operator.show_timeline(client, wish, warn)
--- a/packages/cli/src/banyanbank_cli/_operator.py
+++ b/packages/cli/src/banyanbank_cli/_operator.py
@@ -6,6 +6,7 @@
 import typing
 
 import attrs
+import banyanbank_base as base
 from banyanbank_daemon import timeline
 from returns import result
 
@@ -58,7 +59,7 @@
     if not isinstance(document, dict):
         return result.Failure(_unreadable())
     changes = document.get("changes") or []
-    lines = [f"  {_tables.render(change).rstrip()}" for change in changes]
+    lines = [f"  {_change_line(change)}" for change in changes]
     revision = document.get("revision")
     if dry_run:
         head = f"{len(changes)} changes against revision {revision}"
@@ -67,6 +68,12 @@
     return result.Success("\n".join([head, *lines]) + "\n")
 
 
+def _change_line(change: typing.Any) -> str:
+    if isinstance(change, dict) and "change" in change and "item" in change:
+        return f"{change['change']} {change['item']}"
+    return _tables.render(change).rstrip()
+
+
 async def export(client: _client.Client, *, as_text: bool) -> CommandResult:
     """Returns the configuration in force as a sheet, or as text."""
     answer = await client.send(_client.Call("GET", "/operator/config"))
@@ -108,20 +115,26 @@
     """File for a page; None for text."""
     folders: tuple[pathlib.Path, ...] = ()
     """Folders of time line files to read besides."""
+    servers: tuple[str, ...] = ()
+    """Operators' interfaces to ask besides."""
 
 
-def make_wish(html: str, folders: str, **fields: typing.Any) -> TimelineWish:
+def make_wish(
+    html: str, folders: str, servers: str, **fields: typing.Any
+) -> TimelineWish:
     """Makes a wish from texts of the command line.
 
     Args:
         html: File for a page; empty for text.
         folders: Folders to read besides, separated by commas.
+        servers: Servers to ask besides, separated by commas.
         **fields: Fields of the query.
     """
     return TimelineWish(
         timeline.EventQuery(**fields),
         pathlib.Path(html) if html else None,
         tuple(pathlib.Path(part) for part in folders.split(",") if part),
+        tuple(part for part in servers.split(",") if part),
     )
 
 
@@ -132,63 +145,80 @@
 ) -> CommandResult:
     """Merges the time lines of all instances.
 
+    Each server gathers what it can reach; asking one on either side of a
+    partition shows both.
+
     Args:
         client: Any instance.
         wish: What to show.
-        warn: Hears which instances' events are missing.
+        warn: Hears which events are missing.
     """
-    answer = await client.send(_client.Call("GET", "/operator/status"))
-    if isinstance(answer, result.Failure):
-        return answer
+    lists: list[list[base.Event]] = []
+    problem: _client.Problem | None = None
+    servers = [client, *(client.at(server) for server in wish.servers)]
+    for server in servers:
+        gathered = await _fetch_events(server, wish.query)
+        if isinstance(gathered, result.Failure):
+            problem = gathered.failure()
+            warn(str(problem))
+            continue
+        part = gathered.unwrap()
+        lists.append(part.events)
+        for name in part.missing:
+            warn(f"{server.server} could not get the events of {name}")
+    if problem is not None and not lists:
+        return result.Failure(problem)
+    lists += _read_folders(wish, warn)
+    return _timeline_text(wish, timeline.merge_events(lists))
+
+
+def _read_folders(
+    wish: TimelineWish, warn: collections.abc.Callable[[str], None]
+) -> list[list[base.Event]]:
     lists = []
-    for name, server in _servers(answer.unwrap().document()):
-        events = await _fetch_events(client.at(server), wish.query)
-        if isinstance(events, result.Failure):
-            warn(f"events of {name} are missing: {events.failure()}")
-        else:
-            lists.append(events.unwrap())
     for folder in wish.folders:
         try:
-            found = timeline.read_files(folder)
+            lists.append(wish.query.choose(timeline.read_files(folder)))
         except OSError as exc:
             warn(f"events of {folder} are missing: {exc}")
-            continue
-        lists.append(wish.query.choose(found))
-    return _timeline_text(wish, timeline.merge_events(lists))
+    return lists
 
 
-def _servers(document: typing.Any) -> list[tuple[str, str]]:
-    instances = document.get("instances") if isinstance(document, dict) else []
-    return [
-        (str(row.get("instance")), str(row["operator_url"]))
-        for row in instances or []
-        if isinstance(row, dict) and row.get("operator_url")
-    ]
+@attrs.frozen
+class _Gathered:
+    """What one server has gathered."""
+
+    events: list[base.Event]
+    """Events wanted."""
+    missing: tuple[str, ...]
+    """Instances that the server could not ask."""
 
 
 async def _fetch_events(
     client: _client.Client, query: timeline.EventQuery
-) -> result.Result[list[typing.Any], _client.Problem]:
+) -> result.Result[_Gathered, _client.Problem]:
     fields = {
         name: str(value) for name, value in attrs.asdict(query).items() if value
     }
-    path = "/operator/timeline" + _client.query(fields)
+    path = "/operator/timeline" + _client.query({**fields, "scope": "all"})
     answer = await client.send(_client.Call("GET", path))
     if isinstance(answer, result.Failure):
         return answer
     document = answer.unwrap().document()
-    rows = document.get("events") if isinstance(document, dict) else document
-    if not isinstance(rows, list):
+    if not isinstance(document, dict) or "events" not in document:
         return result.Failure(_unreadable())
+    # A server that names nobody has answered for itself only.
+    missing = document.get("missing", ["the other instances"])
     try:
-        events = [timeline.event_from_document(row) for row in rows]
-    except timeline.TimelineError as exc:
+        events = [timeline.event_from_document(e) for e in document["events"]]
+        names = tuple(str(name) for name in missing)
+    except (TypeError, timeline.TimelineError) as exc:
         return result.Failure(_client.Problem(str(exc)))
-    return result.Success(query.choose(events))
+    return result.Success(_Gathered(query.choose(events), names))
 
 
 def _timeline_text(
-    wish: TimelineWish, events: list[typing.Any]
+    wish: TimelineWish, events: list[base.Event]
 ) -> CommandResult:
     if wish.html is None:
         return result.Success(timeline.render_text(events))
--- a/packages/cli/src/banyanbank_cli/_rollouts.py
+++ b/packages/cli/src/banyanbank_cli/_rollouts.py
@@ -9,13 +9,13 @@
 from banyanbank_cli import _client
 from banyanbank_cli import _operator
 
-SUBMIT_PATH = "/rollouts/{trainer}/groups"
+SUBMIT_PATH = "/v1/rollouts/{trainer}/groups"
 """Takes a group of samples."""
 
-FETCH_PATH = "/rollouts/{trainer}/steps/{step}/batch"
+FETCH_PATH = "/v1/rollouts/{trainer}/steps/{step}/batch"
 """Hands out the batch of a step."""
 
-ACKNOWLEDGE_PATH = "/rollouts/{trainer}/batches/{batch}/acknowledge"
+ACKNOWLEDGE_PATH = "/v1/rollouts/{trainer}/batches/{batch}/acknowledge"
 """Takes the acknowledgement of a batch."""
 
 NO_CONTENT = 204
@@ -54,7 +54,7 @@
 def acknowledge_call(trainer: str, batch: str) -> _client.Call:
     """Returns the request that acknowledges a batch."""
     path = ACKNOWLEDGE_PATH.format(
-        trainer=_client.quoted(trainer), batch=_client.quoted(batch)
+        trainer=_client.quoted(trainer), batch=_client.quoted(batch, safe="/")
     )
     return _client.Call("POST", path, b"{}", JSON_HEADERS)
 
--- a/packages/daemon/src/banyanbank_daemon/_timeline.py
+++ b/packages/daemon/src/banyanbank_daemon/_timeline.py
@@ -55,8 +55,9 @@
     """
     try:
         fields = dict(document)
-        wall_us, tick = fields["time"]
-        fields["time"] = {"wall_us": wall_us, "tick": tick}
+        if isinstance(fields["time"], list):
+            wall_us, tick = fields["time"]
+            fields["time"] = {"wall_us": wall_us, "tick": tick}
         return _CONVERTER.structure(fields, base.Event)
     except (
         ValueError,
@@ -209,8 +210,8 @@
     return int(number) if number.isdigit() else 0
 
 
-class Timeline:
-    """Recorder of one instance; implements `base.Recorder`.
+class Timeline(base.MemoryRecorder):
+    """Recorder of one instance, in memory and in files.
 
     Args:
         instance: Where events are recorded.
@@ -226,14 +227,9 @@
         capacity: int = RING_EVENTS,
         files: EventFiles | None = None,
     ) -> None:
-        self._memory = base.MemoryRecorder(instance, clock, capacity)
+        super().__init__(instance, clock, capacity)
         self._files = files
 
-    @property
-    def hybrid_clock(self) -> base.HybridClock:
-        """Clock that stamps the events; messages of peers move it on."""
-        return self._memory.hybrid_clock
-
     def record(
         self,
         kind: str,
@@ -246,7 +242,7 @@
         detail: str = "",
     ) -> None:
         """Records one event at the current hybrid time."""
-        self._memory.record(
+        super().record(
             kind,
             request=request,
             sample=sample,
@@ -256,12 +252,11 @@
             detail=detail[:MAX_DETAIL_CHARS],
         )
         if self._files is not None:
-            self._files.append(self._memory.events[-1])
+            self._files.append(self.events[-1])
 
-    def events(self, query: "EventQuery | None" = None) -> list[base.Event]:
-        """Returns the events in memory that a query asks for, oldest first."""
-        wanted = EventQuery() if query is None else query
-        return wanted.choose(self._memory.events)
+    def find(self, query: "EventQuery") -> list[base.Event]:
+        """Returns the events in memory that are wanted, oldest first."""
+        return query.choose(self.events)
 
 
 @attrs.frozen
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -27,7 +27,12 @@
         sheet = self.folder / "keys.csv"
         sheet.write_bytes(b"\xef\xbb\xbfkind;name\r\n")
         scripted, url = self.serve(
-            Answer({"revision": 8, "changes": ["added account a"]})
+            Answer(
+                {
+                    "revision": 8,
+                    "changes": [{"change": "added", "item": "account a"}],
+                }
+            )
         )
         ending = self.run_at(url, "apply", str(sheet), "--expect-revision=7")
         self.assertEqual(ending.code, 0)
@@ -197,45 +202,67 @@
 
 
 class TimelineTest(support.CommandCase):
-    """The time line is merged over all instances that can be asked."""
-
-    def answers(self) -> tuple[support.ScriptedResource, str]:
-        event = {"kind": "a.b", "request": "r1", "instance": "e1"}
-        later = {**event, "instance": "e2", "time": [2_000_000, 0]}
-        first = {**event, "time": [1_000_000, 0]}
-        other = {**first, "request": "r2"}
-        _, peer = self.serve(Answer({"events": [later]}))
-        status: dict[str, object] = {}
-        scripted, url = self.serve(
-            Answer(status), Answer({"events": [other, first]})
-        )
-        status["instances"] = [
-            {"instance": "e2", "operator_url": peer},
-            {"instance": "e1", "operator_url": url},
-            {"instance": "e3", "operator_url": "http://127.0.0.1:1"},
-        ]
-        return scripted, url
+    """The time line is merged over all that can be asked."""
+
+    def event(self, instance: str, second: int, request: str) -> object:
+        """Returns an event as a server sends it."""
+        return {
+            "instance": instance,
+            "time": [second * 1_000_000, 0],
+            "kind": "a.b",
+            "request": request,
+        }
 
     def test_text(self) -> None:
-        scripted, url = self.answers()
-        ending = self.run_at(url, "timeline", "--request", "r1")
+        late = self.event("e2", 2, "r1")
+        early = self.event("e1", 1, "r1")
+        other = self.event("e1", 1, "r2")
+        scripted, url = self.serve(
+            Answer({"events": [late, other], "missing": ["e3"]})
+        )
+        _, beyond = self.serve(Answer({"events": [early, late], "missing": []}))
+        ending = self.run_at(
+            url,
+            "timeline",
+            "--request=r1",
+            f"--servers={beyond},http://127.0.0.1:1",
+        )
         self.assertEqual(
             ending.out,
             "1970-01-01T00:00:01.000000Z+0 e1 a.b request=r1\n"
             "1970-01-01T00:00:02.000000Z+0 e2 a.b request=r1\n",
         )
-        self.assertIn("events of e3 are missing", ending.err)
+        self.assertIn(f"{url} could not get the events of e3", ending.err)
+        self.assertIn("No answer from http://127.0.0.1:1", ending.err)
         self.assertEqual(
-            scripted.taken[1].path, "/operator/timeline?request=r1"
+            scripted.taken[0].path, "/operator/timeline?request=r1&scope=all"
         )
 
     def test_html(self) -> None:
-        _, url = self.answers()
+        event = self.event("e1", 1, "r1")
+        _, url = self.serve(Answer({"events": [event], "missing": []}))
         page = self.folder / "page.html"
         ending = self.run_at(url, "timeline", "--request=r1", f"--html={page}")
-        self.assertIn("2 events", ending.out)
+        self.assertIn("1 events", ending.out)
+        self.assertEqual(ending.err, "")
         self.assertIn("<svg", page.read_text())
 
+    def test_folder_of_a_lost_instance(self) -> None:
+        folder = self.folder / "lost"
+        folder.mkdir()
+        line = json.dumps(self.event("e9", 5, "r1"))
+        (folder / "timeline.jsonl").write_text(line + "\n")
+        _, url = self.serve(Answer({"events": [], "missing": []}))
+        ending = self.run_at(url, "timeline", f"--folders={folder},/nowhere")
+        self.assertIn("e9 a.b request=r1", ending.out)
+
+    def test_nobody_answers(self) -> None:
+        for document in ({"no": 1}, {"events": [{}]}, {"events": 3}):
+            with self.subTest(document=document):
+                _, url = self.serve(Answer(document))
+                ending = self.run_at(url, "timeline")
+                self.assertEqual((ending.code, ending.out), (1, ""))
+
 
 class RolloutTest(support.CommandCase):
     """Trainers submit, fetch and acknowledge."""
@@ -260,12 +287,19 @@
         )
 
     def test_fetch_and_acknowledge(self) -> None:
-        _, url = self.serve(Answer({"batch": "b"}))
+        scripted, url = self.serve(Answer({"batch": "b"}))
         file = self.folder / "batch.json"
         self.run_at_entry(url, "fetch", "t", "3", f"--output={file}")
         self.assertEqual(json.loads(file.read_text()), {"batch": "b"})
-        ending = self.run_at_entry(url, "acknowledge", "t", "b")
+        ending = self.run_at_entry(url, "acknowledge", "t", "t/3/1 x")
         self.assertEqual(ending.out, "batch: b\n")
+        self.assertEqual(
+            [taken.path for taken in scripted.taken],
+            [
+                "/v1/rollouts/t/steps/3/batch?wait_s=30",
+                "/v1/rollouts/t/batches/t/3/1%20x/acknowledge",
+            ],
+        )
 
     def test_batch_not_whole(self) -> None:
         _, url = self.serve(
--- a/tests/daemon/measure.py
+++ b/tests/daemon/measure.py
@@ -54,8 +54,8 @@
         )
     files.close()
     query = _timeline.EventQuery(request="none")
-    show("query of 20000 events", lambda: memory.events(query), 20)
-    lists = [memory.events(), written.events()]
+    show("query of 20000 events", lambda: memory.find(query), 20)
+    lists = [list(memory.events), list(written.events)]
     show("merge of 40000 events", lambda: _timeline.merge_events(lists), 5)
     merged = _timeline.merge_events(lists)
     show(
--- a/tests/daemon/test_timeline.py
+++ b/tests/daemon/test_timeline.py
@@ -5,6 +5,7 @@
 import unittest
 import xml.etree.ElementTree
 
+import attrs
 import banyanbank_base as base
 from banyanbank_daemon import _timeline
 from banyanbank_daemon import _timeline_pages
@@ -55,14 +56,14 @@
         )
         for fields, count in cases:
             with self.subTest(fields=fields):
-                events = line.events(_timeline.EventQuery(**fields))
+                events = line.find(_timeline.EventQuery(**fields))
                 self.assertEqual(len(events), count)
 
     def test_memory_is_bounded(self) -> None:
         line = self.timeline(capacity=10)
         for number in range(100):
             line.record("a.b", detail="x" * 10_000, request=str(number))
-        events = line.events()
+        events = list(line.events)
         self.assertEqual(
             [e.request for e in events], [*map(str, range(90, 100))]
         )
@@ -81,7 +82,7 @@
         other.record("order.taken", request="r")
         one.hybrid_clock.observe(other.hybrid_clock.tick())
         one.record("order.confirmed", request="r")
-        merged = _timeline.merge_events([other.events(), one.events()])
+        merged = _timeline.merge_events([list(other.events), list(one.events)])
         self.assertEqual(
             [event.kind for event in merged],
             ["order.sent", "order.taken", "order.confirmed"],
@@ -91,8 +92,8 @@
         line = self.timeline()
         line.record("a.b")
         line.record("a.b")
-        merged = _timeline.merge_events([line.events(), line.events()])
-        self.assertEqual(merged, line.events())
+        merged = _timeline.merge_events([list(line.events), list(line.events)])
+        self.assertEqual(merged, list(line.events))
 
 
 class FilesTest(TimelineCase):
@@ -108,7 +109,7 @@
         self.assertEqual(len(paths), 3)
         self.assertLessEqual(sum(p.stat().st_size for p in paths), 6_000)
         read = _timeline.read_files(self.folder)
-        self.assertEqual(read, line.events()[-len(read) :])
+        self.assertEqual(read, list(line.events)[-len(read) :])
         self.assertGreater(len(read), 30)
 
     def test_restart_after_torn_line(self) -> None:
@@ -132,7 +133,7 @@
         files = _timeline.EventFiles(self.folder)
         line = self.timeline(files=files)
         line.record("a.b")
-        self.assertEqual(len(line.events()), 1)
+        self.assertEqual(len(list(line.events)), 1)
         self.assertIsInstance(files.error, OSError)
 
 
@@ -150,11 +151,18 @@
             epoch=3,
             detail="x=1",
         )
-        (event,) = line.events()
+        (event,) = list(line.events)
         text = _timeline.event_to_json(event)
         self.assertNotIn("\n", text)
         self.assertEqual(_timeline.event_from_json(text), event)
 
+    def test_times_as_objects(self) -> None:
+        line = self.timeline()
+        line.record("a.b")
+        (event,) = line.events
+        document = attrs.asdict(event)
+        self.assertEqual(_timeline.event_from_document(document), event)
+
     def test_no_events(self) -> None:
         good = '"time": [1, 2], "instance": "e", "kind": "k"'
         cases = (
@@ -191,7 +199,7 @@
         for number in range(count):
             self.clock.advance(0.001)
             line.record("a.b", request="<script>", detail=f"n={number}\n\x1b")
-        return line.events()
+        return list(line.events)
 
     def test_text(self) -> None:
         text = _timeline_pages.render_text(self.events(2))
