Bound the bodies that the command line reads

Cause: the library's body reader keeps its connection after a timeout, and takes bodies of any length when none is announced.

Change: an own reader with a bound; a cut body is a lost answer. The client's parts move to modules of their own.

--- a/packages/cli/src/banyanbank_cli/_operator.py
+++ b/packages/cli/src/banyanbank_cli/_operator.py
@@ -11,9 +11,10 @@
 from returns import result
 
 from banyanbank_cli import _client
+from banyanbank_cli import _problems
 from banyanbank_cli import _tables
 
-CommandResult = result.Result[str, _client.Problem]
+CommandResult = result.Result[str, _problems.Problem]
 """Text to print, or why the command did not succeed."""
 
 
@@ -37,7 +38,9 @@
         body = sheet.read_bytes()
     except OSError as exc:
         return result.Failure(
-            _client.Problem(f"{sheet} cannot be read: {exc}", outcome="not run")
+            _problems.Problem(
+                f"{sheet} cannot be read: {exc}", outcome="not run"
+            )
         )
     headers = [("X-Sheet-Name", _header_text(sheet.name))]
     if expect_revision is not None:
@@ -154,7 +157,7 @@
         warn: Hears which events are missing.
     """
     lists: list[list[base.Event]] = []
-    problem: _client.Problem | None = None
+    problem: _problems.Problem | None = None
     servers = [client, *(client.at(server) for server in wish.servers)]
     for server in servers:
         gathered = await _fetch_events(server, wish.query)
@@ -196,7 +199,7 @@
 
 async def _fetch_events(
     client: _client.Client, query: timeline.EventQuery
-) -> result.Result[_Gathered, _client.Problem]:
+) -> result.Result[_Gathered, _problems.Problem]:
     fields = {
         name: str(value) for name, value in attrs.asdict(query).items() if value
     }
@@ -213,7 +216,7 @@
         events = [timeline.event_from_document(e) for e in document["events"]]
         names = tuple(str(name) for name in missing)
     except (TypeError, timeline.TimelineError) as exc:
-        return result.Failure(_client.Problem(str(exc)))
+        return result.Failure(_problems.Problem(str(exc)))
     return result.Success(_Gathered(query.choose(events), names))
 
 
@@ -233,12 +236,12 @@
         wish.html.write_text(page, encoding="utf-8")
     except OSError as exc:
         return result.Failure(
-            _client.Problem(f"{wish.html} cannot be written: {exc}")
+            _problems.Problem(f"{wish.html} cannot be written: {exc}")
         )
     return result.Success(f"{len(events)} events are drawn in {wish.html}\n")
 
 
-def _unreadable() -> _client.Problem:
-    return _client.Problem(
+def _unreadable() -> _problems.Problem:
+    return _problems.Problem(
         "The server's answer cannot be read; use one release on both sides."
     )
--- a/packages/cli/src/banyanbank_cli/_rollouts.py
+++ b/packages/cli/src/banyanbank_cli/_rollouts.py
@@ -8,6 +8,7 @@
 
 from banyanbank_cli import _client
 from banyanbank_cli import _operator
+from banyanbank_cli import _problems
 
 SUBMIT_PATH = "/v1/rollouts/{trainer}/groups"
 """Takes a group of samples."""
@@ -84,7 +85,7 @@
     if reply.status == NO_CONTENT:
         missing = reply.headers.getRawHeaders("x-samples-missing", ["some"])
         return result.Failure(
-            _client.Problem(f"The batch is not whole: {missing[0]} missing.")
+            _problems.Problem(f"The batch is not whole: {missing[0]} missing.")
         )
     if output is None:
         return result.Success(reply.body.decode("utf-8", "replace") + "\n")
@@ -92,6 +93,6 @@
         output.write_bytes(reply.body)
     except OSError as exc:
         return result.Failure(
-            _client.Problem(f"{output} cannot be written: {exc}")
+            _problems.Problem(f"{output} cannot be written: {exc}")
         )
     return result.Success(f"{len(reply.body)} bytes are in {output}\n")
--- a/tests/cli/support.py
+++ b/tests/cli/support.py
@@ -40,6 +40,8 @@
     status: int = 200
     lost: bool = False
     """Whether the connection is cut in place of an answer."""
+    cut: bool = False
+    """Whether the connection is cut within the body."""
     headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -77,7 +79,13 @@
         request.setResponseCode(answer.status)
         for name, value in answer.headers:
             request.setHeader(name.encode(), value.encode())
-        return json.dumps(answer.document).encode()
+        body = json.dumps(answer.document).encode()
+        if answer.cut:
+            request.setHeader(b"content-length", b"%d" % (len(body) + 9))
+            request.write(body)
+            request.transport.loseConnection()
+            return server.NOT_DONE_YET
+        return body
 
 
 @attrs.frozen
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -1,6 +1,9 @@
 """Tests of the operators' commands."""
 
 import json
+import unittest.mock
+
+from banyanbank_cli import _transport
 
 from tests.cli import support
 
@@ -130,6 +133,20 @@
                 self.assertIn(words, ending.err)
                 self.assertNotIn(support.TOKEN, ending.err)
 
+    def test_too_long_answer(self) -> None:
+        _, url = self.serve(Answer({"long": "x" * 2000}))
+        with unittest.mock.patch.object(_transport, "MAX_ANSWER_BYTES", 1000):
+            ending = self.run_at(url, "status")
+        self.assertEqual((ending.code, ending.out), (1, ""))
+        self.assertIn("more than 1000 bytes", ending.err)
+
+    def test_cut_answer_is_no_answer(self) -> None:
+        scripted, url = self.serve(
+            Answer({"revision": 1}, cut=True), Answer({"revision": 2})
+        )
+        self.assertEqual(self.run_at(url, "status").out, "revision: 2\n")
+        self.assertEqual(len(scripted.taken), 2)
+
     def test_refusals_are_not_repeated(self) -> None:
         scripted, url = self.serve(Answer(REFUSAL, status=409))
         self.run_at(url, "drain", "e1")
