Hold accounts' limits over all instances; gather the time line; meter requests

Cause: limits, metrics and the time line of all instances stood in the packages but not in the process. Change: shares leased from the leader every second, even shares while none leads; one observer times every route; operators gather events of all instances. An account's first request was refused since its bucket began empty: it now begins with what a second could have saved up, and the test of honest retry times empties that first.

--- a/packages/daemon/src/banyanbank_daemon/_app.py
+++ b/packages/daemon/src/banyanbank_daemon/_app.py
@@ -15,6 +15,7 @@
 from banyanbank_daemon import _parts
 from banyanbank_daemon import _secrets
 from banyanbank_daemon import _settings
+from banyanbank_daemon import _timeline
 from banyanbank_daemon import _tls
 
 EXIT_FAILED = 1
@@ -69,7 +70,10 @@
         self, settings: _settings.Settings
     ) -> _parts.Surroundings:
         clock = base.SystemClock()
-        recorder = base.MemoryRecorder(settings.instance_id, clock)
+        files = None
+        if settings.timeline_dir is not None:
+            files = _timeline.EventFiles(settings.timeline_dir)
+        recorder = _timeline.Timeline(settings.instance_id, clock, files=files)
         disk = None
         if settings.data_dir is not None:
             disk = consensus.FileDisk(settings.data_dir)
--- a/packages/daemon/src/banyanbank_daemon/_entry/_active.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_active.py
@@ -1,29 +1,61 @@
-"""Requests in progress at this entry, by key."""
+"""Requests in progress at this entry: by key, and within limits."""
 
 import collections
 
 import banyanbank_base as base
+import banyanbank_dispatch as dispatch
+from returns import result
 
 from banyanbank_daemon import _http
 
 
 class ActiveRequests:
-    """Knows which exchanges run under which key."""
+    """Knows which exchanges run under which key, and admits new ones.
 
-    def __init__(self) -> None:
+    Args:
+        clock: Clock of the limits.
+        limits: Shares of the client accounts' limits.
+    """
+
+    def __init__(
+        self, clock: base.Clock, limits: dispatch.AdmissionLimits
+    ) -> None:
+        self._clock = clock
+        self._limits = limits
         self._by_key: dict[base.KeyId, set[_http.Exchange]] = (
             collections.defaultdict(set)
         )
-        self.count = 0
 
-    def add(self, key_id: base.KeyId, exchange: _http.Exchange) -> None:
-        """Notes a request that begins."""
-        self.count += 1
+    def begin(
+        self,
+        account: base.AccountId,
+        key_id: base.KeyId,
+        exchange: _http.Exchange,
+    ) -> base.Refusal | None:
+        """Admits a request, or says why not; `end` must follow admission.
+
+        Args:
+            account: Its client account; empty on a route open to all, which
+                has no limit of its own.
+            key_id: Its key; empty on a route open to all.
+            exchange: The request.
+        """
+        if account:
+            admitted = self._limits.admit(account, self._clock.now())
+            if isinstance(admitted, result.Failure):
+                return admitted.failure()
         self._by_key[key_id].add(exchange)
+        return None
 
-    def remove(self, key_id: base.KeyId, exchange: _http.Exchange) -> None:
-        """Notes a request that has ended."""
-        self.count -= 1
+    def end(
+        self,
+        account: base.AccountId,
+        key_id: base.KeyId,
+        exchange: _http.Exchange,
+    ) -> None:
+        """Notes that an admitted request has ended."""
+        if account:
+            self._limits.release(account)
         exchanges = self._by_key[key_id]
         exchanges.discard(exchange)
         if not exchanges:
--- a/packages/daemon/src/banyanbank_daemon/_entry/_models.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_models.py
@@ -134,11 +134,15 @@
             exchange.refuse(admitted.failure())
             return
         call = admitted.unwrap()
-        self._active.add(call.principal.key_id, exchange)
+        who = call.principal
+        refusal = self._active.begin(who.account, who.key_id, exchange)
+        if refusal is not None:
+            exchange.refuse(refusal)
+            return
         try:
             await self._run(exchange, call)
         finally:
-            self._active.remove(call.principal.key_id, exchange)
+            self._active.end(who.account, who.key_id, exchange)
 
     async def _admit(
         self, exchange: _http.Exchange, is_chat: bool
--- a/packages/daemon/src/banyanbank_daemon/_entry/_services.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -112,14 +112,17 @@
             exchange.refuse(admitted.failure())
             return
         call = admitted.unwrap()
-        self._active.add(call.key_id, exchange)
+        refusal = self._active.begin(call.account, call.key_id, exchange)
+        if refusal is not None:
+            exchange.refuse(refusal)
+            return
         try:
             if call.is_idempotent or not call.idempotency_key:
                 await self._pass_through(exchange, call)
             else:
                 await self._run_at_most_once(exchange, call)
         finally:
-            self._active.remove(call.key_id, exchange)
+            self._active.end(call.account, call.key_id, exchange)
 
     async def _admit(
         self, exchange: _http.Exchange
--- a/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
@@ -90,6 +90,7 @@
         self.parameters = parameters
         self.is_closed = False
         self.has_started = False
+        self.status = 0
         request.notifyFinish().addBoth(self._on_finish)
 
     @property
@@ -166,6 +167,7 @@
         if self.is_closed:
             raise ExchangeClosed
         self.has_started = True
+        self.status = status
         self._request.setResponseCode(status)
         for name, value in headers:
             self._request.responseHeaders.addRawHeader(name, value)
@@ -212,6 +214,7 @@
         if self.is_closed or self.has_started:
             return
         self.has_started = True
+        self.status = status
         self._request.setResponseCode(status)
         for name, value in headers:
             self._request.responseHeaders.addRawHeader(name, value)
--- a/packages/daemon/src/banyanbank_daemon/_http/_site.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_site.py
@@ -18,6 +18,8 @@
     [_exchange.Exchange], typing.Coroutine[typing.Any, typing.Any, None]
 ]
 
+Observer = typing.Callable[[str, int, float], None]
+
 
 @attrs.frozen
 class HttpLimits:
@@ -120,6 +122,7 @@
         limits: Bounds on requests.
         reactor: Reactor that carries sockets and timers.
         new_request_id: Draws the id of each request.
+        observe: Told of each request's route, status and seconds.
     """
 
     def __init__(
@@ -128,6 +131,7 @@
         limits: HttpLimits,
         reactor: typing.Any,
         new_request_id: typing.Callable[[], base.RequestId],
+        observe: Observer,
     ) -> None:
         root = _RootResource(self)
         super().__init__(
@@ -139,6 +143,7 @@
         self.table = table
         self.limits = limits
         self.new_request_id = new_request_id
+        self.observe = observe
         self.exchanges = 0
         self.is_closing = False
         self.displayTracebacks = False
@@ -222,9 +227,10 @@
 
     def _serve(self, route: Route, exchange: _exchange.Exchange) -> None:
         self._site.exchanges += 1
+        begun_at = self._site.reactor.seconds()
         deferred = defer.ensureDeferred(route.handler(exchange))
         deferred.addErrback(self._on_error, exchange)
-        deferred.addBoth(self._on_done)
+        deferred.addBoth(self._on_done, route, exchange, begun_at)
 
     def _on_error(
         self, failure: typing.Any, exchange: _exchange.Exchange
@@ -245,5 +251,13 @@
             )
         )
 
-    def _on_done(self, _result: object) -> None:
+    def _on_done(
+        self,
+        _result: object,
+        route: Route,
+        exchange: _exchange.Exchange,
+        begun_at: float,
+    ) -> None:
         self._site.exchanges -= 1
+        seconds = self._site.reactor.seconds() - begun_at
+        self._site.observe(route.path, exchange.status, seconds)
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -11,7 +11,9 @@
 from twisted.internet import task
 
 from banyanbank_daemon import _announcements
+from banyanbank_daemon import _limits
 from banyanbank_daemon import _listeners
+from banyanbank_daemon import _meters
 from banyanbank_daemon import _metrics
 from banyanbank_daemon import _operators
 from banyanbank_daemon import _parts
@@ -19,6 +21,7 @@
 from banyanbank_daemon import _settings
 from banyanbank_daemon import _status
 from banyanbank_daemon import _sync
+from banyanbank_daemon import _timeline_calls
 from banyanbank_daemon._parts import _control
 
 DRAIN_METHOD = "instance.drain"
@@ -54,6 +57,7 @@
         self.is_draining = False
         self._has_stopped = False
         self.metrics = _metrics.MetricsRegistry(around.clock)
+        self.meters = _meters.Meters(self.metrics)
         self.identity = _parts.Identity(settings.instance_id, around.clock)
         self.mesh = mesh.Mesh(
             self.identity.name,
@@ -90,6 +94,18 @@
             self.entry,
         )
         self.sync = self._build_sync()
+        self.limits = _limits.LimitClient(
+            around.reactor,
+            around.clock,
+            self.mesh,
+            self.control.plane,
+            self.control.entry,
+            self.entry.limits,
+            None if self.leader is None else self.leader.limit_server,
+        )
+        self.timeline = _timeline_calls.TimelineCalls(
+            self.mesh, around.recorder, around.reactor
+        )
         self.listeners = self._build_listeners(secrets)
         self._usage_loop = task.LoopingCall(self._flush_usage)
         self._usage_loop.clock = around.reactor
@@ -119,7 +135,10 @@
             self.control.entry.authenticator,
             self.metrics,
             lambda: _status.status_document(self),
-            lambda: tuple(around.recorder.events),
+            self.timeline,
+            lambda: [
+                member.instance for member in self.control.entry.members.all()
+            ],
             self._drain_instance,
             around.rng,
         )
@@ -137,6 +156,7 @@
             operators.routes(),
             self.identity.new_request_id,
             around.caller_tls,
+            self.meters.observe_request,
         )
 
     async def start(self) -> None:
@@ -158,6 +178,7 @@
         self._start_log()
         self.listeners.start()
         self.sync.start()
+        self.limits.start()
         self._usage_loop.start(control.FLUSH_S, now=False)
         self.around.recorder.record(
             "instance.started",
@@ -199,6 +220,7 @@
             return
         self._has_stopped = True
         self.sync.stop()
+        self.limits.stop()
         if self._usage_loop.running:
             self._usage_loop.stop()
         await self.listeners.stop_listening()
@@ -219,6 +241,10 @@
             self.entry.active.withdraw_key(key_id)
             self.dispatch.host.withdraw_key(key_id)
 
+    def config_changed(self) -> None:
+        """Takes in limits that have changed."""
+        self.limits.accounts_changed()
+
     def endpoints_changed(self) -> None:
         """Acts on endpoints that came, left or will leave."""
         self.dispatch.drop_lost_engines()
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_limits.py
@@ -0,0 +1,193 @@
+"""Leases shares of client accounts' limits from the leader."""
+
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_consensus as consensus
+import banyanbank_control as control
+import banyanbank_dispatch as dispatch
+import banyanbank_mesh as mesh
+from loguru import logger
+from returns import result
+from twisted.internet import defer
+from twisted.internet import task
+
+from banyanbank_daemon import _control_plane
+
+METHOD = "limits.lease"
+LEASE_S = 1.0
+CALL_S = 1.0
+
+
+@attrs.frozen
+class LeaseRequest:
+    """What an instance saw of its callers."""
+
+    demands: tuple[dispatch.Demand, ...]
+    """By client account; accounts without requests are left out."""
+
+
+@attrs.frozen
+class LeaseReply:
+    """What an instance may admit."""
+
+    shares: tuple[dispatch.Share, ...]
+    """By client account; empty while the leader has yet to open."""
+
+
+REQUEST_CODEC: base.Codec[LeaseRequest] = base.Codec(LeaseRequest)
+REPLY_CODEC: base.Codec[LeaseReply] = base.Codec(LeaseReply)
+
+
+class LimitServer:
+    """Leases shares while this instance leads.
+
+    Args:
+        clock: Clock of deadlines.
+        node: The log here.
+        machine: State machine here.
+        members: Instances that poll.
+    """
+
+    def __init__(
+        self,
+        clock: base.Clock,
+        node: consensus.LogNode,
+        machine: control.ControlMachine,
+        members: typing.Callable[[], typing.Sized],
+    ) -> None:
+        self._clock = clock
+        self._node = node
+        self._machine = machine
+        self._members = members
+        self._allocator: dispatch.ShareAllocator | None = None
+        self._epoch = 0
+
+    async def serve(self, sender: base.InstanceId, data: bytes) -> bytes:
+        """Handles one call of `METHOD`."""
+        req = REQUEST_CODEC.decode(data)
+        return REPLY_CODEC.encode(self.lease(sender, req))
+
+    def lease(self, instance: base.InstanceId, req: LeaseRequest) -> LeaseReply:
+        """Returns an instance's shares; none while this one does not lead."""
+        if not self._node.lease_held():
+            return LeaseReply(())
+        now = self._clock.now()
+        if self._allocator is None or self._epoch != self._node.epoch:
+            self._epoch = self._node.epoch
+            self._allocator = dispatch.ShareAllocator(now)
+        limits = [
+            dispatch.AccountLimit(
+                item.name, item.requests_per_s, item.concurrency
+            )
+            for item in self._machine.state.config.declared().accounts
+        ]
+        shares = self._allocator.lease(
+            instance, max(1, len(self._members())), limits, req.demands, now
+        )
+        return LeaseReply(shares)
+
+
+class LimitClient:
+    """Keeps an entry's shares current.
+
+    While no leader leases, each instance takes an equal part of each limit: a
+    change of leader then refuses nobody who stays within an even share.
+
+    Args:
+        reactor: Carries timers.
+        clock: Clock of deadlines.
+        transport: Mesh of this instance.
+        plane: Knows the leader.
+        entry: Holds accounts and members.
+        limits: Admits within the shares.
+        server: Leases here; None on an instance that is no voter.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: base.Clock,
+        transport: mesh.Mesh,
+        plane: _control_plane.ControlPlane,
+        entry: control.EntrySync,
+        limits: dispatch.AdmissionLimits,
+        server: LimitServer | None,
+    ) -> None:
+        self._clock = clock
+        self._mesh = transport
+        self._plane = plane
+        self._entry = entry
+        self._limits = limits
+        self._server = server
+        self._leased_until = 0.0
+        self._loop = task.LoopingCall(self._renew)
+        self._loop.clock = reactor
+
+    def start(self) -> None:
+        """Begins to renew."""
+        self._loop.start(LEASE_S)
+
+    def stop(self) -> None:
+        """Stops renewing."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def accounts_changed(self) -> None:
+        """Takes in new limits at once, before the next renewal."""
+        accounts = self._accounts()
+        self._limits.set_limited(account.name for account in accounts)
+        if self._clock.now() >= self._leased_until:
+            self._share_evenly(accounts)
+
+    def _renew(self) -> None:
+        renewing = defer.ensureDeferred(self._exchange())
+        renewing.addErrback(
+            lambda failure: logger.error("limits: {}", failure.getTraceback())
+        )
+
+    async def _exchange(self) -> None:
+        requested_at = self._clock.now()
+        req = LeaseRequest(self._limits.demands(requested_at))
+        reply = await self._ask(req)
+        if reply is not None and reply.shares:
+            self._leased_until = requested_at + dispatch.SHARE_S
+            self._limits.renew(reply.shares, requested_at)
+        elif self._clock.now() >= self._leased_until:
+            self._share_evenly(self._accounts())
+
+    async def _ask(self, req: LeaseRequest) -> LeaseReply | None:
+        target = self._plane.next_target()
+        if target == self._entry.member.instance:
+            if self._server is None:
+                return None
+            return self._server.lease(target, req)
+        called = await self._mesh.call(
+            target,
+            METHOD,
+            REQUEST_CODEC.encode(req),
+            self._clock.now() + CALL_S,
+        )
+        if isinstance(called, result.Failure):
+            return None
+        return REPLY_CODEC.decode(called.unwrap())
+
+    def _accounts(self) -> list[control.Account]:
+        return [
+            item
+            for item in self._entry.view.items.values()
+            if isinstance(item, control.Account)
+        ]
+
+    def _share_evenly(self, accounts: list[control.Account]) -> None:
+        instances = max(1, len(self._entry.members.all()))
+        shares = [
+            dispatch.Share(
+                account.name,
+                account.requests_per_s / instances,
+                max(1, account.concurrency // instances),
+            )
+            for account in accounts
+        ]
+        self._limits.renew(shares, self._clock.now())
--- a/packages/daemon/src/banyanbank_daemon/_listeners.py
+++ b/packages/daemon/src/banyanbank_daemon/_listeners.py
@@ -73,6 +73,7 @@
         operators: Routes for operators.
         new_request_id: Draws ids.
         caller_tls: TLS context factory for callers; None for plain HTTP.
+        observe: Told of each request's route, status and seconds.
     """
 
     def __init__(
@@ -83,16 +84,21 @@
         operators: list[_http.Route],
         new_request_id: typing.Callable[[], base.RequestId],
         caller_tls: typing.Any,
+        observe: typing.Callable[[str, int, float], None],
     ) -> None:
         self._settings = settings
         self._reactor = reactor
         self._caller_tls = caller_tls
         limits = _http.HttpLimits(max_body_bytes=settings.max_body_bytes)
         self._callers = _http.LimitedSite(
-            _http.RouteTable(callers), limits, reactor, new_request_id
+            _http.RouteTable(callers), limits, reactor, new_request_id, observe
         )
         self._operators = _http.LimitedSite(
-            _http.RouteTable(operators), limits, reactor, new_request_id
+            _http.RouteTable(operators),
+            limits,
+            reactor,
+            new_request_id,
+            observe,
         )
         self._ports: list[typing.Any] = []
         self.caller_port = 0
--- a/packages/daemon/src/banyanbank_daemon/_operators.py
+++ b/packages/daemon/src/banyanbank_daemon/_operators.py
@@ -6,7 +6,6 @@
 import secrets
 import typing
 
-import attrs
 import banyanbank_base as base
 import banyanbank_control as control
 from returns import result
@@ -14,18 +13,20 @@
 from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _http
 from banyanbank_daemon import _metrics
+from banyanbank_daemon import _timeline_calls
 from banyanbank_daemon._entry import _admission
 
 OK = 200
 BAD_REQUEST = 400
 COMMIT_S = 10.0
+GATHER_S = 10.0
 SECRET_BYTES = 32
 TEXT_SUFFIXES = (".yaml", ".yml")
 OPERATOR = "operator"
 
 Parsed = result.Result[control.Declarations, control.SheetErrors]
 StatusSource = typing.Callable[[], dict[str, typing.Any]]
-EventSource = typing.Callable[[], typing.Iterable[base.Event]]
+Peers = typing.Callable[[], list[base.InstanceId]]
 Drain = typing.Callable[
     [base.InstanceId], typing.Coroutine[typing.Any, typing.Any, bool]
 ]
@@ -41,7 +42,8 @@
         authenticator: Holds the configuration.
         metrics: Metrics of this instance.
         status: Returns the status document of this instance.
-        events: Returns the time line of this instance.
+        timeline: Gathers time line events.
+        peers: Returns all instances known.
         drain: Asks an instance to shut down gracefully.
         rng: Source of key ids.
     """
@@ -54,7 +56,8 @@
         authenticator: control.Authenticator,
         metrics: _metrics.MetricsRegistry,
         status: StatusSource,
-        events: EventSource,
+        timeline: _timeline_calls.TimelineCalls,
+        peers: Peers,
         drain: Drain,
         rng: random.Random,
     ) -> None:
@@ -64,7 +67,8 @@
         self._authenticator = authenticator
         self._metrics = metrics
         self._status = status
-        self._events = events
+        self._timeline = timeline
+        self._peers = peers
         self._drain = drain
         self._rng = rng
 
@@ -185,23 +189,20 @@
             exchange.respond_json(OK, self._status())
 
     async def timeline(self, exchange: _http.Exchange) -> None:
-        """Shows this instance's events, filtered by the query."""
+        """Shows events, filtered by the query; `scope=all` asks everybody."""
         if not self._is_admitted(exchange):
             return
-        wanted = {
-            name: exchange.query(name)
-            for name in ("request", "sample", "key", "endpoint", "kind")
-            if exchange.query(name)
+        fields = {
+            name: exchange.query(name) for name in _timeline_calls.QUERY_FIELDS
         }
-        events = [
-            attrs.asdict(event)
-            for event in self._events()
-            if all(
-                getattr(event, name).startswith(value)
-                for name, value in wanted.items()
-            )
-        ]
-        exchange.respond(OK, json.dumps({"events": events}).encode())
+        peers = self._peers() if exchange.query("scope") == "all" else []
+        gathered = await self._timeline.gather(
+            _timeline_calls.read_query(fields),
+            peers,
+            self._clock.now() + GATHER_S,
+        )
+        body = json.dumps(gathered.to_document()).encode()
+        exchange.respond(OK, body)
 
     async def drain(self, exchange: _http.Exchange) -> None:
         """Asks an instance to shut down gracefully."""
--- a/packages/daemon/src/banyanbank_daemon/_parts/_entry.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_entry.py
@@ -1,6 +1,7 @@
 """Builds what serves callers."""
 
 import attrs
+import banyanbank_dispatch as dispatch
 import banyanbank_mesh as mesh
 
 from banyanbank_daemon import _batches
@@ -14,6 +15,8 @@
 class EntryParts:
     """The callers' side of one instance."""
 
+    limits: dispatch.AdmissionLimits
+    """Shares of the client accounts' limits."""
     active: _entry.ActiveRequests
     """Requests in progress."""
     services: _entry.ServiceCalls
@@ -32,7 +35,8 @@
     dispatch_parts: _dispatch.DispatchParts,
 ) -> EntryParts:
     """Builds the parts of an entry."""
-    active = _entry.ActiveRequests()
+    limits = dispatch.AdmissionLimits(around.clock.now())
+    active = _entry.ActiveRequests(around.clock, limits)
     admission = _entry.Admission(
         around.reactor, around.clock, control_parts.entry.authenticator
     )
@@ -68,7 +72,7 @@
         control_parts.rollouts,
         _build_batches(around, identity, transport, control_parts),
     )
-    return EntryParts(active, services, models, trainers)
+    return EntryParts(limits, active, services, models, trainers)
 
 
 def _build_batches(
--- a/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
@@ -6,6 +6,7 @@
 import banyanbank_mesh as mesh
 
 from banyanbank_daemon import _leader
+from banyanbank_daemon import _limits
 from banyanbank_daemon import _platform
 from banyanbank_daemon import _settings
 from banyanbank_daemon import _sync
@@ -21,6 +22,8 @@
 
     sync_server: _sync.SyncServer
     """Answers entries' polls."""
+    limit_server: _limits.LimitServer
+    """Leases shares of limits."""
     driver: _leader.RolloutDriver
     """Runs rollouts."""
     weights: _leader.WeightDuty
@@ -45,6 +48,10 @@
         return None
     server = _sync.SyncServer(around.clock, node, machine)
     transport.on_call(_sync.METHOD, server.serve)
+    limit_server = _limits.LimitServer(
+        around.clock, node, machine, server.members
+    )
+    transport.on_call(_limits.METHOD, limit_server.serve)
     driver = _build_driver(
         around, identity, control_parts, dispatch_parts, entry_parts
     )
@@ -65,7 +72,7 @@
     )
     duties: list[_leader.Duty] = [server, driver, weights, office]
     loop = _leader.LeaderLoop(around.reactor, node, around.recorder, duties)
-    return LeaderParts(server, driver, weights, loop)
+    return LeaderParts(server, limit_server, driver, weights, loop)
 
 
 def _build_driver(
--- a/packages/daemon/src/banyanbank_daemon/_sync/_client.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_client.py
@@ -25,6 +25,10 @@
         """Ends what runs and waits under withdrawn keys."""
         ...
 
+    def config_changed(self) -> None:
+        """Takes in a new revision of the configuration."""
+        ...
+
     def endpoints_changed(self) -> None:
         """Acts on endpoints that came, left or will leave."""
         ...
@@ -96,6 +100,8 @@
         if not isinstance(reply, control.SyncReply):
             return
         update = self._entry.take(reply, self._clock.now())
+        if update.config_changed:
+            self._listener.config_changed()
         if update.withdrawn:
             self._listener.keys_withdrawn(update.withdrawn)
         self._note_peers()
--- a/packages/daemon/src/banyanbank_daemon/_timeline_calls.py
+++ b/packages/daemon/src/banyanbank_daemon/_timeline_calls.py
@@ -23,6 +23,18 @@
 """Events taken from one instance; the latest count."""
 
 
+QUERY_FIELDS = (
+    "request",
+    "sample",
+    "key",
+    "endpoint",
+    "kind",
+    "instance",
+    "epoch",
+)
+"""Fields by which events are chosen."""
+
+
 @attrs.frozen
 class Gathered:
     """Events of all instances that could be asked."""
@@ -51,8 +63,7 @@
     epoch = fields.get("epoch") or "0"
     is_number = epoch.isascii() and epoch.isdigit() and len(epoch) <= 18
     texts = {
-        name: fields.get(name, "")
-        for name in ("request", "sample", "key", "endpoint", "kind", "instance")
+        name: fields.get(name, "") for name in QUERY_FIELDS if name != "epoch"
     }
     return _timeline.EventQuery(epoch=int(epoch) if is_number else -1, **texts)
 
--- a/packages/dispatch/src/banyanbank_dispatch/_limits.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_limits.py
@@ -223,7 +223,8 @@
         self, account: base.AccountId, now: float
     ) -> result.Result[None, base.Refusal]:
         """Admits one request, or refuses it with a true NOT_RUN."""
-        usage = self._usage.setdefault(account, _Usage(filled_at=now))
+        # A newcomer starts with what it could have saved up.
+        usage = self._usage.setdefault(account, _Usage(filled_at=now - BURST_S))
         usage.seen += 1
         if account in self._limited:
             refusal = self._check(account, usage, now)
--- a/tests/dispatch/test_limits.py
+++ b/tests/dispatch/test_limits.py
@@ -140,6 +140,10 @@
         limits.set_limited([ACCOUNT])
         limits.renew([dispatch.Share(ACCOUNT, 2.0, 10)], 0.0)
         now = 0.0
+        # A newcomer may use what it could have saved up in a second.
+        for _ in range(2):
+            self.assertEqual(limits.admit(ACCOUNT, now), _case.ACCEPTED)
+            limits.release(ACCOUNT)
         for _ in range(4):
             refusal = limits.admit(ACCOUNT, now).failure()
             assert refusal.retry_after is not None
