--- a/packages/dispatch/src/banyanbank_dispatch/__init__.py
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from banyanbank_dispatch._fair import FairQueue
+from banyanbank_dispatch._fair import QUANTUM_TOKENS
 from banyanbank_dispatch._health import HealthTracker
 from banyanbank_dispatch._limits import AccountLimit
 from banyanbank_dispatch._limits import AdmissionLimits
@@ -34,6 +35,7 @@
 from banyanbank_dispatch._work import WorkKind
 
 __all__ = [
+    "QUANTUM_TOKENS",
     "SHARE_S",
     "AccountLimit",
     "AdmissionLimits",
