Let the story of the killed leader wait for bookings on both sides

Cause: the one booking under way at the kill was all there was, so its check had nothing to look at. Change: twenty bookings before the kill and after it. Conclusion: the check now always sees runs.

--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -17,6 +17,8 @@
 OK = 200
 LIMIT_S = 120.0
 SIZE = 8
+BOOKINGS = 20
+LOOKUPS = 200
 SHEET = _demo_world.sheet()
 
 
@@ -181,14 +183,20 @@
     def test_leader_killed_under_load(self) -> None:
         async def story(world: World) -> None:
             load = world.load()
+            await support.until(lambda: len(load.answers) > BOOKINGS)
             leader = await world.cluster.leader()
             world.cluster.processes[leader].kill()
             await world.cluster.leader(besides=leader)
-            before = load.lookups
-            await support.until(lambda: load.lookups > before + 200)
+            before = load.lookups, len(load.answers)
+            await support.until(
+                lambda: (
+                    load.lookups > before[0] + LOOKUPS
+                    and len(load.answers) > before[1] + BOOKINGS
+                )
+            )
             await load.stop()
             runs = load.runs_by_path()
-            self.assertTrue(runs)
+            self.assertTrue(runs, dict(load.answers))
             self.assertLessEqual(max(runs.values()), 1, runs)
             for key, answers in load.answers.items():
                 path = f"/refill/{key.removeprefix('booking-')}"
