--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -93,6 +93,8 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 100.0
+        self.lazy = 0.0
+        """Chance that a frame waits for others in the same turn."""
         self.names = [base.InstanceId(name) for name in names]
         voters = initial if initial is not None else names
         self.initial = tuple(base.InstanceId(name) for name in voters)
@@ -252,7 +254,8 @@
             process.backlog.append((sender, data))
             return
         process.node.handle_message(sender, data)
-        self.drain(process)
+        if self.rng.random() >= self.lazy:
+            self.drain(process)
 
 
 class Sender:
--- a/tests/consensus/measure.py
+++ b/tests/consensus/measure.py
@@ -38,7 +38,9 @@
         clock = base.SystemClock()
         disk = consensus.FileDisk(folder / name)
         node = consensus.LogNode(
-            consensus.NodeConfig(name, NAMES, snapshot_entries=100_000, snapshot_bytes=1 << 30),
+            consensus.NodeConfig(
+                name, NAMES, snapshot_entries=100_000, snapshot_bytes=1 << 30
+            ),
             disk,
             cluster.ListMachine(),
             _Wire(self, name),
--- a/tests/consensus/mutants.py
+++ b/tests/consensus/mutants.py
@@ -357,7 +357,10 @@
     """Prints which check catches which mutant."""
     for mutant in MUTANTS:
         catch = find_catch(mutant)
-        print(f"| {mutant.name} | {mutant.scenario} | {catch} |")  # noqa: T201
+        seen = "NOT SEEN"
+        if catch is not None:
+            seen = f"{catch.check} | {catch.initial}, seed {catch.seed}"
+        print(f"| {mutant.name} | {mutant.scenario} … | {seen} |")  # noqa: T201
 
 
 if __name__ == "__main__":
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -20,6 +20,7 @@
 INITIAL = ("abc", "abc", "abcde")
 CHUNK_BYTES = (48, 4000)
 APPEND_BYTES = (1, 250)
+LAZY = (0.0, 0.5)
 LEADER = "*"
 OTHERS = ("1#", "2#", "3#", "4#")
 SOMEONE = NAMES + LEADER * 2
@@ -58,6 +59,7 @@
         # What the leader waits on its own clock, in global time at least.
         gap = LEASE_S / (1 + DRIFT) - 2 * cluster.TICK_S
         self.oracle = oracle.Oracle(self.world, gap)
+        self.world.lazy = rng.choice(LAZY)
         self.world.on_step = self.oracle.check
         self.trace: list[str] = []
         self.aliases: dict[str, str] = {}
