--- a/packages/bench/src/banyanbank_bench/_cluster.py
+++ b/packages/bench/src/banyanbank_bench/_cluster.py
@@ -39,24 +39,22 @@
     """Attempts started ahead of free slots; 0 starts all at once."""
     choices: int = 2
     """Candidates that the router compares."""
-    steps_ahead: int = 1
+    steps_ahead: int = 3
     """Steps that a trainer asks for ahead of the one it trains on."""
     bulk_slots: int = 48
     """Rollout streams on a normal engine."""
     fast_slots: int = 0
-    """Rollout streams on the engine for stragglers; 0 for none."""
+    """Rollout streams on one engine that stays quick for lookups; 0: none."""
 
 
 POLICIES = {
-    "rr_1_ahead": Policy("round_robin"),
-    "round_robin": Policy("round_robin", steps_ahead=2),
-    "least_reported": Policy("least_reported", steps_ahead=2),
-    "independent": Policy(steps_ahead=2),
-    "owned": Policy(owned=True, steps_ahead=2),
-    "scheduled": Policy(owned=True, steps_ahead=2, scheduled=4, choices=99),
-    "fast_lane": Policy(
-        owned=True, steps_ahead=2, scheduled=4, choices=99, fast_slots=12
-    ),
+    "rr_1_ahead": Policy("round_robin", steps_ahead=1),
+    "round_robin": Policy("round_robin"),
+    "least_reported": Policy("least_reported"),
+    "independent": Policy(),
+    "owned": Policy(owned=True),
+    "scheduled": Policy(owned=True, scheduled=4, choices=99),
+    "quick_lane": Policy(owned=True, scheduled=4, choices=99, fast_slots=12),
 }
 
 
@@ -76,7 +74,6 @@
     """Tokens delivered, by failure domain."""
     wasted_tokens: float = 0.0
     refused: int = 0
-    moves: int = 0
 
 
 class Entry:
@@ -146,25 +143,6 @@
         fast = self.policy.fast_slots and engine.endpoint_id == "e0"
         return self.policy.fast_slots if fast else self.policy.bulk_slots
 
-    def lanes(self) -> list[dispatch.Lane]:
-        """Returns the engines as the mover of streams sees them."""
-        return [
-            dispatch.Lane(
-                endpoint_id=engine.endpoint_id,
-                token_s=engine.token_s(),
-                free_slots=self.rollout_slots(engine)
-                - self._rollouts_at(engine.endpoint_id),
-                is_fast=engine.endpoint_id == "e0",
-            )
-            for engine in self.engines.values()
-            if engine.alive and engine.gone_at is None
-        ]
-
-    def _rollouts_at(self, engine_id: base.EndpointId) -> int:
-        lookup = dispatch.WorkKind.INTERACTIVE
-        running = self._queues[engine_id].running()
-        return sum(work.kind is not lookup for work in running)
-
     def new_job(
         self,
         account: str,
@@ -244,14 +222,19 @@
             prefix=job.work.prefix,
             prefix_tokens=job.prompt_tokens * 0.15,
         )
-        if job.start is not None and self.policy.fast_slots:
-            views = [v for v in views if v.endpoint_id != "e0"]
+        if job.start is not None:
+            views = [self._limited(view) for view in views]
         chosen = entry.router.choose(query, views, self.sim.now).unwrap()
         entry.router.note_sent(
             job.work.request_id, chosen.endpoint_id, query, self.sim.now
         )
         return chosen.endpoint_id
 
+    def _limited(self, view: dispatch.Candidate) -> dispatch.Candidate:
+        """Shows samples the slots that they may take."""
+        engine = self.engines[view.endpoint_id]
+        return attrs.evolve(view, slots=self.rollout_slots(engine))
+
     def _offer(self, engine_id: base.EndpointId, job: _engine.Job) -> None:
         if job.work.request_id not in self._jobs:
             return
--- a/packages/bench/src/banyanbank_bench/_report.py
+++ b/packages/bench/src/banyanbank_bench/_report.py
@@ -59,6 +59,7 @@
     record, trainers = cluster.record, cluster.rollouts.trainers
     idle = sum(trainer.idle_s for trainer in trainers)
     span = sum(trainer.finished_at for trainer in trainers)
+    warm = idle - sum(trainer.first_idle_s for trainer in trainers)
     bound = idle_bound(cluster)
     ages = cluster.rollouts.staleness
     delivered = sum(record.tokens.values())
@@ -67,6 +68,8 @@
     return {
         "idle_share": idle / span,
         "idle_s_per_step": idle / (len(trainers) * cluster.workload.steps),
+        "warm_idle_s_per_step": warm
+        / (len(trainers) * (cluster.workload.steps - 1)),
         "idle_bound_share": bound / (bound + span - idle),
         "idle_over_bound": idle / bound,
         **{f"age_{n}": ages.count(n) / len(ages) for n in range(3)},
@@ -75,7 +78,6 @@
         "cost_per_1000_samples": 1000 * _cost(cluster, end) / len(ages),
         "reclaimable_share": reclaimable / delivered,
         "wasted_share": record.wasted_tokens / delivered,
-        "moves": record.moves,
         "refused": record.refused,
     }
 
--- a/packages/bench/src/banyanbank_bench/_rollouts.py
+++ b/packages/bench/src/banyanbank_bench/_rollouts.py
@@ -34,9 +34,10 @@
         ]
         self.version = 0
         self.idle_s = 0.0
+        self.first_idle_s = 0.0
         self.finished_at = 0.0
         self._owner = owner
-        self._step = 0
+        self.step = 0
         self._idle_since: float | None = 0.0
         self._published_at = 0.0
 
@@ -46,23 +47,25 @@
             return
         owner, cluster = self._owner, self._owner.cluster
         newest = base.WeightVersion(self.version)
-        fetch = rollout.FetchBatch(self.trainer_id, self._step, newest)
+        fetch = rollout.FetchBatch(self.trainer_id, self.step, newest)
         reply = owner.apply(fetch)
         if not isinstance(reply, rollout.BatchFetched):
             return
         owner.delivered(reply)
         owner.apply(rollout.AcknowledgeBatch(self.trainer_id, reply.batch_id))
         self.idle_s += cluster.sim.now - self._idle_since
+        if self.step == 0:
+            self.first_idle_s = self.idle_s
         self._idle_since = None
-        ahead = self._step + cluster.policy.steps_ahead
+        ahead = self.step + cluster.policy.steps_ahead
         if ahead < len(self.lengths):
             owner.submit(self, ahead)
         cluster.sim.after(cluster.workload.train_s, self._trained)
 
     def _trained(self) -> None:
         now = self._owner.cluster.sim.now
-        self._step += 1
-        if self._step == len(self.lengths):
+        self.step += 1
+        if self.step == len(self.lengths):
             self.finished_at = now
             return
         if now - self._published_at >= self._owner.cluster.workload.publish_s:
@@ -91,7 +94,6 @@
                 extras, forecasts=cluster.policy.scheduled > 0
             ),
         )
-        self._mover = dispatch.StreamMover()
         self._jobs: dict[str, _engine.Job] = {}
         self._is_due = False
 
@@ -171,10 +173,8 @@
         self.decide()
 
     def decide(self) -> None:
-        """Runs the scheduler once, after streams were moved."""
+        """Runs the scheduler once."""
         now = self.cluster.sim.now
-        if self.cluster.policy.fast_slots:
-            self._move()
         views = [self._view(job, True) for job in self._jobs.values()]
         effects = self._scheduler.decide(
             self.ledger, views, self._engine_views(), now
@@ -188,30 +188,6 @@
                 case rollout.ProposeBatch():
                     self._form(effect)
 
-    def _move(self) -> None:
-        oldest: dict[str, int] = {}
-        for step in self.ledger.steps():
-            if step.batch is None:
-                oldest.setdefault(step.trainer, step.step)
-        streams = [
-            dispatch.Stream(
-                request_id=job.work.request_id,
-                endpoint_id=job.engine.endpoint_id,
-                tokens=job.made,
-                rank=job.start.slot.step - oldest[job.start.slot.trainer],
-            )
-            for job in self._jobs.values()
-            if job.engine is not None and job.start is not None and job.made
-        ]
-        by_id = {job.work.request_id: job for job in self._jobs.values()}
-        lanes = self.cluster.lanes()
-        for move in self._mover.moves(streams, lanes):
-            job = by_id[move.request_id]
-            self.cluster.drop(job)
-            job.target = move.target
-            self.cluster.submit(job)
-            self.cluster.record.moves += 1
-
     def _start(self, start: rollout.StartAttempt) -> None:
         slot = start.slot
         trainer = next(t for t in self.trainers if t.trainer_id == slot.trainer)
--- a/packages/dispatch/src/banyanbank_dispatch/__init__.py
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -12,10 +12,6 @@
 from banyanbank_dispatch._limits import Share
 from banyanbank_dispatch._limits import SHARE_S
 from banyanbank_dispatch._limits import ShareAllocator
-from banyanbank_dispatch._mover import Lane
-from banyanbank_dispatch._mover import Move
-from banyanbank_dispatch._mover import Stream
-from banyanbank_dispatch._mover import StreamMover
 from banyanbank_dispatch._ownership import rendezvous_owner
 from banyanbank_dispatch._prefix import CacheEvent
 from banyanbank_dispatch._prefix import PrefixIndex
@@ -47,8 +43,6 @@
     "FairQueue",
     "GiveUp",
     "HealthTracker",
-    "Lane",
-    "Move",
     "PrefixIndex",
     "QueueSettings",
     "QueueStatus",
@@ -58,8 +52,6 @@
     "Router",
     "Share",
     "ShareAllocator",
-    "Stream",
-    "StreamMover",
     "Withdrawal",
     "Work",
     "WorkKind",
