--- a/packages/daemon/src/banyanbank_daemon/_settings.py
+++ b/packages/daemon/src/banyanbank_daemon/_settings.py
@@ -1,7 +1,11 @@
 """Settings of one instance, from flags and environment variables."""
 
+import ast
 import collections.abc
+import inspect
+import itertools
 import pathlib
+import textwrap
 import types
 import typing
 
@@ -165,6 +169,19 @@
     return tuple(field.name for field in attrs.fields(Settings))
 
 
+def flag_help() -> dict[str, str]:
+    """Returns what each setting holds, from the text below its field."""
+    tree = ast.parse(textwrap.dedent(inspect.getsource(Settings)))
+    (definition,) = tree.body
+    assert isinstance(definition, ast.ClassDef)
+    texts = {}
+    for field, text in itertools.pairwise(definition.body):
+        if isinstance(field, ast.AnnAssign) and isinstance(text, ast.Expr):
+            name = ast.unparse(field.target)
+            texts[name] = inspect.cleandoc(ast.literal_eval(text.value))
+    return texts
+
+
 def read_settings(
     flags: collections.abc.Mapping[str, str],
     environment: collections.abc.Mapping[str, str],
--- a/packages/daemon/src/banyanbank_daemon/main.py
+++ b/packages/daemon/src/banyanbank_daemon/main.py
@@ -3,6 +3,7 @@
 import importlib
 import os
 import sys
+import textwrap
 import typing
 
 import fire
@@ -74,6 +75,7 @@
         "BANYANBANK_MESH_PORT. --check only checks the settings.",
         "",
     ]
-    for name in _settings.flag_names():
+    for name, text in _settings.flag_help().items():
         lines.append(f"  --{name.replace('_', '-')}")
+        lines.append(textwrap.indent(text, "      "))
     return "\n".join(lines) + "\n"
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -219,7 +219,9 @@
         for name in ("--mesh-port", "--instance-id", "--voters"):
             self.assertIn(name, err)
 
-    def test_help_names_every_flag(self) -> None:
+    def test_help_describes_every_flag(self) -> None:
         _, out, _ = self.run_main("--help")
-        for name in _settings.flag_names():
-            self.assertIn(f"--{name.replace('_', '-')}", out)
+        texts = _settings.flag_help()
+        self.assertEqual(tuple(texts), _settings.flag_names())
+        for name, text in texts.items():
+            self.assertIn(f"--{name.replace('_', '-')}\n      {text}\n", out)
