Keep lifecycles in charts and stop a node on any defect

Cause: the house keeps lifecycles as charts; a state machine that failed half-way left a node with its lease; a large state was written every 4,096 entries. Conclusion: roles and phases change only as the charts say.

--- a/packages/consensus/src/banyanbank_consensus/_applier.py
+++ b/packages/consensus/src/banyanbank_consensus/_applier.py
@@ -12,6 +12,9 @@
 from banyanbank_consensus import _replica
 from banyanbank_consensus import _state
 
+LARGE_STATE_FACTOR = 4
+"""How much longer the log may grow when the state is larger than the log."""
+
 
 @attrs.frozen
 class Applied:
@@ -67,10 +70,13 @@
     def is_due(self, state: _state.State) -> bool:
         """Whether the log has grown so far that a snapshot is due."""
         cfg = state.cfg
-        kept = state.snapshot.index if state.snapshot is not None else 0
-        fresh = self.index - kept
-        if fresh >= cfg.snapshot_entries:
+        last = state.snapshot
+        fresh = self.index - (last.index if last is not None else 0)
+        if fresh >= cfg.snapshot_entries * LARGE_STATE_FACTOR:
             return True
+        if fresh >= cfg.snapshot_entries:
+            # Writing a large state costs more than replaying a few entries.
+            return last is None or state.log.size >= last.size
         return state.log.size >= cfg.snapshot_bytes and fresh > 0
 
     def compact(self, replica: _replica.Replica) -> None:
--- /dev/null
+++ b/packages/consensus/src/banyanbank_consensus/_charts.py
@@ -0,0 +1,26 @@
+"""Lifecycles that are kept as statecharts in `charts/`."""
+
+import functools
+import typing
+
+import banyanbank_base as base
+
+_PACKAGE = "banyanbank_consensus"
+
+
+def run_chart(name: str) -> base.ChartRunner:
+    """Returns a runner of one chart, in its first state.
+
+    Args:
+        name: File name without `.yaml`.
+
+    Raises:
+        ChartError: The file is missing or not a valid chart.
+    """
+    return base.ChartRunner(_load(name))
+
+
+@functools.cache
+def _load(name: str) -> typing.Any:
+    """Reads a chart once; runners share it and do not change it."""
+    return base.load_chart(_PACKAGE, name)
--- a/packages/consensus/src/banyanbank_consensus/_config.py
+++ b/packages/consensus/src/banyanbank_consensus/_config.py
@@ -50,7 +50,7 @@
     repair_after_s: float = 3.0
     """Seconds of silence before a voter with a lost disk is replaced."""
     snapshot_entries: int = 4096
-    """Entries in the log after which a snapshot is taken."""
+    """Entries after which a snapshot is taken, unless the state is large."""
     snapshot_bytes: int = 16 << 20
     """Bytes in the log after which a snapshot is taken."""
     keep_entries: int = 512
--- a/packages/consensus/src/banyanbank_consensus/_election.py
+++ b/packages/consensus/src/banyanbank_consensus/_election.py
@@ -149,7 +149,7 @@
 
 def _pre_campaign(state: _state.State, now: float) -> None:
     """Asks whether an election could be won, without changing the epoch."""
-    state.role = _state.Role.PRE_CANDIDATE
+    _state.move(state, "election_timed_out")
     state.leader = None
     state.votes = {state.me}
     _state.reset_election(state, now)
@@ -158,7 +158,7 @@
 
 def _campaign(state: _state.State, now: float) -> None:
     """Opens a new epoch and asks for votes."""
-    state.role = _state.Role.CANDIDATE
+    _state.move(state, "epoch_opened")
     state.leader = None
     hard = attrs.evolve(
         state.hard, epoch=state.epoch + 1, voted_for=state.identity
@@ -187,7 +187,7 @@
 
 def _lead(state: _state.State, now: float) -> None:
     """Starts to lead the epoch that was won."""
-    state.role = _state.Role.LEADER
+    _state.move(state, "election_won")
     state.leader = state.me
     state.votes = set()
     state.leadership = _state.Leadership(
--- a/packages/consensus/src/banyanbank_consensus/_node.py
+++ b/packages/consensus/src/banyanbank_consensus/_node.py
@@ -1,5 +1,7 @@
 """The log node: a replica joined to disk, network, clock and state machine."""
 
+from collections.abc import Iterator
+import contextlib
 import enum
 import random
 
@@ -8,6 +10,7 @@
 from twisted.internet import defer
 
 from banyanbank_consensus import _applier
+from banyanbank_consensus import _charts
 from banyanbank_consensus import _config
 from banyanbank_consensus import _disk
 from banyanbank_consensus import _errors
@@ -25,7 +28,7 @@
 
 
 class Phase(enum.Enum):
-    """Where a node is in its life."""
+    """Where a node is in its life; the states of `charts/node.yaml`."""
 
     NEW = "new"
     RUNNING = "running"
@@ -68,10 +71,11 @@
         self._schedule = schedule or _ports.reactor_scheduler
         self._desk = _proposals.Desk()
         self._turn: _turn.Turn | None = None
+        self._chart = _charts.run_chart("node")
         self._phase = Phase.NEW
         self._flush_is_due = False
         self._flushing = False
-        self.failure: _errors.StorageError | None = None
+        self.failure: Exception | None = None
         """Why the node stopped by itself; None while it has not."""
 
     @property
@@ -95,10 +99,14 @@
 
         Raises:
             StorageError: The data folder cannot be used.
+            ChartError: The node was started before.
         """
-        if self._phase is not Phase.NEW:
-            raise _errors.ConsensusDefectError("A node starts only once.")
-        stored = self._disk.load(f"{self._rng.getrandbits(64):016x}")
+        self._move("start")
+        try:
+            stored = self._disk.load(f"{self._rng.getrandbits(64):016x}")
+        except _errors.StorageError as exc:
+            self._fail(exc)
+            raise
         self._turn = _turn.Turn(
             replica=_replica.Replica(
                 self._cfg, stored, self._rng, self._clock.now()
@@ -109,7 +117,6 @@
             clock=self._clock,
             recorder=self._recorder,
         )
-        self._phase = Phase.RUNNING
         last_index = self._turn.replica.state.log.last_index
         self._recorder.record(
             "log.started", epoch=self.epoch, detail=f"last_index={last_index}"
@@ -119,7 +126,7 @@
     def stop(self) -> None:
         """Stops taking part; proposals that wait fail."""
         if self._phase is Phase.RUNNING:
-            self._end(Phase.STOPPED)
+            self._end("stop")
             self._desk.fire()
 
     def tick(self) -> None:
@@ -127,10 +134,11 @@
         turn = self._running
         if turn is None:
             return
-        now = self._clock.now()
-        turn.replica.tick(now)
-        late = turn.error(_errors.ProposeErrorKind.TIMED_OUT, True)
-        self._desk.expire(now, late)
+        with self._stopping_on_defects():
+            now = self._clock.now()
+            turn.replica.tick(now)
+            late = turn.error(_errors.ProposeErrorKind.TIMED_OUT, True)
+            self._desk.expire(now, late)
         self.flush()
 
     def handle_message(self, sender: base.InstanceId, data: bytes) -> None:
@@ -143,7 +151,8 @@
         except base.CodecError as exc:
             self._recorder.record("log.bad_frame", detail=f"{sender}: {exc}")
             return
-        turn.replica.receive(sender, message, self._clock.now())
+        with self._stopping_on_defects():
+            turn.replica.receive(sender, message, self._clock.now())
         self._flush_later()
 
     def propose(self, payload: bytes) -> "defer.Deferred[_proposals.Reply]":
@@ -241,12 +250,14 @@
         self._flushing = True
         self._flush_is_due = False
         try:
-            turn.run()
-        except _errors.StorageError as exc:
-            self._fail(exc)
+            with self._stopping_on_defects():
+                turn.run()
+        except _errors.StorageError:
+            # The failure is recorded and told by `status`.
+            pass
         finally:
             self._flushing = False
-        self._desk.fire()
+            self._desk.fire()
 
     @property
     def _running(self) -> _turn.Turn | None:
@@ -299,14 +310,32 @@
             self._flush_is_due = True
             self._schedule(self.flush)
 
-    def _fail(self, exc: _errors.StorageError) -> None:
+    @contextlib.contextmanager
+    def _stopping_on_defects(self) -> Iterator[None]:
+        """Stops the node for good before an exception goes on.
+
+        A state machine or replica that failed half-way may hold anything;
+        it must neither answer nor hold a lease.
+        """
+        try:
+            yield
+        except Exception as exc:
+            self._fail(exc)
+            raise
+
+    def _fail(self, exc: Exception) -> None:
         """Stops for good: what is on the disk is not known any more."""
         self.failure = exc
         self._recorder.record("log.failed", epoch=self.epoch, detail=str(exc))
-        self._end(Phase.FAILED)
+        self._end("fail")
+        if not self._flushing:
+            self._desk.fire()
 
-    def _end(self, phase: Phase) -> None:
+    def _end(self, event: str) -> None:
         if self._turn is not None:
             self._turn.fail_waiting(_errors.ProposeErrorKind.STOPPED)
-        self._phase = phase
+        self._move(event)
         self._disk.close()
+
+    def _move(self, event: str) -> None:
+        self._phase = Phase(self._chart.send(event))
--- a/packages/consensus/src/banyanbank_consensus/_state.py
+++ b/packages/consensus/src/banyanbank_consensus/_state.py
@@ -7,6 +7,7 @@
 import attrs
 import banyanbank_base as base
 
+from banyanbank_consensus import _charts
 from banyanbank_consensus import _config
 from banyanbank_consensus import _disk
 from banyanbank_consensus import _effects
@@ -20,7 +21,7 @@
 
 
 class Role(enum.Enum):
-    """What a replica does in its epoch."""
+    """What a replica does in its epoch; the states of `charts/role.yaml`."""
 
     FOLLOWER = "follower"
     PRE_CANDIDATE = "pre-candidate"
@@ -137,8 +138,12 @@
     """The newest own snapshot."""
     started_at: float
     """When the process started."""
+    chart: base.ChartRunner = attrs.field(
+        factory=lambda: _charts.run_chart("role")
+    )
+    """Allows or refuses changes of the role."""
     role: Role = Role.FOLLOWER
-    """What the replica does now."""
+    """What the replica does now; changed by `move` only."""
     leader: base.InstanceId | None = None
     """Leader of the epoch; None when unknown."""
     commit: int = 0
@@ -236,6 +241,15 @@
     state.election_at = now + wait
 
 
+def move(state: State, event: str) -> None:
+    """Changes the role as the chart says.
+
+    Raises:
+        ChartError: The present role does not take the event.
+    """
+    state.role = Role(state.chart.send(event))
+
+
 def become_follower(
     state: State, epoch: int, leader: base.InstanceId | None, now: float
 ) -> None:
@@ -247,7 +261,7 @@
     if epoch > state.epoch:
         hard = attrs.evolve(state.hard, epoch=epoch, voted_for="")
         save_hard(state, hard)
-    state.role = Role.FOLLOWER
+    move(state, "follow")
     state.leadership = None
     state.votes = set()
     state.leader = leader
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -126,6 +126,18 @@
         self.assertEqual(disk.syncs, before + 1)
         self.assertEqual(len(self.commands("a")), 100)
 
+    def test_defect_of_the_machine_stops_the_node(self) -> None:
+        machine = self.world.machine("a")
+        machine.apply = lambda index, payload: 1 // 0
+        with self.assertRaises(ZeroDivisionError):
+            self.world.propose("a", b"x")
+        self.assertFalse(self.world.node("a").lease_held())
+        self.assertEqual(self.world.node("a").status().phase, "failed")
+
+    def test_starts_only_once(self) -> None:
+        with self.assertRaises(base.ChartError):
+            self.world.node("a").start()
+
     def test_frames_that_cannot_be_read_are_dropped(self) -> None:
         for frame in (b"", b"\xff", b"\xa1\x62_t\x65Hello"):
             self.world.node("a").handle_message(base.InstanceId("z"), frame)
