--- a/packages/consensus/src/banyanbank_consensus/_applier.py
+++ b/packages/consensus/src/banyanbank_consensus/_applier.py
@@ -79,7 +79,7 @@
             return last is None or state.log.size >= last.size
         return state.log.size >= cfg.snapshot_bytes and fresh > 0
 
-    def compact(self, replica: _replica.Replica) -> None:
+    def compact(self, replica: _replica.Replica) -> _disk.SnapshotMeta:
         """Takes a snapshot and drops the entries far behind it."""
         state = replica.state
         data = self._machine.snapshot()
@@ -93,6 +93,7 @@
         )
         replica.compacted(meta, _keep_from(state, self.index))
         self._disk.save_snapshot(meta, data, _state.log_image(state))
+        return meta
 
 
 def _keep_from(state: _state.State, index: int) -> int:
--- a/packages/consensus/src/banyanbank_consensus/_turn.py
+++ b/packages/consensus/src/banyanbank_consensus/_turn.py
@@ -56,7 +56,7 @@
                 break
         self.desk.confirm(self._confirmed_at())
         if self.applier.is_due(self.replica.state):
-            self.applier.compact(self.replica)
+            self._compact()
 
     def error(
         self,
@@ -151,6 +151,17 @@
                     detail=effect.detail,
                 )
 
+    def _compact(self) -> None:
+        began_at = self.clock.now()
+        meta = self.applier.compact(self.replica)
+        elapsed_ms = (self.clock.now() - began_at) * 1000
+        self.recorder.record(
+            "snapshot.taken",
+            epoch=self.replica.state.epoch,
+            detail=f"index={meta.index} bytes={meta.size} "
+            f"elapsed_ms={elapsed_ms:.0f}",
+        )
+
     def _apply_committed(self) -> None:
         lost = self.error(_errors.ProposeErrorKind.LOST_LEADERSHIP, False)
         for applied in self.applier.apply(self.replica.state):
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -192,11 +192,11 @@
             item = (self.now + delay, self._order, source, target, data)
             heapq.heappush(self._queue, item)
 
-    def run(self, seconds: float) -> None:
+    def run(self, seconds: float, tick_s: float = TICK_S) -> None:
         """Lets time pass, in ticks."""
         end = self.now + seconds
         while self.now < end - 1e-9:
-            self.step(min(TICK_S, end - self.now))
+            self.step(min(tick_s, end - self.now))
 
     def run_until(
         self, condition: Callable[[], bool], seconds: float = 10.0
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from tests.consensus import cluster
+from tests.consensus import oracle
 
 Kind = consensus.ProposeErrorKind
 
@@ -199,6 +200,21 @@
                 self.world.run(2.5)
                 self.assertFalse(old.is_leader)
 
+    def test_isolated_leader_for_an_hour(self) -> None:
+        watch = oracle.Oracle(self.world, handover_gap=0.4)
+        self.world.on_step = watch.check
+        old = self.leader
+        self.world.isolate(old)
+        for minute in range(60):
+            self.world.run(60.0, tick_s=0.25)
+            [self.leader] = self.world.holders()
+            self.commit(f"{minute}".encode())
+        epoch = self.world.node(self.leader).epoch
+        self.world.isolate(old, cut=False)
+        self.world.run(3.0)
+        self.assertEqual(self.world.node(old).epoch, epoch)
+        self.assertEqual(len(self.commands(old)), 60)
+
     def test_proposal_of_an_isolated_leader_may_be_committed(self) -> None:
         self.world.isolate(self.leader)
         outcomes = self.world.propose(self.leader, b"x")
