--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -1,12 +1,16 @@
 """Log nodes in small scripted situations."""
 
 import unittest
+import zlib
 
 import banyanbank_base as base
 import banyanbank_consensus as consensus
+from banyanbank_consensus import _log
+from banyanbank_consensus import _messages
 from returns import result
 
 from tests.consensus import cluster
+from tests.consensus import oracle
 
 Kind = consensus.ProposeErrorKind
 
@@ -126,6 +130,18 @@
         self.assertEqual(disk.syncs, before + 1)
         self.assertEqual(len(self.commands("a")), 100)
 
+    def test_defect_of_the_machine_stops_the_node(self) -> None:
+        machine = self.world.machine("a")
+        machine.apply = lambda index, payload: 1 // 0
+        with self.assertRaises(ZeroDivisionError):
+            self.world.propose("a", b"x")
+        self.assertFalse(self.world.node("a").lease_held())
+        self.assertEqual(self.world.node("a").status().phase, "failed")
+
+    def test_starts_only_once(self) -> None:
+        with self.assertRaises(base.ChartError):
+            self.world.node("a").start()
+
     def test_frames_that_cannot_be_read_are_dropped(self) -> None:
         for frame in (b"", b"\xff", b"\xa1\x62_t\x65Hello"):
             self.world.node("a").handle_message(base.InstanceId("z"), frame)
@@ -184,6 +200,21 @@
                 self.world.run(2.5)
                 self.assertFalse(old.is_leader)
 
+    def test_isolated_leader_for_an_hour(self) -> None:
+        watch = oracle.Oracle(self.world, handover_gap=0.4)
+        self.world.on_step = watch.check
+        old = self.leader
+        self.world.isolate(old)
+        for minute in range(60):
+            self.world.run(60.0, tick_s=0.25)
+            [self.leader] = self.world.holders()
+            self.commit(f"{minute}".encode())
+        epoch = self.world.node(self.leader).epoch
+        self.world.isolate(old, cut=False)
+        self.world.run(3.0)
+        self.assertEqual(self.world.node(old).epoch, epoch)
+        self.assertEqual(len(self.commands(old)), 60)
+
     def test_proposal_of_an_isolated_leader_may_be_committed(self) -> None:
         self.world.isolate(self.leader)
         outcomes = self.world.propose(self.leader, b"x")
@@ -325,6 +356,39 @@
         self.assertEqual(self.commands(self.leader), before)
 
 
+class OneTurnTest(unittest.TestCase):
+    """Frames that arrive in one turn of the loop."""
+
+    def test_entries_behind_a_snapshot_are_written_once(self) -> None:
+        world = cluster.World("ab")
+        world.start("b")
+        world.lazy = 1.0
+        store = world.node("b").status().store
+        head = _messages.Header("log", "other", store, epoch=1)
+        state = cluster.ListMachine().snapshot()
+        chunk = _messages.SnapshotChunk(
+            head=head,
+            sent_at=0.0,
+            index=5,
+            last_epoch=1,
+            members=consensus.Members(),
+            size=len(state),
+            crc=zlib.crc32(state),
+            offset=0,
+            data=state,
+        )
+        entry = _log.Entry(6, 1, _log.EntryKind.COMMAND, b"x")
+        append = _messages.AppendRequest(head, 0.0, 5, 1, 6, (entry,))
+        for message in (chunk, append):
+            frame = _messages.MESSAGE_CODEC.encode(message)
+            world.node("b").handle_message(base.InstanceId("a"), frame)
+        world.drain(world.processes[base.InstanceId("b")])
+        self.assertEqual(world.machine("b").commands, [(6, b"x")])
+        world.crash("b")
+        world.start("b")
+        self.assertEqual(world.node("b").status().last_index, 6)
+
+
 class ConfigTest(unittest.TestCase):
     """Bounds that safety rests on."""
 
