Search members and endpoints too, and mend two faults that it found

Cause: only configuration, usage, requests and orders were searched. The new rules let entries, endpoints and leaders come, go and be cut off, with late announcements and lost answers. They found: - an entry back from a long isolation used its old list of endpoints for 2 s more when the leader had changed meanwhile; - an endpoint of which a new leader knew only an earlier life stayed in use at entries for ever, although it was gone.

Change: the list of a leader replaces what was known before an isolation; what a leader tells less of expires. What a new leader lacks is kept 2 s in place of 6, and an isolated entry uses what it was told for 1 s past its freshness in place of 3. Both faults have tests of their own.

--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -138,6 +138,7 @@
 from banyanbank_control.sync import Phase
 from banyanbank_control.sync import POLL_S
 from banyanbank_control.sync import Principal
+from banyanbank_control.sync import RELEARN_S
 from banyanbank_control.sync import ServedModel
 from banyanbank_control.sync import SoftVersion
 from banyanbank_control.sync import SYNC_CODEC
@@ -167,6 +168,7 @@
     "MAX_SECRET_CHARS",
     "MEMBER_TTL_S",
     "POLL_S",
+    "RELEARN_S",
     "REPLY_CODEC",
     "SYNC_CODEC",
     "WINDOW_S",
--- a/packages/control/src/banyanbank_control/sync/__init__.py
+++ b/packages/control/src/banyanbank_control/sync/__init__.py
@@ -18,6 +18,7 @@
 from banyanbank_control.sync._gate import POLL_S
 from banyanbank_control.sync._known import KnownEndpoints
 from banyanbank_control.sync._known import KnownMembers
+from banyanbank_control.sync._known import RELEARN_S
 from banyanbank_control.sync._leader import LeaderSync
 from banyanbank_control.sync._members import Lost
 from banyanbank_control.sync._members import MEMBER_TTL_S
@@ -48,6 +49,7 @@
     "MAX_SECRET_CHARS",
     "MEMBER_TTL_S",
     "POLL_S",
+    "RELEARN_S",
     "SYNC_CODEC",
     "Admission",
     "Announcement",
--- a/packages/control/src/banyanbank_control/sync/_entry.py
+++ b/packages/control/src/banyanbank_control/sync/_entry.py
@@ -10,7 +10,7 @@
 from banyanbank_control.sync import _outbox
 from banyanbank_control.sync import _view
 
-ISOLATED_S = 3.0
+ISOLATED_S = 1.0
 """Time past freshness for which the leader's endpoints are used, seconds.
 
 A leave that another instance heard reaches an isolated one no more; after
@@ -68,6 +68,9 @@
         """
         self.endpoints.expire(now)
         self.members.expire(now)
+        if not self._trusts_leader(now):
+            # What was told before a long isolation says nothing any more.
+            self._soft = _messages.SoftVersion()
         self._number += 1
         self.gate.note_sent(self._number, now)
         return _messages.SyncRequest(
@@ -99,22 +102,29 @@
         return SyncUpdate(update.taken, changed, update.withdrawn)
 
     def _take_soft(self, reply: _messages.SyncReply, now: float) -> None:
-        if reply.soft.epoch < self._soft.epoch:
+        held = self._soft
+        if reply.soft.epoch < held.epoch:
             return
-        if reply.soft.epoch > self._soft.epoch:
+        if reply.soft.epoch > held.epoch:
+            if not reply.soft_whole:
+                return
             self._outbox.reset(reply.number)
-            self._soft = _messages.SoftVersion(reply.soft.epoch, -1)
         self._outbox.confirm(reply.number)
-        if reply.soft.sequence > self._soft.sequence:
-            self.members.apply(reply, now)
-            self.endpoints.apply(reply, now)
+        is_new = reply.soft.sequence > held.sequence
+        if is_new or reply.soft.epoch > held.epoch:
+            # After an isolation a list replaces what was known before it.
+            keep_missing = held.epoch > 0
+            self.members.apply(reply, now, keep_missing)
+            self.endpoints.apply(reply, now, keep_missing)
             self._soft = reply.soft
 
     def serving(self, now: float) -> tuple[_messages.Announcement, ...]:
         """Returns the endpoints that may get new work."""
-        trust = now < self.gate.deadline + ISOLATED_S
         return tuple(
             announcement
-            for announcement in self.endpoints.all(trust)
+            for announcement in self.endpoints.all(self._trusts_leader(now))
             if announcement.phase is _messages.Phase.SERVING
         )
+
+    def _trusts_leader(self, now: float) -> bool:
+        return now < self.gate.deadline + ISOLATED_S
--- a/packages/control/src/banyanbank_control/sync/_known.py
+++ b/packages/control/src/banyanbank_control/sync/_known.py
@@ -4,9 +4,14 @@
 import banyanbank_base as base
 
 from banyanbank_control.sync import _endpoints
-from banyanbank_control.sync import _members
 from banyanbank_control.sync import _messages
 
+RELEARN_S = 2.0
+"""Time for which what a new leader has not heard of yet is kept, seconds.
+
+Every entry tells a new leader all it has heard in its first poll.
+"""
+
 
 @attrs.define
 class _Told:
@@ -26,15 +31,24 @@
     def __init__(self) -> None:
         self._told: dict[base.InstanceId, _ToldMember] = {}
 
-    def apply(self, reply: _messages.SyncReply, now: float) -> None:
+    def apply(
+        self, reply: _messages.SyncReply, now: float, keep_missing: bool
+    ) -> None:
         """Takes in a reply.
 
         A new leader has not heard of every instance yet: what its first reply
         lacks stays for the time of a few polls, so that a change of leader
         moves no work between instances.
+
+        Args:
+            reply: The leader's answer.
+            now: Monotonic time in seconds.
+            keep_missing: Whether what was known before still counts.
         """
+        if reply.soft_whole and not keep_missing:
+            self._told.clear()
         if reply.soft_whole:
-            deadline = now + _members.MEMBER_TTL_S
+            deadline = now + RELEARN_S
             for told in self._told.values():
                 told.expires_at = told.expires_at or deadline
         for instance in reply.members_gone:
@@ -66,26 +80,41 @@
         self.heard = _endpoints.EndpointTable()
         self._told: dict[base.EndpointId, _Told] = {}
 
-    def apply(self, reply: _messages.SyncReply, now: float) -> None:
+    def apply(
+        self, reply: _messages.SyncReply, now: float, keep_missing: bool
+    ) -> None:
         """Takes in a reply.
 
         A new leader has not heard of every endpoint yet: what its first reply
-        lacks stays for the time of one renewal.
+        lacks stays for the time of a few polls.
+
+        Args:
+            reply: The leader's answer.
+            now: Monotonic time in seconds.
+            keep_missing: Whether what was known before still counts.
         """
+        if reply.soft_whole and not keep_missing:
+            self._told.clear()
         if reply.soft_whole:
-            deadline = now + _endpoints.ENDPOINT_TTL_S
+            deadline = now + RELEARN_S
             for told in self._told.values():
                 told.expires_at = told.expires_at or deadline
         for endpoint in reply.endpoints_gone:
             self._told.pop(endpoint, None)
         for announcement in reply.endpoints:
-            self._take(announcement)
+            self._take(announcement, now)
 
-    def _take(self, announcement: _messages.Announcement) -> None:
+    def _take(self, announcement: _messages.Announcement, now: float) -> None:
         known = self._told.get(announcement.endpoint)
-        if known is not None:
-            announcement = _endpoints.merge(known.announcement, announcement)
-        self._told[announcement.endpoint] = _Told(announcement)
+        if known is None:
+            self._told[announcement.endpoint] = _Told(announcement)
+            return
+        merged = _endpoints.merge(known.announcement, announcement)
+        if _endpoints.same(merged, announcement):
+            self._told[announcement.endpoint] = _Told(merged)
+        else:
+            # The leader knows less, or has dropped what it knew.
+            known.expires_at = known.expires_at or now + RELEARN_S
 
     def expire(self, now: float) -> None:
         """Drops endpoints past their deadline."""
--- a/tests/control/stateful/mutants.py
+++ b/tests/control/stateful/mutants.py
@@ -18,7 +18,10 @@
 from banyanbank_control.config import _rules as config_rules
 from banyanbank_control.intents import _apply as intents_apply
 from banyanbank_control.intents import _state as intents_state
+from banyanbank_control.sync import _endpoints
 from banyanbank_control.sync import _entry
+from banyanbank_control.sync import _known
+from banyanbank_control.sync import _members
 from banyanbank_control.sync import _view
 from banyanbank_control.usage import _apply as usage_apply
 import immutables
@@ -153,6 +156,21 @@
     return decide(attrs.evolve(state, needs=immutables.Map()), cmd)
 
 
+def _any_member(
+    hear: typing.Any, self: control.MemberTable, *args: typing.Any
+) -> typing.Any:
+    self._newest.clear()
+    return hear(self, *args)
+
+
+def _without_gone(answer: typing.Any, *args: typing.Any) -> typing.Any:
+    return attrs.evolve(answer(*args), endpoints_gone=(), members_gone=())
+
+
+def _without_age(hear: typing.Any, *args: typing.Any) -> typing.Any:
+    return hear(*args[:3])
+
+
 CONFIG_MUTANTS: dict[str, Mutant] = {
     "snapshot reverts the newest change": _wrapped(
         control.ConfigState, "record", _reverts
@@ -228,3 +246,32 @@
     ),
 }
 """What the rules of usage, requests and orders must catch."""
+
+SOFT_MUTANTS: dict[str, Mutant] = {
+    "renewal beats a leave": lambda: unittest.mock.patch.dict(
+        _endpoints._RANK, dict.fromkeys(control.Phase, 0)
+    ),
+    "leave is forgotten at once": _replaced(_endpoints, "LEAVE_MEMORY_S", 0.5),
+    "silence of an endpoint goes unnoticed": _replaced(
+        _endpoints, "ENDPOINT_TTL_S", 1e6
+    ),
+    "silence of an instance goes unnoticed": _replaced(
+        _members, "MEMBER_TTL_S", 1e6
+    ),
+    "poll of an earlier life displaces a later one": _wrapped(
+        control.MemberTable, "hear", _any_member
+    ),
+    "what is gone is not told": _wrapped(
+        control.LeaderSync, "answer", _without_gone
+    ),
+    "age of announcements is ignored": _wrapped(
+        control.EndpointTable, "hear", _without_age
+    ),
+    "list of a new leader replaces all at once": _replaced(
+        _known, "RELEARN_S", 0.0
+    ),
+    "isolated entry uses an old list for ever": _replaced(
+        _entry, "ISOLATED_S", 1e9
+    ),
+}
+"""What the rules of members and endpoints must catch."""
--- a/tests/control/stateful/rules.py
+++ b/tests/control/stateful/rules.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from tests.control.stateful import config_oracle
+from tests.control.stateful import soft_world
 from tests.control.stateful import world
 
 NAMES = strategies.sampled_from("xy")
@@ -209,6 +210,62 @@
         self.world.order(needs, accept, answered)
 
 
+class SoftRules(stateful.RuleBasedStateMachine):
+    """Instances and endpoints that come, go and are cut off."""
+
+    @stateful.initialize(seed=strategies.integers(0, 999))
+    def begin(self, seed: int) -> None:
+        self.world = soft_world.SoftWorld(seed)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.4, 1.2, 4.0, 8.0]))
+    def wait(self, seconds: float) -> None:
+        self.world.pass_time(seconds)
+
+    @stateful.rule(name=strategies.sampled_from("ef"))
+    def crash_and_elect(self, name: str) -> None:
+        self.world.start(name)
+        self.world.pass_time(soft_world.SETTLE_S)
+        self.world.crash(name)
+        self.world.pass_time(5.2)
+        self.world.elect()
+        self.world.pass_time(8.0)
+
+    @stateful.rule(name=strategies.sampled_from("ef"))
+    def settle_and_leave(self, name: str) -> None:
+        self.world.start(name)
+        self.world.pass_time(soft_world.SETTLE_S + 1.0)
+        self.world.leave(name)
+        self.world.pass_time(2.0)
+
+    @stateful.rule()
+    def elect(self) -> None:
+        self.world.elect()
+
+    @stateful.rule(name=strategies.sampled_from("xyz"))
+    def restart(self, name: str) -> None:
+        self.world.restart(name)
+
+    @stateful.rule(name=strategies.sampled_from("xyz"), linked=FLAGS)
+    def link(self, name: str, linked: bool) -> None:
+        self.world.link(name, linked)
+
+    @stateful.rule(name=strategies.sampled_from("ef"))
+    def leave(self, name: str) -> None:
+        self.world.leave(name)
+
+    @stateful.rule(name=strategies.sampled_from("ef"))
+    def crash_endpoint(self, name: str) -> None:
+        self.world.crash(name)
+
+    @stateful.rule(name=strategies.sampled_from("ef"))
+    def start(self, name: str) -> None:
+        self.world.start(name)
+
+
+ALL = (ConfigRules, EffectRules, SoftRules)
+"""Every rule set."""
+
+
 def run(
     rules: type[stateful.RuleBasedStateMachine],
     examples: int,
@@ -219,7 +276,7 @@
     """Runs the rules.
 
     Args:
-        rules: `ConfigRules` or `EffectRules`.
+        rules: `ConfigRules`, `EffectRules` or `SoftRules`.
         examples: Runs from a fresh world.
         steps: Rules a run.
         seed: Seed of another search; None for the fixed one.
--- a/tests/control/stateful/test_mutants.py
+++ b/tests/control/stateful/test_mutants.py
@@ -13,6 +13,7 @@
 TABLES = (
     (rules.ConfigRules, mutants.CONFIG_MUTANTS),
     (rules.EffectRules, mutants.EFFECT_MUTANTS),
+    (rules.SoftRules, mutants.SOFT_MUTANTS),
 )
 
 
--- a/tests/control/stateful/test_promises.py
+++ b/tests/control/stateful/test_promises.py
@@ -18,9 +18,10 @@
     """A fixed search in CI."""
 
     def test_promises(self) -> None:
-        for searched in (rules.ConfigRules, rules.EffectRules):
+        for searched in rules.ALL:
             with self.subTest(searched.__name__):
-                rules.run(searched, examples=60, steps=60, phases=_PHASES)
+                steps = 30 if searched is rules.SoftRules else 60
+                rules.run(searched, 60, steps, phases=_PHASES)
 
 
 def main() -> None:
@@ -30,7 +31,7 @@
     parser.add_argument("--examples", type=int, default=500)
     parser.add_argument("--steps", type=int, default=100)
     args = parser.parse_args()
-    for searched in (rules.ConfigRules, rules.EffectRules):
+    for searched in rules.ALL:
         rules.run(searched, args.examples, args.steps, args.seed, _PHASES)
 
 
--- a/tests/control/sync/test_exchange.py
+++ b/tests/control/sync/test_exchange.py
@@ -263,6 +263,30 @@
         self.poll(self.bob)
         self.assertEqual(self.names(self.bob), set())
 
+    def test_long_isolation_and_new_leader(self) -> None:
+        self.ann.endpoints.heard.hear(engine("e1"), self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.now += control.ENDPOINT_TTL_S + control.FRESHNESS_S
+        self.leader = control.LeaderSync(2, self.now)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), set())
+        self.assertEqual(len(self.bob.members.all()), 1)
+
+    def test_new_leader_knows_an_earlier_life(self) -> None:
+        heard = self.ann.endpoints.heard
+        heard.hear(engine("e1", incarnation=2), self.now)
+        self.poll(self.ann)
+        self.poll(self.bob)
+        self.leader = control.LeaderSync(2, self.now)
+        old = engine("e1", phase=control.Phase.LEAVING)
+        self.bob.endpoints.heard.hear(old, self.now)
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), {"e1"})
+        self.now += control.RELEARN_S
+        self.poll(self.bob)
+        self.assertEqual(self.names(self.bob), set())
+
     def test_isolated_entry(self) -> None:
         self.ann.endpoints.heard.hear(engine("e1"), self.now)
         self.poll(self.ann)
