--- a/packages/bench/src/banyanbank_bench/_cluster.py
+++ b/packages/bench/src/banyanbank_bench/_cluster.py
@@ -39,20 +39,22 @@
     """Attempts started ahead of free slots; 0 starts all at once."""
     choices: int = 2
     """Candidates that the router compares."""
+    steps_ahead: int = 3
+    """Steps that a trainer asks for ahead of the one it trains on."""
     bulk_slots: int = 48
     """Rollout streams on a normal engine."""
     fast_slots: int = 0
-    """Rollout streams on the engine for stragglers; 0 for none."""
+    """Rollout streams on one engine that stays quick for lookups; 0: none."""
 
 
 POLICIES = {
+    "rr_1_ahead": Policy("round_robin", steps_ahead=1),
     "round_robin": Policy("round_robin"),
     "least_reported": Policy("least_reported"),
     "independent": Policy(),
     "owned": Policy(owned=True),
-    "scheduled": Policy(owned=True, scheduled=4),
-    "all_choices": Policy(owned=True, scheduled=4, choices=99),
-    "fast_lane": Policy(owned=True, scheduled=4, choices=99, fast_slots=12),
+    "scheduled": Policy(owned=True, scheduled=4, choices=99),
+    "quick_lane": Policy(owned=True, scheduled=4, choices=99, fast_slots=12),
 }
 
 
@@ -72,7 +74,6 @@
     """Tokens delivered, by failure domain."""
     wasted_tokens: float = 0.0
     refused: int = 0
-    moves: int = 0
 
 
 class Entry:
@@ -142,25 +143,6 @@
         fast = self.policy.fast_slots and engine.endpoint_id == "e0"
         return self.policy.fast_slots if fast else self.policy.bulk_slots
 
-    def lanes(self) -> list[dispatch.Lane]:
-        """Returns the engines as the mover of streams sees them."""
-        return [
-            dispatch.Lane(
-                endpoint_id=engine.endpoint_id,
-                token_s=engine.token_s(),
-                free_slots=self.rollout_slots(engine)
-                - self._rollouts_at(engine.endpoint_id),
-                is_fast=engine.endpoint_id == "e0",
-            )
-            for engine in self.engines.values()
-            if engine.alive and engine.gone_at is None
-        ]
-
-    def _rollouts_at(self, engine_id: base.EndpointId) -> int:
-        lookup = dispatch.WorkKind.INTERACTIVE
-        running = self._queues[engine_id].running()
-        return sum(work.kind is not lookup for work in running)
-
     def new_job(
         self,
         account: str,
@@ -183,9 +165,10 @@
         return _engine.Job(work, prompt, output, self.sim.now)
 
     def submit(self, job: _engine.Job, delay: float = 0.0) -> None:
-        """Sends a request to a random live instance."""
+        """Sends a lookup to a random live instance, a sample to the leader."""
         live = [entry for entry in self.entries if entry.alive]
-        entry = self._rng.choice(live)
+        is_led = job.start is not None and self.policy.scheduled
+        entry = live[0] if is_led else self._rng.choice(live)
         job.entry = entry.number
         job.attempts += 1
         self._jobs[job.work.request_id] = job
@@ -228,7 +211,8 @@
             self.sim.after(hop, lambda: self._reach(engine_id, job))
 
     def _choose(self, entry: Entry, job: _engine.Job) -> base.EndpointId:
-        views = [v for v in entry.views.values() if not v.leaving]
+        usable = [v for v in entry.views.values() if not v.leaving]
+        views = [v for v in usable if v.endpoint_id not in self._frozen]
         if self.policy.routing == "round_robin":
             return views[next(entry.turn) % len(views)].endpoint_id
         if self.policy.routing == "least_reported":
@@ -238,14 +222,19 @@
             prefix=job.work.prefix,
             prefix_tokens=job.prompt_tokens * 0.15,
         )
-        if job.start is not None and self.policy.fast_slots:
-            views = [v for v in views if v.endpoint_id != "e0"]
+        if job.start is not None:
+            views = [self._limited(view) for view in views]
         chosen = entry.router.choose(query, views, self.sim.now).unwrap()
         entry.router.note_sent(
             job.work.request_id, chosen.endpoint_id, query, self.sim.now
         )
         return chosen.endpoint_id
 
+    def _limited(self, view: dispatch.Candidate) -> dispatch.Candidate:
+        """Shows samples the slots that they may take."""
+        engine = self.engines[view.endpoint_id]
+        return attrs.evolve(view, slots=self.rollout_slots(engine))
+
     def _offer(self, engine_id: base.EndpointId, job: _engine.Job) -> None:
         if job.work.request_id not in self._jobs:
             return
@@ -416,7 +405,11 @@
             self.sim.after(REPLACED_S, add)
 
     def _kill(self) -> None:
-        """Kills an instance: its streams break, its queues move."""
+        """Kills an instance: its streams break, its queues move.
+
+        Entries see the broken connection at once and send elsewhere what the
+        owner had not granted.
+        """
         entry = self.entries[1]
         entry.alive = False
         for engine in self.engines.values():
@@ -427,6 +420,9 @@
         for engine_id, owner in self._owners.items():
             if owner == entry.instance_id:
                 self._frozen.add(engine_id)
+                for work in self._queues[engine_id].waiting():
+                    self._queues[engine_id].cancel(work.request_id)
+                    self.submit(self._jobs[work.request_id])
                 take_over = functools.partial(self._take_over, engine_id)
                 self.sim.after(TAKEOVER_S, take_over)
 
@@ -444,7 +440,5 @@
         self._open_queue(engine_id)
         for work in old.running():
             self._queues[engine_id].adopt(work, self.sim.now)
-        for work in old.waiting():
-            self._queues[engine_id].offer(work, self.sim.now)
         self._frozen.discard(engine_id)
         self._pump(engine_id)
--- a/packages/bench/src/banyanbank_bench/_rollouts.py
+++ b/packages/bench/src/banyanbank_bench/_rollouts.py
@@ -34,9 +34,10 @@
         ]
         self.version = 0
         self.idle_s = 0.0
+        self.first_idle_s = 0.0
         self.finished_at = 0.0
         self._owner = owner
-        self._step = 0
+        self.step = 0
         self._idle_since: float | None = 0.0
         self._published_at = 0.0
 
@@ -46,22 +47,25 @@
             return
         owner, cluster = self._owner, self._owner.cluster
         newest = base.WeightVersion(self.version)
-        fetch = rollout.FetchBatch(self.trainer_id, self._step, newest)
+        fetch = rollout.FetchBatch(self.trainer_id, self.step, newest)
         reply = owner.apply(fetch)
         if not isinstance(reply, rollout.BatchFetched):
             return
         owner.delivered(reply)
         owner.apply(rollout.AcknowledgeBatch(self.trainer_id, reply.batch_id))
         self.idle_s += cluster.sim.now - self._idle_since
+        if self.step == 0:
+            self.first_idle_s = self.idle_s
         self._idle_since = None
-        if self._step + 1 < len(self.lengths):
-            owner.submit(self, self._step + 1)
+        ahead = self.step + cluster.policy.steps_ahead
+        if ahead < len(self.lengths):
+            owner.submit(self, ahead)
         cluster.sim.after(cluster.workload.train_s, self._trained)
 
     def _trained(self) -> None:
         now = self._owner.cluster.sim.now
-        self._step += 1
-        if self._step == len(self.lengths):
+        self.step += 1
+        if self.step == len(self.lengths):
             self.finished_at = now
             return
         if now - self._published_at >= self._owner.cluster.workload.publish_s:
@@ -90,15 +94,14 @@
                 extras, forecasts=cluster.policy.scheduled > 0
             ),
         )
-        self._mover = dispatch.StreamMover()
         self._jobs: dict[str, _engine.Job] = {}
-        self._targets: dict[rollout.SampleSlot, base.EndpointId] = {}
         self._is_due = False
 
     def start(self) -> None:
         """Lets every trainer ask for its first step."""
-        for trainer in self.trainers:
-            self.submit(trainer, 0)
+        for step in range(self.cluster.policy.steps_ahead):
+            for trainer in self.trainers:
+                self.submit(trainer, step)
 
     def apply(self, command: rollout.LedgerCommand) -> rollout.LedgerReply:
         """Applies a command to the ledger."""
@@ -170,10 +173,8 @@
         self.decide()
 
     def decide(self) -> None:
-        """Runs the scheduler once, after streams were moved."""
+        """Runs the scheduler once."""
         now = self.cluster.sim.now
-        if self.cluster.policy.fast_slots:
-            self._move()
         views = [self._view(job, True) for job in self._jobs.values()]
         effects = self._scheduler.decide(
             self.ledger, views, self._engine_views(), now
@@ -187,27 +188,6 @@
                 case rollout.ProposeBatch():
                     self._form(effect)
 
-    def _move(self) -> None:
-        streams = [
-            dispatch.Stream(
-                request_id=job.work.request_id,
-                endpoint_id=job.engine.endpoint_id,
-                tokens=job.made,
-            )
-            for job in self._jobs.values()
-            if job.engine is not None and job.made
-        ]
-        by_id = {job.work.request_id: job for job in self._jobs.values()}
-        lanes = self.cluster.lanes()
-        for move in self._mover.moves(streams, lanes):
-            job = by_id[move.request_id]
-            assert job.start is not None
-            if move.target is not None:
-                self._targets[job.start.slot] = move.target
-            self.cluster.drop(job)
-            self.failed(job, failed=False)
-            self.cluster.record.moves += 1
-
     def _start(self, start: rollout.StartAttempt) -> None:
         slot = start.slot
         trainer = next(t for t in self.trainers if t.trainer_id == slot.trainer)
@@ -222,7 +202,6 @@
             f"{slot.trainer}/{slot.step}/{slot.group}",
         )
         job.start = start
-        job.target = self._targets.pop(slot, None)
         if resume is not None and made:
             job.stretches = {s.version: s.token_count for s in resume.stretches}
         self._jobs[start.attempt_id] = job
--- a/packages/cli/src/banyanbank_cli/_demo.py
+++ b/packages/cli/src/banyanbank_cli/_demo.py
@@ -7,9 +7,9 @@
 import typing
 
 import attrs
+import banyanbank_fakes as fakes
 from loguru import logger
 
-from banyanbank_cli import _demo_http
 from banyanbank_cli import _demo_world
 from banyanbank_cli import _reactor
 
@@ -69,7 +69,7 @@
         applied = await operator.call(
             "POST",
             "/operator/apply",
-            body=self._world.sheet(),
+            body=_demo_world.sheet(),
             x_expect_revision="0",
             x_sheet_name="demo.csv",
         )
@@ -79,16 +79,14 @@
         self._keys.lessons = await self._create_key(operator, "tesfaye")
         self._keys.trainer = await self._create_key(operator, "tesfaye")
         self._keys.desk = await self._create_key(operator, "rheintal")
-        view = self._world.instance.entry
+        view = self._world.instance.control.entry
         await self._world.until(
             lambda: len(view.view.keys) == 3,
             "the keys never came into force",
         )
         self._tell("three keys created; only their hashes are stored")
 
-    async def _create_key(
-        self, operator: _demo_http.DemoCaller, account: str
-    ) -> str:
+    async def _create_key(self, operator: fakes.Caller, account: str) -> str:
         made = await operator.call(
             "POST", "/operator/keys", {"account": account}
         )
@@ -96,7 +94,7 @@
         return str(made.document["secret"])
 
     async def _look_up(self) -> None:
-        fleet = self._world.instance.fleet
+        fleet = self._world.instance.dispatch.fleet
         await self._world.until(
             lambda: len(fleet.serving()) == _demo_world.ENGINES + 2,
             "the endpoints never announced themselves",
@@ -184,7 +182,7 @@
             f"batch acknowledged; weight versions reported: {dict(versions)}"
         )
 
-    async def _fetch(self, caller: _demo_http.DemoCaller) -> typing.Any:
+    async def _fetch(self, caller: fakes.Caller) -> typing.Any:
         answer = await caller.call(
             "GET", "/v1/rollouts/folds/steps/1/batch?wait_s=30"
         )
--- a/packages/daemon/src/banyanbank_daemon/_entry/_models.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_models.py
@@ -134,11 +134,15 @@
             exchange.refuse(admitted.failure())
             return
         call = admitted.unwrap()
-        self._active.add(call.principal.key_id, exchange)
+        who = call.principal
+        refusal = self._active.begin(who.account, who.key_id, exchange)
+        if refusal is not None:
+            exchange.refuse(refusal)
+            return
         try:
             await self._run(exchange, call)
         finally:
-            self._active.remove(call.principal.key_id, exchange)
+            self._active.end(who.account, who.key_id, exchange)
 
     async def _admit(
         self, exchange: _http.Exchange, is_chat: bool
@@ -168,11 +172,14 @@
 
     async def _run(self, exchange: _http.Exchange, admitted: _Admitted) -> None:
         call = admitted.call
+        view = self._admission.authenticator.view
         req = _dispatcher.ModelRequest(
             request_id=exchange.request_id,
             account=admitted.principal.account,
             key_id=admitted.principal.key_id,
+            revision=view.revision,
             kind=dispatch.WorkKind.INTERACTIVE,
+            weight=view.weight_of(admitted.principal.account),
             model=call.model,
             path=call.path,
             body=call.engine_body(),
--- a/packages/dispatch/src/banyanbank_dispatch/__init__.py
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -4,11 +4,14 @@
 """
 
 from banyanbank_dispatch._fair import FairQueue
+from banyanbank_dispatch._fair import QUANTUM_TOKENS
 from banyanbank_dispatch._health import HealthTracker
-from banyanbank_dispatch._mover import Lane
-from banyanbank_dispatch._mover import Move
-from banyanbank_dispatch._mover import Stream
-from banyanbank_dispatch._mover import StreamMover
+from banyanbank_dispatch._limits import AccountLimit
+from banyanbank_dispatch._limits import AdmissionLimits
+from banyanbank_dispatch._limits import Demand
+from banyanbank_dispatch._limits import Share
+from banyanbank_dispatch._limits import SHARE_S
+from banyanbank_dispatch._limits import ShareAllocator
 from banyanbank_dispatch._ownership import rendezvous_owner
 from banyanbank_dispatch._prefix import CacheEvent
 from banyanbank_dispatch._prefix import PrefixIndex
@@ -28,15 +31,18 @@
 from banyanbank_dispatch._work import WorkKind
 
 __all__ = [
+    "QUANTUM_TOKENS",
+    "SHARE_S",
+    "AccountLimit",
+    "AdmissionLimits",
     "CacheEvent",
     "CancelOutcome",
     "Candidate",
+    "Demand",
     "EngineQueue",
     "FairQueue",
     "GiveUp",
     "HealthTracker",
-    "Lane",
-    "Move",
     "PrefixIndex",
     "QueueSettings",
     "QueueStatus",
@@ -44,8 +50,8 @@
     "RetryPolicy",
     "RouteQuery",
     "Router",
-    "Stream",
-    "StreamMover",
+    "Share",
+    "ShareAllocator",
     "Withdrawal",
     "Work",
     "WorkKind",
