--- a/packages/control/src/banyanbank_control/_handlers.py
+++ b/packages/control/src/banyanbank_control/_handlers.py
@@ -94,7 +94,8 @@
     state: _state.ControlState, cmd: commands.NoteInstanceLost
 ) -> _Step:
     state = _with_lives_over(state, cmd.instance, cmd.incarnation)
-    return state, commands.LossNoted(state.lives_over[cmd.instance])
+    through = state.lives_over.get(cmd.instance, cmd.incarnation)
+    return state, commands.LossNoted(through)
 
 
 def _add_usage(state: _state.ControlState, cmd: commands.AddUsage) -> _Step:
--- a/packages/control/src/banyanbank_control/declarations/_text.py
+++ b/packages/control/src/banyanbank_control/declarations/_text.py
@@ -87,8 +87,7 @@
                 _line(node), "", "The item has no fields.", "Write 'name: …'."
             )
             return
-        cells = {_text_of(key): _text_of(value) for key, value in node.value}
-        filled = {heading: text for heading, text in cells.items() if text}
+        filled = self._read_cells(node)
         item, problems = _columns.read_item(spec, filled)
         for problem in problems:
             self.fail(
@@ -97,6 +96,20 @@
         if item is not None:
             self._add(_line(node), item)
 
+    def _read_cells(self, node: yaml.MappingNode) -> dict[str, str]:
+        cells: dict[str, str] = {}
+        for key, value in node.value:
+            heading = _text_of(key)
+            if heading in cells:
+                self.fail(
+                    _line(key),
+                    heading,
+                    "The field stands twice.",
+                    "Remove one.",
+                )
+            cells[heading] = _text_of(value)
+        return {heading: text for heading, text in cells.items() if text}
+
     def _add(self, line: int, item: _models.Item) -> None:
         first = self.lines.setdefault(item.ref, line)
         if first != line:
--- a/tests/control/declarations/test_sheet.py
+++ b/tests/control/declarations/test_sheet.py
@@ -95,6 +95,25 @@
             with self.subTest(body):
                 self.check(body, *places)
 
+    def test_texts(self) -> None:
+        cases = {
+            "": [(0, "")],
+            "- x\n": [(0, "")],
+            "accounts: x\n": [(1, "")],
+            "acounts: []\n": [(1, "")],
+            "accounts:\n  - x\n": [(2, "")],
+            "accounts:\n  - name: a\n    name: b\n": [(3, "name")],
+            "accounts:\n  - name: a\n  - name: a\n": [(3, "name")],
+            "accounts:\n  - {name: a, weight: x}\n": [(2, "weight")],
+            "accounts: [\n": [(2, "")],
+            "keys:\n  - name: k\n    account: a\n": [(2, "secret_sha256")],
+        }
+        for body, places in cases.items():
+            with self.subTest(body):
+                read = control.parse_text("t.yaml", body.encode())
+                found = [(e.row, e.column) for e in read.failure().errors]
+                self.assertEqual(found, places)
+
     def test_secret_is_not_repeated(self) -> None:
         body = "kind,name,account,secret_sha256\nkey,k,a,s3cret\n"
         errors = control.parse_sheet("s.csv", body.encode()).failure()
--- a/tests/control/test_intents.py
+++ b/tests/control/test_intents.py
@@ -113,6 +113,11 @@
         )
         self.assertEqual(late.answer, b"answer")
 
+    def test_life_below_all(self) -> None:
+        note = control.NoteInstanceLost("ann", -1)
+        reply = self.run_script((note, control.LossNoted))
+        self.assertEqual(reply, control.LossNoted(-1))
+
     def test_restart_shows_the_loss(self) -> None:
         again = attrs.evolve(SECOND, instance="ann", incarnation=6)
         reply = self.run_script(
