--- a/packages/bench/src/banyanbank_bench/__main__.py
+++ b/packages/bench/src/banyanbank_bench/__main__.py
@@ -18,11 +18,11 @@
     policy and seed without trainers' work.
     """
     shape = _workload.WORKLOADS[workload]
-    cluster = _cluster.Cluster(shape, _cluster.POLICIES[policy], seed)
+    cluster = _cluster.Cluster(shape, _workload.POLICIES[policy], seed)
     cluster.run()
     figures = _report.summarise(cluster)
     quiet = attrs.evolve(shape, groups=1, group_size=1)
-    unloaded = _cluster.Cluster(quiet, _cluster.POLICIES[policy], seed)
+    unloaded = _cluster.Cluster(quiet, _workload.POLICIES[policy], seed)
     unloaded.run()
     base_p99 = _report.summarise(unloaded)["lookup_p99_s"]
     figures["lookup_p99_over_unloaded"] = figures["lookup_p99_s"] / base_p99
@@ -55,7 +55,7 @@
                 empty.
         """
         chosen = policies.split(",") if isinstance(policies, str) else policies
-        names = [name for name in chosen if name] or list(_cluster.POLICIES)
+        names = [name for name in chosen if name] or list(_workload.POLICIES)
         rows = [
             measure(workload, name, seed)
             for name in names
--- a/packages/bench/src/banyanbank_bench/_cluster.py
+++ b/packages/bench/src/banyanbank_bench/_cluster.py
@@ -1,6 +1,7 @@
 """The modelled system: entries, engine queues, callers and faults."""
 
 import collections
+import collections.abc
 import functools
 import itertools
 import random
@@ -27,82 +28,33 @@
 HORIZON_S = 10_000.0
 
 
-@attrs.frozen
-class Policy:
-    """What is compared; the defaults are the naive ones."""
-
-    routing: str = "router"
-    """`round_robin`, `least_reported` or `router`."""
-    owned: bool = False
-    """Whether one instance holds each engine's queue."""
-    scheduled: int = 0
-    """Attempts started ahead of free slots; 0 starts all at once."""
-    choices: int = 2
-    """Candidates that the router compares."""
-    steps_ahead: int = 3
-    """Steps that a trainer asks for ahead of the one it trains on."""
-    bulk_slots: int = 48
-    """Rollout streams on a normal engine."""
-    fast_slots: int = 0
-    """Rollout streams on one engine that stays quick for lookups; 0: none."""
-
-
-POLICIES = {
-    "rr_1_ahead": Policy("round_robin", steps_ahead=1),
-    "round_robin": Policy("round_robin"),
-    "least_reported": Policy("least_reported"),
-    "independent": Policy(),
-    "owned": Policy(owned=True),
-    "scheduled": Policy(owned=True, scheduled=4, choices=99),
-    "quick_lane": Policy(owned=True, scheduled=4, choices=99, fast_slots=12),
-}
-
-
 @attrs.define
-class Record:
-    """Raw figures of one run; times are in seconds."""
-
-    lookups: dict[str, list[tuple[float, float]]] = attrs.field(
-        factory=lambda: collections.defaultdict(list)
-    )
-    """Wait and latency of each lookup, by account."""
-    waits: dict[str, list[float]] = attrs.field(
-        factory=lambda: collections.defaultdict(list)
-    )
-    """Wait of each sample attempt, by account."""
-    tokens: collections.Counter[str] = attrs.field(factory=collections.Counter)
-    """Tokens delivered, by failure domain."""
-    wasted_tokens: float = 0.0
-    refused: int = 0
-
-
 class Entry:
     """One instance with its router and its view of the engines."""
 
-    def __init__(
-        self, number: int, domain: str, choices: int, rng: random.Random
-    ) -> None:
-        self.number = number
-        self.instance_id = base.InstanceId(f"i{number}")
-        self.alive = True
-        self.router = dispatch.Router(
-            base.FailureDomain(domain), rng, choices=choices
-        )
-        self.retries = dispatch.RetryPolicy(rng)
-        self.views: dict[base.EndpointId, dispatch.Candidate] = {}
-        self.turn = itertools.count(number)
+    number: int
+    router: dispatch.Router
+    retries: dispatch.RetryPolicy
+    turn: collections.abc.Iterator[int]
+    alive: bool = True
+    views: dict[base.EndpointId, dispatch.Candidate] = attrs.field(factory=dict)
 
 
 class Cluster:
     """One run of one policy on one workload."""
 
     def __init__(
-        self, workload: _workload.Workload, policy: Policy, seed: int
+        self, workload: _workload.Workload, policy: _workload.Policy, seed: int
     ) -> None:
         self.workload = workload
         self.policy = policy
         self.sim = _engine.Simulator()
-        self.record = Record()
+        self.lookups: dict[str, list[tuple[float, float]]]
+        self.lookups = collections.defaultdict(list)
+        self.waits: dict[str, list[float]] = collections.defaultdict(list)
+        self.tokens: collections.Counter[str] = collections.Counter()
+        self.wasted_tokens = 0.0
+        self.refused = 0
         self._rng = random.Random(f"{seed} policy")
         self._load_rng = random.Random(f"{seed} load")
         self._numbers = itertools.count()
@@ -111,16 +63,20 @@
         self._owners: dict[base.EndpointId, base.InstanceId | None] = {}
         self._frozen: set[base.EndpointId] = set()
         self._jobs: dict[base.RequestId, _engine.Job] = {}
-        domains = sorted(set(workload.engine_domains))
-        self.entries = [
-            Entry(n, domains[n % len(domains)], policy.choices, self._rng)
-            for n in range(workload.instances)
-        ]
+        self.entries = [self._entry(n) for n in range(workload.instances)]
         for number in range(len(workload.engine_domains)):
             self._add_engine(number)
         self.rollouts = _rollouts.Rollouts(self, seed)
 
-    def run(self) -> Record:
+    def _entry(self, number: int) -> Entry:
+        domains = sorted(set(self.workload.engine_domains))
+        domain = base.FailureDomain(domains[number % len(domains)])
+        choices = self.policy.choices
+        router = dispatch.Router(domain, self._rng, choices=choices)
+        retries = dispatch.RetryPolicy(self._rng)
+        return Entry(number, router, retries, itertools.count(number))
+
+    def run(self) -> None:
         """Runs until every trainer has taken its steps."""
         self._report(0.0)
         self.rollouts.start()
@@ -131,10 +87,7 @@
         while not all(trainer.finished_at for trainer in trainers):
             self.sim.run(self.sim.now + 60.0)
             if self.sim.now > HORIZON_S:
-                raise RuntimeError(
-                    "A trainer waits for ever; samples are lost."
-                )
-        return self.record
+                raise RuntimeError("A trainer waits for ever: samples lost.")
 
     def rollout_slots(self, engine: _engine.Engine) -> int:
         """Returns how many rollout streams an engine may run."""
@@ -153,14 +106,11 @@
         prefix: str = "",
     ) -> _engine.Job:
         """Builds a request that arrives now."""
+        rid = base.RequestId(f"r{next(self._numbers)}")
+        key_id, deadline = base.KeyId(""), self.sim.now + PATIENCE_S
+        owner = base.AccountId(account)
         work = dispatch.Work(
-            request_id=base.RequestId(f"r{next(self._numbers)}"),
-            account=base.AccountId(account),
-            key_id=base.KeyId(""),
-            kind=kind,
-            cost_tokens=estimate,
-            deadline=self.sim.now + PATIENCE_S,
-            prefix=prefix,
+            rid, owner, key_id, kind, estimate, deadline, prefix
         )
         return _engine.Job(work, prompt, output, self.sim.now)
 
@@ -188,47 +138,38 @@
     def swap(self, account: str, version: int) -> None:
         """Swaps new weights in, engine by engine."""
         for number, engine_id in enumerate(list(self.engines)):
-            swap = functools.partial(self._swap, engine_id, account, version)
+            engine = self.engines[engine_id]
+            swap = functools.partial(engine.swap, SWAP_S, account, version)
             self.sim.after(number * WAVE_S, swap)
 
-    def _swap(
-        self, engine_id: base.EndpointId, account: str, version: int
-    ) -> None:
-        self.engines[engine_id].pause(SWAP_S, account, version)
-
     def _route(self, entry: Entry, job: _engine.Job) -> None:
         if job.work.request_id not in self._jobs:
             return
         if not entry.alive:
             self.submit(job, RESEND_S)
             return
-        engine_id = job.target or self._choose(entry, job)
-        job.target = None
-        hop = self.workload.hop_s
-        if self.policy.owned:
-            self.sim.after(hop, lambda: self._offer(engine_id, job))
-        else:
-            self.sim.after(hop, lambda: self._reach(engine_id, job))
+        engine_id = self._choose(entry, job)
+        step = self._offer if self.policy.owned else self._reach
+        self.sim.after(self.workload.hop_s, lambda: step(engine_id, job))
 
     def _choose(self, entry: Entry, job: _engine.Job) -> base.EndpointId:
-        usable = [v for v in entry.views.values() if not v.leaving]
-        views = [v for v in usable if v.endpoint_id not in self._frozen]
+        views = [
+            view
+            for view in entry.views.values()
+            if view.endpoint_id not in self._frozen
+        ]
         if self.policy.routing == "round_robin":
             return views[next(entry.turn) % len(views)].endpoint_id
         if self.policy.routing == "least_reported":
             return min(views, key=lambda v: v.load_tokens).endpoint_id
-        query = dispatch.RouteQuery(
-            cost_tokens=job.work.cost_tokens,
-            prefix=job.work.prefix,
-            prefix_tokens=job.prompt_tokens * 0.15,
-        )
+        work, prompt = job.work, job.prompt_tokens * 0.15
+        query = dispatch.RouteQuery(work.cost_tokens, work.prefix, prompt)
         if job.start is not None:
             views = [self._limited(view) for view in views]
         chosen = entry.router.choose(query, views, self.sim.now).unwrap()
-        entry.router.note_sent(
-            job.work.request_id, chosen.endpoint_id, query, self.sim.now
-        )
-        return chosen.endpoint_id
+        engine_id = chosen.endpoint_id
+        entry.router.note_sent(work.request_id, engine_id, query, self.sim.now)
+        return engine_id
 
     def _limited(self, view: dispatch.Candidate) -> dispatch.Candidate:
         """Shows samples the slots that they may take."""
@@ -249,9 +190,8 @@
             return
         queue = self._queues[engine_id]
         while (work := queue.next(self.sim.now)) is not None:
-            reach = functools.partial(
-                self._reach, engine_id, self._jobs[work.request_id]
-            )
+            job = self._jobs[work.request_id]
+            reach = functools.partial(self._reach, engine_id, job)
             self.sim.after(2 * self.workload.hop_s, reach)
 
     def _reach(self, engine_id: base.EndpointId, job: _engine.Job) -> None:
@@ -295,7 +235,7 @@
         if isinstance(decision, dispatch.Retry):
             self.submit(job, decision.at - self.sim.now)
         else:
-            self.record.refused += 1
+            self.refused += 1
 
     def _done(self, job: _engine.Job) -> None:
         engine = job.engine
@@ -304,14 +244,14 @@
         self._free(job, ok=True)
         del self._jobs[job.work.request_id]
         self.entries[job.entry].retries.note_first_attempt()
-        self.record.tokens[engine.domain] += job.output_tokens
+        self.tokens[engine.domain] += job.output_tokens
         wait = job.started_at - job.submitted_at
         if job.start is not None:
-            self.record.waits[job.work.account].append(wait)
+            self.waits[job.work.account].append(wait)
             self.rollouts.done(job)
         else:
             latency = self.sim.now - job.submitted_at
-            self.record.lookups[job.work.account].append((wait, latency))
+            self.lookups[job.work.account].append((wait, latency))
 
     def _next_lookup(self) -> None:
         rate = self.workload.lookups_per_s
@@ -342,7 +282,7 @@
         reserve = max(4, slots - self.rollout_slots(engine))
         settings = dispatch.QueueSettings(slots, reserve)
         self._queues[engine_id] = dispatch.EngineQueue(engine_id, settings)
-        live = [entry.instance_id for entry in self.entries if entry.alive]
+        live = [_instance(e.number) for e in self.entries if e.alive]
         self._owners[engine_id] = dispatch.rendezvous_owner(engine_id, live)
 
     def _report(self, lag: float = REPORT_LAG_S) -> None:
@@ -369,10 +309,9 @@
     def _hear(self, views: list[dispatch.Candidate]) -> None:
         for entry in self.entries:
             entry.views = {
-                view.endpoint_id: attrs.evolve(view, leaving=True)
-                if self.engines[view.endpoint_id].is_leaving
-                else view
+                view.endpoint_id: view
                 for view in views
+                if self.engines[view.endpoint_id].gone_at is None
             }
 
     def _reclaimed(self) -> list[_engine.Engine]:
@@ -387,7 +326,6 @@
     def _stop_new_work(self) -> None:
         for engine in self._reclaimed():
             engine.gone_at = self.sim.now + NOTICE_S - NOTICE_HEARD_S
-            engine.is_leaving = True
             for entry in self.entries:
                 entry.views.pop(engine.endpoint_id, None)
             for work in self._queues[engine.endpoint_id].retire():
@@ -418,7 +356,7 @@
                     self._leave(job, ok=True)
                     self._resend(job)
         for engine_id, owner in self._owners.items():
-            if owner == entry.instance_id:
+            if owner == _instance(entry.number):
                 self._frozen.add(engine_id)
                 for work in self._queues[engine_id].waiting():
                     self._queues[engine_id].cancel(work.request_id)
@@ -430,7 +368,7 @@
         if job.start is not None:
             self._failed(job, base.Outcome.MAY_HAVE_RUN)
             return
-        self.record.wasted_tokens += job.made
+        self.wasted_tokens += job.made
         job.stretches = {}
         self.submit(job, RESEND_S)
 
@@ -442,3 +380,7 @@
             self._queues[engine_id].adopt(work, self.sim.now)
         self._frozen.discard(engine_id)
         self._pump(engine_id)
+
+
+def _instance(number: int) -> base.InstanceId:
+    return base.InstanceId(f"i{number}")
--- a/packages/bench/src/banyanbank_bench/_engine.py
+++ b/packages/bench/src/banyanbank_bench/_engine.py
@@ -77,8 +77,6 @@
     phase: rollout.AttemptPhase = rollout.AttemptPhase.RUNNING
     endpoint_id: base.EndpointId = base.EndpointId("")  # noqa: RUF009
     """Engine that it was on last."""
-    target: base.EndpointId | None = None
-    """Engine that it has to go to; None for a free choice."""
 
     @property
     def made(self) -> float:
@@ -101,7 +99,6 @@
         self.domain = domain
         self.spec = spec
         self.alive = True
-        self.is_leaving = False
         self.gone_at: float | None = None
         self.versions: collections.Counter[str] = collections.Counter()
         self._sim = sim
@@ -148,17 +145,15 @@
         self._prefill_next()
         self._replan()
 
-    def pause(self, seconds: float, account: str, version: int) -> None:
+    def swap(self, seconds: float, account: str, version: int) -> None:
         """Stands still to swap an account's weights."""
-        self._advance()
+        self._pause(1)
         self.versions[account] = max(version, self.versions[account])
-        self._paused += 1
-        self._replan()
-        self._sim.after(seconds, self._resume)
+        self._sim.after(seconds, lambda: self._pause(-1))
 
-    def _resume(self) -> None:
+    def _pause(self, change: int) -> None:
         self._advance()
-        self._paused -= 1
+        self._paused += change
         self._replan()
 
     def _prefill_next(self) -> None:
--- a/packages/bench/src/banyanbank_bench/_report.py
+++ b/packages/bench/src/banyanbank_bench/_report.py
@@ -56,14 +56,14 @@
 
 def summarise(cluster: _cluster.Cluster) -> Figures:
     """Returns the figures of a finished run."""
-    record, trainers = cluster.record, cluster.rollouts.trainers
+    trainers = cluster.rollouts.trainers
     idle = sum(trainer.idle_s for trainer in trainers)
     span = sum(trainer.finished_at for trainer in trainers)
     warm = idle - sum(trainer.first_idle_s for trainer in trainers)
     bound = idle_bound(cluster)
     ages = cluster.rollouts.staleness
-    delivered = sum(record.tokens.values())
-    reclaimable = record.tokens[cluster.workload.reclaimed_domain]
+    delivered = sum(cluster.tokens.values())
+    reclaimable = cluster.tokens[cluster.workload.reclaimed_domain]
     end = max(trainer.finished_at for trainer in trainers)
     return {
         "idle_share": idle / span,
@@ -73,24 +73,24 @@
         "idle_bound_share": bound / (bound + span - idle),
         "idle_over_bound": idle / bound,
         **{f"age_{n}": ages.count(n) / len(ages) for n in range(3)},
-        **_lookup_figures(record),
-        "rollout_wait_ratio": _worst_ratio(record.waits),
+        **_lookup_figures(cluster),
+        "rollout_wait_ratio": _worst_ratio(cluster.waits),
         "cost_per_1000_samples": 1000 * _cost(cluster, end) / len(ages),
         "reclaimable_share": reclaimable / delivered,
-        "wasted_share": record.wasted_tokens / delivered,
-        "refused": record.refused,
+        "wasted_share": cluster.wasted_tokens / delivered,
+        "refused": cluster.refused,
     }
 
 
-def _lookup_figures(record: _cluster.Record) -> Figures:
-    pairs = [pair for of_one in record.lookups.values() for pair in of_one]
-    waits = {a: [w for w, _ in p] for a, p in record.lookups.items()}
+def _lookup_figures(cluster: _cluster.Cluster) -> Figures:
+    pairs = [pair for of_one in cluster.lookups.values() for pair in of_one]
+    waits = {a: [w for w, _ in p] for a, p in cluster.lookups.items()}
     slowest = {
         account: quantile((latency for _, latency in of_one), 0.99)
-        for account, of_one in record.lookups.items()
+        for account, of_one in cluster.lookups.items()
     }
     worst = max(slowest, key=lambda account: slowest[account])
-    latencies = [latency for _, latency in record.lookups[worst]]
+    latencies = [latency for _, latency in cluster.lookups[worst]]
     return {
         "lookup_p50_s": quantile((latency for _, latency in pairs), 0.5),
         "lookup_p99_s": quantile((latency for _, latency in pairs), 0.99),
--- a/packages/bench/src/banyanbank_bench/_rollouts.py
+++ b/packages/bench/src/banyanbank_bench/_rollouts.py
@@ -112,17 +112,18 @@
         """Takes in the groups of a step."""
         shape = self.cluster.workload
         for group in range(shape.groups):
+            name = f"{trainer.trainer_id}/{step}/{group}"
             self.apply(
                 rollout.SubmitGroup(
-                    trainer=trainer.trainer_id,
-                    step=step,
-                    group=group,
-                    request_id=f"{trainer.trainer_id}/{step}/{group}",
-                    model=trainer.model,
-                    prompt=b"",
-                    samples=shape.group_size,
-                    groups_in_step=shape.groups,
-                    staleness_bound=shape.staleness_bound,
+                    trainer.trainer_id,
+                    step,
+                    group,
+                    name,
+                    trainer.model,
+                    b"",
+                    shape.group_size,
+                    shape.groups,
+                    shape.staleness_bound,
                 )
             )
         self.decide()
@@ -159,21 +160,18 @@
         now = self.cluster.sim.now
         self._scheduler.attempt_ended(view, now, failed=failed)
         if not resumes:
-            self.cluster.record.wasted_tokens += job.made
+            self.cluster.wasted_tokens += job.made
         self.decide_soon()
 
     def decide_soon(self) -> None:
         """Decides within a fixed time."""
         if not self._is_due:
             self._is_due = True
-            self.cluster.sim.after(DECIDE_S, self._decide_due)
+            self.cluster.sim.after(DECIDE_S, lambda: self.decide(due=True))
 
-    def _decide_due(self) -> None:
-        self._is_due = False
-        self.decide()
-
-    def decide(self) -> None:
+    def decide(self, *, due: bool = False) -> None:
         """Runs the scheduler once."""
+        self._is_due = self._is_due and not due
         now = self.cluster.sim.now
         views = [self._view(job, True) for job in self._jobs.values()]
         effects = self._scheduler.decide(
@@ -216,7 +214,7 @@
             self.failed(job, failed=False)
             return
         del self._jobs[effect.attempt_id]
-        self.cluster.record.wasted_tokens += job.made
+        self.cluster.wasted_tokens += job.made
 
     def _form(self, effect: rollout.ProposeBatch) -> None:
         for trainer in self.trainers:
--- a/packages/bench/src/banyanbank_bench/_workload.py
+++ b/packages/bench/src/banyanbank_bench/_workload.py
@@ -36,6 +36,37 @@
         return self.night[0] <= now < self.night[1]
 
 
+@attrs.frozen
+class Policy:
+    """What is compared; the defaults are the naive ones."""
+
+    routing: str = "router"
+    """`round_robin`, `least_reported` or `router`."""
+    owned: bool = False
+    """Whether one instance holds each engine's queue."""
+    scheduled: int = 0
+    """Attempts started ahead of free slots; 0 starts all at once."""
+    choices: int = 2
+    """Candidates that the router compares."""
+    steps_ahead: int = 3
+    """Steps that a trainer asks for ahead of the one it trains on."""
+    bulk_slots: int = 48
+    """Rollout streams on a normal engine."""
+    fast_slots: int = 0
+    """Rollout streams on one engine that stays quick for lookups; 0: none."""
+
+
+POLICIES = {
+    "rr_1_ahead": Policy("round_robin", steps_ahead=1),
+    "round_robin": Policy("round_robin"),
+    "least_reported": Policy("least_reported"),
+    "independent": Policy(),
+    "owned": Policy(owned=True),
+    "scheduled": Policy(owned=True, scheduled=4, choices=99),
+    "quick_lane": Policy(owned=True, scheduled=4, choices=99, fast_slots=12),
+}
+
+
 WORKLOADS = {
     workload.name: workload
     for workload in (
--- a/tests/bench/test_bench.py
+++ b/tests/bench/test_bench.py
@@ -24,13 +24,13 @@
 
     def _run(self, policy: str, seed: int = 1) -> _cluster.Cluster:
         cluster = _cluster.Cluster(
-            self.workload, _cluster.POLICIES[policy], seed
+            self.workload, _workload.POLICIES[policy], seed
         )
         cluster.run()
         return cluster
 
     def test_every_policy_delivers_each_sample_once(self) -> None:
-        for policy in _cluster.POLICIES:
+        for policy in _workload.POLICIES:
             with self.subTest(policy):
                 cluster = self._run(policy)
                 rollouts = cluster.rollouts
