--- a/packages/daemon/src/banyanbank_daemon/_dispatcher.py
+++ b/packages/daemon/src/banyanbank_daemon/_dispatcher.py
@@ -23,6 +23,8 @@
     """Client account that it runs for."""
     key_id: base.KeyId
     """Key that came with it; empty for rollout attempts."""
+    revision: int
+    """Configuration revision held when it was admitted."""
     kind: dispatch.WorkKind
     """Class of service."""
     model: base.ModelName
@@ -31,6 +33,8 @@
     """Path of the engine's call."""
     body: bytes
     """JSON body for the engine."""
+    weight: float
+    """Fair share of the client account, relative to others."""
     cost_tokens: int
     """Estimated cost in tokens."""
     prefix: str
@@ -58,6 +62,12 @@
         """Returns the way to an engine's owner; None when nobody owns it."""
         ...
 
+    def note_load(
+        self, endpoint: base.EndpointId, ended: _jobs.JobEnded
+    ) -> None:
+        """Takes in the load that an owner told with an answer."""
+        ...
+
 
 class UsageSink(typing.Protocol):
     """Counts what answered requests used."""
@@ -67,6 +77,13 @@
         ...
 
 
+EngineCallback = typing.Callable[[base.EndpointId], None]
+
+
+def _ignore_engine(endpoint: base.EndpointId) -> None:
+    """Takes an engine's name and does nothing."""
+
+
 class _WatchedSink:
     """Notes whether any output has reached the reader."""
 
@@ -111,19 +128,29 @@
         self._usage = usage
 
     async def run(
-        self, req: ModelRequest, sink: _jobs.JobSink
+        self,
+        req: ModelRequest,
+        sink: _jobs.JobSink,
+        on_engine: EngineCallback = _ignore_engine,
     ) -> result.Result[_jobs.JobEnded, _jobs.JobFailed]:
         """Runs a request to its end.
 
         Attempts are repeated on other engines only before any output has
         reached the reader.
+
+        Args:
+            req: What to run.
+            sink: Takes the output.
+            on_engine: Told of the engine chosen for each attempt.
         """
         watched = _WatchedSink(sink)
         self._retries.note_first_attempt()
         attempts = 0
         while True:
             attempts += 1
-            endpoint, ended = await self._attempt(req, attempts, watched)
+            endpoint, ended = await self._attempt(
+                req, attempts, watched, on_engine
+            )
             if isinstance(ended, result.Success):
                 self._usage.count_job(req.account, ended.unwrap())
                 return ended
@@ -158,7 +185,11 @@
         )
 
     async def _attempt(
-        self, req: ModelRequest, number: int, sink: _jobs.JobSink
+        self,
+        req: ModelRequest,
+        number: int,
+        sink: _jobs.JobSink,
+        on_engine: EngineCallback,
     ) -> tuple[
         base.EndpointId | None,
         result.Result[_jobs.JobEnded, _jobs.JobFailed],
@@ -188,6 +219,8 @@
         self._router.note_done(
             attempt_id, endpoint, _is_healthy(ended), self._clock.now()
         )
+        if isinstance(ended, result.Success):
+            self._fleet.note_load(endpoint, ended.unwrap())
         return endpoint, ended
 
 
@@ -202,10 +235,12 @@
         request_id=attempt_id,
         account=req.account,
         key_id=req.key_id,
+        revision=req.revision,
         kind=req.kind.value,
         endpoint=endpoint,
         path=req.path,
         body=req.body,
+        weight=req.weight,
         cost_tokens=req.cost_tokens,
         prefix=req.prefix,
         remaining_ms=remaining_ms,
--- a/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
@@ -90,6 +90,7 @@
         self.parameters = parameters
         self.is_closed = False
         self.has_started = False
+        self.status = 0
         request.notifyFinish().addBoth(self._on_finish)
 
     @property
@@ -149,6 +150,12 @@
             return
         self._closed.append(callback)
 
+    def close_after(self) -> None:
+        """Closes the connection after this answer, and says so."""
+        channel: typing.Any = self._request.channel
+        channel.persistent = False
+        self._request.setHeader(b"connection", b"close")
+
     def start(
         self, status: int, headers: typing.Iterable[tuple[bytes, bytes]]
     ) -> None:
@@ -160,6 +167,7 @@
         if self.is_closed:
             raise ExchangeClosed
         self.has_started = True
+        self.status = status
         self._request.setResponseCode(status)
         for name, value in headers:
             self._request.responseHeaders.addRawHeader(name, value)
@@ -206,6 +214,7 @@
         if self.is_closed or self.has_started:
             return
         self.has_started = True
+        self.status = status
         self._request.setResponseCode(status)
         for name, value in headers:
             self._request.responseHeaders.addRawHeader(name, value)
--- a/packages/daemon/src/banyanbank_daemon/_http/_site.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_site.py
@@ -2,6 +2,7 @@
 
 import re
 import typing
+import weakref
 
 import attrs
 import banyanbank_base as base
@@ -17,6 +18,8 @@
     [_exchange.Exchange], typing.Coroutine[typing.Any, typing.Any, None]
 ]
 
+Observer = typing.Callable[[str, int, float], None]
+
 
 @attrs.frozen
 class HttpLimits:
@@ -119,6 +122,7 @@
         limits: Bounds on requests.
         reactor: Reactor that carries sockets and timers.
         new_request_id: Draws the id of each request.
+        observe: Told of each request's route, status and seconds.
     """
 
     def __init__(
@@ -127,6 +131,7 @@
         limits: HttpLimits,
         reactor: typing.Any,
         new_request_id: typing.Callable[[], base.RequestId],
+        observe: Observer,
     ) -> None:
         root = _RootResource(self)
         super().__init__(
@@ -138,16 +143,33 @@
         self.table = table
         self.limits = limits
         self.new_request_id = new_request_id
+        self.observe = observe
         self.exchanges = 0
+        self.is_closing = False
         self.displayTracebacks = False
+        self._channels: weakref.WeakSet[typing.Any] = weakref.WeakSet()
 
     def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
         """Builds the protocol of one connection."""
         protocol: typing.Any = super().buildProtocol(addr)
         channel = getattr(protocol, "_channel", protocol)
         channel.maxHeaders = self.limits.max_headers
+        self._channels.add(channel)
         return protocol
 
+    def close_idle(self) -> None:
+        """Closes idle connections; others close after their answer."""
+        self.is_closing = True
+        for channel in list(self._channels):
+            if not channel.requests and channel.transport is not None:
+                channel.transport.loseConnection()
+
+    def abort_all(self) -> None:
+        """Cuts every connection."""
+        for channel in list(self._channels):
+            if channel.transport is not None:
+                channel.transport.abortConnection()
+
     def log(self, request: http.Request) -> None:
         """Writes no access log; the time line has the events."""
 
@@ -169,6 +191,8 @@
             found[1] if found else {},
             self._site.reactor,
         )
+        if self._site.is_closing:
+            exchange.close_after()
         refusal = self._refusal(request, path, found is not None)
         if refusal is not None:
             exchange.refuse(refusal)
@@ -203,9 +227,10 @@
 
     def _serve(self, route: Route, exchange: _exchange.Exchange) -> None:
         self._site.exchanges += 1
+        begun_at = self._site.reactor.seconds()
         deferred = defer.ensureDeferred(route.handler(exchange))
         deferred.addErrback(self._on_error, exchange)
-        deferred.addBoth(self._on_done)
+        deferred.addBoth(self._on_done, route, exchange, begun_at)
 
     def _on_error(
         self, failure: typing.Any, exchange: _exchange.Exchange
@@ -226,5 +251,13 @@
             )
         )
 
-    def _on_done(self, _result: object) -> None:
+    def _on_done(
+        self,
+        _result: object,
+        route: Route,
+        exchange: _exchange.Exchange,
+        begun_at: float,
+    ) -> None:
         self._site.exchanges -= 1
+        seconds = self._site.reactor.seconds() - begun_at
+        self._site.observe(route.path, exchange.status, seconds)
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
@@ -4,6 +4,7 @@
 
 import attrs
 import banyanbank_base as base
+import banyanbank_control as control
 import banyanbank_dispatch as dispatch
 from returns import result
 from twisted.internet import defer
@@ -13,6 +14,7 @@
 from banyanbank_daemon._jobs import _sse
 
 MILLISECONDS = 1_000
+POLL_AGAIN_S = 0.2
 
 EngineUrl = typing.Callable[[str], str | None]
 
@@ -35,6 +37,7 @@
         recorder: Takes time line events.
         engine_url: Gives an engine's base URL; None once it is gone.
         new_queue: Makes the queue of an engine seen for the first time.
+        authenticator: Checks keys again when queued work goes out.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         recorder: base.Recorder,
         engine_url: EngineUrl,
         new_queue: typing.Callable[[str], dispatch.EngineQueue],
+        authenticator: control.Authenticator,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -52,8 +56,9 @@
         self._recorder = recorder
         self._engine_url = engine_url
         self._new_queue = new_queue
+        self._authenticator = authenticator
         self._waiting: dict[str, _Waiting] = {}
-        self._responses: dict[str, _upstream.UpstreamResponse] = {}
+        self._cancels: dict[str, typing.Callable[[], None]] = {}
         self.queues: dict[str, dispatch.EngineQueue] = {}
 
     async def run(
@@ -67,9 +72,13 @@
             return result.Failure(_messages.JobFailed.from_refusal(refusal))
         used_tokens = 0
         try:
+            # The key may have been withdrawn while the job was queued.
+            refusal = self._recheck_key(job)
+            if refusal is not None:
+                return result.Failure(_messages.JobFailed.from_refusal(refusal))
             ended = await self._run_on_engine(job, deadline, sink)
             used_tokens = _tokens_of(ended)
-            return ended
+            return ended.map(lambda end: _with_load(end, queue))
         finally:
             queue.finish(
                 base.RequestId(job.request_id), used_tokens, self._clock.now()
@@ -142,6 +151,21 @@
         self.pump(job.endpoint)
         return await granted
 
+    def _recheck_key(self, job: _messages.ModelJob) -> base.Refusal | None:
+        if not job.key_id:
+            return None
+        if self._authenticator.view.revision < job.revision:
+            return base.Refusal(
+                base.RefusalReason.CONFIGURATION_STALE,
+                base.Outcome.NOT_RUN,
+                "The engine's owner has yet to learn the configuration.",
+                retry_after=POLL_AGAIN_S,
+            )
+        principal = control.Principal(
+            base.AccountId(job.account), base.KeyId(job.key_id)
+        )
+        return self._authenticator.recheck(principal, self._clock.now())
+
     def _expire(self, request_id: str, queue: dispatch.EngineQueue) -> None:
         queue.cancel(base.RequestId(request_id))
         self._settle(request_id, dispatch.expired_refusal())
@@ -167,9 +191,9 @@
         waiting.granted.callback(refusal)
 
     def _cancel_running(self, request_id: str) -> None:
-        response = self._responses.pop(request_id, None)
-        if response is not None:
-            response.cancel()
+        cancel = self._cancels.pop(request_id, None)
+        if cancel is not None:
+            cancel()
 
     async def _run_on_engine(
         self,
@@ -188,19 +212,21 @@
             "job.sent", request=job.request_id, endpoint=job.endpoint
         )
         started_at = self._clock.now()
-        sent = await self._upstream.send(
-            _upstream.UpstreamRequest(
-                method="POST",
-                url=url + job.path,
-                headers=_engine_headers(job),
-                body=job.body,
-                deadline=deadline,
-            )
+        req = _upstream.UpstreamRequest(
+            method="POST",
+            url=url + job.path,
+            headers=_engine_headers(job),
+            body=job.body,
+            deadline=deadline,
         )
+        sending = defer.ensureDeferred(self._upstream.send(req))
+        self._cancels[job.request_id] = sending.cancel
+        sent = await sending
         if isinstance(sent, result.Failure):
+            self._cancels.pop(job.request_id, None)
             return _failed_upstream(sent.failure())
         response = sent.unwrap()
-        self._responses[job.request_id] = response
+        self._cancels[job.request_id] = response.cancel
         try:
             return await self._relay(job, response, sink, started_at)
         except _messages.SinkClosed:
@@ -210,7 +236,7 @@
                 "The caller is gone.",
             )
         finally:
-            self._responses.pop(job.request_id, None)
+            self._cancels.pop(job.request_id, None)
             response.cancel()
 
     async def _relay(
@@ -294,6 +320,18 @@
         prefix=job.prefix,
         deadline=deadline,
         idempotent=True,
+        weight=job.weight,
+    )
+
+
+def _with_load(
+    ended: _messages.JobEnded, queue: dispatch.EngineQueue
+) -> _messages.JobEnded:
+    status = queue.status()
+    return attrs.evolve(
+        ended,
+        queue_tokens=status.waiting_tokens + status.running_tokens,
+        tokens_per_s=status.tokens_per_s,
     )
 
 
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -21,6 +21,8 @@
     """Client account that the request runs for."""
     key_id: str
     """Key that came with the request; empty for rollout attempts."""
+    revision: int
+    """Configuration revision that the entry held when it admitted the job."""
     kind: str
     """Value of a `dispatch.WorkKind`."""
     endpoint: str
@@ -29,6 +31,8 @@
     """Path of the engine's call."""
     body: bytes
     """JSON body for the engine."""
+    weight: float
+    """Fair share of the client account, relative to others."""
     cost_tokens: int
     """Estimated cost in tokens."""
     prefix: str
@@ -70,6 +74,10 @@
     """Milliseconds that the engine worked on the request."""
     stretches: tuple[VersionCount, ...]
     """Weight versions that made the tokens, in order."""
+    queue_tokens: float = 0.0
+    """Tokens still waiting and running at the engine, as its owner knows."""
+    tokens_per_s: float = 0.0
+    """Rate of the engine, as its owner sees it; 0 when unknown."""
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_server.py
@@ -0,0 +1,67 @@
+"""Answers entries' polls at the leader."""
+
+import banyanbank_base as base
+import banyanbank_consensus as consensus
+import banyanbank_control as control
+
+METHOD = "control.sync"
+
+
+class SyncServer:
+    """Answers polls while this instance holds the lease.
+
+    Args:
+        clock: Clock of deadlines.
+        node: The log here.
+        machine: State machine here.
+    """
+
+    def __init__(
+        self,
+        clock: base.Clock,
+        node: consensus.LogNode,
+        machine: control.ControlMachine,
+    ) -> None:
+        self._clock = clock
+        self._node = node
+        self._machine = machine
+        self._office: control.LeaderSync | None = None
+
+    async def serve(self, sender: base.InstanceId, data: bytes) -> bytes:
+        """Handles one call of `METHOD`."""
+        del sender
+        req = control.SYNC_CODEC.decode(data)
+        assert isinstance(req, control.SyncRequest)
+        return control.SYNC_CODEC.encode(self.answer(req))
+
+    def answer(
+        self, req: control.SyncRequest
+    ) -> control.SyncReply | control.SyncRefused:
+        """Answers one poll."""
+        if not self._node.lease_held():
+            return control.SyncRefused(req.number, self._node.leader)
+        config = self._machine.state.config
+        return self.office().answer(req, config, self._clock.now())
+
+    def office(self) -> control.LeaderSync:
+        """Returns the soft state of this epoch; asked while leading."""
+        if self._office is None or self._office.epoch != self._node.epoch:
+            now = self._clock.now()
+            self._office = control.LeaderSync(self._node.epoch, now)
+        return self._office
+
+    def members(self) -> tuple[control.Member, ...]:
+        """Returns the instances that poll; asked while leading."""
+        return self.office().members.all()
+
+    def serving(self) -> tuple[control.Announcement, ...]:
+        """Returns the endpoints that take work; asked while leading."""
+        return self.office().endpoints.serving()
+
+    def tick(self) -> None:
+        """Drops what has gone silent; called while the lease is held."""
+        self.office().tick(self._clock.now())
+
+    def stop(self) -> None:
+        """Drops the soft state; the next epoch starts its own."""
+        self._office = None
