--- a/packages/bench/src/banyanbank_bench/_report.py
+++ b/packages/bench/src/banyanbank_bench/_report.py
@@ -35,11 +35,16 @@
     prompt = _rollouts.PROMPT_TOKENS / spec.prefill_tokens_per_s
     alone, work = 0.0, []
     for trainer in cluster.rollouts.trainers:
+        handed_out: list[float] = []
         for number, groups in enumerate(trainer.lengths):
             longest = max(max(group) for group in groups)
-            critical = longest * spec.token_s(1) + prompt
-            critical -= shape.train_s if number else 0.0
-            alone += max(0.0, critical)
+            asked = number - cluster.policy.steps_ahead
+            earliest = handed_out[asked] if asked >= 0 else 0.0
+            earliest += longest * spec.token_s(1) + prompt
+            if handed_out:
+                earliest = max(earliest, handed_out[-1] + shape.train_s)
+            handed_out.append(earliest)
+        alone += handed_out[-1] - (shape.steps - 1) * shape.train_s
         work.append(sum(sum(map(sum, groups)) for groups in trainer.lengths))
     peak = spec.peak_tokens_per_s() * len(shape.engine_domains)
     spans, done = 0.0, 0.0
@@ -54,6 +59,7 @@
     record, trainers = cluster.record, cluster.rollouts.trainers
     idle = sum(trainer.idle_s for trainer in trainers)
     span = sum(trainer.finished_at for trainer in trainers)
+    warm = idle - sum(trainer.first_idle_s for trainer in trainers)
     bound = idle_bound(cluster)
     ages = cluster.rollouts.staleness
     delivered = sum(record.tokens.values())
@@ -62,6 +68,8 @@
     return {
         "idle_share": idle / span,
         "idle_s_per_step": idle / (len(trainers) * cluster.workload.steps),
+        "warm_idle_s_per_step": warm
+        / (len(trainers) * (cluster.workload.steps - 1)),
         "idle_bound_share": bound / (bound + span - idle),
         "idle_over_bound": idle / bound,
         **{f"age_{n}": ages.count(n) / len(ages) for n in range(3)},
@@ -70,7 +78,6 @@
         "cost_per_1000_samples": 1000 * _cost(cluster, end) / len(ages),
         "reclaimable_share": reclaimable / delivered,
         "wasted_share": record.wasted_tokens / delivered,
-        "moves": record.moves,
         "refused": record.refused,
     }
 
--- a/packages/cli/src/banyanbank_cli/_rollouts.py
+++ b/packages/cli/src/banyanbank_cli/_rollouts.py
@@ -8,14 +8,15 @@
 
 from banyanbank_cli import _client
 from banyanbank_cli import _operator
+from banyanbank_cli import _problems
 
-SUBMIT_PATH = "/rollouts/{trainer}/groups"
+SUBMIT_PATH = "/v1/rollouts/{trainer}/groups"
 """Takes a group of samples."""
 
-FETCH_PATH = "/rollouts/{trainer}/steps/{step}/batch"
+FETCH_PATH = "/v1/rollouts/{trainer}/steps/{step}/batch"
 """Hands out the batch of a step."""
 
-ACKNOWLEDGE_PATH = "/rollouts/{trainer}/batches/{batch}/acknowledge"
+ACKNOWLEDGE_PATH = "/v1/rollouts/{trainer}/batches/{batch}/acknowledge"
 """Takes the acknowledgement of a batch."""
 
 NO_CONTENT = 204
@@ -54,7 +55,7 @@
 def acknowledge_call(trainer: str, batch: str) -> _client.Call:
     """Returns the request that acknowledges a batch."""
     path = ACKNOWLEDGE_PATH.format(
-        trainer=_client.quoted(trainer), batch=_client.quoted(batch)
+        trainer=_client.quoted(trainer), batch=_client.quoted(batch, safe="/")
     )
     return _client.Call("POST", path, b"{}", JSON_HEADERS)
 
@@ -84,7 +85,7 @@
     if reply.status == NO_CONTENT:
         missing = reply.headers.getRawHeaders("x-samples-missing", ["some"])
         return result.Failure(
-            _client.Problem(f"The batch is not whole: {missing[0]} missing.")
+            _problems.Problem(f"The batch is not whole: {missing[0]} missing.")
         )
     if output is None:
         return result.Success(reply.body.decode("utf-8", "replace") + "\n")
@@ -92,6 +93,6 @@
         output.write_bytes(reply.body)
     except OSError as exc:
         return result.Failure(
-            _client.Problem(f"{output} cannot be written: {exc}")
+            _problems.Problem(f"{output} cannot be written: {exc}")
         )
     return result.Success(f"{len(reply.body)} bytes are in {output}\n")
