Make key creation safe to resend; end kept connections during the notice

Cause: a resend after a lost answer drew another secret, and the command line could show one that was never committed. A kept connection whose request was still unread was closed as idle in a rolling restart (seen once: one lookup of 3,155, ResponseNeverReceived). Change: the command line draws the secret and sends it; the key id follows from it. From the start of a drain each answer ends its connection, so that what is closed later was idle for the whole notice. Scrapes turn the loop; the leader ticks every 50 ms.

--- a/packages/cli/src/banyanbank_cli/_commands.py
+++ b/packages/cli/src/banyanbank_cli/_commands.py
@@ -5,6 +5,7 @@
 import json as _json
 import os
 import pathlib
+import secrets
 import sys
 import typing
 
@@ -33,6 +34,10 @@
 """A command over a client."""
 
 
+SECRET_BYTES = 32
+"""Random bytes of a new key."""
+
+
 class UsageError(Exception):
     """The command line itself is wrong; the message says what to write."""
 
@@ -96,7 +101,10 @@
 
     def create(self, account: str) -> None:
         """Creates a key and shows it; it is never shown again."""
-        body = _json.dumps({"account": account}).encode()
+        # Drawn here, so that a resend after a lost answer asks for the same.
+        secret = secrets.token_urlsafe(SECRET_BYTES)
+        wish = {"account": account, "secret": secret}
+        body = _json.dumps(wish).encode()
         call = _client.Call(
             "POST", "/operator/keys", body, _rollouts.JSON_HEADERS
         )
--- a/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
@@ -2,6 +2,7 @@
 
 import json
 import typing
+import urllib.parse
 
 import banyanbank_base as base
 from twisted.internet import defer
@@ -87,7 +88,10 @@
         self._gate: _WriteGate | None = None
         self._closed: list[typing.Callable[[], None]] = []
         self.request_id = request_id
-        self.parameters = parameters
+        self.parameters = {
+            name: urllib.parse.unquote(value)
+            for name, value in parameters.items()
+        }
         self.is_closed = False
         self.has_started = False
         self.status = 0
--- a/packages/daemon/src/banyanbank_daemon/_http/_site.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_site.py
@@ -157,6 +157,10 @@
         self._channels.add(channel)
         return protocol
 
+    def begin_closing(self) -> None:
+        """Closes each connection after its next answer, and says so."""
+        self.is_closing = True
+
     def close_idle(self) -> None:
         """Closes idle connections; others close after their answer."""
         self.is_closing = True
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -140,7 +140,6 @@
                 member.instance for member in self.control.entry.members.all()
             ],
             self._drain_instance,
-            around.rng,
         )
         callers = _listeners.caller_routes(
             lambda: self.is_draining,
@@ -202,7 +201,9 @@
         self.around.recorder.record("instance.draining")
         self.control.entry.leave()
         self.sync.poll_soon()
-        # The balancer sees the failing health check and goes elsewhere.
+        # The balancer sees the failing health check and goes elsewhere; kept
+        # connections end with an answer, so that none is busy at the close.
+        self.listeners.begin_closing()
         await task.deferLater(self.around.reactor, DRAIN_NOTICE_S)
         await self.listeners.stop_listening()
         clock = self.around.clock
--- a/packages/daemon/src/banyanbank_daemon/_leader/_loop.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_loop.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from twisted.internet import task
 
-TICK_S = 0.02
+TICK_S = 0.05
 
 
 class Duty(typing.Protocol):
--- a/packages/daemon/src/banyanbank_daemon/_listeners.py
+++ b/packages/daemon/src/banyanbank_daemon/_listeners.py
@@ -128,6 +128,11 @@
             port, self._callers, self._caller_tls, interface=host
         )
 
+    def begin_closing(self) -> None:
+        """Lets callers go elsewhere: each answer ends its connection."""
+        self._callers.begin_closing()
+        self._operators.begin_closing()
+
     async def stop_listening(self) -> None:
         """Takes no new connection; those that are open end by themselves."""
         ports, self._ports = self._ports, []
--- a/packages/daemon/src/banyanbank_daemon/_operators.py
+++ b/packages/daemon/src/banyanbank_daemon/_operators.py
@@ -2,13 +2,13 @@
 
 import hmac
 import json
-import random
 import secrets
 import typing
 
 import banyanbank_base as base
 import banyanbank_control as control
 from returns import result
+from twisted.internet import task
 
 from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _http
@@ -21,6 +21,8 @@
 COMMIT_S = 10.0
 GATHER_S = 10.0
 SECRET_BYTES = 32
+MIN_SECRET_CHARS = 32
+KEY_SUFFIX_CHARS = 8
 TEXT_SUFFIXES = (".yaml", ".yml")
 OPERATOR = "operator"
 
@@ -45,7 +47,6 @@
         timeline: Gathers time line events.
         peers: Returns all instances known.
         drain: Asks an instance to shut down gracefully.
-        rng: Source of key ids.
     """
 
     def __init__(
@@ -59,7 +60,6 @@
         timeline: _timeline_calls.TimelineCalls,
         peers: Peers,
         drain: Drain,
-        rng: random.Random,
     ) -> None:
         self._clock = clock
         self._token = token
@@ -70,7 +70,6 @@
         self._timeline = timeline
         self._peers = peers
         self._drain = drain
-        self._rng = rng
 
     def routes(self) -> list[_http.Route]:
         """Returns the routes of the operator listener."""
@@ -90,7 +89,12 @@
 
     async def metrics(self, exchange: _http.Exchange) -> None:
         """Shows the metrics in the text exposition format."""
-        text = self._metrics.render().encode()
+        lines: list[str] = []
+        # Quantiles take time; the loop turns between the lines.
+        await task.cooperate(
+            lines.append(line) for line in self._metrics.lines()
+        ).whenDone()
+        text = "".join(lines).encode()
         exchange.respond(OK, text, b"text/plain; version=0.0.4")
 
     async def config(self, exchange: _http.Exchange) -> None:
@@ -152,23 +156,25 @@
         if not self._is_admitted(exchange):
             return
         try:
-            document = exchange.json()
-            account = str(document["account"])
-            key_id = str(document.get("key") or self._new_key_id(account))
+            wish = _KeyWish.read(exchange.json())
         except (ValueError, KeyError, TypeError, AttributeError):
-            exchange.refuse(_bad('Send {"account": NAME, "key": ID}.'))
+            exchange.refuse(
+                _bad(
+                    'Send {"account": NAME}, and for safe resends a "secret"'
+                    f" of at least {MIN_SECRET_CHARS} characters."
+                )
+            )
             return
-        secret = secrets.token_urlsafe(SECRET_BYTES)
         command = control.CreateKey(
             request_id=_request_id(exchange),
             operator=exchange.header("x-operator") or OPERATOR,
-            key=control.Key(
-                base.KeyId(key_id),
-                base.AccountId(account),
-                control.hash_secret(secret),
-            ),
+            key=wish.key(),
         )
-        extra = {"key": key_id, "account": account, "secret": secret}
+        extra = {
+            "key": wish.key_id,
+            "account": wish.account,
+            "secret": wish.secret,
+        }
         await self._commit(exchange, command, extra)
 
     async def withdraw_key(self, exchange: _http.Exchange) -> None:
@@ -241,9 +247,6 @@
             [*view.items.values(), *view.key_ids.values()]
         )
 
-    def _new_key_id(self, account: str) -> str:
-        return f"{account}-{self._rng.getrandbits(32):08x}"
-
     def _parse(self, exchange: _http.Exchange) -> Parsed:
         name = exchange.header("x-sheet-name") or "sheet.csv"
         if name.endswith(TEXT_SUFFIXES):
@@ -276,6 +279,36 @@
                 exchange.refuse(_bad(detail))
 
 
+@attrs.frozen(repr=False)
+class _KeyWish:
+    """A key to create; all of it follows from what the operator sent.
+
+    A caller that sends the secret gets the same key for each resend; one that
+    leaves it out gets a drawn one, and must list keys after a lost answer.
+    """
+
+    account: str
+    key_id: str
+    secret: str
+
+    @classmethod
+    def read(cls, document: dict[str, typing.Any]) -> "_KeyWish":
+        account = str(document["account"])
+        secret = document.get("secret") or secrets.token_urlsafe(SECRET_BYTES)
+        if not isinstance(secret, str) or len(secret) < MIN_SECRET_CHARS:
+            raise ValueError("The secret is too short.")
+        suffix = control.hash_secret(secret)[:KEY_SUFFIX_CHARS]
+        key_id = str(document.get("key") or f"{account}-{suffix}")
+        return cls(account, key_id, secret)
+
+    def key(self) -> control.Key:
+        return control.Key(
+            base.KeyId(self.key_id),
+            base.AccountId(self.account),
+            control.hash_secret(self.secret),
+        )
+
+
 def _request_id(exchange: _http.Exchange) -> base.RequestId:
     return base.RequestId(
         exchange.header("x-request-id") or exchange.request_id
