--- a/packages/daemon/src/banyanbank_daemon/_operators.py
+++ b/packages/daemon/src/banyanbank_daemon/_operators.py
@@ -5,6 +5,7 @@
 import secrets
 import typing
 
+import attrs
 import banyanbank_base as base
 import banyanbank_control as control
 from returns import result
@@ -91,9 +92,7 @@
         """Shows the metrics in the text exposition format."""
         lines: list[str] = []
         # Quantiles take time; the loop turns between the lines.
-        await task.cooperate(
-            lines.append(line) for line in self._metrics.lines()
-        ).whenDone()
+        await task.cooperate(_gather(self._metrics.lines(), lines)).whenDone()
         text = "".join(lines).encode()
         exchange.respond(OK, text, b"text/plain; version=0.0.4")
 
@@ -279,6 +278,15 @@
                 exchange.refuse(_bad(detail))
 
 
+def _gather(
+    source: typing.Iterator[str], lines: list[str]
+) -> typing.Iterator[None]:
+    """Moves one line at each step."""
+    for line in source:
+        lines.append(line)
+        yield None
+
+
 @attrs.frozen(repr=False)
 class _KeyWish:
     """A key to create; all of it follows from what the operator sent.
