Look at endpoints once for all requests of 50 ms

Change: precedence compares three numbers; one look serves 50 ms, or until endpoints change. Conclusion: cost no longer grows with endpoints times requests.

--- a/packages/control/src/banyanbank_control/sync/_endpoints.py
+++ b/packages/control/src/banyanbank_control/sync/_endpoints.py
@@ -28,18 +28,20 @@
     exchange announcements in any order. A later life wins; within one life a
     leave wins over any renewal; then the later announcement wins.
     """
-    return max(left, right, key=_precedence)
+    of_left, of_right = _precedence(left), _precedence(right)
+    if of_left != of_right:
+        return left if of_left > of_right else right
+    if left == right:
+        return left
+    # Only faulty endpoints reuse a sequence; any fixed order will do.
+    return max(left, right, key=repr)
 
 
-def _precedence(
-    announcement: _messages.Announcement,
-) -> tuple[int, int, int, str]:
+def _precedence(announcement: _messages.Announcement) -> tuple[int, int, int]:
     return (
         announcement.incarnation,
         _RANK[announcement.phase],
         announcement.sequence,
-        # Only faulty endpoints reuse a sequence; any fixed order will do.
-        repr(announcement),
     )
 
 
--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -11,6 +11,8 @@
 from banyanbank_daemon import _jobs
 
 DEFAULT_TOKENS_PER_S = 1_000.0
+SERVING_S = 0.05
+"""Seconds for which one look at the endpoints serves all requests."""
 
 
 @attrs.frozen
@@ -43,10 +45,20 @@
         self.instance = instance
         self._clock = clock
         self._entry = entry
+        self._serving: tuple[control.Announcement, ...] = ()
+        self._serving_until = clock.now()
 
     def serving(self) -> tuple[control.Announcement, ...]:
         """Returns the endpoints that may get new work."""
-        return self._entry.serving(self._clock.now())
+        now = self._clock.now()
+        if now >= self._serving_until:
+            self._serving = self._entry.serving(now)
+            self._serving_until = now + SERVING_S
+        return self._serving
+
+    def note_change(self) -> None:
+        """Makes the next look see endpoints that came or left just now."""
+        self._serving_until = self._clock.now()
 
     def known(self) -> tuple[control.Announcement, ...]:
         """Returns every endpoint, those that leave included."""
--- a/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
@@ -34,6 +34,7 @@
 
     def drop_lost_engines(self) -> None:
         """Hands back queued work of engines that leave, drops lost ones."""
+        self.fleet.directory.note_change()
         serving = {
             announcement.endpoint for announcement in self.fleet.serving()
         }
