Learn the time between tokens of an endpoint's streams

Cause: the router compares expected times, and not every engine reports its time between tokens. Change: EngineQueue learns it from streams that end and shows it in its status.

--- a/packages/dispatch/src/banyanbank_dispatch/_queue.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_queue.py
@@ -11,6 +11,7 @@
 from banyanbank_dispatch import _work
 
 RATE_SMOOTHING = 0.2
+MIN_OBSERVED_TOKENS = 32.0
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 60.0
 
@@ -76,6 +77,8 @@
     """Smoothed service rate."""
     retired: bool
     """Whether the endpoint has left."""
+    token_s: float = 0.0
+    """Smoothed seconds between tokens of one stream; 0 before any ended."""
 
 
 class EngineQueue:
@@ -102,6 +105,8 @@
         self._rollout_credit = 0.0
         self._bulk_credit = 0.0
         self._tokens_per_s = settings.initial_tokens_per_s
+        self._token_s = 0.0
+        self._started: dict[base.RequestId, float] = {}
         self._window_start = 0.0
         self._window_tokens = 0.0
         self._retired = False
@@ -146,6 +151,7 @@
         del self._waiting[work.request_id]
         self._waiting_tokens -= work.cost_tokens
         self._run(work, now)
+        self._started[work.request_id] = now
         self._charge_level(work)
         return work
 
@@ -166,6 +172,9 @@
         self._running_tokens -= work.cost_tokens
         self._running_rollouts -= _is_rollout(work)
         self._levels[work.kind].settle(work, used_tokens)
+        started = self._started.pop(request_id, None)
+        if started is not None:
+            self._observe_stream(now - started, used_tokens)
         self._observe_rate(used_tokens, now)
 
     def expire(self, now: float) -> tuple[_work.Work, ...]:
@@ -238,6 +247,7 @@
             slots=self._settings.slots,
             tokens_per_s=self._tokens_per_s,
             retired=self._retired,
+            token_s=self._token_s,
         )
 
     def retry_after(self) -> float:
@@ -365,6 +375,14 @@
             share = 1 - self._settings.tail_share
             self._bulk_credit += work.cost_tokens * share / (1 - share)
 
+    def _observe_stream(self, seconds: float, tokens: float) -> None:
+        """Learns the seconds between tokens from a stream that ended."""
+        if tokens < MIN_OBSERVED_TOKENS:
+            return
+        change = seconds / tokens - self._token_s
+        weight = RATE_SMOOTHING if self._token_s else 1.0
+        self._token_s += weight * change
+
     def _observe_rate(self, used_tokens: float, now: float) -> None:
         """Learns the service rate, which shows only while work waits."""
         if not self._waiting:
--- a/tests/dispatch/test_queue.py
+++ b/tests/dispatch/test_queue.py
@@ -167,6 +167,19 @@
         self.assertEqual(queue.running(), (works[0],))
         self.assertIsNone(queue.next(0.0))
 
+    def test_learns_the_time_between_tokens(self) -> None:
+        queue = self.queue(slots=4)
+        for tokens, seconds, expected in (
+            (8.0, 9.0, 0.0),  # Too short to tell.
+            (100.0, 2.0, 0.02),
+            (100.0, 3.0, 0.022),
+        ):
+            work = self.work()
+            self.offer_all(queue, work)
+            queue.next(10.0)
+            queue.finish(work.request_id, tokens, 10.0 + seconds)
+            self.assertAlmostEqual(queue.status().token_s, expected)
+
     def test_deadline_index_stays_small(self) -> None:
         queue = self.queue()
         for _ in range(2000):
