Tell the shell when a decision is due; skip settled swaps

Cause: the leader's loop turns every 20 ms; a scheduler decision at each turn costs 16 ms with 2,048 attempts. A decision on 600 engines with two models, all current, cost 3.5 ms.

Change: SampleScheduler.is_due(ledger, now) answers at no cost: after a change or wake(), but no sooner than 0.5 ms per running attempt (50 ms to 1 s) after the last decision, and after 0.25 s or that gap without any. The weight rollout passes over engines that serve the newest version. An extra share of 0 now allows no duplicate.

Conclusion: the leader should ask is_due before it gathers views.

--- a/packages/rollout/src/banyanbank_rollout/_extras.py
+++ b/packages/rollout/src/banyanbank_rollout/_extras.py
@@ -62,7 +62,7 @@
         self._forecast = forecast
         self._freshest = freshest
         self._now = now
-        self._budget = max(1, int(cfg.extra_share * free.total)) - sum(
+        self._budget = math.ceil(cfg.extra_share * free.total) - sum(
             len(of_slot) - 1
             for plan in plans
             for of_slot in plan.attempts.values()
--- a/packages/rollout/src/banyanbank_rollout/_scheduler.py
+++ b/packages/rollout/src/banyanbank_rollout/_scheduler.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 import random
 
 import attrs
@@ -22,6 +23,12 @@
 from banyanbank_rollout import _views
 
 CANCEL_RETRY_S = 5.0
+DECIDE_S = 0.25
+"""Longest time between two decisions."""
+MIN_GAP_S = 0.05
+MAX_GAP_S = 1.0
+GAP_PER_ATTEMPT_S = 0.0005
+"""Shortest time between two decisions grows with what each looks at."""
 
 _Views = tuple[_views.AttemptView, ...]
 
@@ -31,7 +38,7 @@
     """Budgets and delays of the scheduler."""
 
     extras: _extras.ExtrasCfg = attrs.field(factory=_extras.ExtrasCfg)
-    """Limits of duplicate work; a share of 0 still allows one."""
+    """Limits of duplicate work."""
     retry_delay_s: float = 1.0
     """Delay after a slot's second failure; doubles, with jitter."""
     max_retry_delay_s: float = 60.0
@@ -58,6 +65,10 @@
         self, rng: random.Random, cfg: SchedulerCfg | None = None
     ) -> None:
         self._cfg = cfg or SchedulerCfg()
+        self._decided_at = -math.inf
+        self._decided_on: _ledger.Ledger | None = None
+        self._is_woken = False
+        self._gap_s = MIN_GAP_S
         self._ids = _starts.AttemptIds(rng)
         self._older: dict[_state.StepKey, int] = {}
         self._sequences: dict[_state.StepKey, int] = {}
@@ -86,6 +97,7 @@
             now: Clock seconds.
             failed: Whether this counts against the slot's retry budget.
         """
+        self.wake()
         if attempt.attempt_id in self._cancelled:
             return
         slot = attempt.slot
@@ -94,6 +106,27 @@
         else:
             self._retries.moved(slot, attempt.engine, attempt.progress)
 
+    def wake(self) -> None:
+        """Makes the next decision due: an attempt has moved on."""
+        self._is_woken = True
+
+    def is_due(self, ledger: _ledger.Ledger, now: float) -> bool:
+        """Tells, at no cost, whether `decide` is worth its cost now.
+
+        The shell may ask at each turn of its loop before it gathers what
+        `decide` takes.
+
+        Args:
+            ledger: The newest committed ledger.
+            now: Clock seconds.
+        """
+        elapsed = now - self._decided_at
+        if elapsed < self._gap_s:
+            return False
+        if self._is_woken or ledger is not self._decided_on:
+            return True
+        return elapsed >= max(DECIDE_S, self._gap_s)
+
     def decide(
         self,
         ledger: _ledger.Ledger,
@@ -110,6 +143,11 @@
             engines: All engines that may run rollouts.
             now: Clock seconds.
         """
+        self._decided_at = now
+        self._decided_on = ledger
+        self._is_woken = False
+        gap_s = GAP_PER_ATTEMPT_S * len(attempts)
+        self._gap_s = min(MAX_GAP_S, max(MIN_GAP_S, gap_s))
         self._observe(ledger, attempts, now)
         freshest = _free_slots.freshest(engines)
         effects: list[_effects.SchedulerEffect] = []
--- a/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
+++ b/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
@@ -81,7 +81,11 @@
             del self._swaps[gone]
         effects: list[_weights.WeightEffect] = []
         for key, report in known.items():
-            self._follow(key, report, newest[report.model].version, now)
+            version = newest[report.model].version
+            swap = self._swaps.get(key)
+            if swap is not None and swap.is_settled(report, version):
+                continue
+            self._follow(key, report, version, now)
             effects += self._service_changes(key, report)
         effects += self._orders(newest, known, now)
         return tuple(effects)
--- a/packages/rollout/src/banyanbank_rollout/_weight_swap.py
+++ b/packages/rollout/src/banyanbank_rollout/_weight_swap.py
@@ -44,6 +44,14 @@
         """Whether an order is out."""
         return self.state in LOADING_STATES
 
+    def is_settled(
+        self, report: _weights.EngineWeights, newest: base.WeightVersion
+    ) -> bool:
+        """Tells whether the newest version serves and nothing is to do."""
+        if self.state != "current" or not self.in_service:
+            return False
+        return report.version is not None and report.version >= newest
+
     def may_order(self, now: float) -> bool:
         """Tells whether the engine waits for an order."""
         if self.state == "waiting":
--- a/tests/rollout/test_scheduler.py
+++ b/tests/rollout/test_scheduler.py
@@ -57,6 +57,31 @@
         self.run_one(cases.form())
         self.assertEqual(self.decide(), ())
 
+    def test_is_due_by_change_or_time_but_not_too_often(self) -> None:
+        many = [
+            rollout.AttemptView(
+                rollout.SampleSlot(cases.TRAINER, 0, 0, 0), f"a{number}", 0.0
+            )
+            for number in range(4_000)
+        ]
+        for attempts, gap_s in (([], 0.05), (many[:1_000], 0.5), (many, 1.0)):
+            quiet_s = max(0.25, gap_s)
+            ended = rollout.SampleScheduler.attempt_ended
+            scheduler = rollout.SampleScheduler(random.Random(1))
+            self.assertTrue(scheduler.is_due(self.ledger, 0.0))
+            scheduler.decide(self.ledger, attempts, (), 0.0)
+            for at, changed, expected in (
+                (gap_s - 0.01, True, False),
+                (gap_s + 0.01, True, True),
+                (quiet_s - 0.01, False, False),
+                (quiet_s + 0.01, False, True),
+            ):
+                ledger = rollout.Ledger() if changed else self.ledger
+                with self.subTest(attempts=len(attempts), at=at):
+                    self.assertIs(scheduler.is_due(ledger, at), expected)
+            ended(scheduler, many[0], 0.0, failed=True)
+            self.assertTrue(scheduler.is_due(self.ledger, gap_s + 0.01))
+
     def test_notice_moves_with_the_cache(self) -> None:
         starts = self.decide()
         progress = rollout.ResumePoint((cases.stretch(1, 5),), "kv-1")
