Check attempts step by step; measure settled weight decisions

Cause: a decision of the scheduler looked up the step and its versions anew for each of 2,048 attempts.

Change: one check a step holds what decides on its attempts; replacements look at running attempts only when some sample is older than what engines serve.

--- a/packages/rollout/src/banyanbank_rollout/_cancels.py
+++ b/packages/rollout/src/banyanbank_rollout/_cancels.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Mapping
 
+import attrs
 import banyanbank_base as base
 
 from banyanbank_rollout import _effects
 from banyanbank_rollout import _forecast
-from banyanbank_rollout import _ledger
 from banyanbank_rollout import _samples
 from banyanbank_rollout import _state
 from banyanbank_rollout import _views
@@ -19,30 +19,68 @@
 """
 
 
-def cancel_reason(ledger: _ledger.Ledger, attempt: _views.AttemptView) -> str:
-    """Returns why an attempt's result cannot count; empty when it can."""
-    slot = attempt.slot
-    step = ledger.tables.steps.get((slot.trainer, slot.step))
-    if step is None:
-        return "step done"
-    winner = step.samples.get((slot.group, slot.index))
-    if winner is not None and winner.attempt_id == attempt.attempt_id:
+@attrs.frozen
+class StepCheck:
+    """What decides on the attempts of one open step."""
+
+    step: _state.StepState
+    """The step in the ledger."""
+    newest: base.WeightVersion
+    """Newest published version of its model."""
+    freshest: base.WeightVersion
+    """Newest version that engines serve of its model."""
+    forecast: _forecast.PublicationForecast | None
+    """Of publications; None to stop nothing by forecast."""
+    older: int
+    """Older open steps of the same trainer."""
+    now: float
+    """Clock seconds."""
+
+    def cancel_reason(self, attempt: _views.AttemptView) -> str:
+        """Returns why an attempt is of no more use; empty while it is."""
+        slot = attempt.slot
+        winner = self.step.samples.get((slot.group, slot.index))
+        if winner is not None and winner.attempt_id == attempt.attempt_id:
+            return ""
+        if self.step.batch is not None:
+            return "batch formed"
+        if winner is not None:
+            superseding = attempt.supersedes == winner.attempt_id
+            return "" if superseding else "slot filled"
+        group = self.step.groups.get(slot.group)
+        if group is None or group.is_whole:
+            return "group whole"
+        return self._age_reason(group, attempt)
+
+    def _age_reason(
+        self, group: _state.GroupState, attempt: _views.AttemptView
+    ) -> str:
+        if attempt.progress is None or not attempt.progress.stretches:
+            return ""
+        oldest = _samples.oldest_version(attempt.progress.stretches)
+        slack = group.spec.staleness_bound - (self.newest - oldest)
+        if slack < 0:
+            return "stale"
+        if attempt.phase is not _views.AttemptPhase.RUNNING:
+            return ""
+        if attempt.supersedes or self.freshest <= oldest:
+            return ""
+        return self._doom_reason(slack, attempt.started_at)
+
+    def _doom_reason(self, slack: int, started_at: float) -> str:
+        if self.forecast is None:
+            return ""
+        breaks_at = self.forecast.breaks_at(
+            self.step.model, self.older, slack, self.now
+        )
+        patience_s = DOOMED_SHARE * (self.now - started_at)
+        if breaks_at < self.now + patience_s:
+            return "expected to become stale"
         return ""
-    if step.batch is not None:
-        return "batch formed"
-    if winner is not None:
-        superseding = attempt.supersedes == winner.attempt_id
-        return "" if superseding else "slot filled"
-    group = step.groups.get(slot.group)
-    if group is None or group.is_whole:
-        return "group whole"
-    if slack(ledger, group, attempt.progress) < 0:
-        return "stale"
-    return ""
 
 
 def slack(
-    ledger: _ledger.Ledger,
+    newest: base.WeightVersion,
     group: _state.GroupState,
     progress: _effects.ResumePoint | None,
 ) -> int:
@@ -50,40 +88,7 @@
     if progress is None or not progress.stretches:
         return group.spec.staleness_bound
     oldest = _samples.oldest_version(progress.stretches)
-    lag = ledger.newest_version(group.spec.model) - oldest
-    return group.spec.staleness_bound - lag
-
-
-def is_doomed(
-    ledger: _ledger.Ledger,
-    attempt: _views.AttemptView,
-    forecast: _forecast.PublicationForecast,
-    freshest: base.WeightVersion,
-    older: int,
-    now: float,
-) -> bool:
-    """Tells whether an attempt is expected to be stale when it ends.
-
-    Args:
-        ledger: The newest committed ledger.
-        attempt: A running attempt that `cancel_reason` leaves running.
-        forecast: Of publications.
-        freshest: Newest version that engines serve of its model.
-        older: Older open steps of the same trainer.
-        now: Clock seconds.
-    """
-    slot = attempt.slot
-    step = ledger.tables.steps[(slot.trainer, slot.step)]
-    progress = attempt.progress
-    if progress is None or not progress.stretches:
-        return False
-    if freshest <= _samples.oldest_version(progress.stretches):
-        return False
-    group = step.groups[slot.group]
-    breaks_at = forecast.breaks_at(
-        step.model, older, slack(ledger, group, progress), now
-    )
-    return breaks_at < now + DOOMED_SHARE * (now - attempt.started_at)
+    return group.spec.staleness_bound - (newest - oldest)
 
 
 def must_move(
--- a/packages/rollout/src/banyanbank_rollout/_extras.py
+++ b/packages/rollout/src/banyanbank_rollout/_extras.py
@@ -80,12 +80,18 @@
         freshest = self._freshest.get(model, base.WeightVersion(0))
         if not self._free.has_room(model) or plan.state.is_whole:
             return
+        aged = [
+            (group, sample)
+            for group, sample in plan.samples()
+            if _samples.oldest_version(sample.stretches) < freshest
+            and _key(sample.slot) not in plan.attempts
+        ]
+        if not aged:
+            return
         ends_at = self._ends_at(plan)
         newest = self._ledger.newest_version(model)
-        for group, sample in plan.samples():
+        for group, sample in aged:
             oldest = _samples.oldest_version(sample.stretches)
-            if freshest <= oldest or _key(sample.slot) in plan.attempts:
-                continue
             slack = group.spec.staleness_bound - (newest - oldest)
             breaks_at = self._forecast.breaks_at(
                 model, plan.older, slack, self._now
--- a/packages/rollout/src/banyanbank_rollout/_scheduler.py
+++ b/packages/rollout/src/banyanbank_rollout/_scheduler.py
@@ -197,23 +197,47 @@
         freshest: Mapping[base.ModelName, base.WeightVersion],
         now: float,
     ) -> list[_effects.CancelAttempt]:
-        by_endpoint = {engine.endpoint: engine for engine in engines}
+        leaving = {
+            engine.endpoint: engine
+            for engine in engines
+            if engine.gone_at is not None
+        }
+        checks = self._checks(ledger, freshest, now)
         effects = []
         for attempt in attempts:
             if attempt.attempt_id in self._cancelled:
                 effects += self._cancel_again(attempt, now)
                 continue
-            reason = _cancels.cancel_reason(ledger, attempt)
-            if not reason and attempt.phase is _views.AttemptPhase.RUNNING:
-                reason = self._stop_reason(ledger, attempt, freshest, now)
+            check = checks.get((attempt.slot.trainer, attempt.slot.step))
+            reason = "step done"
+            if check is not None:
+                reason = check.cancel_reason(attempt)
             if reason:
                 self._cancelled[attempt.attempt_id] = now
                 self._retries.forget_progress(attempt.slot)
                 effects.append(_cancels.cancel(attempt, reason))
-            elif self._moves(attempt, by_endpoint):
+            elif leaving and self._moves(attempt, leaving):
                 effects.append(_cancels.cancel(attempt, "moved", True))
         return effects
 
+    def _checks(
+        self,
+        ledger: _ledger.Ledger,
+        freshest: Mapping[base.ModelName, base.WeightVersion],
+        now: float,
+    ) -> dict[_state.StepKey, _cancels.StepCheck]:
+        return {
+            step.key: _cancels.StepCheck(
+                step=step,
+                newest=ledger.newest_version(step.model),
+                freshest=freshest.get(step.model, base.WeightVersion(0)),
+                forecast=self._forecast if self._cfg.forecasts else None,
+                older=self._older[step.key],
+                now=now,
+            )
+            for step in ledger.steps()
+        }
+
     def _cancel_again(
         self, attempt: _views.AttemptView, now: float
     ) -> list[_effects.CancelAttempt]:
@@ -236,24 +260,6 @@
         self._moving.add(attempt.attempt_id)
         return True
 
-    def _stop_reason(
-        self,
-        ledger: _ledger.Ledger,
-        attempt: _views.AttemptView,
-        freshest: Mapping[base.ModelName, base.WeightVersion],
-        now: float,
-    ) -> str:
-        if not self._cfg.forecasts or attempt.supersedes:
-            return ""
-        slot = attempt.slot
-        model = ledger.tables.steps[(slot.trainer, slot.step)].model
-        newest = freshest.get(model, base.WeightVersion(0))
-        older = self._older[slot.trainer, slot.step]
-        doomed = _cancels.is_doomed(
-            ledger, attempt, self._forecast, newest, older, now
-        )
-        return "expected to become stale" if doomed else ""
-
     def _start(
         self,
         ledger: _ledger.Ledger,
--- a/packages/rollout/src/banyanbank_rollout/_starts.py
+++ b/packages/rollout/src/banyanbank_rollout/_starts.py
@@ -150,7 +150,8 @@
     ) -> _effects.StartAttempt:
         retry = self.retries.get(slot)
         resume_from = retry.resume_from
-        if _cancels.slack(self.ledger, group, resume_from) < 0:
+        newest = self.ledger.newest_version(plan.state.model)
+        if _cancels.slack(newest, group, resume_from) < 0:
             resume_from = None
         return _effects.StartAttempt(
             slot=slot,
--- a/tests/rollout/measure_weights.py
+++ b/tests/rollout/measure_weights.py
@@ -42,9 +42,32 @@
     }
 
 
+def measure_settled(engines: int) -> dict[str, float]:
+    """Returns the milliseconds of a decision when every engine is current."""
+    cfg = rollout.WeightCfg(store_bytes_per_s=GB)
+    case = fleet.Fleet(engines, 6, cfg)
+    case.tick()
+    reports = [
+        rollout.EngineWeights(
+            endpoint=loader.endpoint,
+            failure_domain=loader.domain,
+            model=model,
+            version=version,
+        )
+        for loader in case.loaders.values()
+        for model, version in loader.versions.items()
+    ]
+    start = time.process_time()
+    for _ in range(100):
+        case.decider.decide(case.publications, reports, case.now)
+    spent = (time.process_time() - start) / 100
+    return {"engines": engines, "settled_ms": round(1e3 * spent, 3)}
+
+
 def main() -> None:
     """Prints one JSON object for each combination."""
     argparse.ArgumentParser(description=__doc__).parse_args()
+    sys.stdout.write(json.dumps(measure_settled(600)) + "\n")
     for share in (0.75, 0.5):
         for size_gb, store_gb in ((0.2, 20.0), (16.0, 800.0), (16.0, 100.0)):
             for load_s in (2.0, 4.0):
