--- a/tests/rollout/world.py
+++ b/tests/rollout/world.py
@@ -5,7 +5,6 @@
 `test_mutants`.
 """
 
-import itertools
 import json
 import random
 
@@ -14,49 +13,13 @@
 import banyanbank_rollout as rollout
 
 from tests.rollout import cases
+from tests.rollout import oracle
 
 TRAINERS = (base.TrainerId("coach"), base.TrainerId("labels"))
-BOUND = 1
-GROUPS = 2
-SAMPLES = 2
 ENGINES = 3
 STREAMS = 3
 
 
-@attrs.define
-class FakeEngine:
-    """Generates tokens and remembers which version made each."""
-
-    endpoint: base.EndpointId
-    version: int = 0
-    tokens: dict[str, list[int]] = attrs.field(factory=dict)
-    gone_at: float | None = None
-
-
-@attrs.define
-class FakeTrainer:
-    """What one trainer has asked for, received and used."""
-
-    name: base.TrainerId
-    model: base.ModelName
-    newest: int = 0
-    steps: dict[int, list[rollout.SubmitGroup]] = attrs.field(factory=dict)
-    received: dict[int, rollout.BatchFetched] = attrs.field(factory=dict)
-    bodies: dict[int, list[bytes]] = attrs.field(factory=dict)
-    rejected: set[str] = attrs.field(factory=set)
-    used: set[int] = attrs.field(factory=set)
-
-
-def stretches_of(
-    versions: list[int],
-) -> tuple[rollout.VersionStretch, ...]:
-    """Returns the run lengths of versions, as an engine reports them."""
-    return tuple(
-        cases.stretch(version, len(list(run)))
-        for version, run in itertools.groupby(versions)
-    )
-
-
 class World:
     """All parties; every public method is one step that may happen."""
 
@@ -67,10 +30,11 @@
         self.lives = 0
         self.scheduler = self._new_scheduler()
         self.trainers = [
-            FakeTrainer(name, base.ModelName(f"m-{name}")) for name in TRAINERS
+            oracle.FakeTrainer(name, base.ModelName(f"m-{name}"))
+            for name in TRAINERS
         ]
         self.engines = [
-            FakeEngine(base.EndpointId(f"e{i}")) for i in range(ENGINES)
+            oracle.FakeEngine(base.EndpointId(f"e{i}")) for i in range(ENGINES)
         ]
         self.models = {t.name: t.model for t in self.trainers}
         self.versions = {t.model: [0] for t in self.trainers}
@@ -106,12 +70,12 @@
                 request_id=f"r{self.now}",
                 model=trainer.model,
                 prompt=f"{step}/{number}".encode(),
-                samples=SAMPLES,
-                groups_in_step=GROUPS,
-                staleness_bound=BOUND,
+                samples=oracle.SAMPLES,
+                groups_in_step=oracle.GROUPS,
+                staleness_bound=oracle.BOUND,
                 spare_samples=number % 2,
             )
-            for number in range(GROUPS)
+            for number in range(oracle.GROUPS)
         ]
         replies = [self.apply(group) for group in groups]
         if step in trainer.used:
@@ -151,7 +115,7 @@
             assert not gone, "a delivered batch is gone"
             return
         first = before.batch.handed_out_at is None
-        self._check_batch(trainer, step, reply, first)
+        oracle.check_batch(self.ledger, trainer, step, reply, first)
         assert self.apply(cmd) == reply, "other batch at a second fetch"
         if not lost:
             held = trainer.received.setdefault(step, reply)
@@ -195,39 +159,6 @@
         del trainer.steps[step]
         trainer.used.add(step)
 
-    def _check_batch(
-        self,
-        trainer: FakeTrainer,
-        step: int,
-        batch: rollout.BatchFetched,
-        first: bool,
-    ) -> None:
-        assert step not in trainer.used, "delivered after its end"
-        assert batch.batch_id not in trainer.rejected, "rejected batch again"
-        slots = [entry.slot for entry in batch.entries]
-        assert len(slots) == len(set(slots)), "a slot stands twice"
-        counts = [sum(s.group == g for s in slots) for g in range(GROUPS)]
-        assert counts == [SAMPLES] * GROUPS, f"groups not whole: {counts}"
-        for entry in batch.entries:
-            assert (entry.slot.trainer, entry.slot.step) == (
-                trainer.name,
-                step,
-            )
-            self._check_entry(entry)
-            oldest = min(s.version for s in entry.stretches)
-            if first:
-                lag = trainer.newest - oldest
-                assert lag <= BOUND, f"{entry.slot} lags by {lag}"
-
-    def _check_entry(self, entry: rollout.BatchEntry) -> None:
-        body = self.ledger.body(entry.slot)
-        assert body is not None and body.data is not None
-        assert body.digest == entry.digest
-        truth = json.loads(body.data)
-        assert truth["slot"] == str(entry.slot), "body of another slot"
-        assert truth["attempt"] == entry.attempt_id
-        assert stretches_of(truth["versions"]) == entry.stretches
-
     # Engines.
 
     def generate(self, which: int, tokens: int) -> None:
@@ -239,7 +170,7 @@
             attempt = self.attempts.get(attempt_id)
             if attempt is None:
                 continue
-            progress = rollout.ResumePoint(stretches_of(made))
+            progress = rollout.ResumePoint(oracle.stretches_of(made))
             phase = attempt.phase
             if len(made) == self.targets[attempt_id]:
                 phase = rollout.AttemptPhase.FINISHED
@@ -263,7 +194,7 @@
             model=self.models[attempt.slot.trainer],
             body=rollout.SampleBody.inline(json.dumps(truth).encode()),
             token_count=len(made),
-            stretches=stretches_of(made),
+            stretches=oracle.stretches_of(made),
             grade=1.0,
             engine=attempt.engine or base.EndpointId(""),
             supersedes=attempt.supersedes,
@@ -389,7 +320,7 @@
             rollout.SampleSlot(step.trainer, step.step, group, index)
             for step in self.ledger.steps()
             for group in sorted(step.groups)
-            for index in range(SAMPLES)
+            for index in range(oracle.SAMPLES)
         ]
         if not slots:
             return
