Number soft state above earlier offices of one epoch; compact payloads

Cause: a leader that loses its lease and regains it in the same epoch starts its members and endpoints empty and numbered their changes from 0 again. Entries ignored its answers until the numbers passed the old ones, and then took changes without those before. A new rule of the search showed it.

--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -54,6 +54,7 @@
 from banyanbank_control.commands import WindowReported
 from banyanbank_control.commands import WithdrawKey
 from banyanbank_control.config import compact
+from banyanbank_control.config import compact_payload
 from banyanbank_control.config import ConfigState
 from banyanbank_control.config import Delta
 from banyanbank_control.declarations import Access
@@ -289,6 +290,7 @@
     "check",
     "check_item",
     "compact",
+    "compact_payload",
     "diff",
     "export_sheet",
     "export_text",
--- a/packages/control/src/banyanbank_control/config/__init__.py
+++ b/packages/control/src/banyanbank_control/config/__init__.py
@@ -3,6 +3,7 @@
 from banyanbank_control.config._apply import apply_changes
 from banyanbank_control.config._apply import apply_declarations
 from banyanbank_control.config._apply import compact
+from banyanbank_control.config._apply import compact_payload
 from banyanbank_control.config._apply import create_key
 from banyanbank_control.config._apply import digest_of
 from banyanbank_control.config._apply import withdraw_key
@@ -21,6 +22,7 @@
     "apply_changes",
     "apply_declarations",
     "compact",
+    "compact_payload",
     "create_key",
     "digest_of",
     "withdraw_key",
--- a/packages/control/src/banyanbank_control/config/_apply.py
+++ b/packages/control/src/banyanbank_control/config/_apply.py
@@ -55,6 +55,24 @@
     )
 
 
+def compact_payload(state: _state.ConfigState, payload: bytes) -> bytes:
+    """Returns what a leader proposes in place of a command's bytes.
+
+    Args:
+        state: Configuration in force at the leader.
+        payload: Any command; all but `ApplyDeclarations` stay as they are.
+    """
+    if commands.ApplyDeclarations.__name__.encode() not in payload:
+        return payload
+    try:
+        cmd = commands.COMMAND_CODEC.decode(payload)
+    except base.CodecError:
+        return payload
+    if not isinstance(cmd, commands.ApplyDeclarations):
+        return payload
+    return commands.COMMAND_CODEC.encode(compact(state, cmd))
+
+
 def apply_declarations(
     state: _state.ConfigState, cmd: commands.ApplyDeclarations
 ) -> _Answer:
--- a/packages/control/src/banyanbank_control/sync/_entry.py
+++ b/packages/control/src/banyanbank_control/sync/_entry.py
@@ -105,9 +105,9 @@
         held = self._soft
         if reply.soft.epoch < held.epoch:
             return
-        if reply.soft.epoch > held.epoch:
-            if not reply.soft_whole:
-                return
+        if reply.soft.epoch > held.epoch and not reply.soft_whole:
+            return
+        if reply.soft_whole:
             self._outbox.reset(reply.number)
         self._outbox.confirm(reply.number)
         is_new = reply.soft.sequence > held.sequence
--- a/packages/control/src/banyanbank_control/sync/_leader.py
+++ b/packages/control/src/banyanbank_control/sync/_leader.py
@@ -12,6 +12,7 @@
 _Log = _changes.ChangeLog[tuple[str, str]]
 _MEMBER = "member"
 _ENDPOINT = "endpoint"
+_NUMBERS_A_SECOND = 1_000_000
 
 
 class LeaderSync:
@@ -36,7 +37,10 @@
         self.endpoints = _endpoints.EndpointTable()
         self.epoch = epoch
         self.since = now
-        self._log: _Log = _changes.ChangeLog()
+        # A leader that lost its lease may regain it in the same epoch and
+        # starts empty again: its numbers must be above all earlier ones.
+        first = int(now * _NUMBERS_A_SECOND)
+        self._log: _Log = _changes.ChangeLog(first, first)
 
     def answer(
         self,
--- a/tests/control/stateful/mutants.py
+++ b/tests/control/stateful/mutants.py
@@ -21,6 +21,7 @@
 from banyanbank_control.sync import _endpoints
 from banyanbank_control.sync import _entry
 from banyanbank_control.sync import _known
+from banyanbank_control.sync import _leader
 from banyanbank_control.sync import _members
 from banyanbank_control.sync import _view
 from banyanbank_control.usage import _apply as usage_apply
@@ -270,6 +271,9 @@
     "list of a new leader replaces all at once": _replaced(
         _known, "RELEARN_S", 0.0
     ),
+    "numbers begin anew with a regained lease": _replaced(
+        _leader, "_NUMBERS_A_SECOND", 0
+    ),
     "isolated entry uses an old list for ever": _replaced(
         _entry, "ISOLATED_S", 1e9
     ),
--- a/tests/control/stateful/rules.py
+++ b/tests/control/stateful/rules.py
@@ -241,6 +241,10 @@
     def elect(self) -> None:
         self.world.elect()
 
+    @stateful.rule()
+    def resume(self) -> None:
+        self.world.resume()
+
     @stateful.rule(name=strategies.sampled_from("xyz"))
     def restart(self, name: str) -> None:
         self.world.restart(name)
--- a/tests/control/stateful/soft_world.py
+++ b/tests/control/stateful/soft_world.py
@@ -99,6 +99,10 @@
     def elect(self) -> None:
         """Puts a new leader in office."""
         self.epoch += 1
+        self.resume()
+
+    def resume(self) -> None:
+        """Lets a leader go on with empty soft state in the same epoch."""
         self.leader = control.LeaderSync(self.epoch, self.now)
         self.elected_at = self.now
         self.newest: dict[str, int] = {}
--- a/tests/control/sync/test_exchange.py
+++ b/tests/control/sync/test_exchange.py
@@ -273,6 +273,21 @@
         self.assertEqual(self.names(self.bob), set())
         self.assertEqual(len(self.bob.members.all()), 1)
 
+    def test_lease_regained_in_the_same_epoch(self) -> None:
+        self.ann.endpoints.heard.hear(engine("e1"), self.now)
+        for entry in (self.ann, self.bob, self.ann):
+            self.poll(entry)
+        self.now += 1.0
+        self.leader = control.LeaderSync(1, self.now)
+        self.bob.endpoints.heard.hear(engine("e2"), self.now)
+        for _ in range(3):
+            self.poll(self.bob)
+            self.poll(self.ann)
+            self.now += control.RELEARN_S / 2
+        for entry in (self.ann, self.bob):
+            self.assertEqual(self.names(entry), {"e1", "e2"})
+            self.assertEqual(len(entry.members.all()), 2)
+
     def test_new_leader_knows_an_earlier_life(self) -> None:
         heard = self.ann.endpoints.heard
         heard.hear(engine("e1", incarnation=2), self.now)
--- a/tests/control/test_config.py
+++ b/tests/control/test_config.py
@@ -74,6 +74,41 @@
                 self.assertEqual(after.declared(), before.declared())
 
 
+class CompactTest(unittest.TestCase):
+    """A set and its changes mean the same; a resend is known either way."""
+
+    def test_same_effect(self) -> None:
+        declared = attrs.evolve(
+            samples.DECLARED, keys=samples.KEYS[:1], capacities=()
+        )
+        whole = samples.apply_cmd("x", 1, declared)
+        payload = control.COMMAND_CODEC.encode(whole)
+        states, replies = [], set()
+        for compacts in (True, False):
+            machine = samples.machine_in_force()
+            for compacts_again in (compacts, not compacts):
+                sent = payload
+                if compacts_again:
+                    in_force = machine.state.config
+                    sent = control.compact_payload(in_force, payload)
+                replies.add(machine.apply(2, sent))
+            states.append(machine.snapshot())
+        self.assertEqual(len(replies), 1)
+        self.assertEqual(states[0], states[1])
+
+    def test_other_payloads_stay(self) -> None:
+        in_force = samples.machine_in_force().state.config
+        for cmd in (
+            control.WithdrawKey("ApplyDeclarations", "ann", "k"),
+            control.ExpireIntents(1.0),
+        ):
+            payload = control.COMMAND_CODEC.encode(cmd)
+            kept = control.compact_payload(in_force, payload)
+            self.assertEqual(kept, payload)
+        foreign = b"\xffApplyDeclarations"
+        self.assertEqual(control.compact_payload(in_force, foreign), foreign)
+
+
 class KeyTest(unittest.TestCase):
     """Keys come once and go for ever."""
 
