Ask the scheduler whether a decision is due before gathering views

Cause: the leader gathered attempts and engines at every tick. Change: is_due first; ends of attempts wake it.

--- a/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
@@ -96,10 +96,12 @@
 
     def tick(self) -> None:
         """Takes the scheduler's decisions and acts on them."""
+        ledger = self._plane.ledger
+        now = self._clock.now()
+        if not self._scheduler.is_due(ledger, now):
+            return
         views = [attempt.view() for attempt in self._attempts.values()]
-        effects = self._scheduler.decide(
-            self._plane.ledger, views, self._engines(), self._clock.now()
-        )
+        effects = self._scheduler.decide(ledger, views, self._engines(), now)
         for effect in effects:
             self._perform(effect)
 
@@ -181,6 +183,7 @@
             return
         if isinstance(ended, result.Success) and not attempt.is_cancelled:
             attempt.phase = rollout.AttemptPhase.FINISHED
+            self._scheduler.wake()
             return
         self._end(attempt, failed=not attempt.is_cancelled)
 
@@ -225,6 +228,7 @@
         self._scheduler.attempt_ended(
             attempt.view(), self._clock.now(), failed=failed
         )
+        self._scheduler.wake()
 
     async def _grade(self, attempt: _attempts.Attempt) -> None:
         start = attempt.start
@@ -274,6 +278,7 @@
         self._attempts.pop(start.attempt_id, None)
         self._sinks.pop(start.attempt_id, None)
         self._texts.pop(start.slot, None)
+        self._scheduler.wake()
 
     async def _form_batch(self, effect: rollout.ProposeBatch) -> None:
         ledger = self._plane.ledger
