--- a/tests/control/declarations/test_sheet.py
+++ b/tests/control/declarations/test_sheet.py
@@ -4,10 +4,12 @@
 import unittest
 
 import banyanbank_control as control
+from banyanbank_control.declarations import _columns
 
 from tests.control import samples
 
-_DEMO = pathlib.Path(__file__).parents[3] / "examples" / "demo.csv"
+_ROOT = pathlib.Path(__file__).parents[3]
+_DEMO = _ROOT / "examples" / "demo.csv"
 
 
 class RoundTripTest(unittest.TestCase):
@@ -26,6 +28,29 @@
             )
 
 
+class PageTest(unittest.TestCase):
+    """The operators' page names every column of every kind, and no other."""
+
+    def test_columns(self) -> None:
+        page = (_ROOT / "docs" / "SHEETS.md").read_text()
+        kind, found = "", set()
+        for line in page.splitlines():
+            cells = [cell.strip() for cell in line.split("|")]
+            if len(cells) == 6 and cells[2] not in ("column", "---"):
+                kind = cells[1] or kind
+                found.add((kind, cells[2], bool(cells[4])))
+        expected = {
+            (
+                spec.kind.value,
+                column.heading,
+                column.default is not _columns.REQUIRED,
+            )
+            for spec in _columns.SPECS
+            for column in spec.columns
+        }
+        self.assertEqual(found, expected)
+
+
 class SpreadsheetTest(unittest.TestCase):
     """The ways in which spreadsheets write the same table."""
 
--- a/tests/control/measure.py
+++ b/tests/control/measure.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import time
+import tracemalloc
 
 import attrs
 import banyanbank_control as control
@@ -166,13 +167,13 @@
     }
     for name, (machine, count) in cases.items():
         ms, size = snapshot_cost(machine)
-        show(f"snapshot a {name}", (size - base_size) / count, "B")
-        show(f"snapshot a {name}", (ms - base_ms) / count * 1e3, "us")
+        show(f"snapshot: {name}", (size - base_size) / count, "B")
+        show(f"snapshot: {name}", (ms - base_ms) / count * 1e3, "us")
         data = machine.snapshot()
         began = time.process_time()
         control.ControlMachine().restore(data)
         seconds = time.process_time() - began
-        show(f"restore a {name}", seconds / count * 1e6, "us")
+        show(f"restore: {name}", seconds / count * 1e6, "us")
 
 
 def measure_tombstones() -> None:
@@ -189,6 +190,25 @@
     show("snapshot a withdrawn key", size, "B")
 
 
+def measure_memory() -> None:
+    """Prints allocated bytes by what a voter and an entry hold."""
+    cases = {
+        "key at a voter": (lambda: filled(keys=4000), 4000),
+        "intent with a 200 B answer": (lambda: filled(intents=10_000), 10_000),
+        "member and endpoint at the leader": (
+            lambda: populated(4000, 4000),
+            4000,
+        ),
+    }
+    for name, (build, count) in cases.items():
+        tracemalloc.start()
+        held = build()
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        show(f"memory: {name}", size / count, "B")
+        del held
+
+
 def reply_size(
     machine: control.ControlMachine,
     leader: control.LeaderSync,
@@ -202,7 +222,7 @@
 
 def populated(members: int, endpoints: int) -> control.LeaderSync:
     """Returns a leader that has heard of many."""
-    leader = control.LeaderSync(1, 0.0)
+    leader = control.LeaderSync(1, 1e5)
     config = control.ControlMachine().state.config
     for number in range(members):
         member = test_exchange.member(f"instance-{number:03d}")
@@ -275,6 +295,7 @@
     measure_large_set()
     measure_snapshots()
     measure_tombstones()
+    measure_memory()
     measure_sync()
 
 
