--- a/packages/bench/src/banyanbank_bench/_rollouts.py
+++ b/packages/bench/src/banyanbank_bench/_rollouts.py
@@ -18,7 +18,6 @@
 ESTIMATE_TOKENS = 500.0
 DECIDE_S = 0.5
 GRADE_S = 0.05
-UNLIMITED = 1_000_000
 
 
 class Trainer:
@@ -112,17 +111,18 @@
         """Takes in the groups of a step."""
         shape = self.cluster.workload
         for group in range(shape.groups):
+            name = f"{trainer.trainer_id}/{step}/{group}"
             self.apply(
                 rollout.SubmitGroup(
-                    trainer=trainer.trainer_id,
-                    step=step,
-                    group=group,
-                    request_id=f"{trainer.trainer_id}/{step}/{group}",
-                    model=trainer.model,
-                    prompt=b"",
-                    samples=shape.group_size,
-                    groups_in_step=shape.groups,
-                    staleness_bound=shape.staleness_bound,
+                    trainer.trainer_id,
+                    step,
+                    group,
+                    name,
+                    trainer.model,
+                    b"",
+                    shape.group_size,
+                    shape.groups,
+                    shape.staleness_bound,
                 )
             )
         self.decide()
@@ -159,21 +159,18 @@
         now = self.cluster.sim.now
         self._scheduler.attempt_ended(view, now, failed=failed)
         if not resumes:
-            self.cluster.record.wasted_tokens += job.made
+            self.cluster.wasted_tokens += job.made
         self.decide_soon()
 
     def decide_soon(self) -> None:
         """Decides within a fixed time."""
         if not self._is_due:
             self._is_due = True
-            self.cluster.sim.after(DECIDE_S, self._decide_due)
+            self.cluster.sim.after(DECIDE_S, lambda: self.decide(due=True))
 
-    def _decide_due(self) -> None:
-        self._is_due = False
-        self.decide()
-
-    def decide(self) -> None:
+    def decide(self, *, due: bool = False) -> None:
         """Runs the scheduler once."""
+        self._is_due = self._is_due and not due
         now = self.cluster.sim.now
         views = [self._view(job, True) for job in self._jobs.values()]
         effects = self._scheduler.decide(
@@ -216,7 +213,7 @@
             self.failed(job, failed=False)
             return
         del self._jobs[effect.attempt_id]
-        self.cluster.record.wasted_tokens += job.made
+        self.cluster.wasted_tokens += job.made
 
     def _form(self, effect: rollout.ProposeBatch) -> None:
         for trainer in self.trainers:
@@ -231,19 +228,19 @@
         assert start is not None
         if self._jobs.pop(start.attempt_id, None) is None:
             return
-        self.apply(
-            rollout.RecordSample(
-                slot=start.slot,
-                attempt_id=start.attempt_id,
-                model=start.model,
-                body=rollout.SampleBody.inline(b""),
-                token_count=job.output_tokens,
-                stretches=_stretches(job, job.output_tokens),
-                grade=1.0,
-                engine=job.endpoint_id,
-                supersedes=start.supersedes,
-            )
+        tokens = job.output_tokens
+        record = rollout.RecordSample(
+            start.slot,
+            start.attempt_id,
+            start.model,
+            rollout.SampleBody.inline(b""),
+            tokens,
+            _stretches(job, tokens),
+            1.0,
+            job.endpoint_id,
+            start.supersedes,
         )
+        self.apply(record)
         steps = self.ledger.tables.steps
         step = steps.get((start.slot.trainer, start.slot.step))
         if step is not None and step.is_whole:
@@ -264,19 +261,14 @@
         )
 
     def _engine_views(self) -> list[rollout.EngineView]:
-        scheduled = self.cluster.policy.scheduled
+        models = tuple(trainer.model for trainer in self.trainers)
         return [
             rollout.EngineView(
-                endpoint=engine.endpoint_id,
-                models=tuple(t.model for t in self.trainers),
-                versions=tuple(
-                    base.WeightVersion(engine.versions[t.model])
-                    for t in self.trainers
-                ),
-                slots=self.cluster.rollout_slots(engine) + scheduled
-                if scheduled
-                else UNLIMITED,
-                gone_at=engine.gone_at if scheduled else None,
+                engine.endpoint_id,
+                models,
+                tuple(base.WeightVersion(engine.versions[m]) for m in models),
+                self.cluster.startable(engine),
+                engine.gone_at if self.cluster.policy.scheduled else None,
             )
             for engine in self.cluster.engines.values()
             if engine.alive
--- a/packages/rollout/src/banyanbank_rollout/_scheduler.py
+++ b/packages/rollout/src/banyanbank_rollout/_scheduler.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 import random
 
 import attrs
@@ -22,6 +23,12 @@
 from banyanbank_rollout import _views
 
 CANCEL_RETRY_S = 5.0
+DECIDE_S = 0.25
+"""Longest time between two decisions."""
+MIN_GAP_S = 0.05
+MAX_GAP_S = 1.0
+GAP_PER_ATTEMPT_S = 0.0005
+"""Shortest time between two decisions grows with what each looks at."""
 
 _Views = tuple[_views.AttemptView, ...]
 
@@ -31,7 +38,7 @@
     """Budgets and delays of the scheduler."""
 
     extras: _extras.ExtrasCfg = attrs.field(factory=_extras.ExtrasCfg)
-    """Limits of duplicate work; a share of 0 still allows one."""
+    """Limits of duplicate work."""
     retry_delay_s: float = 1.0
     """Delay after a slot's second failure; doubles, with jitter."""
     max_retry_delay_s: float = 60.0
@@ -58,6 +65,10 @@
         self, rng: random.Random, cfg: SchedulerCfg | None = None
     ) -> None:
         self._cfg = cfg or SchedulerCfg()
+        self._decided_at = -math.inf
+        self._decided_on: _ledger.Ledger | None = None
+        self._is_woken = False
+        self._gap_s = MIN_GAP_S
         self._ids = _starts.AttemptIds(rng)
         self._older: dict[_state.StepKey, int] = {}
         self._sequences: dict[_state.StepKey, int] = {}
@@ -86,6 +97,7 @@
             now: Clock seconds.
             failed: Whether this counts against the slot's retry budget.
         """
+        self.wake()
         if attempt.attempt_id in self._cancelled:
             return
         slot = attempt.slot
@@ -94,6 +106,27 @@
         else:
             self._retries.moved(slot, attempt.engine, attempt.progress)
 
+    def wake(self) -> None:
+        """Makes the next decision due: an attempt has moved on."""
+        self._is_woken = True
+
+    def is_due(self, ledger: _ledger.Ledger, now: float) -> bool:
+        """Tells, at no cost, whether `decide` is worth its cost now.
+
+        The shell may ask at each turn of its loop before it gathers what
+        `decide` takes.
+
+        Args:
+            ledger: The newest committed ledger.
+            now: Clock seconds.
+        """
+        elapsed = now - self._decided_at
+        if elapsed < self._gap_s:
+            return False
+        if self._is_woken or ledger is not self._decided_on:
+            return True
+        return elapsed >= max(DECIDE_S, self._gap_s)
+
     def decide(
         self,
         ledger: _ledger.Ledger,
@@ -110,6 +143,11 @@
             engines: All engines that may run rollouts.
             now: Clock seconds.
         """
+        self._decided_at = now
+        self._decided_on = ledger
+        self._is_woken = False
+        gap_s = GAP_PER_ATTEMPT_S * len(attempts)
+        self._gap_s = min(MAX_GAP_S, max(MIN_GAP_S, gap_s))
         self._observe(ledger, attempts, now)
         freshest = _free_slots.freshest(engines)
         effects: list[_effects.SchedulerEffect] = []
@@ -159,23 +197,47 @@
         freshest: Mapping[base.ModelName, base.WeightVersion],
         now: float,
     ) -> list[_effects.CancelAttempt]:
-        by_endpoint = {engine.endpoint: engine for engine in engines}
+        leaving = {
+            engine.endpoint: engine
+            for engine in engines
+            if engine.gone_at is not None
+        }
+        checks = self._checks(ledger, freshest, now)
         effects = []
         for attempt in attempts:
             if attempt.attempt_id in self._cancelled:
                 effects += self._cancel_again(attempt, now)
                 continue
-            reason = _cancels.cancel_reason(ledger, attempt)
-            if not reason and attempt.phase is _views.AttemptPhase.RUNNING:
-                reason = self._stop_reason(ledger, attempt, freshest, now)
+            check = checks.get((attempt.slot.trainer, attempt.slot.step))
+            reason = "step done"
+            if check is not None:
+                reason = check.cancel_reason(attempt)
             if reason:
                 self._cancelled[attempt.attempt_id] = now
                 self._retries.forget_progress(attempt.slot)
                 effects.append(_cancels.cancel(attempt, reason))
-            elif self._moves(attempt, by_endpoint):
+            elif leaving and self._moves(attempt, leaving):
                 effects.append(_cancels.cancel(attempt, "moved", True))
         return effects
 
+    def _checks(
+        self,
+        ledger: _ledger.Ledger,
+        freshest: Mapping[base.ModelName, base.WeightVersion],
+        now: float,
+    ) -> dict[_state.StepKey, _cancels.StepCheck]:
+        return {
+            step.key: _cancels.StepCheck(
+                step=step,
+                newest=ledger.newest_version(step.model),
+                freshest=freshest.get(step.model, base.WeightVersion(0)),
+                forecast=self._forecast if self._cfg.forecasts else None,
+                older=self._older[step.key],
+                now=now,
+            )
+            for step in ledger.steps()
+        }
+
     def _cancel_again(
         self, attempt: _views.AttemptView, now: float
     ) -> list[_effects.CancelAttempt]:
@@ -198,24 +260,6 @@
         self._moving.add(attempt.attempt_id)
         return True
 
-    def _stop_reason(
-        self,
-        ledger: _ledger.Ledger,
-        attempt: _views.AttemptView,
-        freshest: Mapping[base.ModelName, base.WeightVersion],
-        now: float,
-    ) -> str:
-        if not self._cfg.forecasts or attempt.supersedes:
-            return ""
-        slot = attempt.slot
-        model = ledger.tables.steps[(slot.trainer, slot.step)].model
-        newest = freshest.get(model, base.WeightVersion(0))
-        older = self._older[slot.trainer, slot.step]
-        doomed = _cancels.is_doomed(
-            ledger, attempt, self._forecast, newest, older, now
-        )
-        return "expected to become stale" if doomed else ""
-
     def _start(
         self,
         ledger: _ledger.Ledger,
