Tell routers the requests and pace of engines; renew shares over a new leader

Cause: dispatch learnt to compare expected times by requests under way and the time between tokens, and to renew shares that are still held. Change: owners tell both with each answer; lease requests carry held shares.

--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -21,12 +21,19 @@
 
     tokens: float
     """Tokens waiting and running."""
+    requests: int
+    """Requests waiting and running."""
     tokens_per_s: float
     """Rate of the engine."""
+    token_s: float
+    """Seconds between tokens of one stream; 0 when unknown."""
     heard_at: float
     """Monotonic seconds."""
 
 
+NO_REPORT = LoadReport(0.0, 0, DEFAULT_TOKENS_PER_S, 0.0, 0.0)
+
+
 class Directory:
     """Endpoints and members, as learned from the leader and heard here.
 
@@ -168,7 +175,9 @@
         """Takes in the load that an owner told with an answer."""
         self._loads[endpoint] = LoadReport(
             tokens=ended.queue_tokens,
+            requests=ended.queue_requests,
             tokens_per_s=ended.tokens_per_s or DEFAULT_TOKENS_PER_S,
+            token_s=ended.token_s,
             heard_at=self._clock.now(),
         )
 
@@ -182,16 +191,16 @@
             for served in announcement.models
             if served.model == model
         ]
-        load = self._loads.get(announcement.endpoint)
+        load = self._loads.get(announcement.endpoint, NO_REPORT)
         return dispatch.Candidate(
             endpoint_id=announcement.endpoint,
             failure_domain=announcement.failure_domain,
             slots=announcement.slots,
-            load_tokens=0.0 if load is None else load.tokens,
-            reported_at=0.0 if load is None else load.heard_at,
-            tokens_per_s=(
-                DEFAULT_TOKENS_PER_S if load is None else load.tokens_per_s
-            ),
+            load_tokens=load.tokens,
+            reported_at=load.heard_at,
+            tokens_per_s=load.tokens_per_s,
+            requests=load.requests,
+            token_s=load.token_s,
             version=versions[0] if versions else base.WeightVersion(0),
             reclaimable=announcement.supply is control.Supply.RECLAIMABLE,
         )
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
@@ -331,7 +331,9 @@
     return attrs.evolve(
         ended,
         queue_tokens=status.waiting_tokens + status.running_tokens,
+        queue_requests=status.waiting + status.running,
         tokens_per_s=status.tokens_per_s,
+        token_s=status.token_s,
     )
 
 
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -76,8 +76,12 @@
     """Weight versions that made the tokens, in order."""
     queue_tokens: float = 0.0
     """Tokens still waiting and running at the engine, as its owner knows."""
+    queue_requests: int = 0
+    """Requests still waiting and running there."""
     tokens_per_s: float = 0.0
     """Rate of the engine, as its owner sees it; 0 when unknown."""
+    token_s: float = 0.0
+    """Seconds between tokens of one stream; 0 when unknown."""
 
 
 @attrs.frozen
--- a/packages/daemon/src/banyanbank_daemon/_limits.py
+++ b/packages/daemon/src/banyanbank_daemon/_limits.py
@@ -26,6 +26,8 @@
 
     demands: tuple[dispatch.Demand, ...]
     """By client account; accounts without requests are left out."""
+    held: tuple[dispatch.Share, ...] = ()
+    """Leased shares that have not expired; a new leader counts them."""
 
 
 @attrs.frozen
@@ -84,7 +86,12 @@
             for item in self._machine.state.config.declared().accounts
         ]
         shares = self._allocator.lease(
-            instance, max(1, len(self._members())), limits, req.demands, now
+            instance,
+            max(1, len(self._members())),
+            limits,
+            req.demands,
+            now,
+            req.held,
         )
         return LeaseReply(shares)
 
@@ -149,7 +156,12 @@
 
     async def _exchange(self) -> None:
         requested_at = self._clock.now()
-        req = LeaseRequest(self._limits.demands(requested_at))
+        # Even shares were not leased, so no leader has to count them.
+        is_leased = requested_at < self._leased_until
+        req = LeaseRequest(
+            self._limits.demands(requested_at),
+            self._limits.held(requested_at) if is_leased else (),
+        )
         reply = await self._ask(req)
         if reply is not None and reply.shares:
             self._leased_until = requested_at + dispatch.SHARE_S
