--- a/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
@@ -267,9 +267,12 @@
     caller: _Caller, name: base.TrainerId
 ) -> rollout.PublishVersion:
     document = caller.document
+    version = _number(document, "version")
+    if version < 1:
+        raise BodyError("Field version must be at least 1.")
     return rollout.PublishVersion(
         model=caller.trainer.model,
-        version=base.WeightVersion(_number(document, "version")),
+        version=base.WeightVersion(version),
         trainer=name,
         location=str(document.get("location", "")),
         size_bytes=_number(document, "size_bytes", default=0),
