--- a/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_host.py
@@ -10,8 +10,10 @@
 from twisted.internet import defer
 
 from banyanbank_daemon import _upstream
+from banyanbank_daemon._jobs import _failures
 from banyanbank_daemon._jobs import _messages
 from banyanbank_daemon._jobs import _sse
+from banyanbank_daemon._jobs import _tally
 
 MILLISECONDS = 1_000
 POLL_AGAIN_S = 0.2
@@ -203,7 +205,7 @@
     ) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
         url = self._engine_url(job.endpoint)
         if url is None:
-            return _failed(
+            return _failures.failed(
                 base.RefusalReason.NO_ENDPOINT,
                 base.Outcome.NOT_RUN,
                 "The engine has left.",
@@ -224,13 +226,13 @@
         sent = await sending
         if isinstance(sent, result.Failure):
             self._cancels.pop(job.request_id, None)
-            return _failed_upstream(sent.failure())
+            return _failures.from_upstream(sent.failure())
         response = sent.unwrap()
         self._cancels[job.request_id] = response.cancel
         try:
             return await self._relay(job, response, sink, started_at)
         except _messages.SinkClosed:
-            return _failed(
+            return _failures.failed(
                 base.RefusalReason.DEADLINE_EXCEEDED,
                 base.Outcome.MAY_HAVE_RUN,
                 "The caller is gone.",
@@ -246,27 +248,27 @@
         sink: _messages.JobSink,
         started_at: float,
     ) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
-        problem = _check_head(job, response)
+        problem = _failures.check_head(job, response)
         if problem is not None:
             return problem
         parser = _sse.EventStreamParser()
-        tally = _Tally()
+        tally = _tally.Tally()
         while True:
             chunk = await response.next_chunk()
             if isinstance(chunk, result.Failure):
-                return _failed_upstream(chunk.failure())
+                return _failures.from_upstream(chunk.failure())
             data = chunk.unwrap()
             if not data:
                 break
             try:
                 events = parser.feed(data)
             except _sse.EventStreamError as exc:
-                return _broken(str(exc))
+                return _failures.broken(str(exc))
             for event in events:
                 tally.add(event)
                 await sink.emit(_messages.JobChunk(event.data))
         if not parser.is_done or tally.usage is None:
-            return _broken("The stream ended before its end mark.")
+            return _failures.broken("The stream ended before its end mark.")
         engine_s = self._clock.now() - started_at
         self._recorder.record(
             "job.ended", request=job.request_id, endpoint=job.endpoint
@@ -274,37 +276,6 @@
         return result.Success(tally.ended(engine_s))
 
 
-class _Tally:
-    """Counts tokens by weight version as a stream goes on."""
-
-    def __init__(self) -> None:
-        self._stretches: list[_messages.VersionCount] = []
-        self.usage: dict[str, int] | None = None
-
-    def add(self, event: _sse.EngineEvent) -> None:
-        if event.usage is not None:
-            self.usage = event.usage
-        if event.version is None or event.tokens <= 0:
-            return
-        last = self._stretches[-1] if self._stretches else None
-        if last is not None and last.version == event.version:
-            count = last.tokens + event.tokens
-            self._stretches[-1] = attrs.evolve(last, tokens=count)
-        else:
-            stretch = _messages.VersionCount(event.version, event.tokens)
-            self._stretches.append(stretch)
-
-    def ended(self, engine_s: float) -> _messages.JobEnded:
-        usage = self.usage or {}
-        return _messages.JobEnded(
-            prompt_tokens=usage.get("prompt_tokens", 0),
-            completion_tokens=usage.get("completion_tokens", 0),
-            cached_tokens=usage.get("cached_tokens", 0),
-            engine_ms=int(engine_s * MILLISECONDS),
-            stretches=tuple(self._stretches),
-        )
-
-
 def _is_busy(queue: dispatch.EngineQueue) -> bool:
     status = queue.status()
     return status.waiting + status.running > 0
@@ -346,23 +317,6 @@
     )
 
 
-def _check_head(
-    job: _messages.ModelJob, response: _upstream.UpstreamResponse
-) -> result.Result[_messages.JobEnded, _messages.JobFailed] | None:
-    echoed = response.header("x-request-id")
-    if echoed and echoed != job.request_id:
-        return _broken("The answer belongs to another request.")
-    if response.status == 503:
-        return _failed(
-            base.RefusalReason.ENDPOINT_FAILED,
-            base.Outcome.NOT_RUN,
-            "The engine refused the request.",
-        )
-    if response.status != 200:
-        return _broken(f"The engine answered with status {response.status}.")
-    return None
-
-
 def _tokens_of(
     ended: result.Result[_messages.JobEnded, _messages.JobFailed],
 ) -> int:
@@ -370,28 +324,3 @@
         return 0
     value = ended.unwrap()
     return value.prompt_tokens + value.completion_tokens
-
-
-def _failed(
-    reason: base.RefusalReason, outcome: base.Outcome, detail: str
-) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
-    return result.Failure(
-        _messages.JobFailed(reason.value, outcome.value, detail)
-    )
-
-
-def _broken(
-    detail: str,
-) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
-    return _failed(
-        base.RefusalReason.ENDPOINT_FAILED, base.Outcome.MAY_HAVE_RUN, detail
-    )
-
-
-def _failed_upstream(
-    error: _upstream.UpstreamError,
-) -> result.Result[_messages.JobEnded, _messages.JobFailed]:
-    reason = base.RefusalReason.ENDPOINT_FAILED
-    if error.is_timeout:
-        reason = base.RefusalReason.DEADLINE_EXCEEDED
-    return _failed(reason, error.outcome, error.detail)
