--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -16,6 +16,7 @@
 NAMES = "abcde"
 SETTLE_S = 60.0
 ELECT_STEP_S = 0.005
+LATE_S = 3.0
 ELECT_STEPS = 2000
 INITIAL = ("abc", "abc", "abcde")
 CHUNK_BYTES = (48, 4000)
@@ -163,6 +164,12 @@
     def rejoin(self, name: str) -> None:
         self.world.isolate(name, cut=False)
 
+    def late(self, source: str, target: str) -> None:
+        """Lets frames come seconds late, across elections."""
+        if source != target:
+            key = base.InstanceId(source), base.InstanceId(target)
+            self.world.links[key].jitter_s = LATE_S
+
     def slow(self, delay_s: str) -> None:
         for link in self.world.links.values():
             link.delay_s = float(delay_s)
@@ -318,6 +325,7 @@
         "isolate",
         "exile",
         "rejoin",
+        "late",
         "slow",
         "lose",
         "alias",
@@ -349,6 +357,7 @@
     "heal": 6,
     "mend": 6,
     "noise": 5,
+    "late": 3,
     "sync_error": 2,
     "add_voter": 3,
     "add_learner": 2,
@@ -367,8 +376,8 @@
             return f"lead {rng.choice((8, 40, 300))}"
         case "propose":
             return f"propose {who} 8"
-        case "cut":
-            return f"cut {who} {other}"
+        case "cut" | "late":
+            return f"{name} {who} {other}"
         case "noise":
             return f"noise {who} {other} {rng.choice((0.0, 0.3, 0.8))}"
         case "confirm" | "heal" | "mend":
--- a/tests/consensus/test_stateful.py
+++ b/tests/consensus/test_stateful.py
@@ -40,9 +40,9 @@
         line = name if name in ("heal", "mend", "confirm") else f"{name} {who}"
         self.sim.perform(line)
 
-    @stateful.rule(who=WHO, other=WHO)
-    def cut(self, who: str, other: str) -> None:
-        self.sim.perform(f"cut {who} {other}")
+    @stateful.rule(who=WHO, other=WHO, name=st.sampled_from(("cut", "late")))
+    def cut(self, who: str, other: str, name: str) -> None:
+        self.sim.perform(f"{name} {who} {other}")
 
     @stateful.rule(who=WHO, other=WHO, drop=st.sampled_from((0.0, 0.3, 0.8)))
     def noise(self, who: str, other: str, drop: float) -> None:
