--- a/packages/bench/src/banyanbank_bench/__main__.py
+++ b/packages/bench/src/banyanbank_bench/__main__.py
@@ -18,11 +18,11 @@
     policy and seed without trainers' work.
     """
     shape = _workload.WORKLOADS[workload]
-    cluster = _cluster.Cluster(shape, _cluster.POLICIES[policy], seed)
+    cluster = _cluster.Cluster(shape, _workload.POLICIES[policy], seed)
     cluster.run()
     figures = _report.summarise(cluster)
     quiet = attrs.evolve(shape, groups=1, group_size=1)
-    unloaded = _cluster.Cluster(quiet, _cluster.POLICIES[policy], seed)
+    unloaded = _cluster.Cluster(quiet, _workload.POLICIES[policy], seed)
     unloaded.run()
     base_p99 = _report.summarise(unloaded)["lookup_p99_s"]
     figures["lookup_p99_over_unloaded"] = figures["lookup_p99_s"] / base_p99
@@ -33,10 +33,12 @@
     """Experiments over dispatch decisions under a simulated clock."""
 
     def run(
-        self, workload: str = "tesfaye", policy: str = "owned", seed: int = 1
+        self, workload: str = "tesfaye", policy: str = "quick_24", seed: int = 1
     ) -> None:
         """Runs one policy and prints its figures as JSON."""
-        print(json.dumps(measure(workload, policy, seed), indent=2))
+        figures = measure(workload, policy, seed)
+        del figures["waits"]
+        print(json.dumps(figures, indent=2))
 
     def compare(
         self,
@@ -55,7 +57,7 @@
                 empty.
         """
         chosen = policies.split(",") if isinstance(policies, str) else policies
-        names = [name for name in chosen if name] or list(_cluster.POLICIES)
+        names = [name for name in chosen if name] or list(_workload.POLICIES)
         rows = [
             measure(workload, name, seed)
             for name in names
@@ -63,6 +65,8 @@
         ]
         means = {name: _report.mean(rows, name) for name in names}
         print(_report.table(means))
+        for row in rows:
+            del row["waits"]
         if out:
             folder = pathlib.Path(out)
             folder.mkdir(parents=True, exist_ok=True)
--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -54,6 +54,7 @@
 from banyanbank_control.commands import WindowReported
 from banyanbank_control.commands import WithdrawKey
 from banyanbank_control.config import compact
+from banyanbank_control.config import compact_payload
 from banyanbank_control.config import ConfigState
 from banyanbank_control.config import Delta
 from banyanbank_control.declarations import Access
@@ -138,6 +139,7 @@
 from banyanbank_control.sync import Phase
 from banyanbank_control.sync import POLL_S
 from banyanbank_control.sync import Principal
+from banyanbank_control.sync import RELEARN_S
 from banyanbank_control.sync import ServedModel
 from banyanbank_control.sync import SoftVersion
 from banyanbank_control.sync import SYNC_CODEC
@@ -167,6 +169,7 @@
     "MAX_SECRET_CHARS",
     "MEMBER_TTL_S",
     "POLL_S",
+    "RELEARN_S",
     "REPLY_CODEC",
     "SYNC_CODEC",
     "WINDOW_S",
@@ -287,6 +290,7 @@
     "check",
     "check_item",
     "compact",
+    "compact_payload",
     "diff",
     "export_sheet",
     "export_text",
