Let a new leader hear endpoints before it orders any

Cause: the soft state of a new leader is empty, so its planner saw no endpoint and ordered the least number of every model anew, and took the target of a stop for gone.

Change: for 8 s from its first decision a planner sends committed orders again and decides nothing on what it misses. ConfigState.capacities() gives the bounds without the pass over all keys that declared() takes.

--- a/packages/control/src/banyanbank_control/config/_state.py
+++ b/packages/control/src/banyanbank_control/config/_state.py
@@ -119,6 +119,14 @@
     )
     """First replies of the newest operators' requests."""
 
+    def capacities(self) -> tuple[declarations.Capacity, ...]:
+        """Returns the capacity bounds in force, without a pass over keys."""
+        return tuple(
+            item
+            for item in self.items.values()
+            if isinstance(item, declarations.Capacity)
+        )
+
     def declared(self) -> declarations.Declarations:
         """Returns everything in force, keys included."""
         return declarations.Declarations.of(
--- a/packages/control/src/banyanbank_control/duties/_orders.py
+++ b/packages/control/src/banyanbank_control/duties/_orders.py
@@ -13,6 +13,12 @@
 START_TIMEOUT_S = 600.0
 """Time after which an acknowledged order without its endpoints has failed."""
 
+SETTLE_S = 8.0
+"""Time in office before which absent endpoints mean nothing, in seconds.
+
+A new leader has heard of no endpoint yet: it would order all of them anew.
+"""
+
 
 @attrs.frozen
 class OrderResult:
@@ -43,6 +49,7 @@
         self._epoch = epoch
         self._pacing: _pacing.Pacing[str] = _pacing.Pacing()
         self._waiting: dict[int, float] = {}
+        self._settled_at: float | None = None
 
     def decide(
         self,
@@ -60,9 +67,16 @@
             now: Monotonic time in seconds.
         """
         effects: list[_effects.Effect] = []
-        requests = tuple(needs)
+        if self._settled_at is None:
+            self._settled_at = now + SETTLE_S
+        settled = now >= self._settled_at
+        requests = tuple(needs) if settled else ()
         for number in sorted(state.live):
-            effects.extend(self._follow(state.live[number], announced, now))
+            order = state.live[number]
+            if order.status is not commands.OrderStatus.ACKNOWLEDGED:
+                effects.extend(self._send(order, now))
+            elif settled:
+                effects.extend(self._follow(order, announced, now))
         for request in requests:
             if request.need in state.needs:
                 continue
@@ -100,16 +114,18 @@
             result.number, status, result.detail, result.endpoints
         )
 
+    def _send(
+        self, order: orders.Order, now: float
+    ) -> collections.abc.Iterator[_effects.Effect]:
+        if self._pacing.take(order.idempotency_key, now):
+            yield _effects.SendOrder(order, self._epoch)
+
     def _follow(
         self,
         order: orders.Order,
         announced: collections.abc.Collection[base.EndpointId],
         now: float,
     ) -> collections.abc.Iterator[_effects.Effect]:
-        if order.status is not commands.OrderStatus.ACKNOWLEDGED:
-            if self._pacing.take(order.idempotency_key, now):
-                yield _effects.SendOrder(order, self._epoch)
-            return
         deadline = self._waiting.setdefault(order.number, now + START_TIMEOUT_S)
         status = _outcome(order, announced, now >= deadline)
         if status is not None and self._pacing.take(_end_key(order), now):
