Avoid failure domains in which orders have failed of late

Cause: when a failure domain is down, its orders fail, and the plan asked for the same place again while other domains stood ready.

Change: OrderPlanner.avoided(now) tells where orders failed in the last five minutes of its office; plan_needs(..., avoided) places endpoints elsewhere where the model may run elsewhere.

--- a/packages/control/src/banyanbank_control/duties/_capacity.py
+++ b/packages/control/src/banyanbank_control/duties/_capacity.py
@@ -19,6 +19,7 @@
     wanted: int,
     serving: collections.abc.Iterable[sync.Announcement],
     live: collections.abc.Iterable[orders.Order] = (),
+    avoided: collections.abc.Collection[base.FailureDomain] = (),
 ) -> tuple[commands.OrderRequest, ...]:
     """Returns the orders that a model lacks, one endpoint each.
 
@@ -32,6 +33,8 @@
         wanted: Endpoints that the demand asks for; held to the bounds.
         serving: Endpoints that serve now, of any model.
         live: Live orders, of any model.
+        avoided: Failure domains in which orders have failed of late; used
+            only when the model may run in no other.
     """
     count = min(max(wanted, capacity.min_endpoints), capacity.max_endpoints)
     ordered = [order.request for order in live if _starts(order, capacity)]
@@ -48,10 +51,20 @@
     supplies = [commands.Supply.SAFE] * safe_lacking
     supplies += [commands.Supply.RECLAIMABLE] * (lacking - safe_lacking)
     taken = {request.need for request in ordered}
-    needs: list[commands.OrderRequest] = []
-    for supply in supplies:
-        needs.append(_next_need(capacity, supply, filled, taken))
-    return tuple(needs)
+    domains = _domains(capacity, avoided)
+    return tuple(
+        _next_need(capacity, domains, supply, filled, taken)
+        for supply in supplies
+    )
+
+
+def _domains(
+    capacity: declarations.Capacity,
+    avoided: collections.abc.Collection[base.FailureDomain],
+) -> tuple[base.FailureDomain, ...]:
+    allowed = tuple(map(base.FailureDomain, capacity.failure_domains))
+    good = tuple(domain for domain in allowed if domain not in avoided)
+    return good or allowed
 
 
 def _starts(order: orders.Order, capacity: declarations.Capacity) -> bool:
@@ -77,12 +90,12 @@
 
 def _next_need(
     capacity: declarations.Capacity,
+    domains: tuple[base.FailureDomain, ...],
     supply: commands.Supply,
     filled: _Filled,
     taken: set[str],
 ) -> commands.OrderRequest:
     """Fills the emptiest place; `filled` and `taken` follow."""
-    domains = [base.FailureDomain(name) for name in capacity.failure_domains]
     domain = min(domains, key=lambda name: (filled[name, supply], name))
     filled[domain, supply] += 1
     number = filled[domain, supply]
--- a/packages/control/src/banyanbank_control/duties/_orders.py
+++ b/packages/control/src/banyanbank_control/duties/_orders.py
@@ -13,6 +13,9 @@
 START_TIMEOUT_S = 600.0
 """Time after which an acknowledged order without its endpoints has failed."""
 
+AVOID_S = 300.0
+"""Time for which a failure domain is avoided after a failed order, seconds."""
+
 SETTLE_S = 8.0
 """Time in office before which absent endpoints mean nothing, in seconds.
 
@@ -50,6 +53,8 @@
         self._pacing: _pacing.Pacing[str] = _pacing.Pacing()
         self._waiting: dict[int, float] = {}
         self._settled_at: float | None = None
+        self._avoided: dict[base.FailureDomain, float] = {}
+        self._closed_seen: int | None = None
 
     def decide(
         self,
@@ -70,6 +75,7 @@
         if self._settled_at is None:
             self._settled_at = now + SETTLE_S
         settled = now >= self._settled_at
+        self._note_failures(state, now)
         requests = tuple(needs) if settled else ()
         for number in sorted(state.live):
             order = state.live[number]
@@ -105,6 +111,26 @@
             if number in state.live
         }
 
+    def avoided(self, now: float) -> frozenset[base.FailureDomain]:
+        """Returns the failure domains in which orders have failed of late."""
+        return frozenset(
+            domain
+            for domain, deadline in self._avoided.items()
+            if now < deadline
+        )
+
+    def _note_failures(self, state: orders.OrderState, now: float) -> None:
+        # What failed under an earlier leader may be long ago.
+        first = state.closed.next
+        if self._closed_seen is not None:
+            first = max(self._closed_seen, state.closed.first)
+        self._closed_seen = state.closed.next
+        for place in range(first, state.closed.next):
+            order = state.closed.entries[state.closed.order[place]]
+            if order.status is commands.OrderStatus.FAILED:
+                domain = order.request.failure_domain
+                self._avoided[domain] = now + AVOID_S
+
     def on_result(self, result: OrderResult) -> _effects.Propose:
         """Returns what to commit once the platform has answered."""
         status = commands.OrderStatus.FAILED
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -134,6 +134,25 @@
                     decided.append(tenth // 10)
         self.assertEqual(decided, [0, 1, 3, 7, 15])
 
+    def test_failure_domain_is_avoided_for_a_while(self) -> None:
+        planner = self.settled(epoch=2)
+        capacity = control.Capacity("coach", 1, 4, 1, ("a", "b"), 2.5)
+        alone = attrs.evolve(capacity, failure_domains=("a",))
+        places = []
+        for now in (0.0, 299.0, 301.0):
+            self.decide(planner, now)
+            for order in self.machine.state.orders.live.values():
+                result = control.OrderResult(order.number, False)
+                mark = planner.on_result(result).command
+                samples.send(self.machine, mark)
+            self.needs = ()
+            self.decide(planner, now)
+            avoided = planner.avoided(now)
+            for plan in (capacity, alone):
+                (need,) = control.plan_needs(plan, 0, (), (), avoided)
+                places.append(need.failure_domain)
+        self.assertEqual(places, ["b", "a", "b", "a", "a", "a"])
+
     def test_endpoint_that_never_comes(self) -> None:
         planner = self.settled(epoch=2)
         self.decide(planner, 0.0)
