--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from tests.consensus import cluster
+from tests.consensus import oracle
 
 Kind = consensus.ProposeErrorKind
 
@@ -126,6 +127,18 @@
         self.assertEqual(disk.syncs, before + 1)
         self.assertEqual(len(self.commands("a")), 100)
 
+    def test_defect_of_the_machine_stops_the_node(self) -> None:
+        machine = self.world.machine("a")
+        machine.apply = lambda index, payload: 1 // 0
+        with self.assertRaises(ZeroDivisionError):
+            self.world.propose("a", b"x")
+        self.assertFalse(self.world.node("a").lease_held())
+        self.assertEqual(self.world.node("a").status().phase, "failed")
+
+    def test_starts_only_once(self) -> None:
+        with self.assertRaises(base.ChartError):
+            self.world.node("a").start()
+
     def test_frames_that_cannot_be_read_are_dropped(self) -> None:
         for frame in (b"", b"\xff", b"\xa1\x62_t\x65Hello"):
             self.world.node("a").handle_message(base.InstanceId("z"), frame)
@@ -184,6 +197,21 @@
                 self.world.run(2.5)
                 self.assertFalse(old.is_leader)
 
+    def test_isolated_leader_for_an_hour(self) -> None:
+        watch = oracle.Oracle(self.world, handover_gap=0.4)
+        self.world.on_step = watch.check
+        old = self.leader
+        self.world.isolate(old)
+        for minute in range(60):
+            self.world.run(60.0, tick_s=0.25)
+            [self.leader] = self.world.holders()
+            self.commit(f"{minute}".encode())
+        epoch = self.world.node(self.leader).epoch
+        self.world.isolate(old, cut=False)
+        self.world.run(3.0)
+        self.assertEqual(self.world.node(old).epoch, epoch)
+        self.assertEqual(len(self.commands(old)), 60)
+
     def test_proposal_of_an_isolated_leader_may_be_committed(self) -> None:
         self.world.isolate(self.leader)
         outcomes = self.world.propose(self.leader, b"x")
@@ -238,6 +266,24 @@
         self.assertEqual(self.commands(keeper), [b"x"])
 
 
+class RemovalTest(WorldCase):
+    """A voter whose own removal is not committed."""
+
+    names = "abcd"
+
+    def test_it_leads_when_nobody_else_can(self) -> None:
+        removed = self.leader
+        self.world.crash(self.others()[0])
+        self.world.isolate(removed)
+        node = self.world.node(removed)
+        node.remove_voter(base.InstanceId(removed))
+        self.world.run(2.0)
+        self.world.isolate(removed, cut=False)
+        self.leader = self.await_holder()
+        self.assertNotIn(removed, self.voters())
+        self.commit(b"x")
+
+
 class MembersTest(WorldCase):
     """Changes of voters and learners."""
 
--- a/tests/control/declarations/test_sheet.py
+++ b/tests/control/declarations/test_sheet.py
@@ -4,10 +4,12 @@
 import unittest
 
 import banyanbank_control as control
+from banyanbank_control.declarations import _columns
 
 from tests.control import samples
 
-_DEMO = pathlib.Path(__file__).parents[3] / "examples" / "demo.csv"
+_ROOT = pathlib.Path(__file__).parents[3]
+_DEMO = _ROOT / "examples" / "demo.csv"
 
 
 class RoundTripTest(unittest.TestCase):
@@ -26,6 +28,29 @@
             )
 
 
+class PageTest(unittest.TestCase):
+    """The operators' page names every column of every kind, and no other."""
+
+    def test_columns(self) -> None:
+        page = (_ROOT / "docs" / "SHEETS.md").read_text()
+        kind, found = "", set()
+        for line in page.splitlines():
+            cells = [cell.strip() for cell in line.split("|")]
+            if len(cells) == 6 and cells[2] not in ("column", "---"):
+                kind = cells[1] or kind
+                found.add((kind, cells[2], bool(cells[4])))
+        expected = {
+            (
+                spec.kind.value,
+                column.heading,
+                column.default is not _columns.REQUIRED,
+            )
+            for spec in _columns.SPECS
+            for column in spec.columns
+        }
+        self.assertEqual(found, expected)
+
+
 class SpreadsheetTest(unittest.TestCase):
     """The ways in which spreadsheets write the same table."""
 
@@ -95,6 +120,25 @@
             with self.subTest(body):
                 self.check(body, *places)
 
+    def test_texts(self) -> None:
+        cases = {
+            "": [(0, "")],
+            "- x\n": [(0, "")],
+            "accounts: x\n": [(1, "")],
+            "acounts: []\n": [(1, "")],
+            "accounts:\n  - x\n": [(2, "")],
+            "accounts:\n  - name: a\n    name: b\n": [(3, "name")],
+            "accounts:\n  - name: a\n  - name: a\n": [(3, "name")],
+            "accounts:\n  - {name: a, weight: x}\n": [(2, "weight")],
+            "accounts: [\n": [(2, "")],
+            "keys:\n  - name: k\n    account: a\n": [(2, "secret_sha256")],
+        }
+        for body, places in cases.items():
+            with self.subTest(body):
+                read = control.parse_text("t.yaml", body.encode())
+                found = [(e.row, e.column) for e in read.failure().errors]
+                self.assertEqual(found, places)
+
     def test_secret_is_not_repeated(self) -> None:
         body = "kind,name,account,secret_sha256\nkey,k,a,s3cret\n"
         errors = control.parse_sheet("s.csv", body.encode()).failure()
