--- /dev/null
+++ b/packages/bench/src/banyanbank_bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Costs of the real classes, from which the capacity page is worked out."""
--- a/packages/cli/src/banyanbank_cli/_commands.py
+++ b/packages/cli/src/banyanbank_cli/_commands.py
@@ -66,10 +66,10 @@
 
     def execute(self, command: Command) -> None:
         """Runs a command, prints its text, and exits if it failed."""
-        token = self._read(self._secret_file).strip()
+        token = read_text(self._secret_file).strip()
         authority = None
         if self._authority_file:
-            pem = self._read(self._authority_file)
+            pem = read_text(self._authority_file)
             authority = ssl.Certificate.loadPEM(pem.encode())
 
         async def main() -> _operator.CommandResult:
@@ -84,14 +84,6 @@
             raise SystemExit(EXIT_FAILED)
         sys.stdout.write(ending.unwrap())
 
-    def _read(self, path: str) -> str:
-        if not path:
-            return ""
-        try:
-            return pathlib.Path(path).read_text(encoding="utf-8")
-        except (OSError, ValueError) as exc:
-            raise UsageError(f"{path} cannot be read: {exc}") from exc
-
 
 class Keys:
     """Keys of client accounts."""
@@ -142,7 +134,7 @@
         """Submits one group of samples."""
         text = prompt
         if prompt_file:
-            text = pathlib.Path(prompt_file).read_text(encoding="utf-8")
+            text = read_text(prompt_file)
         call = _rollouts.submit_call(
             trainer,
             _number("step", step),
@@ -304,6 +296,23 @@
     return importlib.import_module(f"banyanbank_cli.{name}")
 
 
+def read_text(path: str) -> str:
+    """Returns the text of a file that the command line names.
+
+    Args:
+        path: The file; empty for none, which gives an empty text.
+
+    Raises:
+        UsageError: The file cannot be read.
+    """
+    if not path:
+        return ""
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError) as exc:
+        raise UsageError(f"{path} cannot be read: {exc}") from exc
+
+
 def warn(text: str) -> None:
     """Writes a line to standard error."""
     sys.stderr.write(text + "\n")
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -81,6 +81,7 @@
             ("status", "--token-file", "/nowhere"),
             ("status", "--server", "http://localhost:1"),
             ("timeline", "--epoch", "-1"),
+            ("rollout", "submit", "a", "0", "0", "--prompt-file", "/nowhere"),
         )
         for arguments in cases:
             with self.subTest(arguments=arguments):
