Grant engine slots instead of passing answers through owners; end keyed streams when stale

Cause: every event of an answer crossed two processes; the loss of an owner cut answers; an isolated entry let streams run on under keys that might be withdrawn; an engine that left and came back kept its retired queue. Change: owners grant and get slots back, entries talk to engines; 0.5 s after freshness ends keyed requests in progress end; a retired queue is replaced.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_active.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_active.py
@@ -63,10 +63,24 @@
 
     def withdraw_key(self, key_id: base.KeyId) -> None:
         """Ends every request in progress under a withdrawn key."""
-        refusal = base.Refusal(
+        self._end(
+            key_id,
             base.RefusalReason.KEY_WITHDRAWN,
-            base.Outcome.MAY_HAVE_RUN,
             "The key was withdrawn while the request was in progress.",
         )
+
+    def end_keyed(self) -> None:
+        """Ends every keyed request: whether its key still holds is unknown."""
+        for key_id in [key_id for key_id in self._by_key if key_id]:
+            self._end(
+                key_id,
+                base.RefusalReason.CONFIGURATION_STALE,
+                "This instance cannot be sure any more that the key holds.",
+            )
+
+    def _end(
+        self, key_id: base.KeyId, reason: base.RefusalReason, detail: str
+    ) -> None:
+        refusal = base.Refusal(reason, base.Outcome.MAY_HAVE_RUN, detail)
         for exchange in list(self._by_key.get(key_id, ())):
             exchange.refuse(refusal)
--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -173,11 +173,14 @@
         self, endpoint: base.EndpointId, ended: _jobs.JobEnded
     ) -> None:
         """Takes in the load that an owner told with an answer."""
+        load = ended.load
+        if load is None:
+            return
         self._loads[endpoint] = LoadReport(
-            tokens=ended.queue_tokens,
-            requests=ended.queue_requests,
-            tokens_per_s=ended.tokens_per_s or DEFAULT_TOKENS_PER_S,
-            token_s=ended.token_s,
+            tokens=load.tokens,
+            requests=load.requests,
+            tokens_per_s=load.tokens_per_s or DEFAULT_TOKENS_PER_S,
+            token_s=load.token_s,
             heard_at=self._clock.now(),
         )
 
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -240,7 +240,11 @@
         for key_id in key_ids:
             self.around.recorder.record("key.withdrawn", key=key_id)
             self.entry.active.withdraw_key(key_id)
-            self.dispatch.host.withdraw_key(key_id)
+            self.dispatch.queues.withdraw_key(key_id)
+
+    def config_stale(self) -> None:
+        """Ends keyed requests: their keys may have been withdrawn."""
+        self.entry.active.end_keyed()
 
     def config_changed(self) -> None:
         """Takes in limits that have changed."""
--- a/packages/daemon/src/banyanbank_daemon/_jobs/__init__.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/__init__.py
@@ -1,40 +1,44 @@
-"""Model jobs: one request to one engine, run at the engine's owner."""
+"""Model jobs: one request to one engine, in a slot that its owner grants."""
 
-from banyanbank_daemon._jobs._host import EngineHost
-from banyanbank_daemon._jobs._messages import JOB_CODEC
-from banyanbank_daemon._jobs._messages import JOB_EVENT_CODEC
+from banyanbank_daemon._jobs._engine import EngineClient
+from banyanbank_daemon._jobs._failures import JobResult
 from banyanbank_daemon._jobs._messages import JobChunk
 from banyanbank_daemon._jobs._messages import JobEnded
-from banyanbank_daemon._jobs._messages import JobEvent
 from banyanbank_daemon._jobs._messages import JobFailed
 from banyanbank_daemon._jobs._messages import JobRunner
 from banyanbank_daemon._jobs._messages import JobSink
 from banyanbank_daemon._jobs._messages import ModelJob
+from banyanbank_daemon._jobs._messages import QueueLoad
 from banyanbank_daemon._jobs._messages import SinkClosed
 from banyanbank_daemon._jobs._messages import VersionCount
-from banyanbank_daemon._jobs._remote import JobServer
-from banyanbank_daemon._jobs._remote import METHOD
-from banyanbank_daemon._jobs._remote import RemoteJobRunner
+from banyanbank_daemon._jobs._queues import EngineQueues
+from banyanbank_daemon._jobs._runners import GRANT_METHOD
+from banyanbank_daemon._jobs._runners import GrantServer
+from banyanbank_daemon._jobs._runners import LocalJobRunner
+from banyanbank_daemon._jobs._runners import RELEASE_METHOD
+from banyanbank_daemon._jobs._runners import RemoteJobRunner
 from banyanbank_daemon._jobs._sse import EngineEvent
 from banyanbank_daemon._jobs._sse import EventStreamError
 from banyanbank_daemon._jobs._sse import EventStreamParser
 
 __all__ = [
-    "JOB_CODEC",
-    "JOB_EVENT_CODEC",
-    "METHOD",
+    "GRANT_METHOD",
+    "RELEASE_METHOD",
+    "EngineClient",
     "EngineEvent",
-    "EngineHost",
+    "EngineQueues",
     "EventStreamError",
     "EventStreamParser",
+    "GrantServer",
     "JobChunk",
     "JobEnded",
-    "JobEvent",
     "JobFailed",
+    "JobResult",
     "JobRunner",
-    "JobServer",
     "JobSink",
+    "LocalJobRunner",
     "ModelJob",
+    "QueueLoad",
     "RemoteJobRunner",
     "SinkClosed",
     "VersionCount",
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
@@ -0,0 +1,137 @@
+"""Runs a job on its engine, once a slot was granted."""
+
+import typing
+
+import attrs
+import banyanbank_base as base
+from returns import result
+from twisted.internet import defer
+
+from banyanbank_daemon import _upstream
+from banyanbank_daemon._jobs import _failures
+from banyanbank_daemon._jobs import _messages
+from banyanbank_daemon._jobs import _sse
+from banyanbank_daemon._jobs import _tally
+
+EngineUrl = typing.Callable[[str], str | None]
+
+
+class EngineClient:
+    """Sends jobs to engines and passes their events on.
+
+    Args:
+        clock: Clock that deadlines are told on.
+        upstream: HTTP client.
+        recorder: Takes time line events.
+        engine_url: Gives an engine's base URL; None once it is gone.
+    """
+
+    def __init__(
+        self,
+        clock: base.Clock,
+        upstream: _upstream.Upstream,
+        recorder: base.Recorder,
+        engine_url: EngineUrl,
+    ) -> None:
+        self._clock = clock
+        self._upstream = upstream
+        self._recorder = recorder
+        self._engine_url = engine_url
+
+    async def run(
+        self,
+        job: _messages.ModelJob,
+        deadline: float,
+        sink: _messages.JobSink,
+    ) -> _failures.JobResult:
+        """Runs a job to its end.
+
+        Args:
+            job: What to run.
+            deadline: When to give up, on the monotonic clock.
+            sink: Takes the events; ends the job once it is closed.
+        """
+        url = self._engine_url(job.endpoint)
+        if url is None:
+            return _failures.failed(
+                base.RefusalReason.NO_ENDPOINT,
+                base.Outcome.NOT_RUN,
+                "The engine has left.",
+            )
+        self._recorder.record(
+            "job.sent", request=job.request_id, endpoint=job.endpoint
+        )
+        req = _upstream.UpstreamRequest(
+            method="POST",
+            url=url + job.path,
+            headers=_engine_headers(job),
+            body=job.body,
+            deadline=deadline,
+        )
+        started_at = self._clock.now()
+        sending = defer.ensureDeferred(self._upstream.send(req))
+        running = _Running(sending.cancel)
+        sink.on_closed(running.end)
+        sent = await sending
+        if isinstance(sent, result.Failure):
+            return _failures.from_upstream(sent.failure())
+        response = sent.unwrap()
+        running.cancel = response.cancel
+        try:
+            return await self._relay(job, response, sink, started_at)
+        except _messages.SinkClosed:
+            return _failures.broken("The caller is gone.")
+        finally:
+            response.cancel()
+
+    async def _relay(
+        self,
+        job: _messages.ModelJob,
+        response: _upstream.UpstreamResponse,
+        sink: _messages.JobSink,
+        started_at: float,
+    ) -> _failures.JobResult:
+        problem = _failures.check_head(job, response)
+        if problem is not None:
+            return problem
+        parser = _sse.EventStreamParser()
+        tally = _tally.Tally()
+        while True:
+            chunk = await response.next_chunk()
+            if isinstance(chunk, result.Failure):
+                return _failures.from_upstream(chunk.failure())
+            data = chunk.unwrap()
+            if not data:
+                break
+            try:
+                events = parser.feed(data)
+            except _sse.EventStreamError as exc:
+                return _failures.broken(str(exc))
+            for event in events:
+                tally.add(event)
+                await sink.emit(_messages.JobChunk(event.data))
+        if not parser.is_done or tally.usage is None:
+            return _failures.broken("The stream ended before its end mark.")
+        self._recorder.record(
+            "job.ended", request=job.request_id, endpoint=job.endpoint
+        )
+        return result.Success(tally.ended(self._clock.now() - started_at))
+
+
+@attrs.define
+class _Running:
+    """What ends a job now: its sending, later its answer."""
+
+    cancel: typing.Callable[[], None]
+
+    def end(self) -> None:
+        self.cancel()
+
+
+def _engine_headers(job: _messages.ModelJob) -> tuple[tuple[str, str], ...]:
+    return (
+        ("content-type", "application/json"),
+        ("accept", "text/event-stream"),
+        ("x-request-id", job.request_id),
+        ("x-priority", job.kind),
+    )
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -60,6 +60,38 @@
     """JSON text of the event."""
 
 
+@attrs.frozen
+class QueueLoad:
+    """Load of one engine's queue."""
+
+    tokens: float
+    """Estimated tokens that wait and run."""
+    requests: int
+    """Requests that wait and run."""
+    tokens_per_s: float
+    """Smoothed service rate."""
+    token_s: float
+    """Seconds between tokens of one stream; 0 when unknown."""
+
+
+@attrs.frozen
+class JobGranted:
+    """The job may go to its engine now."""
+
+    load: QueueLoad
+    """Load of the engine's queue."""
+
+
+@attrs.frozen
+class JobReleased:
+    """The job has ended; its slot is free."""
+
+    request_id: str
+    """Id of the job."""
+    used_tokens: int
+    """Tokens of prompt and answer; 0 when none were made."""
+
+
 @attrs.frozen
 class JobEnded:
     """The engine's answer is whole."""
@@ -74,14 +106,12 @@
     """Milliseconds that the engine worked on the request."""
     stretches: tuple[VersionCount, ...]
     """Weight versions that made the tokens, in order."""
-    queue_tokens: float = 0.0
-    """Tokens still waiting and running at the engine, as its owner knows."""
-    queue_requests: int = 0
-    """Requests still waiting and running there."""
-    tokens_per_s: float = 0.0
-    """Rate of the engine, as its owner sees it; 0 when unknown."""
-    token_s: float = 0.0
-    """Seconds between tokens of one stream; 0 when unknown."""
+    load: QueueLoad | None = None
+    """Load of the engine's queue as its owner told; None when unknown."""
+
+    def with_load(self, load: QueueLoad) -> "JobEnded":
+        """Returns the same end with the load of the engine's queue."""
+        return attrs.evolve(self, load=load)
 
 
 @attrs.frozen
@@ -117,11 +147,10 @@
         )
 
 
-JobEvent = JobChunk | JobEnded | JobFailed
+Grant = JobGranted | JobFailed
 JOB_CODEC: base.Codec[ModelJob] = base.Codec(ModelJob)
-JOB_EVENT_CODEC: base.Codec[JobEvent] = base.Codec(
-    JobChunk, JobEnded, JobFailed
-)
+GRANT_CODEC: base.Codec[Grant] = base.Codec(JobGranted, JobFailed)
+RELEASE_CODEC: base.Codec[JobReleased] = base.Codec(JobReleased)
 
 
 class JobSink(typing.Protocol):
@@ -141,7 +170,7 @@
 
 
 class JobRunner(typing.Protocol):
-    """Runs jobs, here or at another instance."""
+    """Runs jobs in slots granted here or by another instance."""
 
     async def run(
         self, job: ModelJob, sink: JobSink
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
@@ -0,0 +1,231 @@
+"""Grants engine slots: the queues of the engines that this instance owns."""
+
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_control as control
+import banyanbank_dispatch as dispatch
+from returns import result
+from twisted.internet import defer
+
+from banyanbank_daemon._jobs import _messages
+
+MILLISECONDS = 1_000
+POLL_AGAIN_S = 0.2
+
+OnClosed = typing.Callable[[typing.Callable[[], None]], None]
+NewQueue = typing.Callable[[str], dispatch.EngineQueue]
+
+
+@attrs.define
+class _Waiting:
+    """A job that has not been given an engine slot yet."""
+
+    granted: defer.Deferred[base.Refusal | None]
+    timer: typing.Any
+
+
+class Slot:
+    """An engine slot that a job holds until `release`.
+
+    Args:
+        owner: Queues that granted it.
+        queue: Queue of the engine; kept here, since an engine that leaves and
+            comes back gets a new one.
+        job: The job.
+    """
+
+    def __init__(
+        self,
+        owner: "EngineQueues",
+        queue: dispatch.EngineQueue,
+        job: _messages.ModelJob,
+    ) -> None:
+        self._owner = owner
+        self._queue = queue
+        self._job = job
+        self._is_held = True
+
+    def load(self) -> _messages.QueueLoad:
+        """Returns the load of the engine's queue now."""
+        status = self._queue.status()
+        return _messages.QueueLoad(
+            tokens=status.waiting_tokens + status.running_tokens,
+            requests=status.waiting + status.running,
+            tokens_per_s=status.tokens_per_s,
+            token_s=status.token_s,
+        )
+
+    def release(self, used_tokens: int) -> None:
+        """Gives the slot back; a second call does nothing.
+
+        Args:
+            used_tokens: Tokens of prompt and answer; 0 when none were made.
+        """
+        if self._is_held:
+            self._is_held = False
+            self._owner.finish(self._queue, self._job, used_tokens)
+
+
+class EngineQueues:
+    """Queues of the engines owned here.
+
+    Args:
+        reactor: Carries timers.
+        clock: Clock that deadlines are told on.
+        new_queue: Makes the queue of an engine seen for the first time.
+        authenticator: Checks keys again when queued work goes out.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: base.Clock,
+        new_queue: NewQueue,
+        authenticator: control.Authenticator,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._new_queue = new_queue
+        self._authenticator = authenticator
+        self._waiting: dict[str, _Waiting] = {}
+        self.queues: dict[str, dispatch.EngineQueue] = {}
+
+    async def acquire(
+        self, job: _messages.ModelJob, on_closed: OnClosed
+    ) -> result.Result[Slot, _messages.JobFailed]:
+        """Waits for a slot of the job's engine.
+
+        Args:
+            job: What is to run.
+            on_closed: Registers what to do once nobody waits any more.
+        """
+        if job.endpoint not in self.queues:
+            self.queues[job.endpoint] = self._new_queue(job.endpoint)
+        queue = self.queues[job.endpoint]
+        refusal = await self._wait(queue, job, on_closed)
+        if refusal is not None:
+            return result.Failure(_messages.JobFailed.from_refusal(refusal))
+        # The key may have been withdrawn while the job was queued.
+        refusal = self._recheck_key(job)
+        if refusal is not None:
+            self.finish(queue, job, 0)
+            return result.Failure(_messages.JobFailed.from_refusal(refusal))
+        return result.Success(Slot(self, queue, job))
+
+    def finish(
+        self,
+        queue: dispatch.EngineQueue,
+        job: _messages.ModelJob,
+        used_tokens: int,
+    ) -> None:
+        """Frees a slot and gives it to the next job."""
+        queue.finish(
+            base.RequestId(job.request_id), used_tokens, self._clock.now()
+        )
+        self._pump(queue)
+
+    def withdraw_key(self, key_id: base.KeyId) -> None:
+        """Refuses queued jobs of a withdrawn key; entries end running ones."""
+        refusal = base.Refusal(
+            base.RefusalReason.KEY_WITHDRAWN,
+            base.Outcome.NOT_RUN,
+            "The key was withdrawn while the request was queued.",
+        )
+        for queue in self.queues.values():
+            for work in queue.withdraw_key(key_id).dropped:
+                self._settle(work.request_id, refusal)
+
+    def retire(self, endpoint: str) -> None:
+        """Hands back the queued jobs of an engine that leaves.
+
+        What runs keeps its slot in the old queue; an engine that comes back
+        gets a new one.
+        """
+        refusal = base.Refusal(
+            base.RefusalReason.NO_ENDPOINT,
+            base.Outcome.NOT_RUN,
+            "The engine leaves; the request goes to another one.",
+        )
+        queue = self.queues.pop(endpoint, None)
+        for work in queue.retire() if queue is not None else ():
+            self._settle(work.request_id, refusal)
+
+    async def _wait(
+        self,
+        queue: dispatch.EngineQueue,
+        job: _messages.ModelJob,
+        on_closed: OnClosed,
+    ) -> base.Refusal | None:
+        now = self._clock.now()
+        deadline = now + job.remaining_ms / MILLISECONDS
+        offered = queue.offer(_work_of(job, deadline), now)
+        if isinstance(offered, result.Failure):
+            return offered.failure()
+        granted: defer.Deferred[base.Refusal | None] = defer.Deferred()
+        timer = self._reactor.callLater(
+            max(0.0, deadline - now), self._expire, job.request_id, queue
+        )
+        self._waiting[job.request_id] = _Waiting(granted, timer)
+        on_closed(lambda: self._abandon(job.request_id, queue))
+        self._pump(queue)
+        return await granted
+
+    def _pump(self, queue: dispatch.EngineQueue) -> None:
+        for expired in queue.expire(self._clock.now()):
+            self._settle(expired.request_id, dispatch.expired_refusal())
+        while (work := queue.next(self._clock.now())) is not None:
+            self._settle(work.request_id, None)
+
+    def _recheck_key(self, job: _messages.ModelJob) -> base.Refusal | None:
+        if not job.key_id:
+            return None
+        if self._authenticator.view.revision < job.revision:
+            return base.Refusal(
+                base.RefusalReason.CONFIGURATION_STALE,
+                base.Outcome.NOT_RUN,
+                "The engine's owner has yet to learn the configuration.",
+                retry_after=POLL_AGAIN_S,
+            )
+        principal = control.Principal(
+            base.AccountId(job.account), base.KeyId(job.key_id)
+        )
+        return self._authenticator.recheck(principal, self._clock.now())
+
+    def _expire(self, request_id: str, queue: dispatch.EngineQueue) -> None:
+        queue.cancel(base.RequestId(request_id))
+        self._settle(request_id, dispatch.expired_refusal())
+
+    def _abandon(self, request_id: str, queue: dispatch.EngineQueue) -> None:
+        if request_id not in self._waiting:
+            return
+        queue.cancel(base.RequestId(request_id))
+        refusal = base.Refusal(
+            base.RefusalReason.DEADLINE_EXCEEDED,
+            base.Outcome.NOT_RUN,
+            "The caller is gone.",
+        )
+        self._settle(request_id, refusal)
+
+    def _settle(self, request_id: str, refusal: base.Refusal | None) -> None:
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is None:
+            return
+        if waiting.timer.active():
+            waiting.timer.cancel()
+        waiting.granted.callback(refusal)
+
+
+def _work_of(job: _messages.ModelJob, deadline: float) -> dispatch.Work:
+    return dispatch.Work(
+        request_id=base.RequestId(job.request_id),
+        account=base.AccountId(job.account),
+        key_id=base.KeyId(job.key_id),
+        kind=dispatch.WorkKind(job.kind),
+        cost_tokens=job.cost_tokens,
+        prefix=job.prefix,
+        deadline=deadline,
+        idempotent=True,
+        weight=job.weight,
+    )
--- a/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
@@ -21,7 +21,7 @@
 
     upstream: _upstream.Upstream
     """HTTP client."""
-    host: _jobs.EngineHost
+    queues: _jobs.EngineQueues
     """Queues of the engines owned here."""
     fleet: _fleet.Fleet
     """Endpoints and their owners."""
@@ -38,10 +38,9 @@
         serving = {
             announcement.endpoint for announcement in self.fleet.serving()
         }
-        for endpoint in list(self.host.queues):
+        for endpoint in list(self.queues.queues):
             if endpoint not in serving:
-                self.host.retire(base.EndpointId(endpoint))
-                self.host.forget(base.EndpointId(endpoint))
+                self.queues.retire(endpoint)
 
 
 def build_dispatch(
@@ -55,28 +54,30 @@
     clock = around.clock
     upstream = _upstream.Upstream(around.reactor, clock)
     directory = _fleet.Directory(identity.name, clock, control_parts.entry)
-    host = _jobs.EngineHost(
+    queues = _jobs.EngineQueues(
         around.reactor,
         clock,
-        upstream,
-        around.recorder,
-        directory.url_of,
         lambda endpoint: _new_queue(endpoint, directory.slots_of(endpoint)),
         control_parts.entry.authenticator,
     )
-    transport.on_stream(_jobs.METHOD, _jobs.JobServer(host).serve)
+    server = _jobs.GrantServer(queues)
+    transport.on_stream(_jobs.GRANT_METHOD, server.serve_grant)
+    transport.on_call(_jobs.RELEASE_METHOD, server.serve_release)
+    engines = _jobs.EngineClient(
+        clock, upstream, around.recorder, directory.url_of
+    )
     fleet = _fleet.Fleet(
         clock,
         directory,
-        host,
-        lambda peer: _jobs.RemoteJobRunner(transport, peer, clock),
+        _jobs.LocalJobRunner(clock, queues, engines),
+        lambda peer: _jobs.RemoteJobRunner(transport, peer, clock, engines),
     )
     router = dispatch.Router(domain, around.rng)
     retries = dispatch.RetryPolicy(around.rng)
     dispatcher = _dispatcher.Dispatcher(
         around.reactor, clock, fleet, router, retries, control_parts.usage
     )
-    return DispatchParts(upstream, host, fleet, router, retries, dispatcher)
+    return DispatchParts(upstream, queues, fleet, router, retries, dispatcher)
 
 
 def _new_queue(endpoint: str, slots: int) -> dispatch.EngineQueue:
--- a/packages/daemon/src/banyanbank_daemon/_status.py
+++ b/packages/daemon/src/banyanbank_daemon/_status.py
@@ -87,7 +87,7 @@
 
 def _queues(instance: "_instance.Instance") -> list[dict[str, typing.Any]]:
     documents = []
-    for endpoint, queue in sorted(instance.dispatch.host.queues.items()):
+    for endpoint, queue in sorted(instance.dispatch.queues.queues.items()):
         status = queue.status()
         documents.append(
             {
--- a/packages/daemon/src/banyanbank_daemon/_sync/_client.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_client.py
@@ -14,6 +14,8 @@
 from banyanbank_daemon._sync import _server
 
 CALL_S = 1.0
+STALE_GRACE_S = 0.5
+"""Time past freshness at which keyed requests in progress end."""
 
 Reply = control.SyncReply | control.SyncRefused | None
 
@@ -25,6 +27,10 @@
         """Ends what runs and waits under withdrawn keys."""
         ...
 
+    def config_stale(self) -> None:
+        """Ends what needs a configuration that is surely in force."""
+        ...
+
     def config_changed(self) -> None:
         """Takes in a new revision of the configuration."""
         ...
@@ -95,7 +101,10 @@
         )
 
     async def _exchange(self) -> None:
-        req = self._entry.request(self._clock.now())
+        now = self._clock.now()
+        if now > self._entry.gate.deadline + STALE_GRACE_S:
+            self._listener.config_stale()
+        req = self._entry.request(now)
         reply = await self._ask(req)
         if not isinstance(reply, control.SyncReply):
             return
