Bound the withdrawn keys that an entry remembers

Cause: an entry kept the hash of every key that it had seen withdrawn, for as long as it ran.

Change: it keeps the newest 4,096, to tell a withdrawn key from an unknown one; both are refused. The bounded map takes a key that it holds already.

--- a/packages/control/src/banyanbank_control/_fifo.py
+++ b/packages/control/src/banyanbank_control/_fifo.py
@@ -26,13 +26,15 @@
     """Number of the next entry."""
 
     def with_entry(self, key: K, value: V) -> "FifoMap[K, V]":
-        """Returns a map with a new entry, less the oldest when full.
+        """Returns a map with an entry, less the oldest when full.
 
         Args:
-            key: A key that is not in the map.
+            key: A new key, or one that keeps its place.
             value: Its value.
         """
         entries = self.entries.set(key, value)
+        if key in self.entries:
+            return attrs.evolve(self, entries=entries)
         order = self.order.set(self.next, key)
         first = self.first
         if len(entries) > self.limit:
--- a/packages/control/src/banyanbank_control/sync/_authenticator.py
+++ b/packages/control/src/banyanbank_control/sync/_authenticator.py
@@ -81,7 +81,7 @@
         key = self.view.keys.get(digest)
         if key and hmac.compare_digest(key.secret_sha256, digest):
             return returns.result.Success(Principal(key.account, key.key_id))
-        if digest in self.view.withdrawn:
+        if self.view.withdrawn.get(digest) is not None:
             return returns.result.Failure(_withdrawn())
         return returns.result.Failure(
             _refusal(
--- a/packages/control/src/banyanbank_control/sync/_view.py
+++ b/packages/control/src/banyanbank_control/sync/_view.py
@@ -4,11 +4,17 @@
 import banyanbank_base as base
 import immutables
 
+from banyanbank_control import _fifo
 from banyanbank_control import config
 from banyanbank_control import declarations
 from banyanbank_control.sync import _messages
 
 _KEY = declarations.Kind.KEY.value
+_WITHDRAWN_KEPT = 4096
+
+
+def _no_keys() -> _fifo.FifoMap[str, base.KeyId]:
+    return _fifo.FifoMap(_WITHDRAWN_KEPT)
 
 
 @attrs.frozen
@@ -41,8 +47,9 @@
         immutables.Map
     )
     """The same keys by their id."""
-    withdrawn: immutables.Map[str, base.KeyId] = attrs.Factory(immutables.Map)
-    """Keys seen withdrawn, by the hash of their secret."""
+    withdrawn: _fifo.FifoMap[str, base.KeyId] = attrs.Factory(_no_keys)
+    """Newest keys seen withdrawn, by the hash of their secret: they are told
+    apart from secrets that were never known."""
 
     def updated(self, reply: _messages.SyncReply) -> ViewUpdate:
         """Takes in a leader's reply."""
@@ -80,11 +87,10 @@
 
     def _with_whole(self, whole: _messages.ConfigWhole) -> "ConfigView":
         keys = {key.secret_sha256: key for key in whole.declared.keys}
-        gone = {
-            digest: key.key_id
-            for digest, key in self.keys.items()
-            if digest not in keys
-        }
+        withdrawn = self.withdrawn
+        for digest, key in self.keys.items():
+            if digest not in keys:
+                withdrawn = withdrawn.with_entry(digest, key.key_id)
         return attrs.evolve(
             self,
             revision=whole.revision,
@@ -99,7 +105,7 @@
             key_ids=immutables.Map(
                 {key.key_id: key for key in whole.declared.keys}
             ),
-            withdrawn=self.withdrawn.update(gone),
+            withdrawn=withdrawn,
         )
 
     def _with_delta(self, delta: config.Delta) -> "ConfigView":
@@ -137,5 +143,5 @@
             self,
             keys=self.keys.delete(key.secret_sha256),
             key_ids=self.key_ids.delete(key_id),
-            withdrawn=self.withdrawn.set(key.secret_sha256, key_id),
+            withdrawn=self.withdrawn.with_entry(key.secret_sha256, key_id),
         )
