Void a claim that commits after its attempt was given up

Cause: an entry that gets no reply to its claim answers "not run" and gives it up.

Change: the newest 4,096 attempts given up are remembered; their late claims are refused.

--- a/packages/control/src/banyanbank_control/intents/_apply.py
+++ b/packages/control/src/banyanbank_control/intents/_apply.py
@@ -53,6 +53,12 @@
     held = state.intents.get((cmd.account, cmd.idempotency_key))
     if held is not None:
         return state, _answer_held(held, cmd, lives_over)
+    if state.abandoned.get(cmd.request_id):
+        # A claim that was under way while its attempt was given up would
+        # block the caller's next attempt for the whole retention.
+        return state, commands.Rejected(
+            commands.RejectReason.STALE, "This attempt was given up."
+        )
     retention = cmd.retain_until - cmd.begun_at
     if not (math.isfinite(cmd.begun_at) and 0 < retention <= MAX_RETENTION_S):
         return state, commands.Rejected(
@@ -132,14 +138,15 @@
     """Forgets a claim whose attempt provably did not run."""
     held = state.intents.get((cmd.account, cmd.idempotency_key))
     if held is None:
-        return state, commands.IntentClosed()
+        return state.with_abandoned(cmd.request_id), commands.IntentClosed()
     if held.request_id != cmd.request_id:
         return state, _not_held(cmd.request_id)
     if _lifecycles.INTENT.next(held.status.value, "abandon") is None:
         return state, commands.Rejected(
             commands.RejectReason.INVALID, "The request has run."
         )
-    return state.without(held), commands.IntentClosed()
+    after = state.without(held).with_abandoned(cmd.request_id)
+    return after, commands.IntentClosed()
 
 
 def _not_held(request_id: base.RequestId) -> commands.Rejected:
--- a/packages/control/src/banyanbank_control/intents/_state.py
+++ b/packages/control/src/banyanbank_control/intents/_state.py
@@ -10,12 +10,17 @@
 import cbor2
 import immutables
 
+from banyanbank_control import _fifo
+
 BUCKET_S = 60.0
 """Width of an expiry bucket, in seconds."""
 
 CLOCK_MARGIN_S = 60.0
 """Difference of wall clocks that never shortens a retention, in seconds."""
 
+ABANDONED_KEPT = 4096
+"""Attempts given up that are remembered."""
+
 IntentKey = tuple[str, str]
 """Client account and idempotency key."""
 
@@ -83,11 +88,17 @@
     """Field of each value of a row."""
     rows: bytes
     """CBOR array of rows, sorted by account and idempotency key."""
+    abandoned: tuple[base.RequestId, ...] = ()
+    """Newest attempts given up, oldest first."""
 
 
 _Bucket = immutables.Map[IntentKey, None]
 
 
+def _no_attempts() -> _fifo.FifoMap[base.RequestId, bool]:
+    return _fifo.FifoMap(ABANDONED_KEPT)
+
+
 @attrs.frozen
 class IntentState:
     """Every intent within its retention."""
@@ -100,6 +111,8 @@
     """Intents kept by account; accounts without any are absent."""
     answer_bytes: int = 0
     """Bytes of all answers kept."""
+    abandoned: _fifo.FifoMap[base.RequestId, bool] = attrs.Factory(_no_attempts)
+    """Newest attempts given up: a claim of theirs that comes late is void."""
 
     def with_intent(self, intent: Intent) -> "IntentState":
         """Returns the state with a new intent."""
@@ -110,8 +123,14 @@
             self.buckets.set(intent.bucket, bucket.set(intent.key, None)),
             self.counts.set(intent.account, count),
             self.answer_bytes + len(intent.answer or b""),
+            self.abandoned,
         )
 
+    def with_abandoned(self, request_id: base.RequestId) -> "IntentState":
+        """Returns the state with one more attempt given up."""
+        abandoned = self.abandoned.with_entry(request_id, True)
+        return attrs.evolve(self, abandoned=abandoned)
+
     def with_answer(
         self, intent: Intent, answer: bytes | None
     ) -> "IntentState":
@@ -134,6 +153,7 @@
             buckets.set(intent.bucket, bucket) if bucket else buckets,
             counts.set(intent.account, left) if left else counts,
             self.answer_bytes - len(intent.answer or b""),
+            self.abandoned,
         )
 
     def record(self) -> IntentRecord:
@@ -143,7 +163,8 @@
             for row in map(_row_of, self.intents.values())
         ]
         rows.sort(key=operator.itemgetter(0, 1))
-        return IntentRecord(_ROW, cbor2.dumps(rows))
+        abandoned = tuple(name for name, _ in self.abandoned.items())
+        return IntentRecord(_ROW, cbor2.dumps(rows), abandoned)
 
     @classmethod
     def from_record(cls, record: IntentRecord) -> "IntentState":
@@ -158,6 +179,9 @@
         buckets: dict[int, dict[IntentKey, None]] = {}
         counts: dict[base.AccountId, int] = {}
         answer_bytes = 0
+        abandoned = _no_attempts()
+        for request_id in record.abandoned:
+            abandoned = abandoned.with_entry(request_id, True)
         for row in cbor2.loads(record.rows):
             row[_STATUS] = IntentStatus(row[_STATUS])
             intent = Intent(*row)
@@ -173,4 +197,5 @@
             immutables.Map(filled),
             immutables.Map(counts),
             answer_bytes,
+            abandoned,
         )
--- a/tests/control/stateful/mutants.py
+++ b/tests/control/stateful/mutants.py
@@ -239,6 +239,9 @@
     "another attempt abandons the claim": _wrapped(
         intents, "abandon", _abandon_any
     ),
+    "attempt given up is forgotten": _replaced(
+        control.IntentState, "with_abandoned", lambda self, request_id: self
+    ),
     "intent expires without clock margin": _replaced(
         intents_state, "CLOCK_MARGIN_S", 0.0
     ),
--- a/tests/control/stateful/world.py
+++ b/tests/control/stateful/world.py
@@ -261,6 +261,9 @@
             return None
         cmd = attempt.cmd
         self._end(self.entries[name], attempt, control.AbandonIntent)
+        self.commit(cmd)
+        held = self.state.intents.intents
+        assert (cmd.account, cmd.idempotency_key) not in held, "It is blocked."
         return control.AbandonIntent(
             cmd.account, cmd.idempotency_key, cmd.request_id
         )
--- a/tests/control/test_intents.py
+++ b/tests/control/test_intents.py
@@ -71,6 +71,17 @@
                 (ABANDON, rejected),
                 (attrs.evolve(SECOND, request_id="r3"), open_),
             ],
+            "claim that comes after its abandonment": [
+                (ABANDON, closed),
+                (BEGIN, rejected),
+                (SECOND, begun),
+            ],
+            "claim that comes again after its abandonment": [
+                (BEGIN, begun),
+                (ABANDON, closed),
+                (BEGIN, rejected),
+                (SECOND, begun),
+            ],
             "abandon after answer": [
                 (BEGIN, begun),
                 (COMPLETE, closed),
@@ -179,3 +190,9 @@
             ],
         )
         self.assertEqual(self.machine.state.intents, intents.IntentState())
+
+    def test_snapshot_keeps_attempts_given_up(self) -> None:
+        samples.send(self.machine, ABANDON)
+        other = control.ControlMachine()
+        other.restore(self.machine.snapshot())
+        self.assertEqual(other.state, self.machine.state)
