Start nothing that no engine can make fresh enough

Cause: between a publication and the first swap no engine serves a version within a tight bound; attempts started then were stale at their first token.

Change: a slot waits until an engine serves a version within its bound, and StartAttempt.min_version tells the dispatcher which engines would waste it.

Conclusion: the dispatcher should leave out engines below min_version.

--- a/packages/rollout/src/banyanbank_rollout/_effects.py
+++ b/packages/rollout/src/banyanbank_rollout/_effects.py
@@ -43,6 +43,8 @@
     """Endpoints that run another attempt of the slot, or just failed it."""
     supersedes: str = ""
     """Goes into `RecordSample.supersedes`; empty for none."""
+    min_version: base.WeightVersion | None = None
+    """Oldest version that is within the bound; engines below waste it."""
 
 
 @attrs.frozen
--- a/packages/rollout/src/banyanbank_rollout/_starts.py
+++ b/packages/rollout/src/banyanbank_rollout/_starts.py
@@ -134,12 +134,15 @@
     def _is_too_early(
         self, plan: _plan.StepPlan, group: _state.GroupState
     ) -> bool:
-        if not self.cfg.forecasts:
-            return False
         model = plan.state.model
         newest = self.ledger.newest_version(model)
         lag = newest - self.freshest.get(model, newest)
         slack = group.spec.staleness_bound - lag
+        if slack < 0:
+            # No engine has loaded what the bound asks for.
+            return True
+        if not self.cfg.forecasts:
+            return False
         return self.forecast.is_too_early(model, plan.older, slack, self.now)
 
     def _attempt(
@@ -162,4 +165,7 @@
             seed=zlib.crc32(str(slot).encode()),
             resume_from=resume_from,
             avoid=retry.avoid,
+            min_version=base.WeightVersion(
+                max(0, newest - group.spec.staleness_bound)
+            ),
         )
--- a/tests/rollout/test_scheduler.py
+++ b/tests/rollout/test_scheduler.py
@@ -50,6 +50,15 @@
         self.assertEqual(len(self.decide(slots=1)), 1)
         self.assertEqual(self.decide(slots=0), ())
 
+    def test_waits_for_weights_that_the_bound_asks_for(self) -> None:
+        self.run_one(cases.publish(4))
+        for version, starts in ((2, 0), (3, 2), (4, 2)):
+            versions = (base.WeightVersion(version),)
+            with self.subTest(version=version):
+                effects = self.decide(versions=versions)
+                self.assertEqual(len(effects), starts)
+                self.assertEqual({e.min_version for e in effects} - {3}, set())
+
     def test_proposes_a_whole_step_until_it_is_formed(self) -> None:
         self.run_all(cases.sample(0), cases.sample(1))
         proposal = rollout.ProposeBatch(cases.TRAINER, 0)
