--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -11,6 +11,8 @@
 from banyanbank_daemon import _jobs
 
 DEFAULT_TOKENS_PER_S = 1_000.0
+SERVING_S = 0.05
+"""Seconds for which one look at the endpoints serves all requests."""
 
 
 @attrs.frozen
@@ -19,12 +21,19 @@
 
     tokens: float
     """Tokens waiting and running."""
+    requests: int
+    """Requests waiting and running."""
     tokens_per_s: float
     """Rate of the engine."""
+    token_s: float
+    """Seconds between tokens of one stream; 0 when unknown."""
     heard_at: float
     """Monotonic seconds."""
 
 
+NO_REPORT = LoadReport(0.0, 0, DEFAULT_TOKENS_PER_S, 0.0, 0.0)
+
+
 class Directory:
     """Endpoints and members, as learned from the leader and heard here.
 
@@ -43,10 +52,20 @@
         self.instance = instance
         self._clock = clock
         self._entry = entry
+        self._serving: tuple[control.Announcement, ...] = ()
+        self._serving_until = clock.now()
 
     def serving(self) -> tuple[control.Announcement, ...]:
         """Returns the endpoints that may get new work."""
-        return self._entry.serving(self._clock.now())
+        now = self._clock.now()
+        if now >= self._serving_until:
+            self._serving = self._entry.serving(now)
+            self._serving_until = now + SERVING_S
+        return self._serving
+
+    def note_change(self) -> None:
+        """Makes the next look see endpoints that came or left just now."""
+        self._serving_until = self._clock.now()
 
     def known(self) -> tuple[control.Announcement, ...]:
         """Returns every endpoint, those that leave included."""
@@ -156,7 +175,9 @@
         """Takes in the load that an owner told with an answer."""
         self._loads[endpoint] = LoadReport(
             tokens=ended.queue_tokens,
+            requests=ended.queue_requests,
             tokens_per_s=ended.tokens_per_s or DEFAULT_TOKENS_PER_S,
+            token_s=ended.token_s,
             heard_at=self._clock.now(),
         )
 
@@ -170,16 +191,16 @@
             for served in announcement.models
             if served.model == model
         ]
-        load = self._loads.get(announcement.endpoint)
+        load = self._loads.get(announcement.endpoint, NO_REPORT)
         return dispatch.Candidate(
             endpoint_id=announcement.endpoint,
             failure_domain=announcement.failure_domain,
             slots=announcement.slots,
-            load_tokens=0.0 if load is None else load.tokens,
-            reported_at=0.0 if load is None else load.heard_at,
-            tokens_per_s=(
-                DEFAULT_TOKENS_PER_S if load is None else load.tokens_per_s
-            ),
+            load_tokens=load.tokens,
+            reported_at=load.heard_at,
+            tokens_per_s=load.tokens_per_s,
+            requests=load.requests,
+            token_s=load.token_s,
             version=versions[0] if versions else base.WeightVersion(0),
             reclaimable=announcement.supply is control.Supply.RECLAIMABLE,
         )
