Take the engine's own token count; find half-made swaps by reports; end on a failed log

Cause: the full-report check compared the stretches with their own sum; a resumed text could meet other versions of the same length; a confirmed swap that was not made showed only after a minute; a log that stopped after a disk fault left its process running. Change: token counts come from the engine's final usage; partial texts are kept with their stretches; engines below an attempt's oldest version are left out; a newer report of the old version after a confirmation fails the swap after 3 s; a failed log drains and ends the process; the leader proposes sheets as their changes.

--- a/packages/daemon/src/banyanbank_daemon/_app.py
+++ b/packages/daemon/src/banyanbank_daemon/_app.py
@@ -85,6 +85,7 @@
             disk=disk,
             mesh_tls=_mesh_certificates(settings, recorder),
             caller_tls=_caller_certificates(settings, recorder),
+            on_failed=self._fail_log,
             on_drained=self._reactor.stop,
         )
 
@@ -104,6 +105,11 @@
             logger.error("{}", failure.getTraceback())
         self._reactor.stop()
 
+    def _fail_log(self) -> None:
+        # Whoever supervises the process starts it anew, on another disk.
+        self.has_failed = True
+        self._drain()
+
     def _on_signal(self, number: int, _frame: object) -> None:
         logger.info("signal {}: draining", signal.Signals(number).name)
         self._reactor.callFromThread(self._drain)
--- a/packages/daemon/src/banyanbank_daemon/_control_plane.py
+++ b/packages/daemon/src/banyanbank_daemon/_control_plane.py
@@ -51,6 +51,7 @@
         instance: This instance.
         voters: Instances to ask first.
         node: The log here; None on an instance without a data folder.
+        machine: State machine here; None where there is no log.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         instance: base.InstanceId,
         voters: tuple[base.InstanceId, ...],
         node: consensus.LogNode | None,
+        machine: control.ControlMachine | None,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -68,6 +70,7 @@
         self._instance = instance
         self._voters = voters
         self._node = node
+        self._machine = machine
         self._hint: base.InstanceId | None = None
         self._next_voter = 0
         transport.on_call(PROPOSE_METHOD, self._serve)
@@ -149,7 +152,7 @@
         self, payload: bytes
     ) -> result.Result[bytes, PlaneError]:
         assert self._node is not None
-        proposed = await self._node.propose(payload)
+        proposed = await self._node.propose(self._compacted(payload))
         if isinstance(proposed, result.Success):
             return result.Success(proposed.unwrap())
         error = proposed.failure()
@@ -157,11 +160,22 @@
             PlaneError(error.maybe_committed, error.kind.value)
         )
 
+    def _compacted(self, payload: bytes) -> bytes:
+        """Returns a whole sheet as its changes, once this instance leads."""
+        if self._machine is None or not self.is_leading:
+            return payload
+        return control.compact_payload(self._machine.state.config, payload)
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this instance leads, as far as it knows."""
+        return self._node is not None and self._node.is_leader
+
     async def _serve(self, sender: base.InstanceId, data: bytes) -> bytes:
         del sender
         if self._node is None:
             return PROPOSE_CODEC.encode(ProposeAnswer(None, ""))
-        proposed = await self._node.propose(data)
+        proposed = await self._node.propose(self._compacted(data))
         if isinstance(proposed, result.Success):
             answer = ProposeAnswer(proposed.unwrap(), "")
         else:
--- a/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
@@ -24,6 +24,10 @@
     """Text so far, that of the resumed attempt included."""
     stretches: list[rollout.VersionStretch] = attrs.field(factory=list)
     """Versions of the tokens so far, as the engine reported them."""
+    resumed_tokens: int = 0
+    """Tokens taken over from an earlier attempt."""
+    reported_tokens: int = 0
+    """Tokens of the whole answer by the engine's own final count."""
     phase: rollout.AttemptPhase = rollout.AttemptPhase.RUNNING
     """How far it has come."""
     engine: base.EndpointId | None = None
--- a/packages/daemon/src/banyanbank_daemon/_leader/_loop.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_loop.py
@@ -30,6 +30,7 @@
         node: The log here.
         recorder: Takes time line events.
         duties: What the leader does.
+        on_failed: Called once when the log has stopped for good.
     """
 
     def __init__(
@@ -38,10 +39,12 @@
         node: consensus.LogNode,
         recorder: base.Recorder,
         duties: typing.Sequence[Duty],
+        on_failed: typing.Callable[[], None],
     ) -> None:
         self._node = node
         self._recorder = recorder
         self._duties = duties
+        self._on_failed = on_failed
         self._is_leading = False
         self._loop = task.LoopingCall(self._tick)
         self._loop.clock = reactor
@@ -58,6 +61,11 @@
 
     def _tick(self) -> None:
         self._node.tick()
+        if self._node.failure is not None:
+            logger.error("the log has stopped: {}", self._node.failure)
+            self.stop()
+            self._on_failed()
+            return
         if not self._node.lease_held():
             self._end()
             return
--- a/packages/daemon/src/banyanbank_daemon/_leader/_office.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_office.py
@@ -121,11 +121,12 @@
             return ()
         serving = self._serving()
         live = tuple(state.orders.live.values())
+        avoided = office.planner.avoided(now)
         needs = [
             need
-            for capacity in state.config.declared().capacities
+            for capacity in state.config.capacities()
             for need in control.plan_needs(
-                capacity, capacity.min_endpoints, serving, live
+                capacity, capacity.min_endpoints, serving, live, avoided
             )
         ]
         announced = {announcement.endpoint for announcement in serving}
--- a/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+import attrs
 import banyanbank_base as base
 import banyanbank_dispatch as dispatch
 import banyanbank_rollout as rollout
@@ -56,6 +57,14 @@
 EngineViews = typing.Callable[[], typing.Sequence[rollout.EngineView]]
 
 
+@attrs.frozen
+class _Partial:
+    """Output of a broken attempt, for its slot's next one."""
+
+    stretches: tuple[rollout.VersionStretch, ...]
+    text: str
+
+
 class RolloutDriver:
     """Starts, grades and records samples until their batches are formed.
 
@@ -92,7 +101,7 @@
         self._scheduler = rollout.SampleScheduler(rng)
         self._attempts: dict[str, _attempts.Attempt] = {}
         self._sinks: dict[str, _attempts.AttemptSink] = {}
-        self._texts: dict[rollout.SampleSlot, tuple[int, str]] = {}
+        self._partials: dict[rollout.SampleSlot, _Partial] = {}
 
     def tick(self) -> None:
         """Takes the scheduler's decisions and acts on them."""
@@ -111,7 +120,7 @@
             sink.close()
         self._attempts.clear()
         self._sinks.clear()
-        self._texts.clear()
+        self._partials.clear()
         self._scheduler = rollout.SampleScheduler(self._rng)
 
     @property
@@ -153,10 +162,12 @@
         resume = attempt.start.resume_from
         if resume is None:
             return
-        tokens, text = self._texts.get(attempt.start.slot, (0, ""))
-        if tokens == resume.token_count:
-            attempt.text = text
+        partial = self._partials.get(attempt.start.slot)
+        # Only the very tokens that the versions were reported for will do.
+        if partial is not None and partial.stretches == resume.stretches:
+            attempt.text = partial.text
             attempt.stretches = list(resume.stretches)
+            attempt.resumed_tokens = resume.token_count
 
     def _cancel(self, effect: rollout.CancelAttempt) -> None:
         sink = self._sinks.get(effect.attempt_id)
@@ -182,6 +193,9 @@
         if self._attempts.get(attempt_id) is not attempt:
             return
         if isinstance(ended, result.Success) and not attempt.is_cancelled:
+            attempt.reported_tokens = (
+                attempt.resumed_tokens + ended.unwrap().completion_tokens
+            )
             attempt.phase = rollout.AttemptPhase.FINISHED
             self._scheduler.wake()
             return
@@ -207,6 +221,7 @@
             prefix="",
             prefix_tokens=0,
             deadline=self._clock.now() + ATTEMPT_S,
+            min_version=start.min_version or base.WeightVersion(0),
             excluded=frozenset(start.avoid),
         )
 
@@ -224,7 +239,9 @@
         start = attempt.start
         self._attempts.pop(start.attempt_id, None)
         self._sinks.pop(start.attempt_id, None)
-        self._texts[start.slot] = (attempt.token_count, attempt.text)
+        self._partials[start.slot] = _Partial(
+            tuple(attempt.stretches), attempt.text
+        )
         self._scheduler.attempt_ended(
             attempt.view(), self._clock.now(), failed=failed
         )
@@ -250,7 +267,7 @@
             attempt_id=start.attempt_id,
             model=start.model,
             body=rollout.SampleBody.inline(attempt.text.encode()),
-            token_count=attempt.token_count,
+            token_count=attempt.reported_tokens,
             stretches=tuple(attempt.stretches),
             grade=graded.unwrap(),
             engine=attempt.engine or base.EndpointId(""),
@@ -277,7 +294,7 @@
             return
         self._attempts.pop(start.attempt_id, None)
         self._sinks.pop(start.attempt_id, None)
-        self._texts.pop(start.slot, None)
+        self._partials.pop(start.slot, None)
         self._scheduler.wake()
 
     async def _form_batch(self, effect: rollout.ProposeBatch) -> None:
--- a/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import attrs
 import banyanbank_base as base
 import banyanbank_consensus as consensus
 import banyanbank_control as control
@@ -13,6 +14,8 @@
 from banyanbank_daemon import _platform
 
 DECIDE_S = 0.1
+REPORT_S = 3.0
+"""Seconds after its confirmation in which an engine reports a swap."""
 STORE_BYTES_PER_S = 10e9
 """Rate limit of the weight store, unless the platform tells another."""
 
@@ -21,6 +24,15 @@
 UrlOf = typing.Callable[[str], str | None]
 
 
+@attrs.frozen
+class _Answered:
+    """An order that an engine has confirmed, until its report shows it."""
+
+    order: rollout.SwapOrder
+    sequence: int
+    report_by: float
+
+
 class WeightDuty:
     """Orders swaps in waves; what engines report decides what is done.
 
@@ -72,6 +84,7 @@
         cfg = rollout.WeightCfg(store_bytes_per_s=STORE_BYTES_PER_S)
         self._rollout = rollout.WeightRollout(cfg)
         self._loading: set[Swap] = set()
+        self._answered: dict[Swap, _Answered] = {}
         self._failed: dict[Swap, str] = {}
         self._out_of_service: set[Swap] = set()
 
@@ -92,6 +105,7 @@
         self, announcement: control.Announcement, served: control.ServedModel
     ) -> rollout.EngineWeights:
         swap = (announcement.endpoint, served.model)
+        self._check_answered(swap, announcement, served)
         return rollout.EngineWeights(
             endpoint=announcement.endpoint,
             failure_domain=announcement.failure_domain,
@@ -102,6 +116,29 @@
             in_service=swap not in self._out_of_service,
         )
 
+    def _check_answered(
+        self,
+        swap: Swap,
+        announcement: control.Announcement,
+        served: control.ServedModel,
+    ) -> None:
+        """Finds out swaps that an engine has confirmed but not made."""
+        answered = self._answered.get(swap)
+        if answered is None:
+            return
+        if served.version == answered.order.version:
+            del self._answered[swap]
+            return
+        is_newer = announcement.sequence > answered.sequence
+        if is_newer and self._clock.now() >= answered.report_by:
+            del self._answered[swap]
+            self._failed[swap] = answered.order.order_id
+            self._record(
+                "weights.failed",
+                answered.order,
+                f"reports version {served.version} after its confirmation",
+            )
+
     def _perform(self, effect: rollout.WeightEffect) -> None:
         swap = (effect.endpoint, effect.model)
         match effect:
@@ -136,6 +173,15 @@
         if isinstance(sent, result.Failure):
             self._failed[swap] = order.order_id
             self._record("weights.failed", order, sent.failure().detail)
+            return
+        known = [
+            announcement.sequence
+            for announcement in self._serving()
+            if announcement.endpoint == order.endpoint
+        ]
+        self._answered[swap] = _Answered(
+            order, max(known, default=0), self._clock.now() + REPORT_S
+        )
 
     def _record(
         self, kind: str, effect: rollout.WeightEffect, detail: str
--- a/packages/daemon/src/banyanbank_daemon/_parts/_control.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_control.py
@@ -87,7 +87,13 @@
         )
         transport.on_message(CONSENSUS_CHANNEL, node.handle_message)
     plane = _control_plane.ControlPlane(
-        around.reactor, around.clock, transport, identity.name, voters, node
+        around.reactor,
+        around.clock,
+        transport,
+        identity.name,
+        voters,
+        node,
+        machine,
     )
     entry = control.EntrySync(member_of(settings, identity, settings.mesh_port))
     buffer = control.UsageBuffer(identity.name, identity.incarnation)
--- a/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
@@ -71,10 +71,20 @@
         settings, around, node, machine, control_parts, server, platform
     )
     duties: list[_leader.Duty] = [server, driver, weights, office]
-    loop = _leader.LeaderLoop(around.reactor, node, around.recorder, duties)
+    loop = _leader.LeaderLoop(
+        around.reactor,
+        node,
+        around.recorder,
+        duties,
+        around.on_failed or _ignore_failure,
+    )
     return LeaderParts(server, limit_server, driver, weights, loop)
 
 
+def _ignore_failure() -> None:
+    """Leaves an instance without its log; it goes on as an entry."""
+
+
 def _build_driver(
     around: _surroundings.Surroundings,
     identity: _surroundings.Identity,
--- a/packages/daemon/src/banyanbank_daemon/_parts/_surroundings.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_surroundings.py
@@ -30,6 +30,8 @@
     """Mutual TLS between instances; None for plain TCP."""
     caller_tls: typing.Any = None
     """TLS context factory of the callers' listener; None for plain HTTP."""
+    on_failed: typing.Callable[[], None] | None = None
+    """Called when the log here has stopped for good, after a disk fault."""
     on_drained: typing.Callable[[], None] | None = None
     """Called once a drain that somebody asked for is over."""
 
