Keep one engine of several quick for lookups, and compare up to 16

Change: reserves of a twelfth, and of half on one engine of a model with four or more; they follow engines that come and go.

--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -11,6 +11,10 @@
 from banyanbank_daemon import _jobs
 
 DEFAULT_TOKENS_PER_S = 1_000.0
+QUICK_ENGINES = 4
+"""Engines of a model from which on one is kept quick for lookups."""
+QUICK_DIVISOR = 2
+RESERVE_DIVISOR = 12
 SERVING_S = 0.05
 """Seconds for which one look at the endpoints serves all requests."""
 
@@ -34,6 +38,16 @@
 NO_REPORT = LoadReport(0.0, 0, DEFAULT_TOKENS_PER_S, 0.0, 0.0)
 
 
+@attrs.frozen
+class EngineSlots:
+    """Streams of one engine."""
+
+    slots: int
+    """Requests that it runs at once."""
+    reserve: int
+    """Of these, those that rollout work never takes."""
+
+
 class Directory:
     """Endpoints and members, as learned from the leader and heard here.
 
@@ -82,10 +96,33 @@
             return None
         return f"http://{announcement.address}"
 
-    def slots_of(self, endpoint: str) -> int:
-        """Returns how many requests an endpoint runs at once."""
+    def slots_of(self, endpoint: str) -> EngineSlots:
+        """Returns the streams of an engine, and those kept for lookups.
+
+        One engine of a model with several keeps half of its streams, so that
+        its time between tokens stays short; routers find lookups answered
+        soonest there.
+        """
         announcement = self._find(endpoint)
-        return 1 if announcement is None else announcement.slots
+        if announcement is None:
+            return EngineSlots(1, 0)
+        slots = announcement.slots
+        if self._is_quick(announcement):
+            return EngineSlots(slots, slots // QUICK_DIVISOR)
+        reserve = max(1, slots // RESERVE_DIVISOR) if slots > 1 else 0
+        return EngineSlots(slots, reserve)
+
+    def _is_quick(self, announcement: control.Announcement) -> bool:
+        for served in announcement.models:
+            engines = [
+                other.endpoint
+                for other in self.serving()
+                if any(one.model == served.model for one in other.models)
+            ]
+            is_first = min(engines, default="") == announcement.endpoint
+            if len(engines) >= QUICK_ENGINES and is_first:
+                return True
+        return False
 
     def owner_of(self, endpoint: base.EndpointId) -> base.InstanceId | None:
         """Returns the instance that holds an engine's queue."""
@@ -155,7 +192,9 @@
     def engine_views(self) -> list[rollout.EngineView]:
         """Returns the engines as the sample scheduler sees them."""
         return [
-            _engine_view(announcement)
+            _engine_view(
+                announcement, self.directory.slots_of(announcement.endpoint)
+            )
             for announcement in self.directory.known()
             if announcement.kind is control.EndpointKind.ENGINE
         ]
@@ -209,11 +248,13 @@
         )
 
 
-def _engine_view(announcement: control.Announcement) -> rollout.EngineView:
+def _engine_view(
+    announcement: control.Announcement, streams: EngineSlots
+) -> rollout.EngineView:
     is_serving = announcement.phase is control.Phase.SERVING
     return rollout.EngineView(
         endpoint=announcement.endpoint,
         models=tuple(served.model for served in announcement.models),
         versions=tuple(served.version for served in announcement.models),
-        slots=announcement.slots if is_serving else 0,
+        slots=streams.slots - streams.reserve if is_serving else 0,
     )
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -252,7 +252,7 @@
 
     def endpoints_changed(self) -> None:
         """Acts on endpoints that came, left or will leave."""
-        self.dispatch.drop_lost_engines()
+        self.dispatch.follow_engines()
 
     def _flush_usage(self) -> None:
         flushing = defer.ensureDeferred(self.control.usage.flush())
--- a/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
@@ -12,7 +12,8 @@
 from banyanbank_daemon._parts import _control
 from banyanbank_daemon._parts import _surroundings
 
-INTERACTIVE_RESERVE_SLOTS = 1
+COMPARED_ENGINES = 16
+"""Engines that a router compares for one request."""
 
 
 @attrs.frozen
@@ -32,8 +33,8 @@
     dispatcher: _dispatcher.Dispatcher
     """Runs model requests."""
 
-    def drop_lost_engines(self) -> None:
-        """Hands back queued work of engines that leave, drops lost ones."""
+    def follow_engines(self) -> None:
+        """Hands back queued work of engines that leave; resizes others."""
         self.fleet.directory.note_change()
         serving = {
             announcement.endpoint for announcement in self.fleet.serving()
@@ -41,6 +42,10 @@
         for endpoint in list(self.queues.queues):
             if endpoint not in serving:
                 self.queues.retire(endpoint)
+                continue
+            streams = self.fleet.directory.slots_of(endpoint)
+            queue = self.queues.queues[endpoint]
+            queue.set_slots(streams.slots, streams.reserve)
 
 
 def build_dispatch(
@@ -72,7 +77,7 @@
         _jobs.LocalJobRunner(clock, queues, engines),
         lambda peer: _jobs.RemoteJobRunner(transport, peer, clock, engines),
     )
-    router = dispatch.Router(domain, around.rng)
+    router = dispatch.Router(domain, around.rng, choices=COMPARED_ENGINES)
     retries = dispatch.RetryPolicy(around.rng)
     dispatcher = _dispatcher.Dispatcher(
         around.reactor, clock, fleet, router, retries, control_parts.usage
@@ -80,9 +85,12 @@
     return DispatchParts(upstream, queues, fleet, router, retries, dispatcher)
 
 
-def _new_queue(endpoint: str, slots: int) -> dispatch.EngineQueue:
-    reserve = INTERACTIVE_RESERVE_SLOTS if slots > 1 else 0
+def _new_queue(
+    endpoint: str, streams: _fleet.EngineSlots
+) -> dispatch.EngineQueue:
     return dispatch.EngineQueue(
         base.EndpointId(endpoint),
-        dispatch.QueueSettings(slots=slots, interactive_reserve=reserve),
+        dispatch.QueueSettings(
+            slots=streams.slots, interactive_reserve=streams.reserve
+        ),
     )
--- /dev/null
+++ b/tests/daemon/test_fleet.py
@@ -0,0 +1,78 @@
+"""Tests of what an instance makes of the endpoints that it knows."""
+
+import unittest
+
+import banyanbank_base as base
+import banyanbank_control as control
+from banyanbank_daemon import _fleet
+
+ME = base.InstanceId("i1")
+
+
+def announcement(
+    name: str, slots: int, sequence: int = 1, **more: object
+) -> control.Announcement:
+    """An engine of the model that all cases use."""
+    fields: dict[str, object] = {
+        "endpoint": base.EndpointId(name),
+        "incarnation": base.Incarnation(1),
+        "sequence": sequence,
+        "kind": control.EndpointKind.ENGINE,
+        "address": "127.0.0.1:1",
+        "failure_domain": base.FailureDomain("zone-1"),
+        "models": (
+            control.ServedModel(base.ModelName("coach"), base.WeightVersion(1)),
+        ),
+        "slots": slots,
+    }
+    return control.Announcement(**{**fields, **more})  # type: ignore[arg-type]
+
+
+class SlotsTest(unittest.TestCase):
+    """One of several engines stays quick for lookups, whoever comes or goes."""
+
+    def setUp(self) -> None:
+        self.clock = base.ManualClock(10.0)
+        member = control.Member(
+            ME, base.Incarnation(1), "127.0.0.1:2", base.FailureDomain("zone-1")
+        )
+        self.entry = control.EntrySync(member)
+        self.directory = _fleet.Directory(ME, self.clock, self.entry)
+
+    def hear(self, *announcements: control.Announcement) -> None:
+        for one in announcements:
+            self.entry.endpoints.heard.hear(one, self.clock.now())
+        self.directory.note_change()
+
+    def test_reserves(self) -> None:
+        table = [
+            ("one engine", ["a"], 48, {"a": 4}),
+            ("three engines", ["a", "b", "c"], 48, {"a": 4, "b": 4, "c": 4}),
+            (
+                "four engines",
+                ["a", "b", "c", "d"],
+                48,
+                {"a": 24, "b": 4, "c": 4, "d": 4},
+            ),
+            ("small engine", ["a"], 2, {"a": 1}),
+            ("single stream", ["a"], 1, {"a": 0}),
+        ]
+        for name, engines, slots, reserves in table:
+            with self.subTest(name):
+                self.setUp()
+                self.hear(*(announcement(e, slots) for e in engines))
+                found = {e: self.directory.slots_of(e) for e in engines}
+                self.assertEqual(
+                    {e: one.reserve for e, one in found.items()}, reserves
+                )
+
+    def test_another_becomes_quick(self) -> None:
+        self.hear(*(announcement(name, 48) for name in "abcde"))
+        self.assertEqual(self.directory.slots_of("a").reserve, 24)
+        leaving = announcement("a", 48, 2, phase=control.Phase.LEAVING)
+        self.hear(leaving)
+        self.assertEqual(self.directory.slots_of("b").reserve, 24)
+        self.assertEqual(self.directory.slots_of("c").reserve, 4)
+
+    def test_unknown_engine_has_one_stream(self) -> None:
+        self.assertEqual(self.directory.slots_of("z"), _fleet.EngineSlots(1, 0))
