--- a/tests/consensus/test_stateful.py
+++ b/tests/consensus/test_stateful.py
@@ -40,9 +40,9 @@
         line = name if name in ("heal", "mend", "confirm") else f"{name} {who}"
         self.sim.perform(line)
 
-    @stateful.rule(who=WHO, other=WHO)
-    def cut(self, who: str, other: str) -> None:
-        self.sim.perform(f"cut {who} {other}")
+    @stateful.rule(who=WHO, other=WHO, name=st.sampled_from(("cut", "late")))
+    def cut(self, who: str, other: str, name: str) -> None:
+        self.sim.perform(f"{name} {who} {other}")
 
     @stateful.rule(who=WHO, other=WHO, drop=st.sampled_from((0.0, 0.3, 0.8)))
     def noise(self, who: str, other: str, drop: float) -> None:
@@ -81,6 +81,14 @@
                 self.assertGreater(sim.oracle.successes, 10)
                 self.assertGreater(sim.oracle.elections, 3)
 
+    def test_recorded_trace_replays(self) -> None:
+        first = fuzz.run_trace(9, fuzz.draw_trace(9, 300))
+        again = fuzz.run_trace(9, first.trace)
+        self.assertEqual(again.trace, first.trace)
+        self.assertEqual(again.oracle.committed, first.oracle.committed)
+        self.assertEqual(again.world.now, first.world.now)
+        self.assertEqual(again.world.sent, first.world.sent)
+
 
 if __name__ == "__main__":
     unittest.main()
