Strengthen scenarios that let planted faults pass

Cause: faults planted in the shell on purpose were missed by four scenarios: all headers passed on, a stream without its end mark, a cut body taken for a whole one, a drain that does not wait. Change: keys in Basic pairs and a look at the headers received; answers that end early in peace; a service that drops in mid-body; engines slow enough to outlast the drain's notice.

--- a/packages/fakes/src/banyanbank_fakes/_engine.py
+++ b/packages/fakes/src/banyanbank_fakes/_engine.py
@@ -115,7 +115,8 @@
             if limit is not None and written >= limit:
                 _server.abort(request)
                 return
-        request.write(_last_chunk(run, chat))
+        if not self.faults.omit_end_mark:
+            request.write(_last_chunk(run, chat))
         request.finish()
         run.finished = True
 
--- a/packages/fakes/src/banyanbank_fakes/_faults.py
+++ b/packages/fakes/src/banyanbank_fakes/_faults.py
@@ -11,6 +11,8 @@
     """Seconds added before each answer."""
     drop_after_bytes: int | None = None
     """Closes the connection after this many body bytes; None for never."""
+    omit_end_mark: bool = False
+    """Ends answers in peace, but before their end."""
     drop_before_answer: bool = False
     """Runs the request, then closes the connection without an answer."""
     refuse: bool = False
--- a/packages/fakes/src/banyanbank_fakes/_service.py
+++ b/packages/fakes/src/banyanbank_fakes/_service.py
@@ -8,6 +8,8 @@
 
 from banyanbank_fakes import _server
 
+CUT_PAUSE_S = 0.02
+
 
 @attrs.frozen
 class ServiceRun:
@@ -58,6 +60,14 @@
         if self.faults.drop_before_answer:
             _server.abort(request)
             return
+        cut = self.faults.drop_after_bytes
+        if cut is not None:
+            request.setHeader(b"content-length", str(2 * cut).encode())
+            request.write(b"x" * cut)
+            # The part must be on its way before the connection goes.
+            await self.pause(CUT_PAUSE_S)
+            _server.abort(request)
+            return
         answer = {
             "service": self.name,
             "run": len(self.runs),
--- a/tests/scenarios/features/requests.feature
+++ b/tests/scenarios/features/requests.feature
@@ -32,6 +32,13 @@
 
   Scenario: A cut answer never looks whole
     Given the engines drop connections in mid-body
+    And service fold-check drops connections in mid-body
+    When tesfaye asks for a completion
+    And tesfaye looks something up
+    Then no answer looked whole
+
+  Scenario: An answer without its end mark never looks whole
+    Given the engines end their answers early
     When tesfaye asks for a completion
     Then no answer looked whole
 
@@ -65,7 +72,7 @@
     Then engine-1 ran nothing more
 
   Scenario: A graceful shutdown cuts off no request
-    Given the engines make a token in 4 ms
+    Given the engines make a token in 20 ms
     When tesfaye asks for completions at every instance
     And instance i2 is told to shut down while they run
     Then every completion was answered whole
--- a/tests/scenarios/request_steps.py
+++ b/tests/scenarios/request_steps.py
@@ -15,6 +15,7 @@
 LOST = (error.ConnectionLost, error.ConnectionDone, client.ResponseFailed)
 PEOPLE = {"nobody": "", "a guess": "guessed-key"}
 CHAT = "/v1/chat/completions"
+KEY_HEADERS = {"authorization", "cookie", "proxy-authorization", "x-api-key"}
 
 
 def completion(text, tokens=120):
@@ -58,9 +59,11 @@
     world = context.world
     secret = world.secrets["tesfaye"]
     quoted = base64.b64encode(secret.encode()).decode()
+    paired = base64.b64encode(f"user:{secret}".encode()).decode()
 
     async def play():
         lookups = [
+            ("/lookup/1", {"proxy_authorization": f"Basic {paired}"}),
             (f"/lookup/1?api_key={secret}&x=1", {}),
             (f"/lookup/1?x={secret}", {}),
             ("/lookup/1", {"cookie": f"key={secret}"}),
@@ -87,6 +90,9 @@
     seen = [repr(run) for run in world.runs("/")]
     seen += [repr(r) for e in world.engines.values() for r in e.runs]
     assert seen
+    # Such headers could hold a key in a form that nobody looks for.
+    for run in world.runs("/"):
+        assert not KEY_HEADERS & run.headers.keys(), run.headers
     for text in seen:
         assert secret not in text, text
         assert quoted not in text, text
@@ -142,6 +148,31 @@
         engine.faults.drop_after_bytes = 300
 
 
+@behave.given("service {name} drops connections in mid-body")
+def given_service_dropped(context, name):
+    context.world.services[name].faults.drop_after_bytes = 300
+
+
+@behave.given("the engines end their answers early")
+def given_early_ends(context):
+    for engine in context.world.engines.values():
+        engine.faults.omit_end_mark = True
+
+
+@behave.when("tesfaye looks something up")
+def when_lookup(context):
+    async def play():
+        try:
+            answer = await context.world.call(
+                "i1", "tesfaye", "GET", "/lookup/1"
+            )
+        except LOST:
+            return
+        context.whole += answer.status == OK
+
+    support.run_async(play)
+
+
 @behave.when("tesfaye asks for a completion")
 def when_completion(context):
     world = context.world
