Hold that a message without the lease never arrives

Change: a test sends an order with an open and a closed guard; it fails without the guard (seen). Conclusion: the last check before the body is held by a test of its own.

--- /dev/null
+++ b/tests/daemon/test_upstream.py
@@ -0,0 +1,61 @@
+"""Tests of the client towards endpoints and the platform."""
+
+import json
+import unittest
+
+import banyanbank_base as base
+from banyanbank_daemon import _upstream
+import banyanbank_fakes as fakes
+from returns import result
+
+from tests import support
+
+LIMIT_S = 5.0
+
+
+class GuardTest(unittest.TestCase):
+    """A message whose guard is closed when its body is due never arrives."""
+
+    def send(self, is_open: bool) -> tuple[int, bool]:
+        from twisted.internet import reactor
+
+        async def play() -> tuple[int, bool]:
+            platform = fakes.FakePlatform(reactor)
+            platform.start()
+            clock = base.SystemClock()
+            upstream = _upstream.Upstream(reactor, clock)
+            sent = await upstream.send(
+                _upstream.UpstreamRequest(
+                    method="POST",
+                    url=f"{platform.url}/platform/orders",
+                    headers=(("content-type", "application/json"),),
+                    body=json.dumps({"number": 1}).encode(),
+                    deadline=clock.now() + LIMIT_S,
+                    is_repeatable=False,
+                    guard=lambda: is_open,
+                )
+            )
+            # A later exchange shows that the earlier one is over.
+            again = await upstream.send(
+                _upstream.UpstreamRequest(
+                    method="GET",
+                    url=f"{platform.url}/none",
+                    headers=(),
+                    body=b"",
+                    deadline=clock.now() + LIMIT_S,
+                )
+            )
+            again.unwrap().cancel()
+            if isinstance(sent, result.Success):
+                sent.unwrap().cancel()
+            await platform.stop()
+            return len(platform.orders), isinstance(sent, result.Success)
+
+        return support.run_async(play)
+
+    def test_guard(self) -> None:
+        for is_open in (True, False):
+            with self.subTest(is_open=is_open):
+                orders, is_answered = self.send(is_open)
+                self.assertEqual(orders, int(is_open))
+                self.assertEqual(is_answered, is_open)
