--- a/packages/bench/src/banyanbank_bench/slopes/_derived.py
+++ b/packages/bench/src/banyanbank_bench/slopes/_derived.py
@@ -36,7 +36,7 @@
         ),
         "leader: sync ticks": cost["sync tick at leader"] / _target.TICK_S,
         "leader: scheduler": cost["scheduler, 2048 samples on 600"]
-        / _target.TICK_S,
+        / _target.SCHEDULE_S,
         "leader: weights": cost["weights decision, 600 engines"]
         / _target.WEIGHT_DECIDE_S,
         "follower: usage commits": _target.DAEMONS
--- a/packages/bench/src/banyanbank_bench/slopes/_target.py
+++ b/packages/bench/src/banyanbank_bench/slopes/_target.py
@@ -17,7 +17,9 @@
 LIMIT_S = 1.0
 """Seconds between requests for shares of limits, as the daemon does."""
 TICK_S = 0.02
-"""Seconds between ticks of the leader; each decides about samples."""
+"""Seconds between ticks of the leader."""
+SCHEDULE_S = 1.0
+"""Seconds between decisions of the sample scheduler at that many samples."""
 WEIGHT_DECIDE_S = 0.1
 """Seconds between decisions about weights, as the daemon does."""
 CPU_US_PER_S = 0.02 * 1e6
