Order endpoints by load and give idle ones back

Cause: the leader ordered only `min_endpoints`; nothing grew with demand and nothing was given back.

Change: the exchange that leases limits (now `_leases.py`, method `leases.renew`) also carries an `EngineReport` for each engine owned by the sender. `control.wanted_endpoints` and `PeakNeed` turn reports into a need (three quarters of the slots; up at once, down after ten minutes); `plan_stop` gives back one endpoint of a model at a time: idle for a minute, reclaimable first, never the last safe one nor below the floor, never in an office's first ten minutes. A failed stop no longer makes the planner avoid a failure domain for starts. The stand-in platform can name the endpoints that it will start, as a real one has to for an order to be followed.

Not done: new work is not kept from an endpoint with a stop order; only idle ones are stopped.

--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -92,16 +92,22 @@
 from banyanbank_control.declarations import Target
 from banyanbank_control.declarations import Trainer
 from banyanbank_control.duties import Effect
+from banyanbank_control.duties import EngineReport
+from banyanbank_control.duties import EngineReports
 from banyanbank_control.duties import IntentExpirer
 from banyanbank_control.duties import LossRecorder
 from banyanbank_control.duties import OrderPlanner
 from banyanbank_control.duties import OrderResult
+from banyanbank_control.duties import PeakNeed
 from banyanbank_control.duties import plan_needs
+from banyanbank_control.duties import plan_stop
 from banyanbank_control.duties import Propose
 from banyanbank_control.duties import SendOrder
 from banyanbank_control.duties import SendReport
+from banyanbank_control.duties import stopping
 from banyanbank_control.duties import UsageReport
 from banyanbank_control.duties import UsageReporter
+from banyanbank_control.duties import wanted_endpoints
 from banyanbank_control.duties import WINDOW_S
 from banyanbank_control.intents import Intent
 from banyanbank_control.intents import IntentState
@@ -205,6 +211,8 @@
     "Effect",
     "EndpointKind",
     "EndpointTable",
+    "EngineReport",
+    "EngineReports",
     "EntrySync",
     "ExpireIntents",
     "Freshness",
@@ -246,6 +254,7 @@
     "OrderState",
     "OrderStatus",
     "Outbox",
+    "PeakNeed",
     "Phase",
     "Principal",
     "Problem",
@@ -301,5 +310,8 @@
     "parse_sheet",
     "parse_text",
     "plan_needs",
+    "plan_stop",
     "references",
+    "stopping",
+    "wanted_endpoints",
 ]
--- a/packages/control/src/banyanbank_control/duties/_orders.py
+++ b/packages/control/src/banyanbank_control/duties/_orders.py
@@ -112,7 +112,7 @@
         }
 
     def avoided(self, now: float) -> frozenset[base.FailureDomain]:
-        """Returns the failure domains in which orders have failed of late."""
+        """Returns the failure domains in which starts have failed of late."""
         return frozenset(
             domain
             for domain, deadline in self._avoided.items()
@@ -127,7 +127,8 @@
         self._closed_seen = state.closed.next
         for place in range(first, state.closed.next):
             order = state.closed.entries[state.closed.order[place]]
-            if order.status is commands.OrderStatus.FAILED:
+            is_start = order.request.action is commands.Action.START
+            if is_start and order.status is commands.OrderStatus.FAILED:
                 domain = order.request.failure_domain
                 self._avoided[domain] = now + AVOID_S
 
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -11,7 +11,7 @@
 from twisted.internet import task
 
 from banyanbank_daemon import _announcements
-from banyanbank_daemon import _limits
+from banyanbank_daemon import _leases
 from banyanbank_daemon import _listeners
 from banyanbank_daemon import _meters
 from banyanbank_daemon import _metrics
@@ -94,14 +94,15 @@
             self.entry,
         )
         self.sync = self._build_sync()
-        self.limits = _limits.LimitClient(
+        self.limits = _leases.LeaseClient(
             around.reactor,
             around.clock,
             self.mesh,
             self.control.plane,
             self.control.entry,
             self.entry.limits,
-            None if self.leader is None else self.leader.limit_server,
+            self.dispatch.queues.reports,
+            None if self.leader is None else self.leader.lease_server,
         )
         self.timeline = _timeline_calls.TimelineCalls(
             self.mesh, around.recorder, around.reactor
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
@@ -92,6 +92,21 @@
         self._waiting: dict[str, _Waiting] = {}
         self.queues: dict[str, dispatch.EngineQueue] = {}
 
+    def reports(self) -> tuple[control.EngineReport, ...]:
+        """Returns the loads of the engines, for the leader."""
+        statuses = (queue.status() for queue in self.queues.values())
+        return tuple(
+            control.EngineReport(
+                status.endpoint_id,
+                status.waiting,
+                status.running,
+                status.waiting_tokens,
+                status.running_tokens,
+                status.tokens_per_s,
+            )
+            for status in statuses
+        )
+
     async def acquire(
         self, job: _messages.ModelJob, on_closed: OnClosed
     ) -> result.Result[Slot, _messages.JobFailed]:
--- a/packages/daemon/src/banyanbank_daemon/_leader/_office.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_office.py
@@ -17,6 +17,7 @@
 COMMIT_S = 5.0
 
 Members = typing.Callable[[], typing.Iterable[control.Member]]
+Reports = typing.Callable[[], control.EngineReports]
 Serving = typing.Callable[[], typing.Sequence[control.Announcement]]
 
 
@@ -39,6 +40,7 @@
     planner: control.OrderPlanner
     losses: control.LossRecorder
     expirer: control.IntentExpirer
+    peaks: dict[base.ModelName, control.PeakNeed] = attrs.field(factory=dict)
 
 
 class OfficeDuty:
@@ -53,6 +55,7 @@
         urls: Where to.
         members: Instances heard by the leader.
         serving: Endpoints that serve.
+        reports: Loads of the engines.
         recorder: Takes time line events.
     """
 
@@ -66,6 +69,7 @@
         urls: PlatformUrls,
         members: Members,
         serving: Serving,
+        reports: Reports,
         recorder: base.Recorder,
     ) -> None:
         self._clock = clock
@@ -76,6 +80,7 @@
         self._urls = urls
         self._members = members
         self._serving = serving
+        self._reports = reports
         self._recorder = recorder
         self._office: _Office | None = None
         self._due_at = 0.0
@@ -120,18 +125,37 @@
         if self._urls.orders is None:
             return ()
         serving = self._serving()
-        live = tuple(state.orders.live.values())
-        avoided = office.planner.avoided(now)
         needs = [
             need
             for capacity in state.config.capacities()
-            for need in control.plan_needs(
-                capacity, capacity.min_endpoints, serving, live, avoided
-            )
+            for need in self._needs(office, state, capacity, serving, now)
         ]
         announced = {announcement.endpoint for announcement in serving}
+        self._reports().keep(announced, now)
         return office.planner.decide(state.orders, needs, announced, now)
 
+    def _needs(
+        self,
+        office: _Office,
+        state: control.ControlState,
+        capacity: control.Capacity,
+        serving: typing.Sequence[control.Announcement],
+        now: float,
+    ) -> typing.Iterator[control.OrderRequest]:
+        """Yields what to order of a model and what to give back."""
+        reports = self._reports()
+        live = tuple(state.orders.live.values())
+        going = control.stopping(live)
+        staying = [item for item in serving if item.endpoint not in going]
+        need = control.wanted_endpoints(capacity.model, serving, reports, now)
+        peak = office.peaks.setdefault(capacity.model, control.PeakNeed())
+        wanted = peak.note(need, now)
+        avoided = office.planner.avoided(now)
+        yield from control.plan_needs(capacity, wanted, staying, live, avoided)
+        stop = control.plan_stop(capacity, wanted, staying, live, reports, now)
+        if stop is not None:
+            yield stop
+
     def _perform(self, office: _Office, effect: control.Effect) -> None:
         match effect:
             case control.Propose():
--- a/packages/daemon/src/banyanbank_daemon/_limits.py
+++ b/packages/daemon/src/banyanbank_daemon/_leases.py
@@ -1,4 +1,4 @@
-"""Leases shares of client accounts' limits from the leader."""
+"""Reports loads to the leader and leases shares of limits from it."""
 
 import typing
 
@@ -15,19 +15,23 @@
 
 from banyanbank_daemon import _control_plane
 
-METHOD = "limits.lease"
+METHOD = "leases.renew"
 LEASE_S = 1.0
 CALL_S = 1.0
 
+Loads = typing.Callable[[], tuple[control.EngineReport, ...]]
+
 
 @attrs.frozen
 class LeaseRequest:
-    """What an instance saw of its callers."""
+    """What an instance saw of its callers and of its engines."""
 
     demands: tuple[dispatch.Demand, ...]
     """By client account; accounts without requests are left out."""
     held: tuple[dispatch.Share, ...] = ()
     """Leased shares that have not expired; a new leader counts them."""
+    engines: tuple[control.EngineReport, ...] = ()
+    """Loads of the engines owned here that have had requests."""
 
 
 @attrs.frozen
@@ -42,8 +46,8 @@
 REPLY_CODEC: base.Codec[LeaseReply] = base.Codec(LeaseReply)
 
 
-class LimitServer:
-    """Leases shares while this instance leads.
+class LeaseServer:
+    """Leases shares and collects loads while this instance leads.
 
     Args:
         clock: Clock of deadlines.
@@ -64,6 +68,7 @@
         self._machine = machine
         self._members = members
         self._allocator: dispatch.ShareAllocator | None = None
+        self._reports: control.EngineReports | None = None
         self._epoch = 0
 
     async def serve(self, sender: base.InstanceId, data: bytes) -> bytes:
@@ -76,16 +81,15 @@
         if not self._node.lease_held():
             return LeaseReply(())
         now = self._clock.now()
-        if self._allocator is None or self._epoch != self._node.epoch:
-            self._epoch = self._node.epoch
-            self._allocator = dispatch.ShareAllocator(now)
+        allocator, reports = self._office(now)
+        reports.take(instance, req.engines, now)
         limits = [
             dispatch.AccountLimit(
                 item.name, item.requests_per_s, item.concurrency
             )
             for item in self._machine.state.config.declared().accounts
         ]
-        shares = self._allocator.lease(
+        shares = allocator.lease(
             instance,
             max(1, len(self._members())),
             limits,
@@ -95,9 +99,24 @@
         )
         return LeaseReply(shares)
 
+    def reports(self) -> control.EngineReports:
+        """Returns the loads of the engines; asked while leading."""
+        return self._office(self._clock.now())[1]
+
+    def _office(
+        self, now: float
+    ) -> tuple[dispatch.ShareAllocator, control.EngineReports]:
+        """Returns the soft state of this epoch."""
+        is_new = self._epoch != self._node.epoch
+        if self._allocator is None or self._reports is None or is_new:
+            self._epoch = self._node.epoch
+            self._allocator = dispatch.ShareAllocator(now)
+            self._reports = control.EngineReports(now)
+        return self._allocator, self._reports
+
 
-class LimitClient:
-    """Keeps an entry's shares current.
+class LeaseClient:
+    """Keeps an entry's shares current and the leader's view of its engines.
 
     While no leader leases, each instance takes an equal part of each limit: a
     change of leader then refuses nobody who stays within an even share.
@@ -109,6 +128,7 @@
         plane: Knows the leader.
         entry: Holds accounts and members.
         limits: Admits within the shares.
+        loads: Gives the loads of the engines owned here.
         server: Leases here; None on an instance that is no voter.
     """
 
@@ -120,13 +140,15 @@
         plane: _control_plane.ControlPlane,
         entry: control.EntrySync,
         limits: dispatch.AdmissionLimits,
-        server: LimitServer | None,
+        loads: Loads,
+        server: LeaseServer | None,
     ) -> None:
         self._clock = clock
         self._mesh = transport
         self._plane = plane
         self._entry = entry
         self._limits = limits
+        self._loads = loads
         self._server = server
         self._leased_until = 0.0
         self._loop = task.LoopingCall(self._renew)
@@ -151,7 +173,7 @@
     def _renew(self) -> None:
         renewing = defer.ensureDeferred(self._exchange())
         renewing.addErrback(
-            lambda failure: logger.error("limits: {}", failure.getTraceback())
+            lambda failure: logger.error("leases: {}", failure.getTraceback())
         )
 
     async def _exchange(self) -> None:
@@ -161,6 +183,7 @@
         req = LeaseRequest(
             self._limits.demands(requested_at),
             self._limits.held(requested_at) if is_leased else (),
+            self._loads(),
         )
         reply = await self._ask(req)
         if reply is not None and reply.shares:
--- a/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
@@ -6,7 +6,7 @@
 import banyanbank_mesh as mesh
 
 from banyanbank_daemon import _leader
-from banyanbank_daemon import _limits
+from banyanbank_daemon import _leases
 from banyanbank_daemon import _platform
 from banyanbank_daemon import _settings
 from banyanbank_daemon import _sync
@@ -22,8 +22,8 @@
 
     sync_server: _sync.SyncServer
     """Answers entries' polls."""
-    limit_server: _limits.LimitServer
-    """Leases shares of limits."""
+    lease_server: _leases.LeaseServer
+    """Leases shares of limits and collects loads."""
     driver: _leader.RolloutDriver
     """Runs rollouts."""
     weights: _leader.WeightDuty
@@ -48,10 +48,10 @@
         return None
     server = _sync.SyncServer(around.clock, node, machine)
     transport.on_call(_sync.METHOD, server.serve)
-    limit_server = _limits.LimitServer(
+    lease_server = _leases.LeaseServer(
         around.clock, node, machine, server.members
     )
-    transport.on_call(_limits.METHOD, limit_server.serve)
+    transport.on_call(_leases.METHOD, lease_server.serve)
     driver = _build_driver(
         around, identity, control_parts, dispatch_parts, entry_parts
     )
@@ -68,7 +68,14 @@
         around.recorder,
     )
     office = _build_office(
-        settings, around, node, machine, control_parts, server, platform
+        settings,
+        around,
+        node,
+        machine,
+        control_parts,
+        server,
+        lease_server,
+        platform,
     )
     duties: list[_leader.Duty] = [server, driver, weights, office]
     loop = _leader.LeaderLoop(
@@ -78,7 +85,7 @@
         duties,
         around.on_failed or _ignore_failure,
     )
-    return LeaderParts(server, limit_server, driver, weights, loop)
+    return LeaderParts(server, lease_server, driver, weights, loop)
 
 
 def _ignore_failure() -> None:
@@ -117,6 +124,7 @@
     machine: control.ControlMachine,
     control_parts: _control.ControlParts,
     server: _sync.SyncServer,
+    leases: _leases.LeaseServer,
     platform: _platform.PlatformClient,
 ) -> _leader.OfficeDuty:
     return _leader.OfficeDuty(
@@ -128,5 +136,6 @@
         _leader.PlatformUrls(settings.orders_url, settings.usage_url),
         server.members,
         server.serving,
+        leases.reports,
         around.recorder,
     )
--- a/packages/fakes/src/banyanbank_fakes/_platform.py
+++ b/packages/fakes/src/banyanbank_fakes/_platform.py
@@ -17,6 +17,8 @@
     """Highest fencing token seen."""
     orders: list[dict] = attrs.field(factory=list)
     """Every endpoint order taken, resends included."""
+    names_endpoints: bool = False
+    """Whether answers name the endpoints that an order will start."""
     reports: list[dict] = attrs.field(factory=list)
     """Every usage report taken, resends included."""
 
@@ -45,4 +47,11 @@
         if self.faults.drop_before_answer:
             _server.abort(request)
             return
-        _server.send_json(request, http.OK, {"accepted": True})
+        taken_over = {"accepted": True, "endpoints": self._promised(message)}
+        _server.send_json(request, http.OK, taken_over)
+
+    def _promised(self, message: dict) -> list[str]:
+        if not self.names_endpoints or message.get("action") != "start":
+            return []
+        key = message["idempotency_key"]
+        return [f"{key}-{number}" for number in range(message["count"])]
--- a/tests/scenarios/control_steps.py
+++ b/tests/scenarios/control_steps.py
@@ -368,3 +368,71 @@
     for instance in context.world.up():
         held = instance.control.entry.view.revision
         assert held == context.world.revision, held
+
+
+@behave.given("the platform names the endpoints that it will start")
+def given_named(context):
+    context.world.platform.names_endpoints = True
+
+
+@behave.when("tesfaye asks for {count:d} long completions at once")
+def when_many_long(context, count):
+    world = context.world
+
+    async def play():
+        for number in range(count):
+            document = request_steps.completion(f"long {number}", 128)
+            asked = world.call(
+                "i1", "tesfaye", "POST", request_steps.CHAT, document
+            )
+            # The answers are no part of it: they end with the scenario.
+            defer.ensureDeferred(asked).addErrback(
+                lambda fail: fail.trap(*LOST)
+            )
+        await support.until(
+            lambda: all(e.running for e in world.engines.values())
+        )
+
+    support.run_async(play)
+
+
+def started(context):
+    """Needs of the start orders, by idempotency key."""
+    return {
+        order["idempotency_key"]: (
+            order["model"],
+            order["failure_domain"],
+            order["supply"],
+        )
+        for order in context.world.platform.orders
+        if order["action"] == "start"
+    }
+
+
+@behave.then("the platform gets orders for {count:d} more endpoints of {model}")
+def then_ordered(context, count, model):
+    async def play():
+        await support.until(lambda: len(started(context)) >= count)
+
+    support.run_async(play)
+    assert {place[0] for place in started(context).values()} == {model}
+
+
+@behave.then("each need is ordered once")
+def then_once(context):
+    world = context.world
+
+    async def play():
+        machine = world.sites[await world.leader()].instance.control.machine
+        await support.until(
+            lambda: all(
+                order.status is control.OrderStatus.ACKNOWLEDGED
+                for order in machine.state.orders.live.values()
+            )
+        )
+        return machine.state.orders
+
+    orders = support.run_async(play)
+    assert len(orders.live) == len(started(context)), started(context)
+    assert len(orders.needs) == len(orders.live), orders.needs
+    assert not orders.closed.entries, orders.closed
--- a/tests/scenarios/features/control.feature
+++ b/tests/scenarios/features/control.feature
@@ -61,3 +61,11 @@
     When 200 changes are made
     And all instances are killed and started again
     Then every instance holds the newest revision
+
+  Scenario: Load makes the leader order endpoints beyond the minimum
+    Given engines engine-1 in zone-1 and engine-2 in zone-2
+    And the engines make a token in 100 ms
+    And the platform names the endpoints that it will start
+    When tesfaye asks for 40 long completions at once
+    Then the platform gets orders for 4 more endpoints of coach
+    And each need is ordered once
