Drop lost connections from the site, and show operators TLS too

Cause: a connection that had gone stayed in the site's list; closing it again over TLS can raise in the middle of a graceful end (reported by hand). The operators' port stayed plain when callers had TLS. Change: connections leave the list when they are lost; one TLS setting serves both ports.

--- a/packages/daemon/src/banyanbank_daemon/_http/_site.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_site.py
@@ -2,7 +2,6 @@
 
 import re
 import typing
-import weakref
 
 import attrs
 import banyanbank_base as base
@@ -147,7 +146,7 @@
         self.exchanges = 0
         self.is_closing = False
         self.displayTracebacks = False
-        self._channels: weakref.WeakSet[typing.Any] = weakref.WeakSet()
+        self._channels: set[typing.Any] = set()
 
     def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
         """Builds the protocol of one connection."""
@@ -155,6 +154,14 @@
         channel = getattr(protocol, "_channel", protocol)
         channel.maxHeaders = self.limits.max_headers
         self._channels.add(channel)
+        lose = protocol.connectionLost
+
+        def connection_lost(reason: typing.Any) -> None:
+            # Closing a TLS connection that is gone already would raise.
+            self._channels.discard(channel)
+            lose(reason)
+
+        protocol.connectionLost = connection_lost
         return protocol
 
     def begin_closing(self) -> None:
--- a/packages/daemon/src/banyanbank_daemon/_listeners.py
+++ b/packages/daemon/src/banyanbank_daemon/_listeners.py
@@ -72,7 +72,7 @@
         callers: Routes for callers and endpoints.
         operators: Routes for operators.
         new_request_id: Draws ids.
-        caller_tls: TLS context factory for callers; None for plain HTTP.
+        caller_tls: TLS context factory of both listeners; None for plain HTTP.
         observe: Told of each request's route, status and seconds.
     """
 
@@ -88,7 +88,7 @@
     ) -> None:
         self._settings = settings
         self._reactor = reactor
-        self._caller_tls = caller_tls
+        self._tls = caller_tls
         limits = _http.HttpLimits(max_body_bytes=settings.max_body_bytes)
         self._callers = _http.LimitedSite(
             _http.RouteTable(callers), limits, reactor, new_request_id, observe
@@ -111,22 +111,18 @@
 
     def start(self) -> None:
         """Opens both listeners."""
-        host = self._settings.listen_host
-        callers = self._open_callers(host)
-        operators = self._reactor.listenTCP(
-            self._settings.operator_port, self._operators, interface=host
-        )
+        settings = self._settings
+        callers = self._open(settings.caller_port, self._callers)
+        operators = self._open(settings.operator_port, self._operators)
         self.caller_port = callers.getHost().port
         self.operator_port = operators.getHost().port
         self._ports = [callers, operators]
 
-    def _open_callers(self, host: str) -> typing.Any:
-        port = self._settings.caller_port
-        if self._caller_tls is None:
-            return self._reactor.listenTCP(port, self._callers, interface=host)
-        return self._reactor.listenSSL(
-            port, self._callers, self._caller_tls, interface=host
-        )
+    def _open(self, port: int, site: _http.LimitedSite) -> typing.Any:
+        host = self._settings.listen_host
+        if self._tls is None:
+            return self._reactor.listenTCP(port, site, interface=host)
+        return self._reactor.listenSSL(port, site, self._tls, interface=host)
 
     def begin_closing(self) -> None:
         """Lets callers go elsewhere: each answer ends its connection."""
