--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -40,7 +40,9 @@
     instance: daemon.Instance | None = None
     is_isolated: bool = False
 
-    def build(self, reactor: typing.Any) -> daemon.Instance:
+    def build(
+        self, reactor: typing.Any, caller_tls: typing.Any = None
+    ) -> daemon.Instance:
         assert self.settings.data_dir is not None
         recorder = base.MemoryRecorder(base.InstanceId(self.name), self.clock)
         self.instance = daemon.Instance(
@@ -51,6 +53,7 @@
                 rng=random.Random(self.name),
                 recorder=recorder,
                 disk=consensus.FileDisk(self.settings.data_dir),
+                caller_tls=caller_tls,
             ),
             SECRETS,
         )
@@ -75,6 +78,7 @@
         self.answers: list[fakes.Answer] = []
         self.pending: list[defer.Deferred[fakes.Answer]] = []
         self.revision = 0
+        self.caller_tls: typing.Any = None
         self._callers: dict[tuple[str, str], fakes.Caller] = {}
         self.platform.start()
         ports = support.free_ports(3 * size)
@@ -115,7 +119,7 @@
 
     async def start(self) -> None:
         for site in self.sites.values():
-            await site.build(self.reactor).start()
+            await site.build(self.reactor, self.caller_tls).start()
         await self.until_fresh()
 
     async def stop(self) -> None:
