Let operators change voters, and split their calls by concern

Change: voters add and remove, made at the leader from any instance; calls of sheets, keys and instances stand apart over a shared desk. A scenario adds a fourth voter, removes and kills another, and changes the sheet. Conclusion: a disk can be replaced under a new name too.

--- a/packages/cli/src/banyanbank_cli/_commands.py
+++ b/packages/cli/src/banyanbank_cli/_commands.py
@@ -116,6 +116,26 @@
         self._connection.execute(lambda client: _operator.show(client, call))
 
 
+class Voters:
+    """Voters of the replicated log, changed one at a time."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+
+    def add(self, instance: str) -> None:
+        """Makes an instance with a data folder a voter, once caught up."""
+        self._change(instance, "add")
+
+    def remove(self, instance: str) -> None:
+        """Takes an instance out of the voters."""
+        self._change(instance, "remove")
+
+    def _change(self, instance: str, verb: str) -> None:
+        path = f"/operator/voters/{_client.quoted(instance)}/{verb}"
+        call = _client.Call("POST", path, b"{}", _rollouts.JSON_HEADERS)
+        self._connection.execute(lambda client: _operator.show(client, call))
+
+
 class Rollout:
     """Rollouts, as a trainer asks for them."""
 
@@ -204,6 +224,7 @@
             run,
         )
         self.keys = Keys(self._connection)
+        self.voters = Voters(self._connection)
         self.rollout = Rollout(callers)
 
     def apply(self, sheet: str, expect_revision: str) -> None:
--- a/packages/cli/src/banyanbank_cli/main.py
+++ b/packages/cli/src/banyanbank_cli/main.py
@@ -23,7 +23,10 @@
     # Help is printed: the usual way starts a pager, a process of its own.
     fire.core.Display = _display
     _commands.keep_texts(
-        _commands.Banyanbank, _commands.Keys, _commands.Rollout
+        _commands.Banyanbank,
+        _commands.Keys,
+        _commands.Rollout,
+        _commands.Voters,
     )
 
     def banyanbank(
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from banyanbank_daemon import _announcements
+from banyanbank_daemon import _http
 from banyanbank_daemon import _leases
 from banyanbank_daemon import _listeners
 from banyanbank_daemon import _meters
@@ -22,6 +23,7 @@
 from banyanbank_daemon import _status
 from banyanbank_daemon import _sync
 from banyanbank_daemon import _timeline_calls
+from banyanbank_daemon import _voters
 from banyanbank_daemon._parts import _control
 
 DRAIN_METHOD = "instance.drain"
@@ -104,6 +106,13 @@
             self.dispatch.queues.reports,
             None if self.leader is None else self.leader.lease_server,
         )
+        self.voters = _voters.VoterChanges(
+            around.clock,
+            self.mesh,
+            self.control.plane,
+            self.identity.name,
+            self.control.node,
+        )
         self.timeline = _timeline_calls.TimelineCalls(
             self.mesh, around.recorder, around.reactor
         )
@@ -129,19 +138,7 @@
         endpoints = _announcements.EndpointCalls(
             around.clock, secrets.announce_token, self.sync
         )
-        operators = _operators.OperatorCalls(
-            around.clock,
-            secrets.operator_token,
-            self.control.plane,
-            self.control.entry.authenticator,
-            self.metrics,
-            lambda: _status.status_document(self),
-            self.timeline,
-            lambda: [
-                member.instance for member in self.control.entry.members.all()
-            ],
-            self._drain_instance,
-        )
+        operators = self._operator_routes(secrets.operator_token)
         callers = _listeners.caller_routes(
             lambda: self.is_draining,
             self.entry.models,
@@ -153,12 +150,34 @@
             self.settings,
             around.reactor,
             callers,
-            operators.routes(),
+            operators,
             self.identity.new_request_id,
             around.caller_tls,
             self.meters.observe_request,
         )
 
+    def _operator_routes(self, token: str) -> list[_http.Route]:
+        clock = self.around.clock
+        authenticator = self.control.entry.authenticator
+        desk = _operators.Desk(clock, token, self.control.plane)
+        cluster = _operators.ClusterCalls(
+            clock,
+            desk,
+            self.metrics,
+            lambda: _status.status_document(self),
+            self.timeline,
+            lambda: [
+                member.instance for member in self.control.entry.members.all()
+            ],
+            self._drain_instance,
+            self.voters,
+        )
+        return [
+            *cluster.routes(),
+            *_operators.SheetCalls(desk, authenticator).routes(),
+            *_operators.KeyCalls(desk, authenticator).routes(),
+        ]
+
     async def start(self) -> None:
         """Listens, recovers the log and begins to poll.
 
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -195,6 +195,11 @@
                 "/operator/keys/k%2F1/withdraw",
             ),
             (("drain", "0012"), "POST", "/operator/drain/0012"),
+            (
+                ("voters", "add", "i4"),
+                "POST",
+                "/operator/voters/i4/add",
+            ),
         )
         for arguments, method, path in cases:
             with self.subTest(arguments=arguments):
--- a/tests/scenarios/control_steps.py
+++ b/tests/scenarios/control_steps.py
@@ -436,3 +436,43 @@
     assert len(orders.live) == len(started(context)), started(context)
     assert len(orders.needs) == len(orders.live), orders.needs
     assert not orders.closed.entries, orders.closed
+
+
+@behave.when("instance {name} with a data folder is started")
+def when_added(context, name):
+    async def play():
+        site = context.world.add_site(name)
+        await site.build(context.world.reactor).start()
+        await context.world.until_fresh()
+
+    support.run_async(play)
+
+
+@behave.when("{name} is made a voter")
+def when_voter(context, name):
+    world = context.world
+
+    async def play():
+        answer = await world.operate("POST", f"/operator/voters/{name}/add")
+        assert answer.status == OK, answer
+        node = world.sites[name].instance.control.node
+        await support.until(
+            lambda: name in [m.instance for m in node.status().voters]
+        )
+
+    support.run_async(play)
+
+
+@behave.when("a voter that does not lead is removed and killed")
+def when_voter_removed(context):
+    world = context.world
+
+    async def play():
+        leader = await world.leader()
+        name = next(n for n in ("i1", "i2", "i3") if n != leader)
+        path = f"/operator/voters/{name}/remove"
+        while (await world.operate("POST", path)).status != OK:
+            await support.next_turn(0.1)
+        await world.kill(name)
+
+    support.run_async(play)
--- a/tests/scenarios/features/control.feature
+++ b/tests/scenarios/features/control.feature
@@ -69,3 +69,10 @@
     When tesfaye asks for 40 long completions at once
     Then the platform gets orders for 4 more endpoints of coach
     And each need is ordered once
+
+  Scenario: A voter is added, another removed, and nothing is lost
+    When instance i4 with a data folder is started
+    And i4 is made a voter
+    And a voter that does not lead is removed and killed
+    And an operator applies the sheet with weight 3 for rheintal
+    Then every instance holds weight 3 for rheintal
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -92,6 +92,14 @@
             for index, name in enumerate(names)
         }
 
+    def add_site(self, name: str) -> Site:
+        """Adds an instance that is in nobody's initial voter set."""
+        voters = self.sites["i1"].settings.voters
+        index = len(self.sites)
+        site = self._site(name, index, support.free_ports(3), voters)
+        self.sites[name] = site
+        return site
+
     def _site(
         self,
         name: str,
