Follow orders for which the platform names no endpoint

Change: such an order stays live until as many new endpoints have come as it asked for, each counted for one order, or ten minutes are over.

Tests: the stateful world's platform now names the endpoint of each order, which comes at once. The scenario of the isolated leader now also loses the platform's answers, so that its successor surely has an order to send again under the same key; without, that rested on the fault or on timing.

--- a/packages/control/src/banyanbank_control/duties/_orders.py
+++ b/packages/control/src/banyanbank_control/duties/_orders.py
@@ -37,6 +37,12 @@
     """Platform's reference or reason of refusal."""
 
 
+@attrs.frozen
+class _Arrivals:
+    known: frozenset[base.EndpointId]
+    count: int = 0
+
+
 class OrderPlanner:
     """Turns needs into committed orders, and sends those until answered.
 
@@ -53,6 +59,8 @@
         self._pacing: _pacing.Pacing[str] = _pacing.Pacing()
         self._waiting: dict[int, float] = {}
         self._settled_at: float | None = None
+        self._arrivals: dict[int, _Arrivals] = {}
+        self._claimed: frozenset[base.EndpointId] = frozenset()
         self._avoided: dict[base.FailureDomain, float] = {}
         self._closed_seen: int | None = None
 
@@ -110,6 +118,11 @@
             for number, deadline in self._waiting.items()
             if number in state.live
         }
+        self._arrivals = {
+            number: arrivals
+            for number, arrivals in self._arrivals.items()
+            if number in state.live
+        }
 
     def avoided(self, now: float) -> frozenset[base.FailureDomain]:
         """Returns the failure domains in which starts have failed of late."""
@@ -154,12 +167,34 @@
         now: float,
     ) -> collections.abc.Iterator[_effects.Effect]:
         deadline = self._waiting.setdefault(order.number, now + START_TIMEOUT_S)
-        status = _outcome(order, announced, now >= deadline)
+        late = now >= deadline
+        status = _outcome(order, announced, late)
+        if _names_none(order):
+            has_all = self._have_arrived(order, announced)
+            status = commands.OrderStatus.FULFILLED if has_all or late else None
         if status is not None and self._pacing.take(_end_key(order), now):
             yield self._mark(
                 order.number, status, order.detail, order.endpoints
             )
 
+    def _have_arrived(
+        self,
+        order: orders.Order,
+        announced: collections.abc.Collection[base.EndpointId],
+    ) -> bool:
+        """Counts what is new since an order that the platform named none for.
+
+        Each new endpoint counts for one order, whatever it serves.
+        """
+        present = frozenset(announced)
+        before = self._arrivals.get(order.number, _Arrivals(present))
+        fresh = sorted(present - before.known - self._claimed)
+        taken = fresh[: order.request.count - before.count]
+        self._claimed = (self._claimed & present) | frozenset(taken)
+        after = _Arrivals(before.known, before.count + len(taken))
+        self._arrivals[order.number] = after
+        return after.count >= order.request.count
+
     def _mark(
         self,
         number: int,
@@ -180,6 +215,11 @@
     return f"end-{order.number}"
 
 
+def _names_none(order: orders.Order) -> bool:
+    is_start = order.request.action is commands.Action.START
+    return is_start and not order.endpoints
+
+
 def _outcome(
     order: orders.Order,
     announced: collections.abc.Collection[base.EndpointId],
--- a/tests/control/stateful/world.py
+++ b/tests/control/stateful/world.py
@@ -324,13 +324,17 @@
             )
             for need in needs
         ]
-        effects = self.planner.decide(self.state.orders, requests, (), self.now)
+        orders = self.state.orders
+        # Every endpoint that the platform has named comes at once.
+        come = {f"e{number}" for number in range(1, orders.next)}
+        effects = self.planner.decide(orders, requests, come, self.now)
         for effect in effects:
             if isinstance(effect, control.Propose):
                 self.commit(effect.command)
             elif isinstance(effect, control.SendOrder):
                 accepted = self.orders.take(effect, accept)
-                result = control.OrderResult(effect.order.number, accepted)
+                number = effect.order.number
+                result = control.OrderResult(number, accepted, (f"e{number}",))
                 if answered:
                     self.commit(self.planner.on_result(result).command)
         for need in list(self.orders.live):
--- a/tests/control/test_demand.py
+++ b/tests/control/test_demand.py
@@ -12,6 +12,7 @@
 LATE = 1000.0
 ONE = (control.ServedModel("coach", 1),)
 START = (control.Action.START, "coach")
+BUSY = ("e1", "e2")
 TWO = (control.ServedModel("coach", 1), control.ServedModel("judge", 1))
 
 
@@ -97,6 +98,16 @@
             ("all are needed", three, 3, {}, None),
             ("the last safe one stays", three[:2], 1, {}, "e1"),
             ("never below the minimum", three[:1], 0, {}, None),
+            ("never below the minimum, all cheap", three[1:2], 0, {}, None),
+            ("the last safe one, idle", three, 1, {"busy": BUSY}, None),
+            ("safe ones last", [("a", SAFE)] * 2 + three[1:2], 1, {}, "e2"),
+            (
+                "fullest domain first",
+                [("b", SAFE), ("a", CHEAP), ("b", CHEAP)],
+                1,
+                {},
+                "e2",
+            ),
             ("safe above the floor", [("a", SAFE)] * 2, 1, {}, "e0"),
             ("above the maximum", three + three[1:], 9, {}, "e1"),
             ("an order is live", three, 1, {"live": [other]}, None),
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -153,6 +153,43 @@
                 places.append(need.failure_domain)
         self.assertEqual(places, ["b", "a", "b", "a", "a", "a"])
 
+    def test_platform_names_no_endpoint(self) -> None:
+        other = attrs.evolve(REQUEST, need="coach/b/safe/1")
+        self.needs = (REQUEST, other)
+        planner = self.settled(epoch=2)
+        for now, announced, live in [
+            (0.0, ("e0",), [1, 2]),
+            (1.0, ("e0",), [1, 2]),
+            (300.0, ("e0",), [1, 2]),
+            (301.0, ("e0", "e1"), [2]),
+            (302.0, ("e0", "e1"), [2]),
+            (601.5, ("e0", "e1"), []),
+        ]:
+            with self.subTest(now=now):
+                self.announced = announced
+                self.decide(planner, now)
+                orders = self.machine.state.orders
+                self.assertEqual(sorted(orders.live), live)
+                for number in live:
+                    mark = planner.on_result(control.OrderResult(number, True))
+                    samples.send(self.machine, mark.command)
+                self.needs = ()
+
+    def test_failed_stop_says_nothing_about_starts(self) -> None:
+        stop = attrs.evolve(REQUEST, action=control.Action.STOP, endpoint="e1")
+        for request, avoided in [(stop, set()), (REQUEST, {"a"})]:
+            with self.subTest(request.action):
+                self.needs = (request,)
+                planner = self.settled(epoch=2)
+                self.decide(planner, 0.0)
+                for number in self.machine.state.orders.live:
+                    result = control.OrderResult(number, False)
+                    mark = planner.on_result(result).command
+                    samples.send(self.machine, mark)
+                self.needs = ()
+                self.decide(planner, 1.0)
+                self.assertEqual(planner.avoided(1.0), avoided)
+
     def test_endpoint_that_never_comes(self) -> None:
         planner = self.settled(epoch=2)
         self.decide(planner, 0.0)
--- a/tests/scenarios/features/control.feature
+++ b/tests/scenarios/features/control.feature
@@ -25,6 +25,7 @@
     Then the long completion ends without its whole answer
 
   Scenario: An isolated leader sends no order after its successor may
+    Given the platform loses its answers
     When the leader is isolated
     And another instance leads
     And the successor has sent an order
