Give the stopped leader's successor an order to send again

Cause: orders now stay live until their endpoints come, so the successor had nothing to send in the story of the stopped leader. Change: the platform loses its answers there, so that the same orders go out again under the next epoch. Conclusion: the check on tokens and contents sees two leaders for sure.

--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -251,6 +251,8 @@
 
     def test_stopped_leader_sends_no_late_orders(self) -> None:
         async def story(world: World) -> None:
+            # An order without an answer is sent again, by whoever leads.
+            world.platform.faults.drop_before_answer = True
             leader = await world.cluster.leader()
             await support.until(lambda: world.platform.orders)
             world.cluster.processes[leader].signal(signal.SIGSTOP)
