Forget what routers keep of endpoints that are gone

Cause: reclaimable endpoints come under ever new names, and loads, health and prefixes of each stayed for the life of the process. Change: what has gone from the directory is forgotten at the next poll; a test with engines that fall silent. Conclusion: memory follows the endpoints that are there.

--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -159,6 +159,7 @@
         self._local_runner = local_runner
         self._remote_runner = remote_runner
         self._loads: dict[base.EndpointId, LoadReport] = {}
+        self._known: frozenset[base.EndpointId] = frozenset()
         self.directory = directory
         self.serving = directory.serving
         self.url_of = directory.url_of
@@ -223,6 +224,15 @@
             heard_at=self._clock.now(),
         )
 
+    def forget_gone(self) -> frozenset[base.EndpointId]:
+        """Drops what is kept of endpoints that are gone; returns them."""
+        known = frozenset(one.endpoint for one in self.directory.known())
+        gone = self._known - known
+        self._known = known
+        for endpoint in gone:
+            self._loads.pop(endpoint, None)
+        return gone
+
     def _candidate(
         self,
         announcement: control.Announcement,
--- a/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
@@ -36,6 +36,8 @@
     def follow_engines(self) -> None:
         """Hands back queued work of engines that leave; resizes others."""
         self.fleet.directory.note_change()
+        for gone in self.fleet.forget_gone():
+            self.router.forget(gone)
         serving = {
             announcement.endpoint for announcement in self.fleet.serving()
         }
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of what an instance makes of the endpoints that it knows."""
 
+import typing
 import unittest
 
 import banyanbank_base as base
@@ -7,6 +8,7 @@
 from banyanbank_daemon import _fleet
 
 ME = base.InstanceId("i1")
+NO_RUNNER: typing.Any = None
 
 
 def announcement(
@@ -28,8 +30,8 @@
     return control.Announcement(**{**fields, **more})  # type: ignore[arg-type]
 
 
-class SlotsTest(unittest.TestCase):
-    """One of several engines stays quick for lookups, whoever comes or goes."""
+class FleetCase(unittest.TestCase):
+    """A directory under a fake clock, and engines that it hears."""
 
     def setUp(self) -> None:
         self.clock = base.ManualClock(10.0)
@@ -44,6 +46,10 @@
             self.entry.endpoints.heard.hear(one, self.clock.now())
         self.directory.note_change()
 
+
+class SlotsTest(FleetCase):
+    """One of several engines stays quick for lookups, whoever comes or goes."""
+
     def test_reserves(self) -> None:
         table = [
             ("one engine", ["a"], 48, {"a": 4}),
@@ -76,3 +82,20 @@
 
     def test_unknown_engine_has_one_stream(self) -> None:
         self.assertEqual(self.directory.slots_of("z"), _fleet.EngineSlots(1, 0))
+
+
+class ForgetTest(FleetCase):
+    """What is kept of an endpoint ends with the endpoint."""
+
+    def test_gone_engine(self) -> None:
+        fleet = _fleet.Fleet(
+            self.clock, self.directory, NO_RUNNER, lambda _peer: NO_RUNNER
+        )
+        self.hear(announcement("a", 8), announcement("b", 8))
+        self.assertEqual(fleet.forget_gone(), frozenset())
+        self.clock.advance(control.ENDPOINT_TTL_S / 2)
+        self.hear(announcement("b", 8, 2))
+        self.clock.advance(control.ENDPOINT_TTL_S / 2)
+        self.entry.endpoints.expire(self.clock.now())
+        self.assertEqual(fleet.forget_gone(), {"a"})
+        self.assertEqual(fleet.forget_gone(), frozenset())
