Let sheets and texts share what collects items and faults

Cause: the same class stood in both readers of declarations. Change: Findings holds items, places and faults, and concludes; the readers differ in their parsing only. Conclusion: one rule for what stands twice.

--- a/packages/control/src/banyanbank_control/declarations/_sheet.py
+++ b/packages/control/src/banyanbank_control/declarations/_sheet.py
@@ -8,12 +8,11 @@
 import csv
 import io
 
-import attrs
 import returns.result
 
-from banyanbank_control.declarations import _checks
 from banyanbank_control.declarations import _columns
 from banyanbank_control.declarations import _errors
+from banyanbank_control.declarations import _findings
 from banyanbank_control.declarations import _models
 
 MAX_SHEET_BYTES = 8 * 1024 * 1024
@@ -26,39 +25,6 @@
     """The file as a whole cannot be read; carries problem and mend."""
 
 
-@attrs.define
-class _Reading:
-    """What has been read of one sheet so far."""
-
-    file: str
-    """Name of the file."""
-    items: dict[_models.ItemRef, _models.Item] = attrs.Factory(dict)
-    """Items by reference."""
-    rows: dict[_models.ItemRef, int] = attrs.Factory(dict)
-    """Row of each item."""
-    errors: list[_errors.SheetError] = attrs.Factory(list)
-    """Faults so far."""
-
-    def fail(self, row: int, column: str, problem: str, mend: str) -> None:
-        """Notes one fault."""
-        self.errors.append(
-            _errors.SheetError(self.file, row, column, problem, mend)
-        )
-
-    def add(self, row: int, item: _models.Item) -> None:
-        """Takes in one item, or notes that it stands twice."""
-        first = self.rows.setdefault(item.ref, row)
-        if first != row:
-            self.fail(
-                row,
-                "name",
-                f"The {item.ref} stands in row {first} already.",
-                "Remove one of the two rows.",
-            )
-            return
-        self.items[item.ref] = item
-
-
 def parse_sheet(
     name: str, data: bytes
 ) -> returns.result.Result[_models.Declarations, _errors.SheetErrors]:
@@ -71,7 +37,7 @@
     Returns:
         The declarations, or every fault of the sheet.
     """
-    reading = _Reading(name)
+    reading = _findings.Findings(name, "row")
     try:
         records = _records(data)
     except _UnreadableError as exc:
@@ -79,41 +45,7 @@
         reading.fail(0, "", problem, mend)
         records = []
     _read_records(reading, records)
-    return conclude(reading.file, reading.items, reading.rows, reading.errors)
-
-
-def conclude(
-    file: str,
-    items: dict[_models.ItemRef, _models.Item],
-    rows: dict[_models.ItemRef, int],
-    errors: list[_errors.SheetError],
-) -> returns.result.Result[_models.Declarations, _errors.SheetErrors]:
-    """Checks items against each other and returns them or every fault.
-
-    Args:
-        file: Name of the file.
-        items: Items read, by reference.
-        rows: Row or line of each item.
-        errors: Faults found so far.
-    """
-    declared = _models.Declarations.of(items.values())
-    found = list(errors)
-    # Checks between items would repeat the faults of rows that were left out.
-    if not errors:
-        found.extend(
-            _errors.SheetError(
-                file,
-                rows[problem.ref],
-                problem.heading,
-                problem.problem,
-                problem.mend,
-            )
-            for problem in _checks.check(declared)
-        )
-    if found:
-        found.sort(key=lambda error: error.row)
-        return returns.result.Failure(_errors.SheetErrors(tuple(found)))
-    return returns.result.Success(declared)
+    return reading.conclude()
 
 
 def _records(data: bytes) -> list[list[str]]:
@@ -158,7 +90,9 @@
     return line.lower().startswith("sep=") and line[4:5] in tuple(_DELIMITERS)
 
 
-def _read_records(reading: _Reading, records: list[list[str]]) -> None:
+def _read_records(
+    reading: _findings.Findings, records: list[list[str]]
+) -> None:
     headings: list[str] = []
     for row, record in enumerate(records, start=1):
         cells = [cell.strip() for cell in record]
@@ -179,7 +113,9 @@
         )
 
 
-def _read_headings(reading: _Reading, row: int, cells: list[str]) -> list[str]:
+def _read_headings(
+    reading: _findings.Findings, row: int, cells: list[str]
+) -> list[str]:
     headings = [cell.lower().replace(" ", "_") for cell in cells]
     seen: set[str] = set()
     for heading in headings:
@@ -206,7 +142,7 @@
 
 
 def _read_row(
-    reading: _Reading, row: int, headings: list[str], cells: list[str]
+    reading: _findings.Findings, row: int, headings: list[str], cells: list[str]
 ) -> None:
     if any(cells[len(headings) :]):
         reading.fail(
--- a/packages/control/src/banyanbank_control/declarations/_text.py
+++ b/packages/control/src/banyanbank_control/declarations/_text.py
@@ -8,6 +8,7 @@
 
 from banyanbank_control.declarations import _columns
 from banyanbank_control.declarations import _errors
+from banyanbank_control.declarations import _findings
 from banyanbank_control.declarations import _models
 from banyanbank_control.declarations import _sheet
 
@@ -45,16 +46,8 @@
     """Reads one text file, collecting its faults."""
 
     def __init__(self, file: str) -> None:
-        self.file = file
-        self.items: dict[_models.ItemRef, _models.Item] = {}
-        self.lines: dict[_models.ItemRef, int] = {}
-        self.errors: list[_errors.SheetError] = []
-
-    def fail(self, line: int, column: str, problem: str, mend: str) -> None:
-        """Notes one fault."""
-        self.errors.append(
-            _errors.SheetError(self.file, line, column, problem, mend)
-        )
+        self.found = _findings.Findings(file, "line")
+        self.fail = self.found.fail
 
     def read(self, root: yaml.Node | None) -> None:
         """Reads the whole document."""
@@ -94,7 +87,7 @@
                 _line(node), problem.heading, problem.problem, problem.mend
             )
         if item is not None:
-            self._add(_line(node), item)
+            self.found.add(_line(node), item)
 
     def _read_cells(self, node: yaml.MappingNode) -> dict[str, str]:
         cells: dict[str, str] = {}
@@ -110,18 +103,6 @@
             cells[heading] = _text_of(value)
         return {heading: text for heading, text in cells.items() if text}
 
-    def _add(self, line: int, item: _models.Item) -> None:
-        first = self.lines.setdefault(item.ref, line)
-        if first != line:
-            self.fail(
-                line,
-                "name",
-                f"The {item.ref} stands in line {first} already.",
-                "Remove one of the two.",
-            )
-            return
-        self.items[item.ref] = item
-
 
 def parse_text(
     name: str, data: bytes
@@ -140,7 +121,7 @@
         text.fail(0, "", "The file is too large.", "Keep it below 8 MiB.")
     else:
         _compose(text, data)
-    return _sheet.conclude(name, text.items, text.lines, text.errors)
+    return text.found.conclude()
 
 
 def _compose(text: _Text, data: bytes) -> None:
