Lose no connection that is being made when a listener closes

The kernel finishes handshakes by itself; one that was finished and not accepted when the listener closed was reset; and a connection accepted last was closed as idle before its request was read. Ruled out: requests on kept connections, which end with their answers since the notice. Change: a socket filter keeps new handshakes out, those under way are accepted, then the listener closes; connections are closed after a second without a request. Conclusion: no window is left that the process can see.

--- a/packages/daemon/src/banyanbank_daemon/_http/__init__.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/__init__.py
@@ -4,6 +4,7 @@
 from banyanbank_daemon._http._exchange import ExchangeClosed
 from banyanbank_daemon._http._problem import problem_body
 from banyanbank_daemon._http._problem import status_of
+from banyanbank_daemon._http._quiet import keep_new_out
 from banyanbank_daemon._http._site import HttpLimits
 from banyanbank_daemon._http._site import LimitedSite
 from banyanbank_daemon._http._site import Route
@@ -16,6 +17,7 @@
     "LimitedSite",
     "Route",
     "RouteTable",
+    "keep_new_out",
     "problem_body",
     "status_of",
 ]
--- a/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
@@ -97,6 +97,11 @@
         self.status = 0
         request.notifyFinish().addBoth(self._on_finish)
 
+    @property
+    def channel(self) -> typing.Any:
+        """The connection that carries the request; None once it is lost."""
+        return self._request.channel
+
     @property
     def method(self) -> str:
         """HTTP method."""
--- a/packages/daemon/src/banyanbank_daemon/_http/_site.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_site.py
@@ -19,6 +19,11 @@
 
 Observer = typing.Callable[[str, int, float], None]
 
+CLOSE_IDLE_S = 1.0
+"""Seconds without a request after which a closing site ends a connection."""
+ABORT_IDLE_S = 2.0
+"""Seconds without a request after which it no longer waits for the peer."""
+
 
 @attrs.frozen
 class HttpLimits:
@@ -146,19 +151,19 @@
         self.exchanges = 0
         self.is_closing = False
         self.displayTracebacks = False
-        self._channels: set[typing.Any] = set()
+        self._used_at: dict[typing.Any, float] = {}
 
     def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
         """Builds the protocol of one connection."""
         protocol: typing.Any = super().buildProtocol(addr)
         channel = getattr(protocol, "_channel", protocol)
         channel.maxHeaders = self.limits.max_headers
-        self._channels.add(channel)
+        self._used_at[channel] = self.reactor.seconds()
         lose = protocol.connectionLost
 
         def connection_lost(reason: typing.Any) -> None:
             # Closing a TLS connection that is gone already would raise.
-            self._channels.discard(channel)
+            self._used_at.pop(channel, None)
             lose(reason)
 
         protocol.connectionLost = connection_lost
@@ -168,16 +173,34 @@
         """Closes each connection after its next answer, and says so."""
         self.is_closing = True
 
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._used_at)
+
+    def note_used(self, channel: typing.Any) -> None:
+        """Notes that a connection carries or has just carried a request."""
+        if channel in self._used_at:
+            self._used_at[channel] = self.reactor.seconds()
+
     def close_idle(self) -> None:
-        """Closes idle connections; others close after their answer."""
-        self.is_closing = True
-        for channel in list(self._channels):
-            if not channel.requests and channel.transport is not None:
+        """Closes connections that have long been idle.
+
+        A connection just made or used may have a request on its way.
+        """
+        now = self.reactor.seconds()
+        for channel, used_at in list(self._used_at.items()):
+            idle_s = now - used_at
+            if channel.requests or channel.transport is None:
+                continue
+            if idle_s >= ABORT_IDLE_S:
+                channel.transport.abortConnection()
+            elif idle_s >= CLOSE_IDLE_S:
                 channel.transport.loseConnection()
 
     def abort_all(self) -> None:
         """Cuts every connection."""
-        for channel in list(self._channels):
+        for channel in list(self._used_at):
             if channel.transport is not None:
                 channel.transport.abortConnection()
 
@@ -238,10 +261,12 @@
 
     def _serve(self, route: Route, exchange: _exchange.Exchange) -> None:
         self._site.exchanges += 1
+        channel = exchange.channel
+        self._site.note_used(channel)
         begun_at = self._site.reactor.seconds()
         deferred = defer.ensureDeferred(route.handler(exchange))
         deferred.addErrback(self._on_error, exchange)
-        deferred.addBoth(self._on_done, route, exchange, begun_at)
+        deferred.addBoth(self._on_done, route, exchange, begun_at, channel)
 
     def _on_error(
         self, failure: typing.Any, exchange: _exchange.Exchange
@@ -268,7 +293,9 @@
         route: Route,
         exchange: _exchange.Exchange,
         begun_at: float,
+        channel: typing.Any,
     ) -> None:
         self._site.exchanges -= 1
+        self._site.note_used(channel)
         seconds = self._site.reactor.seconds() - begun_at
         self._site.observe(route.path, exchange.status, seconds)
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -229,6 +229,7 @@
         clock = self.around.clock
         deadline = clock.now() + self.settings.drain_limit_s
         while self._is_busy() and clock.now() < deadline:
+            self.listeners.close_idle()
             await task.deferLater(self.around.reactor, DRAIN_POLL_S)
         await self.control.usage.close(clock.now() + FINAL_FLUSH_S)
         await self.stop()
@@ -253,7 +254,11 @@
         await self.dispatch.upstream.close()
 
     def _is_busy(self) -> bool:
-        return bool(self.listeners.exchanges or self.mesh.calls_running)
+        return bool(
+            self.listeners.exchanges
+            or self.listeners.connections
+            or self.mesh.calls_running
+        )
 
     def keys_withdrawn(self, key_ids: frozenset[base.KeyId]) -> None:
         """Ends what runs and waits under withdrawn keys."""
--- a/packages/daemon/src/banyanbank_daemon/_listeners.py
+++ b/packages/daemon/src/banyanbank_daemon/_listeners.py
@@ -4,6 +4,7 @@
 
 import banyanbank_base as base
 from twisted.internet import defer
+from twisted.internet import task
 
 from banyanbank_daemon import _announcements
 from banyanbank_daemon import _entry
@@ -12,6 +13,8 @@
 
 OK = 200
 UNAVAILABLE = 503
+HANDSHAKE_S = 0.25
+"""Seconds in which a handshake that has begun ends."""
 
 
 def caller_routes(
@@ -130,10 +133,23 @@
         self._operators.begin_closing()
 
     async def stop_listening(self) -> None:
-        """Takes no new connection; those that are open end by themselves."""
+        """Takes no new connection; loses none that is being made."""
         ports, self._ports = self._ports, []
+        for port in ports:
+            _http.keep_new_out(port.socket)
+        if ports:
+            # Handshakes that have begun end, and the loop accepts them.
+            await task.deferLater(self._reactor, HANDSHAKE_S)
         for port in ports:
             await defer.maybeDeferred(port.stopListening)
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open on both listeners."""
+        return self._callers.connections + self._operators.connections
+
+    def close_idle(self) -> None:
+        """Closes connections that have long been idle."""
         self._callers.close_idle()
         self._operators.close_idle()
 
