Mend what a last reading found: gauges never set, work done twice, twins, dead code

A request's body was read from its file up to five times. The look at endpoints was kept for serving ones only, so each url and slot look-up still merged and scanned all of them. Members and endpoints of an entry kept the same two loops. A method, two constants and a field were used by nothing. Conclusion: behaviour is as it was but for the gauges, which now tell the truth.

--- a/packages/control/src/banyanbank_control/sync/_known.py
+++ b/packages/control/src/banyanbank_control/sync/_known.py
@@ -1,5 +1,7 @@
 """Members and endpoints as one entry knows them."""
 
+import typing
+
 import attrs
 import banyanbank_base as base
 
@@ -25,6 +27,31 @@
     expires_at: float | None = None
 
 
+_Name = typing.TypeVar("_Name")
+_Entry = typing.TypeVar("_Entry", _Told, _ToldMember)
+
+
+def _start_over(
+    told: dict[_Name, _Entry],
+    now: float,
+    keep_missing: bool,
+) -> None:
+    """Keeps what was told before for a while, or drops it."""
+    if not keep_missing:
+        told.clear()
+    for one in told.values():
+        one.expires_at = one.expires_at or now + RELEARN_S
+
+
+def _drop_expired(
+    told: dict[_Name, _Entry],
+    now: float,
+) -> None:
+    for name, one in list(told.items()):
+        if one.expires_at is not None and one.expires_at <= now:
+            del told[name]
+
+
 class KnownMembers:
     """Instances that the leader has told of."""
 
@@ -45,12 +72,8 @@
             now: Monotonic time in seconds.
             keep_missing: Whether what was known before still counts.
         """
-        if reply.soft_whole and not keep_missing:
-            self._told.clear()
         if reply.soft_whole:
-            deadline = now + RELEARN_S
-            for told in self._told.values():
-                told.expires_at = told.expires_at or deadline
+            _start_over(self._told, now, keep_missing)
         for instance in reply.members_gone:
             self._told.pop(instance, None)
         for member in reply.members:
@@ -58,11 +81,7 @@
 
     def expire(self, now: float) -> None:
         """Drops members past their deadline."""
-        self._told = {
-            instance: told
-            for instance, told in self._told.items()
-            if told.expires_at is None or told.expires_at > now
-        }
+        _drop_expired(self._told, now)
 
     def all(self) -> tuple[_messages.Member, ...]:
         """Returns every member, those that leave included."""
@@ -93,12 +112,8 @@
             now: Monotonic time in seconds.
             keep_missing: Whether what was known before still counts.
         """
-        if reply.soft_whole and not keep_missing:
-            self._told.clear()
         if reply.soft_whole:
-            deadline = now + RELEARN_S
-            for told in self._told.values():
-                told.expires_at = told.expires_at or deadline
+            _start_over(self._told, now, keep_missing)
         for endpoint in reply.endpoints_gone:
             self._told.pop(endpoint, None)
         for announcement in reply.endpoints:
@@ -119,13 +134,7 @@
     def expire(self, now: float) -> None:
         """Drops endpoints past their deadline."""
         self.heard.expire(now)
-        gone = [
-            endpoint
-            for endpoint, told in self._told.items()
-            if told.expires_at is not None and told.expires_at <= now
-        ]
-        for endpoint in gone:
-            del self._told[endpoint]
+        _drop_expired(self._told, now)
 
     def all(self, trust_leader: bool) -> tuple[_messages.Announcement, ...]:
         """Returns every endpoint known, those that leave included.
--- a/packages/daemon/src/banyanbank_daemon/_announcements.py
+++ b/packages/daemon/src/banyanbank_daemon/_announcements.py
@@ -38,7 +38,6 @@
         self._clock = clock
         self._token = token
         self._client = client
-        self._sequence = 0
 
     async def announce(self, exchange: _http.Exchange) -> None:
         """Takes an announcement or its renewal."""
--- a/packages/daemon/src/banyanbank_daemon/_control_plane.py
+++ b/packages/daemon/src/banyanbank_daemon/_control_plane.py
@@ -82,11 +82,6 @@
             return self._node.leader
         return self._hint
 
-    def set_voters(self, voters: tuple[base.InstanceId, ...]) -> None:
-        """Takes in the voters of the membership."""
-        if voters:
-            self._voters = voters
-
     def note_unreachable(self, instance: base.InstanceId) -> None:
         """Drops a leader hint that led nowhere."""
         if self._hint == instance:
--- a/packages/daemon/src/banyanbank_daemon/_entry/_services.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -22,8 +22,6 @@
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 IDEMPOTENT_METHODS = SAFE_METHODS | {"PUT", "DELETE"}
-SERVICE_UNAVAILABLE = 503
-BAD_GATEWAY = 502
 
 
 @attrs.frozen
--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -15,7 +15,7 @@
 """Engines of a model from which on one is kept quick for lookups."""
 QUICK_DIVISOR = 2
 RESERVE_DIVISOR = 12
-SERVING_S = 0.05
+LOOK_S = 0.05
 """Seconds for which one look at the endpoints serves all requests."""
 
 
@@ -67,23 +67,31 @@
         self._clock = clock
         self._entry = entry
         self._serving: tuple[control.Announcement, ...] = ()
-        self._serving_until = clock.now()
+        self._known: dict[str, control.Announcement] = {}
+        self._look_until = clock.now()
 
     def serving(self) -> tuple[control.Announcement, ...]:
         """Returns the endpoints that may get new work."""
-        now = self._clock.now()
-        if now >= self._serving_until:
-            self._serving = self._entry.serving(now)
-            self._serving_until = now + SERVING_S
+        self._look()
         return self._serving
 
+    def known(self) -> tuple[control.Announcement, ...]:
+        """Returns every endpoint, those that leave included."""
+        self._look()
+        return tuple(self._known.values())
+
     def note_change(self) -> None:
         """Makes the next look see endpoints that came or left just now."""
-        self._serving_until = self._clock.now()
+        self._look_until = self._clock.now()
 
-    def known(self) -> tuple[control.Announcement, ...]:
-        """Returns every endpoint, those that leave included."""
-        return self._entry.endpoints.all(trust_leader=True)
+    def _look(self) -> None:
+        now = self._clock.now()
+        if now < self._look_until:
+            return
+        self._look_until = now + LOOK_S
+        self._serving = self._entry.serving(now)
+        known = self._entry.endpoints.all(trust_leader=True)
+        self._known = {one.endpoint: one for one in known}
 
     def members(self) -> tuple[control.Member, ...]:
         """Returns every member, those that leave included."""
@@ -132,10 +140,8 @@
         return dispatch.rendezvous_owner(endpoint, live or [self.instance])
 
     def _find(self, endpoint: str) -> control.Announcement | None:
-        for announcement in self.known():
-            if announcement.endpoint == endpoint:
-                return announcement
-        return None
+        self._look()
+        return self._known.get(endpoint)
 
 
 class Fleet:
--- a/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
+++ b/packages/daemon/src/banyanbank_daemon/_http/_exchange.py
@@ -86,6 +86,7 @@
         self._request = request
         self._reactor = reactor
         self._gate: _WriteGate | None = None
+        self._body: bytes | None = None
         self._closed: list[typing.Callable[[], None]] = []
         self.request_id = request_id
         self.parameters = {
@@ -119,12 +120,14 @@
 
     @property
     def body(self) -> bytes:
-        """Whole body."""
-        content = self._request.content
-        if content is None:
-            return b""
-        content.seek(0)
-        return content.read()
+        """Whole body; read once, since a long one lies in a file."""
+        if self._body is None:
+            content = self._request.content
+            if content is None:
+                return b""
+            content.seek(0)
+            self._body = content.read()
+        return self._body
 
     def header(self, name: str) -> str:
         """Returns a header's last value, or an empty string."""
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -278,6 +278,7 @@
     def endpoints_changed(self) -> None:
         """Acts on endpoints that came, left or will leave."""
         self.dispatch.follow_engines()
+        self.meters.observe_queues(self.dispatch.queues.queues)
 
     def _flush_usage(self) -> None:
         flushing = defer.ensureDeferred(self.control.usage.flush())
--- a/packages/daemon/src/banyanbank_daemon/_meters.py
+++ b/packages/daemon/src/banyanbank_daemon/_meters.py
@@ -1,5 +1,9 @@
 """The metrics of one instance."""
 
+import collections.abc
+
+import banyanbank_dispatch as dispatch
+
 from banyanbank_daemon import _metrics
 
 
@@ -32,6 +36,7 @@
             "Jobs that run on an engine owned here.",
             "endpoint",
         )
+        self._shown: frozenset[str] = frozenset()
 
     def observe_request(self, route: str, status: int, seconds: float) -> None:
         """Counts one request.
@@ -44,12 +49,15 @@
         self._requests.add(1, route, str(status))
         self._seconds.record(seconds, route)
 
-    def observe_queue(self, endpoint: str, waiting: int, running: int) -> None:
-        """Takes in the state of an engine's queue."""
-        self._waiting.set(waiting, endpoint)
-        self._running.set(running, endpoint)
-
-    def forget_queue(self, endpoint: str) -> None:
-        """Drops an engine that is gone or owned elsewhere."""
-        self._waiting.remove(endpoint)
-        self._running.remove(endpoint)
+    def observe_queues(
+        self, queues: collections.abc.Mapping[str, dispatch.EngineQueue]
+    ) -> None:
+        """Takes in the queues of all engines owned here; drops others."""
+        for endpoint in self._shown - queues.keys():
+            self._waiting.remove(endpoint)
+            self._running.remove(endpoint)
+        for endpoint, queue in queues.items():
+            status = queue.status()
+            self._waiting.set(status.waiting, endpoint)
+            self._running.set(status.running, endpoint)
+        self._shown = frozenset(queues)
