Reach each instance of the process tests through a relay of its own

Cause: links between real processes could not be cut, because members learn each other's addresses and sources on loopback look alike. Broken on purpose: without local_addr the new mesh test fails. Conclusion: a silent cut of one direction of one pair can now be played.

--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -71,6 +71,7 @@
             tls=around.mesh_tls,
             rng=around.rng,
             hybrid_clock=around.recorder.hybrid_clock,
+            source_host=settings.mesh_source_host,
         )
         self.mesh.on_call(DRAIN_METHOD, self._serve_drain)
         self.control = _parts.build_control(
--- a/packages/daemon/src/banyanbank_daemon/_settings.py
+++ b/packages/daemon/src/banyanbank_daemon/_settings.py
@@ -87,6 +87,8 @@
     """TCP port for operators and metrics; 0 lets the system choose."""
     advertised_host: str | None = None
     """IP number told to other instances; None for `listen_host`."""
+    mesh_source_host: str | None = None
+    """IP number to reach other instances from; None: the system chooses."""
     voters: tuple[_setting_parsers.Voter, ...]
     """Initial voter set; every instance asks these first."""
     data_dir: pathlib.Path | None = None
@@ -143,6 +145,7 @@
         "mesh_port": _setting_parsers.parse_port,
         "operator_port": _setting_parsers.parse_port,
         "advertised_host": _setting_parsers.parse_host,
+        "mesh_source_host": _setting_parsers.parse_host,
         "voters": _setting_parsers.parse_voters,
         "data_dir": _setting_parsers.parse_path,
         "operator_token_file": _setting_parsers.parse_secret_file,
--- a/packages/mesh/src/banyanbank_mesh/_connections.py
+++ b/packages/mesh/src/banyanbank_mesh/_connections.py
@@ -66,6 +66,7 @@
         tls: Mutual TLS; None for plain TCP.
         rng: Source of jitter.
         owner: Hears of frames and connections.
+        source_host: IP number to connect from; None lets the system choose.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         tls: _tls.MeshTls | None,
         rng: random.Random,
         owner: ConnectionsOwner,
+        source_host: str | None = None,
     ) -> None:
         self._me = me
         self._clock = clock
@@ -83,6 +85,7 @@
         self._tls = tls
         self._rng = rng
         self._owner = owner
+        self._source_host = source_host
         self._peers: dict[base.InstanceId, _peer.Peer] = {}
         self._lives = _peer.LifeMemory(clock)
         self._server: websockets.asyncio.server.Server | None = None
@@ -256,7 +259,7 @@
         address = peer.address
         if address is None:
             raise OSError(f"The address of {peer.instance!r} is not known.")
-        conn = await _sockets.connect(address, self._tls)
+        conn = await _sockets.connect(address, self._tls, self._source_host)
         try:
             identity = await _handshake.greet(
                 conn, self._me, peer.instance, lane, self._tls
--- a/packages/mesh/src/banyanbank_mesh/_mesh.py
+++ b/packages/mesh/src/banyanbank_mesh/_mesh.py
@@ -44,6 +44,8 @@
         rng: Source of jitter.
         hybrid_clock: Stamps frames and takes in the stamps of peers, so that
             merged time lines follow causality; None for one of its own.
+        source_host: IP number to connect to peers from, of the same version
+            as theirs; None lets the system choose.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         tls: _tls.MeshTls | None = None,
         rng: random.Random | None = None,
         hybrid_clock: base.HybridClock | None = None,
+        source_host: str | None = None,
     ) -> None:
         self._me = _handshake.Identity(instance, incarnation)
         self._host = host
@@ -72,6 +75,7 @@
             tls,
             rng or random.Random(f"{instance}/{incarnation}"),
             self,
+            source_host,
         )
         self._outbound = _outbound.Outbound(
             incarnation, clock, self._hybrid_clock, self._submit
--- a/packages/mesh/src/banyanbank_mesh/_sockets.py
+++ b/packages/mesh/src/banyanbank_mesh/_sockets.py
@@ -65,13 +65,16 @@
 
 
 async def connect(
-    address: _peer.Address, tls: _tls.MeshTls | None
+    address: _peer.Address,
+    tls: _tls.MeshTls | None,
+    source_host: str | None = None,
 ) -> websockets.asyncio.connection.Connection:
     """Opens a connection.
 
     Args:
         address: Where the peer listens.
         tls: Mutual TLS; None for plain TCP.
+        source_host: IP number to connect from; None lets the system choose.
 
     Raises:
         OSError: The peer cannot be reached, or TLS failed.
@@ -79,8 +82,10 @@
     """
     scheme = "ws" if tls is None else "wss"
     host = f"[{address.host}]" if ":" in address.host else address.host
+    source = None if source_host is None else (source_host, 0)
     return await websockets.asyncio.client.connect(
         f"{scheme}://{host}:{address.port}/",
+        local_addr=source,
         ssl=None if tls is None else tls.client_context(),
         compression=None,
         proxy=None,
--- a/tests/mesh/test_faults.py
+++ b/tests/mesh/test_faults.py
@@ -16,6 +16,7 @@
 from returns import result
 from twisted.internet import defer
 
+from tests import relay
 from tests import support
 from tests.mesh import support as mesh_support
 
@@ -76,7 +77,7 @@
         self.oracle = Oracle()
         self.lives = dict.fromkeys(NAMES, 0)
         self.meshes: dict[base.InstanceId, mesh.Mesh] = {}
-        self.relays: dict[base.InstanceId, mesh_support.Relay] = {}
+        self.relays: dict[base.InstanceId, relay.Relay] = {}
         self.asking: list[defer.Deferred[None]] = []
         self.faults: collections.Counter[str] = collections.Counter()
 
@@ -87,8 +88,8 @@
 
     async def stop(self) -> None:
         """Stops the relays; the case stops the meshes."""
-        for relay in self.relays.values():
-            await relay.stop()
+        for front in self.relays.values():
+            await front.stop()
 
     async def restart(self, name: base.InstanceId) -> None:
         """Ends the life of an instance, if any, and starts the next."""
@@ -105,11 +106,11 @@
         """Cuts all connections to an instance and gives it a new address."""
         if name in self.relays:
             await self.relays[name].stop()
-        relay = mesh_support.Relay(self.meshes[name].port)
-        await relay.start()
-        self.relays[name] = relay
+        front = relay.Relay(self.meshes[name].port)
+        await front.start()
+        self.relays[name] = front
         for other in self.meshes.values():
-            other.set_peer(name, "127.0.0.1", relay.port)
+            other.set_peer(name, "127.0.0.1", front.port)
         for peer, known in self.relays.items():
             self.meshes[name].set_peer(peer, "127.0.0.1", known.port)
 
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -4,6 +4,7 @@
 import unittest
 import unittest.mock
 
+import attrs
 import banyanbank_base as base
 import banyanbank_mesh as mesh
 from banyanbank_mesh import _peer
@@ -11,6 +12,7 @@
 from returns import result
 from twisted.internet import defer
 
+from tests import relay
 from tests import support
 from tests.mesh import support as mesh_support
 
@@ -21,6 +23,17 @@
 MAY_HAVE_RUN = base.Outcome.MAY_HAVE_RUN
 
 
+@attrs.define
+class _WaysBySource:
+    """Two ways for each source that has connected."""
+
+    known: dict[str, relay.OneWays]
+    """By IP number."""
+
+    def ways_of(self, source: str) -> tuple[relay.Way, relay.Way]:
+        return self.known.setdefault(source, relay.OneWays()).ways_of(source)
+
+
 async def echo(sender: base.InstanceId, data: bytes) -> bytes:
     return sender.encode() + b":" + data
 
@@ -246,11 +259,11 @@
     def test_silent_peer_is_disconnected(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             b.on_call("echo", echo)
-            relay = mesh_support.Relay(b.port)
-            await relay.start()
-            a.set_peer(B, "127.0.0.1", relay.port)
+            between = relay.Relay(b.port)
+            await between.start()
+            a.set_peer(B, "127.0.0.1", between.port)
             await a.call(B, "echo", b"", self.soon())
-            relay.freeze()
+            between.freeze()
             cut = await a.call(B, "echo", b"", self.soon())
             self.expect_error(cut, KIND.DISCONNECTED, MAY_HAVE_RUN)
             late = await a.call(B, "echo", b"", self.clock.now() + 0.1)
@@ -258,7 +271,7 @@
             a.set_peer(B, "127.0.0.1", b.port)
             answer = await a.call(B, "echo", b"", self.soon())
             self.assertEqual(answer, result.Success(b"a:"))
-            await relay.stop()
+            await between.stop()
 
         with (
             unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 0.05),
@@ -266,6 +279,33 @@
         ):
             self.run_case(case)
 
+    def test_source_host_tells_instances_apart(self) -> None:
+        """Of two peers at one relay, only the one that is cut is silent."""
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            other = await self.start_mesh(
+                base.InstanceId("c"), source_host="127.0.0.3"
+            )
+            b.on_call("echo", echo)
+            ways = _WaysBySource({})
+            between = relay.Relay(b.port, ways)
+            await between.start()
+            for one in (a, other):
+                one.set_peer(B, "127.0.0.1", between.port)
+                await one.call(B, "echo", b"", self.soon())
+            self.assertEqual(set(ways.known), {"127.0.0.1", "127.0.0.3"})
+            cut = ways.known["127.0.0.3"].back
+            cut.cut()
+            held = other.call(B, "echo", b"late", self.soon())
+            answer = await a.call(B, "echo", b"", self.soon())
+            self.assertEqual(answer, result.Success(b"a:"))
+            self.assertFalse(held.called)
+            cut.heal()
+            self.assertEqual(await held, result.Success(b"c:late"))
+            await between.stop()
+
+        self.run_case(case)
+
     def test_wrong_instance_at_address(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             other = base.InstanceId("c")
--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -15,6 +15,7 @@
 from twisted.web import client
 
 from tests import support
+from tests.processes import links
 
 DOMAINS = 3
 OPERATOR_TOKEN = "operators-token-of-the-tests"
@@ -60,7 +61,10 @@
 
 
 class Cluster:
-    """Instances on 127.0.0.x, the first three with data folders."""
+    """Instances on 127.0.0.x, the first ones with data folders.
+
+    They reach each other only through relays, see `links`.
+    """
 
     def __init__(
         self, folder: pathlib.Path, size: int, *extra: str, voters: int = 3
@@ -73,7 +77,7 @@
         hosts = [f"127.0.0.{number}" for number in range(1, size + 1)]
         names = [f"i{number}" for number in range(1, size + 1)]
         voting = ",".join(
-            f"{name}:{host}".replace(":", "=", 1) + f":{self._ports[1]}"
+            f"{name}={links.relayed(host)}:{self._ports[1]}"
             for name, host in list(zip(names, hosts, strict=True))[:voters]
         )
         self.processes = {
@@ -82,6 +86,9 @@
             )
             for index, name in enumerate(names)
         }
+        self.links = links.Links(
+            dict(zip(names, hosts, strict=True)), self._ports[1]
+        )
         self._callers: list[fakes.Caller] = []
 
     def _process(
@@ -99,6 +106,8 @@
             f"--instance-id={name}",
             f"--failure-domain=zone-{index % DOMAINS + 1}",
             f"--listen-host={host}",
+            f"--advertised-host={links.relayed(host)}",
+            f"--mesh-source-host={host}",
             f"--caller-port={self._ports[0]}",
             f"--mesh-port={self._ports[1]}",
             f"--operator-port={self._ports[2]}",
@@ -136,6 +145,7 @@
         return caller
 
     async def start(self) -> None:
+        await self.links.start()
         for process in self.processes.values():
             process.start()
         await self.until_fresh(*self.processes)
@@ -216,6 +226,7 @@
         for process in self.processes.values():
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
+        await self.links.stop()
 
     def wipe(self, name: str) -> None:
         """Loses the data folder of an instance that does not run."""
