Show operators what users measure: idle time, waits, endpoint time

Cause: status and metrics told queues and endpoints, but neither how long a trainer idles, how old its samples are, which account is served worst, nor what endpoints cost.

Change: each instance counts what happens at it (_figures): waits of fetches at the entry, waits and tokens by account and kind at the engines' owner, endpoint seconds by domain, kind and supply while it leads. status asks every instance and adds up; /metrics tells the instance's own part, so that sums over instances survive a change of leader.

The scenario found ages below zero where engines run a version that nobody published; they are 0 now. Figures of speed were not measured.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from banyanbank_daemon import _batches
+from banyanbank_daemon import _figures
 from banyanbank_daemon import _http
 from banyanbank_daemon import _rollout_plane
 from banyanbank_daemon._entry import _admission
@@ -55,6 +56,7 @@
         admission: Authenticates callers.
         plane: Way to the sample ledger.
         batches: Fetches batches from the leader.
+        waits: Counts the time in which trainers wait.
     """
 
     def __init__(
@@ -63,11 +65,13 @@
         admission: _admission.Admission,
         plane: _rollout_plane.RolloutPlane,
         batches: _batches.BatchClient,
+        waits: _figures.TrainerWaits,
     ) -> None:
         self._clock = clock
         self._admission = admission
         self._plane = plane
         self._batches = batches
+        self._waits = waits
 
     async def submit(self, exchange: _http.Exchange) -> None:
         """Takes a group of samples to generate."""
@@ -121,8 +125,9 @@
         except BodyError as exc:
             exchange.refuse(_bad(str(exc)))
             return
-        sink = _BatchSink(exchange)
-        ended = await self._batches.fetch(req, sink, caller.deadline)
+        with self._waits.waiting(req.trainer) as end_wait:
+            sink = _BatchSink(exchange, end_wait)
+            ended = await self._batches.fetch(req, sink, caller.deadline)
         match ended:
             case _batches.FetchDone():
                 exchange.finish()
@@ -254,10 +259,16 @@
 class _BatchSink:
     """Passes a batch on to the trainer as it arrives."""
 
-    def __init__(self, exchange: _http.Exchange) -> None:
+    def __init__(
+        self,
+        exchange: _http.Exchange,
+        on_first: typing.Callable[[], None],
+    ) -> None:
         self._exchange = exchange
+        self._on_first = on_first
 
     async def write(self, data: bytes) -> None:
+        self._on_first()
         if not self._exchange.has_started:
             self._exchange.start(OK, [(b"content-type", b"application/json")])
         await self._exchange.write(data)
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_messages.py
@@ -0,0 +1,95 @@
+"""Figures as one instance has counted them since its start."""
+
+import attrs
+import banyanbank_base as base
+
+
+@attrs.frozen
+class TrainerFigures:
+    """Fetches of one trainer at one instance."""
+
+    trainer: base.TrainerId
+    """The trainer."""
+    idle_s: float
+    """Seconds in which at least one fetch waited for a whole step."""
+    observed_s: float
+    """Seconds since the trainer's first fetch here."""
+    is_waiting: bool
+    """Whether a fetch waits now."""
+
+
+@attrs.frozen
+class AccountFigures:
+    """Waits for engine slots of one client account at one owner."""
+
+    account: base.AccountId
+    """The client account."""
+    kind: str
+    """Value of a `dispatch.WorkKind`."""
+    granted: int
+    """Requests that got a slot."""
+    wait_s: float
+    """Seconds that they waited, in all."""
+    recent_granted: int
+    """As `granted`, of the last one to two minutes."""
+    recent_wait_s: float
+    """As `wait_s`, of the last one to two minutes."""
+    longest_s: float
+    """Longest wait of the last one to two minutes, seconds."""
+    tokens: float
+    """Tokens of prompts and answers that its slots served."""
+
+
+@attrs.frozen
+class EndpointFigures:
+    """Time of endpoints of one sort, counted while this instance led."""
+
+    failure_domain: base.FailureDomain
+    """Where they run."""
+    kind: str
+    """Value of a `control.EndpointKind`."""
+    supply: str
+    """Value of a `control.Supply`."""
+    running: int
+    """Endpoints that run now; 0 unless this instance leads."""
+    seconds: float
+    """Seconds that they ran, added over the endpoints."""
+
+
+@attrs.frozen
+class StepFigures:
+    """One open step, told by the leader alone."""
+
+    trainer: base.TrainerId
+    """Trainer whose step it is."""
+    step: int
+    """Training step."""
+    recorded: int
+    """Samples recorded."""
+    open: int
+    """Samples of the submitted groups still to come."""
+    oldest_age: int | None
+    """Versions by which its oldest sample lags; None before any sample."""
+    is_formed: bool
+    """Whether its batch is formed."""
+
+
+@attrs.frozen
+class InstanceFigures:
+    """All figures of one instance."""
+
+    instance: base.InstanceId
+    """The instance."""
+    is_leader: bool
+    """Whether it holds the lease."""
+    trainers: tuple[TrainerFigures, ...]
+    """By trainer."""
+    accounts: tuple[AccountFigures, ...]
+    """By account and kind of work."""
+    endpoints: tuple[EndpointFigures, ...]
+    """By failure domain, kind and supply."""
+    steps: tuple[StepFigures, ...]
+    """Open steps by trainer and step; empty unless it leads."""
+
+
+CODEC: base.Codec[InstanceFigures] = base.Codec(InstanceFigures)
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from banyanbank_daemon import _announcements
+from banyanbank_daemon import _figures
 from banyanbank_daemon import _http
 from banyanbank_daemon import _leases
 from banyanbank_daemon import _listeners
@@ -31,6 +32,8 @@
 DRAIN_POLL_S = 0.05
 DRAIN_NOTICE_S = 1.0
 FINAL_FLUSH_S = 10.0
+FIGURES_S = 1.0
+"""Seconds that other instances have to tell their figures."""
 
 
 class InstanceError(Exception):
@@ -117,10 +120,22 @@
         self.timeline = _timeline_calls.TimelineCalls(
             self.mesh, around.recorder, around.reactor
         )
+        self.own_figures = self._build_figures()
+        self.figures = _figures.FigureCalls(self.mesh, self.own_figures)
         self.listeners = self._build_listeners(secrets)
         self._usage_loop = task.LoopingCall(self._flush_usage)
         self._usage_loop.clock = around.reactor
 
+    def _build_figures(self) -> _figures.OwnFigures:
+        return _figures.OwnFigures(
+            self.identity.name,
+            self.entry.waits,
+            self.dispatch.waits,
+            None if self.leader is None else self.leader.endpoint_time,
+            self.control.node,
+            self.control.rollouts,
+        )
+
     def _build_sync(self) -> _sync.SyncClient:
         return _sync.SyncClient(
             self.around.reactor,
@@ -165,11 +180,10 @@
             clock,
             desk,
             self.metrics,
-            lambda: _status.status_document(self),
+            lambda: self.meters.observe_figures(self.own_figures.read()),
+            self._status,
             self.timeline,
-            lambda: [
-                member.instance for member in self.control.entry.members.all()
-            ],
+            self._peers,
             self._drain_instance,
             self.voters,
         )
@@ -179,6 +193,14 @@
             *_operators.KeyCalls(desk, authenticator).routes(),
         ]
 
+    def _peers(self) -> list[base.InstanceId]:
+        return [member.instance for member in self.control.entry.members.all()]
+
+    async def _status(self) -> dict[str, typing.Any]:
+        deadline = self.around.clock.now() + FIGURES_S
+        gathered = await self.figures.gather(self._peers(), deadline)
+        return _status.status_document(self, gathered)
+
     async def start(self) -> None:
         """Listens, recovers the log and begins to poll.
 
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
@@ -26,6 +26,18 @@
     timer: typing.Any
 
 
+class QueueObserver(typing.Protocol):
+    """Counts what the queues did."""
+
+    def granted(self, account: str, kind: str, seconds: float) -> None:
+        """Counts a request that got its slot after so many seconds."""
+        ...
+
+    def served(self, account: str, kind: str, tokens: float) -> None:
+        """Counts tokens of a request that has given its slot back."""
+        ...
+
+
 class Slot:
     """An engine slot that a job holds until `release`.
 
@@ -76,6 +88,7 @@
         clock: Clock that deadlines are told on.
         new_queue: Makes the queue of an engine seen for the first time.
         authenticator: Checks keys again when queued work goes out.
+        observer: Told of each grant and each end.
     """
 
     def __init__(
@@ -84,11 +97,13 @@
         clock: base.Clock,
         new_queue: NewQueue,
         authenticator: control.Authenticator,
+        observer: QueueObserver,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
         self._new_queue = new_queue
         self._authenticator = authenticator
+        self._observer = observer
         self._waiting: dict[str, _Waiting] = {}
         self.queues: dict[str, dispatch.EngineQueue] = {}
 
@@ -119,9 +134,12 @@
         if job.endpoint not in self.queues:
             self.queues[job.endpoint] = self._new_queue(job.endpoint)
         queue = self.queues[job.endpoint]
+        asked_at = self._clock.now()
         refusal = await self._wait(queue, job, on_closed)
         if refusal is not None:
             return result.Failure(_messages.JobFailed.from_refusal(refusal))
+        waited_s = self._clock.now() - asked_at
+        self._observer.granted(job.account, job.kind, waited_s)
         # The key may have been withdrawn while the job was queued.
         refusal = self._recheck_key(job)
         if refusal is not None:
@@ -136,6 +154,7 @@
         used_tokens: int,
     ) -> None:
         """Frees a slot and gives it to the next job."""
+        self._observer.served(job.account, job.kind, used_tokens)
         queue.finish(
             base.RequestId(job.request_id), used_tokens, self._clock.now()
         )
--- a/packages/daemon/src/banyanbank_daemon/_meters.py
+++ b/packages/daemon/src/banyanbank_daemon/_meters.py
@@ -4,6 +4,7 @@
 
 import banyanbank_dispatch as dispatch
 
+from banyanbank_daemon import _figures
 from banyanbank_daemon import _metrics
 
 
@@ -37,6 +38,7 @@
             "endpoint",
         )
         self._shown: frozenset[str] = frozenset()
+        self._figures = _FigureMeters(registry)
 
     def observe_request(self, route: str, status: int, seconds: float) -> None:
         """Counts one request.
@@ -61,3 +63,107 @@
             self._waiting.set(status.waiting, endpoint)
             self._running.set(status.running, endpoint)
         self._shown = frozenset(queues)
+
+    def observe_figures(self, figures: _figures.InstanceFigures) -> None:
+        """Takes in the figures of this instance."""
+        self._figures.observe(figures)
+
+
+class _FigureMeters:
+    """What users measure; counters add up over the instances."""
+
+    def __init__(self, registry: _metrics.MetricsRegistry) -> None:
+        account = ("account", "kind")
+        endpoint = ("failure_domain", "kind", "supply")
+        self._idle = registry.counter(
+            "banyanbank_trainer_idle_seconds_total",
+            "Seconds in which a fetch waited here for a whole step.",
+            "trainer",
+        )
+        self._waits = registry.counter(
+            "banyanbank_account_wait_seconds_total",
+            "Seconds waited for slots of the engines owned here.",
+            *account,
+        )
+        self._granted = registry.counter(
+            "banyanbank_account_granted_total",
+            "Requests that got a slot of an engine owned here.",
+            *account,
+        )
+        self._longest = registry.gauge(
+            "banyanbank_account_longest_wait_seconds",
+            "Longest wait for a slot in the last one to two minutes.",
+            *account,
+        )
+        self._tokens = registry.counter(
+            "banyanbank_account_tokens_total",
+            "Tokens served by the engines owned here.",
+            *account,
+        )
+        self._seconds = registry.counter(
+            "banyanbank_endpoint_seconds_total",
+            "Seconds that endpoints ran while this instance led.",
+            *endpoint,
+        )
+        self._running = registry.gauge(
+            "banyanbank_endpoints_running",
+            "Endpoints that run; 0 unless this instance leads.",
+            *endpoint,
+        )
+        self._steps = _StepMeters(registry)
+
+    def observe(self, figures: _figures.InstanceFigures) -> None:
+        for trainer in figures.trainers:
+            self._idle.advance(trainer.idle_s, trainer.trainer)
+        for row in figures.accounts:
+            labels = (row.account, row.kind)
+            self._waits.advance(row.wait_s, *labels)
+            self._granted.advance(row.granted, *labels)
+            self._longest.set(row.longest_s, *labels)
+            self._tokens.advance(row.tokens, *labels)
+        for item in figures.endpoints:
+            sort = (item.failure_domain, item.kind, item.supply)
+            self._seconds.advance(item.seconds, *sort)
+            self._running.set(item.running, *sort)
+        self._steps.observe(figures.steps)
+
+
+class _StepMeters:
+    """The oldest open step of each trainer, shown by the leader alone."""
+
+    def __init__(self, registry: _metrics.MetricsRegistry) -> None:
+        self._step = registry.gauge(
+            "banyanbank_trainer_step", "Oldest open step.", "trainer"
+        )
+        self._recorded = registry.gauge(
+            "banyanbank_trainer_samples_whole",
+            "Samples recorded of the oldest open step.",
+            "trainer",
+        )
+        self._open = registry.gauge(
+            "banyanbank_trainer_samples_open",
+            "Samples to come of the oldest open step.",
+            "trainer",
+        )
+        self._age = registry.gauge(
+            "banyanbank_trainer_oldest_age_versions",
+            "Versions by which its oldest sample lags; 0 without samples.",
+            "trainer",
+        )
+        self._shown: frozenset[str] = frozenset()
+
+    def observe(
+        self, steps: collections.abc.Iterable[_figures.StepFigures]
+    ) -> None:
+        oldest: dict[str, _figures.StepFigures] = {}
+        for step in steps:
+            oldest.setdefault(step.trainer, step)
+        for gone in self._shown - oldest.keys():
+            for gauge in (self._step, self._recorded, self._open, self._age):
+                gauge.remove(gone)
+        for trainer, step in oldest.items():
+            self._step.set(step.step, trainer)
+            self._recorded.set(step.recorded, trainer)
+            self._open.set(step.open, trainer)
+            self._age.set(step.oldest_age or 0, trainer)
+        self._shown = frozenset(oldest)
--- a/packages/daemon/src/banyanbank_daemon/_metrics.py
+++ b/packages/daemon/src/banyanbank_daemon/_metrics.py
@@ -106,6 +106,10 @@
 
     kind = "counter"
 
+    def __init__(self, name: str, text: str, labels: tuple[str, ...]) -> None:
+        super().__init__(name, text, labels)
+        self._totals: dict[LabelValues, float] = {}
+
     def add(self, amount: float, *labels: str) -> None:
         """Raises the counter of a series; the amount is not negative."""
         if amount < 0:
@@ -113,6 +117,11 @@
         key = self._key(labels, self._values, len(self._values))
         self._values[key] = self._values.get(key, 0.0) + amount
 
+    def advance(self, total: float, *labels: str) -> None:
+        """Raises the counter of a series to a total counted elsewhere."""
+        self.add(max(0.0, total - self._totals.get(labels, 0.0)), *labels)
+        self._totals[labels] = total
+
 
 class Gauge(_Plain):
     """A number that rises and falls."""
--- a/packages/daemon/src/banyanbank_daemon/_operators/_cluster.py
+++ b/packages/daemon/src/banyanbank_daemon/_operators/_cluster.py
@@ -15,7 +15,9 @@
 OK = 200
 GATHER_S = 10.0
 
-StatusSource = typing.Callable[[], dict[str, typing.Any]]
+StatusSource = typing.Callable[
+    [], typing.Coroutine[typing.Any, typing.Any, dict[str, typing.Any]]
+]
 Peers = typing.Callable[[], list[base.InstanceId]]
 Drain = typing.Callable[
     [base.InstanceId], typing.Coroutine[typing.Any, typing.Any, bool]
@@ -29,6 +31,7 @@
         clock: Clock that deadlines are told on.
         desk: Admits operators.
         metrics: Metrics of this instance.
+        refresh: Brings metrics up to date that are counted elsewhere.
         status: Returns the status document of this instance.
         timeline: Gathers time line events.
         peers: Returns all instances known.
@@ -41,6 +44,7 @@
         clock: base.Clock,
         desk: _desk.Desk,
         metrics: _metrics.MetricsRegistry,
+        refresh: typing.Callable[[], None],
         status: StatusSource,
         timeline: _timeline_calls.TimelineCalls,
         peers: Peers,
@@ -50,6 +54,7 @@
         self._clock = clock
         self._desk = desk
         self._metrics = metrics
+        self._refresh = refresh
         self._status = status
         self._timeline = timeline
         self._peers = peers
@@ -70,6 +75,7 @@
 
     async def metrics(self, exchange: _http.Exchange) -> None:
         """Shows the metrics in the text exposition format."""
+        self._refresh()
         lines: list[str] = []
         # Quantiles take time; the loop turns between the lines.
         await task.cooperate(_gather(self._metrics.lines(), lines)).whenDone()
@@ -79,7 +85,7 @@
     async def status(self, exchange: _http.Exchange) -> None:
         """Shows instances, roles, leases, revisions, endpoints, queues."""
         if self._desk.admits(exchange):
-            exchange.respond_json(OK, self._status())
+            exchange.respond_json(OK, await self._status())
 
     async def timeline(self, exchange: _http.Exchange) -> None:
         """Shows events, filtered by the query; `scope=all` asks everybody."""
--- a/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
@@ -6,6 +6,7 @@
 import banyanbank_mesh as mesh
 
 from banyanbank_daemon import _dispatcher
+from banyanbank_daemon import _figures
 from banyanbank_daemon import _fleet
 from banyanbank_daemon import _jobs
 from banyanbank_daemon import _upstream
@@ -32,6 +33,8 @@
     """Decides about further attempts."""
     dispatcher: _dispatcher.Dispatcher
     """Runs model requests."""
+    waits: _figures.AccountWaits
+    """Waits for the engines owned here."""
 
     def follow_engines(self) -> None:
         """Hands back queued work of engines that leave; resizes others."""
@@ -61,11 +64,13 @@
     clock = around.clock
     upstream = _upstream.Upstream(around.reactor, clock)
     directory = _fleet.Directory(identity.name, clock, control_parts.entry)
+    waits = _figures.AccountWaits(clock)
     queues = _jobs.EngineQueues(
         around.reactor,
         clock,
         lambda endpoint: _new_queue(endpoint, directory.slots_of(endpoint)),
         control_parts.entry.authenticator,
+        waits,
     )
     server = _jobs.GrantServer(queues)
     transport.on_stream(_jobs.GRANT_METHOD, server.serve_grant)
@@ -84,7 +89,9 @@
     dispatcher = _dispatcher.Dispatcher(
         around.reactor, clock, fleet, router, retries, control_parts.usage
     )
-    return DispatchParts(upstream, queues, fleet, router, retries, dispatcher)
+    return DispatchParts(
+        upstream, queues, fleet, router, retries, dispatcher, waits
+    )
 
 
 def _new_queue(
--- a/packages/daemon/src/banyanbank_daemon/_parts/_entry.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_entry.py
@@ -6,6 +6,7 @@
 
 from banyanbank_daemon import _batches
 from banyanbank_daemon import _entry
+from banyanbank_daemon import _figures
 from banyanbank_daemon._parts import _control
 from banyanbank_daemon._parts import _dispatch
 from banyanbank_daemon._parts import _surroundings
@@ -25,6 +26,8 @@
     """Calls of models."""
     trainers: _entry.RolloutCalls
     """Calls of trainers."""
+    waits: _figures.TrainerWaits
+    """Waits of trainers for steps."""
 
 
 def build_entry(
@@ -66,13 +69,15 @@
         dispatch_parts.dispatcher,
         dispatch_parts.fleet,
     )
+    waits = _figures.TrainerWaits(around.clock)
     trainers = _entry.RolloutCalls(
         around.clock,
         admission,
         control_parts.rollouts,
         _build_batches(around, identity, transport, control_parts),
+        waits,
     )
-    return EntryParts(limits, active, services, models, trainers)
+    return EntryParts(limits, active, services, models, trainers, waits)
 
 
 def _build_batches(
--- a/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
@@ -5,6 +5,7 @@
 import banyanbank_control as control
 import banyanbank_mesh as mesh
 
+from banyanbank_daemon import _figures
 from banyanbank_daemon import _leader
 from banyanbank_daemon import _leases
 from banyanbank_daemon import _platform
@@ -28,6 +29,8 @@
     """Runs rollouts."""
     weights: _leader.WeightDuty
     """Brings weights to engines."""
+    endpoint_time: _figures.EndpointTime
+    """Counts the time of endpoints."""
     loop: _leader.LeaderLoop
     """Ticks the log and the duties."""
 
@@ -77,7 +80,14 @@
         lease_server,
         platform,
     )
-    duties: list[_leader.Duty] = [server, driver, weights, office]
+    endpoint_time = _figures.EndpointTime(around.clock, server.running)
+    duties: list[_leader.Duty] = [
+        server,
+        driver,
+        weights,
+        office,
+        endpoint_time,
+    ]
     loop = _leader.LeaderLoop(
         around.reactor,
         node,
@@ -85,7 +95,9 @@
         duties,
         around.on_failed or _ignore_failure,
     )
-    return LeaderParts(server, lease_server, driver, weights, loop)
+    return LeaderParts(
+        server, lease_server, driver, weights, endpoint_time, loop
+    )
 
 
 def _ignore_failure() -> None:
--- a/packages/daemon/src/banyanbank_daemon/_status.py
+++ b/packages/daemon/src/banyanbank_daemon/_status.py
@@ -2,12 +2,21 @@
 
 import typing
 
+from banyanbank_daemon import _figures
+
 if typing.TYPE_CHECKING:
     from banyanbank_daemon import _instance
 
 
-def status_document(instance: "_instance.Instance") -> dict[str, typing.Any]:
-    """Returns what one instance knows, ready for JSON."""
+def status_document(
+    instance: "_instance.Instance", gathered: _figures.Gathered
+) -> dict[str, typing.Any]:
+    """Returns what one instance knows, ready for JSON.
+
+    Args:
+        instance: The instance.
+        gathered: Figures of all instances.
+    """
     now = instance.around.clock.now()
     return {
         "instance": instance.identity.name,
@@ -26,6 +35,9 @@
         "endpoints": _endpoints(instance),
         "queues": _queues(instance),
         "rollouts": _rollouts(instance),
+        "figures": _figures.to_document(
+            gathered, instance.control.rollouts.weight_of
+        ),
     }
 
 
--- a/packages/daemon/src/banyanbank_daemon/_sync/_server.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_server.py
@@ -58,6 +58,17 @@
         """Returns the endpoints that take work; asked while leading."""
         return self.office().endpoints.serving()
 
+    def running(self) -> tuple[control.Announcement, ...]:
+        """Returns the endpoints that run; asked while leading.
+
+        One that has left may be remembered for a minute; it counts no more.
+        """
+        return tuple(
+            announcement
+            for announcement in self.office().endpoints.all()
+            if announcement.phase is not control.Phase.LEAVING
+        )
+
     def tick(self) -> None:
         """Drops what has gone silent; called while the lease is held."""
         self.office().tick(self._clock.now())
--- a/packages/rollout/src/banyanbank_rollout/_batches.py
+++ b/packages/rollout/src/banyanbank_rollout/_batches.py
@@ -144,8 +144,8 @@
 def _pending(
     step: _state.StepState, discarded: tuple[_samples.SampleSlot, ...]
 ) -> _replies.BatchPending:
-    wanted = sum(group.spec.samples for group in step.groups.values())
-    return _replies.BatchPending(wanted - len(step.samples), discarded)
+    missing = step.wanted - len(step.samples)
+    return _replies.BatchPending(missing, discarded)
 
 
 def _fetched(
--- a/packages/rollout/src/banyanbank_rollout/_ledger.py
+++ b/packages/rollout/src/banyanbank_rollout/_ledger.py
@@ -44,6 +44,23 @@
             for key, sample in step.samples.items()
         )
 
+    def oldest_age(self, step: _state.StepState) -> int | None:
+        """Returns by how many versions a step's oldest sample lags.
+
+        None before the step has any sample.
+        """
+        oldest = min(
+            (
+                _samples.oldest_version(sample.stretches)
+                for sample in step.samples.values()
+            ),
+            default=None,
+        )
+        if oldest is None:
+            return None
+        # Engines may run versions that nobody has published.
+        return max(0, self.newest_version(step.model) - oldest)
+
     def newest_version(self, model: base.ModelName) -> base.WeightVersion:
         """Returns the newest version of a model, 0 when none is published."""
         return self.tables.newest(model)
--- a/packages/rollout/src/banyanbank_rollout/_state.py
+++ b/packages/rollout/src/banyanbank_rollout/_state.py
@@ -70,6 +70,11 @@
         """Key of the step in the ledger."""
         return (self.trainer, self.step)
 
+    @property
+    def wanted(self) -> int:
+        """Samples of the groups submitted so far."""
+        return sum(group.spec.samples for group in self.groups.values())
+
     @property
     def is_whole(self) -> bool:
         """Whether all groups are whole."""
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -40,3 +40,6 @@
 
     def test_control(self) -> None:
         self.check("control")
+
+    def test_operators(self) -> None:
+        self.check("operators")
