Make it known to every instance which engines are out of service

Cause: an engine whose weights for a model cannot be used was known to the leader's memory only. Rollouts avoided it, lookups did not, and a new leader put it back at once although it still reported an old version.

Change: the outage is committed (MarkEngine, with the version that the engine has to report) and told to entries with the answers to their polls. Candidates leave such engines out while others are left. A new leader starts from the committed marks; only a report of the version awaited ends one.

Broken on purpose: candidates ignore outages (scenario and test_fleet red); a new leader believes any version (mutant in test_mutants, caught).

--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -20,6 +20,7 @@
 from banyanbank_control.commands import ConfigAccepted
 from banyanbank_control.commands import CreateKey
 from banyanbank_control.commands import DecideOrder
+from banyanbank_control.commands import EngineMarked
 from banyanbank_control.commands import ExpireIntents
 from banyanbank_control.commands import IntentBegun
 from banyanbank_control.commands import IntentClosed
@@ -30,6 +31,7 @@
 from banyanbank_control.commands import LEDGER_COMMAND_CODEC
 from banyanbank_control.commands import LEDGER_REPLY_CODEC
 from banyanbank_control.commands import LossNoted
+from banyanbank_control.commands import MarkEngine
 from banyanbank_control.commands import MarkOrder
 from banyanbank_control.commands import MarkReported
 from banyanbank_control.commands import NoteInstanceLost
@@ -115,6 +117,8 @@
 from banyanbank_control.intents import MAX_RETENTION_S
 from banyanbank_control.orders import Order
 from banyanbank_control.orders import OrderState
+from banyanbank_control.outages import EngineOutage
+from banyanbank_control.outages import OutageState
 from banyanbank_control.sync import Admission
 from banyanbank_control.sync import Announcement
 from banyanbank_control.sync import Authenticator
@@ -211,6 +215,8 @@
     "Effect",
     "EndpointKind",
     "EndpointTable",
+    "EngineMarked",
+    "EngineOutage",
     "EngineReport",
     "EngineReports",
     "EntrySync",
@@ -238,6 +244,7 @@
     "LossNoted",
     "LossRecorder",
     "Lost",
+    "MarkEngine",
     "MarkOrder",
     "MarkReported",
     "Member",
@@ -253,6 +260,7 @@
     "OrderResult",
     "OrderState",
     "OrderStatus",
+    "OutageState",
     "Outbox",
     "PeakNeed",
     "Phase",
--- a/packages/control/src/banyanbank_control/_handlers.py
+++ b/packages/control/src/banyanbank_control/_handlers.py
@@ -11,6 +11,7 @@
 from banyanbank_control import config
 from banyanbank_control import intents
 from banyanbank_control import orders
+from banyanbank_control import outages
 from banyanbank_control import usage
 
 _Step = tuple[_state.ControlState, commands.Reply]
@@ -130,6 +131,11 @@
     return attrs.evolve(state, orders=new), reply
 
 
+def _mark_engine(state: _state.ControlState, cmd: commands.MarkEngine) -> _Step:
+    new, reply = outages.mark(state.outages, cmd)
+    return attrs.evolve(state, outages=new), reply
+
+
 def _rollout(state: _state.ControlState, cmd: commands.RolloutCommand) -> _Step:
     try:
         command = cmd.command()
@@ -175,5 +181,6 @@
     commands.MarkReported: _mark_reported,
     commands.DecideOrder: _decide_order,
     commands.MarkOrder: _mark_order,
+    commands.MarkEngine: _mark_engine,
     commands.RolloutCommand: _rollout,
 }
--- a/packages/control/src/banyanbank_control/_snapshot.py
+++ b/packages/control/src/banyanbank_control/_snapshot.py
@@ -3,12 +3,14 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_rollout as rollout
+import cbor2
 import immutables
 
 from banyanbank_control import _state
 from banyanbank_control import config
 from banyanbank_control import intents
 from banyanbank_control import orders
+from banyanbank_control import outages
 from banyanbank_control import usage
 
 FORMAT = 1
@@ -16,6 +18,8 @@
 
 _MAGIC = b"BBCS"
 
+_DAMAGES = (ValueError, TypeError, LookupError, cbor2.CBORDecodeError)
+
 
 class SnapshotError(Exception):
     """Bytes are no snapshot that this build can read."""
@@ -49,6 +53,8 @@
     """Rollout ledger."""
     lives_over: tuple[LifeOver, ...]
     """Lives that are over, by instance."""
+    engine_outages: outages.OutageRecord = attrs.Factory(outages.OutageRecord)
+    """Models of engines that are out of service."""
 
 
 _CODEC: base.Codec[Snapshot] = base.Codec(Snapshot)
@@ -67,6 +73,7 @@
             LifeOver(instance, state.lives_over[instance])
             for instance in sorted(state.lives_over)
         ),
+        engine_outages=state.outages.record(),
     )
     return _MAGIC + bytes([FORMAT]) + _CODEC.encode(snapshot)
 
@@ -91,7 +98,7 @@
         raise SnapshotError(f"The snapshot is damaged: {exc}") from exc
     try:
         return _restore(snapshot), snapshot.applied
-    except (ValueError, TypeError, LookupError) as exc:
+    except _DAMAGES as exc:
         raise SnapshotError(f"The snapshot is damaged: {exc!r}") from exc
 
 
@@ -105,4 +112,5 @@
         lives_over=immutables.Map(
             {life.instance: life.incarnation for life in snapshot.lives_over}
         ),
+        outages=outages.OutageState.from_record(snapshot.engine_outages),
     )
--- a/packages/control/src/banyanbank_control/_state.py
+++ b/packages/control/src/banyanbank_control/_state.py
@@ -8,6 +8,7 @@
 from banyanbank_control.config import _state as config_state
 from banyanbank_control.intents import _state as intents_state
 from banyanbank_control.orders import _state as orders_state
+from banyanbank_control.outages import _state as outages_state
 from banyanbank_control.usage import _state as usage_state
 
 Lives = immutables.Map[base.InstanceId, base.Incarnation]
@@ -23,6 +24,10 @@
     """Usage windows."""
     orders: orders_state.OrderState = attrs.Factory(orders_state.OrderState)
     """Orders for endpoints."""
+    outages: outages_state.OutageState = attrs.Factory(
+        outages_state.OutageState
+    )
+    """Models of engines that are out of service."""
     intents: intents_state.IntentState = attrs.Factory(
         intents_state.IntentState
     )
--- a/packages/control/src/banyanbank_control/commands/__init__.py
+++ b/packages/control/src/banyanbank_control/commands/__init__.py
@@ -33,6 +33,8 @@
 from banyanbank_control.commands._orders import OrderRequest
 from banyanbank_control.commands._orders import OrderStatus
 from banyanbank_control.commands._orders import Supply
+from banyanbank_control.commands._outages import EngineMarked
+from banyanbank_control.commands._outages import MarkEngine
 from banyanbank_control.commands._rollouts import LEDGER_COMMAND_CODEC
 from banyanbank_control.commands._rollouts import LEDGER_REPLY_CODEC
 from banyanbank_control.commands._rollouts import RolloutCommand
@@ -64,6 +66,7 @@
     "ConfigAccepted",
     "CreateKey",
     "DecideOrder",
+    "EngineMarked",
     "ExpireIntents",
     "IntentBegun",
     "IntentClosed",
@@ -72,6 +75,7 @@
     "IntentReplay",
     "IntentsExpired",
     "LossNoted",
+    "MarkEngine",
     "MarkOrder",
     "MarkReported",
     "NoteInstanceLost",
--- a/packages/control/src/banyanbank_control/commands/_codec.py
+++ b/packages/control/src/banyanbank_control/commands/_codec.py
@@ -6,6 +6,7 @@
 from banyanbank_control.commands import _config
 from banyanbank_control.commands import _intents
 from banyanbank_control.commands import _orders
+from banyanbank_control.commands import _outages
 from banyanbank_control.commands import _rollouts
 from banyanbank_control.commands import _usage
 
@@ -25,6 +26,7 @@
     | _usage.MarkReported
     | _orders.DecideOrder
     | _orders.MarkOrder
+    | _outages.MarkEngine
 )
 """Everything that the replicated log may hold."""
 
@@ -47,6 +49,7 @@
     | _orders.OrderDecided
     | _orders.OrderExists
     | _orders.OrderMarked
+    | _outages.EngineMarked
 )
 """Everything that a command may be answered with."""
 
@@ -66,6 +69,7 @@
     _usage.MarkReported,
     _orders.DecideOrder,
     _orders.MarkOrder,
+    _outages.MarkEngine,
 )
 """Bytes of commands."""
 
@@ -88,5 +92,6 @@
     _orders.OrderDecided,
     _orders.OrderExists,
     _orders.OrderMarked,
+    _outages.EngineMarked,
 )
 """Bytes of replies."""
--- a/packages/control/src/banyanbank_control/sync/_known.py
+++ b/packages/control/src/banyanbank_control/sync/_known.py
@@ -98,6 +98,7 @@
     def __init__(self) -> None:
         self.heard = _endpoints.EndpointTable()
         self._told: dict[base.EndpointId, _Told] = {}
+        self._out: dict[base.EndpointId, frozenset[base.ModelName]] = {}
 
     def apply(
         self, reply: _messages.SyncReply, now: float, keep_missing: bool
@@ -118,6 +119,25 @@
             self._told.pop(endpoint, None)
         for announcement in reply.endpoints:
             self._take(announcement, now)
+        self._take_outages(reply)
+
+    def _take_outages(self, reply: _messages.SyncReply) -> None:
+        # They are committed, so a new leader's first list lacks none.
+        if reply.soft_whole:
+            self._out.clear()
+        for outage in reply.engine_outages:
+            self._out[outage.endpoint] = frozenset(outage.models)
+            if not outage.models:
+                del self._out[outage.endpoint]
+
+    def in_service(
+        self, endpoint: base.EndpointId, model: base.ModelName
+    ) -> bool:
+        """Tells whether an engine's weights for a model can be used.
+
+        What the leader told last counts, also while it cannot be reached.
+        """
+        return model not in self._out.get(endpoint, ())
 
     def _take(self, announcement: _messages.Announcement, now: float) -> None:
         known = self._told.get(announcement.endpoint)
--- a/packages/control/src/banyanbank_control/sync/_leader.py
+++ b/packages/control/src/banyanbank_control/sync/_leader.py
@@ -4,6 +4,7 @@
 import banyanbank_base as base
 
 from banyanbank_control import config
+from banyanbank_control import outages
 from banyanbank_control.sync import _changes
 from banyanbank_control.sync import _endpoints
 from banyanbank_control.sync import _members
@@ -12,6 +13,7 @@
 _Log = _changes.ChangeLog[tuple[str, str]]
 _MEMBER = "member"
 _ENDPOINT = "endpoint"
+_OUTAGE = "outage"
 _NUMBERS_A_SECOND = 1_000_000
 
 
@@ -41,6 +43,7 @@
         # starts empty again: its numbers must be above all earlier ones.
         first = int(now * _NUMBERS_A_SECOND)
         self._log: _Log = _changes.ChangeLog(first, first)
+        self._outages = outages.OutageState()
 
     def answer(
         self,
@@ -74,6 +77,20 @@
         if self.endpoints.hear(announcement, now):
             self._log.note((_ENDPOINT, announcement.endpoint))
 
+    def note_outages(self, committed: outages.OutageState) -> None:
+        """Takes in which models of engines are out of service.
+
+        Args:
+            committed: State with everything committed so far.
+        """
+        before, after = self._outages.engines, committed.engines
+        self._outages = committed
+        if before is after:
+            return
+        for endpoint in {*before, *after}:
+            if before.get(endpoint) != after.get(endpoint):
+                self._log.note((_OUTAGE, endpoint))
+
     def tick(self, now: float) -> tuple[_members.Lost, ...]:
         """Drops what has gone silent.
 
@@ -86,6 +103,7 @@
         for gone in lost:
             self._log.note((_MEMBER, gone.member.instance))
         live = len(self.members.all()) + len(self.endpoints.all())
+        live += len(self._outages.engines)
         self._log.trim(live)
         return lost
 
@@ -109,6 +127,9 @@
                 soft_whole=True,
                 members=self.members.all(),
                 endpoints=self.endpoints.all(),
+                engine_outages=tuple(
+                    map(self._outages.outage, self._outages.engines)
+                ),
             )
         keys = list(changed)
         members = {
@@ -121,8 +142,14 @@
             for kind, key in keys
             if kind == _ENDPOINT
         }
+        changed_outages = [
+            self._outages.outage(base.EndpointId(key))
+            for kind, key in keys
+            if kind == _OUTAGE
+        ]
         return attrs.evolve(
             reply,
+            engine_outages=tuple(changed_outages),
             members=tuple(m for m in members.values() if m),
             members_gone=tuple(key for key, m in members.items() if not m),
             endpoints=tuple(e for e in endpoints.values() if e),
--- a/packages/control/src/banyanbank_control/sync/_messages.py
+++ b/packages/control/src/banyanbank_control/sync/_messages.py
@@ -8,6 +8,7 @@
 from banyanbank_control import commands
 from banyanbank_control import config
 from banyanbank_control import declarations
+from banyanbank_control import outages
 
 
 class Phase(enum.Enum):
@@ -169,6 +170,9 @@
     """Endpoints new or changed."""
     endpoints_gone: tuple[base.EndpointId, ...] = ()
     """Endpoints that are gone."""
+    engine_outages: tuple[outages.EngineOutage, ...] = ()
+    """Engines whose models in service have changed; all engines with an
+    outage when `soft_whole`."""
 
 
 @attrs.frozen
--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -93,6 +93,12 @@
         known = self._entry.endpoints.all(trust_leader=True)
         self._known = {one.endpoint: one for one in known}
 
+    def in_service(
+        self, endpoint: base.EndpointId, model: base.ModelName
+    ) -> bool:
+        """Tells whether an engine's weights for a model can be used."""
+        return self._entry.endpoints.in_service(endpoint, model)
+
     def members(self) -> tuple[control.Member, ...]:
         """Returns every member, those that leave included."""
         return self._entry.members.all()
@@ -173,12 +179,21 @@
     def engine_candidates(
         self, model: base.ModelName
     ) -> list[dispatch.Candidate]:
-        """Returns the engines in service that hold a model."""
-        return [
+        """Returns the engines in service that hold a model.
+
+        Where none is left, those with whole weights of an older version do.
+        """
+        holders = [
             self._candidate(announcement, model)
             for announcement in self.serving()
             if any(served.model == model for served in announcement.models)
         ]
+        usable = [
+            holder
+            for holder in holders
+            if self.directory.in_service(holder.endpoint_id, model)
+        ]
+        return usable or [holder for holder in holders if holder.version]
 
     def service_candidates(self, service: str) -> list[dispatch.Candidate]:
         """Returns the replicas of a plain service that are in service."""
--- a/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
@@ -11,7 +11,9 @@
 from returns import result
 from twisted.internet import defer
 
+from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _platform
+from banyanbank_daemon._leader import _outages
 
 DECIDE_S = 0.1
 REPORT_S = 3.0
@@ -40,6 +42,7 @@
         clock: Source of time.
         node: The log here; its epoch is the fencing token.
         machine: State machine here.
+        plane: Commits what is out of service.
         platform: Sends the orders, lease held.
         serving: Engines that serve.
         url_of: Gives an engine's base URL.
@@ -51,6 +54,7 @@
         clock: base.Clock,
         node: consensus.LogNode,
         machine: control.ControlMachine,
+        plane: _control_plane.ControlPlane,
         platform: _platform.PlatformClient,
         serving: Serving,
         url_of: UrlOf,
@@ -59,6 +63,7 @@
         self._clock = clock
         self._node = node
         self._machine = machine
+        self._outages = _outages.OutageKeeper(clock, node, machine, plane)
         self._platform = platform
         self._serving = serving
         self._url_of = url_of
@@ -75,9 +80,12 @@
         publications = self._machine.state.rollouts.publications()
         if not publications:
             return
-        effects = self._rollout.decide(publications, self._reports(), now)
+        reports = self._reports()
+        self._outages.hear({report.endpoint for report in reports})
+        effects = self._rollout.decide(publications, reports, now)
         for effect in effects:
             self._perform(effect)
+        self._outages.commit()
 
     def stop(self) -> None:
         """Forgets what is under way; the next leader learns from reports."""
@@ -86,7 +94,7 @@
         self._loading: set[Swap] = set()
         self._answered: dict[Swap, _Answered] = {}
         self._failed: dict[Swap, str] = {}
-        self._out_of_service: set[Swap] = set()
+        self._outages.stop()
 
     def usable(
         self, views: typing.Iterable[rollout.EngineView]
@@ -98,7 +106,7 @@
         kept = [
             (model, version)
             for model, version in zip(view.models, view.versions, strict=True)
-            if (view.endpoint, model) not in self._out_of_service
+            if self._outages.required(view.endpoint, model) is None
         ]
         return attrs.evolve(
             view,
@@ -125,7 +133,7 @@
             version=served.version or None,
             loading=swap in self._loading,
             failed_order=self._failed.get(swap, ""),
-            in_service=swap not in self._out_of_service,
+            required_version=self._outages.required(*swap),
         )
 
     def _check_answered(
@@ -158,11 +166,11 @@
                 self._loading.add(swap)
                 sending = defer.ensureDeferred(self._send(effect))
                 sending.addErrback(_log_failure)
-            case rollout.TakeOutOfService(reason=reason):
-                self._out_of_service.add(swap)
-                self._record("weights.out_of_service", effect, reason)
+            case rollout.TakeOutOfService(required_version=required):
+                self._outages.want(*swap, required)
+                self._record("weights.out_of_service", effect, effect.reason)
             case rollout.ReturnToService():
-                self._out_of_service.discard(swap)
+                self._outages.want(*swap, None)
                 self._record("weights.back_in_service", effect, "")
 
     async def _send(self, order: rollout.SwapOrder) -> None:
--- a/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
@@ -62,6 +62,7 @@
         around.clock,
         node,
         machine,
+        control_parts.plane,
         platform,
         dispatch_parts.fleet.serving,
         dispatch_parts.fleet.url_of,
--- a/packages/daemon/src/banyanbank_daemon/_sync/_server.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_server.py
@@ -41,7 +41,9 @@
         if not self._node.lease_held():
             return control.SyncRefused(req.number, self._node.leader)
         config = self._machine.state.config
-        return self.office().answer(req, config, self._clock.now())
+        office = self.office()
+        office.note_outages(self._machine.state.outages)
+        return office.answer(req, config, self._clock.now())
 
     def office(self) -> control.LeaderSync:
         """Returns the soft state of this epoch; asked while leading."""
--- a/packages/fakes/src/banyanbank_fakes/_engine.py
+++ b/packages/fakes/src/banyanbank_fakes/_engine.py
@@ -142,6 +142,12 @@
             answer = {"error": "swap failed"}
             _server.send_json(request, http.INTERNAL_SERVER_ERROR, answer)
             return
+        if self.faults.mixed_swaps > 0:
+            self.faults.mixed_swaps -= 1
+            self.weight_version = 0
+            answer = {"error": "swap failed half way"}
+            _server.send_json(request, http.INTERNAL_SERVER_ERROR, answer)
+            return
         if self.faults.half_swaps > 0:
             self.faults.half_swaps -= 1
         else:
--- a/packages/fakes/src/banyanbank_fakes/_faults.py
+++ b/packages/fakes/src/banyanbank_fakes/_faults.py
@@ -23,5 +23,7 @@
     """Takes orders whose fencing token is older than one seen before."""
     fail_swaps: int = 0
     """How many of the next weight swaps fail."""
+    mixed_swaps: int = 0
+    """How many of the next swaps fail and leave no whole version."""
     half_swaps: int = 0
     """How many of the next swaps answer with success but change nothing."""
--- a/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
+++ b/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
@@ -86,7 +86,7 @@
             if swap is not None and swap.is_settled(report, version):
                 continue
             self._follow(key, report, version, now)
-            effects += self._service_changes(key, report)
+            effects += self._service_changes(key, report, version)
         effects += self._orders(newest, known, now)
         return tuple(effects)
 
@@ -100,7 +100,7 @@
         swap = self._swaps.get(key)
         if swap is None:
             swap = _weight_swap.WeightSwap(
-                base.ChartRunner(self._chart), in_service=report.in_service
+                base.ChartRunner(self._chart), required=report.required_version
             )
             self._swaps[key] = swap
         was_loading = swap.is_loading
@@ -111,18 +111,21 @@
             self._load_s = before + LOAD_SMOOTHING * (taken - before)
 
     def _service_changes(
-        self, key: SwapKey, report: _weights.EngineWeights
+        self,
+        key: SwapKey,
+        report: _weights.EngineWeights,
+        newest: base.WeightVersion,
     ) -> Iterator[_weights.WeightEffect]:
         swap = self._swaps[key]
         state = swap.state
         mixed = report.version is None and not swap.is_loading
         broken = state in ("out_of_service", "repairing")
         if swap.in_service and (broken or (mixed and not report.loading)):
-            swap.in_service = False
+            swap.required = newest
             reason = "swaps failed" if broken else "no whole version loaded"
-            yield _weights.TakeOutOfService(*key, reason)
-        elif not (swap.in_service or broken or report.version is None):
-            swap.in_service = True
+            yield _weights.TakeOutOfService(*key, newest, reason)
+        elif not broken and swap.has_required(report):
+            swap.required = None
             yield _weights.ReturnToService(*key)
 
     def _orders(
--- a/packages/rollout/src/banyanbank_rollout/_weight_swap.py
+++ b/packages/rollout/src/banyanbank_rollout/_weight_swap.py
@@ -33,12 +33,18 @@
     """Failures in a row."""
     retry_at: float = 0.0
     """When the next order may be sent, in clock seconds."""
-    in_service: bool = True
-    """Whether the engine gets work for the model."""
+    required: base.WeightVersion | None = None
+    """Version to report before the engine gets work for the model again; None
+    while it is in service."""
 
     def __attrs_post_init__(self) -> None:
         self.state = self.chart.state
 
+    @property
+    def in_service(self) -> bool:
+        """Whether the engine gets work for the model."""
+        return self.required is None
+
     @property
     def is_loading(self) -> bool:
         """Whether an order is out."""
@@ -52,6 +58,15 @@
             return False
         return report.version is not None and report.version >= newest
 
+    def has_required(self, report: _weights.EngineWeights) -> bool:
+        """Tells whether an engine out of service reports what was awaited.
+
+        A new leader has seen no failure: the version alone counts.
+        """
+        if self.required is None or report.version is None:
+            return False
+        return report.version >= self.required
+
     def may_order(self, now: float) -> bool:
         """Tells whether the engine waits for an order."""
         if self.state == "waiting":
--- a/packages/rollout/src/banyanbank_rollout/_weights.py
+++ b/packages/rollout/src/banyanbank_rollout/_weights.py
@@ -24,8 +24,9 @@
     """Whether it reports a load in progress."""
     failed_order: str = ""
     """Newest order that it reports as failed; empty when none."""
-    in_service: bool = True
-    """Whether it gets work for the model, as last committed."""
+    required_version: base.WeightVersion | None = None
+    """Version that it has to report before it gets work for the model again,
+    as last committed; None when it is in service."""
 
 
 @attrs.frozen
@@ -54,6 +55,8 @@
     """The engine."""
     model: base.ModelName
     """The model."""
+    required_version: base.WeightVersion
+    """Version that it has to report before it serves the model again."""
     reason: str
     """Why, for the time line."""
 
--- a/tests/control/sync/test_exchange.py
+++ b/tests/control/sync/test_exchange.py
@@ -45,6 +45,7 @@
         """Returns the leader's answer, through bytes."""
         read = control.SYNC_CODEC.decode(control.SYNC_CODEC.encode(req))
         config = self.machine.state.config
+        self.leader.note_outages(self.machine.state.outages)
         answer = self.leader.answer(read, config, self.now)
         return control.SYNC_CODEC.decode(control.SYNC_CODEC.encode(answer))
 
@@ -324,6 +325,51 @@
         self.assertEqual(len(self.leader.endpoints.all()), 1)
 
 
+class OutageTest(ExchangeCase):
+    """What is out of service is known to every entry, whoever leads."""
+
+    def mark(self, required: int | None, epoch: int = 1) -> control.Reply:
+        cmd = control.MarkEngine("e1", "coach", required, epoch)
+        return samples.send(self.machine, cmd)
+
+    def serves(self, entry: control.EntrySync) -> bool:
+        self.poll(entry)
+        return entry.endpoints.in_service("e1", "coach")
+
+    def test_told_and_taken_back(self) -> None:
+        self.assertTrue(self.serves(self.ann))
+        self.mark(2)
+        for entry in (self.ann, self.bob):
+            self.assertFalse(self.serves(entry))
+        self.assertTrue(self.ann.endpoints.in_service("e1", "draft"))
+        self.mark(None)
+        for entry in (self.ann, self.bob):
+            self.assertTrue(self.serves(entry))
+
+    def test_outlives_leaders_and_snapshots(self) -> None:
+        self.mark(2)
+        self.poll(self.ann)
+        restored = control.ControlMachine()
+        restored.restore(self.machine.snapshot())
+        self.machine = restored
+        self.leader = control.LeaderSync(2, self.now)
+        for entry in (self.ann, self.bob):
+            self.assertFalse(self.serves(entry))
+        self.assertEqual(self.machine.state.outages.required("e1", "coach"), 2)
+
+    def test_change_of_leader_with_a_mark_taken_back(self) -> None:
+        self.mark(2)
+        self.poll(self.ann)
+        self.mark(None, 2)
+        self.leader = control.LeaderSync(2, self.now)
+        self.assertTrue(self.serves(self.ann))
+
+    def test_earlier_epoch_is_refused(self) -> None:
+        self.mark(2, 2)
+        self.assertIsInstance(self.mark(None, 1), control.Rejected)
+        self.assertFalse(self.serves(self.ann))
+
+
 class MemberTest(ExchangeCase):
     """Instances join, leave, crash and come back."""
 
--- a/tests/control/test_any_bytes.py
+++ b/tests/control/test_any_bytes.py
@@ -39,6 +39,7 @@
     control.MarkReported(1),
     test_duties.DECIDE,
     control.MarkOrder(1, control.OrderStatus.SENT, 1),
+    control.MarkEngine("e1", "coach", 2, 1),
     control.RolloutCommand(b"\xa0"),
 )
 
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -9,6 +9,7 @@
 
 ME = base.InstanceId("i1")
 NO_RUNNER: typing.Any = None
+COACH = base.ModelName("coach")
 
 
 def announcement(
@@ -22,9 +23,7 @@
         "kind": control.EndpointKind.ENGINE,
         "address": "127.0.0.1:1",
         "failure_domain": base.FailureDomain("zone-1"),
-        "models": (
-            control.ServedModel(base.ModelName("coach"), base.WeightVersion(1)),
-        ),
+        "models": (control.ServedModel(COACH, base.WeightVersion(1)),),
         "slots": slots,
     }
     return control.Announcement(**{**fields, **more})  # type: ignore[arg-type]
@@ -84,6 +83,47 @@
         self.assertEqual(self.directory.slots_of("z"), _fleet.EngineSlots(1, 0))
 
 
+class CandidatesTest(FleetCase):
+    """Lookups avoid engines out of service where others are left."""
+
+    def test_out_of_service(self) -> None:
+        fleet = _fleet.Fleet(
+            self.clock, self.directory, NO_RUNNER, lambda _peer: NO_RUNNER
+        )
+        mixed = control.ServedModel(COACH, base.WeightVersion(0))
+        self.hear(
+            announcement("a", 8),
+            announcement("b", 8),
+            announcement("mixed", 8, models=(mixed,)),
+        )
+        table = [
+            ("none", (), {"a", "b", "mixed"}),
+            ("one", ("a",), {"b", "mixed"}),
+            ("two", ("a", "mixed"), {"b"}),
+            ("all", ("a", "b", "mixed"), {"a", "b"}),
+        ]
+        for name, out, left in table:
+            with self.subTest(name):
+                self.entry.endpoints.apply(self.reply(out), 10.0, False)
+                found = fleet.engine_candidates(COACH)
+                self.assertEqual({one.endpoint_id for one in found}, left)
+
+    def reply(self, out: tuple[str, ...]) -> control.SyncReply:
+        """The leader's word that engines are out of service."""
+        outages = tuple(
+            control.EngineOutage(base.EndpointId(name), (COACH,))
+            for name in out
+        )
+        return control.SyncReply(
+            1,
+            1,
+            1,
+            control.SoftVersion(),
+            soft_whole=True,
+            engine_outages=outages,
+        )
+
+
 class ForgetTest(FleetCase):
     """What is kept of an endpoint ends with the endpoint."""
 
--- a/tests/rollout/fleet.py
+++ b/tests/rollout/fleet.py
@@ -26,7 +26,7 @@
     order: rollout.SwapOrder | None = None
     done_at: float = math.inf
     failed: str = ""
-    taken_out: set[base.ModelName] = attrs.field(factory=set)
+    taken_out: dict[base.ModelName, int] = attrs.field(factory=dict)
 
 
 class Fleet:
@@ -89,7 +89,7 @@
                 version=version,
                 loading=loader.order is not None,
                 failed_order=loader.failed,
-                in_service=model not in loader.taken_out,
+                required_version=loader.taken_out.get(model),
             )
             for loader in self.loaders.values()
             for model, version in loader.versions.items()
@@ -113,10 +113,12 @@
                 )
                 self.downloads.append((self.now, size))
             case rollout.TakeOutOfService():
-                loader.taken_out.add(effect.model)
+                loader.taken_out[effect.model] = effect.required_version
             case rollout.ReturnToService():
-                assert loader.versions[effect.model] is not None
-                loader.taken_out.remove(effect.model)
+                required = loader.taken_out.pop(effect.model)
+                loaded = loader.versions[effect.model]
+                assert loaded is not None, "mix returns to service"
+                assert loaded >= required, "returns before its repair"
 
     def _end_load(self, loader: Loader) -> None:
         order = loader.order
@@ -200,6 +202,27 @@
     assert not out, f"{out} loaded but out of service"
 
 
+def broken_walk(seed: int) -> None:
+    """Changes the leader while an engine is out of service.
+
+    Raises:
+        AssertionError: A promise was broken.
+    """
+    cfg = rollout.WeightCfg(store_bytes_per_s=2e9, load_timeout_s=10.0)
+    fleet = Fleet(5, 3, cfg, seed)
+    broken = fleet.loaders[base.EndpointId("e0")]
+    broken.failures = 8
+    fleet.publish(2, 1 << 30)
+    while not broken.taken_out:
+        fleet.tick()
+    fleet.change_leader()
+    fleet.tick()
+    assert broken.taken_out == {cases.MODEL: 2}, "back without its repair"
+    fleet.run_until_current(600.0)
+    fleet.tick()
+    assert not broken.taken_out, "loaded but out of service"
+
+
 def wide_walk(seed: int) -> None:
     """Publishes to uneven failure domains over a slow store.
 
--- a/tests/rollout/test_mutants.py
+++ b/tests/rollout/test_mutants.py
@@ -26,6 +26,7 @@
     walks.reopen: 1,
     fleet.walk: 40,
     fleet.wide_walk: 2,
+    fleet.broken_walk: 1,
     platform.walk: 20,
 }
 
@@ -170,6 +171,12 @@
         "return False and",
         fleet.walk,
     ),
+    "new leader puts a broken engine back": Mutant(
+        "_weight_swap",
+        "return report.version >= self.required",
+        "return True",
+        fleet.broken_walk,
+    ),
     "store limit ignored": Mutant(
         "_weights",
         "self._busy_until > now + self._burst_s",
--- a/tests/rollout/test_weights.py
+++ b/tests/rollout/test_weights.py
@@ -38,11 +38,14 @@
         case.publish(2, GIB)
         for _ in range(240):
             case.tick()
-        self.assertEqual(broken.taken_out, {cases.MODEL})
+        self.assertEqual(broken.taken_out, {cases.MODEL: 2})
         self.assertEqual(case.lag(), 1)
         case.run_until_current(600.0)
         case.tick()
-        self.assertEqual(broken.taken_out, set())
+        self.assertEqual(broken.taken_out, {})
+
+    def test_new_leader_leaves_a_broken_engine_out(self) -> None:
+        fleet.broken_walk(1)
 
     def test_new_leader_repeats_the_order_id(self) -> None:
         case = make(1)
--- a/tests/scenarios/features/rollouts.feature
+++ b/tests/scenarios/features/rollouts.feature
@@ -41,6 +41,17 @@
     When trainer folds publishes version 2
     Then every engine makes tokens with version 2
 
+  Scenario: An engine without whole weights gets no lookups until it has them
+    Given engine engine-1 is left without whole weights by its next swaps
+    When trainer folds publishes version 2
+    Then every instance knows that engine-1 is out of service
+    And no lookup of coach at any instance goes to engine-1
+    When the leader is killed
+    Then no lookup of coach at any instance goes to engine-1
+    When the engines take weight orders again
+    Then every engine makes tokens with version 2
+    And lookups of coach go to engine-1 again
+
   Scenario: A whole zone is reclaimed on a few seconds' notice, twice
     Given the engines make a token in 4 ms
     When trainer folds submits step 1
--- a/tests/scenarios/rollout_steps.py
+++ b/tests/scenarios/rollout_steps.py
@@ -95,10 +95,70 @@
         engine.faults.fail_swaps = 1_000_000
 
 
+@behave.given("engine {name} is left without whole weights by its next swaps")
+def given_mixed_swaps(context, name):
+    context.world.engines[name].faults.mixed_swaps = 1_000_000
+
+
+@behave.then("every instance knows that {name} is out of service")
+def then_avoided(context, name):
+    world = context.world
+
+    def knows(instance):
+        endpoints = instance.control.entry.endpoints
+        return not endpoints.in_service(name, "coach")
+
+    async def play():
+        await support.until(lambda: all(knows(i) for i in world.up()))
+
+    support.run_async(play)
+
+
+async def look_up(world, count):
+    """Asks for short completions at each instance."""
+    for number in range(count):
+        for instance in world.up():
+            call = {"model": "coach", "prompt": f"p{number}", "max_tokens": 4}
+            status = 0
+            # An owner that was killed just now answers nobody.
+            while status != OK:
+                answer = await world.call(
+                    instance.identity.name,
+                    "tesfaye",
+                    "POST",
+                    "/v1/completions",
+                    call,
+                )
+                status = answer.status
+                assert status in (OK, 503), answer
+
+
+@behave.then("no lookup of coach at any instance goes to {name}")
+def then_no_lookup(context, name):
+    runs = context.world.engines[name].runs
+    before = len(runs)
+    support.run_async(lambda: look_up(context.world, 8))
+    assert len(runs) == before, runs[before:]
+
+
+@behave.then("lookups of coach go to {name} again")
+def then_lookups(context, name):
+    world = context.world
+    runs = world.engines[name].runs
+    before = len(runs)
+
+    async def play():
+        while len(runs) == before:
+            await look_up(world, 1)
+
+    support.run_async(play)
+
+
 @behave.when("the engines take weight orders again")
 def when_swaps(context):
     for engine in context.world.engines.values():
         engine.faults.fail_swaps = 0
+        engine.faults.mixed_swaps = 0
 
 
 @behave.when("the samples of step {step:d} are recorded")
