Tell balancers of a stale instance: /readyz beside /healthz

Cause: /healthz answered 200 at an instance that had lost its leader, so a balancer went on sending it keyed requests, which it refused.

Conclusion: balancers that ask /healthz must be pointed at /readyz.

--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -12,6 +12,7 @@
 
 from banyanbank_daemon import _announcements
 from banyanbank_daemon import _figures
+from banyanbank_daemon import _health
 from banyanbank_daemon import _http
 from banyanbank_daemon import _leases
 from banyanbank_daemon import _listeners
@@ -155,8 +156,13 @@
             around.clock, secrets.announce_token, self.sync
         )
         operators = self._operator_routes(secrets.operator_token)
-        callers = _listeners.caller_routes(
+        health = _health.HealthCalls(
+            around.clock,
             lambda: self.is_draining,
+            lambda: self.control.entry.gate.deadline,
+        )
+        callers = _listeners.caller_routes(
+            health,
             self.entry.models,
             self.entry.trainers,
             endpoints,
@@ -244,7 +250,7 @@
         self.around.recorder.record("instance.draining")
         self.control.entry.leave()
         self.sync.poll_soon()
-        # The balancer sees the failing health check and goes elsewhere; kept
+        # The balancer sees the failing readiness check and goes elsewhere; kept
         # connections end with an answer, so that none is busy at the close.
         self.listeners.begin_closing()
         await task.deferLater(self.around.reactor, DRAIN_NOTICE_S)
--- a/packages/daemon/src/banyanbank_daemon/_listeners.py
+++ b/packages/daemon/src/banyanbank_daemon/_listeners.py
@@ -8,17 +8,16 @@
 
 from banyanbank_daemon import _announcements
 from banyanbank_daemon import _entry
+from banyanbank_daemon import _health
 from banyanbank_daemon import _http
 from banyanbank_daemon import _settings
 
-OK = 200
-UNAVAILABLE = 503
 HANDSHAKE_S = 0.25
 """Seconds in which a handshake that has begun ends."""
 
 
 def caller_routes(
-    is_draining: typing.Callable[[], bool],
+    health: _health.HealthCalls,
     models: _entry.ModelCalls,
     trainers: _entry.RolloutCalls,
     endpoints: _announcements.EndpointCalls,
@@ -28,16 +27,10 @@
 
     Paths that are no own route go to the declared plain services.
     """
-
-    async def healthz(exchange: _http.Exchange) -> None:
-        if is_draining():
-            exchange.respond_json(UNAVAILABLE, {"status": "draining"})
-        else:
-            exchange.respond_json(OK, {"status": "ok"})
-
     rollouts = "/v1/rollouts/{trainer}"
     return [
-        _http.Route("GET", "/healthz", healthz),
+        _http.Route("GET", "/healthz", health.healthz),
+        _http.Route("GET", "/readyz", health.readyz),
         _http.Route("GET", "/v1/models", models.models),
         _http.Route("POST", "/v1/chat/completions", models.chat_completions),
         _http.Route("POST", "/v1/completions", models.completions),
--- a/tests/daemon/test_openapi.py
+++ b/tests/daemon/test_openapi.py
@@ -18,9 +18,7 @@
 
     def test_routes_are_described(self) -> None:
         parts: typing.Any = unittest.mock.MagicMock()
-        routes = _listeners.caller_routes(
-            lambda: False, parts, parts, parts, parts
-        )
+        routes = _listeners.caller_routes(parts, parts, parts, parts, parts)
         served = {
             (
                 "get" if route.method == "*" else route.method.lower(),
