Give trainers' commands whole, and every command a bounded end

Cause: reject, cancel and publish had routes but no commands. A command sent with https:// to a plain port hung for minutes: only the TCP connect was bounded, and each of five attempts had 90 s for its head and 90 s for its body.

Change: rollout reject, cancel, publish. The TLS handshake has 5 s and is not repeated; head and body share 30 s (plus what the call asks the server to wait), and no attempt begins after twice that. Errors say what to do.

Tests: tests.cli.test_limits, RolloutTest.test_posts, at stand-ins.

--- a/packages/cli/src/banyanbank_cli/_client.py
+++ b/packages/cli/src/banyanbank_cli/_client.py
@@ -19,10 +19,11 @@
 from twisted.web import iweb
 
 from banyanbank_cli import _problems
+from banyanbank_cli import _tls
 from banyanbank_cli import _transport
 
-ATTEMPT_LIMIT_S = 90.0
-"""Time for one request and its whole answer."""
+ANSWER_LIMIT_S = 30.0
+"""Time for one request and its whole answer, beside what the call asks for."""
 
 MAX_ATTEMPTS = 5
 """Times that a request is sent before giving up."""
@@ -52,6 +53,8 @@
     """Headers besides those of every request."""
     request_id: str = attrs.Factory(lambda: uuid.uuid4().hex)
     """Stays the same when the request is sent again."""
+    wait_s: float = 0.0
+    """Seconds that the server may take besides, as the call asks for."""
 
 
 @attrs.frozen
@@ -118,9 +121,12 @@
         A lost answer and a server without a leader are tried again under the
         same request id, by which the server knows a resend.
         """
+        give_up_at = self._reactor.seconds() + 2 * _limit_s(call)
         sent = False
         problem = _problems.Problem("Nothing was sent.")
         for attempt in range(MAX_ATTEMPTS):
+            if self._reactor.seconds() >= give_up_at:
+                break
             if attempt:
                 await task.deferLater(
                     self._reactor, RETRY_DELAY_S * attempt, _nothing
@@ -131,6 +137,9 @@
                 sent = True
                 problem = self._unanswered(str(exc), sent)
                 continue
+            except _tls.HandshakeError as exc:
+                problem = self._unanswered(str(exc), sent)
+                break
             except (OSError, error.ConnectError, ValueError) as exc:
                 problem = self._unanswered(str(exc), sent)
                 continue
@@ -157,31 +166,42 @@
         for name, value in call.headers:
             headers.addRawHeader(name, value)
         url = (self._server + call.path).encode("ascii")
+        deadline = self._reactor.seconds() + _limit_s(call)
         requested = self._agent.request(
             call.method.encode(),
             url,
             headers,
             _transport.BytesProducer(call.body),
         )
-        requested.addTimeout(ATTEMPT_LIMIT_S, self._reactor)
+        requested.addTimeout(_limit_s(call), self._reactor)
         try:
             response = await requested
-            body = await self._read(response)
+            body = await self._read(response, deadline)
         except (
             client.ResponseFailed,
             defer.TimeoutError,
             error.ConnectionLost,
             error.ConnectionDone,
         ) as exc:
-            raise _transport.LostAnswerError(_reason(exc)) from exc
+            why = _reason(exc)
+            # A request that is ended by its time limit fails in either way.
+            if self._reactor.seconds() >= deadline:
+                why = (
+                    f"no whole answer within {_limit_s(call):g} s. Ask another"
+                    " instance, and look at this one's log."
+                )
+            raise _transport.LostAnswerError(why) from exc
         if 200 <= response.code < 300:
             return Reply(response.code, body, response.headers)
         return _problems.read_problem(response.code, body)
 
-    def _read(self, response: iweb.IResponse) -> defer.Deferred[bytes]:
+    def _read(
+        self, response: iweb.IResponse, deadline: float
+    ) -> defer.Deferred[bytes]:
         reader = _transport.BodyReader()
         response.deliverBody(reader)
-        reader.body.addTimeout(ATTEMPT_LIMIT_S, self._reactor)
+        left_s = max(0.0, deadline - self._reactor.seconds())
+        reader.body.addTimeout(left_s, self._reactor)
         return reader.body
 
 
@@ -195,6 +215,10 @@
     return attrs.evolve(problem, outcome=base.Outcome.MAY_HAVE_RUN.value)
 
 
+def _limit_s(call: Call) -> float:
+    return ANSWER_LIMIT_S + call.wait_s
+
+
 def _nothing() -> None:
     """Does nothing."""
 
--- a/packages/cli/src/banyanbank_cli/_events.py
+++ b/packages/cli/src/banyanbank_cli/_events.py
@@ -13,6 +13,9 @@
 from banyanbank_cli import _operator
 from banyanbank_cli import _problems
 
+GATHER_S = 60.0
+"""Seconds that a server may take to gather the events of all."""
+
 
 @attrs.frozen
 class TimelineWish:
@@ -110,7 +113,7 @@
         name: str(value) for name, value in attrs.asdict(query).items() if value
     }
     path = "/operator/timeline" + _client.query({**fields, "scope": "all"})
-    answer = await client.send(_client.Call("GET", path))
+    answer = await client.send(_client.Call("GET", path, wait_s=GATHER_S))
     if isinstance(answer, result.Failure):
         return answer
     document = answer.unwrap().document()
--- a/packages/cli/src/banyanbank_cli/_rollouts.py
+++ b/packages/cli/src/banyanbank_cli/_rollouts.py
@@ -16,8 +16,14 @@
 FETCH_PATH = "/v1/rollouts/{trainer}/steps/{step}/batch"
 """Hands out the batch of a step."""
 
-ACKNOWLEDGE_PATH = "/v1/rollouts/{trainer}/batches/{batch}/acknowledge"
-"""Takes the acknowledgement of a batch."""
+BATCH_PATH = "/v1/rollouts/{trainer}/batches/{batch}/{verb}"
+"""Takes the acknowledgement of a batch, or a batch back."""
+
+CANCEL_PATH = "/v1/rollouts/{trainer}/steps/{step}/cancel"
+"""Drops a step."""
+
+PUBLISH_PATH = "/v1/rollouts/{trainer}/versions"
+"""Takes the announcement of new weights."""
 
 NO_CONTENT = 204
 """Status of a batch that is not whole yet."""
@@ -54,10 +60,45 @@
 
 def acknowledge_call(trainer: str, batch: str) -> _client.Call:
     """Returns the request that acknowledges a batch."""
-    path = ACKNOWLEDGE_PATH.format(
-        trainer=_client.quoted(trainer), batch=_client.quoted(batch, safe="/")
+    return _post(_batch_path(trainer, batch, "acknowledge"), {})
+
+
+def reject_call(trainer: str, batch: str, newest_version: int) -> _client.Call:
+    """Returns the request that gives back a stale batch."""
+    document = {"newest_version": newest_version}
+    return _post(_batch_path(trainer, batch, "reject"), document)
+
+
+def cancel_call(trainer: str, step: int) -> _client.Call:
+    """Returns the request that drops a step."""
+    path = CANCEL_PATH.format(trainer=_client.quoted(trainer), step=step)
+    return _post(path, {})
+
+
+def publish_call(
+    trainer: str, version: int, location: str, size_bytes: int
+) -> _client.Call:
+    """Returns the request that announces new weights."""
+    document: dict[str, typing.Any] = {
+        "version": version,
+        "location": location,
+        "size_bytes": size_bytes,
+    }
+    path = PUBLISH_PATH.format(trainer=_client.quoted(trainer))
+    return _post(path, document)
+
+
+def _batch_path(trainer: str, batch: str, verb: str) -> str:
+    return BATCH_PATH.format(
+        trainer=_client.quoted(trainer),
+        batch=_client.quoted(batch, safe="/"),
+        verb=verb,
     )
-    return _client.Call("POST", path, b"{}", JSON_HEADERS)
+
+
+def _post(path: str, document: dict[str, typing.Any]) -> _client.Call:
+    body = json.dumps(document).encode()
+    return _client.Call("POST", path, body, JSON_HEADERS)
 
 
 async def fetch(
@@ -77,7 +118,7 @@
         output: File for the batch; None returns it as text.
     """
     path = FETCH_PATH.format(trainer=_client.quoted(trainer), step=step)
-    call = _client.Call("GET", f"{path}?wait_s={wait_s}")
+    call = _client.Call("GET", f"{path}?wait_s={wait_s}", wait_s=wait_s)
     answer = await client.send(call)
     if isinstance(answer, result.Failure):
         return answer
--- a/packages/cli/src/banyanbank_cli/_transport.py
+++ b/packages/cli/src/banyanbank_cli/_transport.py
@@ -13,6 +13,8 @@
 from twisted.web import iweb
 import zope.interface
 
+from banyanbank_cli import _tls
+
 CONNECT_LIMIT_S = 5.0
 """Time for one connection."""
 
@@ -46,8 +48,7 @@
         plain = kind(self._reactor, host, uri.port, timeout=CONNECT_LIMIT_S)
         if uri.scheme != b"https":
             return plain
-        options = ssl.optionsForClientTLS(host, trustRoot=self._authority)
-        return endpoints.wrapClientTLS(options, plain)
+        return _tls.TlsEndpoint(self._reactor, host, plain, self._authority)
 
 
 @zope.interface.implementer(iweb.IBodyProducer)
--- a/packages/cli/src/banyanbank_cli/main.py
+++ b/packages/cli/src/banyanbank_cli/main.py
@@ -8,6 +8,8 @@
 import fire.decorators
 
 from banyanbank_cli import _commands
+from banyanbank_cli import _connection
+from banyanbank_cli import _groups
 from banyanbank_cli import _reactor
 
 
@@ -24,9 +26,9 @@
     fire.core.Display = _display
     _commands.keep_texts(
         _commands.Banyanbank,
-        _commands.Keys,
-        _commands.Rollout,
-        _commands.Voters,
+        _groups.Keys,
+        _groups.Rollout,
+        _groups.Voters,
     )
 
     def banyanbank(
@@ -60,9 +62,9 @@
             command=words,
             name="banyanbank",
         )
-    except _commands.UsageError as exc:
-        _commands.warn(f"error: {exc}")
-        raise SystemExit(_commands.EXIT_FAILED) from exc
+    except _connection.UsageError as exc:
+        _connection.warn(f"error: {exc}")
+        raise SystemExit(_connection.EXIT_FAILED) from exc
 
 
 def _display(lines: list[str], out: typing.TextIO) -> None:
--- a/tests/cli/support.py
+++ b/tests/cli/support.py
@@ -42,6 +42,8 @@
     """Whether the connection is cut in place of an answer."""
     cut: bool = False
     """Whether the connection is cut within the body."""
+    silent: bool = False
+    """Whether the body never ends."""
     headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -80,6 +82,9 @@
         for name, value in answer.headers:
             request.setHeader(name.encode(), value.encode())
         body = json.dumps(answer.document).encode()
+        if answer.silent:
+            request.write(body)
+            return server.NOT_DONE_YET
         if answer.cut:
             request.setHeader(b"content-length", b"%d" % (len(body) + 9))
             request.write(body)
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -324,6 +324,33 @@
             ],
         )
 
+    def test_posts(self) -> None:
+        newest = {"newest_version": 5}
+        version = {"version": 7, "location": "w/7", "size_bytes": 9}
+        for arguments, path, body in (
+            (
+                ("reject", "t", "3.0", "--newest-version=5"),
+                "batches/3.0/reject",
+                newest,
+            ),
+            (("cancel", "t", "3"), "steps/3/cancel", {}),
+            (
+                ("publish", "t", "7", "--location=w/7", "--size-bytes=9"),
+                "versions",
+                version,
+            ),
+        ):
+            with self.subTest(arguments=arguments):
+                scripted, url = self.serve(Answer({"result": "done"}))
+                ending = self.run_at_entry(url, *arguments)
+                self.assertEqual(ending.out, "result: done\n", ending.err)
+                (taken,) = scripted.taken
+                self.assertEqual(
+                    (taken.method, taken.path),
+                    ("POST", f"/v1/rollouts/t/{path}"),
+                )
+                self.assertEqual(json.loads(taken.body), body)
+
     def test_batch_not_whole(self) -> None:
         _, url = self.serve(
             Answer(None, 204, headers=(("x-samples-missing", "4"),))
