Let answers outlive their engines

Cause: a caller's stream or whole answer ended with its engine, although another engine of the model could go on from the tokens delivered. The sample scheduler did so for its attempts alone. A request whose first attempt may have run could also be told "not run" by the refusal of its second one.

Change: the dispatcher goes on at another engine when the connection to the first is lost, within deadline and retry budget. One function makes the call that continues a text, for lookups and for samples. Events of the later engine are made part of the first one's stream; versions are told by stretch and tokens counted once. Where the protocol was broken, or the engine's state is more than text, the answer ends as before. Samples stay with their scheduler. Counts of engines may hold objects and nulls. An engine lost between its last token and its counts no longer costs the answer.

The stand-in's next token now depends on the text before it alone, as a model's does, and eleven words make a lost chunk of eight show.

--- a/packages/daemon/src/banyanbank_daemon/_dispatcher.py
+++ b/packages/daemon/src/banyanbank_daemon/_dispatcher.py
@@ -84,21 +84,6 @@
     """Takes an engine's name and does nothing."""
 
 
-class _WatchedSink:
-    """Notes whether any output has reached the reader."""
-
-    def __init__(self, sink: _jobs.JobSink) -> None:
-        self._sink = sink
-        self.has_emitted = False
-
-    async def emit(self, chunk: _jobs.JobChunk) -> None:
-        self.has_emitted = True
-        await self._sink.emit(chunk)
-
-    def on_closed(self, callback: typing.Callable[[], None]) -> None:
-        self._sink.on_closed(callback)
-
-
 class Dispatcher:
     """Runs model requests.
 
@@ -132,49 +117,86 @@
         req: ModelRequest,
         sink: _jobs.JobSink,
         on_engine: EngineCallback = _ignore_engine,
-    ) -> result.Result[_jobs.JobEnded, _jobs.JobFailed]:
+    ) -> _jobs.JobResult:
         """Runs a request to its end.
 
-        Attempts are repeated on other engines only before any output has
-        reached the reader.
+        Attempts are repeated on other engines. A lookup whose engine was lost
+        in mid-stream goes on from the tokens that were delivered; samples are
+        resumed by the sample scheduler, outside the retry budget.
 
         Args:
             req: What to run.
             sink: Takes the output.
             on_engine: Told of the engine chosen for each attempt.
         """
-        watched = _WatchedSink(sink)
+        partial = _jobs.PartialAnswer(req.body)
+        joining = _jobs.JoiningSink(sink, partial)
         self._retries.note_first_attempt()
         attempts = 0
+        run_before: _jobs.JobFailed | None = None
         while True:
             attempts += 1
             endpoint, ended = await self._attempt(
-                req, attempts, watched, on_engine
+                req, attempts, joining, on_engine
             )
             if isinstance(ended, result.Success):
-                self._usage.count_job(req.account, ended.unwrap())
-                return ended
+                return self._count(req, partial.whole(ended.unwrap()))
             failed = ended.failure()
-            decision = self._decide(req, attempts, failed, watched)
+            if failed.is_cut and partial.is_complete:
+                return await self._finish(req, partial, failed, sink)
+            decision = self._decide(req, attempts, failed, partial, joining)
             if not isinstance(decision, dispatch.Retry):
-                return ended
+                return result.Failure(_truest(run_before, failed))
+            if failed.outcome != base.Outcome.NOT_RUN.value:
+                run_before = failed
             if endpoint is not None:
                 excluded = req.excluded | {endpoint}
                 req = attrs.evolve(req, excluded=excluded)
+            req = attrs.evolve(req, body=partial.continued(failed))
             pause_s = max(0.0, decision.at - self._clock.now())
             await task.deferLater(self._reactor, pause_s)
 
+    def _count(
+        self, req: ModelRequest, ended: _jobs.JobEnded
+    ) -> _jobs.JobResult:
+        self._usage.count_job(req.account, ended)
+        return result.Success(ended)
+
+    async def _finish(
+        self,
+        req: ModelRequest,
+        partial: _jobs.PartialAnswer,
+        failed: _jobs.JobFailed,
+        sink: _jobs.JobSink,
+    ) -> _jobs.JobResult:
+        """Ends an answer that lacks nothing but its engine's last word."""
+        last, ended = partial.finish(failed)
+        if last is not None:
+            try:
+                await sink.emit(last)
+            except _jobs.SinkClosed:
+                return result.Failure(failed)
+        return self._count(req, ended)
+
     def _decide(
         self,
         req: ModelRequest,
         attempts: int,
         failed: _jobs.JobFailed,
-        watched: _WatchedSink,
+        partial: _jobs.PartialAnswer,
+        joining: _jobs.JoiningSink,
     ) -> dispatch.Retry | dispatch.GiveUp:
-        if watched.has_emitted:
-            return dispatch.GiveUp("Part of the answer has been sent.")
+        if joining.is_closed:
+            return dispatch.GiveUp("The caller is gone.")
         if failed.reason == base.RefusalReason.KEY_WITHDRAWN.value:
             return dispatch.GiveUp("The key was withdrawn.")
+        is_lookup = req.kind is dispatch.WorkKind.INTERACTIVE
+        if partial.has_emitted and not is_lookup:
+            return dispatch.GiveUp("The sample scheduler resumes it.")
+        # What breaks the protocol can't be trusted to go on from.
+        is_good = failed.is_cut or failed.outcome == base.Outcome.NOT_RUN.value
+        if partial.has_emitted and not (is_good and partial.can_continue):
+            return dispatch.GiveUp("Nothing can go on from what was sent.")
         return self._retries.decide(
             attempts=attempts,
             outcome=base.Outcome(failed.outcome),
@@ -190,10 +212,7 @@
         number: int,
         sink: _jobs.JobSink,
         on_engine: EngineCallback,
-    ) -> tuple[
-        base.EndpointId | None,
-        result.Result[_jobs.JobEnded, _jobs.JobFailed],
-    ]:
+    ) -> tuple[base.EndpointId | None, _jobs.JobResult]:
         now = self._clock.now()
         query = dispatch.RouteQuery(
             cost_tokens=req.cost_tokens,
@@ -247,9 +266,16 @@
     )
 
 
-def _is_healthy(
-    ended: result.Result[_jobs.JobEnded, _jobs.JobFailed],
-) -> bool:
+def _truest(
+    run_before: _jobs.JobFailed | None, failed: _jobs.JobFailed
+) -> _jobs.JobFailed:
+    """Returns the failure to tell; an earlier run goes before NOT_RUN."""
+    if run_before is None or failed.outcome != base.Outcome.NOT_RUN.value:
+        return failed
+    return run_before
+
+
+def _is_healthy(ended: _jobs.JobResult) -> bool:
     if isinstance(ended, result.Success):
         return True
     return ended.failure().reason != base.RefusalReason.ENDPOINT_FAILED.value
--- a/packages/daemon/src/banyanbank_daemon/_jobs/__init__.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/__init__.py
@@ -2,6 +2,7 @@
 
 from banyanbank_daemon._jobs._engine import EngineClient
 from banyanbank_daemon._jobs._failures import JobResult
+from banyanbank_daemon._jobs._joining import JoiningSink
 from banyanbank_daemon._jobs._messages import JobChunk
 from banyanbank_daemon._jobs._messages import JobEnded
 from banyanbank_daemon._jobs._messages import JobFailed
@@ -11,6 +12,8 @@
 from banyanbank_daemon._jobs._messages import QueueLoad
 from banyanbank_daemon._jobs._messages import SinkClosed
 from banyanbank_daemon._jobs._messages import VersionCount
+from banyanbank_daemon._jobs._partial import continued_body
+from banyanbank_daemon._jobs._partial import PartialAnswer
 from banyanbank_daemon._jobs._queues import EngineQueues
 from banyanbank_daemon._jobs._runners import GRANT_METHOD
 from banyanbank_daemon._jobs._runners import GrantServer
@@ -36,10 +39,13 @@
     "JobResult",
     "JobRunner",
     "JobSink",
+    "JoiningSink",
     "LocalJobRunner",
     "ModelJob",
+    "PartialAnswer",
     "QueueLoad",
     "RemoteJobRunner",
     "SinkClosed",
     "VersionCount",
+    "continued_body",
 ]
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
@@ -99,7 +99,8 @@
         while True:
             chunk = await response.next_chunk()
             if isinstance(chunk, result.Failure):
-                return _failures.from_upstream(chunk.failure())
+                engine_s = self._clock.now() - started_at
+                return _failures.cut(chunk.failure(), engine_s)
             data = chunk.unwrap()
             if not data:
                 break
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_failures.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_failures.py
@@ -1,11 +1,14 @@
 """Failures of jobs, by their cause."""
 
+import attrs
 import banyanbank_base as base
 from returns import result
 
 from banyanbank_daemon import _upstream
 from banyanbank_daemon._jobs import _messages
 
+MILLISECONDS = 1_000
+
 JobResult = result.Result[_messages.JobEnded, _messages.JobFailed]
 
 
@@ -47,3 +50,19 @@
     if error.is_timeout:
         reason = base.RefusalReason.DEADLINE_EXCEEDED
     return failed(reason, error.outcome, error.detail)
+
+
+def cut(error: _upstream.UpstreamError, engine_s: float) -> JobResult:
+    """Returns the failure of a stream that was lost before its end.
+
+    Args:
+        error: Why; at the deadline there is nothing to go on with.
+        engine_s: Seconds that the engine had worked.
+    """
+    return from_upstream(error).alt(
+        lambda failure: attrs.evolve(
+            failure,
+            is_cut=not error.is_timeout,
+            engine_ms=int(engine_s * MILLISECONDS),
+        )
+    )
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -126,6 +126,11 @@
     """What happened."""
     retry_after: float | None = None
     """Seconds after which a retry may succeed; None when unknown."""
+    is_cut: bool = False
+    """Whether the connection was lost in mid-stream, so that what came before
+    is good and another engine may go on from it."""
+    engine_ms: int = 0
+    """Milliseconds that the engine had worked when the stream was cut."""
 
     def to_refusal(self) -> base.Refusal:
         """Returns the refusal that a caller is shown."""
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_partial.py
@@ -0,0 +1,245 @@
+"""An answer whose engine may be lost: what was delivered, and what goes on.
+
+A model's next token depends on the text before it alone, so another engine goes
+on where the text so far stands at the end of its prompt.
+"""
+
+import json
+import typing
+
+import attrs
+
+from banyanbank_daemon._jobs import _messages
+from banyanbank_daemon._jobs import _sse
+from banyanbank_daemon._jobs import _tally
+
+JsonObject = dict[str, typing.Any]
+
+CHARS_PER_TOKEN = 4
+LIMIT_FIELDS = ("max_tokens", "max_completion_tokens")
+DELTA_FIELDS = frozenset(("role", "content"))
+UNSAFE_FIELDS = (
+    "best_of",
+    "echo",
+    "functions",
+    "guided_choice",
+    "guided_grammar",
+    "guided_json",
+    "guided_regex",
+    "response_format",
+    "structured_outputs",
+    "suffix",
+    "tools",
+)
+"""Options of a call whose state in the engine is more than its text."""
+
+
+def continued_body(document: JsonObject, text: str, tokens: int) -> bytes:
+    """Returns an engine's call that goes on after a text.
+
+    Args:
+        document: The call from its beginning.
+        text: Text made so far.
+        tokens: Tokens of that text.
+    """
+    if not text:
+        return json.dumps(document).encode()
+    document = dict(document)
+    if "messages" in document:
+        document["messages"] = _continued_messages(document, text)
+        document["continue_final_message"] = True
+        document["add_generation_prompt"] = False
+    else:
+        document["prompt"] = str(document.get("prompt", "")) + text
+    for name in LIMIT_FIELDS:
+        limit = document.get(name)
+        if isinstance(limit, int) and limit:
+            document[name] = max(1, limit - tokens)
+    least = document.get("min_tokens")
+    if isinstance(least, int):
+        document["min_tokens"] = max(0, least - tokens)
+    return json.dumps(document).encode()
+
+
+def _continued_messages(document: JsonObject, text: str) -> list[JsonObject]:
+    *before, last = document["messages"]
+    is_open = document.get("continue_final_message") is True
+    if is_open and isinstance(last.get("content"), str):
+        return [*before, {**last, "content": last["content"] + text}]
+    return [*before, last, {"role": "assistant", "content": text}]
+
+
+def _prompt_tokens(document: JsonObject) -> int:
+    """Returns an estimate of the tokens of a call's prompt."""
+    text = str(document.get("prompt", ""))
+    for message in document.get("messages", ()):
+        text += str(message.get("content", ""))
+    return len(text) // CHARS_PER_TOKEN + 1
+
+
+class PartialAnswer:
+    """Joins the events of all engines that work on one request.
+
+    Args:
+        body: The engine's call from its beginning.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        self._document: JsonObject = json.loads(body)
+        self._tally = _tally.Tally()
+        self._parts: list[str] = []
+        self._identity: JsonObject = {}
+        self._carried_tokens = 0
+        self._lost_ms = 0
+        self._is_continued = False
+        self._is_exact = not any(map(self._document.get, UNSAFE_FIELDS))
+        self._finish_reason: str | None = None
+        self.has_emitted = False
+
+    @property
+    def can_continue(self) -> bool:
+        """Whether another engine can go on exactly where the last one ended."""
+        return self._is_exact
+
+    @property
+    def tokens(self) -> int:
+        """Tokens delivered so far."""
+        return self._tally.tokens
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether no token is missing, though the engine never said so."""
+        limits = [self._document.get(name) for name in LIMIT_FIELDS]
+        made = self._tally.tokens
+        is_full = any(isinstance(n, int) and 0 < n <= made for n in limits)
+        return self._finish_reason is not None or is_full
+
+    def take(self, chunk: _messages.JobChunk) -> _messages.JobChunk:
+        """Notes an event and returns it as the reader is to see it."""
+        document = json.loads(chunk.data)
+        if self._is_continued:
+            document = self._joined(document)
+            chunk = _messages.JobChunk(json.dumps(document).encode())
+        else:
+            self._note_identity(document)
+        self._note(document)
+        self.has_emitted = True
+        return chunk
+
+    def continued(self, failed: _messages.JobFailed) -> bytes:
+        """Returns the call for the next engine after a lost one."""
+        self._is_continued = self.has_emitted
+        self._carried_tokens = self._tally.tokens
+        self._lost_ms += failed.engine_ms
+        text = "".join(self._parts)
+        return continued_body(self._document, text, self._carried_tokens)
+
+    def whole(self, ended: _messages.JobEnded) -> _messages.JobEnded:
+        """Returns the counts of the whole answer for those of its last part."""
+        if not self._is_continued:
+            return ended
+        return attrs.evolve(
+            ended,
+            prompt_tokens=max(0, ended.prompt_tokens - self._carried_tokens),
+            completion_tokens=ended.completion_tokens + self._carried_tokens,
+            cached_tokens=self._bounded_cached(
+                ended.cached_tokens, ended.prompt_tokens
+            ),
+            engine_ms=ended.engine_ms + self._lost_ms,
+            stretches=self._tally.stretches,
+        )
+
+    def finish(
+        self, failed: _messages.JobFailed
+    ) -> tuple[_messages.JobChunk | None, _messages.JobEnded]:
+        """Ends a complete answer whose engine was lost before its end mark.
+
+        Returns:
+            The last event, unless the engine has sent it, and the counts.
+        """
+        usage = self._tally.usage
+        engine_ms = self._lost_ms + failed.engine_ms
+        if usage is not None:
+            return None, self._tally.ended_after(engine_ms)
+        # Its own count of the prompt is lost with the engine.
+        prompt_tokens = _prompt_tokens(self._document)
+        self._tally.usage = {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": self._tally.tokens,
+            "total_tokens": prompt_tokens + self._tally.tokens,
+        }
+        choices = []
+        if self._finish_reason is None:
+            choices = [self._last_choice()]
+        event = {
+            **self._identity,
+            "choices": choices,
+            "usage": self._tally.usage,
+        }
+        chunk = _messages.JobChunk(json.dumps(event).encode())
+        return chunk, self._tally.ended_after(engine_ms)
+
+    def _last_choice(self) -> JsonObject:
+        choice: JsonObject = {"index": 0, "finish_reason": "length"}
+        if "messages" in self._document:
+            return {**choice, "delta": {}}
+        return {**choice, "text": ""}
+
+    def _note_identity(self, document: JsonObject) -> None:
+        for name in ("id", "created", "object", "model"):
+            if name in document:
+                self._identity.setdefault(name, document[name])
+
+    def _note(self, document: JsonObject) -> None:
+        tokens = int(document.get("tokens") or 0)
+        version = document.get("weight_version")
+        self._tally.count(None if version is None else int(version), tokens)
+        text = ""
+        for choice in document.get("choices") or ():
+            delta = choice.get("delta") or {}
+            text += choice.get("text") or delta.get("content") or ""
+            others = delta.keys() - DELTA_FIELDS
+            self._is_exact &= not any(map(delta.get, others))
+            self._finish_reason = (
+                choice.get("finish_reason") or self._finish_reason
+            )
+        self._parts.append(text)
+        if text and tokens <= 0:
+            self._is_exact = False
+        if document.get("usage"):
+            self._tally.usage = _sse.read_usage(document["usage"])
+
+    def _joined(self, document: JsonObject) -> JsonObject:
+        """Makes an event of a later engine one of the first engine's stream."""
+        document = {**document, **self._identity}
+        for choice in document.get("choices") or ():
+            # Clients join the fields of deltas, so a second role would show.
+            (choice.get("delta") or {}).pop("role", None)
+        if document.get("usage"):
+            document["usage"] = self._joined_usage(document["usage"])
+        return document
+
+    def _joined_usage(self, usage: JsonObject) -> JsonObject:
+        prompt = int(usage.get("prompt_tokens") or 0)
+        made = int(usage.get("completion_tokens") or 0)
+        joined = {
+            **usage,
+            "prompt_tokens": max(0, prompt - self._carried_tokens),
+            "completion_tokens": made + self._carried_tokens,
+        }
+        if "cached_tokens" in usage:
+            cached = int(usage["cached_tokens"] or 0)
+            joined["cached_tokens"] = self._bounded_cached(cached, prompt)
+        details = usage.get("prompt_tokens_details")
+        if isinstance(details, dict) and "cached_tokens" in details:
+            cached = int(details["cached_tokens"] or 0)
+            bounded = self._bounded_cached(cached, prompt)
+            joined["prompt_tokens_details"] = {
+                **details,
+                "cached_tokens": bounded,
+            }
+        return joined
+
+    def _bounded_cached(self, cached: int, prompt: int) -> int:
+        """Bounds tokens found cached by the caller's own prompt."""
+        return min(cached, max(0, prompt - self._carried_tokens))
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_sse.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_sse.py
@@ -76,13 +76,24 @@
             data=data,
             tokens=int(document.get("tokens", 0)),
             version=None if version is None else int(version),
-            usage=_read_usage(document.get("usage")),
+            usage=read_usage(document.get("usage")),
         )
     except (ValueError, TypeError, AttributeError) as exc:
         raise EventStreamError(f"An event is malformed: {exc}") from exc
 
 
-def _read_usage(usage: typing.Any) -> dict[str, int] | None:
+def read_usage(usage: typing.Any) -> dict[str, int] | None:
+    """Returns the counts of an event, or None when it has none."""
     if usage is None:
         return None
-    return {name: int(value) for name, value in usage.items()}
+    counts = {
+        name: int(value)
+        for name, value in usage.items()
+        if isinstance(value, int | float)
+    }
+    details = usage.get("prompt_tokens_details")
+    if isinstance(details, dict):
+        counts.setdefault(
+            "cached_tokens", int(details.get("cached_tokens") or 0)
+        )
+    return counts
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_tally.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_tally.py
@@ -13,21 +13,39 @@
 
     def __init__(self) -> None:
         self._stretches: list[_messages.VersionCount] = []
+        self.tokens = 0
         self.usage: dict[str, int] | None = None
 
+    @property
+    def stretches(self) -> tuple[_messages.VersionCount, ...]:
+        """Weight versions that made the tokens so far, in order."""
+        return tuple(self._stretches)
+
     def add(self, event: _sse.EngineEvent) -> None:
         """Takes in one event."""
         if event.usage is not None:
             self.usage = event.usage
-        if event.version is None or event.tokens <= 0:
+        self.count(event.version, event.tokens)
+
+    def count(self, version: int | None, tokens: int) -> None:
+        """Takes in tokens that follow those before.
+
+        Args:
+            version: Weight version that made them; None when unknown.
+            tokens: How many.
+        """
+        if tokens <= 0:
+            return
+        self.tokens += tokens
+        if version is None:
             return
         last = self._stretches[-1] if self._stretches else None
-        if last is not None and last.version == event.version:
-            count = last.tokens + event.tokens
-            self._stretches[-1] = attrs.evolve(last, tokens=count)
+        if last is not None and last.version == version:
+            self._stretches[-1] = attrs.evolve(
+                last, tokens=last.tokens + tokens
+            )
         else:
-            stretch = _messages.VersionCount(event.version, event.tokens)
-            self._stretches.append(stretch)
+            self._stretches.append(_messages.VersionCount(version, tokens))
 
     def ended(self, engine_s: float) -> _messages.JobEnded:
         """Returns the counts of a whole answer.
@@ -35,11 +53,15 @@
         Args:
             engine_s: Seconds that the engine worked on it.
         """
+        return self.ended_after(int(engine_s * MILLISECONDS))
+
+    def ended_after(self, engine_ms: int) -> _messages.JobEnded:
+        """Returns the counts of a whole answer after engines' milliseconds."""
         usage = self.usage or {}
         return _messages.JobEnded(
             prompt_tokens=usage.get("prompt_tokens", 0),
             completion_tokens=usage.get("completion_tokens", 0),
             cached_tokens=usage.get("cached_tokens", 0),
-            engine_ms=int(engine_s * MILLISECONDS),
-            stretches=tuple(self._stretches),
+            engine_ms=engine_ms,
+            stretches=self.stretches,
         )
--- a/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
@@ -61,12 +61,7 @@
         document["model"] = self.start.model
         document["stream"] = True
         document["seed"] = self.start.seed
-        if self.text:
-            document["prompt"] = str(document.get("prompt", "")) + self.text
-            limit = int(document.get("max_tokens", 0))
-            if limit:
-                document["max_tokens"] = max(1, limit - self.token_count)
-        return json.dumps(document).encode()
+        return _jobs.continued_body(document, self.text, self.token_count)
 
 
 class AttemptSink:
--- a/packages/fakes/src/banyanbank_fakes/_engine.py
+++ b/packages/fakes/src/banyanbank_fakes/_engine.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import math
 import random
 import typing
 import zlib
@@ -13,7 +14,21 @@
 from banyanbank_fakes import _server
 
 MAX_TOKENS_DEFAULT = 64
-WORDS = ("fold", "press", "crease", "align", "turn", "check", "label", "seal")
+CHARS_PER_TOKEN = 4
+WORDS = (
+    "fold",
+    "press",
+    "crease",
+    "align",
+    "turn",
+    "check",
+    "label",
+    "seal",
+    "stack",
+    "wrap",
+    "sort",
+)
+"""None ends another, and their number shares no factor with a chunk's."""
 
 
 @attrs.define
@@ -56,9 +71,12 @@
     """Every order taken, in order."""
     running: int = 0
     """Requests that run now."""
+    crash_after_tokens: int | None = None
+    """Dies, with every stream, once a stream has so many; None for never."""
     newest_fencing_token: int = 0
     """Highest fencing token seen."""
     _last_run: EngineRun | None = None
+    _open: set[server.Request] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Adds the calls of an engine."""
@@ -80,11 +98,19 @@
         )
         self.runs.append(run)
         self.running += 1
+        self._open.add(request)
         try:
             await self._stream(request, call, run)
         finally:
+            self._open.discard(request)
             self.running -= 1
 
+    async def crash(self) -> None:
+        """Dies: cuts every stream and listens no more."""
+        for request in list(self._open):
+            _server.abort(request)
+        await self.stop()
+
     async def _stream(
         self, request: server.Request, call: dict, run: EngineRun
     ) -> None:
@@ -111,6 +137,9 @@
             data = _chunk(text, count, self, chat)
             written += len(data)
             request.write(data)
+            if run.tokens >= (self.crash_after_tokens or math.inf):
+                await self.crash()
+                return
             limit = self.faults.drop_after_bytes
             if limit is not None and written >= limit:
                 _server.abort(request)
@@ -171,18 +200,43 @@
         start: Tokens made before.
         count: Tokens wanted.
     """
-    seed = zlib.crc32(prompt.encode())
+    first = _first_word(prompt)
     words = [
-        WORDS[(seed + position) % len(WORDS)]
+        WORDS[(first + position) % len(WORDS)]
         for position in range(start, start + count)
     ]
     return " ".join(words) + " "
 
 
+def _first_word(prompt: str) -> int:
+    # As with a model, the text before decides alone: what ends in a token goes
+    # on with the one that follows it.
+    last = _last_token(prompt)
+    if last is None:
+        return zlib.crc32(prompt.encode())
+    return WORDS.index(last) + 1
+
+
+def _last_token(prompt: str) -> str | None:
+    return next((w for w in WORDS if prompt.endswith(w + " ")), None)
+
+
+def _count_tokens(prompt: str) -> int:
+    made = 0
+    while (last := _last_token(prompt)) is not None:
+        prompt = prompt[: -len(last) - 1]
+        made += 1
+    return max(1, len(prompt) // CHARS_PER_TOKEN) + made
+
+
 def _prompt_of(call: dict) -> str:
-    if "messages" in call:
-        return "\n".join(str(m.get("content", "")) for m in call["messages"])
-    return str(call.get("prompt", ""))
+    if "messages" not in call:
+        return str(call.get("prompt", ""))
+    contents = [str(m.get("content", "")) for m in call["messages"]]
+    if call.get("continue_final_message") is True:
+        *before, last = contents
+        return "\n".join(before) + last
+    return "\n".join(contents)
 
 
 def _chunk(text: str, tokens: int, engine: FakeEngine, chat: bool) -> bytes:
@@ -208,7 +262,7 @@
     event = {
         "choices": [choice],
         "usage": {
-            "prompt_tokens": max(1, len(run.prompt) // 4),
+            "prompt_tokens": _count_tokens(run.prompt),
             "completion_tokens": run.tokens,
             "cached_tokens": 0,
         },
--- a/tests/scenarios/features/requests.feature
+++ b/tests/scenarios/features/requests.feature
@@ -37,6 +37,19 @@
     And tesfaye looks something up
     Then no answer looked whole
 
+  Scenario Outline: An answer outlives its engine
+    Given engine engine-2 serves version 2
+    When an engine dies in the middle of tesfaye's <mode> <shape> answer
+    Then the caller got the whole answer once
+    And the answer names the versions that the engines used
+
+    Examples:
+      | mode     | shape |
+      | streamed | chat  |
+      | whole    | chat  |
+      | streamed | plain |
+      | whole    | plain |
+
   Scenario: An answer without its end mark never looks whole
     Given the engines end their answers early
     When tesfaye asks for a completion
--- a/tests/scenarios/request_steps.py
+++ b/tests/scenarios/request_steps.py
@@ -1,6 +1,7 @@
 """Steps about callers' requests."""
 
 import base64
+import json
 
 import banyanbank_fakes as fakes
 import behave
@@ -15,6 +16,12 @@
 LOST = (error.ConnectionLost, error.ConnectionDone, client.ResponseFailed)
 PEOPLE = {"nobody": "", "a guess": "guessed-key"}
 CHAT = "/v1/chat/completions"
+PLAIN = "/v1/completions"
+LONG_SEED = 2
+"""Makes the stand-in's answer as long as is allowed."""
+LONG_TOKENS = 120
+CRASH_TOKENS = 72
+"""More than half, so that the engine that goes on never has so many."""
 KEY_HEADERS = {"authorization", "cookie", "proxy-authorization", "x-api-key"}
 
 
@@ -153,6 +160,85 @@
     context.world.services[name].faults.drop_after_bytes = 300
 
 
+@behave.given("engine {name} serves version {version:d}")
+def given_version(context, name, version):
+    context.world.engines[name].weight_version = version
+
+
+@behave.when("an engine dies in the middle of tesfaye's {mode} {shape} answer")
+def when_engine_dies(context, mode, shape):
+    for engine in context.world.engines.values():
+        engine.crash_after_tokens = CRASH_TOKENS
+    document = completion("a long fold", LONG_TOKENS) | {"seed": LONG_SEED}
+    if shape == "plain":
+        document["prompt"] = document.pop("messages")[0]["content"]
+    document["stream"] = mode == "streamed"
+    path = PLAIN if shape == "plain" else CHAT
+
+    async def play():
+        answer = await context.world.call(
+            "i1", "tesfaye", "POST", path, document
+        )
+        assert answer.status == OK, answer
+        read = _read_stream if mode == "streamed" else _read_whole
+        context.got, context.told, context.usage = read(answer)
+
+    support.run_async(play)
+
+
+def _text(choice):
+    inner = choice.get("delta") or choice.get("message") or {}
+    return choice.get("text") or inner.get("content") or ""
+
+
+def _read_whole(answer):
+    document = answer.document
+    told = [(s["version"], s["tokens"]) for s in document["weight_versions"]]
+    return _text(document["choices"][0]), told, document["usage"]
+
+
+def _read_stream(answer):
+    *blocks, last = answer.body.decode().removesuffix("\n\n").split("\n\n")
+    assert last == "data: [DONE]", last
+    events = [json.loads(block.removeprefix("data: ")) for block in blocks]
+    told = []
+    for event in events:
+        version, tokens = event.get("weight_version"), event.get("tokens")
+        if told and told[-1][0] == version:
+            tokens += told.pop()[1]
+        if tokens:
+            told.append((version, tokens))
+    [usage] = [event["usage"] for event in events if "usage" in event]
+    reasons = [c["finish_reason"] for e in events for c in e["choices"]]
+    assert reasons.count(None) == len(reasons) - 1, reasons
+    text = "".join(_text(c) for e in events for c in e["choices"])
+    return text, told, usage
+
+
+@behave.then("the caller got the whole answer once")
+def then_whole_once(context):
+    prompt = "a long fold"
+    assert context.got == fakes.text_of(prompt, 0, LONG_TOKENS), context.got
+    assert context.usage["completion_tokens"] == LONG_TOKENS
+    assert context.usage["prompt_tokens"] == max(1, len(prompt) // 4)
+
+
+@behave.then("the answer names the versions that the engines used")
+def then_engine_versions(context):
+    engines = context.world.engines.values()
+    runs = sorted(
+        (run for engine in engines for run in engine.runs),
+        key=lambda run: run.finished,
+    )
+    assert [run.finished for run in runs] == [False, True], runs
+    [(last_version, last_tokens)] = runs[1].versions.items()
+    [(first_version, first_tokens)] = runs[0].versions.items()
+    carried = LONG_TOKENS - last_tokens
+    assert 0 < carried <= first_tokens, runs
+    expected = [(first_version, carried), (last_version, last_tokens)]
+    assert context.told == expected, (context.told, expected)
+
+
 @behave.given("the engines end their answers early")
 def given_early_ends(context):
     for engine in context.world.engines.values():
