--- a/packages/bench/src/banyanbank_bench/_report.py
+++ b/packages/bench/src/banyanbank_bench/_report.py
@@ -165,8 +165,13 @@
 
 def plot(means: dict[str, Figures], path: pathlib.Path) -> None:
     """Draws the main figures as bars."""
-    names = ("idle_share", "lookup_p99_over_unloaded", "worst_wait_ratio")
-    figure = matplotlib.figure.Figure(figsize=(11, 4), layout="constrained")
+    names = (
+        "idle_share",
+        "lookup_p99_over_unloaded",
+        "worst_wait_ratio",
+        "cost_per_1000_samples",
+    )
+    figure = matplotlib.figure.Figure(figsize=(14, 4), layout="constrained")
     for axes, name in zip(figure.subplots(1, len(names)), names, strict=True):
         axes.bar(list(means), [row[name] for row in means.values()])
         axes.set_title(name.replace("_", " "))
