Ask the weight store before weights are ordered to engines

A trainer that publishes before its upload has ended sent every engine an order that fails, and the waves kept to an assumed rate.

Change: the leader asks the store for the version (GET, typed errors) and holds it back until the store has it, with the reason in status and time line; the version before stays in force. The waves keep to the rate that the store tells and use its size.

Tests: tests.daemon.test_weight_store, PacerTest, scenario "A version is ordered once the weight store has it".

--- a/packages/daemon/src/banyanbank_daemon/_figures/__init__.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/__init__.py
@@ -10,6 +10,7 @@
 from banyanbank_daemon._figures._messages import InstanceFigures
 from banyanbank_daemon._figures._messages import StepFigures
 from banyanbank_daemon._figures._messages import TrainerFigures
+from banyanbank_daemon._figures._messages import WithheldVersion
 from banyanbank_daemon._figures._own import OwnFigures
 from banyanbank_daemon._figures._trainers import TrainerWaits
 
@@ -25,5 +26,6 @@
     "StepFigures",
     "TrainerFigures",
     "TrainerWaits",
+    "WithheldVersion",
     "to_document",
 ]
--- a/packages/daemon/src/banyanbank_daemon/_figures/_merge.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_merge.py
@@ -55,6 +55,11 @@
         "worst_served": _worst_served(accounts),
         "accounts": _account_rows(accounts, weight_of),
         "endpoint_time": _endpoint_rows(instances, price_of),
+        "withheld_versions": [
+            attrs.asdict(version)
+            for one in instances
+            for version in one.withheld
+        ],
     }
 
 
--- a/packages/daemon/src/banyanbank_daemon/_figures/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_messages.py
@@ -74,6 +74,20 @@
     """Whether its batch is formed."""
 
 
+@attrs.frozen
+class WithheldVersion:
+    """A published version that engines do not get yet, told by the leader."""
+
+    model: base.ModelName
+    """Model."""
+    version: base.WeightVersion
+    """Published version."""
+    reason: str
+    """Why: `asking`, `missing`, `busy` or `failed`."""
+    detail: str
+    """What the weight store said, for people."""
+
+
 @attrs.frozen
 class InstanceFigures:
     """All figures of one instance."""
@@ -90,6 +104,8 @@
     """By failure domain, kind and supply."""
     steps: tuple[StepFigures, ...]
     """Open steps by trainer and step; empty unless it leads."""
+    withheld: tuple[WithheldVersion, ...] = ()
+    """By model; empty unless it leads."""
 
 
 CODEC: base.Codec[InstanceFigures] = base.Codec(InstanceFigures)
--- a/packages/daemon/src/banyanbank_daemon/_figures/_own.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_own.py
@@ -1,5 +1,7 @@
 """The figures of this instance, put together."""
 
+import typing
+
 import banyanbank_base as base
 import banyanbank_consensus as consensus
 import banyanbank_rollout as rollout
@@ -10,6 +12,8 @@
 from banyanbank_daemon._figures import _messages
 from banyanbank_daemon._figures import _trainers
 
+Withheld = typing.Callable[[], tuple[_messages.WithheldVersion, ...]]
+
 
 class OwnFigures:
     """Reads what this instance has counted.
@@ -21,6 +25,7 @@
         endpoints: Time of endpoints; None on an instance that is no voter.
         node: The log here; None on an instance that is no voter.
         plane: The sample ledger.
+        withheld: Returns what engines do not get yet; asked while leading.
     """
 
     def __init__(
@@ -31,6 +36,7 @@
         endpoints: _endpoints.EndpointTime | None,
         node: consensus.LogNode | None,
         plane: _rollout_plane.RolloutPlane,
+        withheld: Withheld,
     ) -> None:
         self._instance = instance
         self._trainers = trainers
@@ -38,6 +44,7 @@
         self._endpoints = endpoints
         self._node = node
         self._plane = plane
+        self._withheld = withheld
 
     def read(self) -> _messages.InstanceFigures:
         """Returns the figures as they are now."""
@@ -50,6 +57,7 @@
             accounts=self._accounts.figures(),
             endpoints=() if endpoints is None else endpoints.figures(),
             steps=_steps(self._plane.ledger) if is_leader else (),
+            withheld=self._withheld() if is_leader else (),
         )
 
 
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -128,13 +128,15 @@
         self._usage_loop.clock = around.reactor
 
     def _build_figures(self) -> _figures.OwnFigures:
+        leader = self.leader
         return _figures.OwnFigures(
             self.identity.name,
             self.entry.waits,
             self.dispatch.waits,
-            None if self.leader is None else self.leader.endpoint_time,
+            None if leader is None else leader.endpoint_time,
             self.control.node,
             self.control.rollouts,
+            lambda: () if leader is None else leader.weights.withheld,
         )
 
     def _build_sync(self) -> _sync.SyncClient:
--- a/packages/daemon/src/banyanbank_daemon/_leader/__init__.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/__init__.py
@@ -6,6 +6,8 @@
 from banyanbank_daemon._leader._office import OfficeDuty
 from banyanbank_daemon._leader._office import PlatformUrls
 from banyanbank_daemon._leader._rollouts import RolloutDriver
+from banyanbank_daemon._leader._weight_store import StoreGate
+from banyanbank_daemon._leader._weight_store import WeightStoreClient
 from banyanbank_daemon._leader._weights import WeightDuty
 
 __all__ = [
@@ -15,5 +17,7 @@
     "PlatformUrls",
     "RolloutDriver",
     "ServiceGrader",
+    "StoreGate",
     "WeightDuty",
+    "WeightStoreClient",
 ]
--- a/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
@@ -12,14 +12,14 @@
 from twisted.internet import defer
 
 from banyanbank_daemon import _control_plane
+from banyanbank_daemon import _figures
 from banyanbank_daemon import _platform
 from banyanbank_daemon._leader import _outages
+from banyanbank_daemon._leader import _weight_store
 
 DECIDE_S = 0.1
 REPORT_S = 3.0
 """Seconds after its confirmation in which an engine reports a swap."""
-STORE_BYTES_PER_S = 10e9
-"""Rate limit of the weight store, unless the platform tells another."""
 
 Swap = tuple[base.EndpointId, base.ModelName]
 Serving = typing.Callable[[], typing.Sequence[control.Announcement]]
@@ -44,6 +44,7 @@
         machine: State machine here.
         plane: Commits what is out of service.
         platform: Sends the orders, lease held.
+        store: Lets versions through that the weight store has.
         serving: Engines that serve.
         url_of: Gives an engine's base URL.
         recorder: Takes time line events.
@@ -56,6 +57,7 @@
         machine: control.ControlMachine,
         plane: _control_plane.ControlPlane,
         platform: _platform.PlatformClient,
+        store: _weight_store.StoreGate,
         serving: Serving,
         url_of: UrlOf,
         recorder: base.Recorder,
@@ -65,6 +67,7 @@
         self._machine = machine
         self._outages = _outages.OutageKeeper(clock, node, machine, plane)
         self._platform = platform
+        self._store = store
         self._serving = serving
         self._url_of = url_of
         self._recorder = recorder
@@ -77,9 +80,11 @@
         if now < self._due_at:
             return
         self._due_at = now + DECIDE_S
-        publications = self._machine.state.rollouts.publications()
+        published = self._machine.state.rollouts.publications()
+        publications = self._store.available(published)
         if not publications:
             return
+        self._rollout.limit_store(self._store.bytes_per_s)
         reports = self._reports()
         self._outages.hear({report.endpoint for report in reports})
         effects = self._rollout.decide(publications, reports, now)
@@ -89,13 +94,19 @@
 
     def stop(self) -> None:
         """Forgets what is under way; the next leader learns from reports."""
-        cfg = rollout.WeightCfg(store_bytes_per_s=STORE_BYTES_PER_S)
+        self._store.stop()
+        cfg = rollout.WeightCfg(store_bytes_per_s=self._store.bytes_per_s)
         self._rollout = rollout.WeightRollout(cfg)
         self._loading: set[Swap] = set()
         self._answered: dict[Swap, _Answered] = {}
         self._failed: dict[Swap, str] = {}
         self._outages.stop()
 
+    @property
+    def withheld(self) -> tuple[_figures.WithheldVersion, ...]:
+        """Published versions that are not ordered to engines yet."""
+        return self._store.withheld()
+
     def usable(
         self, views: typing.Iterable[rollout.EngineView]
     ) -> list[rollout.EngineView]:
--- a/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
@@ -64,6 +64,7 @@
         machine,
         control_parts.plane,
         platform,
+        _build_store(settings, around, dispatch_parts),
         dispatch_parts.fleet.serving,
         dispatch_parts.fleet.url_of,
         around.recorder,
@@ -101,6 +102,19 @@
     )
 
 
+def _build_store(
+    settings: _settings.Settings,
+    around: _surroundings.Surroundings,
+    dispatch_parts: _dispatch.DispatchParts,
+) -> _leader.StoreGate:
+    store = None
+    if settings.weight_store_url is not None:
+        store = _leader.WeightStoreClient(
+            around.clock, dispatch_parts.upstream, settings.weight_store_url
+        )
+    return _leader.StoreGate(around.clock, store, around.recorder)
+
+
 def _ignore_failure() -> None:
     """Leaves an instance without its log; it goes on as an entry."""
 
--- a/packages/fakes/src/banyanbank_fakes/__init__.py
+++ b/packages/fakes/src/banyanbank_fakes/__init__.py
@@ -15,6 +15,7 @@
 from banyanbank_fakes._server import FakeServer
 from banyanbank_fakes._service import FakeService
 from banyanbank_fakes._service import ServiceRun
+from banyanbank_fakes._weight_store import FakeWeightStore
 
 __all__ = [
     "Announcer",
@@ -25,6 +26,7 @@
     "FakePlatform",
     "FakeServer",
     "FakeService",
+    "FakeWeightStore",
     "Faults",
     "ServiceRun",
     "text_of",
--- a/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
+++ b/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
@@ -51,6 +51,10 @@
         """Moving average from order to report, None before the first."""
         return self._load_s
 
+    def limit_store(self, bytes_per_s: float) -> None:
+        """Takes in the weight store's rate limit."""
+        self._pacer.limit(bytes_per_s)
+
     def state_of(
         self, endpoint: base.EndpointId, model: base.ModelName
     ) -> str | None:
--- a/packages/rollout/src/banyanbank_rollout/_weights.py
+++ b/packages/rollout/src/banyanbank_rollout/_weights.py
@@ -112,6 +112,10 @@
         self._burst_s = burst_s
         self._busy_until = -math.inf
 
+    def limit(self, bytes_per_s: float) -> None:
+        """Sets another rate for downloads to come."""
+        self._bytes_per_s = bytes_per_s
+
     def take(self, size_bytes: int, now: float) -> bool:
         """Reserves the store for one download; False when it is busy."""
         if self._busy_until > now + self._burst_s:
--- a/tests/rollout/test_weights.py
+++ b/tests/rollout/test_weights.py
@@ -4,6 +4,7 @@
 
 import banyanbank_base as base
 import banyanbank_rollout as rollout
+from banyanbank_rollout import _weights
 
 from tests.rollout import cases
 from tests.rollout import fleet
@@ -85,3 +86,15 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class PacerTest(unittest.TestCase):
+    """Downloads keep under the rate that the store tells."""
+
+    def test_limit(self) -> None:
+        pacer = _weights.StorePacer(100.0, burst_s=1.0)
+        self.assertTrue(pacer.take(100, 0.0))
+        pacer.limit(10.0)
+        self.assertTrue(pacer.take(100, 0.0))
+        self.assertFalse(pacer.take(1, 9.9))
+        self.assertTrue(pacer.take(1, 10.0))
--- a/tests/scenarios/features/rollouts.feature
+++ b/tests/scenarios/features/rollouts.feature
@@ -41,6 +41,14 @@
     When trainer folds publishes version 2
     Then every engine makes tokens with version 2
 
+  Scenario: A version is ordered once the weight store has it
+    Given the weight store lacks version 2
+    When trainer folds publishes version 2
+    Then every instance says that version 2 is missing
+    And no engine was ordered to load weights
+    When the weight store has version 2 and refuses its next question
+    Then every engine makes tokens with version 2
+
   Scenario: An engine without whole weights gets no lookups until it has them
     Given engine engine-1 is left without whole weights by its next swaps
     When trainer folds publishes version 2
--- a/tests/scenarios/operator_steps.py
+++ b/tests/scenarios/operator_steps.py
@@ -86,3 +86,20 @@
             after = await figures_at(context.world, context.fetcher)
 
     support.run_async(play)
+
+
+@behave.then("every instance says that version {version:d} is missing")
+def then_missing(context, version):
+    world = context.world
+
+    async def play():
+        for name in world.sites:
+            told = None
+            while told != [("coach", version, "missing")]:
+                figures = await figures_at(world, name)
+                told = [
+                    (row["model"], row["version"], row["reason"])
+                    for row in figures["withheld_versions"]
+                ]
+
+    support.run_async(play)
--- a/tests/scenarios/rollout_steps.py
+++ b/tests/scenarios/rollout_steps.py
@@ -161,6 +161,24 @@
         engine.faults.mixed_swaps = 0
 
 
+@behave.given("the weight store lacks version {version:d}")
+def given_lacks(context, version):
+    context.world.store.missing.add(version)
+
+
+@behave.then("no engine was ordered to load weights")
+def then_no_orders(context):
+    assert not any(e.orders for e in context.world.engines.values())
+
+
+@behave.when(
+    "the weight store has version {version:d} and refuses its next question"
+)
+def when_store_has(context, version):
+    context.world.store.missing.discard(version)
+    context.world.store.refusals = 1
+
+
 @behave.when("the samples of step {step:d} are recorded")
 def when_recorded(context, step):
     world = context.world
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -81,6 +81,8 @@
         self.caller_tls: typing.Any = None
         self._callers: dict[tuple[str, str], fakes.Caller] = {}
         self.platform.start()
+        self.store = fakes.FakeWeightStore(reactor)
+        self.store.start()
         ports = support.free_ports(3 * size)
         names = [f"i{number}" for number in range(1, size + 1)]
         voters = tuple(
@@ -120,6 +122,7 @@
             data_dir=folder,
             orders_url=f"{self.platform.url}/platform/orders",
             usage_url=f"{self.platform.url}/platform/usage",
+            weight_store_url=self.store.url,
         )
         return Site(name, settings, self.clock)
 
@@ -140,6 +143,7 @@
                 await site.instance.stop()
         for server in (
             self.platform,
+            self.store,
             *self.engines.values(),
             *self.services.values(),
         ):
