Plan endpoints from offers and need, and drain them before they stop

Cause: rollout.CapacityPlanner was wired in nothing: orders followed a rule of their own without prices, a surplus endpoint got new work until its notice, and demand for a model without any endpoint was not seen.

Owners report what runs on engines whose queue was retired.

Not run: process tests.

--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -47,7 +47,6 @@
 from banyanbank_control.commands import RevisionConflict
 from banyanbank_control.commands import RolloutCommand
 from banyanbank_control.commands import RolloutReply
-from banyanbank_control.commands import Supply
 from banyanbank_control.commands import UsageAdded
 from banyanbank_control.commands import UsageDelta
 from banyanbank_control.commands import UsageFigures
@@ -81,6 +80,7 @@
 from banyanbank_control.declarations import Kind
 from banyanbank_control.declarations import malformed
 from banyanbank_control.declarations import Model
+from banyanbank_control.declarations import Offer
 from banyanbank_control.declarations import parse_sheet
 from banyanbank_control.declarations import parse_text
 from banyanbank_control.declarations import Problem
@@ -91,25 +91,27 @@
 from banyanbank_control.declarations import Route
 from banyanbank_control.declarations import SheetError
 from banyanbank_control.declarations import SheetErrors
+from banyanbank_control.declarations import Supply
 from banyanbank_control.declarations import Target
 from banyanbank_control.declarations import Trainer
 from banyanbank_control.duties import Effect
+from banyanbank_control.duties import EndpointPlan
+from banyanbank_control.duties import EndpointPlanner
 from banyanbank_control.duties import EngineReport
 from banyanbank_control.duties import EngineReports
 from banyanbank_control.duties import IntentExpirer
 from banyanbank_control.duties import LossRecorder
+from banyanbank_control.duties import LOWER_S
 from banyanbank_control.duties import OrderPlanner
 from banyanbank_control.duties import OrderResult
-from banyanbank_control.duties import PeakNeed
-from banyanbank_control.duties import plan_needs
-from banyanbank_control.duties import plan_stop
+from banyanbank_control.duties import PlanInputs
 from banyanbank_control.duties import Propose
 from banyanbank_control.duties import SendOrder
 from banyanbank_control.duties import SendReport
 from banyanbank_control.duties import stopping
+from banyanbank_control.duties import UnservedModel
 from banyanbank_control.duties import UsageReport
 from banyanbank_control.duties import UsageReporter
-from banyanbank_control.duties import wanted_endpoints
 from banyanbank_control.duties import WINDOW_S
 from banyanbank_control.intents import Intent
 from banyanbank_control.intents import IntentState
@@ -117,7 +119,6 @@
 from banyanbank_control.intents import MAX_RETENTION_S
 from banyanbank_control.orders import Order
 from banyanbank_control.orders import OrderState
-from banyanbank_control.outages import EngineOutage
 from banyanbank_control.outages import OutageState
 from banyanbank_control.sync import Admission
 from banyanbank_control.sync import Announcement
@@ -150,6 +151,7 @@
 from banyanbank_control.sync import POLL_S
 from banyanbank_control.sync import Principal
 from banyanbank_control.sync import RELEARN_S
+from banyanbank_control.sync import Restriction
 from banyanbank_control.sync import ServedModel
 from banyanbank_control.sync import SoftVersion
 from banyanbank_control.sync import SYNC_CODEC
@@ -174,6 +176,7 @@
     "LEAVE_MEMORY_S",
     "LEDGER_COMMAND_CODEC",
     "LEDGER_REPLY_CODEC",
+    "LOWER_S",
     "MAX_ANSWER_BYTES",
     "MAX_RETENTION_S",
     "MAX_SECRET_CHARS",
@@ -214,9 +217,10 @@
     "Delta",
     "Effect",
     "EndpointKind",
+    "EndpointPlan",
+    "EndpointPlanner",
     "EndpointTable",
     "EngineMarked",
-    "EngineOutage",
     "EngineReport",
     "EngineReports",
     "EntrySync",
@@ -251,6 +255,7 @@
     "MemberTable",
     "Model",
     "NoteInstanceLost",
+    "Offer",
     "Order",
     "OrderDecided",
     "OrderExists",
@@ -262,8 +267,8 @@
     "OrderStatus",
     "OutageState",
     "Outbox",
-    "PeakNeed",
     "Phase",
+    "PlanInputs",
     "Principal",
     "Problem",
     "Propose",
@@ -273,6 +278,7 @@
     "Removed",
     "Repeat",
     "Reply",
+    "Restriction",
     "RevisionConflict",
     "RolloutCommand",
     "RolloutReply",
@@ -291,6 +297,7 @@
     "SyncUpdate",
     "Target",
     "Trainer",
+    "UnservedModel",
     "UsageAdded",
     "UsageBuffer",
     "UsageDelta",
@@ -317,9 +324,6 @@
     "merge",
     "parse_sheet",
     "parse_text",
-    "plan_needs",
-    "plan_stop",
     "references",
     "stopping",
-    "wanted_endpoints",
 ]
--- a/packages/control/src/banyanbank_control/commands/__init__.py
+++ b/packages/control/src/banyanbank_control/commands/__init__.py
@@ -32,7 +32,6 @@
 from banyanbank_control.commands._orders import OrderMarked
 from banyanbank_control.commands._orders import OrderRequest
 from banyanbank_control.commands._orders import OrderStatus
-from banyanbank_control.commands._orders import Supply
 from banyanbank_control.commands._outages import EngineMarked
 from banyanbank_control.commands._outages import MarkEngine
 from banyanbank_control.commands._rollouts import LEDGER_COMMAND_CODEC
@@ -90,7 +89,6 @@
     "RevisionConflict",
     "RolloutCommand",
     "RolloutReply",
-    "Supply",
     "UsageAdded",
     "UsageDelta",
     "UsageFigures",
--- a/packages/control/src/banyanbank_control/commands/_orders.py
+++ b/packages/control/src/banyanbank_control/commands/_orders.py
@@ -6,6 +6,7 @@
 import banyanbank_base as base
 
 from banyanbank_control import _lifecycles
+from banyanbank_control import declarations
 
 
 class Action(enum.Enum):
@@ -17,13 +18,6 @@
     """Stop one endpoint."""
 
 
-class Supply(enum.Enum):
-    """Kind of endpoint by the platform's right to take it back."""
-
-    SAFE = "safe"
-    RECLAIMABLE = "reclaimable"
-
-
 class OrderStatus(enum.Enum):
     """How far an order has come."""
 
@@ -51,7 +45,7 @@
     """Model that the endpoints serve."""
     failure_domain: base.FailureDomain
     """Where."""
-    supply: Supply
+    supply: declarations.Supply
     """Kind of endpoint."""
     count: int
     """How many endpoints; 1 for a stop."""
--- a/packages/control/src/banyanbank_control/config/_state.py
+++ b/packages/control/src/banyanbank_control/config/_state.py
@@ -135,6 +135,14 @@
             if isinstance(item, declarations.Capacity)
         )
 
+    def offers(self) -> tuple[declarations.Offer, ...]:
+        """Returns what the platform sells, without a pass over keys."""
+        return tuple(
+            item
+            for item in self.items.values()
+            if isinstance(item, declarations.Offer)
+        )
+
     def declared(self) -> declarations.Declarations:
         """Returns everything in force, keys included."""
         return declarations.Declarations.of(
--- a/packages/control/src/banyanbank_control/declarations/__init__.py
+++ b/packages/control/src/banyanbank_control/declarations/__init__.py
@@ -24,8 +24,10 @@
 from banyanbank_control.declarations._models import Key
 from banyanbank_control.declarations._models import Kind
 from banyanbank_control.declarations._models import Model
+from banyanbank_control.declarations._models import Offer
 from banyanbank_control.declarations._models import Repeat
 from banyanbank_control.declarations._models import Route
+from banyanbank_control.declarations._models import Supply
 from banyanbank_control.declarations._models import Target
 from banyanbank_control.declarations._models import Trainer
 from banyanbank_control.declarations._references import Reference
@@ -50,6 +52,7 @@
     "Key",
     "Kind",
     "Model",
+    "Offer",
     "Problem",
     "Reference",
     "Removed",
@@ -57,6 +60,7 @@
     "Route",
     "SheetError",
     "SheetErrors",
+    "Supply",
     "Target",
     "Trainer",
     "check",
--- a/packages/control/src/banyanbank_control/declarations/_checks.py
+++ b/packages/control/src/banyanbank_control/declarations/_checks.py
@@ -52,6 +52,8 @@
         yield from _check_route(item)
     if isinstance(item, _models.Capacity):
         yield from _check_capacity(item)
+    if isinstance(item, _models.Offer):
+        yield from _check_offer(item)
 
 
 def _missing(item: _models.Item, reference: _references.Reference) -> Problem:
@@ -125,3 +127,13 @@
             f"{capacity.safe_floor} is more than max_endpoints.",
             f"Write {capacity.max_endpoints} or less.",
         )
+
+
+def _check_offer(offer: _models.Offer) -> collections.abc.Iterator[Problem]:
+    if offer.supply is _models.Supply.SAFE and offer.reclaims_per_hour > 0:
+        yield Problem(
+            offer.ref,
+            "reclaims_per_hour",
+            "Safe endpoints are never taken back.",
+            "Leave the cell empty or set supply to 'reclaimable'.",
+        )
--- a/packages/control/src/banyanbank_control/declarations/_columns.py
+++ b/packages/control/src/banyanbank_control/declarations/_columns.py
@@ -45,6 +45,7 @@
 _COUNT = _cells.above_zero(_cells.read_integer)
 _AT_LEAST_0 = _cells.at_least(_cells.read_integer, 0)
 _POSITIVE = _cells.above_zero(_cells.read_number)
+_NOT_NEGATIVE = _cells.at_least(_cells.read_number, 0)
 
 SPECS: tuple[RowSpec, ...] = (
     RowSpec(
@@ -141,6 +142,23 @@
             Column("price_ceiling", "price_ceiling", _POSITIVE),
         ),
     ),
+    RowSpec(
+        _models.Kind.OFFER,
+        _models.Offer,
+        "offers",
+        (
+            Column("name", "model", _cells.read_name),
+            Column("failure_domain", "failure_domain", _cells.read_name),
+            Column("supply", "supply", _cells.one_of(_models.Supply)),
+            Column("price_per_hour", "price_per_hour", _NOT_NEGATIVE),
+            Column("tokens_per_s", "tokens_per_s", _POSITIVE),
+            Column("max_endpoints", "max_endpoints", _AT_LEAST_0),
+            Column("start_s", "start_s", _NOT_NEGATIVE, 90.0),
+            Column(
+                "reclaims_per_hour", "reclaims_per_hour", _NOT_NEGATIVE, 0.0
+            ),
+        ),
+    ),
 )
 
 BY_KIND = {spec.kind.value: spec for spec in SPECS}
--- a/packages/control/src/banyanbank_control/declarations/_models.py
+++ b/packages/control/src/banyanbank_control/declarations/_models.py
@@ -30,6 +30,7 @@
     ROUTE = "route"
     GRANT = "grant"
     CAPACITY = "capacity"
+    OFFER = "offer"
 
 
 class Access(enum.Enum):
@@ -50,6 +51,13 @@
     """None, except methods that the standard calls safe."""
 
 
+class Supply(enum.Enum):
+    """Kind of endpoint by the platform's right to take it back."""
+
+    SAFE = "safe"
+    RECLAIMABLE = "reclaimable"
+
+
 class Target(enum.Enum):
     """What a grant opens to an account."""
 
@@ -214,7 +222,35 @@
         return ItemRef(Kind.CAPACITY.value, self.model)
 
 
-Item = Account | Key | Model | Trainer | Route | Grant | Capacity
+@attrs.frozen
+class Offer:
+    """What the platform sells in one failure domain for one model."""
+
+    model: base.ModelName
+    """Model that such an endpoint serves."""
+    failure_domain: base.FailureDomain
+    """Where it would run."""
+    supply: Supply
+    """Whether the platform may take it back."""
+    price_per_hour: float
+    """Price of one endpoint while it runs, in the platform's currency."""
+    tokens_per_s: float
+    """Tokens that one generates per second at a healthy load; above 0."""
+    max_endpoints: int
+    """Endpoints to have of it at most."""
+    start_s: float = 90.0
+    """Seconds from an order to the endpoint's first announcement."""
+    reclaims_per_hour: float = 0.0
+    """Expected reclaims of one endpoint; 0 for safe ones."""
+
+    @property
+    def ref(self) -> ItemRef:
+        """Reference of this item."""
+        place = f"{self.model}:{self.failure_domain}:{self.supply.value}"
+        return ItemRef(Kind.OFFER.value, place)
+
+
+Item = Account | Key | Model | Trainer | Route | Grant | Capacity | Offer
 
 
 def grant_ref(account: str, target: Target, name: str) -> ItemRef:
@@ -240,6 +276,8 @@
     """Permissions."""
     capacities: tuple[Capacity, ...] = ()
     """Endpoint bounds by model."""
+    offers: tuple[Offer, ...] = ()
+    """What the platform sells."""
 
     @classmethod
     def of(cls, items: collections.abc.Iterable[Item]) -> "Declarations":
@@ -262,6 +300,7 @@
         yield from self.routes
         yield from self.grants
         yield from self.capacities
+        yield from self.offers
 
     def with_keys(self, keys: tuple[Key, ...]) -> "Declarations":
         """Returns a copy with other keys."""
@@ -276,6 +315,7 @@
     "routes": Route,
     "grants": Grant,
     "capacities": Capacity,
+    "offers": Offer,
 }
 
 
--- a/packages/control/src/banyanbank_control/declarations/_references.py
+++ b/packages/control/src/banyanbank_control/declarations/_references.py
@@ -67,6 +67,10 @@
     yield Reference("name", _ref(_models.Kind.MODEL, item.model))
 
 
+def _of_offer(item: _models.Offer) -> collections.abc.Iterator[Reference]:
+    yield Reference("name", _ref(_models.Kind.CAPACITY, item.model))
+
+
 _READERS: dict[
     type,
     collections.abc.Callable[[typing.Any], collections.abc.Iterator[Reference]],
@@ -78,4 +82,5 @@
     _models.Route: _of_route,
     _models.Grant: _of_grant,
     _models.Capacity: _of_capacity,
+    _models.Offer: _of_offer,
 }
--- a/packages/control/src/banyanbank_control/duties/_demand.py
+++ b/packages/control/src/banyanbank_control/duties/_demand.py
@@ -1,8 +1,6 @@
 """Loads of engines as their owners report them, and what they ask for."""
 
-import collections
 import collections.abc
-import math
 
 import attrs
 import banyanbank_base as base
@@ -12,9 +10,6 @@
 REPORT_S = 5.0
 """Time for which an instance's report counts, in seconds."""
 
-LOWER_S = 600.0
-"""Time that a lower need has to last before it counts, in seconds."""
-
 TARGET_LOAD = 0.75
 """Part of the slots that the requests may take up."""
 
@@ -42,10 +37,21 @@
         return self.waiting + self.running
 
 
+@attrs.frozen
+class UnservedModel:
+    """Requests for a model that found no endpoint."""
+
+    model: base.ModelName
+    """The model."""
+    requests: int
+    """Requests since the last report; above 0."""
+
+
 @attrs.frozen
 class _Heard:
     at: float
     reports: tuple[EngineReport, ...]
+    unserved: tuple[UnservedModel, ...]
 
 
 class EngineReports:
@@ -69,9 +75,10 @@
         instance: base.InstanceId,
         reports: tuple[EngineReport, ...],
         now: float,
+        unserved: tuple[UnservedModel, ...] = (),
     ) -> None:
         """Takes in an instance's reports in place of its earlier ones."""
-        self._heard[instance] = _Heard(now, reports)
+        self._heard[instance] = _Heard(now, reports, unserved)
         for report in reports:
             if report.requests:
                 self._busy_at[report.endpoint] = now
@@ -86,6 +93,16 @@
             if report.endpoint == endpoint
         )
 
+    def unserved(self, model: base.ModelName, now: float) -> int:
+        """Returns the requests that found no endpoint of a model of late."""
+        return sum(
+            one.requests
+            for heard in self._heard.values()
+            if now < heard.at + REPORT_S
+            for one in heard.unserved
+            if one.model == model
+        )
+
     def idle_s(self, endpoint: base.EndpointId, now: float) -> float:
         """Returns for how long this office knows an engine as idle."""
         return now - self._busy_at.get(endpoint, self.began)
@@ -106,48 +123,6 @@
         }
 
 
-def wanted_endpoints(
-    model: base.ModelName,
-    serving: collections.abc.Iterable[sync.Announcement],
-    reports: EngineReports,
-    now: float,
-) -> int:
-    """Returns how many endpoints the present load of a model asks for.
-
-    So many that requests take up `TARGET_LOAD` of the slots, at the mean
-    slots of those that serve. An engine of several models counts for each.
-
-    Args:
-        model: The model.
-        serving: Endpoints that serve, of any model.
-        reports: Loads.
-        now: Monotonic time in seconds.
-    """
-    engines = [item for item in serving if serves(item, model)]
-    slots = sum(item.slots for item in engines)
-    if not slots:
-        return 0
-    load = sum(reports.requests(item.endpoint, now) for item in engines)
-    return math.ceil(load * len(engines) / (TARGET_LOAD * slots))
-
-
 def serves(item: sync.Announcement, model: base.ModelName) -> bool:
     """Returns whether an endpoint serves a model."""
     return any(served.model == model for served in item.models)
-
-
-class PeakNeed:
-    """Highest need of the last `LOWER_S`: up at once, down after a while."""
-
-    def __init__(self) -> None:
-        # Falling needs with rising times; the first is the peak.
-        self._peaks: collections.deque[tuple[float, int]] = collections.deque()
-
-    def note(self, need: int, now: float) -> int:
-        """Takes in the need of now and returns the highest."""
-        while self._peaks and self._peaks[-1][1] <= need:
-            self._peaks.pop()
-        self._peaks.append((now, need))
-        while self._peaks[0][0] + LOWER_S <= now:
-            self._peaks.popleft()
-        return self._peaks[0][1]
--- a/packages/control/src/banyanbank_control/outages/__init__.py
+++ b/packages/control/src/banyanbank_control/outages/__init__.py
@@ -1,8 +1,7 @@
 """Engines whose weights for a model cannot be used."""
 
 from banyanbank_control.outages._apply import mark
-from banyanbank_control.outages._state import EngineOutage
 from banyanbank_control.outages._state import OutageRecord
 from banyanbank_control.outages._state import OutageState
 
-__all__ = ["EngineOutage", "OutageRecord", "OutageState", "mark"]
+__all__ = ["OutageRecord", "OutageState", "mark"]
--- a/packages/control/src/banyanbank_control/outages/_state.py
+++ b/packages/control/src/banyanbank_control/outages/_state.py
@@ -7,16 +7,6 @@
 ModelVersions = immutables.Map[base.ModelName, base.WeightVersion]
 
 
-@attrs.frozen
-class EngineOutage:
-    """Models of one engine that are out of service."""
-
-    endpoint: base.EndpointId
-    """The engine."""
-    models: tuple[base.ModelName, ...] = ()
-    """The models, sorted; empty when all are back in service."""
-
-
 @attrs.frozen
 class ModelOutage:
     """One mark as a snapshot holds it."""
@@ -56,10 +46,11 @@
         """Returns the version awaited; None when the model is in service."""
         return self.engines.get(endpoint, immutables.Map()).get(model)
 
-    def outage(self, endpoint: base.EndpointId) -> EngineOutage:
-        """Returns the models of an engine that are out of service."""
-        models = self.engines.get(endpoint, ())
-        return EngineOutage(endpoint, tuple(sorted(models)))
+    def models_out(
+        self, endpoint: base.EndpointId
+    ) -> tuple[base.ModelName, ...]:
+        """Returns the models of an engine that are out of service, sorted."""
+        return tuple(sorted(self.engines.get(endpoint, ())))
 
     def with_mark(
         self,
--- a/packages/control/src/banyanbank_control/sync/__init__.py
+++ b/packages/control/src/banyanbank_control/sync/__init__.py
@@ -29,6 +29,7 @@
 from banyanbank_control.sync._messages import Heard
 from banyanbank_control.sync._messages import Member
 from banyanbank_control.sync._messages import Phase
+from banyanbank_control.sync._messages import Restriction
 from banyanbank_control.sync._messages import ServedModel
 from banyanbank_control.sync._messages import SoftVersion
 from banyanbank_control.sync._messages import SYNC_CODEC
@@ -72,6 +73,7 @@
     "Outbox",
     "Phase",
     "Principal",
+    "Restriction",
     "ServedModel",
     "SoftVersion",
     "SyncRefused",
--- a/packages/control/src/banyanbank_control/sync/_entry.py
+++ b/packages/control/src/banyanbank_control/sync/_entry.py
@@ -124,6 +124,7 @@
             announcement
             for announcement in self.endpoints.all(self._trusts_leader(now))
             if announcement.phase is _messages.Phase.SERVING
+            and not self.endpoints.is_draining(announcement.endpoint)
         )
 
     def _trusts_leader(self, now: float) -> bool:
--- a/packages/control/src/banyanbank_control/sync/_known.py
+++ b/packages/control/src/banyanbank_control/sync/_known.py
@@ -98,7 +98,7 @@
     def __init__(self) -> None:
         self.heard = _endpoints.EndpointTable()
         self._told: dict[base.EndpointId, _Told] = {}
-        self._out: dict[base.EndpointId, frozenset[base.ModelName]] = {}
+        self._restricted: dict[base.EndpointId, _messages.Restriction] = {}
 
     def apply(
         self, reply: _messages.SyncReply, now: float, keep_missing: bool
@@ -119,25 +119,7 @@
             self._told.pop(endpoint, None)
         for announcement in reply.endpoints:
             self._take(announcement, now)
-        self._take_outages(reply)
-
-    def _take_outages(self, reply: _messages.SyncReply) -> None:
-        # They are committed, so a new leader's first list lacks none.
-        if reply.soft_whole:
-            self._out.clear()
-        for outage in reply.engine_outages:
-            self._out[outage.endpoint] = frozenset(outage.models)
-            if not outage.models:
-                del self._out[outage.endpoint]
-
-    def in_service(
-        self, endpoint: base.EndpointId, model: base.ModelName
-    ) -> bool:
-        """Tells whether an engine's weights for a model can be used.
-
-        What the leader told last counts, also while it cannot be reached.
-        """
-        return model not in self._out.get(endpoint, ())
+        self._take_restrictions(reply)
 
     def _take(self, announcement: _messages.Announcement, now: float) -> None:
         known = self._told.get(announcement.endpoint)
@@ -151,6 +133,30 @@
             # The leader knows less, or has dropped what it knew.
             known.expires_at = known.expires_at or now + RELEARN_S
 
+    def _take_restrictions(self, reply: _messages.SyncReply) -> None:
+        # Outages and stops are committed: a new leader's list lacks none.
+        if reply.soft_whole:
+            self._restricted.clear()
+        for restriction in reply.restrictions:
+            self._restricted[restriction.endpoint] = restriction
+            if not (restriction.models or restriction.is_draining):
+                del self._restricted[restriction.endpoint]
+
+    def in_service(
+        self, endpoint: base.EndpointId, model: base.ModelName
+    ) -> bool:
+        """Tells whether an engine's weights for a model can be used.
+
+        What the leader told last counts, also while it cannot be reached.
+        """
+        restriction = self._restricted.get(endpoint)
+        return restriction is None or model not in restriction.models
+
+    def is_draining(self, endpoint: base.EndpointId) -> bool:
+        """Tells whether an endpoint gets no new work before it is stopped."""
+        restriction = self._restricted.get(endpoint)
+        return restriction is not None and restriction.is_draining
+
     def expire(self, now: float) -> None:
         """Drops endpoints past their deadline."""
         self.heard.expire(now)
--- a/packages/control/src/banyanbank_control/sync/_leader.py
+++ b/packages/control/src/banyanbank_control/sync/_leader.py
@@ -13,7 +13,7 @@
 _Log = _changes.ChangeLog[tuple[str, str]]
 _MEMBER = "member"
 _ENDPOINT = "endpoint"
-_OUTAGE = "outage"
+_RESTRICTION = "restriction"
 _NUMBERS_A_SECOND = 1_000_000
 
 
@@ -44,6 +44,7 @@
         first = int(now * _NUMBERS_A_SECOND)
         self._log: _Log = _changes.ChangeLog(first, first)
         self._outages = outages.OutageState()
+        self._draining: frozenset[base.EndpointId] = frozenset()
 
     def answer(
         self,
@@ -89,7 +90,13 @@
             return
         for endpoint in {*before, *after}:
             if before.get(endpoint) != after.get(endpoint):
-                self._log.note((_OUTAGE, endpoint))
+                self._log.note((_RESTRICTION, endpoint))
+
+    def note_draining(self, draining: frozenset[base.EndpointId]) -> None:
+        """Takes in which endpoints get no new work before they are stopped."""
+        for endpoint in self._draining ^ draining:
+            self._log.note((_RESTRICTION, endpoint))
+        self._draining = draining
 
     def tick(self, now: float) -> tuple[_members.Lost, ...]:
         """Drops what has gone silent.
@@ -103,7 +110,7 @@
         for gone in lost:
             self._log.note((_MEMBER, gone.member.instance))
         live = len(self.members.all()) + len(self.endpoints.all())
-        live += len(self._outages.engines)
+        live += len(self._outages.engines) + len(self._draining)
         self._log.trim(live)
         return lost
 
@@ -115,6 +122,13 @@
             if self.endpoints.hear(announcement, now, heard.age_s):
                 self._log.note((_ENDPOINT, announcement.endpoint))
 
+    def _restriction(self, endpoint: base.EndpointId) -> _messages.Restriction:
+        return _messages.Restriction(
+            endpoint,
+            self._outages.models_out(endpoint),
+            endpoint in self._draining,
+        )
+
     def _with_soft(
         self, reply: _messages.SyncReply, req: _messages.SyncRequest
     ) -> _messages.SyncReply:
@@ -127,8 +141,9 @@
                 soft_whole=True,
                 members=self.members.all(),
                 endpoints=self.endpoints.all(),
-                engine_outages=tuple(
-                    map(self._outages.outage, self._outages.engines)
+                restrictions=tuple(
+                    self._restriction(endpoint)
+                    for endpoint in {*self._outages.engines, *self._draining}
                 ),
             )
         keys = list(changed)
@@ -142,14 +157,14 @@
             for kind, key in keys
             if kind == _ENDPOINT
         }
-        changed_outages = [
-            self._outages.outage(base.EndpointId(key))
+        restrictions = [
+            self._restriction(base.EndpointId(key))
             for kind, key in keys
-            if kind == _OUTAGE
+            if kind == _RESTRICTION
         ]
         return attrs.evolve(
             reply,
-            engine_outages=tuple(changed_outages),
+            restrictions=tuple(restrictions),
             members=tuple(m for m in members.values() if m),
             members_gone=tuple(key for key, m in members.items() if not m),
             endpoints=tuple(e for e in endpoints.values() if e),
--- a/packages/control/src/banyanbank_control/sync/_messages.py
+++ b/packages/control/src/banyanbank_control/sync/_messages.py
@@ -5,10 +5,8 @@
 import attrs
 import banyanbank_base as base
 
-from banyanbank_control import commands
 from banyanbank_control import config
 from banyanbank_control import declarations
-from banyanbank_control import outages
 
 
 class Phase(enum.Enum):
@@ -58,7 +56,7 @@
     """Its IP number and port, as `10.0.0.1:8000`."""
     failure_domain: base.FailureDomain
     """Where it runs."""
-    supply: commands.Supply = commands.Supply.SAFE
+    supply: declarations.Supply = declarations.Supply.SAFE
     """Whether the platform may take it back."""
     models: tuple[ServedModel, ...] = ()
     """Models of an engine."""
@@ -140,6 +138,18 @@
     """Every item, keys included."""
 
 
+@attrs.frozen
+class Restriction:
+    """New work that an endpoint must not get; none when all is default."""
+
+    endpoint: base.EndpointId
+    """The endpoint."""
+    models: tuple[base.ModelName, ...] = ()
+    """Models whose weights cannot be used, sorted."""
+    is_draining: bool = False
+    """Whether it gets no new work at all, before it is given back."""
+
+
 @attrs.frozen
 class SyncReply:
     """The leader's answer, true at a moment after the poll was sent."""
@@ -170,9 +180,8 @@
     """Endpoints new or changed."""
     endpoints_gone: tuple[base.EndpointId, ...] = ()
     """Endpoints that are gone."""
-    engine_outages: tuple[outages.EngineOutage, ...] = ()
-    """Engines whose models in service have changed; all engines with an
-    outage when `soft_whole`."""
+    restrictions: tuple[Restriction, ...] = ()
+    """Restrictions new or changed; all there are when `soft_whole`."""
 
 
 @attrs.frozen
--- a/packages/daemon/src/banyanbank_daemon/_dispatcher.py
+++ b/packages/daemon/src/banyanbank_daemon/_dispatcher.py
@@ -58,6 +58,10 @@
         """Returns the engines in service that hold a model."""
         ...
 
+    def note_unserved(self, model: base.ModelName) -> None:
+        """Notes a request that found no endpoint of its model."""
+        ...
+
     def runner_of(self, endpoint: base.EndpointId) -> _jobs.JobRunner | None:
         """Returns the way to an engine's owner; None when nobody owns it."""
         ...
@@ -222,6 +226,8 @@
             excluded=req.excluded,
         )
         candidates = self._fleet.engine_candidates(req.model)
+        if not candidates:
+            self._fleet.note_unserved(req.model)
         chosen = self._router.choose(query, candidates, now)
         if isinstance(chosen, result.Failure):
             failed = _jobs.JobFailed.from_refusal(chosen.failure())
--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -1,5 +1,6 @@
 """What this instance knows of endpoints, their owners and their load."""
 
+import collections
 import typing
 
 import attrs
@@ -172,6 +173,9 @@
         self._remote_runner = remote_runner
         self._loads: dict[base.EndpointId, LoadReport] = {}
         self._known: frozenset[base.EndpointId] = frozenset()
+        self._unserved: collections.Counter[base.ModelName] = (
+            collections.Counter()
+        )
         self.directory = directory
         self.serving = directory.serving
         self.url_of = directory.url_of
@@ -195,6 +199,19 @@
         ]
         return usable or [holder for holder in holders if holder.version]
 
+    def note_unserved(self, model: base.ModelName) -> None:
+        """Notes a request that found no endpoint of its model."""
+        self._unserved[model] += 1
+
+    def take_unserved(self) -> tuple[control.UnservedModel, ...]:
+        """Returns such requests since the last call, for the leader."""
+        taken = tuple(
+            control.UnservedModel(model, count)
+            for model, count in sorted(self._unserved.items())
+        )
+        self._unserved.clear()
+        return taken
+
     def service_candidates(self, service: str) -> list[dispatch.Candidate]:
         """Returns the replicas of a plain service that are in service."""
         return [
@@ -213,9 +230,12 @@
 
     def engine_views(self) -> list[rollout.EngineView]:
         """Returns the engines as the sample scheduler sees them."""
+        serving = {announcement.endpoint for announcement in self.serving()}
         return [
             _engine_view(
-                announcement, self.directory.slots_of(announcement.endpoint)
+                announcement,
+                self.directory.slots_of(announcement.endpoint),
+                announcement.endpoint in serving,
             )
             for announcement in self.directory.known()
             if announcement.kind is control.EndpointKind.ENGINE
@@ -280,9 +300,8 @@
 
 
 def _engine_view(
-    announcement: control.Announcement, streams: EngineSlots
+    announcement: control.Announcement, streams: EngineSlots, is_serving: bool
 ) -> rollout.EngineView:
-    is_serving = announcement.phase is control.Phase.SERVING
     return rollout.EngineView(
         endpoint=announcement.endpoint,
         models=tuple(served.model for served in announcement.models),
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -109,6 +109,7 @@
             self.control.entry,
             self.entry.limits,
             self.dispatch.queues.reports,
+            self.dispatch.fleet.take_unserved,
             None if self.leader is None else self.leader.lease_server,
         )
         self.voters = _voters.VoterChanges(
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
@@ -106,10 +106,14 @@
         self._observer = observer
         self._waiting: dict[str, _Waiting] = {}
         self.queues: dict[str, dispatch.EngineQueue] = {}
+        self._retired: list[dispatch.EngineQueue] = []
 
     def reports(self) -> tuple[control.EngineReport, ...]:
         """Returns the loads of the engines, for the leader."""
-        statuses = (queue.status() for queue in self.queues.values())
+        # What runs on an engine that gets no new work keeps it from a stop.
+        self._retired = [queue for queue in self._retired if queue.running()]
+        queues = (*self.queues.values(), *self._retired)
+        statuses = (queue.status() for queue in queues)
         return tuple(
             control.EngineReport(
                 status.endpoint_id,
@@ -183,7 +187,10 @@
             "The engine leaves; the request goes to another one.",
         )
         queue = self.queues.pop(endpoint, None)
-        for work in queue.retire() if queue is not None else ():
+        if queue is None:
+            return
+        self._retired.append(queue)
+        for work in queue.retire():
             self._settle(work.request_id, refusal)
 
     async def _wait(
--- a/packages/daemon/src/banyanbank_daemon/_leader/_office.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_office.py
@@ -18,7 +18,8 @@
 
 Members = typing.Callable[[], typing.Iterable[control.Member]]
 Reports = typing.Callable[[], control.EngineReports]
-Serving = typing.Callable[[], typing.Sequence[control.Announcement]]
+Announced = typing.Callable[[], tuple[control.Announcement, ...]]
+Drain = typing.Callable[[frozenset[base.EndpointId]], None]
 
 
 @attrs.frozen
@@ -40,7 +41,7 @@
     planner: control.OrderPlanner
     losses: control.LossRecorder
     expirer: control.IntentExpirer
-    peaks: dict[base.ModelName, control.PeakNeed] = attrs.field(factory=dict)
+    endpoints: control.EndpointPlanner
 
 
 class OfficeDuty:
@@ -54,7 +55,9 @@
         platform: Sends orders and reports.
         urls: Where to.
         members: Instances heard by the leader.
-        serving: Endpoints that serve.
+        announced: Endpoints that announce themselves.
+        drain: Takes the endpoints that get no new work.
+        lower_after_s: Seconds before endpoints are given back.
         reports: Loads of the engines.
         recorder: Takes time line events.
     """
@@ -68,7 +71,9 @@
         platform: _platform.PlatformClient,
         urls: PlatformUrls,
         members: Members,
-        serving: Serving,
+        announced: Announced,
+        drain: Drain,
+        lower_after_s: float,
         reports: Reports,
         recorder: base.Recorder,
     ) -> None:
@@ -79,7 +84,9 @@
         self._platform = platform
         self._urls = urls
         self._members = members
-        self._serving = serving
+        self._announced = announced
+        self._drain = drain
+        self._lower_after_s = lower_after_s
         self._reports = reports
         self._recorder = recorder
         self._office: _Office | None = None
@@ -116,6 +123,7 @@
                 control.OrderPlanner(epoch),
                 control.LossRecorder(now),
                 control.IntentExpirer(),
+                control.EndpointPlanner(now, self._lower_after_s),
             )
         return self._office
 
@@ -124,37 +132,27 @@
     ) -> tuple[control.Effect, ...]:
         if self._urls.orders is None:
             return ()
-        serving = self._serving()
-        needs = [
-            need
-            for capacity in state.config.capacities()
-            for need in self._needs(office, state, capacity, serving, now)
-        ]
-        announced = {announcement.endpoint for announcement in serving}
-        self._reports().keep(announced, now)
-        return office.planner.decide(state.orders, needs, announced, now)
-
-    def _needs(
-        self,
-        office: _Office,
-        state: control.ControlState,
-        capacity: control.Capacity,
-        serving: typing.Sequence[control.Announcement],
-        now: float,
-    ) -> typing.Iterator[control.OrderRequest]:
-        """Yields what to order of a model and what to give back."""
+        announced = self._announced()
         reports = self._reports()
-        live = tuple(state.orders.live.values())
-        going = control.stopping(live)
-        staying = [item for item in serving if item.endpoint not in going]
-        need = control.wanted_endpoints(capacity.model, serving, reports, now)
-        peak = office.peaks.setdefault(capacity.model, control.PeakNeed())
-        wanted = peak.note(need, now)
-        avoided = office.planner.avoided(now)
-        yield from control.plan_needs(capacity, wanted, staying, live, avoided)
-        stop = control.plan_stop(capacity, wanted, staying, live, reports, now)
-        if stop is not None:
-            yield stop
+        around = control.PlanInputs(
+            capacities=state.config.capacities(),
+            offers=state.config.offers(),
+            announced=announced,
+            live=tuple(state.orders.live.values()),
+            reports=reports,
+            ledger=state.rollouts,
+            avoided=office.planner.avoided(now),
+        )
+        plan = office.endpoints.plan(around, now)
+        self._drain(plan.draining)
+        known = {one.endpoint for one in announced}
+        reports.keep(known, now)
+        serving = {
+            one.endpoint
+            for one in announced
+            if one.phase is control.Phase.SERVING
+        }
+        return office.planner.decide(state.orders, plan.requests, serving, now)
 
     def _perform(self, office: _Office, effect: control.Effect) -> None:
         match effect:
--- a/packages/daemon/src/banyanbank_daemon/_leases.py
+++ b/packages/daemon/src/banyanbank_daemon/_leases.py
@@ -20,6 +20,7 @@
 CALL_S = 1.0
 
 Loads = typing.Callable[[], tuple[control.EngineReport, ...]]
+Unserved = typing.Callable[[], tuple[control.UnservedModel, ...]]
 
 
 @attrs.frozen
@@ -32,6 +33,8 @@
     """Leased shares that have not expired; a new leader counts them."""
     engines: tuple[control.EngineReport, ...] = ()
     """Loads of the engines owned here that have had requests."""
+    unserved: tuple[control.UnservedModel, ...] = ()
+    """Requests that found no endpoint of their model since the last call."""
 
 
 @attrs.frozen
@@ -82,7 +85,7 @@
             return LeaseReply(())
         now = self._clock.now()
         allocator, reports = self._office(now)
-        reports.take(instance, req.engines, now)
+        reports.take(instance, req.engines, now, req.unserved)
         limits = [
             dispatch.AccountLimit(
                 item.name, item.requests_per_s, item.concurrency
@@ -129,6 +132,7 @@
         entry: Holds accounts and members.
         limits: Admits within the shares.
         loads: Gives the loads of the engines owned here.
+        unserved: Gives the requests that found no endpoint, once.
         server: Leases here; None on an instance that is no voter.
     """
 
@@ -141,6 +145,7 @@
         entry: control.EntrySync,
         limits: dispatch.AdmissionLimits,
         loads: Loads,
+        unserved: Unserved,
         server: LeaseServer | None,
     ) -> None:
         self._clock = clock
@@ -149,6 +154,7 @@
         self._entry = entry
         self._limits = limits
         self._loads = loads
+        self._unserved = unserved
         self._server = server
         self._leased_until = 0.0
         self._loop = task.LoopingCall(self._renew)
@@ -184,6 +190,7 @@
             self._limits.demands(requested_at),
             self._limits.held(requested_at) if is_leased else (),
             self._loads(),
+            self._unserved(),
         )
         reply = await self._ask(req)
         if reply is not None and reply.shares:
--- a/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_leader.py
@@ -163,7 +163,9 @@
         platform,
         _leader.PlatformUrls(settings.orders_url, settings.usage_url),
         server.members,
-        server.serving,
+        server.announced,
+        server.drain,
+        settings.scale_down_after_s,
         leases.reports,
         around.recorder,
     )
--- a/packages/daemon/src/banyanbank_daemon/_settings.py
+++ b/packages/daemon/src/banyanbank_daemon/_settings.py
@@ -115,6 +115,8 @@
     """Folder of the time line's files; None keeps it in memory only."""
     drain_limit_s: float = 600.0
     """Seconds after which a graceful shutdown gives up waiting."""
+    scale_down_after_s: float = 600.0
+    """Seconds that a lower need lasts before endpoints are given back."""
     orders_url: str | None = None
     """Platform service that orders endpoints; None when there is none."""
     usage_url: str | None = None
@@ -159,6 +161,7 @@
         "log_level": _choice(*LOG_LEVELS),
         "timeline_dir": _setting_parsers.parse_path,
         "drain_limit_s": _setting_parsers.parse_seconds,
+        "scale_down_after_s": _setting_parsers.parse_seconds,
         "orders_url": _setting_parsers.parse_url,
         "usage_url": _setting_parsers.parse_url,
         "weight_store_url": _setting_parsers.parse_url,
--- a/packages/daemon/src/banyanbank_daemon/_sync/_server.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_server.py
@@ -26,6 +26,7 @@
         self._node = node
         self._machine = machine
         self._office: control.LeaderSync | None = None
+        self._draining: frozenset[base.EndpointId] = frozenset()
 
     async def serve(self, sender: base.InstanceId, data: bytes) -> bytes:
         """Handles one call of `METHOD`."""
@@ -43,6 +44,9 @@
         config = self._machine.state.config
         office = self.office()
         office.note_outages(self._machine.state.outages)
+        # Orders to stop are committed: a new leader knows them at once.
+        live = self._machine.state.orders.live.values()
+        office.note_draining(self._draining | control.stopping(live))
         return office.answer(req, config, self._clock.now())
 
     def office(self) -> control.LeaderSync:
@@ -56,9 +60,13 @@
         """Returns the instances that poll; asked while leading."""
         return self.office().members.all()
 
-    def serving(self) -> tuple[control.Announcement, ...]:
-        """Returns the endpoints that take work; asked while leading."""
-        return self.office().endpoints.serving()
+    def announced(self) -> tuple[control.Announcement, ...]:
+        """Returns the endpoints that are heard; asked while leading."""
+        return self.office().endpoints.all()
+
+    def drain(self, endpoints: frozenset[base.EndpointId]) -> None:
+        """Takes the endpoints that get no new work in this epoch."""
+        self._draining = endpoints
 
     def running(self) -> tuple[control.Announcement, ...]:
         """Returns the endpoints that run; asked while leading.
@@ -78,3 +86,4 @@
     def stop(self) -> None:
         """Drops the soft state; the next epoch starts its own."""
         self._office = None
+        self._draining = frozenset()
--- a/packages/rollout/src/banyanbank_rollout/__init__.py
+++ b/packages/rollout/src/banyanbank_rollout/__init__.py
@@ -26,6 +26,7 @@
 from banyanbank_rollout._commands import RejectBatch
 from banyanbank_rollout._commands import SubmitGroup
 from banyanbank_rollout._demand import DemandForecast
+from banyanbank_rollout._demand import PeakWindow
 from banyanbank_rollout._effects import CancelAttempt
 from banyanbank_rollout._effects import GradeSample
 from banyanbank_rollout._effects import ProposeBatch
@@ -109,6 +110,7 @@
     "LedgerRefused",
     "LedgerReply",
     "LedgerSnapshot",
+    "PeakWindow",
     "ProposeBatch",
     "PublishVersion",
     "RecordSample",
--- a/packages/rollout/src/banyanbank_rollout/_ledger.py
+++ b/packages/rollout/src/banyanbank_rollout/_ledger.py
@@ -61,6 +61,15 @@
         # Engines may run versions that nobody has published.
         return max(0, self.newest_version(step.model) - oldest)
 
+    def open_samples(self, model: base.ModelName) -> int:
+        """Returns how many samples of a model's steps are still to come."""
+        return sum(
+            max(0, group.spec.samples - group.filled)
+            for step in self.tables.steps.values()
+            if step.model == model and step.batch is None
+            for group in step.groups.values()
+        )
+
     def newest_version(self, model: base.ModelName) -> base.WeightVersion:
         """Returns the newest version of a model, 0 when none is published."""
         return self.tables.newest(model)
--- a/tests/control/samples.py
+++ b/tests/control/samples.py
@@ -28,6 +28,10 @@
     control.Grant("acme", control.Target.MODEL, "coach"),
     control.Grant("acme", control.Target.ROUTE, "/orders/book"),
     control.Capacity("coach", 1, 4, 1, ("a", "b"), 2.5),
+    control.Offer("coach", "a", control.Supply.SAFE, 2.5, 900.0, 3),
+    control.Offer(
+        "coach", "b", control.Supply.RECLAIMABLE, 0.75, 900.5, 2, 45.0, 0.2
+    ),
 )
 DECLARED = control.Declarations.of([*ACCOUNTS, *KEYS, *ROUTES, *OTHERS])
 
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -38,6 +38,9 @@
     def test_requests(self) -> None:
         self.check("requests")
 
+    def test_capacity(self) -> None:
+        self.check("capacity")
+
     def test_control(self) -> None:
         self.check("control")
 
