Ask the leader in one way; record events in one place

Cause: polls, leases of limits and changes of voters each decided whether to ask the leader over the mesh or to answer here, in near twins; Timeline repeated the whole signature of record to write a file besides.

Change: _leader_call.LeaderCall asks, typed by its codecs. MemoryRecorder cuts long details and hands each event to _keep, which Timeline extends. Behaviour stays; fetches of batches are streams and keep their own way.

--- a/packages/base/src/banyanbank_base/__init__.py
+++ b/packages/base/src/banyanbank_base/__init__.py
@@ -15,6 +15,7 @@
 from banyanbank_base._events import Event
 from banyanbank_base._events import HybridClock
 from banyanbank_base._events import HybridTime
+from banyanbank_base._events import MAX_DETAIL_CHARS
 from banyanbank_base._events import MemoryRecorder
 from banyanbank_base._events import Recorder
 from banyanbank_base._ids import AccountId
@@ -32,6 +33,7 @@
 from banyanbank_base._outcome import RefusalReason
 
 __all__ = [
+    "MAX_DETAIL_CHARS",
     "AccountId",
     "ChartError",
     "ChartRunner",
--- a/packages/base/src/banyanbank_base/_events.py
+++ b/packages/base/src/banyanbank_base/_events.py
@@ -8,6 +8,9 @@
 from banyanbank_base import _clock
 from banyanbank_base import _ids
 
+MAX_DETAIL_CHARS = 500
+"""Longer details of events are cut."""
+
 
 @attrs.frozen(order=True)
 class HybridTime:
@@ -119,7 +122,7 @@
         detail: str = "",
     ) -> None:
         """Records one event at the current hybrid time."""
-        self.events.append(
+        self._keep(
             Event(
                 time=self.hybrid_clock.tick(),
                 instance=self._instance,
@@ -129,6 +132,10 @@
                 key=key,
                 endpoint=endpoint,
                 epoch=epoch,
-                detail=detail,
+                detail=detail[:MAX_DETAIL_CHARS],
             )
         )
+
+    def _keep(self, event: Event) -> None:
+        """Takes an event in; a subclass may write it elsewhere too."""
+        self.events.append(event)
--- a/packages/control/src/banyanbank_control/__init__.py
+++ b/packages/control/src/banyanbank_control/__init__.py
@@ -155,6 +155,7 @@
 from banyanbank_control.sync import ServedModel
 from banyanbank_control.sync import SoftVersion
 from banyanbank_control.sync import SYNC_CODEC
+from banyanbank_control.sync import SyncMessage
 from banyanbank_control.sync import SyncRefused
 from banyanbank_control.sync import SyncReply
 from banyanbank_control.sync import SyncRequest
@@ -291,6 +292,7 @@
     "SnapshotError",
     "SoftVersion",
     "Supply",
+    "SyncMessage",
     "SyncRefused",
     "SyncReply",
     "SyncRequest",
--- a/packages/control/src/banyanbank_control/sync/__init__.py
+++ b/packages/control/src/banyanbank_control/sync/__init__.py
@@ -33,6 +33,7 @@
 from banyanbank_control.sync._messages import ServedModel
 from banyanbank_control.sync._messages import SoftVersion
 from banyanbank_control.sync._messages import SYNC_CODEC
+from banyanbank_control.sync._messages import SyncMessage
 from banyanbank_control.sync._messages import SyncRefused
 from banyanbank_control.sync._messages import SyncReply
 from banyanbank_control.sync._messages import SyncRequest
@@ -76,6 +77,7 @@
     "Restriction",
     "ServedModel",
     "SoftVersion",
+    "SyncMessage",
     "SyncRefused",
     "SyncReply",
     "SyncRequest",
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -116,7 +116,6 @@
             around.clock,
             self.mesh,
             self.control.plane,
-            self.identity.name,
             self.control.node,
         )
         self.timeline = _timeline_calls.TimelineCalls(
--- a/packages/daemon/src/banyanbank_daemon/_leases.py
+++ b/packages/daemon/src/banyanbank_daemon/_leases.py
@@ -14,6 +14,7 @@
 from twisted.internet import task
 
 from banyanbank_daemon import _control_plane
+from banyanbank_daemon import _leader_call
 
 METHOD = "leases.renew"
 LEASE_S = 1.0
@@ -149,13 +150,20 @@
         server: LeaseServer | None,
     ) -> None:
         self._clock = clock
-        self._mesh = transport
-        self._plane = plane
         self._entry = entry
         self._limits = limits
         self._loads = loads
         self._unserved = unserved
-        self._server = server
+        self._leader = _leader_call.LeaderCall(
+            clock,
+            transport,
+            plane,
+            METHOD,
+            REQUEST_CODEC,
+            REPLY_CODEC,
+            CALL_S,
+            None if server is None else self._lease_here(server),
+        )
         self._leased_until = 0.0
         self._loop = task.LoopingCall(self._renew)
         self._loop.clock = reactor
@@ -200,20 +208,18 @@
             self._share_evenly(self._accounts())
 
     async def _ask(self, req: LeaseRequest) -> LeaseReply | None:
-        target = self._plane.next_target()
-        if target == self._entry.member.instance:
-            if self._server is None:
-                return None
-            return self._server.lease(target, req)
-        called = await self._mesh.call(
-            target,
-            METHOD,
-            REQUEST_CODEC.encode(req),
-            self._clock.now() + CALL_S,
-        )
-        if isinstance(called, result.Failure):
+        asked = await self._leader.ask(req)
+        if isinstance(asked, result.Failure):
             return None
-        return REPLY_CODEC.decode(called.unwrap())
+        return asked.unwrap().reply
+
+    def _lease_here(
+        self, server: LeaseServer
+    ) -> _leader_call.Here[LeaseRequest, LeaseReply]:
+        async def lease(req: LeaseRequest) -> LeaseReply:
+            return server.lease(self._entry.member.instance, req)
+
+        return lease
 
     def _accounts(self) -> list[control.Account]:
         return [
--- a/packages/daemon/src/banyanbank_daemon/_sync/_client.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_client.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from banyanbank_daemon import _control_plane
+from banyanbank_daemon import _leader_call
 from banyanbank_daemon._sync import _server
 
 CALL_S = 1.0
@@ -65,10 +66,19 @@
     ) -> None:
         self._clock = clock
         self._mesh = transport
+        self._leader = _leader_call.LeaderCall(
+            clock,
+            transport,
+            plane,
+            _server.METHOD,
+            control.SYNC_CODEC,
+            control.SYNC_CODEC,
+            CALL_S,
+            None if server is None else server.answer_here,
+        )
         self._plane = plane
         self._entry = entry
         self._listener = listener
-        self._server = server
         self._loop = task.LoopingCall(self._poll)
         self._loop.clock = reactor
 
@@ -117,27 +127,26 @@
         self._listener.endpoints_changed()
 
     async def _ask(self, req: control.SyncRequest) -> Reply:
-        target = self._plane.next_target()
-        if target == self._entry.member.instance:
-            return self._server.answer(req) if self._server else None
-        called = await self._mesh.call(
-            target,
-            _server.METHOD,
-            control.SYNC_CODEC.encode(req),
-            self._clock.now() + CALL_S,
-        )
-        if isinstance(called, result.Failure):
-            self._plane.note_unreachable(target)
+        asked = await self._leader.ask(req)
+        if isinstance(asked, result.Failure):
+            error = asked.failure()
+            if not error.is_here:
+                self._plane.note_unreachable(error.target)
             return None
-        reply = control.SYNC_CODEC.decode(called.unwrap())
+        answer = asked.unwrap()
+        reply = answer.reply
+        if not answer.is_here:
+            self._note_leader(answer.target, reply)
+        return None if isinstance(reply, control.SyncRequest) else reply
+
+    def _note_leader(
+        self, target: base.InstanceId, reply: control.SyncMessage
+    ) -> None:
         if isinstance(reply, control.SyncRefused):
             hint = "" if reply.leader == target else reply.leader or ""
             self._plane.note_leader(hint)
-            return reply
-        if isinstance(reply, control.SyncReply):
+        elif isinstance(reply, control.SyncReply):
             self._plane.note_leader(target)
-            return reply
-        return None
 
     def _note_peers(self) -> None:
         for member in self._entry.members.all():
--- a/packages/daemon/src/banyanbank_daemon/_sync/_server.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_server.py
@@ -32,8 +32,14 @@
         """Handles one call of `METHOD`."""
         del sender
         req = control.SYNC_CODEC.decode(data)
+        return control.SYNC_CODEC.encode(await self.answer_here(req))
+
+    async def answer_here(
+        self, req: control.SyncMessage
+    ) -> control.SyncMessage:
+        """Answers a poll of this instance's own entry, or one just read."""
         assert isinstance(req, control.SyncRequest)
-        return control.SYNC_CODEC.encode(self.answer(req))
+        return self.answer(req)
 
     def answer(
         self, req: control.SyncRequest
--- a/packages/daemon/src/banyanbank_daemon/_timeline.py
+++ b/packages/daemon/src/banyanbank_daemon/_timeline.py
@@ -25,9 +25,6 @@
 MAX_FILES = 4
 """Files kept, the one being written included."""
 
-MAX_DETAIL_CHARS = 500
-"""Longer details are cut."""
-
 FILE_NAME = "timeline.jsonl"
 """File being written; older ones are `timeline.jsonl.1` and so on."""
 
@@ -230,29 +227,10 @@
         super().__init__(instance, clock, capacity)
         self._files = files
 
-    def record(
-        self,
-        kind: str,
-        *,
-        request: str = "",
-        sample: str = "",
-        key: str = "",
-        endpoint: str = "",
-        epoch: int = 0,
-        detail: str = "",
-    ) -> None:
-        """Records one event at the current hybrid time."""
-        super().record(
-            kind,
-            request=request,
-            sample=sample,
-            key=key,
-            endpoint=endpoint,
-            epoch=epoch,
-            detail=detail[:MAX_DETAIL_CHARS],
-        )
+    def _keep(self, event: base.Event) -> None:
+        super()._keep(event)
         if self._files is not None:
-            self._files.append(self.events[-1])
+            self._files.append(event)
 
     def find(self, query: "EventQuery") -> list[base.Event]:
         """Returns the events in memory that are wanted, oldest first."""
--- a/packages/daemon/src/banyanbank_daemon/_voters.py
+++ b/packages/daemon/src/banyanbank_daemon/_voters.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from banyanbank_daemon import _control_plane
+from banyanbank_daemon import _leader_call
 
 METHOD = "control.voters"
 CALL_S = 10.0
@@ -45,7 +46,6 @@
         clock: Clock of deadlines.
         transport: Mesh of this instance.
         plane: Knows the leader.
-        instance: This instance.
         node: The log here; None on an instance that keeps none.
     """
 
@@ -54,30 +54,27 @@
         clock: base.Clock,
         transport: mesh.Mesh,
         plane: _control_plane.ControlPlane,
-        instance: base.InstanceId,
         node: consensus.LogNode | None,
     ) -> None:
-        self._clock = clock
-        self._mesh = transport
-        self._plane = plane
-        self._instance = instance
         self._node = node
+        self._leader = _leader_call.LeaderCall(
+            clock,
+            transport,
+            plane,
+            METHOD,
+            CHANGE_CODEC,
+            ANSWER_CODEC,
+            CALL_S,
+            self._change_here,
+        )
         transport.on_call(METHOD, self._serve)
 
     async def change(self, change: VoterChange) -> VoterAnswer:
         """Asks the leader for a change."""
-        target = self._plane.next_target()
-        if target == self._instance:
-            return await self._change_here(change)
-        called = await self._mesh.call(
-            target,
-            METHOD,
-            CHANGE_CODEC.encode(change),
-            self._clock.now() + CALL_S,
-        )
-        if isinstance(called, result.Failure):
-            return VoterAnswer(False, called.failure().detail)
-        return ANSWER_CODEC.decode(called.unwrap())
+        asked = await self._leader.ask(change)
+        if isinstance(asked, result.Failure):
+            return VoterAnswer(False, asked.failure().detail)
+        return asked.unwrap().reply
 
     async def _serve(self, sender: base.InstanceId, data: bytes) -> bytes:
         del sender
--- a/tests/daemon/test_timeline.py
+++ b/tests/daemon/test_timeline.py
@@ -67,7 +67,7 @@
         self.assertEqual(
             [e.request for e in events], [*map(str, range(90, 100))]
         )
-        self.assertEqual(len(events[0].detail), _timeline.MAX_DETAIL_CHARS)
+        self.assertEqual(len(events[0].detail), base.MAX_DETAIL_CHARS)
 
 
 class MergeTest(TimelineCase):
