Split the bench by concern; compare the worst account with chance

Change: entries, engine queues, callers and trainers have modules of their own; the policy `quick_12`, decided long ago, is out. The report deals the waits anew to the accounts at random and gives that ratio beside the measured one.

--- a/packages/bench/src/banyanbank_bench/_fleet.py
+++ b/packages/bench/src/banyanbank_bench/_fleet.py
@@ -134,7 +134,9 @@
     def _change(self, change: rollout.EndpointChange, rented: Rented) -> None:
         match change:
             case rollout.ReleaseEndpoint():
-                self.stranded += self._cluster.running(rented.endpoint_id)
+                self.stranded += self._cluster.queues.running(
+                    rented.endpoint_id
+                )
                 self._end(rented)
                 return
             case rollout.DrainEndpoint():
@@ -157,7 +159,7 @@
         return _scaling.Load(
             max(sum(needs.values()), self._announced(now)),
             self._lookups.at(now + START_S),
-            self._cluster.busy_share(),
+            self._cluster.queues.busy_share(),
         )
 
     def _announced(self, now: float) -> float:
@@ -201,7 +203,7 @@
                 _scaling.MODEL,
                 rented.domain,
                 rented.reclaimable,
-                self._cluster.running(rented.endpoint_id),
+                self._cluster.queues.running(rented.endpoint_id),
                 rented.ready_by,
                 rented.gone_at,
                 rented.draining,
--- a/packages/bench/src/banyanbank_bench/_report.py
+++ b/packages/bench/src/banyanbank_bench/_report.py
@@ -4,6 +4,7 @@
 import collections.abc
 import itertools
 import pathlib
+import random
 import statistics
 import typing
 
@@ -11,6 +12,9 @@
 
 from banyanbank_bench import _cluster
 from banyanbank_bench import _rollouts
+from banyanbank_bench import _trainer
+
+SHUFFLES = 100
 
 Figures = dict[str, typing.Any]
 _Lengths = list[list[int]]
@@ -120,6 +124,7 @@
         "worst_account_p50_s": quantile(latencies, 0.5),
         "worst_account_p99_s": slowest[worst],
         "worst_wait_ratio": _worst_ratio(waits),
+        "chance_wait_ratio": _ratio_at_random(waits),
         "waits": waits,
     }
 
@@ -130,7 +135,26 @@
     return max(means) / statistics.fmean(means)
 
 
-def _worst_share(trainers: list[_rollouts.Trainer]) -> float:
+def _ratio_at_random(waits: dict[str, list[float]]) -> float:
+    """Returns the worst ratio of accounts that fare alike but for chance.
+
+    The waits are dealt anew to the accounts, as many as each has.
+    """
+    rng = random.Random("waits at random")
+    pool = list(itertools.chain.from_iterable(waits.values()))
+    ratios = []
+    for _ in range(SHUFFLES):
+        rng.shuffle(pool)
+        rest = iter(pool)
+        dealt = {
+            account: list(itertools.islice(rest, len(values)))
+            for account, values in waits.items()
+        }
+        ratios.append(_worst_ratio(dealt))
+    return statistics.fmean(ratios)
+
+
+def _worst_share(trainers: list[_trainer.Trainer]) -> float:
     """Returns the least trainer's tokens a second over an equal share."""
     rates = [
         sum(sum(map(sum, groups)) for groups in trainer.lengths)
@@ -151,7 +175,10 @@
         for account, waits in row["waits"].items():
             pooled[account] += waits
     means = {n: statistics.fmean(row[n] for row in mine) for n in names}
-    return means | {"pooled_wait_ratio": _worst_ratio(pooled)}
+    return means | {
+        "pooled_wait_ratio": _worst_ratio(pooled),
+        "pooled_chance_ratio": _ratio_at_random(pooled),
+    }
 
 
 def table(means: dict[str, Figures]) -> str:
--- a/packages/bench/src/banyanbank_bench/_workload.py
+++ b/packages/bench/src/banyanbank_bench/_workload.py
@@ -100,7 +100,6 @@
     "independent": Policy(),
     "owned": Policy(owned=True),
     "scheduled": Policy(owned=True, scheduled=4, choices=99),
-    "quick_12": Policy(owned=True, scheduled=4, choices=99, fast_slots=12),
     "quick_24": QUICK,
     "threshold": attrs.evolve(QUICK, scaling="threshold", capacity=CAPACITY),
     "planner": PLANNER,
--- a/tests/bench/test_bench.py
+++ b/tests/bench/test_bench.py
@@ -62,7 +62,7 @@
 
     def test_reclaimed_engine_returns_empty(self) -> None:
         cluster = self.run_policy("owned")
-        engine = cluster.engines[base.EndpointId("e4")]
+        engine = cluster.queues.engines[base.EndpointId("e4")]
         self.assertFalse(engine.jobs() and not engine.alive)
 
 
