Take in engines' cache events and load, and route by them

Cause: `PrefixIndex.apply` was used by tests alone: engines had no way to tell what they hold, so each entry knew only what it had sent itself, and one beginning of a prompt was computed at several engines. The owner of an engine could not know of requests that it had not granted.

Change: `POST /endpoint/report` takes a batch of numbered cache events and a load with its age; the instance that hears it passes it to the engine's owner. Entries ask owners where a prompt's beginning is held. Prompts are known by blocks of 512 characters in place of one digest of the first 1,024. Memory is bounded over all engines together.

Put in on purpose and seen red, one at a time: no forgetting at a gap; events taken twice; blocks counted without those before (missed at first; a case was added); what was sent since a look forgotten; use that does not put off eviction; asking for every request; a lagging load taken for others' work; events without a number.

--- a/packages/bench/src/banyanbank_bench/_entry.py
+++ b/packages/bench/src/banyanbank_bench/_entry.py
@@ -47,7 +47,8 @@
         if policy.routing == "least_reported":
             return min(views, key=lambda v: v.load_tokens).endpoint_id
         work, prompt = job.work, job.prompt_tokens * CACHED_PROMPT_SHARE
-        query = dispatch.RouteQuery(work.cost_tokens, work.prefix, prompt)
+        blocks = (work.prefix,) if work.prefix else ()
+        query = dispatch.RouteQuery(work.cost_tokens, blocks, prompt)
         if job.start is not None:
             # Samples may take only some of the slots.
             views = [
--- a/packages/daemon/src/banyanbank_daemon/_announcements.py
+++ b/packages/daemon/src/banyanbank_daemon/_announcements.py
@@ -1,28 +1,25 @@
-"""Serves endpoints: announce, renew, leave, reclaim notice."""
+"""Serves endpoints: announce, renew, leave, reclaim notice, reports."""
 
 import hmac
 import ipaddress
 import typing
 import urllib.parse
 
-import attrs
 import banyanbank_base as base
 import banyanbank_control as control
 
+from banyanbank_daemon import _endpoint_fields
+from banyanbank_daemon import _engine_reports
 from banyanbank_daemon import _http
+from banyanbank_daemon import _jobs
 from banyanbank_daemon import _sync
 from banyanbank_daemon._entry import _admission
 
 OK = 200
-MAX_NAME_CHARS = 128
 MAX_MODELS = 64
 MAX_SLOTS = 4_096
 
 
-class AnnouncementError(ValueError):
-    """An announcement is malformed."""
-
-
 class EndpointCalls:
     """Serves the calls of endpoints.
 
@@ -30,14 +27,20 @@
         clock: Clock of the process.
         token: Announce credential; empty refuses everybody.
         client: Takes in what was announced.
+        pass_on: Takes in what engines report.
     """
 
     def __init__(
-        self, clock: base.Clock, token: str, client: _sync.SyncClient
+        self,
+        clock: base.Clock,
+        token: str,
+        client: _sync.SyncClient,
+        pass_on: typing.Callable[[_jobs.EngineReport], None],
     ) -> None:
         self._clock = clock
         self._token = token
         self._client = client
+        self._pass_on = pass_on
 
     async def announce(self, exchange: _http.Exchange) -> None:
         """Takes an announcement or its renewal."""
@@ -51,7 +54,28 @@
         """Takes the notice that the platform takes an endpoint back."""
         self._take(exchange, control.Phase.RECLAIMED)
 
+    async def report(self, exchange: _http.Exchange) -> None:
+        """Takes an engine's cache events and load."""
+
+        def take() -> str:
+            report = _engine_reports.read_report(exchange.json())
+            self._pass_on(report)
+            return report.cache.endpoint_id
+
+        self._answer(exchange, take)
+
     def _take(self, exchange: _http.Exchange, phase: control.Phase) -> None:
+        def take() -> str:
+            announcement = self._read(exchange, phase)
+            self._client.hear(announcement)
+            return announcement.endpoint
+
+        self._answer(exchange, take)
+
+    def _answer(
+        self, exchange: _http.Exchange, take: typing.Callable[[], str]
+    ) -> None:
+        """Answers a call of an endpoint that knows the credential."""
         secret = _admission.bearer_secret(exchange) or ""
         is_known = bool(self._token) and hmac.compare_digest(
             secret.encode(), self._token.encode()
@@ -65,22 +89,19 @@
             )
             return
         try:
-            announcement = self._read(exchange, phase)
+            endpoint = take()
         except (ValueError, RecursionError) as exc:
             exchange.refuse(
                 _refusal(base.RefusalReason.BAD_REQUEST, str(exc)[:500])
             )
             return
-        self._client.hear(announcement)
-        exchange.respond_json(OK, {"endpoint": announcement.endpoint})
+        exchange.respond_json(OK, {"endpoint": endpoint})
 
     def _read(
         self, exchange: _http.Exchange, phase: control.Phase
     ) -> control.Announcement:
         document = exchange.json()
-        if not isinstance(document, dict):
-            raise AnnouncementError("The body must be a JSON object.")
-        fields = _Fields(document)
+        fields = _endpoint_fields.Fields.of(document)
         gone_in_s = fields.number("reclaim_in_s", default=0)
         gone_at = None
         if phase is control.Phase.RECLAIMED:
@@ -106,41 +127,18 @@
             gone_at=gone_at,
         )
 
-    def _next_sequence(self, fields: "_Fields") -> int:
+    def _next_sequence(self, fields: _endpoint_fields.Fields) -> int:
         # An endpoint that numbers its announcements goes before the time of
         # arrival, which two instances may see in different orders.
         own = fields.number("sequence", default=0)
         return own or int(self._clock.wall() * 1_000)
 
 
-@attrs.frozen
-class _Fields:
-    """Typed access to the fields of a JSON object."""
-
-    document: dict[str, typing.Any]
-
-    def text(self, name: str, default: str | None = None) -> str:
-        value = self.document.get(name, default)
-        if not isinstance(value, str) or (not value and default is None):
-            raise AnnouncementError(f"Field {name} must be a text.")
-        if len(value) > MAX_NAME_CHARS:
-            raise AnnouncementError(f"Field {name} is too long.")
-        return value
-
-    def number(self, name: str, default: int | None = None) -> int:
-        value = self.document.get(name, default)
-        if isinstance(value, bool) or not isinstance(value, int | float):
-            raise AnnouncementError(f"Field {name} must be a number.")
-        if not 0 <= value < 2**62:
-            raise AnnouncementError(f"Field {name} is out of its range.")
-        return int(value)
-
-
 def _kind_of(text: str) -> control.EndpointKind:
     try:
         return control.EndpointKind(text)
     except ValueError:
-        raise AnnouncementError(
+        raise _endpoint_fields.EndpointFieldError(
             "Field kind must be engine or service."
         ) from None
 
@@ -148,20 +146,31 @@
 def _address_of(url: str) -> str:
     parts = urllib.parse.urlsplit(url)
     if parts.scheme != "http" or parts.hostname is None or parts.port is None:
-        raise AnnouncementError("Field url must be http://IP:PORT.")
+        raise _endpoint_fields.EndpointFieldError(
+            "Field url must be http://IP:PORT."
+        )
     host = str(ipaddress.ip_address(parts.hostname))
     return f"{host}:{parts.port}"
 
 
-def _models_of(fields: _Fields) -> tuple[control.ServedModel, ...]:
+def _models_of(
+    fields: _endpoint_fields.Fields,
+) -> tuple[control.ServedModel, ...]:
     names = fields.document.get("models", [])
     if not isinstance(names, list) or len(names) > MAX_MODELS:
-        raise AnnouncementError("Field models must be a list of names.")
+        raise _endpoint_fields.EndpointFieldError(
+            "Field models must be a list of names."
+        )
     version = fields.number("weight_version", default=0)
     models = []
     for name in names:
-        if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_CHARS:
-            raise AnnouncementError("Field models must be a list of names.")
+        if (
+            not isinstance(name, str)
+            or not 0 < len(name) <= _endpoint_fields.MAX_NAME_CHARS
+        ):
+            raise _endpoint_fields.EndpointFieldError(
+                "Field models must be a list of names."
+            )
         models.append(
             control.ServedModel(
                 base.ModelName(name), base.WeightVersion(version)
--- a/packages/daemon/src/banyanbank_daemon/_dispatcher.py
+++ b/packages/daemon/src/banyanbank_daemon/_dispatcher.py
@@ -37,10 +37,8 @@
     """Fair share of the client account, relative to others."""
     cost_tokens: int
     """Estimated cost in tokens."""
-    prefix: str
-    """Digest of the prompt's beginning; empty when unknown."""
-    prefix_tokens: int
-    """Prompt tokens that a cached prefix saves."""
+    blocks: tuple[str, ...]
+    """Digests of the prompt's blocks; see `_jobs.prompt_blocks`."""
     deadline: float
     """When to give up, on the monotonic clock."""
     min_version: base.WeightVersion = base.WeightVersion(0)  # noqa: RUF009
@@ -81,6 +79,9 @@
         ...
 
 
+PromptCallback = typing.Callable[
+    [base.ModelName, tuple[str, ...]], typing.Awaitable[None]
+]
 EngineCallback = typing.Callable[[base.EndpointId], None]
 
 
@@ -98,6 +99,8 @@
         router: Chooses among engines.
         retries: Decides whether a failed attempt is repeated.
         usage: Counts whole answers.
+        on_prompt: Told of a prompt's model and blocks before its engine is
+            chosen.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         router: dispatch.Router,
         retries: dispatch.RetryPolicy,
         usage: UsageSink,
+        on_prompt: PromptCallback,
     ) -> None:
         self._reactor = reactor
         self._clock = clock
@@ -115,6 +119,7 @@
         self._router = router
         self._retries = retries
         self._usage = usage
+        self._on_prompt = on_prompt
 
     async def run(
         self,
@@ -217,11 +222,12 @@
         sink: _jobs.JobSink,
         on_engine: EngineCallback,
     ) -> tuple[base.EndpointId | None, _jobs.JobResult]:
+        await self._on_prompt(req.model, req.blocks)
         now = self._clock.now()
         query = dispatch.RouteQuery(
             cost_tokens=req.cost_tokens,
-            prefix=req.prefix,
-            prefix_tokens=req.prefix_tokens,
+            blocks=req.blocks,
+            prefix_tokens=len(req.blocks) * _jobs.BLOCK_TOKENS,
             min_version=req.min_version,
             excluded=req.excluded,
         )
@@ -267,7 +273,7 @@
         body=req.body,
         weight=req.weight,
         cost_tokens=req.cost_tokens,
-        prefix=req.prefix,
+        blocks=req.blocks,
         remaining_ms=remaining_ms,
     )
 
--- a/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
@@ -1,6 +1,5 @@
 """OpenAI-compatible shapes of model calls and their answers."""
 
-import hashlib
 import json
 import typing
 
@@ -12,7 +11,6 @@
 
 BYTES_PER_TOKEN = 4
 DEFAULT_MAX_TOKENS = 1_024
-PREFIX_BYTES = 1_024
 MOST_TOKENS = 1_000_000
 
 JsonObject = dict[str, typing.Any]
@@ -50,11 +48,6 @@
         """Estimate of the call's cost in tokens."""
         return self.prompt_tokens + self.max_tokens
 
-    @property
-    def prefix(self) -> str:
-        """Digest of the prompt's beginning."""
-        return prefix_digest(self.prompt)
-
     def with_limit(self, most_tokens: int) -> "CompletionCall":
         """Returns the call with `max_tokens` at most as given."""
         return attrs.evolve(self, max_tokens=min(self.max_tokens, most_tokens))
@@ -68,12 +61,6 @@
         return json.dumps(document).encode()
 
 
-def prefix_digest(prompt: str) -> str:
-    """Returns the digest under which a prompt's beginning is cached."""
-    beginning = prompt[:PREFIX_BYTES].encode()
-    return hashlib.blake2b(beginning, digest_size=8).hexdigest()
-
-
 def parse_call(
     body: bytes, is_chat: bool, most_tokens: int
 ) -> result.Result[CompletionCall, base.Refusal]:
--- a/packages/daemon/src/banyanbank_daemon/_fleet.py
+++ b/packages/daemon/src/banyanbank_daemon/_fleet.py
@@ -254,9 +254,13 @@
         self, endpoint: base.EndpointId, ended: _jobs.JobEnded
     ) -> None:
         """Takes in the load that an owner told with an answer."""
-        load = ended.load
-        if load is None:
-            return
+        if ended.load is not None:
+            self.note_queue(endpoint, ended.load)
+
+    def note_queue(
+        self, endpoint: base.EndpointId, load: _jobs.QueueLoad
+    ) -> None:
+        """Takes in the load of an engine's queue, told by its owner now."""
         self._loads[endpoint] = LoadReport(
             tokens=load.tokens,
             requests=load.requests,
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -155,7 +155,10 @@
     ) -> _listeners.Listeners:
         around = self.around
         endpoints = _announcements.EndpointCalls(
-            around.clock, secrets.announce_token, self.sync
+            around.clock,
+            secrets.announce_token,
+            self.sync,
+            self.dispatch.looks.pass_on,
         )
         operators = self._operator_routes(secrets.operator_token)
         health = _health.HealthCalls(
--- /dev/null
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_looks.py
@@ -0,0 +1,264 @@
+"""Looks at engines: what their owners know of a prompt's blocks and of load.
+
+Reports of engines go to their owners alone. An entry asks the owners of the
+engines that it compares, at most twice a second for one beginning of a prompt.
+"""
+
+import collections
+import heapq
+import typing
+import zlib
+
+import attrs
+import banyanbank_base as base
+import banyanbank_dispatch as dispatch
+import banyanbank_mesh as mesh
+from loguru import logger
+from returns import result
+from twisted.internet import defer
+
+from banyanbank_daemon._jobs import _messages
+from banyanbank_daemon._jobs import _owned
+from banyanbank_daemon._jobs import _queues
+
+LOOK_METHOD = "engine.look"
+REPORT_METHOD = "engine.report"
+REPORT_S = 1.0
+LOOK_S = 0.02
+"""Longest wait for an owner's answer, in seconds."""
+ASK_AGAIN_S = 0.5
+KNOWN_S = 60.0
+"""Seconds since the last look after which a long prompt waits for a new one."""
+WAIT_BLOCKS = 4
+"""Blocks from which on a prompt is long: computing them takes far longer than
+asking."""
+MAX_ENGINES = 16
+"""Engines looked at for one prompt."""
+MAX_PROMPTS = 1_024
+"""Beginnings of prompts whose last look is remembered."""
+
+
+@attrs.frozen
+class LookRequest:
+    """Asks an owner about some of its engines."""
+
+    endpoints: tuple[str, ...]
+    """Engines asked about."""
+    blocks: tuple[str, ...]
+    """Blocks of one prompt, from its beginning."""
+
+
+@attrs.frozen
+class EngineLook:
+    """What an owner knows of one engine."""
+
+    endpoint: str
+    """The engine."""
+    held: int | None
+    """Blocks, from the beginning, that it holds; None when it tells nothing."""
+    load: _messages.QueueLoad | None
+    """Load of its queue; None before it had a request."""
+
+
+@attrs.frozen
+class LookReply:
+    """An owner's answer."""
+
+    engines: tuple[EngineLook, ...]
+    """One an engine asked about."""
+
+
+LOOK_CODEC: base.Codec[LookRequest] = base.Codec(LookRequest)
+LOOK_REPLY_CODEC: base.Codec[LookReply] = base.Codec(LookReply)
+REPORT_CODEC: base.Codec[_owned.EngineReport] = base.Codec(_owned.EngineReport)
+
+
+class Owners(typing.Protocol):
+    """Knows the owners of engines."""
+
+    @property
+    def instance(self) -> base.InstanceId:
+        """This instance."""
+        ...
+
+    def owner_of(self, endpoint: base.EndpointId) -> base.InstanceId | None:
+        """Returns the instance that holds an engine's queue."""
+        ...
+
+    def url_of(self, endpoint: str) -> str | None:
+        """Returns an endpoint's base URL; None once it is gone."""
+        ...
+
+
+class LookServer:
+    """Answers for the engines that this instance owns.
+
+    Args:
+        clock: Clock of deadlines.
+        owners: Engines that are known.
+        queues: Queues of the engines owned here.
+    """
+
+    def __init__(
+        self, clock: base.Clock, owners: Owners, queues: _queues.EngineQueues
+    ) -> None:
+        self._clock = clock
+        self._owners = owners
+        self._queues = queues
+
+    def take(self, report: _owned.EngineReport) -> None:
+        """Takes in the report of an engine; unknown ones are ignored."""
+        endpoint = report.cache.endpoint_id
+        if self._owners.url_of(endpoint) is not None:
+            granted = self._queues.granted(endpoint)
+            self._queues.owned.take(report, granted, self._clock.now())
+
+    def look(self, req: LookRequest) -> LookReply:
+        """Returns what is known of some engines."""
+        caches, now = self._queues.owned.caches, self._clock.now()
+        return LookReply(
+            tuple(
+                EngineLook(
+                    endpoint,
+                    caches.held(base.EndpointId(endpoint), req.blocks, now),
+                    self._queues.load_of(endpoint),
+                )
+                for endpoint in req.endpoints
+            )
+        )
+
+    async def serve_report(self, sender: base.InstanceId, data: bytes) -> bytes:
+        """Handles one call of `REPORT_METHOD`."""
+        del sender
+        self.take(REPORT_CODEC.decode(data))
+        return b""
+
+    async def serve_look(self, sender: base.InstanceId, data: bytes) -> bytes:
+        """Handles one call of `LOOK_METHOD`."""
+        del sender
+        return LOOK_REPLY_CODEC.encode(self.look(LOOK_CODEC.decode(data)))
+
+
+Candidates = typing.Callable[
+    [base.ModelName], typing.Sequence[dispatch.Candidate]
+]
+Learn = typing.Callable[[EngineLook, tuple[str, ...], float], None]
+"""Takes a look, the blocks asked about, and when that was."""
+
+
+class EngineLooks:
+    """Passes reports on to owners and asks them.
+
+    Args:
+        clock: Clock of deadlines.
+        transport: Mesh of this instance.
+        owners: Knows the owners.
+        server: Answers for the engines owned here.
+        candidates: Returns the engines in service that hold a model.
+        learn: Takes what was learned.
+    """
+
+    def __init__(
+        self,
+        clock: base.Clock,
+        transport: mesh.Mesh,
+        owners: Owners,
+        server: LookServer,
+        candidates: Candidates,
+        learn: Learn,
+    ) -> None:
+        self._clock = clock
+        self._mesh = transport
+        self._owners = owners
+        self._server = server
+        self._candidates = candidates
+        self._learn = learn
+        self._looked: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    def pass_on(self, report: _owned.EngineReport) -> None:
+        """Gives an engine's report to its owner; a lost one shows as a gap."""
+        owner = self._owners.owner_of(report.cache.endpoint_id)
+        if owner == self._owners.instance:
+            self._server.take(report)
+        elif owner is not None:
+            deadline = self._clock.now() + REPORT_S
+            data = REPORT_CODEC.encode(report)
+            self._mesh.call(owner, REPORT_METHOD, data, deadline)
+
+    async def note_prompt(
+        self, model: base.ModelName, blocks: tuple[str, ...]
+    ) -> None:
+        """Looks at the engines that a prompt may go to.
+
+        Waits for the answers where the prompt is long and its beginning has
+        not been looked at for long; otherwise they serve the next request.
+        """
+        if not blocks:
+            return
+        now = self._clock.now()
+        age_s = now - self._looked.get(blocks[0], -KNOWN_S)
+        if age_s < ASK_AGAIN_S:
+            return
+        self._note_look(blocks[0], now)
+        looking = [
+            defer.ensureDeferred(self._look(owner, req)).addErrback(
+                _log_failure
+            )
+            for owner, req in self._requests(model, blocks)
+        ]
+        if age_s >= KNOWN_S and len(blocks) >= WAIT_BLOCKS:
+            await defer.DeferredList(looking)
+
+    def _requests(
+        self, model: base.ModelName, blocks: tuple[str, ...]
+    ) -> list[tuple[base.InstanceId, LookRequest]]:
+        def rank(candidate: dispatch.Candidate) -> int:
+            return zlib.crc32(f"{blocks[0]}/{candidate.endpoint_id}".encode())
+
+        by_owner = collections.defaultdict[base.InstanceId, list[str]](list)
+        # The same engines for the same beginning, at every entry.
+        engines = heapq.nsmallest(
+            MAX_ENGINES, self._candidates(model), key=rank
+        )
+        for candidate in engines:
+            owner = self._owners.owner_of(candidate.endpoint_id)
+            if owner is not None:
+                by_owner[owner].append(candidate.endpoint_id)
+        return [
+            (owner, LookRequest(tuple(endpoints), blocks))
+            for owner, endpoints in by_owner.items()
+        ]
+
+    def _note_look(self, first_block: str, now: float) -> None:
+        self._looked[first_block] = now
+        self._looked.move_to_end(first_block)
+        if len(self._looked) > MAX_PROMPTS:
+            self._looked.popitem(last=False)
+
+    async def _look(self, owner: base.InstanceId, req: LookRequest) -> None:
+        asked_at = self._clock.now()
+        reply = await self._ask(owner, req)
+        for look in () if reply is None else reply.engines:
+            self._learn(look, req.blocks, asked_at)
+
+    async def _ask(
+        self, owner: base.InstanceId, req: LookRequest
+    ) -> LookReply | None:
+        if owner == self._owners.instance:
+            return self._server.look(req)
+        called = await self._mesh.call(
+            owner,
+            LOOK_METHOD,
+            LOOK_CODEC.encode(req),
+            self._clock.now() + LOOK_S,
+        )
+        if isinstance(called, result.Failure):
+            return None
+        return LOOK_REPLY_CODEC.decode(called.unwrap())
+
+
+def _log_failure(failure: typing.Any) -> None:
+    if not failure.check(defer.CancelledError):
+        logger.error("look at engines: {}", failure.getTraceback())
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -35,8 +35,8 @@
     """Fair share of the client account, relative to others."""
     cost_tokens: int
     """Estimated cost in tokens."""
-    prefix: str
-    """Digest of the prompt's beginning, for cache affinity."""
+    blocks: tuple[str, ...]
+    """Digests of the prompt's blocks, for cache affinity."""
     remaining_ms: int
     """Milliseconds left when the message was made; clocks are not compared
     between processes."""
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_queues.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 
 from banyanbank_daemon._jobs import _messages
+from banyanbank_daemon._jobs import _owned
 
 MILLISECONDS = 1_000
 POLL_AGAIN_S = 0.2
@@ -61,13 +62,7 @@
 
     def load(self) -> _messages.QueueLoad:
         """Returns the load of the engine's queue now."""
-        status = self._queue.status()
-        return _messages.QueueLoad(
-            tokens=status.waiting_tokens + status.running_tokens,
-            requests=status.waiting + status.running,
-            tokens_per_s=status.tokens_per_s,
-            token_s=status.token_s,
-        )
+        return self._owner.load_in(self._queue)
 
     def release(self, used_tokens: int) -> None:
         """Gives the slot back; a second call does nothing.
@@ -107,6 +102,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self.queues: dict[str, dispatch.EngineQueue] = {}
         self._retired: list[dispatch.EngineQueue] = []
+        self.owned = _owned.OwnedEngines()
 
     def reports(self) -> tuple[control.EngineReport, ...]:
         """Returns the loads of the engines, for the leader."""
@@ -126,6 +122,28 @@
             for status in statuses
         )
 
+    def load_in(self, queue: dispatch.EngineQueue) -> _messages.QueueLoad:
+        """Returns the load of a queue and of what others run at its engine."""
+        status = queue.status()
+        load = _messages.QueueLoad(
+            tokens=status.waiting_tokens + status.running_tokens,
+            requests=status.waiting + status.running,
+            tokens_per_s=status.tokens_per_s,
+            token_s=status.token_s,
+        )
+        now = self._clock.now()
+        return self.owned.add_foreign(status.endpoint_id, load, now)
+
+    def load_of(self, endpoint: str) -> _messages.QueueLoad | None:
+        """Returns the load of an engine; None before it had a request."""
+        queue = self.queues.get(endpoint)
+        return None if queue is None else self.load_in(queue)
+
+    def granted(self, endpoint: str) -> int:
+        """Returns how many requests hold a slot of an engine."""
+        queue = self.queues.get(endpoint)
+        return 0 if queue is None else queue.status().running
+
     async def acquire(
         self, job: _messages.ModelJob, on_closed: OnClosed
     ) -> result.Result[Slot, _messages.JobFailed]:
@@ -149,6 +167,8 @@
         if refusal is not None:
             self.finish(queue, job, 0)
             return result.Failure(_messages.JobFailed.from_refusal(refusal))
+        endpoint = base.EndpointId(job.endpoint)
+        self.owned.caches.note_sent(endpoint, job.blocks, self._clock.now())
         return result.Success(Slot(self, queue, job))
 
     def finish(
@@ -265,7 +285,6 @@
         key_id=base.KeyId(job.key_id),
         kind=dispatch.WorkKind(job.kind),
         cost_tokens=job.cost_tokens,
-        prefix=job.prefix,
         deadline=deadline,
         idempotent=True,
         weight=job.weight,
--- a/packages/daemon/src/banyanbank_daemon/_listeners.py
+++ b/packages/daemon/src/banyanbank_daemon/_listeners.py
@@ -52,6 +52,7 @@
         _http.Route("POST", f"{rollouts}/versions", trainers.publish),
         _http.Route("POST", "/endpoint/announce", endpoints.announce),
         _http.Route("POST", "/endpoint/leave", endpoints.leave),
+        _http.Route("POST", "/endpoint/report", endpoints.report),
         _http.Route(
             "POST", "/endpoint/reclaim-notice", endpoints.reclaim_notice
         ),
--- a/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
+++ b/packages/daemon/src/banyanbank_daemon/_parts/_dispatch.py
@@ -35,12 +35,15 @@
     """Runs model requests."""
     waits: _figures.AccountWaits
     """Waits for the engines owned here."""
+    looks: _jobs.EngineLooks
+    """Passes reports of engines on and asks their owners."""
 
     def follow_engines(self) -> None:
         """Hands back queued work of engines that leave; resizes others."""
         self.fleet.directory.note_change()
         for gone in self.fleet.forget_gone():
             self.router.forget(gone)
+            self.queues.owned.forget(gone)
         serving = {
             announcement.endpoint for announcement in self.fleet.serving()
         }
@@ -86,11 +89,43 @@
     )
     router = dispatch.Router(domain, around.rng, choices=COMPARED_ENGINES)
     retries = dispatch.RetryPolicy(around.rng)
+    looks = _build_looks(clock, transport, queues, fleet, router)
     dispatcher = _dispatcher.Dispatcher(
-        around.reactor, clock, fleet, router, retries, control_parts.usage
+        around.reactor,
+        clock,
+        fleet,
+        router,
+        retries,
+        control_parts.usage,
+        looks.note_prompt,
     )
     return DispatchParts(
-        upstream, queues, fleet, router, retries, dispatcher, waits
+        upstream, queues, fleet, router, retries, dispatcher, waits, looks
+    )
+
+
+def _build_looks(
+    clock: base.Clock,
+    transport: mesh.Mesh,
+    queues: _jobs.EngineQueues,
+    fleet: _fleet.Fleet,
+    router: dispatch.Router,
+) -> _jobs.EngineLooks:
+    def learn(
+        look: _jobs.EngineLook, blocks: tuple[str, ...], asked_at: float
+    ) -> None:
+        endpoint = base.EndpointId(look.endpoint)
+        if look.load is not None:
+            fleet.note_queue(endpoint, look.load)
+        if look.held is not None:
+            router.prefixes.learn(endpoint, blocks, look.held, asked_at)
+
+    directory = fleet.directory
+    server = _jobs.LookServer(clock, directory, queues)
+    transport.on_call(_jobs.LOOK_METHOD, server.serve_look)
+    transport.on_call(_jobs.REPORT_METHOD, server.serve_report)
+    return _jobs.EngineLooks(
+        clock, transport, directory, server, fleet.engine_candidates, learn
     )
 
 
--- a/packages/dispatch/src/banyanbank_dispatch/__init__.py
+++ b/packages/dispatch/src/banyanbank_dispatch/__init__.py
@@ -8,6 +8,7 @@
 from banyanbank_dispatch._health import HealthTracker
 from banyanbank_dispatch._limits import AdmissionLimits
 from banyanbank_dispatch._ownership import rendezvous_owner
+from banyanbank_dispatch._prefix import CacheBatch
 from banyanbank_dispatch._prefix import CacheEvent
 from banyanbank_dispatch._prefix import PrefixIndex
 from banyanbank_dispatch._queue import EngineQueue
@@ -35,6 +36,7 @@
     "SHARE_S",
     "AccountLimit",
     "AdmissionLimits",
+    "CacheBatch",
     "CacheEvent",
     "CancelOutcome",
     "Candidate",
--- a/packages/dispatch/src/banyanbank_dispatch/_router.py
+++ b/packages/dispatch/src/banyanbank_dispatch/_router.py
@@ -49,10 +49,10 @@
 
     cost_tokens: float = 1.0
     """Estimated cost."""
-    prefix: str = ""
-    """Digest of the prompt prefix; empty when unknown."""
+    blocks: tuple[str, ...] = ()
+    """Digests of the prompt up to the end of each of its blocks."""
     prefix_tokens: float = 0.0
-    """Prompt tokens that a cached prefix saves."""
+    """Prompt tokens that are saved where all blocks are cached."""
     min_version: base.WeightVersion = base.WeightVersion(0)  # noqa: RUF009
     """Oldest weight version that will do."""
     safe_only: bool = False
@@ -122,8 +122,8 @@
         """Counts a request in flight from this instance."""
         sent = self._sent.setdefault(endpoint_id, {})
         sent[request_id] = _Sent(query.cost_tokens, now)
-        if query.prefix:
-            self.prefixes.note_sent(endpoint_id, query.prefix, now)
+        if query.blocks:
+            self.prefixes.note_sent(endpoint_id, query.blocks, now)
 
     def note_done(
         self,
@@ -157,8 +157,8 @@
         ]
         rate = max(candidate.tokens_per_s, 1.0)
         load_s = (candidate.load_tokens + sum(unseen)) / rate
-        cached = self.prefixes.confidence(
-            candidate.endpoint_id, query.prefix, now
+        cached = self.prefixes.cached_share(
+            candidate.endpoint_id, query.blocks, now
         )
         seconds = query.prefix_tokens * (1.0 - cached) / rate
         if candidate.failure_domain != self._domain:
--- a/packages/fakes/src/banyanbank_fakes/__init__.py
+++ b/packages/fakes/src/banyanbank_fakes/__init__.py
@@ -12,6 +12,7 @@
 from banyanbank_fakes._engine import text_of
 from banyanbank_fakes._faults import Faults
 from banyanbank_fakes._platform import FakePlatform
+from banyanbank_fakes._prefix_cache import blocks_of
 from banyanbank_fakes._server import FakeServer
 from banyanbank_fakes._service import FakeService
 from banyanbank_fakes._service import ServiceRun
@@ -29,5 +30,6 @@
     "FakeWeightStore",
     "Faults",
     "ServiceRun",
+    "blocks_of",
     "text_of",
 ]
--- a/packages/fakes/src/banyanbank_fakes/_announcer.py
+++ b/packages/fakes/src/banyanbank_fakes/_announcer.py
@@ -1,4 +1,4 @@
-"""The endpoint's side of discovery: announce, renew, leave, reclaim notice."""
+"""The endpoint's side: announce, renew, leave, reclaim notice, reports."""
 
 import io
 import json
@@ -11,9 +11,11 @@
 from twisted.web import client
 from twisted.web import http_headers
 
+from banyanbank_fakes import _engine
 from banyanbank_fakes import _server
 
 RENEW_S = 0.5
+MILLISECONDS = 1_000
 
 
 @attrs.define
@@ -35,7 +37,11 @@
     leaving: bool = False
     """Set once it has said that it leaves."""
     sent: int = 0
-    """Announcements that were answered with success."""
+    """Announcements that were sent."""
+    reported: int = 0
+    """Reports that were sent."""
+    reports: bool = True
+    """Whether an engine publishes its cache events and its load."""
     _loop: task.LoopingCall | None = None
 
     def start(self) -> None:
@@ -50,9 +56,8 @@
             self._loop.stop()
 
     def _renew(self) -> None:
-        defer.ensureDeferred(self.post("announce")).addErrback(
-            lambda _failure: None
-        )
+        for posting in (self.post("announce"), self.report()):
+            defer.ensureDeferred(posting).addErrback(lambda _failure: None)
 
     async def leave(self) -> None:
         """Tells that the endpoint leaves; running work goes on."""
@@ -67,14 +72,35 @@
 
     async def post(self, verb: str) -> None:
         """Sends one announcement to the next instance in turn."""
-        base = self.instances[self.sent % len(self.instances)]
         self.sent += 1
+        fields = {"url": self.server.url, **self.facts, **self._load()}
+        await self._send(verb, self.sent - 1, fields)
+
+    async def report(self) -> None:
+        """Publishes cache events and load, late or not at all if so told."""
+        engine = self.server
+        if not self.reports or not isinstance(engine, _engine.FakeEngine):
+            return
+        batch = engine.cache.take_batch()
+        load = {"running": engine.running, "waiting": 0}
+        faults = engine.faults
+        self.reported += 1
+        every = faults.drop_reports_every
+        if every and self.reported % every == 0:
+            return
+        await engine.pause(faults.report_lag_s)
+        age_ms = int(faults.report_lag_s * MILLISECONDS)
+        fields = {**batch, "load": {**load, "age_ms": age_ms}}
+        await self._send("report", self.reported, fields)
+
+    async def _send(
+        self, verb: str, number: int, fields: dict[str, typing.Any]
+    ) -> None:
+        base = self.instances[number % len(self.instances)]
         message = {
             "endpoint": self.endpoint,
             "incarnation": self.incarnation,
-            "url": self.server.url,
-            **self.facts,
-            **self._load(),
+            **fields,
         }
         data = json.dumps(message).encode()
         headers = http_headers.Headers(
--- a/packages/fakes/src/banyanbank_fakes/_faults.py
+++ b/packages/fakes/src/banyanbank_fakes/_faults.py
@@ -13,6 +13,10 @@
     """Closes the connection after this many body bytes; None for never."""
     omit_end_mark: bool = False
     """Ends answers in peace, but before their end."""
+    report_lag_s: float = 0.0
+    """Seconds by which reports of cache and load come late."""
+    drop_reports_every: int = 0
+    """Loses each report whose number it divides; 0 for none."""
     drop_before_answer: bool = False
     """Runs the request, then closes the connection without an answer."""
     refuse: bool = False
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -14,6 +14,8 @@
 from tests.scenarios import world as world_module
 
 OK = 200
+BAD = 400
+UNAUTHENTICATED = 401
 CHAT = "/v1/chat/completions"
 GROUPS = "/v1/rollouts/folds/groups"
 HUGE = 9 * 1024 * 1024
@@ -52,6 +54,10 @@
     "failure_domain",
     "models",
     "slots",
+    "first_sequence",
+    "events",
+    "load",
+    "running",
 )
 
 
@@ -216,6 +222,54 @@
                 self.assertIn(answer.status, (400, 404, 409), answer)
                 self.assertEqual(answer.document["outcome"], "not run")
 
+    def test_reports(self) -> None:
+        event = {"block": "b", "stored": True}
+        table: list[tuple[str, dict[str, typing.Any], int]] = [
+            ("nothing new", {}, OK),
+            ("events", {"first_sequence": 7, "events": [event]}, OK),
+            ("load", {"load": {"running": 1, "age_ms": 900}}, OK),
+            ("unknown engine", {"endpoint": "nobody"}, OK),
+            ("no engine", {"endpoint": ""}, BAD),
+            ("no life", {"incarnation": None}, BAD),
+            ("events unnumbered", {"events": [event]}, BAD),
+            ("no list", {"first_sequence": 0, "events": {}}, BAD),
+            ("no event", {"first_sequence": 0, "events": [1]}, BAD),
+            ("no block", {"first_sequence": 0, "events": [{}]}, BAD),
+            (
+                "neither stored nor evicted",
+                {"first_sequence": 0, "events": [{"block": "b"}]},
+                BAD,
+            ),
+            (
+                "long block",
+                {"first_sequence": 0, "events": [event | {"block": "b" * 65}]},
+                BAD,
+            ),
+            ("many", {"first_sequence": 0, "events": [event] * 4_097}, BAD),
+            ("negative", {"first_sequence": -1}, BAD),
+            ("no load", {"load": 3}, BAD),
+            ("load uncounted", {"load": {"waiting": 1}}, BAD),
+            ("from the future", {"load": {"running": 1, "age_ms": -1}}, BAD),
+        ]
+        token = world_module.SECRETS.announce_token
+        cases = [
+            (name, fields, token, status) for name, fields, status in table
+        ]
+        wrong_token = self.world.secrets["tesfaye"]
+        cases.append(("no credential", {}, "", UNAUTHENTICATED))
+        cases.append(("a caller's key", {}, wrong_token, UNAUTHENTICATED))
+        for name, fields, secret, status in cases:
+            with self.subTest(name):
+                document = {"endpoint": "engine-1", "incarnation": 1, **fields}
+                caller = self.world.caller("i1", secret)
+                answer = support.run_async(
+                    lambda caller=caller, document=document: caller.call(
+                        "POST", "/endpoint/report", document
+                    )
+                )
+                self.assertEqual(answer.status, status, answer)
+                self.assertTrue(support.run_async(self._serves))
+
     def test_headers_and_queries(self) -> None:
         fetch = "/v1/rollouts/folds/steps/1/batch"
         table = [
@@ -256,6 +310,7 @@
                 "/v1/rollouts/folds/versions",
                 "/endpoint/announce",
                 "/endpoint/leave",
+                "/endpoint/report",
             )
         ),
         strategies.dictionaries(
--- a/tests/scenarios/features/requests.feature
+++ b/tests/scenarios/features/requests.feature
@@ -50,6 +50,12 @@
       | streamed | plain |
       | whole    | plain |
 
+  Scenario: Prompts with one beginning go where it is cached
+    When tesfaye sends prompts with 4 long beginnings to i1
+    And the engines have reported their caches
+    And tesfaye sends prompts with the same beginnings to i2 and i3
+    Then every later request found its beginning cached
+
   Scenario: An answer without its end mark never looks whole
     Given the engines end their answers early
     When tesfaye asks for a completion
--- a/tests/scenarios/request_steps.py
+++ b/tests/scenarios/request_steps.py
@@ -17,6 +17,8 @@
 PEOPLE = {"nobody": "", "a guess": "guessed-key"}
 CHAT = "/v1/chat/completions"
 PLAIN = "/v1/completions"
+REPORTED = 0.9
+"""Confidence that only an engine's own report gives."""
 LONG_SEED = 2
 """Makes the stand-in's answer as long as is allowed."""
 LONG_TOKENS = 120
@@ -239,6 +241,66 @@
     assert context.told == expected, (context.told, expected)
 
 
+@behave.when("tesfaye sends prompts with {count:d} long beginnings to {name}")
+def when_long_beginnings(context, count, name):
+    context.beginnings = [
+        f"{number} " + "a long beginning " * 200 for number in range(count)
+    ]
+    _ask_with_beginnings(context, name)
+    runs = [run for e in context.world.engines.values() for run in e.runs]
+    context.asked_before = {run.request_id for run in runs}
+
+
+def _ask_with_beginnings(context, name):
+    async def play():
+        for number, beginning in enumerate(context.beginnings):
+            document = completion(f"{beginning} at {name}: {number}", 8)
+            answer = await context.world.call(
+                name, "tesfaye", "POST", CHAT, document
+            )
+            assert answer.status == OK, answer
+
+    support.run_async(play)
+
+
+@behave.when("the engines have reported their caches")
+def when_reported(context):
+    world = context.world
+    texts = ["user: " + beginning for beginning in context.beginnings]
+
+    def is_known(text):
+        # More than what the owner expects of the prompts that it granted.
+        return any(
+            i.dispatch.queues.owned.caches.confidence(
+                name, fakes.blocks_of(text)[0], world.clock.now()
+            )
+            > REPORTED
+            for i in world.up()
+            for name in world.engines
+        )
+
+    async def play():
+        await support.until(lambda: all(map(is_known, texts)))
+
+    support.run_async(play)
+
+
+@behave.when("tesfaye sends prompts with the same beginnings to i2 and i3")
+def when_same_beginnings(context):
+    for name in ("i2", "i3"):
+        _ask_with_beginnings(context, name)
+
+
+@behave.then("every later request found its beginning cached")
+def then_cached(context):
+    runs = [run for e in context.world.engines.values() for run in e.runs]
+    later = [r for r in runs if r.request_id not in context.asked_before]
+    assert len(later) == 2 * len(context.beginnings)
+    least = len(context.beginnings[0]) // 512 * 128
+    for run in later:
+        assert run.cached_tokens >= least, (run.request_id, run.cached_tokens)
+
+
 @behave.given("the engines end their answers early")
 def given_early_ends(context):
     for engine in context.world.engines.values():
