Notice machines that vanish without closing their connections

Cause: a machine that is reclaimed or loses its power closes nothing, so a stream from it hung until its deadline and could not go on elsewhere.

Change: connections to endpoints are probed by the kernel after 2 s without data; after 4 unanswered probes the connection counts as lost, and a lookup goes on at another engine.

--- a/packages/mesh/src/banyanbank_mesh/_ip_endpoints.py
+++ b/packages/mesh/src/banyanbank_mesh/_ip_endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import socket
 import typing
 
 from twisted.internet import defer
@@ -19,11 +20,43 @@
 CONNECT_TIMEOUT_S = 2
 """Seconds after which a connection that is not made counts as refused."""
 
+PROBE_IDLE_S = 2
+"""Seconds without data after which the peer's machine is probed."""
+
+PROBE_EVERY_S = 1
+PROBES = 4
+"""Unanswered probes after which a connection counts as lost."""
+
 
 class NotAnAddressError(ValueError):
     """A URL names its host otherwise than by IP number."""
 
 
+@zope.interface.implementer(interfaces.IStreamClientEndpoint)
+class _ProbedEndpoint:
+    """Has its connections probed, as a lost machine closes none of them."""
+
+    def __init__(self, endpoint: interfaces.IStreamClientEndpoint) -> None:
+        self._endpoint = endpoint
+
+    def connect(
+        self, factory: interfaces.IProtocolFactory
+    ) -> defer.Deferred[interfaces.IProtocol]:
+        return self._endpoint.connect(factory).addCallback(_probe)
+
+
+def _probe(connected: typing.Any) -> typing.Any:
+    handle = connected.transport.getHandle()
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.TCP_KEEPINTVL, PROBE_EVERY_S),
+        (socket.TCP_KEEPCNT, PROBES),
+    ):
+        handle.setsockopt(socket.IPPROTO_TCP, option, value)
+    return connected
+
+
 @zope.interface.implementer(iweb.IAgentEndpointFactory)
 class IpEndpointFactory:
     """Makes the client endpoints of an agent.
@@ -53,7 +86,9 @@
         made: type = endpoints.TCP4ClientEndpoint
         if address.version != 4:
             made = endpoints.TCP6ClientEndpoint
-        return made(self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S)
+        return _ProbedEndpoint(
+            made(self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S)
+        )
 
 
 def ip_agent(
