Go on past an engine that refuses to take over a lost answer

Cause: after an engine was lost, a second one that failed before any output (a 5xx, no answer) ended the answer as if it had broken its protocol.

Change: only what the last engine sent itself is distrusted. The time line tells of lost streams as `job.cut`.

Seen red with the new case "a sick engine between" and the old condition; without any condition "breaks the protocol" is red.

--- a/packages/daemon/src/banyanbank_daemon/_dispatcher.py
+++ b/packages/daemon/src/banyanbank_daemon/_dispatcher.py
@@ -202,10 +202,10 @@
         is_lookup = req.kind is dispatch.WorkKind.INTERACTIVE
         if partial.has_emitted and not is_lookup:
             return dispatch.GiveUp("The sample scheduler resumes it.")
-        # What breaks the protocol can't be trusted to go on from.
-        is_good = failed.is_cut or failed.outcome == base.Outcome.NOT_RUN.value
-        if partial.has_emitted and not (is_good and partial.can_continue):
-            return dispatch.GiveUp("Nothing can go on from what was sent.")
+        if partial.has_emitted and not partial.can_continue:
+            return dispatch.GiveUp("The engine's state was more than text.")
+        if partial.has_new and not failed.is_cut:
+            return dispatch.GiveUp("What breaks the protocol isn't trusted.")
         return self._retries.decide(
             attempts=attempts,
             outcome=base.Outcome(failed.outcome),
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
@@ -99,6 +99,9 @@
         while True:
             chunk = await response.next_chunk()
             if isinstance(chunk, result.Failure):
+                self._recorder.record(
+                    "job.cut", request=job.request_id, endpoint=job.endpoint
+                )
                 engine_s = self._clock.now() - started_at
                 return _failures.cut(chunk.failure(), engine_s)
             data = chunk.unwrap()
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_partial.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_partial.py
@@ -95,6 +95,8 @@
         self._is_exact = not any(map(self._document.get, UNSAFE_FIELDS))
         self._finish_reason: str | None = None
         self.has_emitted = False
+        self.has_new = False
+        """Whether the last engine has sent anything."""
 
     @property
     def can_continue(self) -> bool:
@@ -124,11 +126,13 @@
             self._note_identity(document)
         self._note(document)
         self.has_emitted = True
+        self.has_new = True
         return chunk
 
     def continued(self, failed: _messages.JobFailed) -> bytes:
         """Returns the call for the next engine after a lost one."""
         self._is_continued = self.has_emitted
+        self.has_new = False
         self._carried_tokens = self._tally.tokens
         self._lost_ms += failed.engine_ms
         text = "".join(self._parts)
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -188,6 +188,12 @@
                 "abcd",
                 ((1, 2), (2, 2)),
             ),
+            (
+                "a sick engine between",
+                [Try(1, CUT), Try(0, BROKEN), Try(3, WHOLE, 2)],
+                "abcd",
+                ((1, 1), (2, 3)),
+            ),
             (
                 "role told twice",
                 [Try(2, CUT, 1, role), Try(2, WHOLE, 2, role)],
