Take malformed events of engines for a broken protocol

Cause: since answers are joined, an event whose choices are of another shape than an answer's ended the request with an exception of ours.

Change: such an event is a failure of the engine and counts for nothing. Seen red with the exceptions let through.

--- a/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
@@ -108,12 +108,11 @@
             if not data:
                 break
             try:
-                events = parser.feed(data)
+                for event in parser.feed(data):
+                    tally.add(event)
+                    await sink.emit(_messages.JobChunk(event.data))
             except _sse.EventStreamError as exc:
                 return _failures.broken(str(exc))
-            for event in events:
-                tally.add(event)
-                await sink.emit(_messages.JobChunk(event.data))
         if not parser.is_done or tally.usage is None:
             return _failures.broken("The stream ended before its end mark.")
         self._recorder.record(
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -166,6 +166,7 @@
 
         Raises:
             SinkClosed: Nobody reads any more.
+            EventStreamError: The event is malformed.
         """
         ...
 
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_partial.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_partial.py
@@ -117,14 +117,23 @@
         return self._finish_reason is not None or is_full
 
     def take(self, chunk: _messages.JobChunk) -> _messages.JobChunk:
-        """Notes an event and returns it as the reader is to see it."""
+        """Notes an event and returns it as the reader is to see it.
+
+        Raises:
+            EventStreamError: The event is not of the shape of an answer's.
+        """
         document = json.loads(chunk.data)
-        if self._is_continued:
-            document = self._joined(document)
-            chunk = _messages.JobChunk(json.dumps(document).encode())
-        else:
+        try:
+            if self._is_continued:
+                document = self._joined(document)
+                chunk = _messages.JobChunk(json.dumps(document).encode())
+            self._note(document)
+        except (AttributeError, TypeError, ValueError) as exc:
+            raise _sse.EventStreamError(
+                f"An event is malformed: {exc}"
+            ) from exc
+        if not self._is_continued:
             self._note_identity(document)
-        self._note(document)
         self.has_emitted = True
         self.has_new = True
         return chunk
@@ -195,9 +204,6 @@
                 self._identity.setdefault(name, document[name])
 
     def _note(self, document: JsonObject) -> None:
-        tokens = int(document.get("tokens") or 0)
-        version = document.get("weight_version")
-        self._tally.count(None if version is None else int(version), tokens)
         text = ""
         for choice in document.get("choices") or ():
             delta = choice.get("delta") or {}
@@ -207,6 +213,9 @@
             self._finish_reason = (
                 choice.get("finish_reason") or self._finish_reason
             )
+        tokens = int(document.get("tokens") or 0)
+        version = document.get("weight_version")
+        self._tally.count(None if version is None else int(version), tokens)
         self._parts.append(text)
         if text and tokens <= 0:
             self._is_exact = False
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -255,3 +255,18 @@
                 self.assertEqual(ended.failure().outcome, outcome)
                 self.assertEqual(engines.counted, [])
                 self.assertEqual(engines.tries, [])
+
+    def test_malformed_events_count_for_nothing(self) -> None:
+        table = [
+            '{"choices": [1], "tokens": 1}',
+            '{"choices": 1, "tokens": 1}',
+            '{"choices": [{"delta": 3}], "tokens": 1}',
+            '{"choices": [{"text": 5}], "tokens": 1}',
+            '{"choices": [], "tokens": "x"}',
+        ]
+        for data in table:
+            with self.subTest(data):
+                partial = _jobs.PartialAnswer(b"{}")
+                with self.assertRaises(_jobs.EventStreamError):
+                    partial.take(_jobs.JobChunk(data.encode()))
+                self.assertEqual((partial.tokens, partial.has_new), (0, False))
