Keep a step under the declaration with which it began

Cause: an entry takes model, counts and bounds of a group from the declaration in force. A change in mid-step made the next groups of a step, and resends of earlier ones, conflict, so that the step never got whole.

Change: the ledger gives every group of a step the declaration of its first group. The declared max_tokens is a field of its own, so that the trainer's content stays comparable; the attempt applies it.

Tests: two refusals of test_ledger (another samples, another staleness_bound) expected this fault; they are replaced by DeclarationTest, which changes each of six declared values for a resend and for a further group. The random walk declares spare samples by step, no longer by group: one declaration holds for a step, and with the first group's 0 the mutant 'whole group takes spare samples' was not caught.

Broken on purpose: the ledger ignores the step's declaration (12 cases red).

Run: tests/rollout 53, tests/daemon 80, tests/bench 9, scenario 'A declaration that changes in mid-step'.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
@@ -168,7 +168,9 @@
             if field in document
         }
         call["prompt"] = prompt
-        call["max_tokens"] = self._max_tokens(document, trainer)
+        asked = _number(document, "max_tokens", default=0)
+        if asked:
+            call["max_tokens"] = asked
         return rollout.SubmitGroup(
             trainer=name,
             step=_number(document, "step"),
@@ -180,15 +182,12 @@
             groups_in_step=trainer.groups_per_step,
             staleness_bound=self._staleness_bound(trainer),
             spare_samples=trainer.over_sampling,
+            max_tokens=self._max_tokens(trainer),
         )
 
-    def _max_tokens(
-        self, document: dict[str, typing.Any], trainer: control.Trainer
-    ) -> int:
-        asked = _number(document, "max_tokens", default=0)
+    def _max_tokens(self, trainer: control.Trainer) -> int:
         declared = self._model(trainer)
-        most = declared.max_tokens if declared else MAX_NUMBER
-        return min(asked or most, most)
+        return declared.max_tokens if declared else 0
 
     def _staleness_bound(self, trainer: control.Trainer) -> int:
         declared = self._model(trainer)
--- a/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
@@ -20,6 +20,8 @@
     """Client account of the trainer."""
     started_at: float
     """Monotonic seconds."""
+    max_tokens: int = 0
+    """Most tokens by the step's declaration; 0 for no bound."""
     text: str = ""
     """Text so far, that of the resumed attempt included."""
     stretches: list[rollout.VersionStretch] = attrs.field(factory=list)
@@ -55,12 +57,21 @@
             supersedes=self.start.supersedes,
         )
 
+    def _limit(self, asked: int) -> int:
+        """Returns the most tokens of the sample; 0 for no bound."""
+        if not (asked and self.max_tokens):
+            return asked or self.max_tokens
+        return min(asked, self.max_tokens)
+
     def engine_body(self) -> bytes:
         """Returns the engine's call; a resumed one goes on at its text."""
         document = json.loads(self.start.prompt)
         document["model"] = self.start.model
         document["stream"] = True
         document["seed"] = self.start.seed
+        limit = self._limit(int(document.get("max_tokens", 0)))
+        if limit:
+            document["max_tokens"] = limit
         return _jobs.continued_body(document, self.text, self.token_count)
 
 
--- a/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
@@ -146,7 +146,12 @@
         account = self._plane.account_of(effect.slot.trainer)
         if account is None:
             return
-        attempt = _attempts.Attempt(effect, account, self._clock.now())
+        attempt = _attempts.Attempt(
+            effect,
+            account,
+            self._clock.now(),
+            self._max_tokens(effect.slot),
+        )
         self._resume(attempt)
         sink = _attempts.AttemptSink(attempt)
         self._attempts[effect.attempt_id] = attempt
@@ -158,6 +163,10 @@
         )
         self._spawn(self._generate(attempt, sink))
 
+    def _max_tokens(self, slot: rollout.SampleSlot) -> int:
+        step = self._plane.ledger.tables.steps.get((slot.trainer, slot.step))
+        return 0 if step is None else step.terms.max_tokens
+
     def _resume(self, attempt: _attempts.Attempt) -> None:
         resume = attempt.start.resume_from
         if resume is None:
--- a/packages/rollout/src/banyanbank_rollout/_commands.py
+++ b/packages/rollout/src/banyanbank_rollout/_commands.py
@@ -8,7 +8,11 @@
 
 @attrs.frozen
 class SubmitGroup:
-    """Asks for the samples of one prompt; idempotent by its content."""
+    """Asks for the samples of one prompt; idempotent by its content.
+
+    Model, counts and bounds come from the trainer's declaration: those of the
+    first group of a step hold for the whole step.
+    """
 
     trainer: base.TrainerId
     """Trainer that asks."""
@@ -30,6 +34,20 @@
     """Versions that a sample may lag the newest one at hand-out."""
     spare_samples: int = 0
     """Further slots that may run; the first `samples` results count."""
+    max_tokens: int = 0
+    """Most tokens of one sample by the declaration; 0 for no bound."""
+
+    def with_terms_of(self, first: "SubmitGroup") -> "SubmitGroup":
+        """Returns the group under the declaration that its step began with."""
+        return attrs.evolve(
+            self,
+            model=first.model,
+            samples=first.samples,
+            groups_in_step=first.groups_in_step,
+            staleness_bound=first.staleness_bound,
+            spare_samples=first.spare_samples,
+            max_tokens=first.max_tokens,
+        )
 
 
 @attrs.frozen
--- a/packages/rollout/src/banyanbank_rollout/_groups.py
+++ b/packages/rollout/src/banyanbank_rollout/_groups.py
@@ -28,19 +28,14 @@
     step = tables.steps.get((cmd.trainer, cmd.step))
     if step is None:
         return _submit_first(tables, cmd)
+    # A declaration may have changed in mid-step.
+    cmd = cmd.with_terms_of(step.terms)
     group = step.groups.get(cmd.group)
     if group is not None:
         return _confirm(tables, group.spec, cmd)
     invalid = _invalid_group(cmd)
     if invalid:
         return refuse(tables, _replies.LedgerRefusal.INVALID, invalid)
-    if (cmd.model, cmd.groups_in_step) != (step.model, step.groups_in_step):
-        return refuse(
-            tables,
-            _replies.LedgerRefusal.CONFLICT,
-            f"Step {cmd.step} has {step.groups_in_step} groups of"
-            f" {step.model}; send the group with the same values.",
-        )
     return tables.with_step(step.with_group(cmd)), _submitted(cmd)
 
 
--- a/packages/rollout/src/banyanbank_rollout/_state.py
+++ b/packages/rollout/src/banyanbank_rollout/_state.py
@@ -70,6 +70,11 @@
         """Key of the step in the ledger."""
         return (self.trainer, self.step)
 
+    @property
+    def terms(self) -> _commands.SubmitGroup:
+        """Any group: the declaration of the first is that of all."""
+        return next(iter(self.groups.values())).spec
+
     @property
     def wanted(self) -> int:
         """Samples of the groups submitted so far."""
--- a/tests/scenarios/features/rollouts.feature
+++ b/tests/scenarios/features/rollouts.feature
@@ -19,6 +19,12 @@
     And the engines take weight orders again
     Then the batch of step 1 holds no version below 2
 
+  Scenario: A declaration that changes in mid-step leaves the step as it began
+    When trainer folds submits group 0 of step 1
+    And trainer folds is declared with 2 groups of 8 samples
+    And trainer folds submits step 1
+    Then the batch of step 1 is whole
+
   Scenario: Each sample is delivered exactly once
     When trainer folds submits step 1
     Then the batch of step 1 is the same at every instance
