Take the base model of a published adapter

Cause: the publish call never read base_model, so that an adapter went to the engines as whole weights, and its load paused their other models.

Change: base_model must name another declared model; it goes to the ledger, and with the order to load to the engines.

The command line does not pass base_model yet.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_rollouts.py
@@ -111,7 +111,7 @@
 
     async def publish(self, exchange: _http.Exchange) -> None:
         """Takes the announcement of new weights."""
-        await self._command(exchange, _publish_of, OK)
+        await self._command(exchange, self._publish_of, OK)
 
     async def fetch(self, exchange: _http.Exchange) -> None:
         """Hands out the batch of a step; waits while it is not whole."""
@@ -189,6 +189,39 @@
         declared = self._model(trainer)
         return declared.max_tokens if declared else 0
 
+    def _publish_of(
+        self, caller: _Caller, name: base.TrainerId
+    ) -> rollout.PublishVersion:
+        document = caller.document
+        version = _number(document, "version")
+        if version < 1:
+            raise BodyError("Field version must be at least 1.")
+        return rollout.PublishVersion(
+            model=caller.trainer.model,
+            version=base.WeightVersion(version),
+            trainer=name,
+            location=str(document.get("location", "")),
+            size_bytes=_number(document, "size_bytes", default=0),
+            base_model=self._base_model(caller),
+        )
+
+    def _base_model(self, caller: _Caller) -> base.ModelName | None:
+        """Returns the model that an adapter extends; None for whole weights.
+
+        Raises:
+            BodyError: It is no other declared model.
+        """
+        name = caller.document.get("base_model")
+        if name is None:
+            return None
+        view = self._admission.authenticator.view
+        is_declared = isinstance(name, str) and isinstance(
+            view.get(control.Kind.MODEL, name), control.Model
+        )
+        if not is_declared or name == caller.trainer.model:
+            raise BodyError("Field base_model must be another declared model.")
+        return base.ModelName(str(name))
+
     def _staleness_bound(self, trainer: control.Trainer) -> int:
         declared = self._model(trainer)
         return declared.staleness_bound if declared else 0
@@ -273,22 +306,6 @@
         await self._exchange.write(data)
 
 
-def _publish_of(
-    caller: _Caller, name: base.TrainerId
-) -> rollout.PublishVersion:
-    document = caller.document
-    version = _number(document, "version")
-    if version < 1:
-        raise BodyError("Field version must be at least 1.")
-    return rollout.PublishVersion(
-        model=caller.trainer.model,
-        version=base.WeightVersion(version),
-        trainer=name,
-        location=str(document.get("location", "")),
-        size_bytes=_number(document, "size_bytes", default=0),
-    )
-
-
 def _document(exchange: _http.Exchange) -> dict[str, typing.Any] | None:
     if not exchange.body:
         return {}
--- a/tests/scenarios/features/rollouts.feature
+++ b/tests/scenarios/features/rollouts.feature
@@ -62,6 +62,13 @@
     When the weight store has version 2 and refuses its next question
     Then every engine makes tokens with version 2
 
+  Scenario: An adapter's base model reaches the engines
+    Given models coach and label are declared
+    When trainer folds publishes adapter 2 of label
+    Then every engine makes tokens with version 2
+    And every order to load version 2 names model label
+    And adapters of coach and of unknown are refused
+
   Scenario: An engine without whole weights gets no lookups until it has them
     Given engine engine-1 is left without whole weights by its next swaps
     When trainer folds publishes version 2
--- a/tests/scenarios/rollout_steps.py
+++ b/tests/scenarios/rollout_steps.py
@@ -11,6 +11,7 @@
 GROUPS = 4
 SAMPLES = 16
 OK = 200
+BAD_REQUEST = 400
 
 
 async def fetch(world, step, name=None):
@@ -29,9 +30,22 @@
 
 @behave.when("trainer folds is declared with 2 groups of 8 samples")
 def when_declared(context):
-    world = context.world
+    declare(context.world, b",coach,4,4,/grade", b",coach,8,2,/grade")
+
+
+@behave.given("models coach and label are declared")
+def given_models(context):
+    declare(
+        context.world,
+        b"model,coach,",
+        b"model,label" + 21 * b"," + b"\nmodel,coach,",
+    )
+
+
+def declare(world, old, new):
+    """Puts the sheet in force with one text replaced."""
     sheet = world_module.sheet()
-    changed = sheet.replace(b",coach,4,4,/grade", b",coach,8,2,/grade")
+    changed = sheet.replace(old, new)
     assert changed != sheet
 
     async def play():
@@ -227,17 +241,43 @@
 
 @behave.when("trainer folds publishes version {version:d}")
 def when_publishes(context, version):
-    async def play():
-        answer = await context.world.call(
+    answer = publish(context, version)
+    assert answer.status == OK, answer
+
+
+@behave.when("trainer folds publishes adapter {version:d} of {name}")
+def when_publishes_adapter(context, name, version):
+    answer = publish(context, version, base_model=name)
+    assert answer.status == OK, answer
+
+
+def publish(context, version, **more):
+    """Publishes weights at one instance and returns its answer."""
+    document = {"version": version, "location": "w", "size_bytes": 1_000}
+    return support.run_async(
+        lambda: context.world.call(
             "i1",
             "tesfaye",
             "POST",
             "/v1/rollouts/folds/versions",
-            {"version": version, "location": "w", "size_bytes": 1_000},
+            document | more,
         )
-        assert answer.status == OK, answer
+    )
 
-    support.run_async(play)
+
+@behave.then("every order to load version {version:d} names model {name}")
+def then_base_model(context, version, name):
+    for engine in context.world.engines.values():
+        orders = [o for o in engine.orders if o["version"] == version]
+        assert orders, engine
+        assert {order["base_model"] for order in orders} == {name}, orders
+
+
+@behave.then("adapters of {one} and of {other} are refused")
+def then_refused(context, one, other):
+    for name in (one, other):
+        answer = publish(context, 9, base_model=name)
+        assert answer.status == BAD_REQUEST, answer
 
 
 @behave.then("the batch of step {step:d} holds no version below {least:d}")
