--- a/packages/bench/src/banyanbank_bench/_fleet.py
+++ b/packages/bench/src/banyanbank_bench/_fleet.py
@@ -164,13 +164,11 @@
 
     def _announced(self, now: float) -> float:
         """Returns the need of sessions that operators told of beforehand."""
-        if not self._cluster.policy.announced:
-            return 0.0
-        shape = self._shape
+        shape, factor = self._shape, self._cluster.policy.announced
         begins = [session.start_s for session in shape.sessions]
         opening = [at for at in begins if at - LEAD_S <= now < at + START_S]
         samples = len(opening) * shape.groups * shape.group_size
-        return samples * _rollouts.ESTIMATE_TOKENS / shape.train_s
+        return factor * samples * _rollouts.ESTIMATE_TOKENS / shape.train_s
 
     def _is_closed(self, domain: base.FailureDomain, now: float) -> bool:
         return now < self._closed_until.get(domain, 0.0)
--- a/packages/bench/src/banyanbank_bench/_workload.py
+++ b/packages/bench/src/banyanbank_bench/_workload.py
@@ -84,8 +84,9 @@
     """`fixed`, `threshold` or `planner`."""
     capacity: rollout.CapacityCfg = attrs.field(factory=rollout.CapacityCfg)
     """Limits of `threshold` and `planner`."""
-    announced: bool = False
-    """Whether operators tell the planner of sessions before they begin."""
+    announced: float = 0.0
+    """Sessions' need, of one step in the time of training, that operators
+    tell the planner before each; 0: they tell nothing."""
 
 
 QUICK = Policy(owned=True, scheduled=4, choices=99, fast_slots=24)
@@ -103,7 +104,9 @@
     "quick_24": QUICK,
     "threshold": attrs.evolve(QUICK, scaling="threshold", capacity=CAPACITY),
     "planner": PLANNER,
-    "announced": attrs.evolve(PLANNER, announced=True),
+    "announced": attrs.evolve(PLANNER, announced=1.0),
+    "surge_2": attrs.evolve(PLANNER, announced=2.0),
+    "surge_3": attrs.evolve(PLANNER, announced=3.0),
 }
 
 
