Repeat attempts in one place for engines and services

Cause: Dispatcher.run and ServiceCalls.open held near twins of one loop: count attempts, ask the retry policy, leave the endpoint out, wait.

Change: _retrying.AttemptSeries does that for both. What only a stream of tokens must ask stays with the dispatcher (_can_go_on). Behaviour stays.

--- a/packages/daemon/src/banyanbank_daemon/_dispatcher.py
+++ b/packages/daemon/src/banyanbank_daemon/_dispatcher.py
@@ -6,9 +6,9 @@
 import banyanbank_base as base
 import banyanbank_dispatch as dispatch
 from returns import result
-from twisted.internet import task
 
 from banyanbank_daemon import _jobs
+from banyanbank_daemon import _retrying
 
 MILLISECONDS = 1_000
 
@@ -140,30 +140,35 @@
         """
         partial = _jobs.PartialAnswer(req.body)
         joining = _jobs.JoiningSink(sink, partial)
-        self._retries.note_first_attempt()
-        attempts = 0
+        series = _retrying.AttemptSeries(
+            self._reactor,
+            self._clock,
+            self._retries,
+            req.deadline,
+            is_idempotent=True,
+        )
         run_before: _jobs.JobFailed | None = None
         while True:
-            attempts += 1
             endpoint, ended = await self._attempt(
-                req, attempts, joining, on_engine
+                attrs.evolve(req, excluded=req.excluded | series.tried),
+                series.number,
+                joining,
+                on_engine,
             )
             if isinstance(ended, result.Success):
                 return self._count(req, partial.whole(ended.unwrap()))
             failed = ended.failure()
             if failed.is_cut and partial.is_complete:
                 return await self._finish(req, partial, failed, sink)
-            decision = self._decide(req, attempts, failed, partial, joining)
-            if not isinstance(decision, dispatch.Retry):
+            if not self._can_go_on(req, failed, partial, joining) or (
+                not await series.may_repeat(
+                    endpoint, base.Outcome(failed.outcome), failed.retry_after
+                )
+            ):
                 return result.Failure(_truest(run_before, failed))
             if failed.outcome != base.Outcome.NOT_RUN.value:
                 run_before = failed
-            if endpoint is not None:
-                excluded = req.excluded | {endpoint}
-                req = attrs.evolve(req, excluded=excluded)
             req = attrs.evolve(req, body=partial.continued(failed))
-            pause_s = max(0.0, decision.at - self._clock.now())
-            await task.deferLater(self._reactor, pause_s)
 
     def _count(
         self, req: ModelRequest, ended: _jobs.JobEnded
@@ -187,33 +192,24 @@
                 return result.Failure(failed)
         return self._count(req, ended)
 
-    def _decide(
+    def _can_go_on(
         self,
         req: ModelRequest,
-        attempts: int,
         failed: _jobs.JobFailed,
         partial: _jobs.PartialAnswer,
         joining: _jobs.JoiningSink,
-    ) -> dispatch.Retry | dispatch.GiveUp:
-        if joining.is_closed:
-            return dispatch.GiveUp("The caller is gone.")
-        if failed.reason == base.RefusalReason.KEY_WITHDRAWN.value:
-            return dispatch.GiveUp("The key was withdrawn.")
+    ) -> bool:
+        """Tells whether another attempt could be of use to the caller."""
+        is_withdrawn = failed.reason == base.RefusalReason.KEY_WITHDRAWN.value
+        if joining.is_closed or is_withdrawn:
+            return False
+        if not partial.has_emitted:
+            return True
+        # Samples are resumed by their scheduler. What breaks the protocol
+        # can't be trusted to go on from.
         is_lookup = req.kind is dispatch.WorkKind.INTERACTIVE
-        if partial.has_emitted and not is_lookup:
-            return dispatch.GiveUp("The sample scheduler resumes it.")
-        if partial.has_emitted and not partial.can_continue:
-            return dispatch.GiveUp("The engine's state was more than text.")
-        if partial.has_new and not failed.is_cut:
-            return dispatch.GiveUp("What breaks the protocol isn't trusted.")
-        return self._retries.decide(
-            attempts=attempts,
-            outcome=base.Outcome(failed.outcome),
-            idempotent=True,
-            deadline=req.deadline,
-            now=self._clock.now(),
-            retry_after=failed.retry_after,
-        )
+        is_trusted = failed.is_cut or not partial.has_new
+        return is_lookup and is_trusted and partial.can_continue
 
     async def _attempt(
         self,
--- a/packages/daemon/src/banyanbank_daemon/_entry/_services.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -8,11 +8,11 @@
 import banyanbank_control as control
 import banyanbank_dispatch as dispatch
 from returns import result
-from twisted.internet import task
 
 from banyanbank_daemon import _figures
 from banyanbank_daemon import _fleet
 from banyanbank_daemon import _http
+from banyanbank_daemon import _retrying
 from banyanbank_daemon import _upstream
 from banyanbank_daemon import _usage
 from banyanbank_daemon._entry import _active
@@ -233,29 +233,24 @@
             The answer once its headers are there, or a refusal that tells
             whether a replica may have run the call.
         """
-        self._retries.note_first_attempt()
-        excluded: frozenset[base.EndpointId] = frozenset()
-        attempts = 0
+        series = _retrying.AttemptSeries(
+            self._reactor,
+            self._clock,
+            self._retries,
+            call.deadline,
+            call.is_idempotent,
+        )
         while True:
-            attempts += 1
-            endpoint, sent = await self._attempt(call, attempts, excluded)
+            endpoint, sent = await self._attempt(
+                call, series.number, series.tried
+            )
             if isinstance(sent, result.Success):
                 return sent
             refusal = sent.failure()
-            decision = self._retries.decide(
-                attempts=attempts,
-                outcome=refusal.outcome,
-                idempotent=call.is_idempotent,
-                deadline=call.deadline,
-                now=self._clock.now(),
-                retry_after=refusal.retry_after,
-            )
-            if not isinstance(decision, dispatch.Retry):
+            if not await series.may_repeat(
+                endpoint, refusal.outcome, refusal.retry_after
+            ):
                 return sent
-            if endpoint is not None:
-                excluded |= {endpoint}
-            pause_s = max(0.0, decision.at - self._clock.now())
-            await task.deferLater(self._reactor, pause_s)
 
     async def _attempt(
         self,
