--- a/tests/support.py
+++ b/tests/support.py
@@ -7,6 +7,8 @@
 import asyncio
 import collections.abc
 import functools
+import itertools
+import os
 import socket
 import typing
 
@@ -21,6 +23,16 @@
 POLL_S = 0.002
 """Pause between two looks at a condition."""
 
+FIRST_PORT = 20_000
+PORT_COUNT = 12_000
+PORT_STEP = 240
+"""Ports between the first ones of two test processes."""
+
+_PORTS = (
+    FIRST_PORT + (os.getpid() * PORT_STEP + number) % PORT_COUNT
+    for number in itertools.count()
+)
+
 
 @functools.cache
 def event_loop() -> asyncio.AbstractEventLoop:
@@ -78,13 +90,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns TCP ports that were free on every address a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for held in sockets:
-        held.bind(("0.0.0.0", 0))
-    ports = [held.getsockname()[1] for held in sockets]
-    for held in sockets:
-        held.close()
+    """Returns TCP ports that were free on every address a moment ago.
+
+    They lie below those that the system gives out, and each test process
+    begins elsewhere, so that nobody takes them before they are used.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        with socket.socket() as held:
+            try:
+                held.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
