Tell endpoint time by what is served too

Cause: prices will be declared by model, failure domain and supply; time was told without the model, so that no price could be found for it.

Change: endpoint time has the first model announced, or the service.

Tests: tests.daemon.test_figures, scenario operators.

--- a/packages/daemon/src/banyanbank_daemon/_figures/_endpoints.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_endpoints.py
@@ -11,8 +11,8 @@
 COUNT_S = 1.0
 """Seconds between two looks at the endpoints that run."""
 
-Sort = tuple[base.FailureDomain, str, str]
-"""Failure domain, kind and supply."""
+Sort = tuple[base.FailureDomain, str, str, str]
+"""Failure domain, kind, supply, and what is served."""
 
 Running = collections.abc.Callable[
     [], collections.abc.Iterable[control.Announcement]
@@ -20,7 +20,7 @@
 
 
 class EndpointTime:
-    """Endpoint seconds by failure domain, kind and supply.
+    """Endpoint seconds by failure domain, kind, supply and what is served.
 
     A duty of the leader: a time is counted by the one instance that leads in
     it, so that the counts of all instances add up.
@@ -44,8 +44,7 @@
         if before is not None and now < before + COUNT_S:
             return
         self._now_running = collections.Counter(
-            (item.failure_domain, item.kind.value, item.supply.value)
-            for item in self._running()
+            _sort_of(item) for item in self._running()
         )
         self._counted_until = now
         for sort, count in self._now_running.items():
@@ -64,3 +63,8 @@
             _messages.EndpointFigures(*sort, self._now_running[sort], seconds)
             for sort, seconds in sorted(self._seconds.items())
         )
+
+
+def _sort_of(item: control.Announcement) -> Sort:
+    serves = item.models[0].model if item.models else item.service
+    return item.failure_domain, item.kind.value, item.supply.value, serves
--- a/packages/daemon/src/banyanbank_daemon/_figures/_merge.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_merge.py
@@ -189,7 +189,7 @@
     instances: tuple[_messages.InstanceFigures, ...], price_of: PriceOf
 ) -> list[Document]:
     rows = _grouped(
-        ((item.failure_domain, item.supply, item.kind), item)
+        ((item.failure_domain, item.supply, item.kind, item.serves), item)
         for one in instances
         for item in one.endpoints
     )
@@ -206,6 +206,7 @@
         "failure_domain": rows[0].failure_domain,
         "supply": rows[0].supply,
         "kind": rows[0].kind,
+        "serves": rows[0].serves,
         "running": sum(row.running for row in rows),
         "seconds": round(seconds, DIGITS),
         "price_per_hour": price,
--- a/packages/daemon/src/banyanbank_daemon/_figures/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_messages.py
@@ -64,6 +64,8 @@
     """Value of a `control.EndpointKind`."""
     supply: str
     """Value of a `control.Supply`."""
+    serves: str
+    """First model that an engine announced, or name of a service."""
     running: int
     """Endpoints that run now; 0 unless this instance leads."""
     seconds: float
--- a/packages/daemon/src/banyanbank_daemon/_meters.py
+++ b/packages/daemon/src/banyanbank_daemon/_meters.py
@@ -74,7 +74,7 @@
 
     def __init__(self, registry: _metrics.MetricsRegistry) -> None:
         account = ("account", "kind")
-        endpoint = ("failure_domain", "kind", "supply")
+        endpoint = ("failure_domain", "kind", "supply", "serves")
         self._idle = registry.counter(
             "banyanbank_trainer_idle_seconds_total",
             "Seconds in which a fetch waited here for a whole step.",
@@ -129,7 +129,12 @@
         for refused in figures.refused:
             self._refused.advance(refused.requests, refused.account)
         for item in figures.endpoints:
-            sort = (item.failure_domain, item.kind, item.supply)
+            sort = (
+                item.failure_domain,
+                item.kind,
+                item.supply,
+                item.serves,
+            )
             self._seconds.advance(item.seconds, *sort)
             self._running.set(item.running, *sort)
         self._steps.observe(figures.steps)
