Show what endpoints cost, by the offers declared

Cause: offers with prices can be declared now; status showed seconds alone.

Change: endpoint_time of an engine tells the price of its offer now in force and its cost since the count began; None where no offer is declared. A price that changes is applied to all seconds counted: the figure is for comparing, not for accounts.

Tests: tests.daemon.test_figures; broken on purpose: any offer's price taken.

--- a/packages/daemon/src/banyanbank_daemon/_figures/__init__.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/__init__.py
@@ -14,6 +14,7 @@
 from banyanbank_daemon._figures._messages import TrainerFigures
 from banyanbank_daemon._figures._messages import WithheldVersion
 from banyanbank_daemon._figures._own import OwnFigures
+from banyanbank_daemon._figures._prices import declared_prices
 from banyanbank_daemon._figures._trainers import TrainerWaits
 
 __all__ = [
@@ -31,5 +32,6 @@
     "TrainerFigures",
     "TrainerWaits",
     "WithheldVersion",
+    "declared_prices",
     "to_document",
 ]
--- a/packages/daemon/src/banyanbank_daemon/_figures/_merge.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_merge.py
@@ -9,6 +9,7 @@
 import banyanbank_dispatch as dispatch
 
 from banyanbank_daemon._figures import _messages
+from banyanbank_daemon._figures import _prices
 
 LOOKUPS = (dispatch.WorkKind.INTERACTIVE.value, _messages.SERVICE)
 """Kinds of work that somebody waits for."""
@@ -16,8 +17,6 @@
 """Decimals of seconds and shares."""
 
 WeightOf = collections.abc.Callable[[base.AccountId], float]
-PriceOf = collections.abc.Callable[[_messages.EndpointFigures], float | None]
-"""Price of one endpoint of a sort for an hour; None when none is declared."""
 
 Document = dict[str, typing.Any]
 F = typing.TypeVar("F")
@@ -33,13 +32,8 @@
     """Instances that did not answer; their counts are left out."""
 
 
-def no_price(_figures: _messages.EndpointFigures) -> float | None:
-    """Tells that no price is declared."""
-    return None
-
-
 def to_document(
-    gathered: Gathered, weight_of: WeightOf, price_of: PriceOf = no_price
+    gathered: Gathered, weight_of: WeightOf, price_of: _prices.PriceOf
 ) -> Document:
     """Returns the figures of all instances, ready for JSON.
 
@@ -186,7 +180,7 @@
 
 
 def _endpoint_rows(
-    instances: tuple[_messages.InstanceFigures, ...], price_of: PriceOf
+    instances: tuple[_messages.InstanceFigures, ...], price_of: _prices.PriceOf
 ) -> list[Document]:
     rows = _grouped(
         ((item.failure_domain, item.supply, item.kind, item.serves), item)
@@ -197,7 +191,7 @@
 
 
 def _endpoint_row(
-    rows: list[_messages.EndpointFigures], price_of: PriceOf
+    rows: list[_messages.EndpointFigures], price_of: _prices.PriceOf
 ) -> Document:
     seconds = sum(row.seconds for row in rows)
     price = price_of(rows[0])
--- a/packages/daemon/src/banyanbank_daemon/_status.py
+++ b/packages/daemon/src/banyanbank_daemon/_status.py
@@ -36,7 +36,11 @@
         "queues": _queues(instance),
         "rollouts": _rollouts(instance),
         "figures": _figures.to_document(
-            gathered, instance.control.rollouts.weight_of
+            gathered,
+            instance.control.rollouts.weight_of,
+            _figures.declared_prices(
+                instance.control.entry.view.items.values()
+            ),
         ),
     }
 
--- a/tests/daemon/test_figures.py
+++ b/tests/daemon/test_figures.py
@@ -19,6 +19,9 @@
         kind=control.EndpointKind.ENGINE,
         address="127.0.0.1:1",
         failure_domain=base.FailureDomain("zone-1"),
+        models=(
+            control.ServedModel(base.ModelName("coach"), base.WeightVersion(1)),
+        ),
     )
 
 
@@ -43,9 +46,14 @@
             self.accounts.refused_figures(),
         )
 
-    def document(self, *instances: _figures.InstanceFigures) -> dict:
+    def document(
+        self,
+        *instances: _figures.InstanceFigures,
+        offers: tuple[control.Offer, ...] = (),
+    ) -> dict:
         gathered = _figures.Gathered(instances or (self.figures(),), ())
-        return _figures.to_document(gathered, lambda _account: 1.0)
+        prices = _figures.declared_prices(offers)
+        return _figures.to_document(gathered, lambda _account: 1.0, prices)
 
 
 class TrainerTest(FiguresCase):
@@ -143,9 +151,18 @@
         self.endpoints.tick()
         self.clock.advance(1_800.0)
         self.endpoints.tick()
-        gathered = _figures.Gathered((self.figures(),), ())
-        document = _figures.to_document(gathered, lambda _: 1.0, lambda _: 4.0)
-        self.assertEqual(document["endpoint_time"][0]["cost"], 2.0)
+        for model, cost in (("coach", 2.0), ("drill", None)):
+            with self.subTest(model):
+                offer = control.Offer(
+                    base.ModelName(model),
+                    base.FailureDomain("zone-1"),
+                    control.Supply.SAFE,
+                    price_per_hour=4.0,
+                    tokens_per_s=100.0,
+                    max_endpoints=3,
+                )
+                (row,) = self.document(offers=(offer,))["endpoint_time"]
+                self.assertEqual(row["cost"], cost)
 
 
 class MetersTest(FiguresCase):
