--- a/packages/cli/src/banyanbank_cli/_groups.py
+++ b/packages/cli/src/banyanbank_cli/_groups.py
@@ -134,13 +134,18 @@
         version: str,
         location: str = "",
         size_bytes: str = "0",
+        base_model: str = "",
     ) -> None:
-        """Announces weights that lie in the weight store."""
+        """Announces weights that lie in the weight store.
+
+        --base-model names the model that an adapter extends.
+        """
         call = _rollouts.publish_call(
             trainer,
             _connection.number("version", version),
             location,
             _connection.number("size-bytes", size_bytes),
+            base_model,
         )
         self._show(call)
 
--- a/packages/cli/src/banyanbank_cli/_rollouts.py
+++ b/packages/cli/src/banyanbank_cli/_rollouts.py
@@ -76,14 +76,24 @@
 
 
 def publish_call(
-    trainer: str, version: int, location: str, size_bytes: int
+    trainer: str, version: int, location: str, size_bytes: int, base_model: str
 ) -> _client.Call:
-    """Returns the request that announces new weights."""
+    """Returns the request that announces new weights.
+
+    Args:
+        trainer: Who made them.
+        version: Their version.
+        location: Where the weight store keeps them.
+        size_bytes: Their size.
+        base_model: Model that an adapter extends; empty for whole weights.
+    """
     document: dict[str, typing.Any] = {
         "version": version,
         "location": location,
         "size_bytes": size_bytes,
     }
+    if base_model:
+        document["base_model"] = base_model
     path = PUBLISH_PATH.format(trainer=_client.quoted(trainer))
     return _post(path, document)
 
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -327,6 +327,8 @@
     def test_posts(self) -> None:
         newest = {"newest_version": 5}
         version = {"version": 7, "location": "w/7", "size_bytes": 9}
+        adapter = {"version": 8, "location": "", "size_bytes": 0}
+        adapter["base_model"] = "coach"
         for arguments, path, body in (
             (
                 ("reject", "t", "3.0", "--newest-version=5"),
@@ -339,6 +341,11 @@
                 "versions",
                 version,
             ),
+            (
+                ("publish", "t", "8", "--base-model=coach"),
+                "versions",
+                adapter,
+            ),
         ):
             with self.subTest(arguments=arguments):
                 scripted, url = self.serve(Answer({"result": "done"}))
