Add up the reported loads once a plan

Cause: the endpoint planner asks for the load of each engine, and each question went over all reports.

Change: the sums are kept for the time at which they were asked.

Figures, one run each on a loaded machine, processor time of a plan with 600 engines and 6 reporting owners: 31.5 ms before, 21.3 ms after; at four plans a second that is 8.5% of the leader's core. The rest is the planner's and not yet cut. Not measured with 360 owners.

Run: tests/control, scenarios 'Load makes' and 'A surplus endpoint'.

--- a/packages/control/src/banyanbank_control/duties/_demand.py
+++ b/packages/control/src/banyanbank_control/duties/_demand.py
@@ -1,5 +1,6 @@
 """Loads of engines as their owners report them, and what they ask for."""
 
+import collections
 import collections.abc
 
 import attrs
@@ -69,6 +70,9 @@
         """Monotonic time at which the office began, in seconds."""
         self._heard: dict[base.InstanceId, _Heard] = {}
         self._busy_at: dict[base.EndpointId, float] = {}
+        # A plan asks for every engine at one time.
+        self._sums: collections.Counter[base.EndpointId] = collections.Counter()
+        self._summed_at: float | None = None
 
     def take(
         self,
@@ -79,19 +83,21 @@
     ) -> None:
         """Takes in an instance's reports in place of its earlier ones."""
         self._heard[instance] = _Heard(now, reports, unserved)
+        self._summed_at = None
         for report in reports:
             if report.requests:
                 self._busy_at[report.endpoint] = now
 
     def requests(self, endpoint: base.EndpointId, now: float) -> int:
         """Returns the requests that wait for an engine or run on it."""
-        return sum(
-            report.requests
-            for heard in self._heard.values()
-            if now < heard.at + REPORT_S
-            for report in heard.reports
-            if report.endpoint == endpoint
-        )
+        if self._summed_at != now:
+            self._summed_at = now
+            self._sums = collections.Counter()
+            for heard in self._heard.values():
+                if now < heard.at + REPORT_S:
+                    for report in heard.reports:
+                        self._sums[report.endpoint] += report.requests
+        return self._sums[endpoint]
 
     def unserved(self, model: base.ModelName, now: float) -> int:
         """Returns the requests that found no endpoint of a model of late."""
