--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -41,18 +41,21 @@
     clock: ShiftedClock
     instance: daemon.Instance | None = None
     is_isolated: bool = False
+    lives: int = 0
 
     def build(
         self, reactor: typing.Any, caller_tls: typing.Any = None
     ) -> daemon.Instance:
         assert self.settings.data_dir is not None
+        self.lives += 1
         recorder = base.MemoryRecorder(base.InstanceId(self.name), self.clock)
         self.instance = daemon.Instance(
             self.settings,
             daemon.Surroundings(
                 reactor=reactor,
                 clock=self.clock,
-                rng=random.Random(self.name),
+                # A store that is made anew must get another identity.
+                rng=random.Random(f"{self.name}/{self.lives}"),
                 recorder=recorder,
                 disk=consensus.FileDisk(self.settings.data_dir),
                 caller_tls=caller_tls,
@@ -91,6 +94,8 @@
             f"i{number}": f"127.0.0.{number}"
             for number in range(1, size + SPARES + 1)
         }
+        self.repairing = defer.DeferredLock()
+        self.changing = defer.DeferredLock()
         self.links = links.Links(hosts, self._ports[0])
         names = list(hosts)[:size]
         voters = tuple(
