Drop four functions that nothing calls

Cause: index_range, cancelled_error, version_of and state_of were left behind when their callers went; a search over packages and tests finds no use.

Run: tests/rollout, ruff, mypy: clean. Behaviour stays.

--- a/packages/consensus/src/banyanbank_consensus/_log.py
+++ b/packages/consensus/src/banyanbank_consensus/_log.py
@@ -1,7 +1,6 @@
 """The part of the log that is held in memory."""
 
 from collections.abc import Iterable
-from collections.abc import Sequence
 import enum
 
 import attrs
@@ -190,10 +189,3 @@
     while index - 1 > log.base.index and log.epoch_at(index - 1) == epoch:
         index -= 1
     return index
-
-
-def index_range(entries: Sequence[Entry]) -> str:
-    """Returns the span of entries, for messages to people."""
-    if not entries:
-        return "none"
-    return f"{entries[0].index}..{entries[-1].index}"
--- a/packages/mesh/src/banyanbank_mesh/_stream.py
+++ b/packages/mesh/src/banyanbank_mesh/_stream.py
@@ -4,7 +4,6 @@
 import collections.abc
 
 import attrs
-import banyanbank_base as base
 from returns import result
 from twisted.internet import defer
 
@@ -137,10 +136,3 @@
     def _read_cancelled(self, reader: defer.Deferred[ReadResult]) -> None:
         if self._reader is reader:
             self._reader = None
-
-
-def cancelled_error(outcome: base.Outcome) -> _errors.CallError:
-    """Returns the failure of an exchange that this side cancelled."""
-    return _errors.CallError(
-        _errors.CallErrorKind.CANCELLED, outcome, "Cancelled by this side."
-    )
--- a/packages/rollout/src/banyanbank_rollout/_views.py
+++ b/packages/rollout/src/banyanbank_rollout/_views.py
@@ -54,9 +54,3 @@
     """Streams that rollouts may run on it at once; 0 when it is leaving."""
     gone_at: float | None = None
     """Clock seconds at which it is reclaimed; None without a notice."""
-
-    def version_of(self, model: base.ModelName) -> base.WeightVersion | None:
-        """Returns the reported version of a model, None when not served."""
-        if model not in self.models:
-            return None
-        return self.versions[self.models.index(model)]
--- a/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
+++ b/packages/rollout/src/banyanbank_rollout/_weight_rollout.py
@@ -55,13 +55,6 @@
         """Takes in the weight store's rate limit."""
         self._pacer.limit(bytes_per_s)
 
-    def state_of(
-        self, endpoint: base.EndpointId, model: base.ModelName
-    ) -> str | None:
-        """Returns the chart state of a swap, None when none is known."""
-        swap = self._swaps.get((endpoint, model))
-        return None if swap is None else swap.state
-
     def decide(
         self,
         publications: Sequence[_commands.PublishVersion],
