Hold the stories of cut leaders against the merged time line

Cause: the stories read the stand-ins alone; the time line over all processes, by which operators judge, was held against nothing.

Change: after healing, each epoch has one instance that acquired its lease, at least two instances have led, and the one that was cut off says that it lost it.

--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -210,9 +210,36 @@
             self.check_platform(world.platform)
             self.check_load(load)
             self.check_refusals_true(world)
+            await self.check_time_line(world, leader)
 
         self.play(story, worlds.ORDERS, worlds.USAGE, limit_s=LONG_LIMIT_S)
 
+    async def check_time_line(
+        self, world: worlds.World, old_leader: str
+    ) -> None:
+        """Checks that each epoch had one leader, and that the old one ended."""
+        leaders: dict[int, set[str]] = collections.defaultdict(set)
+        for event in await self.events(world, "lease.acquired"):
+            leaders[event["epoch"]].add(event["instance"])
+        self.assertTrue(all(len(who) == 1 for who in leaders.values()), leaders)
+        self.assertGreater(len(set().union(*leaders.values())), 1, leaders)
+        ended = {
+            event["instance"]
+            for event in await self.events(world, "lease.lost")
+        }
+        self.assertIn(old_leader, ended)
+
+    async def events(
+        self, world: worlds.World, kind: str
+    ) -> list[dict[str, typing.Any]]:
+        """Returns events of one kind from the time line of all instances."""
+        operator = world.cluster.operator("i1")
+        answer = await operator.call(
+            "GET", f"/operator/timeline?scope=all&kind={kind}"
+        )
+        self.assertEqual(answer.document["missing"], [], answer)
+        return list(answer.document["events"])
+
     async def cut_off(
         self, world: worlds.World, leader: str, cut: Cut
     ) -> LeaderWrites:
