Read each event once, and start what nobody waits for in one place

An event of an engine was parsed three times on the way to its reader: by the stream's parser, by the join and by whoever collects text.

Change: a chunk carries its document beside its bytes; _background.start runs and logs, with the name that each place had. Behaviour stays, but that a cancelled coroutine is logged nowhere and drains are named in the log. Two tests make chunks by JobChunk.of; their assertions stay.

--- a/packages/daemon/src/banyanbank_daemon/_app.py
+++ b/packages/daemon/src/banyanbank_daemon/_app.py
@@ -10,6 +10,7 @@
 from loguru import logger
 from twisted.internet import defer
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _instance
 from banyanbank_daemon import _logs
 from banyanbank_daemon import _parts
@@ -115,9 +116,7 @@
         self._reactor.callFromThread(self._drain)
 
     def _drain(self) -> None:
-        defer.ensureDeferred(self._instance.drain()).addErrback(
-            lambda failure: logger.error("{}", failure.getTraceback())
-        )
+        _background.start(self._instance.drain(), "drain")
 
 
 def _mesh_certificates(
--- a/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
@@ -5,11 +5,10 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_control as control
-from loguru import logger
 from returns import result
-from twisted.internet import defer
 from twisted.internet import task
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _upstream
 
@@ -114,9 +113,7 @@
             begun = await self._begin(call)
             if isinstance(begun, result.Failure):
                 # A claim that commits all the same would block resends.
-                defer.ensureDeferred(self._abandon(call)).addErrback(
-                    _log_failure
-                )
+                _background.start(self._abandon(call), "abandoning an intent")
                 return result.Failure(begun.failure())
             reply = begun.unwrap()
             if isinstance(reply, control.IntentBegun):
@@ -183,10 +180,6 @@
         await self._plane.propose(command, self._clock.now() + COMMIT_S)
 
 
-def _log_failure(failure: typing.Any) -> None:
-    logger.error("abandoning an intent: {}", failure.getTraceback())
-
-
 def _is_running_elsewhere(reply: control.Reply) -> bool:
     return isinstance(reply, control.IntentOpen) and not reply.may_have_run
 
--- a/packages/daemon/src/banyanbank_daemon/_entry/_models.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_models.py
@@ -54,7 +54,7 @@
     async def emit(self, chunk: _jobs.JobChunk) -> None:
         if self._exchange.is_closed:
             raise _jobs.SinkClosed
-        self.collector.add(chunk.data)
+        self.collector.add(chunk.document)
 
     def on_closed(self, callback: typing.Callable[[], None]) -> None:
         self._exchange.on_closed(callback)
--- a/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_shapes.py
@@ -144,9 +144,9 @@
         """Text made so far."""
         return "".join(self._parts)
 
-    def add(self, data: bytes) -> None:
-        """Takes in one event's JSON."""
-        for choice in json.loads(data).get("choices", ()):
+    def add(self, event: JsonObject) -> None:
+        """Takes in one event."""
+        for choice in event.get("choices", ()):
             delta = choice.get("delta") or {}
             self._parts.append(choice.get("text") or delta.get("content") or "")
             self._finish_reason = (
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -7,10 +7,10 @@
 import banyanbank_control as control
 import banyanbank_mesh as mesh
 from loguru import logger
-from twisted.internet import defer
 from twisted.internet import task
 
 from banyanbank_daemon import _announcements
+from banyanbank_daemon import _background
 from banyanbank_daemon import _figures
 from banyanbank_daemon import _health
 from banyanbank_daemon import _http
@@ -337,8 +337,7 @@
         self.meters.observe_queues(self.dispatch.queues.queues)
 
     def _flush_usage(self) -> None:
-        flushing = defer.ensureDeferred(self.control.usage.flush())
-        flushing.addErrback(_log_failure)
+        _background.start(self.control.usage.flush(), "usage flush")
 
     async def _drain_instance(self, instance: base.InstanceId) -> bool:
         if instance == self.identity.name:
@@ -356,10 +355,6 @@
 
     def _drain_soon(self) -> None:
         def begin() -> None:
-            defer.ensureDeferred(self.drain()).addErrback(_log_failure)
+            _background.start(self.drain(), "drain")
 
         self.around.reactor.callLater(0, begin)
-
-
-def _log_failure(failure: typing.Any) -> None:
-    logger.error("{}", failure.getTraceback())
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_engine.py
@@ -110,7 +110,8 @@
             try:
                 for event in parser.feed(data):
                     tally.add(event)
-                    await sink.emit(_messages.JobChunk(event.data))
+                    made = _messages.JobChunk(event.data, event.document)
+                    await sink.emit(made)
             except _sse.EventStreamError as exc:
                 return _failures.broken(str(exc))
         if not parser.is_done or tally.usage is None:
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_looks.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_looks.py
@@ -13,10 +13,10 @@
 import banyanbank_base as base
 import banyanbank_dispatch as dispatch
 import banyanbank_mesh as mesh
-from loguru import logger
 from returns import result
 from twisted.internet import defer
 
+from banyanbank_daemon import _background
 from banyanbank_daemon._jobs import _messages
 from banyanbank_daemon._jobs import _owned
 from banyanbank_daemon._jobs import _queues
@@ -203,9 +203,7 @@
             return
         self._note_look(blocks[0], now)
         looking = [
-            defer.ensureDeferred(self._look(owner, req)).addErrback(
-                _log_failure
-            )
+            _background.start(self._look(owner, req), "look at engines")
             for owner, req in self._requests(model, blocks)
         ]
         if age_s >= KNOWN_S and len(blocks) >= WAIT_BLOCKS:
@@ -257,8 +255,3 @@
         if isinstance(called, result.Failure):
             return None
         return LOOK_REPLY_CODEC.decode(called.unwrap())
-
-
-def _log_failure(failure: typing.Any) -> None:
-    if not failure.check(defer.CancelledError):
-        logger.error("look at engines: {}", failure.getTraceback())
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_messages.py
@@ -1,5 +1,6 @@
 """Messages of a model job between an entry and an engine's owner."""
 
+import json
 import typing
 
 import attrs
@@ -58,6 +59,13 @@
 
     data: bytes
     """JSON text of the event."""
+    document: dict[str, typing.Any]
+    """The same, read."""
+
+    @classmethod
+    def of(cls, document: dict[str, typing.Any]) -> "JobChunk":
+        """Makes an event of our own."""
+        return cls(json.dumps(document).encode(), document)
 
 
 @attrs.frozen
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_partial.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_partial.py
@@ -122,18 +122,16 @@
         Raises:
             EventStreamError: The event is not of the shape of an answer's.
         """
-        document = json.loads(chunk.data)
         try:
             if self._is_continued:
-                document = self._joined(document)
-                chunk = _messages.JobChunk(json.dumps(document).encode())
-            self._note(document)
+                chunk = _messages.JobChunk.of(self._joined(chunk.document))
+            self._note(chunk.document)
         except (AttributeError, TypeError, ValueError) as exc:
             raise _sse.EventStreamError(
                 f"An event is malformed: {exc}"
             ) from exc
         if not self._is_continued:
-            self._note_identity(document)
+            self._note_identity(chunk.document)
         self.has_emitted = True
         self.has_new = True
         return chunk
@@ -189,7 +187,7 @@
             "choices": choices,
             "usage": self._tally.usage,
         }
-        chunk = _messages.JobChunk(json.dumps(event).encode())
+        chunk = _messages.JobChunk.of(event)
         return chunk, self._tally.ended_after(engine_ms)
 
     def _last_choice(self) -> JsonObject:
--- a/packages/daemon/src/banyanbank_daemon/_jobs/_sse.py
+++ b/packages/daemon/src/banyanbank_daemon/_jobs/_sse.py
@@ -19,6 +19,8 @@
 
     data: bytes
     """JSON text."""
+    document: dict[str, typing.Any]
+    """The same, read."""
     tokens: int
     """Tokens made since the event before."""
     version: int | None
@@ -74,6 +76,7 @@
         version = document.get("weight_version")
         return EngineEvent(
             data=data,
+            document=document,
             tokens=int(document.get("tokens", 0)),
             version=None if version is None else int(version),
             usage=read_usage(document.get("usage")),
--- a/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_attempts.py
@@ -90,7 +90,7 @@
         """Takes one event."""
         if self._attempt.is_cancelled:
             raise _jobs.SinkClosed
-        document = json.loads(chunk.data)
+        document = chunk.document
         for choice in document.get("choices", ()):
             self._attempt.text += choice.get("text") or ""
         version = document.get("weight_version")
--- a/packages/daemon/src/banyanbank_daemon/_leader/_office.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_office.py
@@ -8,8 +8,8 @@
 import banyanbank_control as control
 from loguru import logger
 from returns import result
-from twisted.internet import defer
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _platform
 
@@ -197,8 +197,4 @@
     def _spawn(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
-        defer.ensureDeferred(coroutine).addErrback(_log_failure)
-
-
-def _log_failure(failure: typing.Any) -> None:
-    logger.error("a duty of the leader: {}", failure.getTraceback())
+        _background.start(coroutine, "a duty of the leader")
--- a/packages/daemon/src/banyanbank_daemon/_leader/_outages.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_outages.py
@@ -5,9 +5,8 @@
 import banyanbank_base as base
 import banyanbank_consensus as consensus
 import banyanbank_control as control
-from loguru import logger
-from twisted.internet import defer
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _control_plane
 
 COMMIT_S = 5.0
@@ -95,8 +94,7 @@
                 del self._wanted[swap]
                 continue
             self._sending.add(swap)
-            sending = defer.ensureDeferred(self._propose(swap, required))
-            sending.addErrback(_log_failure)
+            _background.start(self._propose(swap, required), "engine mark")
 
     async def _propose(
         self, swap: Swap, required: base.WeightVersion | None
@@ -108,7 +106,3 @@
             await self._plane.propose(command, deadline)
         finally:
             sending.discard(swap)
-
-
-def _log_failure(failure: typing.Any) -> None:
-    logger.error("engine mark: {}", failure.getTraceback())
--- a/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_rollouts.py
@@ -10,8 +10,8 @@
 import banyanbank_rollout as rollout
 from loguru import logger
 from returns import result
-from twisted.internet import defer
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _dispatcher
 from banyanbank_daemon._leader import _attempts
 from banyanbank_daemon._leader import _handover
@@ -338,9 +338,4 @@
     def _spawn(
         self, coroutine: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
-        defer.ensureDeferred(coroutine).addErrback(_log_failure)
-
-
-def _log_failure(failure: typing.Any) -> None:
-    if not failure.check(defer.CancelledError):
-        logger.error("rollout driver: {}", failure.getTraceback())
+        _background.start(coroutine, "rollout driver")
--- a/packages/daemon/src/banyanbank_daemon/_leader/_weight_store.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_weight_store.py
@@ -9,10 +9,9 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_rollout as rollout
-from loguru import logger
 from returns import result
-from twisted.internet import defer
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _figures
 from banyanbank_daemon import _upstream
 
@@ -208,8 +207,8 @@
             question = self._question_of(publication, now)
             if not question.is_asked and now >= question.ask_at:
                 question.is_asked = True
-                asking = defer.ensureDeferred(self._ask(self._store, question))
-                asking.addErrback(_log_failure)
+                asking = self._ask(self._store, question)
+                _background.start(asking, "weight store")
         return tuple(self._known[model] for model in sorted(self._known))
 
     def withheld(self) -> tuple[_figures.WithheldVersion, ...]:
@@ -287,7 +286,3 @@
         "asking" if error is None else error.kind.value,
         "" if error is None else error.detail,
     )
-
-
-def _log_failure(failure: typing.Any) -> None:
-    logger.error("weight store: {}", failure.getTraceback())
--- a/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
+++ b/packages/daemon/src/banyanbank_daemon/_leader/_weights.py
@@ -7,10 +7,9 @@
 import banyanbank_consensus as consensus
 import banyanbank_control as control
 import banyanbank_rollout as rollout
-from loguru import logger
 from returns import result
-from twisted.internet import defer
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _figures
 from banyanbank_daemon import _platform
@@ -175,8 +174,7 @@
         match effect:
             case rollout.SwapOrder():
                 self._loading.add(swap)
-                sending = defer.ensureDeferred(self._send(effect))
-                sending.addErrback(_log_failure)
+                _background.start(self._send(effect), "weight order")
             case rollout.TakeOutOfService(required_version=required):
                 self._outages.want(*swap, required)
                 self._record("weights.out_of_service", effect, effect.reason)
@@ -223,7 +221,3 @@
             epoch=self._node.epoch,
             detail=f"model={effect.model} {detail}",
         )
-
-
-def _log_failure(failure: typing.Any) -> None:
-    logger.error("weight order: {}", failure.getTraceback())
--- a/packages/daemon/src/banyanbank_daemon/_leases.py
+++ b/packages/daemon/src/banyanbank_daemon/_leases.py
@@ -8,11 +8,10 @@
 import banyanbank_control as control
 import banyanbank_dispatch as dispatch
 import banyanbank_mesh as mesh
-from loguru import logger
 from returns import result
-from twisted.internet import defer
 from twisted.internet import task
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _leader_call
 
@@ -185,10 +184,7 @@
             self._share_evenly(accounts)
 
     def _renew(self) -> None:
-        renewing = defer.ensureDeferred(self._exchange())
-        renewing.addErrback(
-            lambda failure: logger.error("leases: {}", failure.getTraceback())
-        )
+        _background.start(self._exchange(), "leases")
 
     async def _exchange(self) -> None:
         requested_at = self._clock.now()
--- a/packages/daemon/src/banyanbank_daemon/_sync/_client.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_client.py
@@ -5,11 +5,10 @@
 import banyanbank_base as base
 import banyanbank_control as control
 import banyanbank_mesh as mesh
-from loguru import logger
 from returns import result
-from twisted.internet import defer
 from twisted.internet import task
 
+from banyanbank_daemon import _background
 from banyanbank_daemon import _control_plane
 from banyanbank_daemon import _leader_call
 from banyanbank_daemon._sync import _server
@@ -105,10 +104,7 @@
             self.poll_soon()
 
     def _poll(self) -> None:
-        polling = defer.ensureDeferred(self._exchange())
-        polling.addErrback(
-            lambda failure: logger.error("poll: {}", failure.getTraceback())
-        )
+        _background.start(self._exchange(), "poll")
 
     async def _exchange(self) -> None:
         now = self._clock.now()
--- a/tests/daemon/test_dispatcher.py
+++ b/tests/daemon/test_dispatcher.py
@@ -102,7 +102,7 @@
         "tokens": 1,
         "weight_version": one.version,
     }
-    return _jobs.JobChunk(json.dumps(event).encode())
+    return _jobs.JobChunk.of(event)
 
 
 class Reader:
@@ -268,5 +268,5 @@
             with self.subTest(data):
                 partial = _jobs.PartialAnswer(b"{}")
                 with self.assertRaises(_jobs.EventStreamError):
-                    partial.take(_jobs.JobChunk(data.encode()))
+                    partial.take(_jobs.JobChunk.of(json.loads(data)))
                 self.assertEqual((partial.tokens, partial.has_new), (0, False))
