Ask all instances in one place

Cause: the gathering of figures was written like that of the time line: leave oneself out, ask at once, pair answers with instances.

Change: _ask_all.ask_all serves both. Behaviour stays.

tests.daemon.test_timeline_calls, tests.daemon.test_figures: 12 ok.

--- a/packages/daemon/src/banyanbank_daemon/_figures/_calls.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_calls.py
@@ -5,8 +5,8 @@
 import banyanbank_base as base
 import banyanbank_mesh as mesh
 from returns import result
-from twisted.internet import defer
 
+from banyanbank_daemon import _ask_all
 from banyanbank_daemon._figures import _merge
 from banyanbank_daemon._figures import _messages
 from banyanbank_daemon._figures import _own
@@ -38,16 +38,11 @@
             peers: Instances to ask; this one is left out.
             deadline: Monotonic seconds after which an instance is missing.
         """
-        asked = [peer for peer in peers if peer != self._mesh.instance]
-        answers = await defer.gatherResults(
-            [defer.ensureDeferred(self._ask(peer, deadline)) for peer in asked]
+        answers = await _ask_all.ask_all(
+            self._mesh.instance, peers, lambda peer: self._ask(peer, deadline)
         )
-        found = [answer for answer in answers if answer is not None]
-        missing = [
-            peer
-            for peer, answer in zip(asked, answers, strict=True)
-            if answer is None
-        ]
+        found = [one for one in answers.values() if one is not None]
+        missing = [peer for peer, one in answers.items() if one is None]
         return _merge.Gathered((self._own.read(), *found), tuple(missing))
 
     async def _ask(
--- a/packages/daemon/src/banyanbank_daemon/_timeline_calls.py
+++ b/packages/daemon/src/banyanbank_daemon/_timeline_calls.py
@@ -8,9 +8,9 @@
 import banyanbank_base as base
 import banyanbank_mesh as mesh
 from returns import result
-from twisted.internet import defer
 from twisted.internet import task
 
+from banyanbank_daemon import _ask_all
 from banyanbank_daemon import _timeline
 
 METHOD = "timeline.events"
@@ -101,19 +101,15 @@
             peers: Other instances.
             deadline: Monotonic seconds after which an instance is missing.
         """
-        asked = [peer for peer in peers if peer != self._mesh.instance]
-        found = await defer.gatherResults(
-            [
-                defer.ensureDeferred(self._ask(peer, query, deadline))
-                for peer in asked
-            ]
+        answers = await _ask_all.ask_all(
+            self._mesh.instance,
+            peers,
+            lambda peer: self._ask(peer, query, deadline),
         )
         own = query.choose(self._recorder.events)
-        lists = [own, *(events for events, _ in found)]
+        lists = [own, *(events for events, _ in answers.values())]
         missing = [
-            peer
-            for peer, (_, is_whole) in zip(asked, found, strict=True)
-            if not is_whole
+            peer for peer, (_, is_whole) in answers.items() if not is_whole
         ]
         merged = _timeline.merge_events(lists)
         return Gathered(tuple(merged), tuple(missing))
