Choose a model's offers in one place

Cause: what is declared or else implied for a model was chosen twice, for the plan and for the time that endpoints take to start.

Change: one function; behaviour stays. tests.control.test_endpoints: ok.

--- a/packages/control/src/banyanbank_control/duties/_supply.py
+++ b/packages/control/src/banyanbank_control/duties/_supply.py
@@ -32,8 +32,7 @@
         avoided: Failure domains in which orders have failed of late; used
             only when the model may run in no other.
     """
-    own = [offer for offer in declared if offer.model == capacity.model]
-    listed = own or list(_implied(capacity))
+    listed = _listed(capacity, declared)
     usable = _usable(capacity, listed, avoided)
     offers = [_offer(offer, owned, offer in usable) for offer in listed]
     kinds = {(offer.failure_domain, offer.reclaimable) for offer in offers}
@@ -54,9 +53,16 @@
     declared: collections.abc.Iterable[declarations.Offer],
 ) -> float:
     """Returns the seconds that a model's endpoints take to start, at most."""
+    return max(offer.start_s for offer in _listed(capacity, declared))
+
+
+def _listed(
+    capacity: declarations.Capacity,
+    declared: collections.abc.Iterable[declarations.Offer],
+) -> list[declarations.Offer]:
+    """Returns the offers of a model, implied ones where none is declared."""
     own = [offer for offer in declared if offer.model == capacity.model]
-    listed = own or list(_implied(capacity))
-    return max(offer.start_s for offer in listed)
+    return own or list(_implied(capacity))
 
 
 def _implied(
