--- a/packages/daemon/src/banyanbank_daemon/main.py
+++ b/packages/daemon/src/banyanbank_daemon/main.py
@@ -54,14 +54,10 @@
 
 
 def _run(settings: _settings.Settings) -> None:
-    import asyncio
-
-    from twisted.internet import asyncioreactor
+    import banyanbank_mesh as mesh
 
     # The reactor is installed before anything imports the default one.
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
+    mesh.install_reactor()
 
     app = importlib.import_module("banyanbank_daemon._app")
     app.run(settings)
--- a/packages/mesh/src/banyanbank_mesh/__init__.py
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -12,6 +12,8 @@
 from banyanbank_mesh._mesh import ListenError
 from banyanbank_mesh._mesh import Mesh
 from banyanbank_mesh._outbound import CallResult
+from banyanbank_mesh._reactor import install_reactor
+from banyanbank_mesh._reactor import SteadyReactor
 from banyanbank_mesh._stream import ReadResult
 from banyanbank_mesh._stream import Stream
 from banyanbank_mesh._tls import MeshTls
@@ -29,9 +31,11 @@
     "MeshTls",
     "NotAnAddressError",
     "ReadResult",
+    "SteadyReactor",
     "Stream",
     "StreamClosedError",
     "StreamWriter",
+    "install_reactor",
     "ip_agent",
     "read_body",
 ]
--- a/tests/support.py
+++ b/tests/support.py
@@ -12,7 +12,6 @@
 import socket
 import typing
 
-from twisted.internet import asyncioreactor
 from twisted.internet import defer
 
 T = typing.TypeVar("T")
@@ -37,13 +36,9 @@
 @functools.cache
 def event_loop() -> asyncio.AbstractEventLoop:
     """Returns the one loop of the test process, with the reactor on it."""
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
-    from twisted.internet import reactor
-
+    reactor = mesh.install_reactor()
     reactor.startRunning(installSignalHandlers=False)
-    return loop
+    return asyncio.get_event_loop_policy().get_event_loop()
 
 
 def run_async(
