--- a/tests/support.py
+++ b/tests/support.py
@@ -12,6 +12,7 @@
 import socket
 import typing
 
+import banyanbank_mesh as mesh
 from twisted.internet import defer
 
 T = typing.TypeVar("T")
