Share engines out to models by their work

Ruled out: scorers, loads under way (one in five), the choice within a model.

Change: engines follow the expected output tokens of each model's newest job, more urgent kinds weighted; an engine changes its model only where the larger work falls by a fifth. Tests of gateway and jobs.

--- a/packages/gateway/src/banyanbank_gateway/_documents.py
+++ b/packages/gateway/src/banyanbank_gateway/_documents.py
@@ -62,6 +62,8 @@
     """Most endpoints to which one request may be sent."""
     is_public: bool
     """Whether requests need no key."""
+    priority: int = 0
+    """Rank; 0 is the most urgent."""
     due_s: float = 0.0
     """Batch jobs: results are due so long after the submission."""
     item_ttl_s: float = 0.0
--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -25,6 +25,7 @@
 from banyanbank_jobs._event_stream import StreamEvent
 from banyanbank_jobs._ledger import JobState
 from banyanbank_jobs._ledger import Ledger
+from banyanbank_jobs._records import expected_tokens
 from banyanbank_jobs._records import ItemOutcome
 from banyanbank_jobs._records import ItemResult
 from banyanbank_jobs._records import Job
@@ -37,6 +38,7 @@
 from banyanbank_jobs._scheduler import Scheduler
 from banyanbank_jobs._scheduler import Stage
 from banyanbank_jobs._weights import LoadOrder
+from banyanbank_jobs._weights import share_engines
 from banyanbank_jobs._weights import WeightPlanner
 
 __all__ = [
@@ -78,4 +80,6 @@
     "StreamEvent",
     "Undecodable",
     "WeightPlanner",
+    "expected_tokens",
+    "share_engines",
 ]
--- a/packages/jobs/src/banyanbank_jobs/_records.py
+++ b/packages/jobs/src/banyanbank_jobs/_records.py
@@ -85,6 +85,17 @@
     """Complete groups after which the trainer ends the job; 0: all."""
     is_single_version: bool = False
     """Whether one version must generate a whole text."""
+    priority: int = 0
+    """Rank of its route; 0 is the most urgent."""
+
+
+TOKENS_WITHOUT_HINT = 500
+"""Output tokens that an item is expected to need when nothing is said."""
+
+
+def expected_tokens(job: Job) -> int:
+    """Returns the output tokens that a job is expected to need."""
+    return sum(item.length_hint or TOKENS_WITHOUT_HINT for item in job.items)
 
 
 @attrs.frozen
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -199,7 +199,13 @@
             for item in self._items.values()
             if item.stage is Stage.WAITING and item.not_before <= now
         ]
-        waiting.sort(key=lambda item: (item.job.due_at, -item.spec.length_hint))
+        waiting.sort(
+            key=lambda item: (
+                item.job.priority,
+                item.job.due_at,
+                -item.spec.length_hint,
+            )
+        )
         return waiting
 
     def _choose(
--- a/packages/jobs/src/banyanbank_jobs/_weights.py
+++ b/packages/jobs/src/banyanbank_jobs/_weights.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import math
 
 import attrs
 import banyanbank_base as base
@@ -17,6 +18,10 @@
 """Engines that may load at once; the weight store slows down beyond it."""
 
 
+MOVE_GAIN = 0.8
+"""An engine changes its model if the larger work falls below this share."""
+
+
 @attrs.frozen
 class LoadOrder:
     """An engine that is to load weights."""
@@ -40,6 +45,7 @@
         engines: collections.abc.Sequence[_engines.EngineView],
         newest: collections.abc.Mapping[str, int],
         needed: collections.abc.Mapping[str, int],
+        demand: collections.abc.Mapping[str, float],
     ) -> list[LoadOrder]:
         """Returns the loads to order now.
 
@@ -47,9 +53,10 @@
             engines: Engines that are believed to run.
             newest: Newest published version of each model.
             needed: Oldest version that open jobs of a model allow.
+            demand: Work of each model, in any one unit.
         """
         ready = [view for view in engines if view.is_ready]
-        self._assign(ready, newest)
+        self._assign(ready, newest, demand)
         under_way = sum(bool(view.loading) for view in engines)
         orders: list[LoadOrder] = []
         for model in sorted(newest):
@@ -67,57 +74,105 @@
             )
         return orders
 
+    def assigned(self) -> dict[base.EndpointId, str]:
+        """Returns the model of each engine."""
+        return dict(self._model_of)
+
     def _assign(
         self,
         ready: collections.abc.Sequence[_engines.EngineView],
         newest: collections.abc.Mapping[str, int],
+        demand: collections.abc.Mapping[str, float],
     ) -> None:
-        """Gives each engine a model and keeps the numbers even."""
-        present = {view.endpoint for view in ready}
+        """Gives each engine a model, in proportion to the models' work."""
+        views = {view.endpoint: view for view in ready}
         self._model_of = {
             endpoint: model
             for endpoint, model in self._model_of.items()
-            if endpoint in present and model in newest
+            if endpoint in views and model in newest
         }
-        if not newest:
+        if not newest or not ready:
             return
+        wanted = share_engines(
+            len(ready), {m: demand.get(m, 0) for m in newest}
+        )
+        counts = collections.Counter(self._model_of.values())
         for view in ready:
-            if view.endpoint not in self._model_of:
-                self._model_of[view.endpoint] = self._best_model(view, newest)
-        self._even_out(newest)
-
-    def _best_model(
+            if view.endpoint in self._model_of:
+                continue
+            short = [m for m in wanted if counts[m] < wanted[m]] or [*wanted]
+            model = min(short, key=lambda m: (_behind(view, m, newest), m))
+            self._model_of[view.endpoint] = model
+            counts[model] += 1
+        self._move_one(views, newest, demand, wanted)
+
+    def _move_one(
         self,
-        view: _engines.EngineView,
+        views: collections.abc.Mapping[base.EndpointId, _engines.EngineView],
         newest: collections.abc.Mapping[str, int],
-    ) -> str:
-        """Returns the model with the fewest engines, or the best kept one."""
+        demand: collections.abc.Mapping[str, float],
+        wanted: collections.abc.Mapping[str, int],
+    ) -> None:
+        """Moves an engine to another model where that pays for the load."""
         counts = collections.Counter(self._model_of.values())
+        short = [model for model in wanted if counts[model] < wanted[model]]
+        ample = [model for model in wanted if counts[model] > wanted[model]]
+        if not short or not ample:
+            return
+        to = max(short, key=lambda m: (_pressure(demand, counts, m), m))
+        source = min(ample, key=lambda m: (_pressure(demand, counts, m), m))
+        after = counts.copy()
+        after[source] -= 1
+        after[to] += 1
+        worst = max(_pressure(demand, counts, m) for m in (to, source))
+        if max(_pressure(demand, after, m) for m in (to, source)) > (
+            MOVE_GAIN * worst
+        ):
+            return
+        moved = min(
+            (name for name, m in self._model_of.items() if m == source),
+            key=lambda name: (_behind(views[name], to, newest), name),
+        )
+        self._model_of[moved] = to
 
-        def rank(model: str) -> tuple[int, int, str]:
-            behind = newest[model] - view.versions.get(model, 0)
-            return (counts[model], behind, model)
 
-        return min(newest, key=rank)
+def share_engines(
+    engines: int, demand: collections.abc.Mapping[str, float]
+) -> dict[str, int]:
+    """Shares engines out to models in proportion to their work.
 
-    def _even_out(self, newest: collections.abc.Mapping[str, int]) -> None:
-        counts = collections.Counter(
-            dict.fromkeys(newest, 0)
-            | collections.Counter(self._model_of.values())
-        )
-        while True:
-            most = max(counts, key=lambda model: (counts[model], model))
-            least = min(counts, key=lambda model: (counts[model], model))
-            if counts[most] - counts[least] < 2:
-                return
-            moved = min(
-                endpoint
-                for endpoint, model in self._model_of.items()
-                if model == most
-            )
-            self._model_of[moved] = least
-            counts[most] -= 1
-            counts[least] += 1
+    Each model gets one while there are enough; each further engine goes where
+    the work for each engine is largest.
+
+    Args:
+        engines: Number of engines.
+        demand: Work of each model.
+    """
+    shares = collections.Counter(dict.fromkeys(demand, 0))
+    for _ in range(engines):
+        model = max(demand, key=lambda m: (_pressure(demand, shares, m), m))
+        shares[model] += 1
+    return dict(shares)
+
+
+def _pressure(
+    demand: collections.abc.Mapping[str, float],
+    counts: collections.abc.Mapping[str, int],
+    model: str,
+) -> float:
+    """Returns the work for each engine; endless for a model without one."""
+    if not counts[model]:
+        return math.inf
+    return demand.get(model, 0) / counts[model]
+
+
+def _behind(
+    view: _engines.EngineView,
+    model: str,
+    newest: collections.abc.Mapping[str, int],
+) -> int:
+    """Returns how many versions an engine is behind."""
+    return newest[model] - view.versions.get(model, 0)
 
 
 def _loads_of(
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -30,6 +30,9 @@
 PAUSE_S = 0.5
 """Seconds for which an engine that refused an order is left alone."""
 
+URGENCY = 1.25
+"""Weight of work against that of the next less urgent kind."""
+
 FENCED_OUT = 412
 ACCEPTED = (200, 202)
 MAX_REPORT_BYTES = 256 * 1024
@@ -83,7 +86,10 @@
             return
         now = self._clock.now()
         for order in self._planner.plan(
-            self._engines.views(), ledger.versions, self._needed()
+            self._engines.views(),
+            ledger.versions,
+            self._needed(),
+            self._demand(),
         ):
             if order.endpoint in self._under_way:
                 continue
@@ -115,6 +121,25 @@
                 )
         return needed
 
+    def _demand(self) -> dict[str, float]:
+        """Returns the work of each model's newest jobs, in output tokens.
+
+        What is more urgent counts more, so that it gets an engine too many
+        rather than one too few.
+        """
+        newest: dict[str, jobs.Job] = {}
+        for state in self._stored.ledger.jobs.values():
+            job = state.job
+            known = newest.get(job.model)
+            if job.model and (
+                known is None or known.accepted_at < job.accepted_at
+            ):
+                newest[job.model] = job
+        return {
+            model: jobs.expected_tokens(job) * URGENCY**-job.priority
+            for model, job in newest.items()
+        }
+
     def _begin(self, order: jobs.LoadOrder, said: gateway.Announcement) -> None:
         self._engines.begin_load(said, order.model)
         running = _background.run(
--- /dev/null
+++ b/tests/gateway/test_routing.py
@@ -0,0 +1,68 @@
+"""Tests of the route table."""
+
+import unittest
+
+import banyanbank_base as base
+import banyanbank_gateway as gateway
+
+
+def make_route(name: str, host: str, prefix: str) -> gateway.Route:
+    return gateway.Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        kind=gateway.RouteKind.IDEMPOTENT,
+        targets=(gateway.Target("service", 1.0),),
+        timeout_s=1.0,
+        objective_s=0.2,
+        max_attempts=2,
+        is_public=name == "open",
+    )
+
+
+def make_table(*routes: gateway.Route) -> gateway.RouteTable:
+    return gateway.RouteTable(
+        gateway.Document(
+            number=1,
+            routes=routes,
+            services={"service": gateway.Service("service", 10)},
+            limits=gateway.Limits(),
+            accounts={"key": base.AccountId("account")},
+        )
+    )
+
+
+class RouteTableTest(unittest.TestCase):
+    """The longest prefix of a host that begins the path wins."""
+
+    def test_find(self) -> None:
+        table = make_table(
+            make_route("short", "a.example", "/x/"),
+            make_route("long", "a.example", "/x/y/"),
+            make_route("other", "b.example", "/x/"),
+        )
+        for host, path, name in (
+            ("a.example", "/x/1", "short"),
+            ("a.example", "/x/y/1", "long"),
+            ("a.example", "/x/y", "short"),
+            ("A.Example:8080", "/x/1", "short"),
+            ("b.example", "/x/y/1", "other"),
+            ("c.example", "/x/1", None),
+            ("a.example", "/z/", None),
+            ("a.example", "/x", None),
+        ):
+            with self.subTest(host=host, path=path):
+                found = table.find(host, path)
+                self.assertEqual(None if found is None else found.name, name)
+
+    def test_keys(self) -> None:
+        table = make_table(
+            make_route("keyed", "a.example", "/k/"),
+            make_route("open", "a.example", "/o/"),
+        )
+        self.assertEqual(table.account_of("key"), "account")
+        self.assertIsNone(table.account_of("other"))
+        self.assertIsNone(table.account_of(None))
+        keyed, open_ = table.document.routes
+        self.assertTrue(table.needs_key(keyed))
+        self.assertFalse(table.needs_key(open_))
--- /dev/null
+++ b/tests/gateway/test_usage.py
@@ -0,0 +1,74 @@
+"""Tests of usage windows and of the time that they are cut by."""
+
+import unittest
+
+import banyanbank_base as base
+import banyanbank_gateway as gateway
+
+A = base.AccountId("a")
+B = base.AccountId("b")
+
+
+class UsageTest(unittest.TestCase):
+    """Entries tell whole counts; telling twice changes nothing."""
+
+    def test_windows(self) -> None:
+        meter = gateway.UsageMeter(5.0)
+        for account, at in ((A, 1.0), (A, 4.9), (B, 5.0)):
+            meter.count(account, at)
+        self.assertEqual(
+            meter.tell(6.0),
+            (
+                gateway.WindowCounts(0, {A: 2}),
+                gateway.WindowCounts(1, {B: 1}),
+            ),
+        )
+        self.assertEqual(meter.tell(1_000.0), ())
+
+    def test_totals(self) -> None:
+        totals = gateway.UsageTotals()
+        first = (gateway.WindowCounts(0, {A: 1}),)
+        second = (gateway.WindowCounts(0, {A: 2, B: 1}),)
+        totals.take("entry-1", first)
+        totals.take("entry-1", second)
+        totals.take("entry-1", second)
+        totals.take("entry-2", first)
+        self.assertEqual(totals.total(0), {A: 3, B: 1})
+        totals.forget_before(1)
+        self.assertEqual(totals.total(0), {})
+
+
+class _JumpingClock:
+    def __init__(self) -> None:
+        self.steady = 100.0
+        self.jump_s = 0.0
+
+    def now(self) -> float:
+        return self.steady
+
+    def wall(self) -> float:
+        return 5_000.0 + self.steady + self.jump_s
+
+
+class TrueTimeTest(unittest.TestCase):
+    """The time of day is taken once and corrected only by others."""
+
+    def test_jump(self) -> None:
+        clock = _JumpingClock()
+        true_time = gateway.TrueTime(clock)
+        clock.jump_s = 2.4
+        clock.steady += 1.0
+        self.assertEqual(true_time.now(), 5_101.0)
+        self.assertEqual(true_time.at(100.0), 5_100.0)
+
+    def test_start_during_a_jump(self) -> None:
+        clock = _JumpingClock()
+        clock.jump_s = -2.4
+        true_time = gateway.TrueTime(clock)
+        true_time.agree([5_100.0, 5_100.1])
+        self.assertAlmostEqual(true_time.now(), 5_100.0)
+
+    def test_others_that_agree_with_drift(self) -> None:
+        true_time = gateway.TrueTime(_JumpingClock())
+        true_time.agree([5_100.2, 5_100.3])
+        self.assertEqual(true_time.now(), 5_100.0)
--- /dev/null
+++ b/tests/jobs/test_event_stream.py
@@ -0,0 +1,69 @@
+"""Tests of reading engines' event streams."""
+
+import unittest
+
+import banyanbank_jobs as jobs
+
+FIELD = b"weight-version"
+
+
+class EventStreamReaderTest(unittest.TestCase):
+    """Events come out whole, however the bytes are cut."""
+
+    def test_cuts(self) -> None:
+        data = (
+            b"id: 1\ndata: one\n\n"
+            b"weight-version: 7\nid: 2\ndata: two\ndata: lines\n\n"
+        )
+        want = [
+            jobs.StreamEvent(1, "one", None),
+            jobs.StreamEvent(2, "two\nlines", 7),
+        ]
+        for size in (1, 3, len(data)):
+            with self.subTest(size=size):
+                reader = jobs.EventStreamReader(FIELD)
+                events = []
+                for start in range(0, len(data), size):
+                    events += reader.feed(data[start : start + size])
+                self.assertEqual(events, want)
+                self.assertTrue(reader.is_between_events)
+
+    def test_half_event(self) -> None:
+        reader = jobs.EventStreamReader(FIELD)
+        self.assertEqual(reader.feed(b"id: 1\ndata: o"), [])
+        self.assertFalse(reader.is_between_events)
+
+    def test_bad_events(self) -> None:
+        for data in (
+            b"data: no id\n\n",
+            b"id: x\n\n",
+            b"id: 1\ndata: \xff\n\n",
+        ):
+            with self.subTest(data=data):
+                reader = jobs.EventStreamReader(FIELD)
+                with self.assertRaises(jobs.EventStreamError):
+                    reader.feed(data)
+
+
+class ItemTextTest(unittest.TestCase):
+    """A text is joined over runs; nothing is missing or doubled."""
+
+    def test_two_runs(self) -> None:
+        text = jobs.ItemText()
+        text.begin_run(3)
+        text.take(jobs.StreamEvent(1, "a", None))
+        text.begin_run(4)
+        text.take(jobs.StreamEvent(2, "b", None))
+        text.take(jobs.StreamEvent(3, "c", 5))
+        self.assertEqual(text.text, "a\nb\nc")
+        self.assertEqual(text.versions, {3, 4, 5})
+        self.assertEqual(text.last_event, 3)
+
+    def test_out_of_order(self) -> None:
+        for number in (1, 3):
+            with self.subTest(number=number):
+                text = jobs.ItemText()
+                text.begin_run(1)
+                text.take(jobs.StreamEvent(1, "a", None))
+                with self.assertRaises(jobs.EventStreamError):
+                    text.take(jobs.StreamEvent(number, "b", None))
--- /dev/null
+++ b/tests/jobs/test_ledger.py
@@ -0,0 +1,106 @@
+"""Tests of the ledger."""
+
+import unittest
+
+import banyanbank_base as base
+import banyanbank_jobs as jobs
+
+from tests.jobs import samples
+
+NEW = jobs.Applied(is_new=True)
+OLD = jobs.Applied(is_new=False)
+
+
+class LedgerTest(unittest.TestCase):
+    """Every command may come twice; what is listed never changes."""
+
+    def setUp(self) -> None:
+        self.ledger = jobs.Ledger()
+        self.seen: list[jobs.Command] = []
+        self.ledger.observe = self.seen.append
+
+    def apply(self, command: jobs.Command) -> jobs.Reply:
+        payload = jobs.COMMAND_CODEC.encode(command)
+        return jobs.REPLY_CODEC.decode(self.ledger.apply(1, payload))
+
+    def test_highest_document_wins(self) -> None:
+        for number, content, reply in (
+            (3, b"three", NEW),
+            (3, b"other three", OLD),
+            (2, b"two", OLD),
+            (7, b"seven", NEW),
+        ):
+            with self.subTest(number=number, content=content):
+                command = jobs.DeclareDocument(number, content)
+                self.assertEqual(self.apply(command), reply)
+        self.assertEqual(self.ledger.document, b"seven")
+
+    def test_versions_rise(self) -> None:
+        for version, reply in ((2, NEW), (2, OLD), (1, OLD), (3, NEW)):
+            command = jobs.NameVersion("m", version)
+            self.assertEqual(self.apply(command), reply)
+        self.assertEqual(self.ledger.versions, {"m": 3})
+
+    def test_job_is_accepted_once(self) -> None:
+        accept = jobs.AcceptJob(samples.make_job("j"))
+        self.assertEqual(self.apply(accept), NEW)
+        self.assertEqual(self.apply(accept), OLD)
+        self.assertEqual(len(self.seen), 1)
+
+    def test_item_is_listed_once(self) -> None:
+        self.apply(jobs.AcceptJob(samples.make_job("j")))
+        first = jobs.ListResult("j", samples.make_result("i2", "first"))
+        second = jobs.ListResult("j", samples.make_result("i2", "second"))
+        self.assertEqual(self.apply(first), NEW)
+        self.assertEqual(self.apply(second), OLD)
+        self.assertEqual(
+            [one.text for one in self.ledger.jobs["j"].results], ["first"]
+        )
+
+    def test_end(self) -> None:
+        self.apply(jobs.AcceptJob(samples.make_job("j")))
+        stranger = jobs.EndJob("j", base.AccountId("other"))
+        self.assertEqual(self.apply(stranger), jobs.NotFound())
+        self.assertTrue(self.ledger.jobs["j"].is_open)
+        end = jobs.EndJob("j", samples.ACCOUNT)
+        self.assertEqual(self.apply(end), NEW)
+        self.assertEqual(self.apply(end), OLD)
+        self.assertFalse(self.ledger.jobs["j"].is_open)
+
+    def test_window_is_frozen(self) -> None:
+        first = jobs.FreezeWindow(4, {samples.ACCOUNT: 3})
+        later = jobs.FreezeWindow(4, {samples.ACCOUNT: 5})
+        frozen = jobs.Frozen({samples.ACCOUNT: 3})
+        self.assertEqual(self.apply(first), frozen)
+        self.assertEqual(self.apply(later), frozen)
+        self.assertEqual(self.apply(jobs.MarkReported(4)), NEW)
+        self.assertEqual(self.apply(jobs.MarkReported(4)), OLD)
+
+    def test_forgets_only_what_is_over(self) -> None:
+        self.apply(jobs.AcceptJob(samples.make_job("open")))
+        self.apply(jobs.AcceptJob(samples.make_job("ended")))
+        self.apply(jobs.EndJob("ended", samples.ACCOUNT))
+        self.apply(jobs.ForgetJobs(accepted_before=1.0))
+        self.assertEqual(list(self.ledger.jobs), ["open"])
+
+    def test_snapshot(self) -> None:
+        for command in (
+            jobs.DeclareDocument(3, b"three"),
+            jobs.NameVersion("m", 2),
+            jobs.AcceptJob(samples.make_job("j", model="m")),
+            jobs.ListResult("j", samples.make_result("i1")),
+            jobs.EndJob("j", samples.ACCOUNT),
+            jobs.FreezeWindow(4, {samples.ACCOUNT: 3}),
+            jobs.MarkReported(4),
+            jobs.RetireInstance(base.InstanceId("10.0.0.1:7000")),
+        ):
+            self.apply(command)
+        other = jobs.Ledger()
+        other.restore(self.ledger.snapshot())
+        self.assertEqual(other.snapshot(), self.ledger.snapshot())
+        self.assertEqual(other.jobs["j"].listed, {"i1"})
+        self.assertEqual(other.reported, {4})
+
+    def test_unknown_bytes(self) -> None:
+        reply = jobs.REPLY_CODEC.decode(self.ledger.apply(1, b"\x00"))
+        self.assertEqual(reply, jobs.Undecodable())
--- /dev/null
+++ b/tests/jobs/test_scheduler.py
@@ -0,0 +1,155 @@
+"""Tests of placing items on engines."""
+
+import unittest
+
+import banyanbank_base as base
+import banyanbank_jobs as jobs
+
+from tests.jobs import samples
+
+
+class SchedulerTest(unittest.TestCase):
+    """Which item starts where."""
+
+    def setUp(self) -> None:
+        self.health = jobs.EngineHealth()
+        self.scheduler = jobs.Scheduler(self.health)
+
+    def add(self, job: jobs.Job) -> None:
+        self.scheduler.add_job(jobs.JobState(job, []))
+
+    def start(self, *engines: jobs.EngineView) -> dict[str, str]:
+        """Starts what the plan says; returns the engine of each item."""
+        planned = self.scheduler.plan(engines, now=0.0)
+        for placement in planned:
+            self.scheduler.started(placement)
+        return {p.item.spec.item: str(p.engine) for p in planned}
+
+    def item(self, name: str) -> jobs.ItemProgress:
+        (found,) = [
+            item for item in self.scheduler.items() if item.spec.item == name
+        ]
+        return found
+
+    def test_slots(self) -> None:
+        names = [f"i{number}" for number in range(5)]
+        self.add(samples.make_job("j", *map(samples.make_item, names)))
+        started = self.start(samples.make_engine("e1", slots=3))
+        self.assertEqual(len(started), 3)
+        self.assertEqual(self.start(samples.make_engine("e1", slots=3)), {})
+        self.scheduler.generated(self.item("i0"))
+        self.assertEqual(len(self.start(samples.make_engine("e1", slots=3))), 1)
+
+    def test_which_engines_may_run_an_item(self) -> None:
+        for name, engine, is_started in (
+            ("holds the version", samples.make_engine("e", m=4), True),
+            ("holds a newer one", samples.make_engine("e", m=5), True),
+            ("too old", samples.make_engine("e", m=3), False),
+            ("other model", samples.make_engine("e", n=9), False),
+            (
+                "loading",
+                samples.make_engine("e", m=4, loading=("m",)),
+                False,
+            ),
+            (
+                "loading another model",
+                samples.make_engine("e", m=4, loading=("n",)),
+                True,
+            ),
+            (
+                "draining",
+                samples.make_engine("e", m=4, is_ready=False),
+                False,
+            ),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.add(samples.make_job("j", model="m", least_version=4))
+                self.assertEqual(bool(self.start(engine)), is_started)
+
+    def test_single_version_goes_on_with_its_version(self) -> None:
+        self.add(
+            samples.make_job(
+                "j", samples.make_item("i1"), model="m", is_single_version=True
+            )
+        )
+        item = self.item("i1")
+        item.text.begin_run(4)
+        item.text.take(jobs.StreamEvent(1, "a", None))
+        self.assertEqual(self.start(samples.make_engine("e1", m=5)), {})
+        self.assertEqual(
+            self.start(samples.make_engine("e2", m=4)), {"i1": "e2"}
+        )
+
+    def test_longest_of_the_first_due_job_begins(self) -> None:
+        self.add(
+            samples.make_job(
+                "late", samples.make_item("l", length_hint=900), due_at=20.0
+            )
+        )
+        self.add(
+            samples.make_job(
+                "soon",
+                samples.make_item("short", length_hint=10),
+                samples.make_item("long", length_hint=500),
+                due_at=10.0,
+            )
+        )
+        planned = self.scheduler.plan(
+            [samples.make_engine("e1", slots=3)], now=0.0
+        )
+        order = [placement.item.spec.item for placement in planned]
+        self.assertEqual(order, ["long", "short", "l"])
+
+    def test_group_stays_together(self) -> None:
+        self.add(
+            samples.make_job(
+                "j",
+                samples.make_item("a1", prefix="a"),
+                samples.make_item("a2", prefix="a"),
+                samples.make_item("b1", prefix="b"),
+                samples.make_item("b2", prefix="b"),
+            )
+        )
+        started = self.start(
+            samples.make_engine("e1", slots=4),
+            samples.make_engine("e2", slots=4),
+        )
+        self.assertEqual(started["a1"], started["a2"])
+        self.assertEqual(started["b1"], started["b2"])
+
+    def test_slow_engine_comes_last(self) -> None:
+        for _ in range(20):
+            self.health.note_gap(base.EndpointId("slow"), 0.14)
+            self.health.note_gap(base.EndpointId("fast"), 0.035)
+        self.add(samples.make_job("j"))
+        started = self.start(
+            samples.make_engine("slow"), samples.make_engine("fast")
+        )
+        self.assertEqual(set(started.values()), {"fast"})
+
+    def test_failed_engine_rests(self) -> None:
+        engine = samples.make_engine("e1")
+        self.add(samples.make_job("j"))
+        self.health.note_failure(engine.endpoint, now=0.0)
+        self.assertEqual(self.start(engine), {})
+        self.assertEqual(len(self.scheduler.plan([engine], now=3.0)), 2)
+
+    def test_item_put_back_keeps_its_text(self) -> None:
+        engine = samples.make_engine("e1")
+        self.add(samples.make_job("j", samples.make_item("i1")))
+        self.start(engine)
+        item = self.item("i1")
+        item.text.take(jobs.StreamEvent(0, "a", None))
+        self.scheduler.put_back(item, not_before=1.0)
+        self.assertEqual(self.start(engine), {})
+        (placement,) = self.scheduler.plan([engine], now=1.0)
+        self.assertEqual(placement.item.text.last_event, 0)
+
+    def test_ended_job(self) -> None:
+        self.add(samples.make_job("j"))
+        self.start(samples.make_engine("e1"))
+        ended = self.scheduler.end_job("j")
+        self.assertEqual(len(ended), 2)
+        self.assertFalse(self.scheduler.holds(ended[0]))
+        self.assertEqual(self.scheduler.running_on(base.EndpointId("e1")), 0)
--- /dev/null
+++ b/tests/jobs/test_weights.py
@@ -0,0 +1,98 @@
+"""Tests of planning loads of weights."""
+
+import unittest
+
+import banyanbank_jobs as jobs
+
+from tests.jobs import samples
+
+EVEN = {"m": 1.0, "n": 1.0}
+
+
+class ShareEnginesTest(unittest.TestCase):
+    """Engines follow the work; no model is left without one."""
+
+    def test_shares(self) -> None:
+        for engines, demand, want in (
+            (5, {"a": 540.0, "b": 540.0, "c": 176.0}, {"a": 2, "b": 2, "c": 1}),
+            (4, {"a": 1.0, "b": 1.0}, {"a": 2, "b": 2}),
+            (3, {"a": 100.0, "b": 1.0}, {"a": 2, "b": 1}),
+            (1, {"a": 1.0, "b": 0.0}, {"a": 0, "b": 1}),
+            (3, {"a": 0.0, "b": 0.0}, {"a": 1, "b": 2}),
+        ):
+            with self.subTest(engines=engines, demand=demand):
+                shares = jobs.share_engines(engines, demand)
+                self.assertEqual(sum(shares.values()), engines)
+                if engines >= len(demand):
+                    self.assertEqual(shares, want)
+
+
+class WeightPlannerTest(unittest.TestCase):
+    """Which engine loads what, and what goes on serving meanwhile."""
+
+    def setUp(self) -> None:
+        self.planner = jobs.WeightPlanner()
+
+    def plan(
+        self, *engines: jobs.EngineView, needed: int = 1, newest: int = 2
+    ) -> list[str]:
+        orders = self.planner.plan(
+            engines, {"m": newest}, {"m": needed}, {"m": 1.0}
+        )
+        return [str(order.endpoint) for order in orders]
+
+    def test_half_goes_on_serving(self) -> None:
+        engines = [samples.make_engine(f"e{n}", m=1) for n in range(4)]
+        self.assertEqual(self.plan(*engines), ["e0", "e1"])
+
+    def test_loads_under_way_count(self) -> None:
+        self.assertEqual(
+            self.plan(
+                samples.make_engine("e0", m=1, loading=("m",)),
+                samples.make_engine("e1", m=1),
+                samples.make_engine("e2", m=1),
+            ),
+            [],
+        )
+
+    def test_all_load_when_none_serves(self) -> None:
+        engines = [samples.make_engine(f"e{n}", m=1) for n in range(2)]
+        self.assertEqual(self.plan(*engines, needed=2), ["e0", "e1"])
+
+    def test_useless_engine_first(self) -> None:
+        self.assertEqual(
+            self.plan(
+                samples.make_engine("e0", m=2),
+                samples.make_engine("e1", m=1),
+                samples.make_engine("e2", m=2),
+                needed=2,
+                newest=3,
+            ),
+            ["e1"],
+        )
+
+    def test_done(self) -> None:
+        self.assertEqual(self.plan(samples.make_engine("e0", m=2)), [])
+
+    def test_each_model_has_its_engines(self) -> None:
+        engines = [samples.make_engine(f"e{n}", m=1, n=1) for n in range(4)]
+        self.planner.plan(engines, {"m": 2, "n": 2}, {}, EVEN)
+        counts = list(self.planner.assigned().values())
+        self.assertEqual(counts.count("m"), 2)
+        self.assertEqual(counts.count("n"), 2)
+
+    def test_engine_that_leaves_is_replaced(self) -> None:
+        engines = [samples.make_engine(f"e{n}", m=1, n=1) for n in range(4)]
+        self.planner.plan(engines, {"m": 2, "n": 2}, {}, EVEN)
+        left = [
+            view
+            for view in engines
+            if self.planner.assigned()[view.endpoint] == "m"
+        ]
+        self.planner.plan(left, {"m": 2, "n": 2}, {}, EVEN)
+        self.assertEqual(sorted(self.planner.assigned().values()), ["m", "n"])
+
+    def test_few_engines_serve_every_model(self) -> None:
+        engine = samples.make_engine("e0", m=1, n=1)
+        orders = self.planner.plan([engine], {"m": 2, "n": 2}, {}, EVEN)
+        self.assertEqual({order.model for order in orders}, {"m", "n"})
