--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,342 @@
+"""A whole deployment on loopback: stores, an entry, servers, an operator."""
+
+import base64
+import json
+import os
+import pathlib
+import tempfile
+import typing
+
+import banyanbank_mesh as mesh
+import banyanbank_node as node
+from banyanbank_platform import _boot
+from banyanbank_platform import _control
+from banyanbank_platform import _front
+from banyanbank_platform import _listener
+from banyanbank_platform import _wire
+import banyanbank_web as web
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+
+from tests import support
+from tests.platform import standins
+
+STORES = 3
+CALL_S = 5.0
+
+
+class Reply(typing.NamedTuple):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> typing.Any:
+        return json.loads(self.body)
+
+
+class Deployment:
+    """Three stores and an entry before an engine and a plain server."""
+
+    def __init__(self) -> None:
+        from twisted.internet import reactor
+
+        self.reactor: typing.Any = reactor
+        self._folder = tempfile.TemporaryDirectory()
+        self._null = os.open(os.devnull, os.O_WRONLY)
+        self.mesh_port, self.control_port, self.front_port = support.free_ports(
+            3
+        )
+        ports = support.free_ports(3)
+        self.engine = standins.Engine(reactor, "127.0.0.1", ports[0])
+        self.server = standins.PlainServer(reactor, "127.0.0.1", ports[1])
+        self.api = standins.PlatformApi(reactor, "127.0.0.1", ports[2])
+        self.stores = [self._make_store(n + 1) for n in range(STORES)]
+        self.entry = self._make_entry()
+        self._listeners: list[_listener.Listener] = []
+
+    def _settings(self, name: str, host: str) -> dict[str, typing.Any]:
+        return {
+            "node": name,
+            "zone": "zone-a",
+            "ip": host,
+            "listen": {
+                "control": f"{host}:{self.control_port}",
+                "front": f"{host}:{self.front_port}",
+                "ready": f"{host}:{self.front_port + 1}",
+            },
+            "internal-ports": [self.mesh_port, self.mesh_port],
+            "seeds": [
+                f"127.0.1.{n + 1}:{self.control_port}" for n in range(STORES)
+            ],
+            "bootstrap": True,
+            "data-dir": str(pathlib.Path(self._folder.name, name)),
+            "bounds": {"grace-s": 3, "window-s": 1},
+            "cloud": {
+                "address": self.api.address,
+                "duties": ["usage_report"],
+            },
+            "a-field-of-a-later-release": {"is": "ignored"},
+        }
+
+    def _boot(self, name: str, host: str) -> _boot.Boot:
+        path = pathlib.Path(self._folder.name, f"{name}.json")
+        path.write_text(json.dumps(self._settings(name, host)))
+        return _boot.read_boot(path)
+
+    def _make_store(self, number: int) -> node.Store:
+        boot = self._boot(f"store-{number}", f"127.0.1.{number}")
+        return node.Store(
+            boot.store(),
+            self.reactor,
+            _wire.PlatformWire(boot.usage_address),
+            self._null,
+            lambda: None,
+        )
+
+    def _make_entry(self) -> node.Entry:
+        boot = self._boot("entry-1", "127.0.2.1")
+        return node.Entry(
+            boot.entry(),
+            self.reactor,
+            _wire.PlatformWire(boot.usage_address),
+            self._null,
+        )
+
+    async def start(self) -> None:
+        limits = web.HttpLimits()
+        for store in self.stores:
+            await store.start()
+            self._listen(
+                store.settings.control,
+                _control.ControlCalls(store).routes(),
+                limits,
+            )
+        await self.entry.start()
+        calls = _front.FrontCalls(self.entry)
+        self._listen(self.entry.settings.front, calls.routes(), limits)
+        self._listen(self.entry.settings.ready, calls.ready_routes(), limits)
+
+    def _listen(
+        self,
+        address: node.Address,
+        routes: list[web.Route],
+        limits: web.HttpLimits,
+    ) -> None:
+        listener = _listener.Listener(self.reactor, address, routes, limits)
+        listener.start()
+        self._listeners.append(listener)
+
+    async def stop(self) -> None:
+        for listener in self._listeners:
+            await listener.stop(self.reactor.seconds())
+        await self.entry.stop()
+        for store in self.stores:
+            await store.stop()
+        for stand_in in (self.engine, self.server, self.api):
+            await stand_in.stop()
+        os.close(self._null)
+        self._folder.cleanup()
+
+    @property
+    def leader(self) -> node.Store | None:
+        for store in self.stores:
+            if store.stored.leads:
+                return store
+        return None
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        **headers: str,
+    ) -> Reply:
+        """Sends a request on a connection of its own."""
+        agent = mesh.ip_agent(self.reactor)
+        sent = http_headers.Headers()
+        for name, value in headers.items():
+            sent.addRawHeader(name.replace("_", "-"), value)
+        producer = client.FileBodyProducer(_reader(body)) if body else None
+        resp: iweb.IResponse = await agent.request(
+            method.encode(), url.encode(), sent, producer
+        )
+        read = await mesh.read_body(resp)
+        found = {
+            name.decode().lower(): values[0].decode()
+            for name, values in resp.headers.getAllRawHeaders()
+        }
+        return Reply(resp.code, found, read)
+
+    async def operate(
+        self, method: str, path: str, document: typing.Any, store: int = 1
+    ) -> Reply:
+        """Calls a store until it answers clearly, as operators do."""
+        url = f"http://127.0.1.{store}:{self.control_port}{path}"
+        body = b"" if document is None else json.dumps(document).encode()
+        while True:
+            reply = await self.call(method, url, body)
+            if reply.status != 503:
+                return reply
+
+    async def front(
+        self, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> Reply:
+        """Calls the entry with the key of the account."""
+        usual = {"host": "host.example", "authorization": "Token key-1"}
+        url = f"http://127.0.2.1:{self.front_port}{path}"
+        return await self.call(method, url, body, **(usual | headers))
+
+    async def announce(
+        self, name: str, service: str, address: str, sequence: int = 1
+    ) -> Reply:
+        models = [
+            {"name": model, "version": version, "adapters": []}
+            for model, version in self.engine.versions.items()
+        ]
+        said = {
+            "service": service,
+            "address": address,
+            "zone": "zone-a",
+            "slots": 4,
+            "state": "ready",
+            "sequence": sequence,
+            "born": 1_000,
+            "models": models if service == "engines" else [],
+        }
+        return await self.operate("PUT", f"/-/instances/{name}", said)
+
+    async def serve(self) -> None:
+        """Puts a document in force and announces both servers."""
+        await self.operate("PUT", "/-/config", DOCUMENT)
+        await self.announce("engine-1", "engines", self.engine.address)
+        await self.announce("server-1", "plain", self.server.address)
+        await support.until(
+            lambda: (
+                self.entry.sync.table is not None
+                and len(self.entry.sync.directory) == 2
+            )
+        )
+
+
+def _reader(body: bytes) -> typing.Any:
+    import io
+
+    return io.BytesIO(body)
+
+
+DOCUMENT: dict[str, typing.Any] = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "plain",
+            "host": "host.example",
+            "path-prefix": "/plain/",
+            "type": "idempotent",
+            "timeout-ms": 2000,
+            "target-latency-ms": 200,
+            "service": "plain",
+            "max-attempts": 3,
+        },
+        {
+            "name": "once",
+            "host": "host.example",
+            "path-prefix": "/once/",
+            "type": "non_idempotent",
+            "timeout-ms": 2000,
+            "target-latency-ms": 200,
+            "service": "plain",
+            "max-attempts": 3,
+        },
+        {
+            "name": "jobs",
+            "host": "host.example",
+            "path-prefix": "/jobs/",
+            "type": "rollout",
+            "timeout-ms": 10000,
+            "target-latency-ms": 400,
+            "service": "engines",
+            "max-attempts": 3,
+            "due-ms": 7500,
+            "item-ttl-s": 40,
+        },
+        {
+            "name": "scorer",
+            "host": "host.example",
+            "path-prefix": "/score/",
+            "type": "idempotent",
+            "timeout-ms": 2000,
+            "target-latency-ms": 200,
+            "service": "plain",
+            "max-attempts": 4,
+            "public": True,
+        },
+    ],
+    "services": [
+        {"name": "plain", "health-path": "/health", "max-connections": 10},
+        {
+            "name": "engines",
+            "health-path": "/health",
+            "max-connections": 10,
+            "engine": {
+                "slots": 4,
+                "kv-tokens": 1000,
+                "models": [{"name": "model"}],
+            },
+        },
+    ],
+    "limits": {"max-header-bytes": 16384},
+    "tenants": [
+        {"name": "account-1", "api-keys": ["key-1"]},
+        {"name": "account-2", "api-keys": ["key-2"]},
+    ],
+}
+
+
+def make_job(items: int = 2, min_version: int = 1) -> bytes:
+    """Returns the body of a batch job with a scorer for each item."""
+    return json.dumps(
+        {
+            "step": 0,
+            "model": "model",
+            "min-version": min_version,
+            "desired-count": 1,
+            "requests": [
+                {
+                    "id": f"item-{number}",
+                    "path": f"/jobs/x/{number}",
+                    "headers": {"X-Banyanbank-Model": "model"},
+                    "body": base64.b64encode(b"prompt").decode(),
+                    "tokens": 100,
+                    "group": "g1",
+                    "scorer": {
+                        "id": f"score-{number}",
+                        "host": "host.example",
+                        "path": "/score/1",
+                        "body": base64.b64encode(b"score").decode(),
+                    },
+                }
+                for number in range(items)
+            ],
+        }
+    ).encode()
+
+
+def play(
+    story: typing.Callable[
+        [Deployment], typing.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    """Runs a story against a deployment of its own."""
+
+    async def run() -> None:
+        deployment = Deployment()
+        await deployment.start()
+        try:
+            await story(deployment)
+        finally:
+            await deployment.stop()
+
+    support.run_async(run)
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,178 @@
+"""Stand-ins for the platform's servers and API, on loopback.
+
+They speak the published protocol as far as the tests need it and can be told
+to misbehave.
+"""
+
+import collections
+import json
+import typing
+
+from twisted.internet import task
+from twisted.web import resource
+from twisted.web import server
+
+EVENTS = 4
+"""Events of a generated text."""
+
+
+class _Root(resource.Resource):
+    isLeaf = True  # noqa: N815  (twisted's name)
+
+    def __init__(self, serve: typing.Callable[[server.Request], None]) -> None:
+        super().__init__()
+        self._serve = serve
+
+    def render(self, request: server.Request) -> int:
+        self._serve(request)
+        return server.NOT_DONE_YET
+
+
+class StandIn:
+    """Listens at an address and keeps the requests it got."""
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        self._reactor = reactor
+        self.address = f"{host}:{port}"
+        self._listening = reactor.listenTCP(
+            port, server.Site(_Root(self._serve)), interface=host
+        )
+        self.requests: list[server.Request] = []
+
+    async def stop(self) -> None:
+        """Closes the listener."""
+        await self._listening.stopListening()
+
+    def _serve(self, request: server.Request) -> None:
+        self.requests.append(request)
+        self.answer(request)
+
+    def answer(self, request: server.Request) -> None:
+        """Answers a request."""
+        raise NotImplementedError
+
+
+class PlainServer(StandIn):
+    """A server of a plain service that signs what it answers.
+
+    Attributes:
+        script: Statuses of the next answers; 200 once it is empty.
+        ran: Ids of the requests that it ran.
+    """
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        super().__init__(reactor, host, port)
+        self.script: collections.deque[int] = collections.deque()
+        self.ran: list[str] = []
+
+    def answer(self, request: server.Request) -> None:
+        """Answers with the next status of the script."""
+        status = self.script.popleft() if self.script else 200
+        request.setResponseCode(status)
+        request_id = request.getHeader("x-banyanbank-request-id") or ""
+        request.setHeader("x-banyanbank-request-id", request_id)
+        if status in (421, 503):
+            request.setHeader("x-banyanbank-not-executed", "1")
+        else:
+            self.ran.append(request_id)
+            signature = f"signed.{request_id}"
+            request.setHeader("x-banyanbank-response-signature", signature)
+        request.write(b"answer to " + request_id.encode())
+        request.finish()
+
+
+class Engine(StandIn):
+    """A model server: streams events, takes orders, tells its state.
+
+    Attributes:
+        versions: Weight version of each model.
+        cuts: Events after which the next runs are cut off.
+        resumed_after: Last event ids that runs began with.
+        orders: Bodies of orders that it accepted.
+    """
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        super().__init__(reactor, host, port)
+        self.versions = {"model": 1}
+        self.cuts: collections.deque[int] = collections.deque()
+        self.resumed_after: list[str | None] = []
+        self.orders: list[dict[str, typing.Any]] = []
+
+    def answer(self, request: server.Request) -> None:
+        """Serves a report, an order or a run."""
+        if request.path == b"/-/report":
+            self._report(request)
+        elif request.path == b"/-/order":
+            self._order(request)
+        else:
+            self._run(request)
+
+    def _report(self, request: server.Request) -> None:
+        body = {
+            "models": [
+                {"name": name, "version": version, "adapters": []}
+                for name, version in self.versions.items()
+            ],
+            "busy": False,
+            "sequence": len(self.orders),
+        }
+        request.write(json.dumps(body).encode())
+        request.finish()
+
+    def _order(self, request: server.Request) -> None:
+        assert request.content is not None
+        order = json.loads(request.content.read())
+        if order["expect"] != len(self.orders):
+            request.setResponseCode(409)
+        else:
+            request.setResponseCode(202)
+            self.orders.append(order)
+            self.versions[order["model"]] = order["version"]
+        request.finish()
+
+    def _run(self, request: server.Request) -> None:
+        last = request.getHeader("last-event-id")
+        self.resumed_after.append(last if isinstance(last, str) else None)
+        first = int(last) + 1 if last else 1
+        cut = self.cuts.popleft() if self.cuts else None
+        request.setHeader("content-type", "text/event-stream")
+        version = str(self.versions["model"])
+        request.setHeader("x-banyanbank-weight-versions", version)
+        request_id = request.getHeader("x-banyanbank-request-id")
+        request.setHeader("x-banyanbank-request-id", str(request_id))
+        for number in range(first, EVENTS + 1):
+            if cut is not None and number > cut:
+                task.deferLater(self._reactor, 0.01, _cut, request)
+                return
+            request.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        request.finish()
+
+
+def _cut(request: server.Request) -> None:
+    transport: typing.Any = request.transport
+    if transport is not None:
+        transport.abortConnection()
+
+
+class PlatformApi(StandIn):
+    """Takes usage reports.
+
+    Attributes:
+        reports: Holder, fence and body of each report.
+    """
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        super().__init__(reactor, host, port)
+        self.reports: list[tuple[str, int, dict[str, typing.Any]]] = []
+
+    def answer(self, request: server.Request) -> None:
+        """Takes a report."""
+        assert request.content is not None
+        self.reports.append(
+            (
+                str(request.getHeader("x-banyanbank-lease-holder")),
+                int(str(request.getHeader("x-banyanbank-fencing-token"))),
+                json.loads(request.content.read()),
+            )
+        )
+        request.finish()
