Keep long texts durable, move items off slow engines, serve before the lease

Ruled out: scorers (under 0.2 s), queues at engines (slots were free).

Change: new events of long texts are committed every 0.8 s and the next leader goes on from them; items move to an engine of less than 0.6 of the pace; a load is trusted by its time and then checked; a leader whose lease is not held yet answers with a quorum's word.

--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -9,6 +9,7 @@
 from banyanbank_jobs._commands import ForgetJobs
 from banyanbank_jobs._commands import FreezeWindow
 from banyanbank_jobs._commands import Frozen
+from banyanbank_jobs._commands import KeepParts
 from banyanbank_jobs._commands import ListResult
 from banyanbank_jobs._commands import MarkReported
 from banyanbank_jobs._commands import NameVersion
@@ -24,6 +25,7 @@
 from banyanbank_jobs._event_stream import ItemText
 from banyanbank_jobs._event_stream import StreamEvent
 from banyanbank_jobs._ledger import JobState
+from banyanbank_jobs._ledger import KeptText
 from banyanbank_jobs._ledger import Ledger
 from banyanbank_jobs._records import expected_tokens
 from banyanbank_jobs._records import ItemOutcome
@@ -31,7 +33,9 @@
 from banyanbank_jobs._records import Job
 from banyanbank_jobs._records import JobItem
 from banyanbank_jobs._records import ScorerCall
+from banyanbank_jobs._records import TextPart
 from banyanbank_jobs._scheduler import ItemProgress
+from banyanbank_jobs._scheduler import MOST_REFUSALS
 from banyanbank_jobs._scheduler import Placement
 from banyanbank_jobs._scheduler import RETRY_FAILED_S
 from banyanbank_jobs._scheduler import RETRY_S
@@ -43,6 +47,7 @@
 
 __all__ = [
     "COMMAND_CODEC",
+    "MOST_REFUSALS",
     "REPLY_CODEC",
     "RETRY_FAILED_S",
     "RETRY_S",
@@ -65,6 +70,8 @@
     "Job",
     "JobItem",
     "JobState",
+    "KeepParts",
+    "KeptText",
     "Ledger",
     "ListResult",
     "LoadOrder",
@@ -78,6 +85,7 @@
     "ScorerCall",
     "Stage",
     "StreamEvent",
+    "TextPart",
     "Undecodable",
     "WeightPlanner",
     "expected_tokens",
--- a/packages/jobs/src/banyanbank_jobs/_commands.py
+++ b/packages/jobs/src/banyanbank_jobs/_commands.py
@@ -44,6 +44,19 @@
     """The result."""
 
 
+@attrs.frozen
+class KeepParts:
+    """Keeps what was generated of items that are not whole yet.
+
+    The next leader goes on from there.
+    """
+
+    job: str
+    """Id of the job."""
+    parts: tuple[_records.TextPart, ...]
+    """New events of its items."""
+
+
 @attrs.frozen
 class EndJob:
     """Ends a batch job; what is listed stays."""
@@ -119,6 +132,7 @@
     | NameVersion
     | AcceptJob
     | ListResult
+    | KeepParts
     | EndJob
     | ForgetJobs
     | FreezeWindow
@@ -135,6 +149,7 @@
     NameVersion,
     AcceptJob,
     ListResult,
+    KeepParts,
     EndJob,
     ForgetJobs,
     FreezeWindow,
--- a/packages/jobs/src/banyanbank_jobs/_event_stream.py
+++ b/packages/jobs/src/banyanbank_jobs/_event_stream.py
@@ -1,5 +1,7 @@
 """Reads the event stream of an engine and joins the runs of one item."""
 
+import collections.abc
+
 import attrs
 
 
@@ -89,6 +91,25 @@
         self._first: int | None = None
         self._version = 0
 
+    @classmethod
+    def resume(
+        cls,
+        first_event: int,
+        pieces: collections.abc.Iterable[str],
+        versions: collections.abc.Iterable[int],
+    ) -> "ItemText":
+        """Returns a text of which the beginning was kept."""
+        text = cls()
+        text._first = first_event
+        text.pieces = list(pieces)
+        text.versions = set(versions)
+        return text
+
+    @property
+    def first_event(self) -> int | None:
+        """Id of the first event; None before it."""
+        return self._first
+
     @property
     def last_event(self) -> int | None:
         """Id of the newest event; None before the first."""
--- a/packages/jobs/src/banyanbank_jobs/_ledger.py
+++ b/packages/jobs/src/banyanbank_jobs/_ledger.py
@@ -10,6 +10,18 @@
 from banyanbank_jobs import _records
 
 
+@attrs.define
+class KeptText:
+    """What is kept of the text of an item that is not whole."""
+
+    first_event: int
+    """Id of its first event."""
+    pieces: list[str]
+    """Data of its events."""
+    versions: tuple[int, ...]
+    """Weight versions that generated them."""
+
+
 @attrs.define
 class JobState:
     """A job and what has become of it."""
@@ -20,6 +32,8 @@
     """Results by position."""
     is_ended: bool = False
     """Whether its client has ended it."""
+    kept: dict[str, KeptText] = attrs.Factory(dict)
+    """Texts of items that are not listed, as far as they are kept."""
     listed: set[str] = attrs.field(init=False)
     """Ids of the items that have a result."""
 
@@ -37,6 +51,7 @@
     job: _records.Job
     results: tuple[_records.ItemResult, ...]
     is_ended: bool
+    kept: dict[str, KeptText]
 
 
 @attrs.frozen
@@ -97,7 +112,12 @@
                 document=self.document,
                 versions=dict(sorted(self.versions.items())),
                 jobs=tuple(
-                    _JobRecord(state.job, tuple(state.results), state.is_ended)
+                    _JobRecord(
+                        state.job,
+                        tuple(state.results),
+                        state.is_ended,
+                        state.kept,
+                    )
                     for state in self.jobs.values()
                 ),
                 windows=self.windows,
@@ -122,7 +142,7 @@
         self.retired.update(held.retired)
         for record in held.jobs:
             self.jobs[record.job.job] = JobState(
-                record.job, list(record.results), record.is_ended
+                record.job, list(record.results), record.is_ended, record.kept
             )
 
     def find(self, job: str, account: base.AccountId) -> JobState | None:
@@ -145,6 +165,7 @@
             _commands.NameVersion: self._name_version,
             _commands.AcceptJob: self._accept,
             _commands.ListResult: self._list_result,
+            _commands.KeepParts: self._keep_parts,
             _commands.EndJob: self._end,
             _commands.ForgetJobs: self._forget,
             _commands.FreezeWindow: self._freeze,
@@ -182,6 +203,26 @@
             return _commands.Applied(is_new=False)
         state.results.append(cmd.result)
         state.listed.add(cmd.result.item)
+        state.kept.pop(cmd.result.item, None)
+        return _commands.Applied(is_new=True)
+
+    def _keep_parts(self, cmd: _commands.KeepParts) -> _commands.Reply:
+        state = self.jobs.get(cmd.job)
+        if state is None or state.is_ended:
+            return _commands.NotFound()
+        for part in cmd.parts:
+            if part.item in state.listed:
+                continue
+            kept = state.kept.setdefault(
+                part.item, KeptText(part.first_event, [], ())
+            )
+            # A part of another leader's run would leave a gap or a double.
+            if (
+                kept.first_event == part.first_event
+                and len(kept.pieces) == part.begins_at
+            ):
+                kept.pieces.extend(part.pieces)
+                kept.versions = part.versions
         return _commands.Applied(is_new=True)
 
     def _end(self, cmd: _commands.EndJob) -> _commands.Reply:
@@ -191,6 +232,7 @@
         if state.is_ended:
             return _commands.Applied(is_new=False)
         state.is_ended = True
+        state.kept.clear()
         return _commands.Applied(is_new=True)
 
     def _forget(self, cmd: _commands.ForgetJobs) -> _commands.Reply:
--- a/packages/jobs/src/banyanbank_jobs/_records.py
+++ b/packages/jobs/src/banyanbank_jobs/_records.py
@@ -89,6 +89,22 @@
     """Rank of its route; 0 is the most urgent."""
 
 
+@attrs.frozen
+class TextPart:
+    """Events of an item that have been generated since the part before."""
+
+    item: str
+    """Id of the item."""
+    first_event: int
+    """Id of the first event of the item's whole text."""
+    begins_at: int
+    """Number of events that stand before this part."""
+    pieces: tuple[str, ...]
+    """Data of the events."""
+    versions: tuple[int, ...]
+    """Weight versions that generated the text up to here."""
+
+
 TOKENS_WITHOUT_HINT = 500
 """Output tokens that an item is expected to need when nothing is said."""
 
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -25,7 +25,16 @@
 """Cost of reading a prompt that another engine holds, in the same unit."""
 
 RETRY_S = 0.05
-"""Seconds before an item that was refused is placed again."""
+"""Seconds before an item that was refused is placed again; doubles."""
+
+MOST_REFUSALS = 3
+"""Refusals in a row after which the pause grows no more."""
+
+MOVE_GAIN = 0.6
+"""An item moves to an engine whose pace is below this share of its own's."""
+
+SETTLE_RUN_S = 0.5
+"""Seconds that a run goes on before it may move."""
 
 RETRY_FAILED_S = 0.2
 """Seconds before an item that failed is placed again."""
@@ -67,6 +76,12 @@
     """Runs that the engine answered with a failure of its own."""
     scorer_failures: int = 0
     """Answers of the scorer that were failures."""
+    kept_events: int = 0
+    """Events of its text that are durable."""
+    refusals: int = 0
+    """Times in a row that an engine said it did not run it."""
+    began_at: float = 0.0
+    """When its present run began."""
 
     @property
     def key(self) -> ItemKey:
@@ -108,8 +123,16 @@
             return
         for spec in state.job.items:
             key = (state.job.job, spec.item)
-            if spec.item not in state.listed and key not in self._items:
-                self._items[key] = ItemProgress(state.job, spec)
+            if spec.item in state.listed or key in self._items:
+                continue
+            item = ItemProgress(state.job, spec)
+            kept = state.kept.get(spec.item)
+            if kept is not None and kept.pieces:
+                item.text = _event_stream.ItemText.resume(
+                    kept.first_event, kept.pieces, kept.versions
+                )
+                item.kept_events = len(kept.pieces)
+            self._items[key] = item
 
     def end_job(self, job: str) -> list[ItemProgress]:
         """Drops the items of a job and returns them."""
@@ -193,6 +216,47 @@
                 self._prefixes[name] = view.endpoint
         return placements
 
+    def plan_moves(
+        self,
+        engines: collections.abc.Sequence[_engines.EngineView],
+        now: float,
+    ) -> list[ItemProgress]:
+        """Returns running items that would end sooner on another engine.
+
+        An engine that has turned slow holds up the steps of its stragglers;
+        another one reads their texts in a few milliseconds and goes on.
+
+        Args:
+            engines: All engines that are believed to run.
+            now: Present time.
+        """
+        free = {
+            view.endpoint: view.slots - self.running_on(view.endpoint)
+            for view in engines
+        }
+        moves = []
+        for item in self._items.values():
+            if item.stage is not Stage.RUNNING or item.engine is None:
+                continue
+            if now - item.began_at < SETTLE_RUN_S:
+                continue
+            limit = self._health.pace(item.engine) * MOVE_GAIN
+            better = [
+                view
+                for view in engines
+                if free[view.endpoint] > 0
+                and may_run(item, view)
+                and not self._health.is_suspect(view.endpoint, now)
+                and self._health.pace(view.endpoint) < limit
+            ]
+            if better:
+                best = min(
+                    better, key=lambda view: self._health.pace(view.endpoint)
+                )
+                free[best.endpoint] -= 1
+                moves.append(item)
+        return moves
+
     def _waiting(self, now: float) -> list[ItemProgress]:
         waiting = [
             item
--- a/packages/node/src/banyanbank_node/_engine_table.py
+++ b/packages/node/src/banyanbank_node/_engine_table.py
@@ -50,6 +50,13 @@
         self, said: gateway.Announcement, model: str, version: int
     ) -> None:
         """Takes in a version that an engine was seen to have."""
+        versions = self._entry(said).versions
+        versions[model] = max(version, versions.get(model, 0))
+
+    def set_version(
+        self, said: gateway.Announcement, model: str, version: int
+    ) -> None:
+        """Takes in a version that an engine reported of itself."""
         self._entry(said).versions[model] = version
 
     def begin_load(self, said: gateway.Announcement, model: str) -> None:
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -24,6 +24,12 @@
 GRADE_S = 4.0
 """Seconds that a scorer has to answer."""
 
+KEEP_S = 0.8
+"""Seconds between two commits of texts that are not whole."""
+
+KEEP_EVENTS = 10
+"""New events of a text that are worth a commit: a third of a second's."""
+
 LEAST_RUN_S = 1.0
 """Seconds that an engine is given at least, however late the item is."""
 
@@ -82,6 +88,7 @@
         self._runs: dict[jobs.ItemProgress, _Run] = {}
         self._grading: dict[jobs.ItemProgress, defer.Deferred[typing.Any]] = {}
         self._is_loaded = False
+        self._keep_at = 0.0
 
     def tick(self) -> None:
         """Starts what can start, and ends what has been silent too long."""
@@ -91,7 +98,9 @@
                 self._scheduler.add_job(state)
         self._end_silent()
         self._give_up_old()
+        self._move_slow()
         self.place()
+        self._keep_texts()
 
     def stop(self) -> None:
         """Ends all runs; another store goes on with their items."""
@@ -122,6 +131,45 @@
                 self._scheduler.started(placement)
                 self._start(placement.item, to, now)
 
+    def _move_slow(self) -> None:
+        for item in self._scheduler.plan_moves(
+            self._views(), self._clock.now()
+        ):
+            run = self._runs.get(item)
+            if run is not None and run.task is not None:
+                self._note(run, "moved", "its engine has turned slow")
+                self._put_back(run, 0.0)
+                run.task.cancel()
+
+    def _keep_texts(self) -> None:
+        """Has the new events of long texts committed, once a period."""
+        now = self._clock.now()
+        if now < self._keep_at:
+            return
+        self._keep_at = now + KEEP_S
+        parts: dict[str, list[jobs.TextPart]] = {}
+        for item in self._scheduler.items():
+            text = item.text
+            if len(text.pieces) - item.kept_events < KEEP_EVENTS:
+                continue
+            assert text.first_event is not None
+            parts.setdefault(item.job.job, []).append(
+                jobs.TextPart(
+                    item=item.spec.item,
+                    first_event=text.first_event,
+                    begins_at=item.kept_events,
+                    pieces=tuple(text.pieces[item.kept_events :]),
+                    versions=tuple(sorted(text.versions)),
+                )
+            )
+            item.kept_events = len(text.pieces)
+        for job, new in parts.items():
+            _background.run(
+                self._stored.propose(jobs.KeepParts(job, tuple(new))),
+                "keeping of texts",
+                self._events,
+            )
+
     def _views(self) -> list[jobs.EngineView]:
         table = self._stored.table
         if table is None:
@@ -140,6 +188,7 @@
         self, item: jobs.ItemProgress, to: gateway.Announcement, now: float
     ) -> None:
         run = _Run(item, to, began_at=now, heard_at=now)
+        item.began_at = now
         self._runs[item] = run
         run.task = _background.run(self._run(run), "item run", self._events)
 
@@ -193,6 +242,7 @@
                 resp.cancel()
                 self._lost(run, f"version {version} is too old")
                 return
+        item.refusals = 0
         item.text.begin_run(version)
         reader = jobs.EventStreamReader(self._wire.version_field)
         while True:
@@ -234,7 +284,8 @@
         item = run.item
         self._note(run, "refused", f"status {status}")
         if marks.has_not_run:
-            self._put_back(run, jobs.RETRY_S)
+            item.refusals = min(item.refusals + 1, jobs.MOST_REFUSALS)
+            self._put_back(run, jobs.RETRY_S * 2 ** (item.refusals - 1))
             return
         if status == UNPROCESSABLE:
             self._finish(item, jobs.ItemOutcome.DEAD, "")
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -18,8 +18,11 @@
 CALL_S = 1.0
 """Seconds that an engine has to answer a question or an order."""
 
-FIRST_LOOK_S = 0.9
-"""Seconds after an order before its engine is asked; about a load's time."""
+LOAD_S = 0.92
+"""Seconds that a load takes where the weight store is not crowded."""
+
+REPORT_LAG_S = 0.3
+"""Seconds by which the report of an engine may be old."""
 
 LOOK_S = 0.2
 """Seconds between further questions."""
@@ -185,7 +188,12 @@
         if status not in ACCEPTED:
             return f"refused with {status}"
         limit = self._clock.now() + LOAD_LIMIT_S
-        await task.deferLater(self._reactor, FIRST_LOOK_S)
+        await task.deferLater(self._reactor, LOAD_S)
+        # An engine that is not done yet says that it did not run an item.
+        self._engines.saw_version(said, order.model, order.version)
+        self._engines.end_load(said, order.model)
+        self._on_loaded()
+        await task.deferLater(self._reactor, REPORT_LAG_S)
         while self._clock.now() < limit:
             report = await self._ask(said)
             if report is not None and self._take(said, report, order):
@@ -201,7 +209,7 @@
     ) -> bool:
         """Takes a report in; whether it shows the weights ordered."""
         for model in report.models:
-            self._engines.saw_version(said, model.name, model.version)
+            self._engines.set_version(said, model.name, model.version)
         return any(
             model.name == order.model and model.version >= order.version
             for model in report.models
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -91,7 +91,7 @@
 
         async def answer(sender: base.InstanceId, data: bytes) -> bytes:
             payload: bytes | None = None
-            if self._stored.leads:
+            if self._stored.node.is_leader:
                 try:
                     message = await handler(sender, data)
                     payload = (
@@ -164,6 +164,7 @@
     async def _announce(self, sender: base.InstanceId, data: bytes) -> object:
         del sender
         self.take(_messages.CODEC.decode(data))
+        await self._be_current()
         return _messages.Accepted()
 
     _withdraw = _announce
@@ -181,6 +182,16 @@
         ledger = self._stored.ledger
         return _messages.DocumentAnswer(ledger.document_number, ledger.document)
 
+    async def _be_current(self) -> None:
+        """Returns once the applied state is known to be the newest.
+
+        Raises:
+            NotLeadingError: Another store may lead.
+        """
+        if not self._stored.leads:
+            # A quorum's word does as well while the lease is not held yet.
+            await self._confirm()
+
     async def _confirm(self) -> None:
         confirmed = await self._stored.node.confirm_leadership()
         if isinstance(confirmed, result.Failure):
@@ -194,8 +205,7 @@
         while not self._has_news(req):
             if not await self.news.wait(deadline):
                 break
-        if not self._stored.leads:
-            raise NotLeadingError
+        await self._be_current()
         return self._sync_answer(req)
 
     def _has_news(self, req: _messages.SyncRequest) -> bool:
@@ -244,8 +254,7 @@
         req = _messages.CODEC.decode(data)
         deadline = self._clock.now() + req.wait_s
         while True:
-            if not self._stored.leads:
-                raise NotLeadingError
+            await self._be_current()
             state = self._stored.ledger.find(req.job, req.account)
             if state is None:
                 return _messages.NotThere()
@@ -253,8 +262,6 @@
                 break
             if not await self.results.wait(deadline):
                 break
-        if not self._stored.leads:
-            raise NotLeadingError
         return _messages.ResultsPage(
             len(state.job.items), _page(state.results, req.after)
         )
@@ -262,6 +269,7 @@
     async def _read_body(self, sender: base.InstanceId, data: bytes) -> object:
         del sender
         req = _messages.CODEC.decode(data)
+        await self._be_current()
         state = self._stored.ledger.find(req.job, req.account)
         if state is None or state.is_ended or req.item in state.listed:
             return _messages.NotThere()
--- a/packages/node/src/banyanbank_node/_usage_duty.py
+++ b/packages/node/src/banyanbank_node/_usage_duty.py
@@ -68,7 +68,8 @@
         self._window_s = window_s
         self._events = events
         self._running: typing.Any = None
-        self._first: int | None = None
+        # Entries may count before this store leads for the first time.
+        self._first = self._window_at(true_time.now())
         self._not_before = 0.0
         self._fenced_out_at = 0
 
@@ -96,10 +97,8 @@
 
     def _next_window(self) -> int | None:
         now = self._true_time.now()
-        newest = int((now - REPORT_AFTER_S) // self._window_s) - 1
+        newest = self._window_at(now - REPORT_AFTER_S) - 1
         ledger = self._stored.ledger
-        if self._first is None:
-            self._first = int(now // self._window_s)
         oldest = self._first
         if ledger.windows:
             oldest = min(ledger.windows)
@@ -108,6 +107,9 @@
                 return window
         return None
 
+    def _window_at(self, moment: float) -> int:
+        return int(moment // self._window_s)
+
     async def _report(self, window: int, epoch: int) -> None:
         try:
             await self._report_once(window, epoch)
--- a/tests/jobs/test_ledger.py
+++ b/tests/jobs/test_ledger.py
@@ -57,6 +57,25 @@
             [one.text for one in self.ledger.jobs["j"].results], ["first"]
         )
 
+    def test_parts_are_joined_without_gap_or_double(self) -> None:
+        self.apply(jobs.AcceptJob(samples.make_job("j")))
+        for begins_at, pieces, want in (
+            (0, ("a", "b"), ["a", "b"]),
+            (0, ("a", "b"), ["a", "b"]),
+            (3, ("d",), ["a", "b"]),
+            (2, ("c",), ["a", "b", "c"]),
+        ):
+            with self.subTest(begins_at=begins_at, pieces=pieces):
+                part = jobs.TextPart("i1", 1, begins_at, pieces, (4,))
+                self.apply(jobs.KeepParts("j", (part,)))
+                kept = self.ledger.jobs["j"].kept["i1"]
+                self.assertEqual(kept.pieces, want)
+        other = jobs.Ledger()
+        other.restore(self.ledger.snapshot())
+        self.assertEqual(other.jobs["j"].kept, self.ledger.jobs["j"].kept)
+        self.apply(jobs.ListResult("j", samples.make_result("i1")))
+        self.assertEqual(self.ledger.jobs["j"].kept, {})
+
     def test_end(self) -> None:
         self.apply(jobs.AcceptJob(samples.make_job("j")))
         stranger = jobs.EndJob("j", base.AccountId("other"))
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -153,3 +153,34 @@
         self.assertEqual(len(ended), 2)
         self.assertFalse(self.scheduler.holds(ended[0]))
         self.assertEqual(self.scheduler.running_on(base.EndpointId("e1")), 0)
+
+    def test_moves_off_a_slow_engine(self) -> None:
+        slow, fast = base.EndpointId("slow"), base.EndpointId("fast")
+        self.add(samples.make_job("j", samples.make_item("i1")))
+        self.start(samples.make_engine("slow"))
+        engines = [samples.make_engine("slow"), samples.make_engine("fast")]
+        for name, slow_s, fast_s, now, free, moves in (
+            ("as fast", 0.035, 0.035, 1.0, 2, 0),
+            ("a little slower", 0.045, 0.035, 1.0, 2, 0),
+            ("slow", 0.14, 0.035, 1.0, 2, 1),
+            ("slow, just begun", 0.14, 0.035, 0.2, 2, 0),
+            ("slow, no room", 0.14, 0.035, 1.0, 0, 0),
+        ):
+            with self.subTest(name):
+                for _ in range(40):
+                    self.health.note_gap(slow, slow_s)
+                    self.health.note_gap(fast, fast_s)
+                engines[1] = samples.make_engine("fast", slots=free)
+                planned = self.scheduler.plan_moves(engines, now)
+                self.assertEqual(len(planned), moves)
+
+    def test_next_leader_goes_on_from_kept_text(self) -> None:
+        state = jobs.JobState(
+            samples.make_job("j", samples.make_item("i1")),
+            [],
+            kept={"i1": jobs.KeptText(1, ["a", "b"], (3,))},
+        )
+        self.scheduler.add_job(state)
+        text = self.item("i1").text
+        self.assertEqual((text.last_event, text.text), (2, "a\nb"))
+        self.assertEqual(text.versions, {3})
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -213,6 +213,7 @@
             page = await self.read_all(there, 1)
             self.assertEqual(page["results"][0]["versions"], [2])
             (order,) = there.engine.orders
+            await support.until(lambda: there.leader is not None)
             leader = there.leader
             assert leader is not None
             self.assertEqual(order["holder"], leader.settings.node.name)
@@ -263,6 +264,7 @@
                 deployment.make_job(items=1, min_version=2),
                 x_banyanbank_request_id="job-1",
             )
+            await support.until(lambda: there.leader is not None)
             lost = there.leader
             assert lost is not None
             await lost.stop()
