Explain failures afterwards: catalogue of events, metrics, banyanbank explain

Cause: on-call engineers have logs and metrics only. Change: one typed catalogue of events, held against code and docs/LOGS.md by a test; lines carry the time that processes agree on; what is dropped is counted; counters by event and outcome and histograms by part of the way on a metrics address; a command that merges the lines of one id. The registry of metrics moves to the web package. Not measured yet: the cost of logs.

--- a/packages/cli/src/banyanbank_cli/_commands.py
+++ b/packages/cli/src/banyanbank_cli/_commands.py
@@ -2,6 +2,7 @@
 
 import importlib
 import pathlib
+import sys
 import typing
 
 import fire.decorators
@@ -138,6 +139,22 @@
             lambda client: events.show_timeline(client, wish, _connection.warn)
         )
 
+    def explain(self, wanted: str, *files: str, json: str = "") -> None:
+        """Explains a request, job or item from log files of the processes.
+
+        Args:
+            wanted: Id of the request, job, item or endpoint.
+            *files: Log files; all processes' together tell most.
+            json: `true` for JSON.
+        """
+        explain = _load("_explain")
+        try:
+            text = explain.run(wanted, list(files), json.lower() == "true")
+        except OSError as exc:
+            _connection.warn(str(exc))
+            raise SystemExit(1) from exc
+        sys.stdout.write(text)
+
     def demo(self) -> None:
         """Shows rollouts and lookups from end to end in one process."""
         _load("_demo").run_demo()
--- a/packages/daemon/src/banyanbank_daemon/_figures/_accounts.py
+++ b/packages/daemon/src/banyanbank_daemon/_figures/_accounts.py
@@ -4,8 +4,8 @@
 
 import attrs
 import banyanbank_base as base
+from banyanbank_web import metrics
 
-from banyanbank_daemon import _metrics
 from banyanbank_daemon._figures import _messages
 
 Key = tuple[base.AccountId, str]
@@ -48,10 +48,10 @@
         """Begins a new window when the newest has ended."""
         if now < self.rotate_at:
             return
-        is_gap = now >= self.rotate_at + _metrics.WINDOW_S
+        is_gap = now >= self.rotate_at + metrics.WINDOW_S
         self.previous = _Window() if is_gap else self.current
         self.current = _Window()
-        self.rotate_at = now + _metrics.WINDOW_S
+        self.rotate_at = now + metrics.WINDOW_S
 
     def figures(
         self, account: base.AccountId, kind: str
@@ -119,7 +119,7 @@
         key = (base.AccountId(account), kind)
         waits = self._waits.get(key)
         if waits is None:
-            waits = _Waits(now + _metrics.WINDOW_S)
+            waits = _Waits(now + metrics.WINDOW_S)
             self._waits[key] = waits
         waits.rotate(now)
         return waits
--- a/packages/daemon/src/banyanbank_daemon/_instance.py
+++ b/packages/daemon/src/banyanbank_daemon/_instance.py
@@ -7,6 +7,7 @@
 import banyanbank_control as control
 import banyanbank_mesh as mesh
 import banyanbank_web as web
+from banyanbank_web import metrics
 from loguru import logger
 from twisted.internet import task
 
@@ -18,7 +19,6 @@
 from banyanbank_daemon import _leases
 from banyanbank_daemon import _listeners
 from banyanbank_daemon import _meters
-from banyanbank_daemon import _metrics
 from banyanbank_daemon import _operators
 from banyanbank_daemon import _parts
 from banyanbank_daemon import _secrets
@@ -64,7 +64,7 @@
         self.around = around
         self.is_draining = False
         self._has_stopped = False
-        self.metrics = _metrics.MetricsRegistry(around.clock)
+        self.metrics = metrics.MetricsRegistry(around.clock)
         self.meters = _meters.Meters(self.metrics)
         self.identity = _parts.Identity(settings.instance_id, around.clock)
         self.mesh = mesh.Mesh(
--- a/packages/daemon/src/banyanbank_daemon/_meters.py
+++ b/packages/daemon/src/banyanbank_daemon/_meters.py
@@ -3,9 +3,9 @@
 import collections.abc
 
 import banyanbank_dispatch as dispatch
+from banyanbank_web import metrics
 
 from banyanbank_daemon import _figures
-from banyanbank_daemon import _metrics
 
 
 class Meters:
@@ -15,7 +15,7 @@
         registry: Shows the metrics.
     """
 
-    def __init__(self, registry: _metrics.MetricsRegistry) -> None:
+    def __init__(self, registry: metrics.MetricsRegistry) -> None:
         self._requests = registry.counter(
             "banyanbank_requests_total",
             "Requests answered, by route and status.",
@@ -72,7 +72,7 @@
 class _FigureMeters:
     """What users measure; counters add up over the instances."""
 
-    def __init__(self, registry: _metrics.MetricsRegistry) -> None:
+    def __init__(self, registry: metrics.MetricsRegistry) -> None:
         account = ("account", "kind")
         endpoint = ("failure_domain", "kind", "supply", "serves")
         self._idle = registry.counter(
@@ -143,7 +143,7 @@
 class _StepMeters:
     """The oldest open step of each trainer, shown by the leader alone."""
 
-    def __init__(self, registry: _metrics.MetricsRegistry) -> None:
+    def __init__(self, registry: metrics.MetricsRegistry) -> None:
         self._step = registry.gauge(
             "banyanbank_trainer_step", "Oldest open step.", "trainer"
         )
--- a/packages/daemon/src/banyanbank_daemon/_operators/_cluster.py
+++ b/packages/daemon/src/banyanbank_daemon/_operators/_cluster.py
@@ -5,9 +5,9 @@
 
 import banyanbank_base as base
 import banyanbank_web as web
+from banyanbank_web import metrics
 from twisted.internet import task
 
-from banyanbank_daemon import _metrics
 from banyanbank_daemon import _timeline_calls
 from banyanbank_daemon import _voters
 from banyanbank_daemon._operators import _desk
@@ -45,7 +45,7 @@
         self,
         clock: base.Clock,
         desk: _desk.Desk,
-        metrics: _metrics.MetricsRegistry,
+        metrics: metrics.MetricsRegistry,
         refresh: typing.Callable[[], None],
         status: StatusSource,
         timeline: _timeline_calls.TimelineCalls,
--- a/packages/node/src/banyanbank_node/__init__.py
+++ b/packages/node/src/banyanbank_node/__init__.py
@@ -1,6 +1,8 @@
 """Processes of a deployment where entries and stores are apart."""
 
 from banyanbank_node._entry import Entry
+from banyanbank_node._event_catalogue import EventKind
+from banyanbank_node._event_catalogue import EVENTS
 from banyanbank_node._event_log import EventLog
 from banyanbank_node._forwarder import Answer
 from banyanbank_node._forwarder import Forwarding
@@ -24,6 +26,7 @@
 from banyanbank_node._store import Store
 
 __all__ = [
+    "EVENTS",
     "HOP_BY_HOP",
     "Address",
     "Answer",
@@ -35,6 +38,7 @@
     "EngineReport",
     "Entry",
     "EntrySettings",
+    "EventKind",
     "EventLog",
     "Forwarding",
     "NodeSettings",
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -65,6 +65,7 @@
             self._endpoints_of,
             self.node.rng,
             self.node.events,
+            self.node.meters,
         )
         self.is_stopping = False
 
@@ -86,6 +87,14 @@
         """Whether new requests can be served."""
         return self.sync.table is not None and not self.is_stopping
 
+    def metrics(self) -> str:
+        """Returns the metrics of the process as text."""
+        heard_at = self.sync.heard_at
+        if heard_at is not None:
+            age_s = self.node.clock.now() - heard_at
+            self.node.meters.ages.set(age_s)
+        return self.node.meters.registry.render()
+
     @property
     def events(self) -> _event_log.EventLog:
         """Log of decisions."""
@@ -142,23 +151,47 @@
         self, sending: _forwarder.Forwarding
     ) -> _forwarder.Answer | base.Refusal:
         """Returns the answer of an endpoint, or why there is none."""
+        began_at = self.node.clock.now()
         try:
             answer = await self.forwarder.send(sending)
         finally:
             self._count(sending)
+        took_s = self.node.clock.now() - began_at
+        self.node.meters.requests.record(took_s, "whole")
         if isinstance(answer, base.Refusal):
+            self.note_refusal(sending.req, answer, sorted(sending.tried))
+        else:
             self.events.write(
-                "request.refused",
+                "request.answered",
                 request=sending.req.request_id,
                 route=sending.route.name,
-                reason=answer.reason.value,
-                ran=answer.outcome.value,
+                status=answer.status,
                 tried=sorted(sending.tried),
-                table=self._number,
-                table_age_ms=self._age_ms(),
+                took_ms=round(1000 * took_s),
             )
         return answer
 
+    def note_refusal(
+        self,
+        req: _ports.CallerRequest,
+        refusal: base.Refusal,
+        tried: list[base.EndpointId],
+    ) -> None:
+        """Logs why a request got no answer of an endpoint."""
+        self.events.write(
+            "request.refused",
+            request=req.request_id,
+            host=req.host,
+            path=req.path,
+            reason=refusal.reason.value,
+            ran=refusal.outcome.value,
+            detail=refusal.detail,
+            retry_after_s=refusal.retry_after,
+            tried=tried,
+            table=self._number,
+            table_age_ms=self._age_ms(),
+        )
+
     async def submit(self, job: jobs.Job) -> base.Refusal | None:
         """Has the stores accept a batch job; None when they have."""
         replied = await self._propose(jobs.AcceptJob(job))
--- a/packages/node/src/banyanbank_node/_event_log.py
+++ b/packages/node/src/banyanbank_node/_event_log.py
@@ -7,6 +7,8 @@
 
 import banyanbank_base as base
 
+from banyanbank_node import _meters
+
 LINES_PER_S = 400
 """Lines that a process may write each second; the rest is counted."""
 
@@ -25,16 +27,24 @@
 
     Args:
         instance: Name of the process.
-        clock: Source of wall time.
+        now: Returns the Unix time that processes agree on, so that their
+            lines can be merged.
         reactor: Carries the timer of the writer.
         fd: File descriptor to write to.
+        meters: Counts events, also those whose lines are dropped.
     """
 
     def __init__(
-        self, instance: str, clock: base.Clock, reactor: typing.Any, fd: int
+        self,
+        instance: str,
+        now: typing.Callable[[], float],
+        reactor: typing.Any,
+        fd: int,
+        meters: _meters.Meters,
     ) -> None:
         self._instance = instance
-        self._clock = clock
+        self._now = now
+        self._meters = meters
         self._reactor = reactor
         self._fd = fd
         self._backlog: collections.deque[bytes] = collections.deque()
@@ -53,9 +63,11 @@
             event: What happened, as `area.verb`.
             fields: The inputs that decided it, and the outcome.
         """
-        now = self._clock.wall()
+        now = self._now()
+        self._meters.count_event(event, fields)
         if not self._has_room(event, int(now)):
             self.dropped[event] += 1
+            self._meters.lines_dropped.add(1, event)
             return
         line = {"t": round(now, 4), "instance": self._instance, "event": event}
         line.update(fields)
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from banyanbank_node import _event_log
+from banyanbank_node import _meters
 from banyanbank_node import _ports
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -95,6 +96,7 @@
         candidates: Endpoints of a service.
         rng: Draws the service of a split route.
         events: Log of decisions.
+        meters: Metrics of the process.
     """
 
     def __init__(
@@ -106,11 +108,13 @@
         candidates: Candidates,
         rng: random.Random,
         events: _event_log.EventLog,
+        meters: _meters.Meters,
     ) -> None:
         self._clock = clock
         self._upstream = upstream
         self._wire = wire
         self._picker = picker
+        self._meters = meters
         self._candidates = candidates
         self._rng = rng
         self._events = events
@@ -162,6 +166,7 @@
             got = await self._exchange(sending, req)
         finally:
             self._picker.ended(to.endpoint)
+            self._meters.requests.record(self._clock.now() - now, "attempt")
         return self._judge(sending, to, got, now)
 
     async def _exchange(
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -15,6 +15,7 @@
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
 from banyanbank_node import _forwarder
+from banyanbank_node import _meters
 from banyanbank_node import _ports
 from banyanbank_node import _stored
 
@@ -62,6 +63,7 @@
         engines: Engines that are believed to run.
         forwarder: Sends the requests of scorers.
         events: Log of decisions.
+        meters: Metrics of the process.
     """
 
     def __init__(
@@ -74,8 +76,10 @@
         engines: _engine_table.EngineTable,
         forwarder: _forwarder.Forwarder,
         events: _event_log.EventLog,
+        meters: _meters.Meters,
     ) -> None:
         self._clock = clock
+        self._meters = meters
         self._stored = stored
         self._true_time = true_time
         self._upstream = upstream
@@ -120,6 +124,13 @@
             for item in self._scheduler.end_job(command.job):
                 self._cancel(item)
 
+    def counts(self) -> dict[jobs.Stage, int]:
+        """Returns the number of items without a result, by stage."""
+        counts = dict.fromkeys(jobs.Stage, 0)
+        for item in self._scheduler.items():
+            counts[item.stage] += 1
+        return counts
+
     def place(self) -> None:
         """Starts the items that engines have room for."""
         if not self._is_loaded or not len(self._scheduler):
@@ -270,6 +281,8 @@
         if events and run.events:
             gap_s = (now - run.heard_at) / len(events)
             self._health.note_gap(run.to.endpoint, gap_s)
+        if events and not run.events:
+            self._meters.items.record(now - run.began_at, "first_event")
         run.events += len(events)
         run.heard_at = now
 
@@ -310,6 +323,7 @@
             return
         self._scheduler.generated(item)
         self._note(run, "generated", f"{run.events} events")
+        self._meters.items.record(self._clock.now() - run.began_at, "run")
         if item.spec.scorer is None:
             self._finish(item, jobs.ItemOutcome.COMPLETED, "")
         else:
@@ -322,7 +336,9 @@
         self, item: jobs.ItemProgress, call: jobs.ScorerCall
     ) -> None:
         while self._scheduler.holds(item):
+            asked_at = self._clock.now()
             answer = await self._ask_scorer(call)
+            self._meters.items.record(self._clock.now() - asked_at, "grade")
             if isinstance(answer, _forwarder.Answer):
                 if answer.status < 300 and answer.signature:
                     self._finish(
@@ -390,10 +406,13 @@
         self, item: jobs.ItemProgress, listed: jobs.ItemResult
     ) -> None:
         command = jobs.ListResult(item.job.job, listed)
+        began_at = self._clock.now()
         while self._scheduler.holds(item):
             replied = await self._stored.propose(command)
             if isinstance(replied, result.Success):
                 self._scheduler.drop(item)
+                took_s = self._clock.now() - began_at
+                self._meters.items.record(took_s, "commit")
                 self._events.write(
                     "item.listed",
                     job=item.job.job,
--- a/packages/node/src/banyanbank_node/_node.py
+++ b/packages/node/src/banyanbank_node/_node.py
@@ -11,6 +11,7 @@
 import banyanbank_web as web
 
 from banyanbank_node import _event_log
+from banyanbank_node import _meters
 from banyanbank_node import _settings
 from banyanbank_node import _store_client
 
@@ -48,8 +49,10 @@
         self.incarnation = base.Incarnation(
             int(self.clock.wall() * MICROSECONDS)
         )
+        self.true_time = gateway.TrueTime(SteadyClock())
+        self.meters = _meters.Meters(self.clock)
         self.events = _event_log.EventLog(
-            settings.name, self.clock, reactor, log_fd
+            settings.name, self.true_time.now, reactor, log_fd, self.meters
         )
         self.recorder = _event_log.LoggedRecorder(
             self.instance, self.clock, self.events
@@ -68,4 +71,3 @@
             reactor, self.clock, self.mesh, settings.seeds
         )
         self.upstream = web.Upstream(reactor, self.clock)
-        self.true_time = gateway.TrueTime(SteadyClock())
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -111,6 +111,7 @@
             self._endpoints_of,
             node.rng,
             self.events,
+            node.meters,
         )
         runs = _item_runs.ItemRuns(
             node.clock,
@@ -121,6 +122,7 @@
             engines,
             forwarder,
             self.events,
+            node.meters,
         )
         loads = _load_duty.LoadDuty(
             node.reactor,
@@ -155,6 +157,12 @@
         )
         return runs
 
+    def metrics(self) -> str:
+        """Returns the metrics of the process as text."""
+        for stage, count in self._runs.counts().items():
+            self.node.meters.open_items.set(count, stage.value)
+        return self.node.meters.registry.render()
+
     @property
     def events(self) -> _event_log.EventLog:
         """Log of decisions."""
--- a/tests/daemon/test_figures.py
+++ b/tests/daemon/test_figures.py
@@ -6,7 +6,7 @@
 import banyanbank_control as control
 from banyanbank_daemon import _figures
 from banyanbank_daemon import _meters
-from banyanbank_daemon import _metrics
+from banyanbank_web import metrics
 
 FOLDS = base.TrainerId("folds")
 
@@ -87,7 +87,7 @@
 
     def test_worst_served(self) -> None:
         self.accounts.granted("a", "interactive", 9.0)
-        self.clock.advance(2 * _metrics.WINDOW_S)
+        self.clock.advance(2 * metrics.WINDOW_S)
         for account, kind, waited_s, tokens in (
             ("a", "interactive", 1.0, 30.0),
             ("b", "interactive", 3.0, 10.0),
@@ -169,9 +169,9 @@
     """Counters rise with the counts, also beyond the bound of series."""
 
     def test_advance(self) -> None:
-        registry = _metrics.MetricsRegistry(self.clock)
+        registry = metrics.MetricsRegistry(self.clock)
         meters = _meters.Meters(registry)
-        for number in range(_metrics.MAX_SERIES + 2):
+        for number in range(metrics.MAX_SERIES + 2):
             self.accounts.served(f"{number:03}", "rollout", 1.0)
         for _ in range(2):
             meters.observe_figures(self.figures())
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -4,7 +4,7 @@
 import unittest
 
 import banyanbank_base as base
-from banyanbank_daemon import _metrics
+from banyanbank_web import metrics
 
 
 class MetricsCase(unittest.TestCase):
@@ -12,7 +12,7 @@
 
     def setUp(self) -> None:
         self.clock = base.ManualClock()
-        self.registry = _metrics.MetricsRegistry(self.clock)
+        self.registry = metrics.MetricsRegistry(self.clock)
 
 
 class RenderTest(MetricsCase):
@@ -69,10 +69,10 @@
             times.record(1.0, f"/{i}")
         lines = self.registry.render().splitlines()
         series = [line for line in lines if line.startswith("calls_total")]
-        self.assertEqual(len(series), _metrics.MAX_SERIES + 1)
+        self.assertEqual(len(series), metrics.MAX_SERIES + 1)
         counts = [line for line in lines if "_count" in line]
-        self.assertEqual(len(counts), _metrics.MAX_HISTOGRAM_SERIES + 1)
-        self.assertEqual(calls.value(_metrics.OTHER), 1000 - len(series) + 1)
+        self.assertEqual(len(counts), metrics.MAX_HISTOGRAM_SERIES + 1)
+        self.assertEqual(calls.value(metrics.OTHER), 1000 - len(series) + 1)
 
     def test_values_out_of_range(self) -> None:
         times = self.registry.histogram("wait_seconds", "Wait.")
@@ -100,12 +100,12 @@
     def test_quantiles_are_recent(self) -> None:
         times = self.registry.histogram("wait_seconds", "Wait.")
         times.record(10.0)
-        self.clock.advance(_metrics.WINDOW_S)
+        self.clock.advance(metrics.WINDOW_S)
         times.record(1.0)
         self.assertAlmostEqual(times.quantile(0.99), 10.0, delta=0.1)
-        self.clock.advance(_metrics.WINDOW_S)
+        self.clock.advance(metrics.WINDOW_S)
         self.assertAlmostEqual(times.quantile(0.99), 1.0, delta=0.1)
-        self.clock.advance(5 * _metrics.WINDOW_S)
+        self.clock.advance(5 * metrics.WINDOW_S)
         self.assertTrue(math.isnan(times.quantile(0.99)))
         rendered = self.registry.render()
         self.assertIn('wait_seconds{quantile="0.99"} NaN\n', rendered)
