Keep the number of voters odd, and ask a silent leader once

Change: voters are 2 x losses + 1, a further store stands by as a learner and takes the place of a voter that is gone or retired; entries keep their endpoints while no leader tells of them; a store that did not answer is asked after all others for 2 s, and hints to it are not followed.

--- a/packages/consensus/src/banyanbank_consensus/_membership.py
+++ b/packages/consensus/src/banyanbank_consensus/_membership.py
@@ -53,8 +53,14 @@
         return f"Instance {instance} has not said hello; start it first."
     if greeting.cluster not in ("", state.hard.cluster):
         return f"The store of {instance} belongs to another log; empty it."
-    if state.members.is_member(instance, greeting.store):
-        return f"Instance {instance} is a member already."
+    known = state.members.find(instance)
+    if known is not None and known.store == greeting.store:
+        is_promotion = (
+            known.role is _members.MemberRole.LEARNER
+            and role is _members.MemberRole.JOINING
+        )
+        if not is_promotion:
+            return f"Instance {instance} is a member already."
     member = _members.Member(instance, greeting.store, role)
     return state.members.with_member(member)
 
--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -140,6 +140,11 @@
                 del self._ended[endpoint]
         return silent
 
+    def hold(self, now: float) -> None:
+        """Goes on believing in all endpoints while nobody tells of them."""
+        for listed in self._listed.values():
+            listed.heard_at = now
+
     def end_life(
         self, endpoint: base.EndpointId, born_ms: int, now: float
     ) -> None:
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -13,10 +13,10 @@
 from banyanbank_node import _ports
 from banyanbank_node import _store_client
 
-HOLD_S = 0.6
+HOLD_S = 0.5
 """Seconds that the leader may hold a poll when there is nothing new."""
 
-ANSWER_S = 0.5
+ANSWER_S = 0.3
 """Seconds beyond it that the answer may take."""
 
 EMPTY_WAIT_S = 0.1
@@ -94,13 +94,16 @@
         )
         if isinstance(answered, result.Failure):
             self._events.write("dep.leader_lost", why=answered.failure().detail)
-            self.directory.expire(self._clock.now())
+            self.directory.hold(self._clock.now())
             return False
         self._take(answered.unwrap())
         return True
 
     def _take(self, answer: _messages.SyncAnswer) -> None:
         now = self._clock.now()
+        if answer.directory_of != self._directory_of:
+            # A new leader may have heard of few endpoints so far.
+            self.directory.hold(now)
         self.heard_at = now
         self._true_time.follow(answer.true_time)
         self._client.know_stores(answer.stores)
--- a/packages/node/src/banyanbank_node/_member_duty.py
+++ b/packages/node/src/banyanbank_node/_member_duty.py
@@ -1,5 +1,7 @@
 """Keeps the members of the log in step with the stores that run."""
 
+import enum
+
 import attrs
 import banyanbank_base as base
 import banyanbank_consensus as consensus
@@ -15,11 +17,80 @@
 LIVE_S = 2.5
 """Seconds for which a store that said it runs is believed to."""
 
-GONE_S = 4.0
+GONE_S = 3.0
 """Seconds of silence after which a spare store takes the place of another."""
 
-LEAST_VOTERS = 3
-"""Voters that a removal must leave: the fewest that bear a loss."""
+MOST_STANDBY = 1
+"""Stores that keep the log without a vote, to take a voter's place at once."""
+
+
+class ChangeKind(enum.Enum):
+    """What is done to a member."""
+
+    ADD_VOTER = "add voter"
+    """It joins, and votes once it has caught up."""
+    ADD_STANDBY = "add standby"
+    """It receives the log without a vote."""
+    REMOVE = "remove"
+    """It leaves."""
+
+
+@attrs.frozen
+class MemberChange:
+    """One change of members."""
+
+    kind: ChangeKind
+    """What is done."""
+    instance: base.InstanceId
+    """To whom."""
+
+
+@attrs.frozen
+class MembershipView:
+    """Members of the log and stores that run, at one moment."""
+
+    voters: tuple[base.InstanceId, ...]
+    """Members that vote."""
+    joining: tuple[base.InstanceId, ...]
+    """Members that will vote once they have caught up."""
+    standby: tuple[base.InstanceId, ...]
+    """Members without a vote."""
+    live: frozenset[base.InstanceId]
+    """Stores that have just said that they run."""
+    gone: frozenset[base.InstanceId]
+    """Members that have been silent for long."""
+    retired: frozenset[base.InstanceId]
+    """Stores that an operator takes out."""
+    wanted: int
+    """Number of voters that is wanted; odd."""
+
+
+def next_change(view: MembershipView) -> MemberChange | None:
+    """Returns the next change of members, or None.
+
+    The number of voters is kept odd: an even number bears no more losses, and
+    a split into halves would leave neither half a quorum. A voter that is
+    gone or retired leaves only after another one has taken its place.
+    """
+    keep = [
+        name
+        for name in view.voters
+        if name not in view.gone and name not in view.retired
+    ]
+    for name in view.voters:
+        if name not in keep and len(keep) >= view.wanted:
+            return MemberChange(ChangeKind.REMOVE, name)
+    for name in (*view.standby, *view.joining):
+        if name in view.gone or name in view.retired:
+            return MemberChange(ChangeKind.REMOVE, name)
+    members = {*view.voters, *view.joining, *view.standby}
+    spare = [name for name in view.standby if name in view.live]
+    fresh = sorted(view.live - members - view.retired)
+    if len(keep) + len(view.joining) < view.wanted and (spare or fresh):
+        return MemberChange(ChangeKind.ADD_VOTER, (spare or fresh)[0])
+    if len(view.standby) < MOST_STANDBY and not view.joining and fresh:
+        return MemberChange(ChangeKind.ADD_STANDBY, fresh[0])
+    return None
 
 
 @attrs.define
@@ -37,6 +108,7 @@
         clock: Clock of silence.
         stored: The log.
         calls: Serves the calls of stores and operators.
+        voters_wanted: Number of voters; odd.
         events: Log of decisions.
     """
 
@@ -45,8 +117,10 @@
         clock: base.Clock,
         stored: _stored.Stored,
         calls: _store_calls.StoreCalls,
+        voters_wanted: int,
         events: _event_log.EventLog,
     ) -> None:
+        self._voters_wanted = voters_wanted
         self._clock = clock
         self._stored = stored
         self._calls = calls
@@ -64,17 +138,15 @@
         if self._led_since is None:
             self._led_since = now
         self._calls.led_since = self._led_since
-        if self._is_changing:
-            return
         status = self._stored.node.status()
-        if not status.members_committed:
+        if self._is_changing or not status.members_committed:
             return
-        leaving = self._leaving(status, now)
-        joining = self._joining(status, now)
-        if joining is not None:
-            self._change(joining, is_added=True)
-        elif leaving is not None:
-            self._change(leaving, is_added=False)
+        step = next_change(self._view(status, now))
+        if step is not None:
+            self._is_changing = True
+            _background.run(
+                self._change(step), "change of members", self._events
+            )
 
     def stop(self) -> None:
         """Forgets who was heard; another store leads."""
@@ -82,39 +154,31 @@
         self._calls.led_since = None
         self._heard.clear()
 
-    def _joining(
-        self, status: consensus.NodeStatus, now: float
-    ) -> base.InstanceId | None:
-        members = {m.instance for m in (*status.voters, *status.learners)}
-        for instance, heard in sorted(self._heard.items()):
-            if (
-                instance not in members
-                and instance not in self._stored.ledger.retired
-                and heard.at + LIVE_S > now
-            ):
-                return instance
-        return None
-
-    def _leaving(
-        self, status: consensus.NodeStatus, now: float
-    ) -> base.InstanceId | None:
-        """Returns a voter to remove, provided that enough others are live."""
-        live = [
-            m.instance
-            for m in status.voters
-            if m.instance == status.instance or self._is_live(m.instance, now)
-        ]
-        for member in status.voters:
-            others = [name for name in live if name != member.instance]
-            if len(others) < LEAST_VOTERS:
-                continue
-            if member.instance in self._stored.ledger.retired:
-                return member.instance
-            if member.instance not in live and self._is_gone(
-                member.instance, now
-            ):
-                return member.instance
-        return None
+    def _view(self, status: consensus.NodeStatus, now: float) -> MembershipView:
+        live = {name for name in self._heard if self._is_live(name, now)}
+        live.add(status.instance)
+        members = (*status.voters, *status.learners)
+        return MembershipView(
+            voters=tuple(m.instance for m in status.voters),
+            joining=tuple(
+                m.instance
+                for m in status.learners
+                if m.role is consensus.MemberRole.JOINING
+            ),
+            standby=tuple(
+                m.instance
+                for m in status.learners
+                if m.role is consensus.MemberRole.LEARNER
+            ),
+            live=frozenset(live),
+            gone=frozenset(
+                m.instance
+                for m in members
+                if m.instance not in live and self._is_gone(m.instance, now)
+            ),
+            retired=frozenset(self._stored.ledger.retired),
+            wanted=self._voters_wanted,
+        )
 
     def _is_live(self, instance: base.InstanceId, now: float) -> bool:
         heard = self._heard.get(instance)
@@ -127,31 +191,21 @@
             since = max(since, heard.at)
         return since + GONE_S < now
 
-    def _change(self, instance: base.InstanceId, is_added: bool) -> None:
-        self._is_changing = True
-        _background.run(
-            self._change_once(instance, is_added),
-            "change of members",
-            self._events,
-        )
-
-    async def _change_once(
-        self, instance: base.InstanceId, is_added: bool
-    ) -> None:
+    async def _change(self, step: MemberChange) -> None:
+        node = self._stored.node
+        ways = {
+            ChangeKind.ADD_VOTER: node.add_voter,
+            ChangeKind.ADD_STANDBY: node.add_learner,
+            ChangeKind.REMOVE: node.remove_voter,
+        }
         try:
-            node = self._stored.node
-            changing = (
-                node.add_voter(instance)
-                if is_added
-                else node.remove_voter(instance)
-            )
-            changed = await changing
+            changed = await ways[step.kind](step.instance)
         finally:
             self._is_changing = False
         self._events.write(
             "members.change",
-            store=instance,
-            change="added" if is_added else "removed",
+            store=step.instance,
+            change=step.kind.value,
             outcome="done"
             if isinstance(changed, result.Success)
             else str(changed.failure()),
@@ -177,15 +231,14 @@
         if instance in self._stored.ledger.retired:
             return _messages.Accepted()
         now = self._clock.now()
-        status = self._stored.node.status()
         remaining = [
-            member.instance
-            for member in status.voters
-            if member.instance != instance
-            and member.instance not in self._stored.ledger.retired
-            and self._is_live(member.instance, now)
+            name
+            for name in self._heard
+            if name != instance
+            and name not in self._stored.ledger.retired
+            and self._is_live(name, now)
         ]
-        if len(remaining) < LEAST_VOTERS:
+        if len(remaining) < self._voters_wanted:
             return _messages.TooFew()
         await self._calls.commit(jobs.RetireInstance(instance))
         return _messages.Accepted()
--- a/packages/node/src/banyanbank_node/_settings.py
+++ b/packages/node/src/banyanbank_node/_settings.py
@@ -61,3 +61,10 @@
     """Folder of the log."""
     may_form: bool
     """Whether the system starts for the first time."""
+    losses: int = 1
+    """Stores that may be lost at once."""
+
+    @property
+    def voters_wanted(self) -> int:
+        """Number of voters; odd, so that one half of a split has a quorum."""
+        return 2 * self.losses + 1
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -147,7 +147,11 @@
             self.events,
         )
         members = _member_duty.MemberDuty(
-            node.clock, self.stored, self.calls, self.events
+            node.clock,
+            self.stored,
+            self.calls,
+            self.settings.voters_wanted,
+            self.events,
         )
         self._duties: tuple[consensus.Duty, ...] = (
             members,
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -17,6 +17,9 @@
 TRY_S = 0.8
 """Seconds that one store has to answer."""
 
+AVOID_S = 2.0
+"""Seconds in which a store that did not answer is asked after all others."""
+
 LocalHandler = collections.abc.Callable[
     [bytes], collections.abc.Awaitable[bytes]
 ]
@@ -59,6 +62,7 @@
         self._stores: tuple[base.InstanceId, ...] = ()
         self._hint: base.InstanceId | None = None
         self._turn = 0
+        self._avoided: dict[base.InstanceId, float] = {}
         self._local: dict[str, LocalHandler] = {}
         self.know_stores(())
 
@@ -120,6 +124,7 @@
             if isinstance(called, result.Success):
                 answer = called.unwrap()
                 if answer.payload is not None:
+                    self._avoided.pop(target, None)
                     self._hint = target
                     return result.Success(answer.payload)
                 detail = f"{target} does not lead"
@@ -128,7 +133,7 @@
                 error = called.failure()
                 detail = f"{target}: {error.detail}"
                 may_have_run |= error.outcome is not base.Outcome.NOT_RUN
-                self._hint = None
+                self._avoid(target)
             await task.deferLater(self._reactor, RETRY_S)
         return result.Failure(StoreCallError(may_have_run, detail))
 
@@ -156,12 +161,30 @@
             return self._hint
         known = sorted({*self._stores, *self._seeds})
         self._turn += 1
-        return known[self._turn % len(known)]
+        turned = [
+            known[(self._turn + offset) % len(known)]
+            for offset in range(len(known))
+        ]
+        heard = [store for store in turned if not self._is_avoided(store)]
+        return (heard or turned)[0]
+
+    def _avoid(self, store: base.InstanceId) -> None:
+        """Asks others before a store that has just failed to answer.
+
+        Its followers go on naming a leader that is frozen or cut off until
+        they elect another one.
+        """
+        self._avoided[store] = self._clock.now() + AVOID_S
+        if self._hint == store:
+            self._hint = None
+
+    def _is_avoided(self, store: base.InstanceId) -> bool:
+        return self._clock.now() < self._avoided.get(store, 0.0)
 
     def _follow(self, told_by: base.InstanceId, leader: str) -> None:
         hint = base.InstanceId(leader) if leader else None
-        if hint == told_by:
-            hint = None
-        if hint is not None:
-            self.reach(hint)
+        if hint is None or hint == told_by or self._is_avoided(hint):
+            self._hint = None
+            return
+        self.reach(hint)
         self._hint = hint
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -97,3 +97,8 @@
         self.hear(DRAINING)
         self.assertEqual(self.known(), [])
         self.assertEqual(self.directory.ended(), [(FIRST.endpoint, 1_000)])
+
+    def test_endpoints_are_kept_while_nobody_tells_of_them(self) -> None:
+        self.hear(FIRST)
+        self.directory.hold(20.0)
+        self.assertEqual(self.directory.expire(24.0), [])
