Take a text for whole when an engine has nothing to add to it

The item went round until its job ended, and each answer marked a sound engine as failed, so that it got no items for 2 s and more. Ruled out: garbled answers (the same on three engines, seven times).

Change: such an answer that bears the item's id and ends properly confirms the text; one with events but no version is refused. Reading is split in two. Test: a run that is cut after its last event (red before, green after).

--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -246,33 +246,51 @@
             resp.cancel()
             self._refused(run, resp.status, marks)
             return
-        version = marks.weight_version or 0
-        if item.job.model:
-            self._engines.saw_version(run.to, item.job.model, version)
-            if version < item.job.least_version:
-                resp.cancel()
-                self._lost(run, f"version {version} is too old")
-                return
+        if not self._fits(run, marks):
+            resp.cancel()
+            self._lost(run, f"version {marks.weight_version} is too old")
+            return
         item.refusals = 0
-        item.text.begin_run(version)
+        try:
+            await self._read_events(run, resp, marks)
+        except jobs.EventStreamError as exc:
+            resp.cancel()
+            self._lost(run, str(exc))
+            return
+        self._generated(run)
+
+    def _fits(self, run: _Run, marks: _ports.AnswerMarks) -> bool:
+        """Whether an engine's weights may generate the text of an item."""
+        job = run.item.job
+        if not job.model or _may_be_whole(run.item, marks):
+            return True
+        version = marks.weight_version or 0
+        self._engines.saw_version(run.to, job.model, version)
+        return version >= job.least_version
+
+    async def _read_events(
+        self, run: _Run, resp: web.UpstreamResponse, marks: _ports.AnswerMarks
+    ) -> None:
+        """Reads an answer to its end.
+
+        Raises:
+            EventStreamError: It was cut, or is not the rest of the text.
+        """
+        is_whole = _may_be_whole(run.item, marks)
+        run.item.text.begin_run(marks.weight_version or 0)
         reader = jobs.EventStreamReader(self._wire.version_field)
         while True:
             chunk = await resp.next_chunk()
             if isinstance(chunk, result.Failure):
-                self._lost(run, chunk.failure().detail)
-                return
+                raise jobs.EventStreamError(chunk.failure().detail)
             if not chunk.unwrap():
                 break
-            try:
-                self._take(run, reader.feed(chunk.unwrap()))
-            except jobs.EventStreamError as exc:
-                resp.cancel()
-                self._lost(run, str(exc))
-                return
-        if not reader.is_between_events or not run.events:
-            self._lost(run, "the stream ended in the middle of an event")
-            return
-        self._generated(run)
+            events = reader.feed(chunk.unwrap())
+            if events and is_whole:
+                raise jobs.EventStreamError("events without a version")
+            self._take(run, events)
+        if not reader.is_between_events or not (run.events or is_whole):
+            raise jobs.EventStreamError("the stream ended in mid-event")
 
     def _take(self, run: _Run, events: list[jobs.StreamEvent]) -> None:
         now = self._clock.now()
@@ -465,3 +483,15 @@
             last_event=run.item.text.last_event,
             age_ms=round(1000 * (self._clock.now() - run.began_at)),
         )
+
+
+def _may_be_whole(item: jobs.ItemProgress, marks: _ports.AnswerMarks) -> bool:
+    """Whether an engine seems to have nothing to add to a kept text.
+
+    It then names no weight version, since it generates nothing.
+    """
+    return (
+        marks.weight_version is None
+        and bool(item.text.pieces)
+        and marks.request_id == item.spec.item
+    )
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -136,8 +136,9 @@
         first = int(last) + 1 if last else 1
         cut = self.cuts.popleft() if self.cuts else None
         request.setHeader("content-type", "text/event-stream")
-        version = str(self.versions["model"])
-        request.setHeader("x-banyanbank-weight-versions", version)
+        if first <= EVENTS:
+            version = str(self.versions["model"])
+            request.setHeader("x-banyanbank-weight-versions", version)
         request_id = request.getHeader("x-banyanbank-request-id")
         request.setHeader("x-banyanbank-request-id", str(request_id))
         for number in range(first, EVENTS + 1):
@@ -145,6 +146,9 @@
                 task.deferLater(self._reactor, 0.01, _cut, request)
                 return
             request.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        if cut == EVENTS:
+            task.deferLater(self._reactor, 0.01, _cut, request)
+            return
         request.finish()
 
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -165,6 +165,25 @@
 
         deployment.play(story)
 
+    def test_run_that_is_cut_after_its_last_event(self) -> None:
+        async def story(there: deployment.Deployment) -> None:
+            await there.serve()
+            there.engine.cuts.append(4)
+            await there.front(
+                "POST",
+                "/jobs/x",
+                deployment.make_job(items=1),
+                x_banyanbank_request_id="job-1",
+            )
+            page = await self.read_all(there, 1)
+            (one,) = page["results"]
+            self.assertEqual(one["state"], "completed")
+            self.assertEqual(one["text"], "piece 1\npiece 2\npiece 3\npiece 4")
+            self.assertEqual(one["versions"], [1])
+            self.assertEqual(there.engine.resumed_after, [None, "4"])
+
+        deployment.play(story)
+
     def test_scorer_that_always_fails(self) -> None:
         async def story(there: deployment.Deployment) -> None:
             await there.serve()
