--- a/packages/node/src/banyanbank_node/_settings.py
+++ b/packages/node/src/banyanbank_node/_settings.py
@@ -35,6 +35,8 @@
     """Length of a usage window in seconds."""
     stop_limit_s: float
     """Seconds after which a graceful shutdown gives up waiting."""
+    keep_jobs_s: float
+    """Seconds for which results can be read after a job's submission."""
 
 
 @attrs.frozen
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -19,6 +19,7 @@
 from banyanbank_node import _messages
 from banyanbank_node import _node
 from banyanbank_node import _ports
+from banyanbank_node import _retention_duty
 from banyanbank_node import _settings
 from banyanbank_node import _store_calls
 from banyanbank_node import _stored
@@ -153,11 +154,19 @@
             self.settings.voters_wanted,
             self.events,
         )
+        retention = _retention_duty.RetentionDuty(
+            node.clock,
+            node.true_time,
+            self.stored,
+            node.settings.keep_jobs_s,
+            self.events,
+        )
         self._duties: tuple[consensus.Duty, ...] = (
             members,
             loads,
             runs,
             reports,
+            retention,
         )
         return runs
 
