--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -408,6 +408,7 @@
     ) -> None:
         if not self._scheduler.holds(item):
             return
+        self._grading.pop(item, None)
         self._scheduler.generated(item)
         item.stage = jobs.Stage.LISTING
         is_whole = outcome is jobs.ItemOutcome.COMPLETED
