Give up links between instances that have fallen silent

Ruled out: the store's answer (it never got the calls) and the dial (0.2 s once it began).

Change: a link over which something was sent and no byte came back for 0.8 s is probed by a ping, and aborted after 0.7 s without a byte. Bytes are counted below the messages, since a large frame is seen only when whole.

The new test ended by its deadline before; a slow answer over a sound link keeps the link.

--- a/packages/mesh/src/banyanbank_mesh/_connections.py
+++ b/packages/mesh/src/banyanbank_mesh/_connections.py
@@ -6,13 +6,13 @@
 
 import attrs
 import banyanbank_base as base
-import websockets.asyncio.connection
 import websockets.asyncio.server
 import websockets.exceptions
 
 from banyanbank_mesh import _errors
 from banyanbank_mesh import _frames
 from banyanbank_mesh import _handshake
+from banyanbank_mesh import _heard
 from banyanbank_mesh import _link
 from banyanbank_mesh import _peer
 from banyanbank_mesh import _sockets
@@ -174,6 +174,12 @@
             "mesh.frame_refused", detail=f"peer={link.peer} why={detail}"
         )
 
+    def link_silent(self, link: _link.Link) -> None:
+        """Hears that a link is given up because its peer is silent."""
+        self._recorder.record(
+            "mesh.silent", detail=f"peer={link.peer} lane={link.lane.value}"
+        )
+
     def link_closed(self, link: _link.Link) -> None:
         """Forgets a link."""
         peer = self._peers[link.peer]
@@ -255,7 +261,7 @@
 
     async def _connect(
         self, peer: _peer.Peer, lane: _frames.Lane
-    ) -> tuple[websockets.asyncio.connection.Connection, _handshake.Identity]:
+    ) -> tuple[_heard.HeardClient, _handshake.Identity]:
         address = peer.address
         if address is None:
             raise OSError(f"The address of {peer.instance!r} is not known.")
@@ -270,9 +276,7 @@
             raise
         return conn, identity
 
-    async def _serve(
-        self, conn: websockets.asyncio.server.ServerConnection
-    ) -> None:
+    async def _serve(self, conn: _heard.HeardServer) -> None:
         if self._accepted >= MAX_ACCEPTED_LINKS or self._stopped:
             await conn.close(_link.CODE_REFUSED, "Too many connections.")
             return
@@ -282,9 +286,7 @@
         finally:
             self._accepted -= 1
 
-    async def _serve_accepted(
-        self, conn: websockets.asyncio.server.ServerConnection
-    ) -> None:
+    async def _serve_accepted(self, conn: _heard.HeardServer) -> None:
         try:
             identity, lane = await _handshake.accept(
                 conn, self._me, self._check_life, self._tls
@@ -313,7 +315,7 @@
 
     def _add_link(
         self,
-        conn: websockets.asyncio.connection.Connection,
+        conn: _heard.HeardConnection,
         identity: _handshake.Identity,
         lane: _frames.Lane,
         *,
--- a/packages/mesh/src/banyanbank_mesh/_link.py
+++ b/packages/mesh/src/banyanbank_mesh/_link.py
@@ -7,10 +7,10 @@
 
 import attrs
 import banyanbank_base as base
-import websockets.asyncio.connection
 import websockets.exceptions
 
 from banyanbank_mesh import _frames
+from banyanbank_mesh import _heard
 
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
 """Bytes that may wait for one connection, or one larger frame."""
@@ -18,6 +18,12 @@
 MAX_QUEUED_FRAMES = 4096
 """Frames that may wait for one connection."""
 
+SILENCE_S = 0.8
+"""Seconds without an answer after which a peer is asked for a sign of life."""
+
+PROBE_S = 0.7
+"""Seconds that the peer has to give it."""
+
 CODE_PROTOCOL = 4000
 """Close code: the peer sent something that is no frame."""
 
@@ -99,6 +105,10 @@
         """Hears that the peer sent something that is no frame."""
         ...
 
+    def link_silent(self, link: "Link") -> None:
+        """Hears that a peer gave no sign of life, so that the link ends."""
+        ...
+
     def link_closed(self, link: "Link") -> None:
         """Hears, once, that the link carries nothing more."""
         ...
@@ -107,6 +117,10 @@
 class Link:
     """One websocket to one life of a peer, after the handshake.
 
+    A link over which something was sent, and nothing was heard since, is probed
+    and then given up: after a cut, TCP sends again only after pauses that have
+    doubled all the while, and some links stay silent for good.
+
     Args:
         conn: The open websocket.
         peer: Instance at the other end.
@@ -118,7 +132,7 @@
 
     def __init__(
         self,
-        conn: websockets.asyncio.connection.Connection,
+        conn: _heard.HeardConnection,
         peer: base.InstanceId,
         incarnation: base.Incarnation,
         lane: _frames.Lane,
@@ -136,6 +150,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._room_waiters: list[collections.abc.Callable[[], None]] = []
         self._closing = False
+        self._heard_before = -1
+        self._owing_since = 0.0
+        self._watch: asyncio.TimerHandle | None = None
+        self._is_probing = False
 
     @property
     def usable(self) -> bool:
@@ -181,6 +199,8 @@
         finally:
             self._closing = True
             writer.cancel()
+            if self._watch is not None:
+                self._watch.cancel()
             self._tell_room()
             self._owner.link_closed(self)
 
@@ -218,8 +238,53 @@
             if item.withdrawn:
                 continue
             item.left = True
+            self._expect_answer()
             await self._conn.send(item.data)
 
+    def _expect_answer(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._conn.bytes_heard != self._heard_before:
+            self._heard_before = self._conn.bytes_heard
+            self._owing_since = loop.time()
+        if self._watch is None and not self._is_probing:
+            self._watch_from(loop)
+
+    def _watch_from(self, loop: asyncio.AbstractEventLoop) -> None:
+        silent_at = self._owing_since + SILENCE_S
+        self._watch = loop.call_at(silent_at, self._check_silence)
+
+    def _check_silence(self) -> None:
+        self._watch = None
+        if self._conn.bytes_heard != self._heard_before or self._closing:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._owing_since + SILENCE_S:
+            self._watch_from(loop)
+            return
+        self._is_probing = True
+        task = asyncio.ensure_future(self._probe())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self) -> None:
+        transport = self._conn.transport
+        unsent = transport.get_write_buffer_size()
+        try:
+            async with asyncio.timeout(PROBE_S):
+                await (await self._conn.ping())
+        except TimeoutError:
+            has_heard = self._conn.bytes_heard != self._heard_before
+            # A large frame on a narrow path keeps a ping waiting.
+            has_sent = transport.get_write_buffer_size() < unsent
+            if not has_heard and not has_sent:
+                self._closing = True
+                self._owner.link_silent(self)
+                transport.abort()
+        except websockets.exceptions.ConnectionClosed:
+            return
+        finally:
+            self._is_probing = False
+
     def _tell_room(self) -> None:
         waiters = self._room_waiters
         self._room_waiters = []
--- a/packages/mesh/src/banyanbank_mesh/_sockets.py
+++ b/packages/mesh/src/banyanbank_mesh/_sockets.py
@@ -2,13 +2,14 @@
 
 import collections.abc
 import logging
+import typing
 
 import websockets.asyncio.client
-import websockets.asyncio.connection
 import websockets.asyncio.server
 
 from banyanbank_mesh import _frames
 from banyanbank_mesh import _handshake
+from banyanbank_mesh import _heard
 from banyanbank_mesh import _peer
 from banyanbank_mesh import _tls
 
@@ -28,7 +29,7 @@
 """Where the websockets library logs."""
 
 Handler = collections.abc.Callable[
-    [websockets.asyncio.server.ServerConnection],
+    [_heard.HeardServer],
     collections.abc.Awaitable[None],
 ]
 """Serves one accepted connection."""
@@ -49,11 +50,13 @@
         OSError: The address cannot be bound.
     """
     return await websockets.asyncio.server.serve(
-        handler,
+        # `create_connection` makes the connections that the handler expects.
+        typing.cast(typing.Any, handler),
         host,
         port,
         ssl=None if tls is None else tls.server_context(),
         compression=None,
+        create_connection=_heard.HeardServer,
         server_header=None,
         open_timeout=_handshake.HANDSHAKE_LIMIT_S,
         ping_interval=PING_PERIOD_S,
@@ -68,7 +71,7 @@
     address: _peer.Address,
     tls: _tls.MeshTls | None,
     source_host: str | None = None,
-) -> websockets.asyncio.connection.Connection:
+) -> _heard.HeardClient:
     """Opens a connection.
 
     Args:
@@ -83,11 +86,12 @@
     scheme = "ws" if tls is None else "wss"
     host = f"[{address.host}]" if ":" in address.host else address.host
     source = None if source_host is None else (source_host, 0)
-    return await websockets.asyncio.client.connect(
+    conn = await websockets.asyncio.client.connect(
         f"{scheme}://{host}:{address.port}/",
         local_addr=source,
         ssl=None if tls is None else tls.client_context(),
         compression=None,
+        create_connection=_heard.HeardClient,
         proxy=None,
         user_agent_header=None,
         open_timeout=CONNECT_LIMIT_S,
@@ -97,6 +101,7 @@
         max_size=_frames.MAX_FRAME_BYTES,
         logger=_quiet_logger(),
     )
+    return typing.cast(_heard.HeardClient, conn)
 
 
 def _quiet_logger() -> logging.Logger:
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -7,6 +7,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_mesh as mesh
+from banyanbank_mesh import _link
 from banyanbank_mesh import _peer
 from banyanbank_mesh import _sockets
 from returns import result
@@ -279,6 +280,61 @@
         ):
             self.run_case(case)
 
+    def test_link_that_fell_silent_is_replaced(self) -> None:
+        """New connections pass while the old one has gone silent for good."""
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            heard: defer.Deferred[bytes] = defer.Deferred()
+            b.on_call("echo", echo)
+            b.on_message("news", lambda _, data: heard.callback(data))
+            between = relay.Relay(b.port)
+            await between.start()
+            a.set_peer(B, "127.0.0.1", between.port)
+            for lane in ("calls", "messages"):
+                with self.subTest(lane=lane):
+                    await a.call(B, "echo", b"", self.soon())
+                    between.freeze()
+                    between.ways = relay.OneWays()
+                    if lane == "calls":
+                        cut = await a.call(B, "echo", b"", self.soon())
+                        self.expect_error(cut, KIND.DISCONNECTED, MAY_HAVE_RUN)
+                        again = await a.call(B, "echo", b"", self.soon())
+                        self.assertEqual(again, result.Success(b"a:"))
+                        continue
+                    while not heard.called:
+                        a.send(B, "news", b"new")
+                        await support.next_turn(support.POLL_S)
+            await between.stop()
+
+        with (
+            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 3600.0),
+            unittest.mock.patch.object(_link, "SILENCE_S", 0.05),
+            unittest.mock.patch.object(_link, "PROBE_S", 0.05),
+        ):
+            self.run_case(case)
+
+    def test_slow_answer_over_a_sound_link(self) -> None:
+        """A peer that takes its time but is there keeps its link."""
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            answered: defer.Deferred[bytes] = defer.Deferred()
+
+            async def slow(sender: base.InstanceId, data: bytes) -> bytes:
+                return await answered
+
+            b.on_call("slow", slow)
+            waiting = a.call(B, "slow", b"", self.soon())
+            await support.next_turn(10 * _link.SILENCE_S)
+            answered.callback(b"at last")
+            self.assertEqual(await waiting, result.Success(b"at last"))
+
+        with (
+            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 3600.0),
+            unittest.mock.patch.object(_link, "SILENCE_S", 0.05),
+            unittest.mock.patch.object(_link, "PROBE_S", 5.0),
+        ):
+            self.run_case(case)
+
     def test_source_host_tells_instances_apart(self) -> None:
         """Of two peers at one relay, only the one that is cut is silent."""
 
