--- a/packages/node/src/banyanbank_node/_node.py
+++ b/packages/node/src/banyanbank_node/_node.py
@@ -60,12 +60,13 @@
         self.mesh = mesh.Mesh(
             self.instance,
             self.incarnation,
-            settings.mesh.host,
+            settings.mesh_listen_host or settings.mesh.host,
             settings.mesh.port,
             clock=self.clock,
             recorder=self.recorder,
             rng=self.rng,
             hybrid_clock=self.recorder.hybrid_clock,
+            source_host=settings.mesh_source_host,
         )
         self.client = _store_client.StoreClient(
             reactor, self.clock, self.mesh, settings.seeds
--- a/packages/node/src/banyanbank_node/_settings.py
+++ b/packages/node/src/banyanbank_node/_settings.py
@@ -37,6 +37,11 @@
     """Seconds after which a graceful shutdown gives up waiting."""
     keep_jobs_s: float
     """Seconds for which results can be read after a job's submission."""
+    mesh_listen_host: str | None = None
+    """IP number to listen at for other processes, where it is not the one that
+    they dial; None for that one."""
+    mesh_source_host: str | None = None
+    """IP number to dial other processes from; None lets the system choose."""
 
 
 @attrs.frozen
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -16,7 +16,7 @@
 KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
 """Tests whose failure is known and not mended yet."""
 
-WAITING = ("processes", "scenarios")
+WAITING = ("processes", "scenarios", "soak")
 """Folders whose tests mostly wait; each is a group."""
 REST = "rest"
 """Group of all other folders."""
--- a/tests/links.py
+++ b/tests/links.py
@@ -74,6 +74,12 @@
         self.cut(ones, others)
         self.cut(others, ones)
 
+    def silence(self) -> None:
+        """Lets all open connections go silent for good; new ones work."""
+        for pair, way in list(self._ways.items()):
+            self._ways[pair] = relay.Way(way.delay_s, way.is_cut)
+            way.cut()
+
     def delay(
         self,
         ones: collections.abc.Sequence[str],
--- /dev/null
+++ b/tests/platform/test_serve.py
@@ -0,0 +1,42 @@
+"""Tests of the start of a process."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+
+SERVE = pathlib.Path(__file__).parents[2] / "platform" / "serve.py"
+
+SLOW_IMPORT = """
+import sys
+print("importing", flush=True)
+sys.stdin.readline()
+
+def main():
+    print("runs", flush=True)
+"""
+
+
+class StartTest(unittest.TestCase):
+    """Signals that come before a process serves."""
+
+    def test_settings_change_during_the_imports(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            package = pathlib.Path(folder, "banyanbank_platform")
+            package.mkdir()
+            (package / "__init__.py").touch()
+            (package / "_main.py").write_text(SLOW_IMPORT)
+            with subprocess.Popen(
+                [sys.executable, SERVE, "entry"],
+                env=os.environ | {"PYTHONPATH": folder},
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+            ) as process:
+                assert process.stdout is not None
+                self.assertEqual(process.stdout.readline(), b"importing\n")
+                process.send_signal(signal.SIGHUP)
+                rest, _ = process.communicate(b"\n")
+        self.assertEqual((process.returncode, rest), (0, b"runs\n"))
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: the real programs as processes, with faults from outside."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,47 @@
+"""Runs the soak by hand.
+
+python -m tests.soak --seed 7 --runs 50 --seconds 20 --keep FOLDER
+"""
+
+import pathlib
+import random
+import sys
+import tempfile
+
+import fire
+
+from tests.soak import run
+
+
+def soak(
+    seed: int = 0, runs: int = 1, seconds: float = 20.0, keep: str = ""
+) -> None:
+    """Plays runs with rising seeds and prints what broke.
+
+    Args:
+        seed: First seed; 0 draws one.
+        runs: Number of runs.
+        seconds: For how long each run injects faults.
+        keep: Folder in which the logs of broken runs are kept.
+    """
+    first = seed or random.SystemRandom().randrange(1, 1_000_000)
+    failed = 0
+    for number in range(first, first + runs):
+        folder = pathlib.Path(
+            tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None)
+        )
+        outcome = run.play(number, seconds, folder)
+        verdict = "BROKEN" if outcome.broken else "holds"
+        sys.stdout.write(f"seed {number}: {verdict} {outcome.counts}\n")
+        for line in outcome.broken:
+            sys.stdout.write(f"  {line}\n")
+        if outcome.broken:
+            failed += 1
+            sys.stdout.write(f"  faults: {outcome.faults}\n  logs: {folder}\n")
+        sys.stdout.flush()
+    sys.stdout.write(f"{failed} of {runs} runs broke a promise\n")
+    raise SystemExit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(soak)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,218 @@
+"""Faults from outside: signals to processes, relays that misbehave."""
+
+import random
+import signal
+import typing
+
+import attrs
+
+from tests import support
+from tests.soak import load
+from tests.soak import world
+
+SETTLE_S = 8.0
+"""Seconds that a store which lost its disk has before another one may."""
+
+Inject = typing.Callable[
+    ["Faults"], typing.Coroutine[typing.Any, typing.Any, str]
+]
+
+
+@attrs.define
+class Faults:
+    """Injects faults that come in series and overlap.
+
+    Args:
+        there: The deployment.
+        rng: Draws kinds, places and times.
+        work: Starts what nobody waits for.
+    """
+
+    there: world.World
+    """The deployment."""
+    rng: random.Random
+    """Draws kinds, places and times."""
+    work: load.Load
+    """Starts what nobody waits for."""
+    done: list[str] = attrs.Factory(list)
+    """What was injected, with its time."""
+    under_way: int = 0
+    """Faults that are not over."""
+    wiped_until: float = 0.0
+    """When another disk may be lost."""
+    cuts: int = 0
+    """Cuts that have not healed."""
+
+    async def run(self, until: float) -> None:
+        """Injects faults, and returns when the last one is over."""
+        began_at = self.there.reactor.seconds()
+        kinds = list(KINDS)
+        while self.there.reactor.seconds() < until:
+            name = self.rng.choice(kinds)
+            self.under_way += 1
+            at = self.there.reactor.seconds() - began_at
+            self.done.append(f"{at:.1f} {name}")
+            self.work.start(self._inject(len(self.done) - 1, KINDS[name]))
+            await support.next_turn(self.rng.uniform(0.2, 2.0))
+        await support.until(lambda: not self.under_way)
+
+    async def _inject(self, index: int, inject: Inject) -> None:
+        try:
+            self.done[index] += " " + await inject(self)
+        finally:
+            self.under_way -= 1
+
+    def now(self) -> float:
+        """Returns the present time."""
+        return float(self.there.reactor.seconds())
+
+    def any_member(self) -> world.Member:
+        """Draws a process."""
+        return self.rng.choice(list(self.there.members.values()))
+
+    async def wait(self, least_s: float, most_s: float) -> None:
+        """Waits for a drawn time."""
+        await support.next_turn(self.rng.uniform(least_s, most_s))
+
+
+async def _kill(faults: Faults) -> str:
+    member = faults.any_member()
+    member.kill()
+    await faults.wait(0.0, 1.5)
+    member.start()
+    return member.name
+
+
+async def _kill_all_stores(faults: Faults) -> str:
+    for store in faults.there.stores:
+        store.kill()
+    await faults.wait(0.0, 1.0)
+    for store in faults.there.stores:
+        store.start()
+    return ""
+
+
+async def _tear(faults: Faults) -> str:
+    store = faults.rng.choice(faults.there.stores)
+    store.kill()
+    store.tear()
+    await faults.wait(0.0, 1.0)
+    store.start()
+    return store.name
+
+
+async def _wipe(faults: Faults) -> str:
+    """Loses one disk; no further one before the store has caught up."""
+    if faults.now() < faults.wiped_until or faults.cuts:
+        return "not now"
+    if not all(store.is_up for store in faults.there.stores):
+        return "not now"
+    faults.wiped_until = faults.now() + SETTLE_S + 2.0
+    store = faults.rng.choice(faults.there.stores)
+    store.kill()
+    store.wipe()
+    await faults.wait(0.0, 1.0)
+    store.start()
+    return store.name
+
+
+async def _stop(faults: Faults) -> str:
+    member = faults.any_member()
+    member.signal(signal.SIGTERM)
+    await faults.wait(0.5, 5.0)
+    if member.is_up:
+        member.kill()
+    member.start()
+    return member.name
+
+
+async def _pause(faults: Faults) -> str:
+    member = faults.any_member()
+    paused = member.running
+    member.signal(signal.SIGSTOP)
+    await faults.wait(0.1, 4.0)
+    if member.running is paused:
+        member.signal(signal.SIGCONT)
+    return member.name
+
+
+async def _reload(faults: Faults) -> str:
+    member = faults.any_member()
+    if member.lives and faults.rng.random() < 0.5:
+        member.settings["seeds"] = faults.rng.sample(
+            member.settings["seeds"], len(member.settings["seeds"])
+        )
+    if not member.handles_signals:
+        return "not now"
+    member.signal(signal.SIGHUP)
+    return member.name
+
+
+async def _jump_clock(faults: Faults) -> str:
+    member = faults.any_member()
+    if not member.handles_signals:
+        return "not now"
+    member.signal(signal.SIGUSR1)
+    return member.name
+
+
+async def _isolate(faults: Faults) -> str:
+    member = faults.any_member()
+    faults.cuts += 1
+    faults.there.links.isolate(member.name)
+    await faults.wait(0.3, 6.0)
+    _heal(faults)
+    return member.name
+
+
+async def _cut_one_way(faults: Faults) -> str:
+    ones = faults.rng.sample(sorted(faults.there.members), 2)
+    others = [name for name in faults.there.members if name not in ones]
+    faults.cuts += 1
+    faults.there.links.cut(ones, others)
+    await faults.wait(0.3, 4.0)
+    _heal(faults)
+    return ",".join(ones)
+
+
+def _heal(faults: Faults) -> None:
+    faults.cuts -= 1
+    if not faults.cuts:
+        faults.there.links.heal()
+
+
+async def _delay(faults: Faults) -> str:
+    member = faults.any_member()
+    others = [name for name in faults.there.members if name != member.name]
+    faults.there.links.delay([member.name], others, 0.15)
+    await faults.wait(0.5, 3.0)
+    faults.there.links.delay([member.name], others, 0.0)
+    return member.name
+
+
+async def _reset(faults: Faults) -> str:
+    faults.there.links.reset()
+    return ""
+
+
+async def _silence(faults: Faults) -> str:
+    faults.there.links.silence()
+    return ""
+
+
+KINDS: dict[str, Inject] = {
+    "kill": _kill,
+    "kill all stores": _kill_all_stores,
+    "tear": _tear,
+    "wipe": _wipe,
+    "stop": _stop,
+    "pause": _pause,
+    "reload": _reload,
+    "jump clock": _jump_clock,
+    "isolate": _isolate,
+    "cut one way": _cut_one_way,
+    "delay": _delay,
+    "reset": _reset,
+    "silence": _silence,
+}
+"""What can go wrong, by name."""
--- /dev/null
+++ b/tests/soak/load.py
@@ -0,0 +1,376 @@
+"""Callers, trainers, servers and operators, and what they were promised."""
+
+import copy
+import json
+import random
+import typing
+
+from twisted.internet import defer
+
+from tests import support
+from tests.platform import deployment
+from tests.platform import standins
+from tests.soak import http
+from tests.soak import world
+
+BEAT_S = 1.0
+CALL_S = 1.0
+ITEMS = 4
+ACCEPT_S = 10.0
+"""Seconds for which a batch job is offered."""
+TEXT = "\n".join(f"piece {n + 1}" for n in range(standins.EVENTS))
+
+
+class Promises:
+    """Collects what was broken.
+
+    Attributes:
+        broken: One line for each broken promise.
+        counts: How often each kind of call was made and answered.
+    """
+
+    def __init__(self) -> None:
+        self.broken: list[str] = []
+        self.counts: dict[str, int] = {}
+
+    def check(self, holds: bool, text: str) -> None:
+        """Notes a broken promise."""
+        if not holds:
+            self.broken.append(text)
+
+    def count(self, what: str) -> None:
+        """Counts something that happened."""
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+
+class Load:
+    """Everybody who speaks with the deployment, and the checks.
+
+    Args:
+        there: The deployment.
+        rng: Source of all choices.
+        promises: Takes what was broken.
+    """
+
+    def __init__(
+        self, there: world.World, rng: random.Random, promises: Promises
+    ) -> None:
+        self._there = there
+        self._rng = rng
+        self._promises = promises
+        self._caller = http.Caller(there.reactor)
+        self._jobs: dict[str, list[typing.Any]] = {}
+        self._once: dict[str, int | None] = {}
+        self._numbers = 0
+        self._seen: dict[tuple[str, int], int] = {}
+        self.is_running = True
+        self.version = 1
+        self.acknowledged = 0
+        self.sent = 0
+
+    def start(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Starts something that nobody waits for; its defects are noted."""
+        running = defer.ensureDeferred(work)
+        running.addErrback(
+            lambda failure: self._promises.check(False, failure.getTraceback())
+        )
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        await self._caller.close()
+
+    async def beat(self) -> None:
+        """Announces all servers, each at whichever store answers."""
+        sequence = 0
+        while self.is_running:
+            sequence += 1
+            for name, body in self._there.farm.announcements(sequence):
+                self.start(self._announce(name, body))
+            await support.next_turn(BEAT_S)
+
+    async def _announce(self, name: str, body: bytes) -> None:
+        for store in self._shuffled(self._there.stores):
+            url = self._there.control_url(store) + f"/-/instances/{name}"
+            reply = await self._caller.call("PUT", url, body, CALL_S)
+            if reply is not None and reply.status == 200:
+                return
+
+    async def operate(self) -> None:
+        """Declares documents, and reads what is in force."""
+        while self.is_running:
+            self.sent += self._rng.randint(1, 3)
+            await self._declare(self.sent)
+            await self._read_document()
+            await support.next_turn(self._rng.uniform(0.3, 1.5))
+
+    async def _declare(self, number: int) -> None:
+        body = json.dumps(make_document(number)).encode()
+        for _ in range(8):
+            store = self._rng.choice(self._there.stores)
+            url = self._there.control_url(store) + "/-/config"
+            reply = await self._caller.call("PUT", url, body, CALL_S)
+            if reply is not None and reply.status == 200:
+                self._promises.count("documents acknowledged")
+                self.acknowledged = max(self.acknowledged, number)
+                return
+            self._promises.check(
+                reply is None or reply.status >= 500,
+                f"document {number} was refused: {reply}",
+            )
+            await support.next_turn(0.2)
+
+    async def _read_document(self) -> None:
+        least = self.acknowledged
+        store = self._rng.choice(self._there.stores)
+        url = self._there.control_url(store) + "/-/config"
+        reply = await self._caller.call("GET", url, limit_s=CALL_S)
+        if reply is not None and reply.status == 200:
+            self._promises.count("documents read")
+            held = reply.json()["version"]
+            self._promises.check(
+                least <= held <= self.sent,
+                f"{store.name} read document {held} after {least} was "
+                f"acknowledged and {self.sent} sent",
+            )
+
+    async def publish(self) -> None:
+        """Names new versions of the weights."""
+        while self.is_running:
+            await support.next_turn(self._rng.uniform(2.0, 4.0))
+            number = self.version + 1
+            body = json.dumps({"model": "model", "version": number}).encode()
+            for store in self._shuffled(self._there.stores):
+                url = self._there.control_url(store) + "/-/version-put"
+                reply = await self._caller.call("POST", url, body, CALL_S)
+                if reply is not None and reply.status == 200:
+                    self.version = number
+                    break
+
+    async def ask(self) -> None:
+        """Sends requests of both kinds over kept connections."""
+        while self.is_running:
+            await support.next_turn(self._rng.uniform(0.02, 0.1))
+            entry = self._rng.choice(self._there.entries)
+            self.start(self._ask_once(entry))
+            if self._rng.random() < 0.2:
+                self.start(self._probe(entry))
+
+    async def _ask_once(self, entry: world.Member) -> None:
+        self._numbers += 1
+        name = f"r{self._numbers}"
+        kind = self._rng.choice(("plain", "once"))
+        url = self._there.front_url(entry) + f"/{kind}/{name}"
+        reply = await self._caller.call(
+            "POST",
+            url,
+            b"body",
+            2.5,
+            x_banyanbank_request_id=name,
+            x_banyanbank_deadline_ms="2000",
+        )
+        if kind == "once":
+            self._once[name] = None if reply is None else reply.status
+        if reply is None:
+            self._promises.count("requests without answer")
+        elif reply.status == 200:
+            self._promises.count("requests answered")
+            mark = reply.headers.get("x-banyanbank-response-signature")
+            self._promises.check(
+                mark == f"signed.{name}"
+                and reply.body == b"answer to " + name.encode(),
+                f"{name} got an answer that is not its own: {reply}",
+            )
+        else:
+            self._promises.count(f"requests refused {reply.status}")
+
+    async def _probe(self, entry: world.Member) -> None:
+        """An entry never goes back to an older document in one life."""
+        life = (entry.name, entry.lives)
+        newest = self._seen.get(life, 0)
+        number = self._rng.randint(max(1, self.sent - 4), max(1, self.sent))
+        url = self._there.front_url(entry) + f"/of-{number}/x"
+        reply = await self._caller.call(
+            "POST", url, b"x", x_banyanbank_request_id=f"p{number}"
+        )
+        if reply is None or reply.status != 200 or entry.lives != life[1]:
+            return
+        self._promises.check(
+            number >= newest,
+            f"{entry.name} served document {number} after {newest}",
+        )
+        self._seen[life] = max(self._seen.get(life, 0), number)
+
+    async def train(self) -> None:
+        """Submits batch jobs and reads them to their ends."""
+        while self.is_running:
+            self._numbers += 1
+            self.start(self._run_job(f"job-{self._numbers}"))
+            await support.next_turn(self._rng.uniform(0.4, 1.2))
+
+    async def _run_job(self, job: str) -> None:
+        body = make_job(job, self.version)
+        least = max(1, self.version - 1)
+        until = self._there.reactor.seconds() + ACCEPT_S
+        status = None
+        while status != 202 and self._there.reactor.seconds() < until:
+            entry = self._rng.choice(self._there.entries)
+            url = self._there.front_url(entry) + "/jobs/x"
+            reply = await self._caller.call(
+                "POST", url, body, 3.0, x_banyanbank_request_id=job
+            )
+            status = None if reply is None else reply.status
+            self._promises.check(
+                status is None or status == 202 or status >= 429,
+                f"{job} was refused: {reply}",
+            )
+            if status != 202:
+                await support.next_turn(0.3)
+        if status != 202:
+            self._promises.count("jobs not accepted")
+            return
+        self._promises.count("jobs accepted")
+        self._jobs[job] = []
+        while len(self._jobs[job]) < ITEMS:
+            await self._read_job(job, least)
+            await support.next_turn(0.2)
+        self._promises.count("jobs read to the end")
+
+    async def _read_job(self, job: str, least: int) -> None:
+        """Results keep their positions, and each is what engines made."""
+        known = self._jobs[job]
+        after = self._rng.randint(0, len(known))
+        entry = self._rng.choice(self._there.entries)
+        url = f"{self._there.front_url(entry)}/-/lots/{job}?after={after}"
+        reply = await self._caller.call(
+            "GET", url, limit_s=2.5, x_banyanbank_wait_ms="500"
+        )
+        if reply is None or reply.status == 503:
+            return
+        self._promises.check(
+            reply.status == 200, f"{job} could not be read: {reply}"
+        )
+        if reply.status != 200:
+            return
+        page = reply.json()
+        self._promises.check(page["total"] == ITEMS, f"{job}: {page['total']}")
+        for position, one in enumerate(page["results"], after):
+            if position < len(known):
+                self._promises.check(
+                    known[position] == one,
+                    f"{job} position {position}: {known[position]} is {one}",
+                )
+            elif position == len(known):
+                self._check_result(job, one, least)
+                known.append(one)
+
+    def _check_result(
+        self, job: str, one: dict[str, typing.Any], least: int
+    ) -> None:
+        known = [other["id"] for other in self._jobs[job]]
+        made = self._there.farm.versions_of(one["id"])
+        could = set().union(*made.values())
+        fits = (
+            one["id"] not in known
+            and one["state"] == "completed"
+            and one["text"] == TEXT
+            and one["score"] == f"signed.score-{one['id']}"
+            and set(one["versions"]) <= could
+            and min(one["versions"], default=0) >= least
+        )
+        self._promises.check(fits, f"{job}: {one} made under {dict(made)}")
+
+    async def settle(self, limit_s: float) -> None:
+        """Waits for what was accepted, and checks what must hold at the end."""
+        until = self._there.reactor.seconds() + limit_s
+        while self._there.reactor.seconds() < until and self._unread():
+            await support.next_turn(0.1)
+        self._promises.check(
+            not self._unread(), f"jobs that were not finished: {self._unread()}"
+        )
+        for job in list(self._jobs):
+            await self._read_job(job, 1)
+        await self._check_documents()
+        self._check_requests()
+        self._check_reports()
+
+    def _unread(self) -> list[str]:
+        return [job for job, read in self._jobs.items() if len(read) < ITEMS]
+
+    async def _check_documents(self) -> None:
+        newest = 0
+        for store in self._there.stores:
+            url = self._there.control_url(store) + "/-/config"
+            reply = await self._caller.call("GET", url, limit_s=2 * CALL_S)
+            status = None if reply is None else reply.status
+            self._promises.check(status == 200, f"{store.name}: {reply}")
+            if reply is not None and status == 200:
+                newest = reply.json()["version"]
+                self._promises.check(
+                    self.acknowledged <= newest <= self.sent,
+                    f"{store.name} holds {newest} at the end, not "
+                    f"{self.acknowledged} or newer",
+                )
+        for entry in self._there.entries:
+            url = f"{self._there.front_url(entry)}/of-{newest}/x"
+            reply = await self._caller.call(
+                "POST", url, b"x", 2.0, x_banyanbank_request_id="last"
+            )
+            # A server may say that it is full.
+            self._promises.check(
+                reply is not None and reply.status in (200, 503),
+                f"{entry.name} does not serve document {newest}: {reply}",
+            )
+
+    def _check_requests(self) -> None:
+        for name, status in self._once.items():
+            runs = self._there.farm.runs_of(name)
+            self._promises.check(runs <= 1, f"{name} ran {runs} times")
+            self._promises.check(
+                not (runs and status in http.PROMISES_NOT_RUN),
+                f"{name} ran, but was answered {status}",
+            )
+
+    def _check_reports(self) -> None:
+        """One figure a window; one holder a fence, wherever it acts."""
+        figures: dict[int, typing.Any] = {}
+        holders: dict[int, str] = {}
+        acts = [(h, f) for h, f, _ in self._there.farm.api.reports] + [
+            (order["holder"], order["fence"])
+            for engine in self._there.farm.engines
+            for order in engine.orders
+        ]
+        for holder, fence in acts:
+            first = holders.setdefault(fence, holder)
+            self._promises.check(
+                first == holder, f"fence {fence} of {first} and {holder}"
+            )
+        for _, _, report in self._there.farm.api.reports:
+            window = report["window-number"]
+            first = figures.setdefault(window, report["counts"])
+            self._promises.check(
+                first == report["counts"],
+                f"window {window}: {first} and {report['counts']}",
+            )
+
+    def _shuffled(self, members: list[world.Member]) -> list[world.Member]:
+        return self._rng.sample(members, len(members))
+
+
+def make_document(number: int) -> dict[str, typing.Any]:
+    """Returns a document with a route that no other document has."""
+    document = copy.deepcopy(deployment.DOCUMENT) | {"version": number}
+    mark = dict(document["routes"][0])
+    mark |= {"name": f"of-{number}", "path-prefix": f"/of-{number}/"}
+    document["routes"].append(mark)
+    return document
+
+
+def make_job(job: str, version: int) -> bytes:
+    """Returns a batch job whose items have ids of their own."""
+    made = json.loads(deployment.make_job(ITEMS, max(1, version - 1)))
+    for number, one in enumerate(made["requests"]):
+        one["id"] = f"{job}-{number}"
+        one["scorer"]["id"] = f"score-{one['id']}"
+    return json.dumps(made).encode()
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,157 @@
+"""Servers that the deployment calls, and what they saw."""
+
+import collections
+import json
+import random
+import typing
+
+from twisted.internet import task
+from twisted.web import server
+
+from tests.platform import standins
+
+HOST = "127.0.0.1"
+ENGINES = 2
+PLAIN = 2
+EVENT_S = 0.03
+"""Seconds between two events of a run."""
+WORK_S = 0.02
+"""Most seconds that a plain server takes."""
+FULL_SHARE = 0.02
+"""Share of the requests that a plain server says it has not run."""
+
+
+class PacedEngine(standins.Engine):
+    """Generates events one after the other, and stops when it is left.
+
+    Attributes:
+        made: Versions under which each event of an item was made.
+    """
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        super().__init__(reactor, host, port)
+        self.made: dict[str, dict[int, set[int]]] = collections.defaultdict(
+            lambda: collections.defaultdict(set)
+        )
+
+    def _run(self, request: server.Request) -> None:
+        last = request.getHeader("last-event-id")
+        item = str(request.getHeader("x-banyanbank-request-id"))
+        first = int(str(last)) + 1 if last else 1
+        request.setHeader("content-type", "text/event-stream")
+        request.setHeader("x-banyanbank-request-id", item)
+        if first <= standins.EVENTS:
+            version = self.versions["model"]
+            request.setHeader("x-banyanbank-weight-versions", str(version))
+        is_left: list[bool] = []
+        request.notifyFinish().addBoth(is_left.append)
+        self._make(request, item, first, self.versions["model"], is_left)
+
+    def _make(
+        self,
+        request: server.Request,
+        item: str,
+        number: int,
+        version: int,
+        is_left: list[typing.Any],
+    ) -> None:
+        if is_left:
+            return
+        if number > standins.EVENTS:
+            request.finish()
+            return
+        self.made[item][number].add(version)
+        request.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        self._reactor.callLater(
+            EVENT_S, self._make, request, item, number + 1, version, is_left
+        )
+
+
+class BusyServer(standins.PlainServer):
+    """Takes its time, and is full now and then."""
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        super().__init__(reactor, host, port)
+        self._rng = random.Random(port)
+
+    def answer(self, request: server.Request) -> None:
+        """Answers after a while."""
+        if self._rng.random() < FULL_SHARE:
+            self.script.append(503)
+        is_left: list[typing.Any] = []
+        request.notifyFinish().addBoth(is_left.append)
+        # It runs whatever becomes of the connection.
+        super_answer = super().answer
+        work = task.deferLater(
+            self._reactor, self._rng.uniform(0.0, WORK_S), lambda: None
+        )
+
+        def finish(_: object) -> None:
+            if is_left:
+                name = request.getHeader("x-banyanbank-request-id")
+                self.ran.append(str(name))
+            else:
+                super_answer(request)
+
+        work.addCallback(finish)
+
+
+class Farm:
+    """All servers behind the deployment.
+
+    Args:
+        reactor: Carries sockets and timers.
+        ports: One for each server and one for the API.
+    """
+
+    def __init__(self, reactor: typing.Any, ports: list[int]) -> None:
+        free = iter(ports)
+        self.engines = [
+            PacedEngine(reactor, HOST, next(free)) for _ in range(ENGINES)
+        ]
+        self.plain = [
+            BusyServer(reactor, HOST, next(free)) for _ in range(PLAIN)
+        ]
+        self.api = standins.PlatformApi(reactor, HOST, next(free))
+
+    async def stop(self) -> None:
+        """Closes all listeners."""
+        for one in (*self.engines, *self.plain, self.api):
+            await one.stop()
+
+    def runs_of(self, request_id: str) -> int:
+        """Returns how often plain servers ran a request."""
+        return sum(one.ran.count(request_id) for one in self.plain)
+
+    def versions_of(self, item: str) -> dict[int, set[int]]:
+        """Returns the versions under which each event of an item was made."""
+        joined: dict[int, set[int]] = collections.defaultdict(set)
+        for engine in self.engines:
+            for number, versions in engine.made.get(item, {}).items():
+                joined[number] |= versions
+        return joined
+
+    def announcements(self, sequence: int) -> list[tuple[str, bytes]]:
+        """Returns the name and the next announcement of each server."""
+        said = []
+        for service, servers in (
+            ("engines", self.engines),
+            ("plain", self.plain),
+        ):
+            for number, one in enumerate(servers, 1):
+                models = [
+                    {"name": model, "version": version, "adapters": []}
+                    for model, version in getattr(one, "versions", {}).items()
+                ]
+                body = {
+                    "service": service,
+                    "address": one.address,
+                    "zone": f"zone-{number}",
+                    "slots": 4,
+                    "state": "ready",
+                    "sequence": sequence,
+                    "born": 1_000,
+                    "models": models,
+                }
+                said.append((f"{service}-{number}", json.dumps(body).encode()))
+        return said
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,196 @@
+"""A deployment of processes on loopback, with relays between them."""
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+import attrs
+
+from tests import links
+from tests import support
+from tests.soak import role
+from tests.soak import servers
+
+STORES = 3
+ENTRIES = 2
+CLOCK_STEP_MS = 2500
+INTERPRETER_S = 1.0
+"""Seconds after which a process has its own handlers of signals: until its
+interpreter runs, any signal ends it."""
+GARBAGE = b"\x00torn"
+"""Bytes that a write which power cut short left behind the log's end."""
+
+
+@attrs.define(eq=False)
+class Member:
+    """One process of the deployment and its folder."""
+
+    name: str
+    """Name of its machine, and of its links."""
+    role: str
+    """`entry` or `store`."""
+    host: str
+    """IP number that it listens at."""
+    folder: pathlib.Path
+    """Holds its settings, its data and what it wrote."""
+    settings: dict[str, typing.Any]
+    """What its settings file says."""
+    running: subprocess.Popen[bytes] | None = None
+    """The process; None between two lives."""
+    lives: int = 0
+    """How often it was started."""
+    started_at: float = 0.0
+    """When it was started last, in steady seconds."""
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the process runs."""
+        return self.running is not None and self.running.poll() is None
+
+    @property
+    def handles_signals(self) -> bool:
+        """Whether a signal finds handlers."""
+        return self.is_up and time.monotonic() > self.started_at + INTERPRETER_S
+
+    def start(self) -> None:
+        """Starts the process, unless it runs."""
+        if self.is_up:
+            return
+        self.lives += 1
+        self.started_at = time.monotonic()
+        path = self.folder / "boot.json"
+        path.write_text(json.dumps(self.settings))
+        environment = os.environ | {
+            "BANYANBANK_BOOT": str(path),
+            "BANYANBANK_MESH_LISTEN_HOST": self.host,
+            "BANYANBANK_MESH_SOURCE_HOST": self.host,
+            role.STEP_VARIABLE: str(CLOCK_STEP_MS),
+        }
+        with (self.folder / "log.txt").open("ab") as log:
+            self.running = subprocess.Popen(
+                [sys.executable, "-m", "tests.soak.role", self.role],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, if the process runs."""
+        if self.is_up:
+            assert self.running is not None
+            self.running.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends the process without warning."""
+        if self.running is not None:
+            self.running.kill()
+            self.running.wait()
+            self.running = None
+
+    def wipe(self) -> None:
+        """Empties its disk; it comes back as a machine that lost it."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+        self.settings["bootstrap"] = False
+
+    def tear(self) -> None:
+        """Leaves a part of a write that was never synced at the log's end."""
+        log = self.folder / "data" / "log"
+        if log.exists():
+            with log.open("ab") as file:
+                file.write(GARBAGE)
+
+
+class World:
+    """Stores and entries as processes; servers and the API as stand-ins.
+
+    Args:
+        folder: For settings, data and logs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        from twisted.internet import reactor
+
+        self.reactor: typing.Any = reactor
+        ports = support.free_ports(9)
+        self._mesh_port, self._control_port = ports[:2]
+        self._front_port, self._ready_port = ports[2:4]
+        self.farm = servers.Farm(reactor, ports[4:])
+        # The metrics port is fixed, so each run has addresses of its own.
+        net = f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 256}"
+        self._hosts = {
+            name: f"{net}.{index + 1}"
+            for index, name in enumerate(
+                [f"store-{n + 1}" for n in range(STORES)]
+                + [f"entry-{n + 1}" for n in range(ENTRIES)]
+            )
+        }
+        self.links = links.Links(self._hosts, self._mesh_port)
+        self.members = {
+            name: self._member(folder, name) for name in self._hosts
+        }
+
+    @property
+    def stores(self) -> list[Member]:
+        """Members that keep the log."""
+        return [m for m in self.members.values() if m.role == "store"]
+
+    @property
+    def entries(self) -> list[Member]:
+        """Members that take callers' requests."""
+        return [m for m in self.members.values() if m.role == "entry"]
+
+    def control_url(self, store: Member) -> str:
+        """Base URL of a store for servers and operators."""
+        return f"http://{store.host}:{self._control_port}"
+
+    def front_url(self, entry: Member) -> str:
+        """Base URL of an entry for callers."""
+        return f"http://{entry.host}:{self._front_port}"
+
+    async def start(self) -> None:
+        """Starts relays and processes."""
+        await self.links.start()
+        for member in self.members.values():
+            member.start()
+
+    async def stop(self) -> None:
+        """Ends everything that was started."""
+        for member in self.members.values():
+            member.kill()
+        await self.links.stop()
+        await self.farm.stop()
+
+    def _member(self, folder: pathlib.Path, name: str) -> Member:
+        own = folder / name
+        own.mkdir()
+        host = self._hosts[name]
+        settings = {
+            "node": name,
+            "zone": f"zone-{name[-1]}",
+            "ip": links.relayed(host),
+            "listen": {
+                "control": f"{host}:{self._control_port}",
+                "front": f"{host}:{self._front_port}",
+                "ready": f"{host}:{self._ready_port}",
+            },
+            "internal-ports": [self._mesh_port, self._mesh_port],
+            "seeds": [
+                f"{links.relayed(store)}:{self._control_port}"
+                for other, store in self._hosts.items()
+                if other.startswith("store")
+            ],
+            "bootstrap": True,
+            "data-dir": str(own / "data"),
+            "bounds": {"grace-s": 4, "window-s": 1},
+            "cloud": {
+                "address": self.farm.api.address,
+                "duties": ["usage_report"],
+            },
+        }
+        return Member(name, name.partition("-")[0], host, own, settings)
