Dial again soon after a cut

Ruled out: the store, which had the document, and silent links, which had all been given up during the cut.

Change: a dial ends after 1.5 s, and the mean backoff grows to 0.4 s only.

--- a/packages/mesh/src/banyanbank_mesh/_peer.py
+++ b/packages/mesh/src/banyanbank_mesh/_peer.py
@@ -16,7 +16,7 @@
 MAX_PORT = 65535
 """Largest TCP port."""
 
-MAX_DELAY_S = 2.0
+MAX_DELAY_S = 0.4
 """Largest mean delay between two dials."""
 
 
--- a/packages/mesh/src/banyanbank_mesh/_sockets.py
+++ b/packages/mesh/src/banyanbank_mesh/_sockets.py
@@ -13,8 +13,9 @@
 from banyanbank_mesh import _peer
 from banyanbank_mesh import _tls
 
-CONNECT_LIMIT_S = 3.0
-"""A dial that has not succeeded by then has failed."""
+CONNECT_LIMIT_S = 1.5
+"""A dial that has not succeeded by then has failed: TCP sends the opening
+packet again after one second, and after a further two."""
 
 PING_PERIOD_S = 5.0
 """Period of the pings that find a silent peer."""
