Count each failure of a scorer, not each round over its servers

Cause: an item is given up after max-attempts failures of its scorer.

Change: the failures of a round are counted one by one. The new test has four servers that all fail; the call ran 16 times before and 4 times after.

--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -42,6 +42,7 @@
 """Headers that concern one connection only."""
 
 FIRST_FAILURE_STATUS = 500
+FAILED_STATUS = 500
 
 Candidates = collections.abc.Callable[
     [str], collections.abc.Iterable[gateway.Announcement]
@@ -81,6 +82,8 @@
     """When an endpoint that may have run it got it."""
     last_answer: Answer | None = None
     """Failure that an endpoint answered with."""
+    failures: int = 0
+    """Endpoints that ran it and failed."""
     is_abandoned: bool = False
     """Whether the caller is gone."""
 
@@ -229,6 +232,7 @@
             return answer
         self._note(sending, to, "failed", f"status {answer.status}")
         sending.last_answer = answer
+        sending.failures += answer.status == FAILED_STATUS
         return None
 
     def _note(
--- a/packages/node/src/banyanbank_node/_item_grading.py
+++ b/packages/node/src/banyanbank_node/_item_grading.py
@@ -17,7 +17,6 @@
 GRADE_S = 4.0
 """Seconds that a scorer has to answer."""
 
-FAILED = 500
 FIRST_NO_SUCCESS = 300
 
 
@@ -55,13 +54,17 @@
         """
         while is_wanted():
             asked_at = self.clock.now()
-            answer = await self._ask(call)
+            sending = self._forwarding(call)
+            answer = sending and await self.forwarder.send(sending)
             self.meters.items.record(self.clock.now() - asked_at, "grade")
-            if isinstance(answer, _forwarder.Answer):
-                if answer.status < FIRST_NO_SUCCESS and answer.signature:
-                    return answer.signature
-                if answer.status == FAILED:
-                    item.scorer_failures += 1
+            if (
+                isinstance(answer, _forwarder.Answer)
+                and answer.status < FIRST_NO_SUCCESS
+                and answer.signature
+            ):
+                return answer.signature
+            if sending is not None:
+                item.scorer_failures += sending.failures
             self.events.write(
                 "item.not_graded",
                 job=item.job.job,
@@ -86,19 +89,17 @@
         table = self.stored.table
         return None if table is None else table.find(call.host, call.path)
 
-    async def _ask(
+    def _forwarding(
         self, call: jobs.ScorerCall
-    ) -> _forwarder.Answer | base.Refusal | None:
+    ) -> _forwarder.Forwarding | None:
         route = self._route_of(call)
         if route is None:
             return None
         deadline = self.clock.now() + GRADE_S
-        return await self.forwarder.send(
-            _forwarder.Forwarding(
-                self.wire.grade(call, deadline),
-                # Answers that are failures are counted here, one at a time.
-                attrs.evolve(route, kind=gateway.RouteKind.IDEMPOTENT),
-                None,
-                deadline,
-            )
+        return _forwarder.Forwarding(
+            self.wire.grade(call, deadline),
+            # A text may be graded more than once, whatever the route says.
+            attrs.evolve(route, kind=gateway.RouteKind.IDEMPOTENT),
+            None,
+            deadline,
         )
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -5,6 +5,7 @@
 
 from tests import support
 from tests.platform import deployment
+from tests.platform import standins
 
 
 class RequestTest(unittest.TestCase):
@@ -200,6 +201,35 @@
 
         deployment.play(story)
 
+    def test_scorer_that_fails_at_every_server(self) -> None:
+        """Each server's failure counts, not each round over all of them."""
+
+        async def story(there: deployment.Deployment) -> None:
+            await there.serve()
+            servers = [
+                standins.PlainServer(there.reactor, "127.0.0.1", port)
+                for port in support.free_ports(3)
+            ]
+            for number, server in enumerate(servers, 2):
+                name = f"server-{number}"
+                await there.announce(name, "plain", server.address)
+            servers.append(there.server)
+            for server in servers:
+                server.script.extend([500] * 16)
+            await there.front(
+                "POST",
+                "/jobs/x",
+                deployment.make_job(items=1),
+                x_banyanbank_request_id="job-1",
+            )
+            page = await self.read_all(there, 1)
+            self.assertEqual(page["results"][0]["state"], "dead")
+            self.assertEqual(sum(len(one.ran) for one in servers), 4)
+            for server in servers[:3]:
+                await server.stop()
+
+        deployment.play(story)
+
     def test_body_of_an_item(self) -> None:
         async def story(there: deployment.Deployment) -> None:
             await there.serve()
