Hold callers to the limits of the document in force

Cause: the front listener had an idle time of 15 s and a body limit of 32 MB of its own; documents' limits were read and then used by nobody. Change: an entry takes the limits of each document over for connections made from then on. The new test fails without it.

--- a/packages/web/src/banyanbank_web/_site.py
+++ b/packages/web/src/banyanbank_web/_site.py
@@ -183,6 +183,17 @@
         if channel in self._used_at:
             self._used_at[channel] = self.reactor.seconds()
 
+    def change_limits(self, limits: HttpLimits) -> None:
+        """Holds requests to other limits.
+
+        An open connection keeps the idle time that it began with.
+
+        Args:
+            limits: Bounds on requests.
+        """
+        self.limits = limits
+        self.timeOut = limits.idle_timeout_s
+
     def close_idle(self) -> None:
         """Closes connections that have long been idle.
 
--- /dev/null
+++ b/tests/platform/test_processes.py
@@ -0,0 +1,65 @@
+"""Tests of what a process does with a new document."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import attrs
+import banyanbank_gateway as gateway
+from banyanbank_platform import _boot
+from banyanbank_platform import _document
+from banyanbank_platform import _processes
+
+from tests import support
+from tests.platform import deployment
+
+
+class LimitsTest(unittest.TestCase):
+    """Callers are held to the limits of the document in force."""
+
+    def test_limits_of_a_document(self) -> None:
+        from twisted.internet import reactor
+
+        process = _processes.EntryProcess(_make_boot(), reactor)
+        for limits, idle_s, body_bytes in (
+            ({"idle-timeout-ms": 40_000, "max-body-bytes": 50}, 40.0, 50),
+            ({"idle-timeout-ms": 500, "max-body-bytes": 7_000}, 0.5, 7_000),
+            ({}, 15.0, 32 * 1024 * 1024),
+        ):
+            with self.subTest(limits=limits):
+                document = _read(deployment.DOCUMENT | {"limits": limits})
+                process.entry.sync.on_document(document)
+                site = process.front.site
+                channel = site.buildProtocol(None)
+                self.assertEqual(channel.timeOut, idle_s)
+                self.assertEqual(site.limits.max_body_bytes, body_bytes)
+                self.assertEqual(
+                    attrs.asdict(site.limits)["idle_timeout_s"], idle_s
+                )
+
+
+def _read(source: dict[str, object]) -> gateway.Document:
+    return _document.read_document(json.dumps(source).encode())
+
+
+def _make_boot() -> _boot.Boot:
+    ports = support.free_ports(3)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder, "boot.json")
+        path.write_text(
+            json.dumps(
+                {
+                    "node": "entry-1",
+                    "zone": "zone-a",
+                    "ip": "127.0.2.9",
+                    "listen": {
+                        "front": f"127.0.2.9:{ports[0]}",
+                        "ready": f"127.0.2.9:{ports[1]}",
+                    },
+                    "internal-ports": [ports[2], ports[2]],
+                    "seeds": [],
+                }
+            )
+        )
+        return _boot.read_boot(path)
