Keep the log and the charts out of what an entry imports

Cause: an entry imported the replicated log, the duties of its leader and the chart interpreter with its YAML parser, and ran none of them. Change: the chart library is loaded with the first chart, and `banyanbank_node.Store` when it is first asked for.

--- a/packages/base/src/banyanbank_base/_charts.py
+++ b/packages/base/src/banyanbank_base/_charts.py
@@ -1,18 +1,21 @@
-"""Interpreter of statecharts kept in YAML files."""
+"""Interpreter of statecharts kept in YAML files.
+
+Its library and the YAML parser take some 3 MB, so they are loaded with the
+first chart: many processes run none.
+"""
 
 import importlib.resources
+import typing
 
-import sismic.exceptions
-import sismic.interpreter
-import sismic.io
-import sismic.model
+if typing.TYPE_CHECKING:
+    import sismic.model
 
 
 class ChartError(Exception):
     """A chart file is invalid or an event does not fit the current state."""
 
 
-def load_chart(package: str, name: str) -> sismic.model.Statechart:
+def load_chart(package: str, name: str) -> "sismic.model.Statechart":
     """Loads a statechart that ships with a package.
 
     Args:
@@ -22,6 +25,9 @@
     Raises:
         ChartError: The file is missing or not a valid chart.
     """
+    import sismic.exceptions
+    import sismic.io
+
     file = importlib.resources.files(package) / "charts" / f"{name}.yaml"
     try:
         return sismic.io.import_from_yaml(file.read_text(encoding="utf-8"))
@@ -36,7 +42,9 @@
         chart: The chart, from `load_chart`.
     """
 
-    def __init__(self, chart: sismic.model.Statechart) -> None:
+    def __init__(self, chart: "sismic.model.Statechart") -> None:
+        import sismic.interpreter
+
         self._name = chart.name
         self._interpreter = sismic.interpreter.Interpreter(chart)
         self._interpreter.execute()
--- a/packages/node/src/banyanbank_node/__init__.py
+++ b/packages/node/src/banyanbank_node/__init__.py
@@ -1,4 +1,11 @@
-"""Processes of a deployment where entries and stores are apart."""
+"""Processes of a deployment where entries and stores are apart.
+
+`Store` is loaded when it is first asked for: entries need neither the log nor
+the duties of its leader.
+"""
+
+import importlib
+import typing
 
 from banyanbank_node._entry import Entry
 from banyanbank_node._event_catalogue import EventKind
@@ -23,7 +30,9 @@
 from banyanbank_node._settings import EntrySettings
 from banyanbank_node._settings import NodeSettings
 from banyanbank_node._settings import StoreSettings
-from banyanbank_node._store import Store
+
+if typing.TYPE_CHECKING:
+    from banyanbank_node._store import Store
 
 __all__ = [
     "EVENTS",
@@ -51,3 +60,9 @@
     "TooFew",
     "Wire",
 ]
+
+
+def __getattr__(name: str) -> typing.Any:
+    if name == "Store":
+        return importlib.import_module("banyanbank_node._store").Store
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
