Let engines that serve nobody load together

Cause: of a model's engines, those that no open job can use loaded half at a time, as if the others had to go on serving; with three engines of which two are a version too old, one waited a load for the other. Change: they load together, as far as the weight store bears; the new test has the three.

--- a/packages/jobs/src/banyanbank_jobs/_weights.py
+++ b/packages/jobs/src/banyanbank_jobs/_weights.py
@@ -189,10 +189,10 @@
 ) -> list[LoadOrder]:
     """Returns the loads of one model's engines, most urgent first.
 
-    Engines that no open job can use load, as many at a time as leave half of
-    the others serving. Of the rest, half are brought to the newest version;
-    the other half goes on with the one before it and skips a load, which for
-    as long as it lasts costs an engine's whole work.
+    Engines that no open job can use load together. Of the rest, half are
+    brought to the newest version; the other half goes on with the one before
+    it and skips a load, which for as long as it lasts costs an engine's whole
+    work.
     """
     behind = [
         view
@@ -205,13 +205,6 @@
     half = len(own) // 2
     loading = sum(model in view.loading for view in own)
     newest_already = sum(view.versions.get(model) == newest for view in own)
-    serving = sum(
-        view.versions.get(model, 0) >= needed and model not in view.loading
-        for view in own
-    )
-    first = useless
-    if serving:
-        first = useless[: max(0, max(1, half) - loading)]
-    more = half - newest_already - loading - len(first)
-    chosen = [*first, *useful[: max(0, more)]]
+    more = half - newest_already - loading - len(useless)
+    chosen = [*useless, *useful[: max(0, more)]]
     return [LoadOrder(view.endpoint, model, newest) for view in chosen]
--- a/tests/jobs/test_weights.py
+++ b/tests/jobs/test_weights.py
@@ -70,6 +70,22 @@
             self.assertGreaterEqual(min(versions.values()), needed)
         self.assertEqual(loads, 10 * 3)
 
+    def test_useless_engines_load_together(self) -> None:
+        """They serve nobody; only the weight store bounds their number."""
+        newest, needed = {"m": 2, "n": 2}, {"m": 1, "n": 1}
+        demand = {"m": 2.9, "n": 1.0}
+        names = [f"e{number}" for number in range(5)]
+        fresh = [samples.make_engine(name, m=2, n=2) for name in names]
+        self.planner.plan(fresh, newest, needed, demand)
+        own = [n for n, m in self.planner.assigned().items() if m == "m"]
+        self.assertEqual(len(own), 3)
+        engines = [
+            samples.make_engine(name, m=1 if name in own[1:] else 2, n=2)
+            for name in names
+        ]
+        orders = self.planner.plan(engines, newest, {"m": 2, "n": 1}, demand)
+        self.assertEqual([order.endpoint for order in orders], own[1:])
+
     def test_only_engine_of_a_model(self) -> None:
         """It loads what its jobs need, not what is merely newer."""
         for needed, orders in ((1, []), (2, ["e0"])):
