Tell a silent peer from an own standstill

Cause: a process that stood still itself (frozen, or a busy core) found its probe of a link expired before it had read the pong, and gave sound links up one after the other.

Change: a probe that ends later than its deadline by more than 0.1 s is made once more. In the new test a process stands still for two probes; it lost its call before.

--- a/packages/mesh/src/banyanbank_mesh/_link.py
+++ b/packages/mesh/src/banyanbank_mesh/_link.py
@@ -24,6 +24,9 @@
 PROBE_S = 0.7
 """Seconds that the peer has to give it."""
 
+LATE_S = 0.1
+"""Seconds by which a late probe shows that this process stood still itself."""
+
 CODE_PROTOCOL = 4000
 """Close code: the peer sent something that is no frame."""
 
@@ -267,24 +270,42 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _probe(self) -> None:
-        transport = self._conn.transport
-        unsent = transport.get_write_buffer_size()
         try:
-            async with asyncio.timeout(PROBE_S):
-                await (await self._conn.ping())
+            while not await self._answers_ping():
+                pass
         except TimeoutError:
-            has_heard = self._conn.bytes_heard != self._heard_before
-            # A large frame on a narrow path keeps a ping waiting.
-            has_sent = transport.get_write_buffer_size() < unsent
-            if not has_heard and not has_sent:
-                self._closing = True
-                self._owner.link_silent(self)
-                transport.abort()
+            self._closing = True
+            self._owner.link_silent(self)
+            self._conn.transport.abort()
         except websockets.exceptions.ConnectionClosed:
             return
         finally:
             self._is_probing = False
 
+    async def _answers_ping(self) -> bool:
+        """Pings once; False when this process itself was late.
+
+        Raises:
+            TimeoutError: The peer gave no sign of life.
+        """
+        transport = self._conn.transport
+        unsent = transport.get_write_buffer_size()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + PROBE_S
+        try:
+            async with asyncio.timeout_at(deadline):
+                await (await self._conn.ping())
+        except TimeoutError:
+            if self._conn.bytes_heard != self._heard_before:
+                return True
+            # A large frame on a narrow path keeps a ping waiting.
+            if transport.get_write_buffer_size() < unsent:
+                return True
+            if loop.time() > deadline + LATE_S:
+                return False
+            raise
+        return True
+
     def _tell_room(self) -> None:
         waiters = self._room_waiters
         self._room_waiters = []
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -1,6 +1,8 @@
 """Tests of messages and calls between instances."""
 
 import asyncio
+import time
+import typing
 import unittest
 import unittest.mock
 
@@ -12,6 +14,7 @@
 from banyanbank_mesh import _sockets
 from returns import result
 from twisted.internet import defer
+import websockets.asyncio.connection
 
 from tests import relay
 from tests import support
@@ -35,6 +38,17 @@
         return self.known.setdefault(source, relay.OneWays()).ways_of(source)
 
 
+def _stand_still_after(ping: typing.Any) -> typing.Any:
+    """Lets the process stand still for longer than a probe, once pinged."""
+
+    async def pinged(conn: typing.Any) -> typing.Any:
+        pong = await ping(conn)
+        time.sleep(2 * _link.PROBE_S)
+        return pong
+
+    return pinged
+
+
 async def echo(sender: base.InstanceId, data: bytes) -> bytes:
     return sender.encode() + b":" + data
 
@@ -335,6 +349,36 @@
         ):
             self.run_case(case)
 
+    def test_own_standstill_is_no_silence(self) -> None:
+        """A process that stood still has not given its peer time."""
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            answered: defer.Deferred[bytes] = defer.Deferred()
+
+            async def slow(sender: base.InstanceId, data: bytes) -> bytes:
+                return await answered
+
+            b.on_call("slow", slow)
+            waiting = a.call(B, "slow", b"", self.soon())
+            await support.until(lambda: b.calls_running)
+            with unittest.mock.patch.object(
+                websockets.asyncio.connection.Connection,
+                "ping",
+                _stand_still_after(
+                    websockets.asyncio.connection.Connection.ping
+                ),
+            ):
+                await support.next_turn(4 * _link.SILENCE_S)
+            answered.callback(b"at last")
+            self.assertEqual(await waiting, result.Success(b"at last"))
+
+        with (
+            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 3600.0),
+            unittest.mock.patch.object(_link, "SILENCE_S", 0.05),
+            unittest.mock.patch.object(_link, "PROBE_S", 0.2),
+        ):
+            self.run_case(case)
+
     def test_source_host_tells_instances_apart(self) -> None:
         """Of two peers at one relay, only the one that is cut is silent."""
 
