--- /dev/null
+++ b/tests/platform/test_boot.py
@@ -0,0 +1,109 @@
+"""Tests of reading the settings file."""
+
+import json
+import pathlib
+import tempfile
+import typing
+import unittest
+
+import banyanbank_node as node
+from banyanbank_platform import _boot
+
+SETTINGS: dict[str, typing.Any] = {
+    "node": "store-1",
+    "zone": "zone-a",
+    "ip": "10.1.0.7",
+    "listen": {"control": "10.1.0.7:8405"},
+    "internal-ports": [7660, 7675],
+    "seeds": ["10.1.0.11:8407", "10.2.0.46:8407"],
+    "bootstrap": True,
+    "data-dir": "/data",
+    "bounds": {"grace-s": 8, "status-s": 100, "window-s": 5},
+    "fault-tolerance": {"machines": 2},
+    "cloud": {"address": "10.200.0.60:8408", "duties": ["usage_report"]},
+}
+
+
+def read(changes: dict[str, typing.Any]) -> _boot.Boot:
+    """Reads the settings with some fields changed; None leaves one out."""
+    fields = {
+        name: value
+        for name, value in (SETTINGS | changes).items()
+        if value is not None
+    }
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder, "boot.json")
+        path.write_text(json.dumps(fields))
+        return _boot.read_boot(path)
+
+
+class ReadTest(unittest.TestCase):
+    """What a process takes from the file."""
+
+    def test_settings(self) -> None:
+        boot = read({"a-field-of-a-later-release": 1})
+        store = boot.store()
+        self.assertEqual(store.node.mesh, node.Address("10.1.0.7", 7660))
+        self.assertEqual(store.node.seeds, ("10.1.0.11:7660", "10.2.0.46:7660"))
+        self.assertEqual(store.voters_wanted, 5)
+        self.assertEqual(store.node.stop_limit_s, 7.0)
+        self.assertEqual(store.node.keep_jobs_s, 130.0)
+        self.assertTrue(store.may_form)
+        self.assertEqual(boot.usage_address, "10.200.0.60:8408")
+
+    def test_optional_fields(self) -> None:
+        for name, changes, found, want in (
+            ("no duty", {"cloud": None}, lambda b: b.usage_address, None),
+            (
+                "another duty",
+                {"cloud": {"address": "x", "duties": ["autoscale"]}},
+                lambda b: b.usage_address,
+                None,
+            ),
+            ("later start", {"bootstrap": False}, lambda b: b.may_form, False),
+            ("odd word", {"bootstrap": "yes"}, lambda b: b.may_form, False),
+            ("no loss told", {"fault-tolerance": {}}, lambda b: b.losses, 1),
+        ):
+            with self.subTest(name):
+                self.assertEqual(found(read(changes)), want)
+
+    def test_unusable_settings(self) -> None:
+        for name, changes, word in (
+            ("no name", {"node": None}, "node"),
+            ("no address", {"ip": None}, "ip"),
+            ("no ports", {"internal-ports": []}, "IndexError"),
+            ("port is no number", {"seeds": ["10.1.0.11:x"]}, "ValueError"),
+            ("bad bound", {"bounds": {"grace-s": "soon"}}, "soon"),
+        ):
+            with self.subTest(name):
+                with self.assertRaises(_boot.BootError) as raised:
+                    read(changes)
+                self.assertIn(word, str(raised.exception))
+
+    def test_what_a_role_needs(self) -> None:
+        with self.assertRaisesRegex(_boot.BootError, "data-dir"):
+            read({"data-dir": ""}).store()
+        with self.assertRaisesRegex(_boot.BootError, "front"):
+            read({}).entry()
+
+
+class MeshHostsTest(unittest.TestCase):
+    """Addresses behind a relay come from the environment."""
+
+    def test_hosts(self) -> None:
+        for name, value, host in (
+            ("not set", None, None),
+            ("empty", "", None),
+            ("an address", "10.9.0.1", "10.9.0.1"),
+        ):
+            with self.subTest(name):
+                environment = (
+                    {} if value is None else {_boot.LISTEN_VARIABLE: value}
+                )
+                boot = _boot.with_mesh_hosts(read({}), environment)
+                self.assertEqual(boot.common.mesh_listen_host, host)
+                self.assertIsNone(boot.common.mesh_source_host)
+
+    def test_name_in_place_of_an_address(self) -> None:
+        with self.assertRaisesRegex(_boot.BootError, _boot.SOURCE_VARIABLE):
+            _boot.with_mesh_hosts(read({}), {_boot.SOURCE_VARIABLE: "store-1"})
