Name the counting websockets for what they do

Reading for newcomers: HeardConnection counts received bytes, so it is a CountingConnection; the fields of a link that tell since when an answer is awaited say so. Names only; the mesh's tests pass.

--- a/packages/mesh/src/banyanbank_mesh/_connections.py
+++ b/packages/mesh/src/banyanbank_mesh/_connections.py
@@ -9,10 +9,10 @@
 import websockets.asyncio.server
 import websockets.exceptions
 
+from banyanbank_mesh import _counting
 from banyanbank_mesh import _errors
 from banyanbank_mesh import _frames
 from banyanbank_mesh import _handshake
-from banyanbank_mesh import _heard
 from banyanbank_mesh import _link
 from banyanbank_mesh import _peer
 from banyanbank_mesh import _sockets
@@ -261,7 +261,7 @@
 
     async def _connect(
         self, peer: _peer.Peer, lane: _frames.Lane
-    ) -> tuple[_heard.HeardClient, _handshake.Identity]:
+    ) -> tuple[_counting.CountingClient, _handshake.Identity]:
         address = peer.address
         if address is None:
             raise OSError(f"The address of {peer.instance!r} is not known.")
@@ -276,7 +276,7 @@
             raise
         return conn, identity
 
-    async def _serve(self, conn: _heard.HeardServer) -> None:
+    async def _serve(self, conn: _counting.CountingServer) -> None:
         if self._accepted >= MAX_ACCEPTED_LINKS or self._stopped:
             await conn.close(_link.CODE_REFUSED, "Too many connections.")
             return
@@ -286,7 +286,7 @@
         finally:
             self._accepted -= 1
 
-    async def _serve_accepted(self, conn: _heard.HeardServer) -> None:
+    async def _serve_accepted(self, conn: _counting.CountingServer) -> None:
         try:
             identity, lane = await _handshake.accept(
                 conn, self._me, self._check_life, self._tls
@@ -315,7 +315,7 @@
 
     def _add_link(
         self,
-        conn: _heard.HeardConnection,
+        conn: _counting.CountingConnection,
         identity: _handshake.Identity,
         lane: _frames.Lane,
         *,
--- a/packages/mesh/src/banyanbank_mesh/_heard.py
+++ b/packages/mesh/src/banyanbank_mesh/_counting.py
@@ -17,13 +17,13 @@
         super().data_received(data)
 
 
-class HeardClient(_CountsBytes, websockets.asyncio.client.ClientConnection):
+class CountingClient(_CountsBytes, websockets.asyncio.client.ClientConnection):
     """The end of a websocket that has connected."""
 
 
-class HeardServer(_CountsBytes, websockets.asyncio.server.ServerConnection):
+class CountingServer(_CountsBytes, websockets.asyncio.server.ServerConnection):
     """The end of a websocket that was accepted."""
 
 
-HeardConnection = HeardClient | HeardServer
+CountingConnection = CountingClient | CountingServer
 """Either end."""
--- a/packages/mesh/src/banyanbank_mesh/_link.py
+++ b/packages/mesh/src/banyanbank_mesh/_link.py
@@ -9,8 +9,8 @@
 import banyanbank_base as base
 import websockets.exceptions
 
+from banyanbank_mesh import _counting
 from banyanbank_mesh import _frames
-from banyanbank_mesh import _heard
 
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
 """Bytes that may wait for one connection, or one larger frame."""
@@ -135,7 +135,7 @@
 
     def __init__(
         self,
-        conn: _heard.HeardConnection,
+        conn: _counting.CountingConnection,
         peer: base.InstanceId,
         incarnation: base.Incarnation,
         lane: _frames.Lane,
@@ -153,8 +153,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._room_waiters: list[collections.abc.Callable[[], None]] = []
         self._closing = False
-        self._heard_before = -1
-        self._owing_since = 0.0
+        # Bytes heard before the oldest frame that nothing has followed yet.
+        self._heard_at_send = -1
+        self._awaiting_since = 0.0
         self._watch: asyncio.TimerHandle | None = None
         self._is_probing = False
 
@@ -246,22 +247,22 @@
 
     def _expect_answer(self) -> None:
         loop = asyncio.get_running_loop()
-        if self._conn.bytes_heard != self._heard_before:
-            self._heard_before = self._conn.bytes_heard
-            self._owing_since = loop.time()
+        if self._conn.bytes_heard != self._heard_at_send:
+            self._heard_at_send = self._conn.bytes_heard
+            self._awaiting_since = loop.time()
         if self._watch is None and not self._is_probing:
             self._watch_from(loop)
 
     def _watch_from(self, loop: asyncio.AbstractEventLoop) -> None:
-        silent_at = self._owing_since + SILENCE_S
+        silent_at = self._awaiting_since + SILENCE_S
         self._watch = loop.call_at(silent_at, self._check_silence)
 
     def _check_silence(self) -> None:
         self._watch = None
-        if self._conn.bytes_heard != self._heard_before or self._closing:
+        if self._conn.bytes_heard != self._heard_at_send or self._closing:
             return
         loop = asyncio.get_running_loop()
-        if loop.time() < self._owing_since + SILENCE_S:
+        if loop.time() < self._awaiting_since + SILENCE_S:
             self._watch_from(loop)
             return
         self._is_probing = True
@@ -296,7 +297,7 @@
             async with asyncio.timeout_at(deadline):
                 await (await self._conn.ping())
         except TimeoutError:
-            if self._conn.bytes_heard != self._heard_before:
+            if self._conn.bytes_heard != self._heard_at_send:
                 return True
             # A large frame on a narrow path keeps a ping waiting.
             if transport.get_write_buffer_size() < unsent:
--- a/packages/mesh/src/banyanbank_mesh/_sockets.py
+++ b/packages/mesh/src/banyanbank_mesh/_sockets.py
@@ -7,9 +7,9 @@
 import websockets.asyncio.client
 import websockets.asyncio.server
 
+from banyanbank_mesh import _counting
 from banyanbank_mesh import _frames
 from banyanbank_mesh import _handshake
-from banyanbank_mesh import _heard
 from banyanbank_mesh import _peer
 from banyanbank_mesh import _tls
 
@@ -30,7 +30,7 @@
 """Where the websockets library logs."""
 
 Handler = collections.abc.Callable[
-    [_heard.HeardServer],
+    [_counting.CountingServer],
     collections.abc.Awaitable[None],
 ]
 """Serves one accepted connection."""
@@ -57,7 +57,7 @@
         port,
         ssl=None if tls is None else tls.server_context(),
         compression=None,
-        create_connection=_heard.HeardServer,
+        create_connection=_counting.CountingServer,
         server_header=None,
         open_timeout=_handshake.HANDSHAKE_LIMIT_S,
         ping_interval=PING_PERIOD_S,
@@ -72,7 +72,7 @@
     address: _peer.Address,
     tls: _tls.MeshTls | None,
     source_host: str | None = None,
-) -> _heard.HeardClient:
+) -> _counting.CountingClient:
     """Opens a connection.
 
     Args:
@@ -92,7 +92,7 @@
         local_addr=source,
         ssl=None if tls is None else tls.client_context(),
         compression=None,
-        create_connection=_heard.HeardClient,
+        create_connection=_counting.CountingClient,
         proxy=None,
         user_agent_header=None,
         open_timeout=CONNECT_LIMIT_S,
@@ -102,7 +102,7 @@
         max_size=_frames.MAX_FRAME_BYTES,
         logger=_quiet_logger(),
     )
-    return typing.cast(_heard.HeardClient, conn)
+    return typing.cast(_counting.CountingClient, conn)
 
 
 def _quiet_logger() -> logging.Logger:
