Keep runs over a lapse of the lease, and blame no engine for them

Ruled out: another leader (none was elected at either moment; epoch unchanged).

Change: runs and loads go on while this instance leads the epoch that it last held the lease in; they end when it follows or another epoch begins. What starts anything asks for the lease itself, as before. A run that is cancelled here is not held against its engine.

--- a/packages/consensus/src/banyanbank_consensus/_leader_loop.py
+++ b/packages/consensus/src/banyanbank_consensus/_leader_loop.py
@@ -32,6 +32,9 @@
         recorder: Takes time line events.
         duties: What the leader does.
         on_failed: Called once when the log has stopped for good.
+        lasting: Duties whose work under way goes on while the lease has
+            lapsed and no other leader is known. They ask for the lease
+            themselves before they begin anything.
     """
 
     def __init__(
@@ -41,10 +44,13 @@
         recorder: base.Recorder,
         duties: typing.Sequence[Duty],
         on_failed: typing.Callable[[], None],
+        lasting: typing.Sequence[Duty] = (),
     ) -> None:
         self._node = node
         self._recorder = recorder
         self._duties = duties
+        self._lasting = lasting
+        self._lasting_epoch: int | None = None
         self._on_failed = on_failed
         self._is_leading = False
         self._loop = task.LoopingCall(self._tick)
@@ -59,6 +65,7 @@
         if self._loop.running:
             self._loop.stop()
         self._end()
+        self._end_lasting()
 
     def _tick(self) -> None:
         self._node.tick()
@@ -66,13 +73,18 @@
             self.stop()
             self._on_failed()
             return
+        if not self._node.is_leader or (
+            self._lasting_epoch not in (None, self._node.epoch)
+        ):
+            self._end_lasting()
         if not self._node.lease_held():
             self._end()
             return
         if not self._is_leading:
             self._is_leading = True
             self._recorder.record("lease.acquired", epoch=self._node.epoch)
-        for duty in self._duties:
+        self._lasting_epoch = self._node.epoch
+        for duty in (*self._duties, *self._lasting):
             try:
                 duty.tick()
             except Exception as exc:
@@ -88,3 +100,10 @@
         self._recorder.record("lease.lost", epoch=self._node.epoch)
         for duty in self._duties:
             duty.stop()
+
+    def _end_lasting(self) -> None:
+        if self._lasting_epoch is None:
+            return
+        self._lasting_epoch = None
+        for duty in self._lasting:
+            duty.stop()
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -217,7 +217,10 @@
         )
         sent = await self._upstream.send(req)
         if isinstance(sent, result.Failure):
-            self._lost(run, sent.failure().detail)
+            if self._runs.get(item) is run:
+                self._lost(run, sent.failure().detail)
+            # Otherwise the run was cancelled here, which is no sign of trouble
+            # at the engine.
             return
         end = await self._reader.read(run, sent.unwrap())
         if end.kind is _item_reader.RunEndKind.GENERATED:
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -78,7 +78,12 @@
         )
         self._runs = self._build_duties(usage)
         self._leading = consensus.LeaderLoop(
-            reactor, self._log, self.node.recorder, self._duties, on_failed
+            reactor,
+            self._log,
+            self.node.recorder,
+            self._duties,
+            on_failed,
+            lasting=self._lasting,
         )
         self._joining = task.LoopingCall(self._join)
         self._joining.clock = reactor
@@ -180,11 +185,10 @@
         )
         self._duties: tuple[consensus.Duty, ...] = (
             members,
-            loads,
-            runs,
             reports,
             retention,
         )
+        self._lasting: tuple[consensus.Duty, ...] = (loads, runs)
         return runs
 
     def metrics(self) -> str:
--- /dev/null
+++ b/tests/consensus/test_leader_loop.py
@@ -0,0 +1,91 @@
+"""Tests of when the leader's duties go on and when they end."""
+
+import types
+import typing
+import unittest
+
+import banyanbank_base as base
+import banyanbank_consensus as consensus
+from twisted.internet import task
+
+TICK_S = 0.05
+
+
+class Steps:
+    """A duty that notes what it is told."""
+
+    def __init__(self) -> None:
+        self.seen: list[str] = []
+
+    def tick(self) -> None:
+        """Notes a tick, once in a row."""
+        if self.seen[-1:] != ["tick"]:
+            self.seen.append("tick")
+
+    def stop(self) -> None:
+        """Notes the end."""
+        self.seen.append("stop")
+
+
+class LeaderLoopTest(unittest.TestCase):
+    """What a duty is told as lease and leadership come and go."""
+
+    def test_lapse(self) -> None:
+        leads, lapsed, follows = (True, True), (True, False), (False, False)
+        for name, course, usual, lasting in (
+            (
+                "the lease lapses and is held again",
+                [(leads, 3), (lapsed, 3), (leads, 3)],
+                ["tick", "stop", "tick"],
+                ["tick"],
+            ),
+            (
+                "another instance leads",
+                [(leads, 3), (follows, 3)],
+                ["tick", "stop"],
+                ["tick", "stop"],
+            ),
+            (
+                "the lease lapses, then another instance leads",
+                [(leads, 3), (lapsed, 3), (follows, 3)],
+                ["tick", "stop"],
+                ["tick", "stop"],
+            ),
+            (
+                "leads again in a later epoch, unseen in between",
+                [(leads, 3), (lapsed, 3), (leads, 5)],
+                ["tick", "stop", "tick"],
+                ["tick", "stop", "tick"],
+            ),
+            ("never leads", [(follows, 3), (lapsed, 4)], [], []),
+        ):
+            with self.subTest(name):
+                reactor = task.Clock()
+                log = types.SimpleNamespace(tick=lambda: None, failure=None)
+                duties = Steps(), Steps()
+                loop = consensus.LeaderLoop(
+                    reactor,
+                    typing.cast(typing.Any, log),
+                    base.MemoryRecorder(
+                        base.InstanceId("i"), base.ManualClock()
+                    ),
+                    (duties[0],),
+                    self.fail,
+                    lasting=(duties[1],),
+                )
+                is_started = False
+                for (is_leader, is_held), epoch in course:
+                    log.is_leader, log.epoch = is_leader, epoch
+                    log.lease_held = lambda is_held=is_held: is_held
+                    if not is_started:
+                        loop.start()
+                        is_started = True
+                    reactor.advance(TICK_S)
+                self.assertEqual(duties[0].seen, usual)
+                self.assertEqual(duties[1].seen, lasting)
+                loop.stop()
+                self.assertEqual(duties[1].seen[-1:], lasting and ["stop"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/node/test_item_runs.py
@@ -0,0 +1,51 @@
+"""Tests of starting, losing and cancelling runs of items."""
+
+import unittest
+
+from tests.jobs import samples
+from tests.node import running
+
+
+class CancelledRunTest(unittest.TestCase):
+    """What the leader itself cancels says nothing about an engine."""
+
+    def test_engine_takes_items_after(self) -> None:
+        job = samples.make_job("first", due_at=200.0)
+        for name, cancel, waits in (
+            (
+                "its trainer ends the job",
+                lambda leader: leader.end(job),
+                False,
+            ),
+            (
+                "the leader loses its office",
+                lambda leader: leader.runs.stop(),
+                False,
+            ),
+            ("the engine is silent", _pass_silence, True),
+            ("the engine breaks off", _break_off, True),
+        ):
+            with self.subTest(name):
+                engines = running.ManualEngines("e")
+                leader = running.Leader(engines)
+                leader.runs.tick()
+                leader.accept(job)
+                self.assertEqual(len(engines.waiting()), running.SLOTS)
+                cancel(leader)
+                leader.runs.tick()
+                leader.accept(samples.make_job("next", due_at=200.0))
+                started = [sent.item.job.job for sent in engines.waiting()]
+                self.assertEqual(started == [], waits, started)
+
+
+def _pass_silence(leader: running.Leader) -> None:
+    leader.clock.advance(3.0)
+
+
+def _break_off(leader: running.Leader) -> None:
+    for sent in leader.engines.waiting():
+        sent.answered.errback(ConnectionError("reset"))
+
+
+if __name__ == "__main__":
+    unittest.main()
