Encode what entries learn once, and records of ended jobs once

Cause: each change woke all entries, and the leader encoded the document and the whole directory for each of them: at 161 entries 40 MB for a document of 1,600 routes, and 161 directories whenever an engine beat with new weights, which entries do not need.

Ruled out: deltas between document numbers; a compressed document is a tenth of the plain one, and an entry that misses numbers needs no history.

Change: document (zlib level 1) and directory are encoded once a revision; weights do not raise the directory's revision; a job's record is kept from its end on.

--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -66,8 +66,16 @@
         return (self.born_ms, self.sequence)
 
     def serves_like(self, other: "Announcement") -> bool:
-        """Whether two announcements differ in their number only."""
-        return attrs.evolve(self, sequence=other.sequence) == other
+        """Whether two announcements route callers' requests alike.
+
+        Their numbers do not matter, nor do weights: only the leader, which
+        places items, asks for those, and they change on each engine with each
+        version.
+        """
+        return (
+            attrs.evolve(self, sequence=other.sequence, models=other.models)
+            == other
+        )
 
 
 @attrs.define
@@ -80,7 +88,7 @@
     """Endpoints that are believed to run.
 
     Attributes:
-        revision: Rises with each change that a reader must learn of.
+        revision: Rises with each change that entries must learn of.
     """
 
     def __init__(self) -> None:
--- a/packages/jobs/src/banyanbank_jobs/_ledger.py
+++ b/packages/jobs/src/banyanbank_jobs/_ledger.py
@@ -36,6 +36,8 @@
     """Texts of items that are not listed, as far as they are kept."""
     listed: set[str] = attrs.field(init=False)
     """Ids of the items that have a result."""
+    record: bytes | None = attrs.field(default=None, eq=False)
+    """The whole state as a snapshot holds it; None after a change."""
 
     def __attrs_post_init__(self) -> None:
         self.listed = {result.item for result in self.results}
@@ -59,13 +61,14 @@
     document_number: int
     document: bytes
     versions: dict[str, int]
-    jobs: tuple[_JobRecord, ...]
+    jobs: tuple[bytes, ...]
     windows: dict[int, dict[base.AccountId, int]]
     reported: tuple[int, ...]
     retired: tuple[base.InstanceId, ...]
 
 
 _SNAPSHOT_CODEC: base.Codec[_Snapshot] = base.Codec(_Snapshot)
+_RECORD_CODEC: base.Codec[_JobRecord] = base.Codec(_JobRecord)
 
 Observer = collections.abc.Callable[[_commands.Command], None]
 """Told of each command that changed something."""
@@ -111,15 +114,7 @@
                 document_number=self.document_number,
                 document=self.document,
                 versions=dict(sorted(self.versions.items())),
-                jobs=tuple(
-                    _JobRecord(
-                        state.job,
-                        tuple(state.results),
-                        state.is_ended,
-                        state.kept,
-                    )
-                    for state in self.jobs.values()
-                ),
+                jobs=tuple(_record_of(state) for state in self.jobs.values()),
                 windows=self.windows,
                 reported=tuple(sorted(self.reported)),
                 retired=tuple(sorted(self.retired)),
@@ -133,6 +128,7 @@
             CodecError: The bytes are no snapshot; the state is unchanged.
         """
         held = _SNAPSHOT_CODEC.decode(data)
+        records = [_RECORD_CODEC.decode(encoded) for encoded in held.jobs]
         self._clear()
         self.document_number = held.document_number
         self.document = held.document
@@ -140,9 +136,13 @@
         self.windows.update(held.windows)
         self.reported.update(held.reported)
         self.retired.update(held.retired)
-        for record in held.jobs:
+        for record, encoded in zip(records, held.jobs, strict=True):
             self.jobs[record.job.job] = JobState(
-                record.job, list(record.results), record.is_ended, record.kept
+                record.job,
+                list(record.results),
+                record.is_ended,
+                record.kept,
+                record=encoded,
             )
 
     def find(self, job: str, account: base.AccountId) -> JobState | None:
@@ -201,6 +201,7 @@
             return _commands.NotFound()
         if cmd.result.item in state.listed:
             return _commands.Applied(is_new=False)
+        state.record = None
         state.results.append(cmd.result)
         state.listed.add(cmd.result.item)
         state.kept.pop(cmd.result.item, None)
@@ -210,6 +211,7 @@
         state = self.jobs.get(cmd.job)
         if state is None or state.is_ended:
             return _commands.NotFound()
+        state.record = None
         for part in cmd.parts:
             if part.item in state.listed:
                 continue
@@ -231,8 +233,11 @@
             return _commands.NotFound()
         if state.is_ended:
             return _commands.Applied(is_new=False)
+        state.record = None
         state.is_ended = True
         state.kept.clear()
+        # Spreads the work of the next snapshot over the ends of jobs.
+        _record_of(state)
         return _commands.Applied(is_new=True)
 
     def _forget(self, cmd: _commands.ForgetJobs) -> _commands.Reply:
@@ -264,5 +269,16 @@
         return _commands.Applied(is_new)
 
 
+def _record_of(state: JobState) -> bytes:
+    """Returns a job as a snapshot holds it; most do not change any more."""
+    if state.record is None:
+        state.record = _RECORD_CODEC.encode(
+            _JobRecord(
+                state.job, tuple(state.results), state.is_ended, state.kept
+            )
+        )
+    return state.record
+
+
 def _ignore(cmd: _commands.Command) -> None:
     """Observes nothing."""
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _messages
 from banyanbank_node import _ports
 from banyanbank_node import _store_client
+from banyanbank_node import _sync_parts
 
 HOLD_S = 0.5
 """Seconds that the leader may hold a poll when there is nothing new."""
@@ -109,18 +110,8 @@
         self._client.know_stores(answer.stores)
         if answer.document is not None:
             self._take_document(answer.document)
-        for life in answer.ended:
-            self.directory.end_life(life.endpoint, life.born_ms, now)
-        if answer.announcements is not None:
-            for said in answer.announcements:
-                self.directory.announce(said, now)
-            self._believed = {said.endpoint for said in answer.announcements}
-            self._events.write(
-                "endpoints.changed",
-                source=answer.directory_of,
-                revision=answer.directory_revision,
-                known=len(self.directory),
-            )
+        if answer.directory is not None:
+            self._take_directory(answer, answer.directory, now)
         self.directory.refresh(
             self._believed, keep_others=not answer.is_settled, now=now
         )
@@ -128,10 +119,28 @@
         self._directory_of = answer.directory_of
         self._directory_revision = answer.directory_revision
 
-    def _take_document(self, content: bytes) -> None:
+    def _take_directory(
+        self, answer: _messages.SyncAnswer, encoded: bytes, now: float
+    ) -> None:
+        part: _messages.DirectoryPart = _messages.CODEC.decode(encoded)
+        for life in part.ended:
+            self.directory.end_life(life.endpoint, life.born_ms, now)
+        for said in part.announcements:
+            self.directory.announce(said, now)
+        self._believed = {said.endpoint for said in part.announcements}
+        self._events.write(
+            "endpoints.changed",
+            source=answer.directory_of,
+            revision=answer.directory_revision,
+            known=len(self.directory),
+        )
+
+    def _take_document(self, part: bytes) -> None:
         try:
-            document = self._wire.read_document(content)
-        except gateway.InvalidDocumentError as exc:
+            document = self._wire.read_document(
+                _sync_parts.unpack_document(part)
+            )
+        except (ValueError, gateway.InvalidDocumentError) as exc:
             self._events.write("config.unreadable", why=str(exc))
             return
         if self.table is not None:
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -57,22 +57,34 @@
     """Start of the newest life that is over."""
 
 
+@attrs.frozen
+class DirectoryPart:
+    """Endpoints that a leader believes in."""
+
+    announcements: tuple[gateway.Announcement, ...]
+    """All endpoints."""
+    ended: tuple[EndedLife, ...]
+    """Lives that are over."""
+
+
 @attrs.frozen
 class SyncAnswer:
-    """What is new to an entry."""
+    """What is new to an entry.
+
+    Its large parts are the same for all entries and come as bytes, so that a
+    leader encodes them once.
+    """
 
     document_number: int
     """Number of the document in force."""
     document: bytes | None
-    """The document; None when the entry holds it."""
+    """The document, compressed; None when the entry holds it."""
     directory_of: str
     """Store whose directory this is."""
     directory_revision: int
     """Its revision."""
-    announcements: tuple[gateway.Announcement, ...] | None
-    """All endpoints; None when the entry has seen this revision."""
-    ended: tuple[EndedLife, ...]
-    """Lives that are over."""
+    directory: bytes | None
+    """A `DirectoryPart`; None when the entry has seen this revision."""
     is_settled: bool
     """Whether every running endpoint must have reached this leader by now."""
     stores: tuple[base.InstanceId, ...]
@@ -186,6 +198,7 @@
     StoreAnswer,
     SyncRequest,
     SyncAnswer,
+    DirectoryPart,
     gateway.Announcement,
     Withdrawal,
     Accepted,
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -14,6 +14,7 @@
 from banyanbank_node import _messages
 from banyanbank_node import _store_client
 from banyanbank_node import _stored
+from banyanbank_node import _sync_parts
 from banyanbank_node import _waiters
 
 PAGE_CHARS = 600 * 1024
@@ -71,6 +72,7 @@
         self._usage = usage
         self._true_time = true_time
         self._events = events
+        self._parts = _sync_parts.SyncParts()
         self.news = _waiters.Waiters(reactor)
         self.results = _waiters.Waiters(reactor)
         self.led_since: float | None = None
@@ -229,16 +231,16 @@
         now = self._clock.now()
         return _messages.SyncAnswer(
             document_number=ledger.document_number,
-            document=ledger.document if is_newer else None,
+            document=self._parts.document(
+                ledger.document_number, ledger.document
+            )
+            if is_newer
+            else None,
             directory_of=self._directory_name,
             directory_revision=self._directory.revision,
-            announcements=None if is_known else tuple(self._directory.all()),
-            ended=()
+            directory=None
             if is_known
-            else tuple(
-                _messages.EndedLife(endpoint, born)
-                for endpoint, born in self._directory.ended()
-            ),
+            else self._parts.directory(self._directory_name, self._directory),
             is_settled=self.led_since is not None
             and self.led_since + SETTLE_S < now,
             stores=tuple(
--- a/tests/jobs/test_ledger.py
+++ b/tests/jobs/test_ledger.py
@@ -120,6 +120,37 @@
         self.assertEqual(other.jobs["j"].listed, {"i1"})
         self.assertEqual(other.reported, {4})
 
+    def test_snapshot_after_each_change(self) -> None:
+        part = jobs.TextPart("i2", 1, 0, ("a", "b"), (3,))
+        commands = (
+            jobs.AcceptJob(samples.make_job("j", model="m")),
+            jobs.KeepParts("j", (part,)),
+            jobs.ListResult("j", samples.make_result("i1")),
+            jobs.EndJob("j", samples.ACCOUNT),
+            jobs.ListResult("j", samples.make_result("i2")),
+            jobs.AcceptJob(samples.make_job("k", model="m")),
+            jobs.ForgetJobs(accepted_before=1.0),
+        )
+        for count, command in enumerate(commands, 1):
+            with self.subTest(type(command).__name__, count=count):
+                self.apply(command)
+                untouched = jobs.Ledger()
+                for earlier in commands[:count]:
+                    untouched.apply(1, jobs.COMMAND_CODEC.encode(earlier))
+                # Records that were kept from earlier snapshots must not show.
+                self.assertEqual(self.ledger.snapshot(), untouched.snapshot())
+                restored = jobs.Ledger()
+                restored.restore(self.ledger.snapshot())
+                self.assertEqual(restored.jobs, self.ledger.jobs)
+
+    def test_snapshot_encodes_ended_jobs_once(self) -> None:
+        self.apply(jobs.AcceptJob(samples.make_job("j")))
+        self.apply(jobs.EndJob("j", samples.ACCOUNT))
+        record = self.ledger.jobs["j"].record
+        self.ledger.snapshot()
+        self.assertIsNotNone(record)
+        self.assertIs(self.ledger.jobs["j"].record, record)
+
     def test_unknown_bytes(self) -> None:
         reply = jobs.REPLY_CODEC.decode(self.ledger.apply(1, b"\x00"))
         self.assertEqual(reply, jobs.Undecodable())
