Let engines serve two models, and begin first what must begin soonest

Within a route, items went by their job's due time: the long texts of a new step, which decide when it is whole, waited behind short ones that had seconds to spare.

Change: each engine serves two models and loads one of them at a time, every second version as before, so its loads are as many as the users' prices leave free; useless engines of any model load before others. An item's rank is the moment by which it must begin to be whole in time, from its expected length; events for an expected token are learned.

--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -27,6 +27,7 @@
 from banyanbank_jobs._ledger import JobState
 from banyanbank_jobs._ledger import KeptText
 from banyanbank_jobs._ledger import Ledger
+from banyanbank_jobs._lengths import LengthEstimate
 from banyanbank_jobs._records import expected_tokens
 from banyanbank_jobs._records import ItemOutcome
 from banyanbank_jobs._records import ItemResult
@@ -74,6 +75,7 @@
     "KeepParts",
     "KeptText",
     "Ledger",
+    "LengthEstimate",
     "ListResult",
     "LoadOrder",
     "MarkReported",
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -1,7 +1,8 @@
 """Decides which item runs where, and when; knows no sockets.
 
-Items of the job that is due first go first, those with the longest expected
-output before short ones, so that stragglers begin early. Items of one group
+The item goes first that must begin soonest to be whole when its job is due: one
+of a long text before the short ones of an earlier job, since a stream cannot be
+made faster than its engine. Items of one group
 share the beginning of their prompt and go to the same engine while it has a
 free slot. Where a trainer goes on before all groups are complete, the groups
 that it is not expected to wait for go last: on a loaded day that is a tenth of
@@ -19,6 +20,7 @@
 from banyanbank_jobs import _event_stream
 from banyanbank_jobs import _groups
 from banyanbank_jobs import _ledger
+from banyanbank_jobs import _lengths
 from banyanbank_jobs import _records
 
 LOAD_COST = 0.5
@@ -39,6 +41,9 @@
 SETTLE_RUN_S = 0.5
 """Seconds that a run goes on before it may move."""
 
+RANK_S = 0.5
+"""Seconds by which an item of a more urgent route goes before another."""
+
 RETRY_FAILED_S = 0.2
 """Seconds before an item that failed is placed again."""
 
@@ -119,6 +124,7 @@
         )
         self._prefixes: dict[tuple[str, str], base.EndpointId] = {}
         self._unfinished: dict[str, frozenset[str]] = {}
+        self._lengths = _lengths.LengthEstimate()
 
     def __len__(self) -> int:
         return len(self._items)
@@ -202,6 +208,7 @@
         """Notes that the text of an item is whole."""
         self._leave_engine(item)
         item.stage = Stage.GRADING
+        self._lengths.note(item.spec.length_hint, len(item.text.pieces))
 
     def plan(
         self,
@@ -279,16 +286,16 @@
             for item in self._items.values()
             if item.stage is Stage.WAITING and item.not_before <= now
         ]
-        waiting.sort(
-            key=lambda item: (
-                item.is_spare,
-                item.job.priority,
-                item.job.due_at,
-                -item.spec.length_hint,
-            )
-        )
+        waiting.sort(key=lambda item: (item.is_spare, self._begin_by(item)))
         return waiting
 
+    def _begin_by(self, item: ItemProgress) -> float:
+        """Returns when an item must begin to be whole when its job is due."""
+        hint = item.spec.length_hint or _records.TOKENS_WITHOUT_HINT
+        left = max(0.0, self._lengths.events(hint) - len(item.text.pieces))
+        rank_s = RANK_S * item.job.priority
+        return item.job.due_at + rank_s - left * _engines.NORMAL_PACE_S
+
     def _choose(
         self,
         item: ItemProgress,
--- a/packages/jobs/src/banyanbank_jobs/_weights.py
+++ b/packages/jobs/src/banyanbank_jobs/_weights.py
@@ -1,8 +1,10 @@
 """Decides which engine loads which weights, and when.
 
-Each engine serves one trainer's model where there are enough of them: loads
-cost time, and a model's cached prompts are lost with them. Engines of a model
-are changed a few at a time, so that the others go on serving.
+Each engine serves two trainers' models where there are so many: while the
+weights of one are changed, its slots run items of the other, and the burst with
+which a step begins meets twice the slots. Each model more would cost loads that
+no step needs. Engines of a model are changed a few at a time, so that the
+others go on serving.
 """
 
 import collections
@@ -19,6 +21,10 @@
 of 19 and 9 of 22 as what their weight stores bear."""
 
 
+MODELS_EACH = 2
+"""Models that an engine serves. With every second version loaded, an engine
+loads as often as if it served one model and loaded every version."""
+
 MOVE_GAIN = 0.8
 """An engine changes its model if the larger work falls below this share."""
 
@@ -36,10 +42,15 @@
 
 
 class WeightPlanner:
-    """Keeps which engine serves which model, and plans loads."""
+    """Keeps which engine serves which models, and plans loads.
+
+    Args:
+        models_each: Models that an engine serves.
+    """
 
-    def __init__(self) -> None:
-        self._model_of: dict[base.EndpointId, str] = {}
+    def __init__(self, models_each: int = MODELS_EACH) -> None:
+        self._models_each = models_each
+        self._models_of: dict[base.EndpointId, frozenset[str]] = {}
 
     def plan(
         self,
@@ -48,7 +59,7 @@
         needed: collections.abc.Mapping[str, int],
         demand: collections.abc.Mapping[str, float],
     ) -> list[LoadOrder]:
-        """Returns the loads to order now.
+        """Returns the loads to order now, at most one for each engine.
 
         Args:
             engines: Engines that are believed to run.
@@ -58,26 +69,28 @@
         """
         ready = [view for view in engines if view.is_ready]
         self._assign(ready, newest, demand)
-        under_way = sum(bool(view.loading) for view in engines)
-        orders: list[LoadOrder] = []
+        urgent: list[LoadOrder] = []
+        useful: list[LoadOrder] = []
         for model in sorted(newest):
             own = [
                 view
                 for view in ready
-                if self._model_of.get(view.endpoint) == model
+                if model in self._models_of.get(view.endpoint, ())
                 or len(ready) < len(newest)
             ]
-            room = loads_at_once(len(engines)) - under_way - len(orders)
-            orders.extend(
-                _loads_of(model, newest[model], needed.get(model, 0), own)[
-                    : max(0, room)
-                ]
-            )
-        return orders
-
-    def assigned(self) -> dict[base.EndpointId, str]:
-        """Returns the model of each engine."""
-        return dict(self._model_of)
+            loads = _loads_of(model, newest[model], needed.get(model, 0), own)
+            urgent.extend(loads.urgent)
+            useful.extend(loads.useful)
+        under_way = sum(bool(view.loading) for view in engines)
+        room = max(0, loads_at_once(len(engines)) - under_way)
+        orders: dict[base.EndpointId, LoadOrder] = {}
+        for order in (*urgent, *useful):
+            orders.setdefault(order.endpoint, order)
+        return list(orders.values())[:room]
+
+    def assigned(self) -> dict[base.EndpointId, frozenset[str]]:
+        """Returns the models of each engine."""
+        return dict(self._models_of)
 
     def _assign(
         self,
@@ -85,26 +98,31 @@
         newest: collections.abc.Mapping[str, int],
         demand: collections.abc.Mapping[str, float],
     ) -> None:
-        """Gives each engine a model, in proportion to the models' work."""
+        """Gives each engine its models, in proportion to the models' work."""
         views = {view.endpoint: view for view in ready}
-        self._model_of = {
-            endpoint: model
-            for endpoint, model in self._model_of.items()
-            if endpoint in views and model in newest
+        self._models_of = {
+            endpoint: models.intersection(newest)
+            for endpoint, models in self._models_of.items()
+            if endpoint in views
         }
         if not newest or not ready:
             return
+        each = min(self._models_each, len(newest))
         wanted = share_engines(
-            len(ready), {m: demand.get(m, 0) for m in newest}
+            each * len(ready),
+            {m: demand.get(m, 0) for m in newest},
+            most=len(ready),
         )
-        counts = collections.Counter(self._model_of.values())
+        counts = self._counts()
         for view in ready:
-            if view.endpoint in self._model_of:
-                continue
-            short = [m for m in wanted if counts[m] < wanted[m]] or [*wanted]
-            model = min(short, key=lambda m: (_behind(view, m, newest), m))
-            self._model_of[view.endpoint] = model
-            counts[model] += 1
+            models = self._models_of.get(view.endpoint, frozenset())
+            while len(models) < each:
+                others = [m for m in wanted if m not in models]
+                short = [m for m in others if counts[m] < wanted[m]] or others
+                model = min(short, key=lambda m: (_behind(view, m, newest), m))
+                models |= {model}
+                counts[model] += 1
+            self._models_of[view.endpoint] = models
         self._move_one(views, newest, demand, wanted)
 
     def _move_one(
@@ -115,7 +133,7 @@
         wanted: collections.abc.Mapping[str, int],
     ) -> None:
         """Moves an engine to another model where that pays for the load."""
-        counts = collections.Counter(self._model_of.values())
+        counts = self._counts()
         short = [model for model in wanted if counts[model] < wanted[model]]
         ample = [model for model in wanted if counts[model] > wanted[model]]
         if not short or not ample:
@@ -130,11 +148,23 @@
             MOVE_GAIN * worst
         ):
             return
+        movable = [
+            name
+            for name, models in self._models_of.items()
+            if source in models and to not in models
+        ]
+        if not movable:
+            return
         moved = min(
-            (name for name, m in self._model_of.items() if m == source),
-            key=lambda name: (_behind(views[name], to, newest), name),
+            movable, key=lambda name: (_behind(views[name], to, newest), name)
+        )
+        self._models_of[moved] = self._models_of[moved] - {source} | {to}
+
+    def _counts(self) -> collections.Counter[str]:
+        """Returns the number of engines of each model."""
+        return collections.Counter(
+            model for models in self._models_of.values() for model in models
         )
-        self._model_of[moved] = to
 
 
 def loads_at_once(engines: int) -> int:
@@ -143,7 +173,9 @@
 
 
 def share_engines(
-    engines: int, demand: collections.abc.Mapping[str, float]
+    engines: int,
+    demand: collections.abc.Mapping[str, float],
+    most: int | None = None,
 ) -> dict[str, int]:
     """Shares engines out to models in proportion to their work.
 
@@ -153,10 +185,12 @@
     Args:
         engines: Number of engines.
         demand: Work of each model.
+        most: Most engines of one model; None for no bound.
     """
     shares = collections.Counter(dict.fromkeys(demand, 0))
     for _ in range(engines):
-        model = max(demand, key=lambda m: (_pressure(demand, shares, m), m))
+        open_ = [m for m in demand if most is None or shares[m] < most]
+        model = max(open_, key=lambda m: (_pressure(demand, shares, m), m))
         shares[model] += 1
     return dict(shares)
 
@@ -181,18 +215,23 @@
     return newest[model] - view.versions.get(model, 0)
 
 
+@attrs.frozen
+class _Loads:
+    urgent: list[LoadOrder]
+    useful: list[LoadOrder]
+
+
 def _loads_of(
     model: str,
     newest: int,
     needed: int,
     own: collections.abc.Sequence[_engines.EngineView],
-) -> list[LoadOrder]:
-    """Returns the loads of one model's engines, most urgent first.
+) -> _Loads:
+    """Returns the loads of one model's engines.
 
-    Engines that no open job can use load together. Of the rest, half are
-    brought to the newest version; the other half goes on with the one before
-    it and skips a load, which for as long as it lasts costs an engine's whole
-    work.
+    Engines that no open job can use load together, as a matter of urgency. Of
+    the rest, half are brought to the newest version; the other half goes on
+    with the one before it and skips a load.
     """
     behind = [
         view
@@ -205,6 +244,8 @@
     half = len(own) // 2
     loading = sum(model in view.loading for view in own)
     newest_already = sum(view.versions.get(model) == newest for view in own)
-    more = half - newest_already - loading - len(useless)
-    chosen = [*useless, *useful[: max(0, more)]]
-    return [LoadOrder(view.endpoint, model, newest) for view in chosen]
+    more = max(0, half - newest_already - loading - len(useless))
+    return _Loads(
+        [LoadOrder(view.endpoint, model, newest) for view in useless],
+        [LoadOrder(view.endpoint, model, newest) for view in useful[:more]],
+    )
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 import banyanbank_base as base
 import banyanbank_jobs as jobs
 
@@ -101,6 +102,57 @@
         order = [placement.item.spec.item for placement in planned]
         self.assertEqual(order, ["long", "short", "l"])
 
+    def test_what_must_begin_soonest_goes_first(self) -> None:
+        """A long text of a later job before a short one of an earlier job."""
+        for name, hint, first in (
+            ("long enough to be late", 1900, "later"),
+            ("short too", 10, "sooner"),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                for job, item, length, due_at in (
+                    ("j1", "sooner", 20, 10.0),
+                    ("j2", "later", hint, 13.0),
+                ):
+                    made = samples.make_item(item, length_hint=length)
+                    self.add(samples.make_job(job, made, due_at=due_at))
+                planned = self.scheduler.plan(
+                    [samples.make_engine("e1", slots=2)], now=0.0
+                )
+                self.assertEqual(planned[0].item.spec.item, first)
+
+    def test_text_that_is_nearly_whole_can_wait(self) -> None:
+        for item in ("begun", "fresh"):
+            made = samples.make_item(item, length_hint=400)
+            self.add(samples.make_job(item, made))
+        begun = self.item("begun")
+        for event in range(35):
+            begun.text.take(jobs.StreamEvent(event, "x", None))
+        planned = self.scheduler.plan(
+            [samples.make_engine("e1", slots=2)], now=0.0
+        )
+        self.assertEqual(planned[0].item.spec.item, "fresh")
+
+    def test_urgent_route_first(self) -> None:
+        for name, priority in (("a", 1), ("b", 0)):
+            made = samples.make_item(name, length_hint=100)
+            job = samples.make_job(name, made)
+            self.add(attrs.evolve(job, priority=priority))
+        planned = self.scheduler.plan(
+            [samples.make_engine("e1", slots=2)], now=0.0
+        )
+        self.assertEqual(planned[0].item.spec.item, "b")
+
+    def test_lengths_are_learned(self) -> None:
+        """One event a token makes a text ten times as long as believed."""
+        lengths = jobs.LengthEstimate()
+        before = lengths.events(100)
+        for _ in range(300):
+            lengths.note(100, 100)
+        lengths.note(0, 5000)
+        self.assertAlmostEqual(before, 10.0)
+        self.assertAlmostEqual(lengths.events(100), 94.4, places=1)
+
     def test_group_stays_together(self) -> None:
         self.add(
             samples.make_job(
