End answers without end, and hand orders to the socket at once

Cause: a client of ours read heads of any length: header lines, folded lines and interim answers without end were taken in until the deadline, 12 s for an item, at the speed of the link. An event or a text of an engine had no bound either.

Change: 64 KiB for a head, interim answers included; 1 MiB for an event, 8 MiB for a text; a guarded body is written to the socket before the loop goes on.

Conclusion: what may still arrive late is what the kernel holds for a peer that does not take it; the connection is aborted when the duty ends.

--- a/packages/fakes/src/banyanbank_fakes/_caller.py
+++ b/packages/fakes/src/banyanbank_fakes/_caller.py
@@ -35,7 +35,7 @@
     """
 
     def __init__(self, reactor: typing.Any, url: str, secret: str) -> None:
-        pool = client.HTTPConnectionPool(reactor, persistent=True)
+        pool = mesh.BoundedHeadPool(reactor, persistent=True)
         pool.retryAutomatically = False
         self._agent = mesh.ip_agent(reactor, pool)
         self._pool = pool
--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -23,6 +23,8 @@
 from banyanbank_jobs._event_stream import EventStreamError
 from banyanbank_jobs._event_stream import EventStreamReader
 from banyanbank_jobs._event_stream import ItemText
+from banyanbank_jobs._event_stream import MAX_EVENT_BYTES
+from banyanbank_jobs._event_stream import MAX_TEXT_CHARS
 from banyanbank_jobs._event_stream import StreamEvent
 from banyanbank_jobs._ledger import JobState
 from banyanbank_jobs._ledger import KeptText
@@ -49,6 +51,8 @@
 
 __all__ = [
     "COMMAND_CODEC",
+    "MAX_EVENT_BYTES",
+    "MAX_TEXT_CHARS",
     "MOST_REFUSALS",
     "REPLY_CODEC",
     "RETRY_FAILED_S",
--- a/packages/jobs/src/banyanbank_jobs/_event_stream.py
+++ b/packages/jobs/src/banyanbank_jobs/_event_stream.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event of a stream."""
+
+MAX_TEXT_CHARS = 8 * 1024 * 1024
+"""Largest text of an item; as much as an answer may have."""
+
 
 class EventStreamError(Exception):
     """The bytes are no event stream, or an event is out of order."""
@@ -37,10 +43,14 @@
         """Takes bytes in and returns the events that are whole.
 
         Raises:
-            EventStreamError: An event has no usable id.
+            EventStreamError: An event has no usable id, or no end.
         """
         blocks = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
         self._rest = blocks.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventStreamError(
+                f"An event has no end in {MAX_EVENT_BYTES} bytes."
+            )
         return [
             self._read_event(block) for block in blocks if block.strip(b"\n")
         ]
@@ -90,6 +100,7 @@
         self.versions: set[int] = set()
         self._first: int | None = None
         self._version = 0
+        self._chars = 0
 
     @classmethod
     def resume(
@@ -102,6 +113,7 @@
         text = cls()
         text._first = first_event
         text.pieces = list(pieces)
+        text._chars = len(text.text)
         text.versions = set(versions)
         return text
 
@@ -130,7 +142,7 @@
         """Adds the next event.
 
         Raises:
-            EventStreamError: It is not the next one.
+            EventStreamError: It is not the next one, or the text has no end.
         """
         if self._first is None:
             self._first = event.number
@@ -138,6 +150,11 @@
             raise EventStreamError(
                 f"Event {event.number} follows event {self.last_event}."
             )
+        self._chars += len(event.data) + 1
+        if self._chars > MAX_TEXT_CHARS:
+            raise EventStreamError(
+                f"The text is over {MAX_TEXT_CHARS} characters."
+            )
         if event.version is not None:
             self._version = event.version
         self.pieces.append(event.data)
--- a/packages/mesh/src/banyanbank_mesh/__init__.py
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -1,5 +1,8 @@
 """Transport between instances: websockets that carry CBOR frames."""
 
+from banyanbank_mesh._bounded_heads import BoundedHeadPool
+from banyanbank_mesh._bounded_heads import HeadTooLongError
+from banyanbank_mesh._bounded_heads import MAX_HEAD_BYTES
 from banyanbank_mesh._errors import CallError
 from banyanbank_mesh._errors import CallErrorKind
 from banyanbank_mesh._errors import HandlerRefusalError
@@ -21,10 +24,13 @@
 
 __all__ = [
     "MAX_FRAME_BYTES",
+    "MAX_HEAD_BYTES",
+    "BoundedHeadPool",
     "CallError",
     "CallErrorKind",
     "CallResult",
     "HandlerRefusalError",
+    "HeadTooLongError",
     "IpEndpointFactory",
     "ListenError",
     "Mesh",
--- /dev/null
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -0,0 +1,58 @@
+"""Bounds the heads of answers that HTTP clients read."""
+
+import typing
+
+from twisted.internet import defer
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import iweb
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Largest head of an answer, interim answers before it included."""
+
+
+class HeadTooLongError(Exception):
+    """A peer sent more than a head without ending it."""
+
+
+class _BoundedHeadProtocol(client.HTTP11ClientProtocol):
+    """Counts what comes before an answer's body; Twisted bounds only lines."""
+
+    _head_bytes: int | None = None
+
+    def request(self, request: typing.Any) -> "defer.Deferred[iweb.IResponse]":
+        """Sends a request; its answer's head is counted from here."""
+        self._head_bytes = 0
+        return super().request(request).addBoth(self._end_head)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Takes bytes in, unless a head has grown too long."""
+        if self._head_bytes is not None:
+            self._head_bytes += len(data)
+        super().dataReceived(data)
+        # A head that has ended meanwhile is not counted any more.
+        if self._head_bytes is not None and self._head_bytes > MAX_HEAD_BYTES:
+            self._head_bytes = None
+            self._giveUp(
+                failure.Failure(
+                    HeadTooLongError(
+                        f"No end of the head in {MAX_HEAD_BYTES} bytes."
+                    )
+                )
+            )
+
+    def _end_head(self, outcome: typing.Any) -> typing.Any:
+        self._head_bytes = None
+        return outcome
+
+
+class _BoundedHeadFactory(client._HTTP11ClientFactory):
+    def buildProtocol(self, addr: object) -> _BoundedHeadProtocol:  # noqa: N802
+        del addr
+        return _BoundedHeadProtocol(self._quiescentCallback)
+
+
+class BoundedHeadPool(client.HTTPConnectionPool):
+    """Keeps connections whose answers have heads of a bounded length."""
+
+    _factory = _BoundedHeadFactory
--- a/packages/mesh/src/banyanbank_mesh/_ip_endpoints.py
+++ b/packages/mesh/src/banyanbank_mesh/_ip_endpoints.py
@@ -17,6 +17,8 @@
 from twisted.web import iweb
 import zope.interface
 
+from banyanbank_mesh import _bounded_heads
+
 CONNECT_TIMEOUT_S = 2
 """Seconds after which a connection that is not made counts as refused."""
 
@@ -92,7 +94,7 @@
 
 
 def ip_agent(
-    reactor: typing.Any, pool: client.HTTPConnectionPool | None = None
+    reactor: typing.Any, pool: _bounded_heads.BoundedHeadPool | None = None
 ) -> client.Agent:
     """Returns an HTTP agent that connects to IP numbers only.
 
@@ -101,7 +103,9 @@
         pool: Keeps connections; None makes one for each request.
     """
     return client.Agent.usingEndpointFactory(
-        reactor, IpEndpointFactory(reactor), pool=pool
+        reactor,
+        IpEndpointFactory(reactor),
+        pool=pool or _bounded_heads.BoundedHeadPool(reactor, persistent=False),
     )
 
 
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -67,8 +67,9 @@
     is_repeatable: bool = True
     """False makes it use a connection of its own, never an idle one."""
     guard: typing.Callable[[], bool] | None = None
-    """Asked immediately before the body is written; False withholds it, and a
-    request without its whole body is not acted on. Needs a body."""
+    """Asked immediately before the body is handed to the socket; False
+    withholds it, and a request without its whole body is not acted on. Needs a
+    body."""
 
 
 class _BodyReader(protocol.Protocol):
@@ -225,7 +226,7 @@
     def __init__(self, reactor: typing.Any, clock: base.Clock) -> None:
         self._reactor = reactor
         self._clock = clock
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool = mesh.BoundedHeadPool(reactor, persistent=True)
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_ENDPOINT
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
@@ -310,6 +311,8 @@
         if self._guard is not None and not self._guard():
             return defer.fail(GuardClosedError("The lease is not held."))
         consumer.write(self._body)
+        if self._guard is not None:
+            _flush(consumer)
         return defer.succeed(None)
 
     def pauseProducing(self) -> None:  # noqa: N802
@@ -322,6 +325,19 @@
         """Does nothing; the body has been handed over."""
 
 
+def _flush(consumer: typing.Any) -> None:
+    """Hands what was written to the socket before the loop goes on.
+
+    The loop would write it in a later turn, and a process that is stopped in
+    between would send under a permission that has run out meanwhile. What the
+    socket does not take now stays with the loop, which sees errors, too.
+    """
+    transport = getattr(consumer, "_consumer", consumer)
+    write = getattr(transport, "doWrite", None)
+    if write is not None:
+        write()
+
+
 def _headers_of(req: UpstreamRequest) -> http_headers.Headers:
     headers = http_headers.Headers()
     for name, value in req.headers:
--- a/tests/jobs/test_event_stream.py
+++ b/tests/jobs/test_event_stream.py
@@ -44,6 +44,17 @@
                 with self.assertRaises(jobs.EventStreamError):
                     reader.feed(data)
 
+    def test_event_without_end(self) -> None:
+        for name, piece in (
+            ("one line", b"x" * 1000),
+            ("lines", b"data: more\n" * 100),
+        ):
+            with self.subTest(name):
+                reader = jobs.EventStreamReader(FIELD)
+                with self.assertRaisesRegex(jobs.EventStreamError, "no end"):
+                    for _ in range(2 * jobs.MAX_EVENT_BYTES // len(piece)):
+                        reader.feed(piece)
+
 
 class ItemTextTest(unittest.TestCase):
     """A text is joined over runs; nothing is missing or doubled."""
@@ -59,6 +70,17 @@
         self.assertEqual(text.versions, {3, 4, 5})
         self.assertEqual(text.last_event, 3)
 
+    def test_text_without_end(self) -> None:
+        for name, begun, data in (
+            ("long events", 1, "x" * 100_000),
+            ("empty events", jobs.MAX_TEXT_CHARS - 50, ""),
+        ):
+            with self.subTest(name):
+                text = jobs.ItemText.resume(0, ["x" * begun], ())
+                with self.assertRaisesRegex(jobs.EventStreamError, "is over"):
+                    for number in range(1, 100):
+                        text.take(jobs.StreamEvent(number, data, None))
+
     def test_out_of_order(self) -> None:
         for number in (1, 3):
             with self.subTest(number=number):
--- /dev/null
+++ b/tests/web/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP servers and clients."""
