Let no two leaders act in turn where nobody checks fencing tokens

Cause: with enforce-fencing false a leader that was elected again could send an order or a report within lease-ms of its last one with another leader's in between; the lease and the epoch of its guard allow that. Found by reading.

Ruled out: receivers that check tokens need no rest after a restart, since the process is out of touch for longer than the lease.

Change: a pure OutwardTerm permits each order and report as it is sent, and makes an instance rest for lease-ms between its acts of two epochs; where tokens are not checked also after a start. Orders under way end with the lease; what the leader knows of engines stays until another epoch. A success that names no request is nobody's and reaches no caller.

--- a/packages/node/src/banyanbank_node/__init__.py
+++ b/packages/node/src/banyanbank_node/__init__.py
@@ -21,6 +21,7 @@
 from banyanbank_node._messages import ResultsRequest
 from banyanbank_node._messages import Retiring
 from banyanbank_node._messages import TooFew
+from banyanbank_node._outward_term import TurnRules
 from banyanbank_node._ports import AnswerMarks
 from banyanbank_node._ports import Authority
 from banyanbank_node._ports import CallerRequest
@@ -58,6 +59,7 @@
     "Store",
     "StoreSettings",
     "TooFew",
+    "TurnRules",
     "Wire",
 ]
 
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -41,6 +41,7 @@
 )
 """Headers that concern one connection only."""
 
+FIRST_ERROR_STATUS = 400
 FIRST_FAILURE_STATUS = 500
 FAILED_STATUS = 500
 
@@ -180,13 +181,13 @@
             return sent
         resp = sent.unwrap()
         marks = self._wire.marks(resp)
-        if marks.request_id not in ("", sending.req.request_id):
+        if not _answers(sending.req, resp.status, marks):
             # A second answer to an earlier request on this connection.
             resp.cancel()
             return result.Failure(
                 web.UpstreamError(
                     base.Outcome.MAY_HAVE_RUN,
-                    f"the answer is for request {marks.request_id}",
+                    f"the answer is for request {marks.request_id!r}",
                 )
             )
         try:
@@ -273,3 +274,16 @@
             "No endpoint of the service is known; try again.",
             retry_after=NO_ENDPOINT_RETRY_S,
         )
+
+
+def _answers(
+    req: _ports.CallerRequest, status: int, marks: _ports.AnswerMarks
+) -> bool:
+    """Whether an answer belongs to a request.
+
+    A failure may come without an id; a success that names no request may be
+    anybody's.
+    """
+    if not marks.request_id and status >= FIRST_ERROR_STATUS:
+        return True
+    return marks.request_id == req.request_id
--- a/packages/node/src/banyanbank_node/_item_reader.py
+++ b/packages/node/src/banyanbank_node/_item_reader.py
@@ -95,8 +95,9 @@
     async def _read(self, run: Run, resp: web.UpstreamResponse) -> RunEnd:
         item = run.item
         marks = self.wire.marks(resp)
-        if marks.request_id not in ("", item.spec.item):
-            return _lost(f"the answer is for {marks.request_id}")
+        names_another = marks.request_id != item.spec.item
+        if names_another and (marks.request_id or resp.status == OK):
+            return _lost(f"the answer is for {marks.request_id!r}")
         if resp.status != OK or marks.has_not_run:
             return RunEnd(
                 RunEndKind.REFUSED,
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _background
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
+from banyanbank_node import _outward_term
 from banyanbank_node import _ports
 from banyanbank_node import _stored
 
@@ -53,6 +54,7 @@
         engines: Engines that are believed to run.
         holder: Name of this instance in orders.
         events: Log of decisions.
+        term: Permits orders.
         on_loaded: Called when an engine has new weights.
     """
 
@@ -66,8 +68,11 @@
         engines: _engine_table.EngineTable,
         holder: str,
         events: _event_log.EventLog,
+        term: _outward_term.OutwardTerm,
         on_loaded: typing.Callable[[], None],
     ) -> None:
+        self._term = term
+        self._planned_epoch = 0
         self._reactor = reactor
         self._clock = clock
         self._stored = stored
@@ -87,6 +92,13 @@
         ledger = self._stored.ledger
         if not ledger.versions or self._fenced_out_at == self._epoch:
             return
+        if not self._term.may_act():
+            return
+        if self._planned_epoch != self._epoch:
+            # Another leader may have changed what engines hold.
+            self._planned_epoch = self._epoch
+            self._engines.clear()
+            self._planner = jobs.WeightPlanner()
         now = self._clock.now()
         for order in self._planner.plan(
             self._engines.views(),
@@ -103,12 +115,10 @@
                 self._begin(order, said)
 
     def stop(self) -> None:
-        """Ends what is under way; the next leader looks for itself."""
+        """Ends orders under way, so that none is sent or sent again later."""
         for running in list(self._under_way.values()):
             running.cancel()
         self._under_way.clear()
-        self._engines.clear()
-        self._planner = jobs.WeightPlanner()
 
     @property
     def _epoch(self) -> int:
@@ -246,7 +256,7 @@
             said,
             _ports.Authority(self._holder, epoch),
             orders_accepted,
-            lambda: self._stored.leads and self._epoch == epoch,
+            self._term.guard(epoch),
             self._clock.now() + CALL_S,
         )
         sent = await self._upstream.send(req)
--- a/packages/node/src/banyanbank_node/_settings.py
+++ b/packages/node/src/banyanbank_node/_settings.py
@@ -5,6 +5,8 @@
 import attrs
 import banyanbank_base as base
 
+from banyanbank_node import _outward_term
+
 
 @attrs.frozen
 class Address:
@@ -70,6 +72,8 @@
     """Whether the system starts for the first time."""
     losses: int = 1
     """Stores that may be lost at once."""
+    turn_rules: _outward_term.TurnRules = attrs.Factory(_outward_term.TurnRules)
+    """What engines and the platform ask of leaders that follow each other."""
 
     @property
     def voters_wanted(self) -> int:
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -20,6 +20,7 @@
 from banyanbank_node import _member_duty
 from banyanbank_node import _messages
 from banyanbank_node import _node
+from banyanbank_node import _outward_term
 from banyanbank_node import _ports
 from banyanbank_node import _retention_duty
 from banyanbank_node import _settings
@@ -83,7 +84,7 @@
             self.node.recorder,
             self._duties,
             on_failed,
-            lasting=self._lasting,
+            lasting=(self._runs,),
         )
         self._joining = task.LoopingCall(self._join)
         self._joining.clock = reactor
@@ -147,6 +148,9 @@
             self.events,
             node.meters,
         )
+        term = _outward_term.OutwardTerm(
+            node.clock, self._log, self.settings.turn_rules
+        )
         loads = _load_duty.LoadDuty(
             node.reactor,
             node.clock,
@@ -156,6 +160,7 @@
             engines,
             node.settings.name,
             self.events,
+            term,
             runs.place,
         )
         reports = _usage_duty.UsageDuty(
@@ -168,6 +173,7 @@
             node.settings.name,
             node.settings.window_s,
             self.events,
+            term,
         )
         members = _member_duty.MemberDuty(
             node.clock,
@@ -185,10 +191,10 @@
         )
         self._duties: tuple[consensus.Duty, ...] = (
             members,
+            loads,
             reports,
             retention,
         )
-        self._lasting: tuple[consensus.Duty, ...] = (loads, runs)
         return runs
 
     def metrics(self) -> str:
--- a/packages/node/src/banyanbank_node/_usage_duty.py
+++ b/packages/node/src/banyanbank_node/_usage_duty.py
@@ -10,6 +10,7 @@
 
 from banyanbank_node import _background
 from banyanbank_node import _event_log
+from banyanbank_node import _outward_term
 from banyanbank_node import _ports
 from banyanbank_node import _stored
 
@@ -44,6 +45,7 @@
         holder: Name of this instance in reports.
         window_s: Length of a window in seconds.
         events: Log of decisions.
+        term: Permits reports.
     """
 
     def __init__(
@@ -57,7 +59,9 @@
         holder: str,
         window_s: float,
         events: _event_log.EventLog,
+        term: _outward_term.OutwardTerm,
     ) -> None:
+        self._term = term
         self._clock = clock
         self._true_time = true_time
         self._stored = stored
@@ -77,6 +81,8 @@
         """Reports the oldest window that is due."""
         if self._running is not None or self._clock.now() < self._not_before:
             return
+        if not self._term.may_act():
+            return
         epoch = self._stored.node.epoch
         if self._fenced_out_at == epoch or not self._stored.ledger.document:
             return
@@ -128,7 +134,7 @@
             window,
             reply.counts,
             _ports.Authority(self._holder, epoch),
-            lambda: self._stored.leads and self._stored.node.epoch == epoch,
+            self._term.guard(epoch),
             self._clock.now() + CALL_S,
         )
         if req is not None:
--- /dev/null
+++ b/tests/node/test_outward_term.py
@@ -0,0 +1,144 @@
+"""Tests of when a leader acts towards engines and the platform."""
+
+import random
+import unittest
+
+import attrs
+import banyanbank_base as base
+from banyanbank_node import _outward_term
+
+LEASE_S = 3.0
+
+
+@attrs.define
+class Log:
+    """Stands for the log of one instance."""
+
+    epoch: int = 0
+    """Number of the leadership."""
+    is_held: bool = False
+    """Whether the lease is held."""
+
+    def lease_held(self) -> bool:
+        """Whether this instance leads."""
+        return self.is_held
+
+
+class OutwardTermTest(unittest.TestCase):
+    """An instance acts only in its own epoch, and rests between two of them."""
+
+    def test_courses(self) -> None:
+        # Steps: seconds to pass, epoch, whether the lease is held, and whether
+        # an act of that epoch is permitted.
+        for name, is_fenced, steps in (
+            (
+                "first epoch, tokens are checked",
+                True,
+                [(0.0, 1, True, True), (0.1, 1, True, True)],
+            ),
+            (
+                "first epoch after a start, nobody checks tokens",
+                False,
+                [(0.0, 1, True, False), (3.0, 1, True, True)],
+            ),
+            (
+                "no lease",
+                True,
+                [(9.0, 1, False, False), (0.1, 1, True, True)],
+            ),
+            (
+                "elected again at once",
+                True,
+                [
+                    (9.0, 1, True, True),
+                    (1.0, 3, True, False),
+                    (2.1, 3, True, True),
+                    (0.0, 3, True, True),
+                ],
+            ),
+            (
+                "elected again after a long time",
+                False,
+                [(9.0, 1, True, True), (5.0, 4, True, True)],
+            ),
+            (
+                "led without acting, then again",
+                True,
+                [
+                    (9.0, 1, True, True),
+                    (2.0, 3, True, False),
+                    (1.1, 5, True, True),
+                ],
+            ),
+        ):
+            clock = base.ManualClock(100.0)
+            log = Log()
+            term = _outward_term.OutwardTerm(
+                clock, log, _outward_term.TurnRules(LEASE_S, is_fenced)
+            )
+            for number, (pass_s, epoch, is_held, is_permitted) in enumerate(
+                steps
+            ):
+                clock.advance(pass_s)
+                log.epoch, log.is_held = epoch, is_held
+                with self.subTest(name, step=number):
+                    self.assertEqual(term.guard(epoch)(), is_permitted)
+
+    def test_permission_of_an_earlier_epoch(self) -> None:
+        clock = base.ManualClock(100.0)
+        log = Log(1, is_held=True)
+        term = _outward_term.OutwardTerm(
+            clock, log, _outward_term.TurnRules(LEASE_S)
+        )
+        permit = term.guard(1)
+        log.epoch = 2
+        self.assertFalse(permit())
+
+    def test_no_two_instances_act_in_turn(self) -> None:
+        """Leaders come and go at random; nobody checks tokens."""
+        for seed in range(200):
+            rng = random.Random(seed)
+            clock = base.ManualClock(100.0)
+            logs = [Log() for _ in range(3)]
+            rules = _outward_term.TurnRules(LEASE_S, is_fenced=False)
+            terms = [
+                _outward_term.OutwardTerm(clock, log, rules) for log in logs
+            ]
+            acts: list[tuple[float, int, int]] = []
+            for epoch in range(1, 60):
+                leader = rng.randrange(len(logs))
+                if rng.random() < 0.2:
+                    # A restart; its acts of before are not remembered.
+                    terms[leader] = _outward_term.OutwardTerm(
+                        clock, logs[leader], rules
+                    )
+                for number, log in enumerate(logs):
+                    log.epoch, log.is_held = epoch, number == leader
+                for _ in range(rng.randrange(1, 12)):
+                    if terms[leader].guard(epoch)():
+                        acts.append((clock.now(), leader, epoch))
+                    clock.advance(rng.choice((0.05, 0.3, 1.0)))
+            self.assertEqual(_turns(acts), [], f"seed {seed}")
+            self.assertGreater(len({act[1] for act in acts}), 1)
+
+
+def _turns(acts: list[tuple[float, int, int]]) -> list[object]:
+    """Returns the acts of one holder around another's, within the lease."""
+    found: list[object] = []
+    for first, (at, holder, token) in enumerate(acts):
+        others = 0
+        for later, other, newer in acts[first + 1 :]:
+            if newer < token:
+                found.append(("lower token", at, later))
+            if later - at >= LEASE_S:
+                break
+            if other != holder:
+                others += 1
+            elif others:
+                found.append(("in turn", holder, at, later))
+                break
+    return found
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -49,10 +49,17 @@
         self.assertEqual(store.node.stop_limit_s, 7.0)
         self.assertEqual(store.node.keep_jobs_s, 130.0)
         self.assertTrue(store.may_form)
+        self.assertEqual(store.turn_rules, node.TurnRules(3.0, True))
         self.assertEqual(boot.usage_address, "10.200.0.60:8408")
 
     def test_optional_fields(self) -> None:
         for name, changes, found, want in (
+            (
+                "nobody checks fencing tokens",
+                {"bounds": {"enforce-fencing": False, "lease-ms": 4500}},
+                lambda b: b.store().turn_rules,
+                node.TurnRules(4.5, False),
+            ),
             ("no duty", {"cloud": None}, lambda b: b.usage_address, None),
             (
                 "another duty",
