Make announcements of tests in one place

Cause: three tests each wrote the same announcement. Change: tests/gateway samples make it; assertions are unchanged. No code of the product changed.

--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -6,16 +6,9 @@
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 
-FIRST = gateway.Announcement(
-    endpoint=base.EndpointId("e1"),
-    service="service",
-    address="10.0.0.1:80",
-    domain=base.FailureDomain("a"),
-    slots=4,
-    state=gateway.EndpointState.READY,
-    born_ms=1_000,
-    sequence=4,
-)
+from tests.gateway import samples
+
+FIRST = samples.make_said("e1")
 DRAINING = attrs.evolve(FIRST, state=gateway.EndpointState.DRAINING, sequence=5)
 
 
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -14,6 +14,8 @@
 from returns import result
 from twisted.internet import defer
 
+from tests.gateway import samples
+
 REQUEST = "r-1"
 
 
@@ -57,7 +59,7 @@
             reply.request_id, reply.has_not_run, "signature", None
         )
 
-    endpoints = [_make_said(f"e{number}") for number in range(3)]
+    endpoints = [samples.make_said(f"e{number}") for number in range(3)]
     forwarder = _forwarder.Forwarder(
         clock,
         _any(types.SimpleNamespace(send=send)),
@@ -81,19 +83,6 @@
     return got[0], len(sending.tried)
 
 
-def _make_said(name: str) -> gateway.Announcement:
-    return gateway.Announcement(
-        endpoint=base.EndpointId(name),
-        service="app",
-        address="127.0.0.1:1",
-        domain=base.FailureDomain("z"),
-        slots=4,
-        state=gateway.EndpointState.READY,
-        born_ms=1,
-        sequence=1,
-    )
-
-
 def _make_route(kind: gateway.RouteKind) -> gateway.Route:
     return gateway.Route(
         name="route",
--- a/tests/node/test_sync_parts.py
+++ b/tests/node/test_sync_parts.py
@@ -8,23 +8,17 @@
 from banyanbank_node import _messages
 from banyanbank_node import _sync_parts
 
+from tests.gateway import samples
+
 ENTRIES = 161
 
 
-def make_said(
+def make_engine(
     name: str, sequence: int = 1, version: int = 1
 ) -> gateway.Announcement:
-    return gateway.Announcement(
-        endpoint=base.EndpointId(name),
-        service="engines",
-        address="127.0.0.1:1",
-        domain=base.FailureDomain("zone"),
-        slots=6,
-        state=gateway.EndpointState.READY,
-        born_ms=1,
-        sequence=sequence,
-        models=(gateway.LoadedModel("m", version),),
-    )
+    """Returns what an engine says with some weights loaded."""
+    models = (gateway.LoadedModel("m", version),)
+    return samples.make_said(name, sequence=sequence, models=models)
 
 
 class SyncPartsTest(unittest.TestCase):
@@ -32,14 +26,14 @@
 
     def test_encodings(self) -> None:
         directory = gateway.Directory()
-        directory.announce(make_said("e1"), now=0.0)
+        directory.announce(make_engine("e1"), now=0.0)
         parts = _sync_parts.SyncParts()
         for name, change, want in (
             ("first answers", lambda: None, 2),
             ("nothing new", lambda: None, 0),
             (
                 "a beat with new weights",
-                lambda: directory.announce(make_said("e1", 2, 2), now=1.0),
+                lambda: directory.announce(make_engine("e1", 2, 2), now=1.0),
                 0,
             ),
             (
@@ -64,8 +58,8 @@
     def test_another_leader_with_the_same_revision(self) -> None:
         parts = _sync_parts.SyncParts()
         first, second = gateway.Directory(), gateway.Directory()
-        first.announce(make_said("e1"), now=0.0)
-        second.announce(make_said("e2"), now=0.0)
+        first.announce(make_engine("e1"), now=0.0)
+        second.announce(make_engine("e2"), now=0.0)
         self.assertNotEqual(
             parts.directory("a/1", first), parts.directory("b/2", second)
         )
