Let a removed voter campaign while its commit index lags

Cause: the log stood still for good when the only voter that may win had its own removal in the log, and knew a commit index from before it was added: neither its newest member set nor the one at its commit index named it. The others refuse it votes of their own, as its log is longer, and it did not campaign.

Any member set from the commit index on may be in force, so a voter of any of them may campaign.

--- a/packages/consensus/src/banyanbank_consensus/_election.py
+++ b/packages/consensus/src/banyanbank_consensus/_election.py
@@ -70,12 +70,12 @@
 
     It still may while its removal is not known to be committed: the entry
     that removes it may exist nowhere else, and the log cannot make progress
-    without it.
+    without it. Any member set from the commit index on may be in force.
     """
-    if state.is_voter:
-        return True
-    committed = state.log.members_at(state.commit)
-    return committed.is_voter(state.own_instance, state.store)
+    return any(
+        members.is_voter(state.own_instance, state.store)
+        for members in state.log.members_since(state.commit)
+    )
 
 
 def _is_withholding_votes(state: _state.State, now: float) -> bool:
--- a/packages/consensus/src/banyanbank_consensus/_log.py
+++ b/packages/consensus/src/banyanbank_consensus/_log.py
@@ -106,6 +106,15 @@
                 return members
         return self.base.members
 
+    def members_since(self, index: int) -> list[_members.Members]:
+        """Returns the member set in force at an index and all later ones."""
+        later = [
+            members
+            for change_index, members in self._member_changes
+            if change_index > index
+        ]
+        return [self.members_at(index), *later]
+
     def epoch_at(self, index: int) -> int | None:
         """Returns the epoch at an index; None when it is not in the log."""
         if index == self.base.index:
