Elect a leader at once after a common restart

Hypothesis: after a loss of all processes the stores wait out an election timeout (0.6 to 1.2 s) that guards a lease which nobody can hold any more. A voter knows whom it promised: the leader it followed or voted for last, now a field of the hard state. Once that leader's process answers a query of the voter's present process that it does not lead, its lease has ended for good, since leading again takes new votes and acknowledgements. A leader that is frozen, unreachable or lost its disk does not answer, and the voter waits as before. The first lease still waits as after any election, and logs of the former build are read: they name no leader.

--- a/packages/consensus/src/banyanbank_consensus/_disk.py
+++ b/packages/consensus/src/banyanbank_consensus/_disk.py
@@ -19,6 +19,12 @@
     """Instance and store voted for in the epoch; empty when none."""
     cluster: str = ""
     """Log that the store belongs to permanently; empty before it joins one."""
+    promised_to: str = ""
+    """Instance and store of the leader that was followed or voted for last.
+
+    A lease may rely only on this leader; all earlier ones have ended. Empty
+    when it is not known, as in a log written by a release without the field.
+    """
 
 
 @attrs.frozen
--- a/packages/consensus/src/banyanbank_consensus/_election.py
+++ b/packages/consensus/src/banyanbank_consensus/_election.py
@@ -38,7 +38,9 @@
     granted = _may_grant_vote(state, sender, msg)
     if granted and not msg.pre:
         candidate = _state.format_identity(sender, msg.head.store)
-        hard_state = attrs.evolve(state.hard_state, voted_for=candidate)
+        hard_state = attrs.evolve(
+            state.hard_state, voted_for=candidate, promised_to=candidate
+        )
         _state.update_hard_state(state, hard_state)
         _state.reset_election_timer(state, now)
     _send_vote_response(state, sender, msg, granted)
@@ -163,7 +165,10 @@
     _state.transition(state, "epoch_opened")
     state.leader = None
     hard_state = attrs.evolve(
-        state.hard_state, epoch=state.epoch + 1, voted_for=state.identity
+        state.hard_state,
+        epoch=state.epoch + 1,
+        voted_for=state.identity,
+        promised_to=state.identity,
     )
     _state.update_hard_state(state, hard_state)
     state.votes = {state.own_instance}
--- a/packages/consensus/src/banyanbank_consensus/_messages.py
+++ b/packages/consensus/src/banyanbank_consensus/_messages.py
@@ -63,6 +63,28 @@
     """Whether the vote or pre-vote is granted."""
 
 
+@attrs.frozen
+class LeadershipQuery:
+    """Asks a former leader whether it still leads."""
+
+    head: Header
+    """Header addressed to the store of the former leader."""
+    incarnation: int
+    """Random number of the sender's process, echoed in the answer."""
+
+
+@attrs.frozen
+class LeadershipAnswer:
+    """Response to a leadership query."""
+
+    head: Header
+    """Header with the store of the former leader."""
+    incarnation: int
+    """`incarnation` of the query."""
+    is_leading: bool
+    """Whether the sender leads any epoch."""
+
+
 @attrs.frozen
 class AppendRequest:
     """Replicates entries; without entries a heartbeat."""
@@ -139,6 +161,8 @@
     Hello
     | VoteRequest
     | VoteResponse
+    | LeadershipQuery
+    | LeadershipAnswer
     | AppendRequest
     | AppendResponse
     | SnapshotChunk
@@ -150,6 +174,8 @@
     Hello,
     VoteRequest,
     VoteResponse,
+    LeadershipQuery,
+    LeadershipAnswer,
     AppendRequest,
     AppendResponse,
     SnapshotChunk,
--- a/packages/consensus/src/banyanbank_consensus/_replica.py
+++ b/packages/consensus/src/banyanbank_consensus/_replica.py
@@ -12,6 +12,7 @@
 from banyanbank_consensus import _log
 from banyanbank_consensus import _membership
 from banyanbank_consensus import _messages
+from banyanbank_consensus import _promise
 from banyanbank_consensus import _replication
 from banyanbank_consensus import _snapshot
 from banyanbank_consensus import _state
@@ -35,6 +36,7 @@
         now: float,
     ) -> None:
         image = stored.image
+        incarnation = rng.getrandbits(48) + 1
         self.state = _state.State(
             cfg=cfg,
             rng=rng,
@@ -43,8 +45,9 @@
             log=_log.Log(image.base, image.entries),
             snapshot=stored.snapshot,
             started_at=now,
+            incarnation=incarnation,
             # Responses to hellos of an earlier incarnation must not count.
-            hello_round=rng.getrandbits(48) + 1,
+            hello_round=incarnation,
         )
         if stored.snapshot is not None:
             self.state.commit = stored.snapshot.index
@@ -54,11 +57,13 @@
             cfg, now
         )
         _state.reset_election_timer(self.state, now)
+        _promise.start(self.state, now)
 
     def tick(self, now: float) -> None:
         """Runs the time-based actions, such as heartbeats and elections."""
         _formation.tick(self.state, now)
         _replication.tick(self.state, now)
+        _promise.tick(self.state, now)
         _election.tick(self.state, now)
         _membership.tick(self.state, now)
         _membership.step_down_if_removed(self.state, now)
@@ -109,6 +114,10 @@
                 _election.on_vote_request(self.state, sender, msg, now)
             case _messages.VoteResponse():
                 _election.on_vote_response(self.state, sender, msg, now)
+            case _messages.LeadershipQuery():
+                _promise.on_query(self.state, sender, msg)
+            case _messages.LeadershipAnswer():
+                _promise.on_answer(self.state, sender, msg, now)
             case _messages.AppendRequest():
                 _replication.on_append_request(self.state, sender, msg, now)
             case _messages.AppendResponse():
--- a/packages/consensus/src/banyanbank_consensus/_replication.py
+++ b/packages/consensus/src/banyanbank_consensus/_replication.py
@@ -9,6 +9,7 @@
 from banyanbank_consensus import _log
 from banyanbank_consensus import _messages
 from banyanbank_consensus import _progress
+from banyanbank_consensus import _promise
 from banyanbank_consensus import _state
 
 
@@ -121,7 +122,7 @@
     if msg.head.epoch < state.epoch:
         _send_append_response(state, sender, msg, accepted=False, match=0)
         return
-    follow_leader(state, sender, msg.head.epoch, now)
+    follow_leader(state, sender, msg.head, now)
     prev_index, prev_epoch, entries = _skip_committed(state, msg)
     if not _has_matching_entry(state, prev_index, prev_epoch):
         hint = _find_mismatch_hint(state, prev_index)
@@ -134,15 +135,19 @@
 
 
 def follow_leader(
-    state: _state.State, sender: base.InstanceId, epoch: int, now: float
+    state: _state.State,
+    sender: base.InstanceId,
+    head: _messages.Header,
+    now: float,
 ) -> None:
     """Follows a leader, and extends the time for which votes are withheld."""
     if (
-        epoch > state.epoch
+        head.epoch > state.epoch
         or state.leader != sender
         or state.role is not _state.Role.FOLLOWER
     ):
-        _state.become_follower(state, epoch, sender, now)
+        _state.become_follower(state, head.epoch, sender, now)
+        _promise.record(state, sender, head)
     state.votes_withheld_until = now + state.cfg.election_min_s
     _state.reset_election_timer(state, now)
 
--- a/packages/consensus/src/banyanbank_consensus/_snapshot.py
+++ b/packages/consensus/src/banyanbank_consensus/_snapshot.py
@@ -48,7 +48,7 @@
     if msg.head.epoch < state.epoch:
         _send_append_response(state, sender, msg, accepted=False)
         return
-    _replication.follow_leader(state, sender, msg.head.epoch, now)
+    _replication.follow_leader(state, sender, msg.head, now)
     if _is_stale(state, msg):
         _send_append_response(state, sender, msg, accepted=True)
         return
--- a/packages/consensus/src/banyanbank_consensus/_state.py
+++ b/packages/consensus/src/banyanbank_consensus/_state.py
@@ -19,6 +19,12 @@
 DISTANT_PAST = float("-inf")
 """A time before all others; a timer set to it is due at once."""
 
+QUICK_ELECTION_MIN_S = 0.1
+"""Minimum election timeout while no lease can exist, in seconds."""
+
+QUICK_ELECTION_MAX_S = 0.3
+"""Maximum election timeout while no lease can exist, in seconds."""
+
 
 class Role(enum.Enum):
     """Role of a replica in its epoch; the states of `charts/role.yaml`."""
@@ -138,6 +144,8 @@
     """Metadata of the latest own snapshot; None if there is none."""
     started_at: float
     """When the process started."""
+    incarnation: int
+    """Random number that tells apart the queries of successive processes."""
     chart: base.ChartRunner = attrs.field(
         factory=lambda: _charts.make_chart_runner("role")
     )
@@ -152,6 +160,10 @@
     """Until when no vote is granted, since a leader may hold a lease."""
     election_due_at: float = DISTANT_PAST
     """When to campaign, unless a leader's message arrives before."""
+    promise_query_at: float | None = None
+    """When to ask the former leader again; None unless a query is of use."""
+    quick_elections_until: float = DISTANT_PAST
+    """Until when election timeouts are short: no voter guards a lease."""
     hello_round: int = 0
     """Number of the latest own hello."""
     next_hello_at: float = DISTANT_PAST
@@ -200,6 +212,12 @@
     return f"{instance}/{store}"
 
 
+def parse_identity(identity: str) -> tuple[base.InstanceId, str]:
+    """Returns the instance and the store of an identity."""
+    instance, _, store = identity.rpartition("/")
+    return base.InstanceId(instance), store
+
+
 def update_hard_state(state: State, hard_state: _disk.HardState) -> None:
     """Updates epoch, vote or cluster; synced before any response leaves."""
     if hard_state != state.hard_state:
@@ -237,7 +255,10 @@
 def reset_election_timer(state: State, now: float) -> None:
     """Restarts the election timer with a random timeout."""
     cfg = state.cfg
-    wait = state.rng.uniform(cfg.election_min_s, cfg.election_max_s)
+    shortest_s, longest_s = cfg.election_min_s, cfg.election_max_s
+    if now < state.quick_elections_until:
+        shortest_s, longest_s = QUICK_ELECTION_MIN_S, QUICK_ELECTION_MAX_S
+    wait = state.rng.uniform(shortest_s, longest_s)
     state.election_due_at = now + wait
 
 
--- a/tests/consensus/mutants.py
+++ b/tests/consensus/mutants.py
@@ -11,8 +11,10 @@
 from banyanbank_consensus import _formation
 from banyanbank_consensus import _lease
 from banyanbank_consensus import _membership
+from banyanbank_consensus import _messages
 from banyanbank_consensus import _output
 from banyanbank_consensus import _progress
+from banyanbank_consensus import _promise
 from banyanbank_consensus import _replica
 from banyanbank_consensus import _replication
 from banyanbank_consensus import _snapshot
@@ -163,6 +165,12 @@
     return True
 
 
+def _deny_leadership(state: _state.State, sender: str, msg: object) -> None:
+    head = _state.make_header(state, msg.head.store)
+    answer = _messages.LeadershipAnswer(head, msg.incarnation, False)
+    _state.send(state, sender, answer)
+
+
 def _make_mutant(
     name: str,
     scenario: str,
@@ -244,6 +252,13 @@
         "get_initial_vote_withholding_end",
         lambda cfg, now: now,
     ),
+    _make_mutant(
+        "release votes although the former leader leads",
+        "neighbours of a leader",
+        _promise,
+        "on_query",
+        _deny_leadership,
+    ),
     _make_mutant(
         "hold the lease right after the election",
         "a voter restarts",
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -38,6 +38,10 @@
         "cut * 1#; cut * 2#; cut 1# *; cut 2# *; restart 2#; run 1;"
         "lead 8; run 3; restart 1#; run 60",
     ),
+    _parse_scenario(
+        "neighbours of a leader restart while a rival campaigns",
+        "cut * 2#; cut 2# *; run 70;" + "restart 1#; run 35;" * 30,
+    ),
     _parse_scenario(
         "a voter isolated for long campaigns as its neighbour restarts",
         "cut * 2#; cut 2# *; run 70; isolate *; restart 1#; run 70",
--- a/tests/consensus/test_frames.py
+++ b/tests/consensus/test_frames.py
@@ -3,6 +3,7 @@
 import unittest
 import zlib
 
+import attrs
 import banyanbank_base as base
 import banyanbank_consensus as consensus
 from banyanbank_consensus import _log
@@ -129,6 +130,81 @@
             self.deliver("a", sender, hello)
 
 
+class CommonRestartTest(FrameTestCase):
+    """A voter that restarted and withholds votes for its former leader."""
+
+    def setUp(self) -> None:
+        self.world = cluster.World("abc")
+        self.world.start()
+        self.world.run_until(lambda: bool(self.world.lease_holders()))
+        [self.former] = self.world.lease_holders()
+        self.voter, self.rival = [n for n in "abc" if n != self.former]
+        self.status = self.world.node(self.former).status()
+        for name in "abc":
+            self.world.crash(name)
+
+    def test_only_the_former_leader_releases_votes(self) -> None:
+        lost = "lost"
+        cases = (
+            ("former leader", self.former, None, 0, False, True),
+            ("it still leads", self.former, None, 0, True, False),
+            (
+                "an answer to an earlier process",
+                self.former,
+                None,
+                1,
+                False,
+                False,
+            ),
+            (
+                "the former leader lost its disk",
+                self.former,
+                lost,
+                0,
+                False,
+                False,
+            ),
+            ("another voter", self.rival, None, 0, False, False),
+        )
+        for name, sender, store, stale_by, is_leading, is_released in cases:
+            with self.subTest(name):
+                queries = self.capture_sent(_messages.LeadershipQuery)
+                votes = self.capture_sent(_messages.VoteResponse)
+                self.world.start(self.voter)
+                target = self.world.node(self.voter).status().store
+                member = next(
+                    m for m in self.status.voters if m.instance == sender
+                )
+                head = _messages.Header(
+                    self.status.cluster,
+                    store or member.store,
+                    target,
+                    self.status.epoch,
+                )
+                answer = _messages.LeadershipAnswer(
+                    head, queries[-1].incarnation - stale_by, is_leading
+                )
+                self.deliver(self.voter, sender, answer)
+                request = _messages.VoteRequest(
+                    head=attrs.evolve(head, epoch=self.status.epoch + 1),
+                    pre=True,
+                    last_index=9,
+                    last_epoch=self.status.epoch,
+                )
+                self.deliver(self.voter, self.rival, request)
+                self.assertEqual(votes[-1].granted, is_released)
+                self.world.crash(self.voter)
+
+    def test_query_goes_to_the_former_leader_only(self) -> None:
+        queries = self.capture_sent(_messages.LeadershipQuery)
+        self.world.start(self.voter)
+        self.world.run(consensus.MIN_ELECTION_TIMEOUT_S)
+        [store] = [
+            m.store for m in self.status.voters if m.instance == self.former
+        ]
+        self.assertEqual({query.head.target for query in queries}, {store})
+
+
 class LeaderTest(FrameTestCase):
     """A leader that is isolated from the voters."""
 
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -273,6 +273,49 @@
         self.assertEqual(self.commands(keeper), [b"x"])
 
 
+class CommonRestartTest(unittest.TestCase):
+    """All voters lose power at once and come back."""
+
+    def restart_all(self, names: str, absent: str = "") -> cluster.World:
+        world = cluster.World(names)
+        world.start()
+        world.run_until(lambda: bool(world.lease_holders()))
+        [leader] = world.lease_holders()
+        world.propose(leader, b"x")
+        world.run(1.0)
+        for name in names:
+            world.crash(name)
+        world.drop_frames_in_flight()
+        absent = leader if absent == "leader" else absent
+        world.start(*(name for name in names if name != absent))
+        return world
+
+    def assert_serves_in_time(self, world: cluster.World) -> None:
+        seconds = world.run_until(lambda: bool(world.leaders()))
+        self.assertLess(seconds, consensus.MIN_ELECTION_TIMEOUT_S)
+        [leader] = world.leaders()
+        outcomes = world.propose(leader, b"y")
+        world.run_until(lambda: bool(outcomes))
+        self.assertIsInstance(outcomes[0], result.Success)
+
+    def test_leads_before_an_election_timeout_has_passed(self) -> None:
+        for names in ("abc", "abcde"):
+            with self.subTest(names):
+                self.assert_serves_in_time(self.restart_all(names))
+
+    def test_waits_while_the_former_leader_is_silent(self) -> None:
+        world = self.restart_all("abc", absent="leader")
+        world.run(consensus.MIN_ELECTION_TIMEOUT_S - cluster.TICK_S)
+        self.assertEqual(world.leaders(), [])
+        world.run_until(lambda: bool(world.leaders()))
+
+    def test_lease_waits_as_after_any_election(self) -> None:
+        world = self.restart_all("abc")
+        world.run_until(lambda: bool(world.leaders()))
+        world.run(consensus.LEASE_DURATION_S - cluster.TICK_S)
+        self.assertEqual(world.lease_holders(), [])
+
+
 class RemovalTest(WorldCase):
     """A voter whose own removal is not committed."""
 
