--- a/packages/jobs/src/banyanbank_jobs/_ledger.py
+++ b/packages/jobs/src/banyanbank_jobs/_ledger.py
@@ -252,12 +252,23 @@
         return _commands.Applied(is_new=bool(old))
 
     def _freeze(self, cmd: _commands.FreezeWindow) -> _commands.Reply:
+        if self._is_dropped(cmd.window):
+            return _commands.Applied(is_new=False)
         counts = self.windows.setdefault(cmd.window, cmd.counts)
         for old in sorted(self.windows)[:-MAX_USAGE_WINDOWS]:
             del self.windows[old]
             self.reported.discard(old)
         return _commands.Frozen(counts)
 
+    def _is_dropped(self, window: int) -> bool:
+        """Whether a window is older than those that are kept.
+
+        Its final counts are forgotten, so it must not be frozen again.
+        """
+        return len(self.windows) >= MAX_USAGE_WINDOWS and window < min(
+            self.windows
+        )
+
     def _mark_reported(self, cmd: _commands.MarkReported) -> _commands.Reply:
         is_new = cmd.window in self.windows and cmd.window not in self.reported
         if is_new:
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -93,8 +93,6 @@
     """Runs to which the engine responded with an error of its own."""
     scorer_failures: int = 0
     """Error responses of the scorer."""
-    proposed_events: int = 0
-    """Number of events of the text that were proposed to the log."""
     consecutive_rejections: int = 0
     """Consecutive rejections by engines that did not run the item."""
     began_at: float = 0.0
@@ -157,7 +155,6 @@
                 item.text = _event_stream.ItemText.resume(
                     kept.first_event, kept.pieces, kept.versions
                 )
-                item.proposed_events = len(kept.pieces)
             self._items[key] = item
 
     def end_job(self, job: str) -> list[ItemProgress]:
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -154,6 +154,11 @@
         "A usage window was reported.",
         is_final=True,
     ),
+    _make_kind(
+        "usage.window_dropped",
+        "window",
+        "A usage window is too old to be frozen; it is not reported.",
+    ),
     _make_kind(
         "members.change",
         "store change outcome",
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -16,6 +16,7 @@
 from banyanbank_node import _item_grading
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _meters
+from banyanbank_node import _partial_texts
 from banyanbank_node import _ports
 from banyanbank_node import _result_committer
 from banyanbank_node import _run_reader
@@ -23,12 +24,6 @@
 STREAM_IDLE_TIMEOUT_S = 2.5
 """Time without data after which a run is cancelled and requeued."""
 
-PARTIAL_COMMIT_INTERVAL_S = 0.8
-"""Interval between commits of incomplete texts."""
-
-MIN_PARTIAL_COMMIT_EVENTS = 10
-"""Minimum number of new events of a text: a third of a second of output."""
-
 MIN_RUN_TIMEOUT_S = 1.0
 """Minimum timeout of a run, even if its item is late."""
 
@@ -87,7 +82,7 @@
             jobs.ItemProgress, defer.Deferred[typing.Any]
         ] = {}
         self._has_loaded_jobs = False
-        self._next_partial_commit_at = 0.0
+        self._partial_texts = _partial_texts.PartialTexts(clock, stored, events)
 
     def tick(self) -> None:
         """Cancels silent, expired and slow runs, and starts waiting items.
@@ -102,7 +97,7 @@
         self._give_up_expired()
         self._move_slow_runs()
         self.place_items()
-        self._commit_partial_texts()
+        self._partial_texts.commit(self._scheduler.items())
 
     def stop(self) -> None:
         """Cancels all runs; the next leader continues their items."""
@@ -150,38 +145,6 @@
                 self._requeue(run, 0.0)
                 run.task.cancel()
 
-    def _commit_partial_texts(self) -> None:
-        """Proposes the new events of long texts, once per interval."""
-        now = self._clock.now()
-        if now < self._next_partial_commit_at:
-            return
-        self._next_partial_commit_at = now + PARTIAL_COMMIT_INTERVAL_S
-        parts: dict[str, list[jobs.TextPart]] = {}
-        for item in self._scheduler.items():
-            text = item.text
-            if (
-                len(text.pieces) - item.proposed_events
-                < MIN_PARTIAL_COMMIT_EVENTS
-            ):
-                continue
-            assert text.first_event is not None
-            parts.setdefault(item.job.job, []).append(
-                jobs.TextPart(
-                    item=item.spec.item,
-                    first_event=text.first_event,
-                    begins_at=item.proposed_events,
-                    pieces=tuple(text.pieces[item.proposed_events :]),
-                    versions=tuple(sorted(text.versions)),
-                )
-            )
-            item.proposed_events = len(text.pieces)
-        for job, new_parts in parts.items():
-            _background.run(
-                self._stored.propose(jobs.KeepParts(job, tuple(new_parts))),
-                "partial text commit",
-                self._events,
-            )
-
     def _rollout_engines(self) -> list[jobs.EngineView]:
         table = self._stored.table
         if table is None:
--- a/packages/node/src/banyanbank_node/_usage_duty.py
+++ b/packages/node/src/banyanbank_node/_usage_duty.py
@@ -132,7 +132,10 @@
             self._retry_not_before = self._clock.now() + RETRY_DELAY_S
             return
         reply = frozen.unwrap()
-        assert isinstance(reply, jobs.Frozen)
+        if not isinstance(reply, jobs.Frozen):
+            self._events.write("usage.window_dropped", window=window)
+            self._retry_not_before = self._clock.now() + RETRY_DELAY_S
+            return
         req = self._wire.build_usage_request(
             window,
             reply.counts,
--- a/packages/rollout/src/banyanbank_rollout/_state.py
+++ b/packages/rollout/src/banyanbank_rollout/_state.py
@@ -149,7 +149,8 @@
         if len(done) > MAX_DONE_STEPS:
             oldest = min(done)
             done = done.delete(oldest)
-            below = oldest + 1
+            # A step that ends late may be older than those dropped before.
+            below = max(below, oldest + 1)
         return attrs.evolve(
             self, open_steps=self.open_steps - 1, done=done, done_below=below
         )
--- a/tests/jobs/test_ledger.py
+++ b/tests/jobs/test_ledger.py
@@ -4,6 +4,7 @@
 
 import banyanbank_base as base
 import banyanbank_jobs as jobs
+from banyanbank_jobs import _ledger
 
 from tests.jobs import samples
 
@@ -86,6 +87,14 @@
         self.assertEqual(self.apply(end), OLD)
         self.assertFalse(self.ledger.jobs["j"].is_open)
 
+    def test_window_that_was_dropped_is_not_frozen_again(self) -> None:
+        count = _ledger.MAX_USAGE_WINDOWS + 1
+        for window in range(count):
+            self.apply(jobs.FreezeWindow(window, {samples.ACCOUNT: 1}))
+        again = jobs.FreezeWindow(0, {samples.ACCOUNT: 2})
+        self.assertEqual(self.apply(again), OLD)
+        self.assertEqual(sorted(self.ledger.windows), list(range(1, count)))
+
     def test_window_is_frozen(self) -> None:
         first = jobs.FreezeWindow(4, {samples.ACCOUNT: 3})
         later = jobs.FreezeWindow(4, {samples.ACCOUNT: 5})
--- /dev/null
+++ b/tests/node/test_partial_texts.py
@@ -0,0 +1,97 @@
+"""Tests which events of a text are proposed, and when again."""
+
+import types
+import typing
+import unittest
+
+import banyanbank_base as base
+import banyanbank_jobs as jobs
+from banyanbank_node import _partial_texts
+from returns import result
+from twisted.internet import defer
+
+from tests.jobs import samples
+
+ENOUGH = _partial_texts.MIN_NEW_EVENTS
+
+
+class PartialTextsTest(unittest.TestCase):
+    """The next leader continues from all events that could be committed."""
+
+    def setUp(self) -> None:
+        self.clock = base.ManualClock(10.0)
+        self.ledger = jobs.Ledger()
+        self.job = samples.make_job("job", samples.make_item("i1"))
+        self.apply(jobs.AcceptJob(self.job))
+        self.item = jobs.ItemProgress(self.job, self.job.items[0])
+        self.proposed: list[tuple[jobs.KeepParts, typing.Any]] = []
+        stored = types.SimpleNamespace(ledger=self.ledger, propose=self.propose)
+        self.texts = _partial_texts.PartialTexts(
+            self.clock,
+            typing.cast(typing.Any, stored),
+            typing.cast(typing.Any, types.SimpleNamespace(write=print)),
+        )
+
+    def apply(self, command: jobs.Command) -> None:
+        self.ledger.apply(1, jobs.COMMAND_CODEC.encode(command))
+
+    async def propose(self, command: jobs.KeepParts) -> object:
+        answered: defer.Deferred[object] = defer.Deferred()
+        self.proposed.append((command, answered))
+        return await answered
+
+    def generate(self, count: int) -> None:
+        first = len(self.item.text.pieces) + 1
+        for number in range(first, first + count):
+            self.item.text.append(jobs.StreamEvent(number, f"e{number}", 1))
+
+    def commit(self) -> None:
+        self.clock.advance(_partial_texts.COMMIT_INTERVAL_S)
+        self.texts.commit([self.item])
+
+    def finish(self, is_committed: bool, is_known: bool) -> None:
+        """Ends the newest proposal."""
+        command, answered = self.proposed[-1]
+        if is_committed:
+            self.apply(command)
+        answered.callback(
+            result.Success(jobs.Applied(is_new=True))
+            if is_known
+            else result.Failure("lost")
+        )
+
+    def count_kept(self) -> int:
+        return len(self.ledger.jobs["job"].kept["i1"].pieces)
+
+    def test_outcomes_of_a_proposal(self) -> None:
+        cases = (
+            ("committed", True, True),
+            ("not committed", False, False),
+            ("committed, but the reply was lost", True, False),
+        )
+        for name, is_committed, is_known in cases:
+            with self.subTest(name):
+                self.setUp()
+                self.generate(ENOUGH)
+                self.commit()
+                self.generate(ENOUGH)
+                self.finish(is_committed, is_known)
+                self.commit()
+                self.finish(is_committed=True, is_known=True)
+                self.assertEqual(self.count_kept(), 2 * ENOUGH)
+
+    def test_nothing_is_proposed_twice_at_once(self) -> None:
+        self.generate(ENOUGH)
+        self.commit()
+        self.generate(ENOUGH)
+        self.commit()
+        self.assertEqual(len(self.proposed), 1)
+
+    def test_few_events_wait(self) -> None:
+        self.generate(ENOUGH - 1)
+        self.commit()
+        self.assertEqual(self.proposed, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,163 @@
+"""Tests that no value in any field escapes a decoder as another error."""
+
+import base64
+import collections.abc
+import copy
+import json
+import pathlib
+import tempfile
+import typing
+import unittest
+
+import banyanbank_base as base
+import banyanbank_gateway as gateway
+from banyanbank_platform import _batch_job
+from banyanbank_platform import _document
+from banyanbank_platform import _fields
+from banyanbank_platform import _front
+from banyanbank_platform import _settings_file
+
+from tests.platform import deployment
+
+HOSTILE_VALUES: tuple[typing.Any, ...] = (
+    None,
+    True,
+    -1,
+    0.5,
+    10**400,
+    float("inf"),
+    float("nan"),
+    "",
+    "abc",
+    "\u00b2",
+    "inf",
+    "1e999",
+    [],
+    [[]],
+    [{}],
+    {},
+    {"a": []},
+)
+"""Values that replace each field in turn."""
+
+DEEP_JSON = b"[" * 100_000
+
+ROUTE = next(
+    route
+    for route in _document.DocumentReader()
+    .read(json.dumps(deployment.DOCUMENT).encode())
+    .routes
+    if route.kind is gateway.RouteKind.ROLLOUT
+)
+
+JOB = json.loads(deployment.make_job()) | {
+    "requests": [
+        {
+            "id": "item-0",
+            "path": "/jobs/x",
+            "headers": {"X-Banyanbank-Length-Hint": "20"},
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 100,
+            "group": "g1",
+            "scorer": {
+                "id": "score-0",
+                "host": "host.example",
+                "path": "/score/1",
+                "body": "",
+            },
+        }
+    ]
+}
+
+SETTINGS = {
+    "node": "entry-1",
+    "ip": "127.0.0.1",
+    "zone": "zone-a",
+    "listen": {"front": "127.0.0.1:80", "ready": "127.0.0.1:81"},
+    "internal-ports": [7000, 7001],
+    "seeds": ["127.0.0.1:90"],
+    "bootstrap": True,
+    "data-dir": None,
+    "bounds": {"grace-s": 8, "window-s": 5, "lease-ms": 3000, "status-s": 1},
+    "cloud": {"address": "127.0.0.1:99", "duties": ["usage_report"]},
+    "fault-tolerance": {"machines": 1},
+}
+
+
+def replace_each(source: typing.Any) -> collections.abc.Iterator[typing.Any]:
+    """Yields copies of a JSON value with one place replaced in each."""
+    yield from HOSTILE_VALUES
+    keys: collections.abc.Iterable[typing.Any] = ()
+    if isinstance(source, dict):
+        keys = source
+    elif isinstance(source, list):
+        keys = range(len(source))
+    for key in keys:
+        for value in replace_each(source[key]):
+            changed = copy.copy(source)
+            changed[key] = value
+            yield changed
+
+
+class DecodersTest(unittest.TestCase):
+    """Callers and operators get an error that names the field."""
+
+    def check_each(
+        self,
+        source: typing.Any,
+        decode: collections.abc.Callable[[bytes], object],
+        error: type[Exception],
+    ) -> None:
+        for changed in replace_each(source):
+            content = json.dumps(changed).encode()
+            try:
+                decode(content)
+            except error as exc:
+                self.assertTrue(str(exc))
+            except Exception as exc:
+                self.fail(f"{content[:300]!r} raised {exc!r}")
+        with self.assertRaises(error):
+            decode(DEEP_JSON)
+
+    def test_batch_jobs(self) -> None:
+        self.check_each(
+            JOB,
+            lambda content: _batch_job.read_job(
+                "job-1", content, ROUTE, base.AccountId("a"), 0.0
+            ),
+            _fields.FieldError,
+        )
+
+    def test_documents(self) -> None:
+        self.check_each(
+            deployment.DOCUMENT,
+            lambda content: _document.DocumentReader().read(content),
+            gateway.InvalidDocumentError,
+        )
+
+    def test_settings(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "boot.json")
+
+            def decode(content: bytes) -> object:
+                path.write_bytes(content)
+                return _settings_file.read_settings_file(path)
+
+            self.check_each(SETTINGS, decode, _settings_file.SettingsFileError)
+
+    def test_numbers_in_headers(self) -> None:
+        cases = (
+            ("decimal", "12", 12),
+            ("superscript digit", "\u00b2", 0),
+            ("digits of another script", "\u0663", 0),
+            ("sign", "-1", 0),
+            ("empty", "", 0),
+            ("more digits than an integer may have", "9" * 5000, 0),
+        )
+        for name, value, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(_front._parse_integer(value), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
