Keep callers who return while an entry starts

- The front socket is opened before the imports.
Connections made meanwhile wait in its backlog; the listener adopts it.
- A request that comes in the first 0.8 s of an entry's life waits for the first configuration, up to 256 of them; afterwards it is refused at once.

The test of a common restart has eight callers return at once: all are answered; without the wait all eight are refused.

--- a/packages/node/src/banyanbank_node/_change_notifier.py
+++ b/packages/node/src/banyanbank_node/_change_notifier.py
@@ -16,6 +16,10 @@
         self._reactor = reactor
         self._pending: set[defer.Deferred[bool]] = set()
 
+    def __len__(self) -> int:
+        """Returns the number of waiting calls."""
+        return len(self._pending)
+
     async def wait(self, deadline: float) -> bool:
         """Waits for a change; returns False if the deadline passes first.
 
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -15,6 +15,7 @@
 from banyanbank_node import _node
 from banyanbank_node import _ports
 from banyanbank_node import _settings
+from banyanbank_node import _startup_wait
 
 JOB_CALL_TIMEOUT_S = 2.5
 """Time limit for the stores to accept or end a batch job."""
@@ -68,9 +69,11 @@
             self.node.meters,
         )
         self.is_stopping = False
+        self._startup_wait = _startup_wait.start_wait(self.node.clock.now())
 
     async def start(self) -> None:
         """Joins the mesh and starts to poll the leader."""
+        self._startup_wait = _startup_wait.start_wait(self.node.clock.now())
         await self.node.mesh.start()
         self.sync.start()
         self.node.events.write("process.started", role="entry")
@@ -100,6 +103,20 @@
         """Event log of the process."""
         return self.node.events
 
+    async def wait_for_configuration(self, req_deadline: float) -> None:
+        """Waits for the first configuration while it is expected shortly.
+
+        Args:
+            req_deadline: Deadline of the request that waits.
+        """
+        while self.sync.table is None:
+            wait_until = self._startup_wait.get_wait_deadline(
+                self.node.clock.now(), req_deadline, len(self.sync.answers)
+            )
+            if wait_until is None:
+                return
+            await self.sync.answers.wait(wait_until)
+
     def match_route(
         self, host: str, path: str, key: str | None
     ) -> tuple[gateway.Route, base.AccountId | None] | base.Refusal:
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from banyanbank_node import _change_notifier
 from banyanbank_node import _event_log
 from banyanbank_node import _messages
 from banyanbank_node import _ports
@@ -33,6 +34,7 @@
         last_contact_at: Time of the last answer of a leader, on the monotonic
             clock; None before the first one.
         on_document: Called with each document that comes into force.
+        answers: Notifies of each answer of a leader, once it is applied.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.table: gateway.RouteTable | None = None
         self.directory = gateway.Directory()
         self.last_contact_at: float | None = None
+        self.answers = _change_notifier.ChangeNotifier(reactor)
         self.on_document: typing.Callable[[gateway.Document], None] = (
             _ignore_document
         )
@@ -127,6 +130,7 @@
         self.directory.expire(now)
         self._directory_source = answer.directory_of
         self._directory_revision = answer.directory_revision
+        self.answers.wake()
 
     def _apply_directory(
         self, answer: _messages.SyncAnswer, encoded: bytes, now: float
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -145,6 +145,18 @@
         os.close(self._null_fd)
         self._folder.cleanup()
 
+    async def restart(self) -> None:
+        """Restarts all stores and the entry at once; endpoints run on."""
+        for listener in self._listeners:
+            await listener.stop(self.reactor.seconds())
+        self._listeners.clear()
+        await self.entry.stop()
+        for store in self.stores:
+            await store.stop()
+        self.stores = [self._make_store(n + 1) for n in range(STORE_COUNT)]
+        self.entry = self._make_entry()
+        await self.start()
+
     @property
     def leader(self) -> node.Store | None:
         for store in self.stores:
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -3,6 +3,8 @@
 import copy
 import unittest
 
+from twisted.internet import defer
+
 from tests import support
 from tests.platform import deployment
 from tests.platform import fakes
@@ -299,6 +301,35 @@
         deployment.run_scenario(scenario)
 
 
+class CommonRestartTest(unittest.TestCase):
+    """All processes are lost at once and callers return at once."""
+
+    CALLERS = 8
+
+    def test_callers_are_answered_without_a_refusal(self) -> None:
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            await system.restart()
+            calls = [
+                defer.ensureDeferred(
+                    system.call_front(
+                        "POST",
+                        "/plain/a",
+                        b"body",
+                        x_banyanbank_request_id=f"r{number}",
+                    )
+                )
+                for number in range(self.CALLERS)
+            ]
+            await system.announce(
+                "server-1", "plain", system.server.address, sequence=2
+            )
+            statuses = [(await call).status for call in calls]
+            self.assertEqual(statuses, [200] * self.CALLERS)
+
+        deployment.run_scenario(scenario)
+
+
 class UsageTest(unittest.TestCase):
     """Reports of usage windows."""
 
--- a/tests/platform/test_serve.py
+++ b/tests/platform/test_serve.py
@@ -15,8 +15,13 @@
 print("importing", flush=True)
 sys.stdin.readline()
 
-def main():
-    print("runs", flush=True)
+def main(front_socket):
+    print("runs", front_socket, flush=True)
+"""
+
+EARLY_SOCKET_MODULE = """
+def open_front_socket(role, environment):
+    return "socket of " + role
 """
 
 
@@ -32,6 +37,7 @@
             package.mkdir()
             (package / "__init__.py").touch()
             (package / "_main.py").write_text(BLOCKING_MAIN_MODULE)
+            (package / "_early_socket.py").write_text(EARLY_SOCKET_MODULE)
             with subprocess.Popen(
                 [sys.executable, SERVE_SCRIPT, "entry"],
                 env=os.environ | {"PYTHONPATH": folder},
@@ -42,4 +48,6 @@
                 self.assertEqual(process.stdout.readline(), b"importing\n")
                 process.send_signal(signal.SIGHUP)
                 rest, _ = process.communicate(b"\n")
-        self.assertEqual((process.returncode, rest), (0, b"runs\n"))
+        self.assertEqual(
+            (process.returncode, rest), (0, b"runs socket of entry\n")
+        )
