Read results at a store of the entry's own failure domain

A follower serves reads now. It asks the leader how far the log is committed (a few bytes) and answers once it has applied that; if it cannot, the entry asks the leader. A page that is not empty needs no confirmation after a wait, since committed results keep their positions. Entries learn the domains of stores by a call of their own, so that builds mix.

--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _event_log
 from banyanbank_node import _forwarder
 from banyanbank_node import _messages
+from banyanbank_node import _near_stores
 from banyanbank_node import _node
 from banyanbank_node import _ports
 from banyanbank_node import _settings
@@ -47,6 +48,12 @@
         self.settings = settings
         self.node = _node.Node(settings.node, reactor, log_fd)
         self.usage = gateway.UsageMeter(settings.node.window_s)
+        self._near_stores = _near_stores.NearStores(
+            self.node.clock,
+            self.node.client,
+            settings.node.domain,
+            self.node.rng,
+        )
         self.sync = _entry_sync.EntrySync(
             reactor,
             self.node.clock,
@@ -56,6 +63,7 @@
             self.node.true_time,
             self.usage,
             self.node.events,
+            self._near_stores,
         )
         picker = gateway.EndpointPicker(settings.node.domain, self.node.rng)
         self.forwarder = _forwarder.Forwarder(
@@ -266,7 +274,11 @@
         """Returns a page of results of a batch job, or a refusal."""
         call_timeout_s = req.wait_s + READ_TIMEOUT_MARGIN_S
         resp = await self._call_leader(
-            _messages.READ_RESULTS, req, call_timeout_s, req.wait_s + 0.5
+            _messages.READ_RESULTS,
+            req,
+            call_timeout_s,
+            req.wait_s + 0.5,
+            first=self._near_stores.choose(self.node.client.leader),
         )
         if isinstance(resp, _messages.NotThere):
             return _make_not_found_refusal()
@@ -289,10 +301,11 @@
         req: typing.Any,
         call_timeout_s: float,
         attempt_timeout_s: float,
+        first: base.InstanceId | None = None,
     ) -> typing.Any:
         deadline = self.node.clock.now() + call_timeout_s
         call_result = await self.node.client.call(
-            method, req, deadline, attempt_timeout_s
+            method, req, deadline, attempt_timeout_s, first
         )
         if isinstance(call_result, result.Failure):
             return _make_no_leader_refusal(call_result.failure().detail)
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -8,9 +8,11 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from banyanbank_node import _background
 from banyanbank_node import _change_notifier
 from banyanbank_node import _event_log
 from banyanbank_node import _messages
+from banyanbank_node import _near_stores
 from banyanbank_node import _ports
 from banyanbank_node import _store_client
 from banyanbank_node import _sync_part_cache
@@ -47,7 +49,9 @@
         true_time: gateway.SyncedClock,
         usage: gateway.UsageMeter,
         events: _event_log.EventLog,
+        near_stores: _near_stores.NearStores,
     ) -> None:
+        self._near_stores = near_stores
         self._reactor = reactor
         self._clock = clock
         self._client = client
@@ -120,6 +124,9 @@
         self.last_contact_at = now
         self._true_time.set_time(answer.true_time)
         self._client.set_stores(answer.stores)
+        _background.run(
+            self._near_stores.learn(answer.stores), "domains", self._events
+        )
         if answer.document is not None:
             self._apply_document(answer.document)
         if answer.directory is not None:
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -14,6 +14,8 @@
 READ_DOCUMENT = "store.document"
 READ_RESULTS = "store.results"
 READ_BODY = "store.body"
+READ_LOG_POSITION = "store.log_position"
+READ_DOMAIN = "store.domain"
 JOIN = "store.join"
 RETIRE = "store.retire"
 RETIRED = "store.retired"
@@ -168,6 +170,22 @@
     """Reports that the requested object does not exist."""
 
 
+@attrs.frozen
+class LogPosition:
+    """Tells a follower how far it has to apply the log before it answers."""
+
+    index: int
+    """Last index that the leader has applied."""
+
+
+@attrs.frozen
+class StoreDomain:
+    """Tells an entry where a store is."""
+
+    domain: base.FailureDomain
+    """Failure domain of the store."""
+
+
 @attrs.frozen
 class Join:
     """Reports to the leader that a store is running."""
@@ -211,6 +229,8 @@
     BodyRequest,
     Body,
     NotThere,
+    LogPosition,
+    StoreDomain,
     Join,
     Retire,
     TooFew,
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -78,6 +78,7 @@
             usage,
             self.node.true_time,
             self.events,
+            settings.node.domain,
         )
         self._runs = self._build_duties(usage)
         self._leader_loop = consensus.LeaderLoop(
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -14,12 +14,10 @@
 from banyanbank_node import _event_log
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
+from banyanbank_node import _result_reads
 from banyanbank_node import _store_client
 from banyanbank_node import _sync_part_cache
 
-MAX_PAGE_CHARS = 600 * 1024
-"""Maximum characters of a page of results; a single result may exceed it."""
-
 DIRECTORY_SETTLE_S = 3.0
 """Time after which a new leader knows every running endpoint."""
 
@@ -29,16 +27,15 @@
 ]
 
 
-class NotLeaderError(Exception):
-    """This store does not lead; the call had no effect."""
-
-
 class UncertainOutcomeError(Exception):
     """A command may be committed, but that cannot be confirmed."""
 
 
 class StoreCalls:
-    """Dispatches calls to handlers; only the leader answers with a payload.
+    """Dispatches calls to handlers.
+
+    Only the leader answers with a payload, but for reads of results and the
+    question for the failure domain, which every store answers.
 
     Args:
         reactor: Schedules timeouts of waiting calls.
@@ -50,6 +47,7 @@
         usage: Adds up the usage counts of entries.
         true_time: Estimated Unix time, sent to entries.
         events: Event log.
+        domain: Failure domain of this instance.
 
     Attributes:
         changes: Notifies of a new document or directory revision.
@@ -69,7 +67,9 @@
         usage: gateway.UsageTotals,
         true_time: gateway.SyncedClock,
         events: _event_log.EventLog,
+        domain: base.FailureDomain,
     ) -> None:
+        self._domain = domain
         self._clock = clock
         self._mesh = transport
         self._client = client
@@ -82,6 +82,9 @@
         self.changes = _change_notifier.ChangeNotifier(reactor)
         self.results = _change_notifier.ChangeNotifier(reactor)
         self.led_since: float | None = None
+        reads = _result_reads.ResultReads(
+            reactor, clock, client, stored, self.results
+        )
         transport.on_message(_messages.HEARD, self._handle_broadcast)
         for method, handler in (
             (_messages.SYNC, self._handle_sync),
@@ -89,17 +92,31 @@
             (_messages.WITHDRAW, self._handle_withdraw),
             (_messages.PROPOSE, self._handle_propose),
             (_messages.READ_DOCUMENT, self._handle_read_document),
-            (_messages.READ_RESULTS, self._handle_read_results),
-            (_messages.READ_BODY, self._handle_read_body),
+            (_messages.READ_LOG_POSITION, reads.read_log_position),
+            (_messages.READ_BODY, reads.read_body),
         ):
             self.serve(method, handler)
+        self.serve(
+            _messages.READ_RESULTS, reads.read_results, at_followers=True
+        )
+        self.serve(
+            _messages.READ_DOMAIN, self._handle_read_domain, at_followers=True
+        )
+
+    def serve(
+        self, method: str, handler: CallHandler, at_followers: bool = False
+    ) -> None:
+        """Registers a handler for calls from the mesh and this instance.
 
-    def serve(self, method: str, handler: CallHandler) -> None:
-        """Registers a handler for calls from the mesh and this instance."""
+        Args:
+            method: Name of the call.
+            handler: Serves the call.
+            at_followers: Whether stores that do not lead serve it, too.
+        """
 
         async def answer(sender: base.InstanceId, data: bytes) -> bytes:
             payload: bytes | None = None
-            if self._stored.node.is_leader:
+            if at_followers or self._stored.node.is_leader:
                 try:
                     message = await handler(sender, data)
                     payload = (
@@ -107,7 +124,7 @@
                         if isinstance(message, bytes)
                         else _messages.CODEC.encode(message)
                     )
-                except NotLeaderError:
+                except _result_reads.NotLeaderError:
                     payload = None
                 except UncertainOutcomeError as exc:
                     raise mesh.HandlerRefusalError(
@@ -163,7 +180,7 @@
         error = replied.failure()
         if error.may_be_committed:
             raise UncertainOutcomeError(error.detail)
-        raise NotLeaderError
+        raise _result_reads.NotLeaderError
 
     def _handle_broadcast(self, sender: base.InstanceId, data: bytes) -> None:
         del sender
@@ -194,20 +211,19 @@
         ledger = self._stored.ledger
         return _messages.DocumentAnswer(ledger.document_number, ledger.document)
 
-    async def _ensure_current(self) -> None:
-        """Waits until the applied state is known to be current.
+    async def _handle_read_domain(
+        self, sender: base.InstanceId, data: bytes
+    ) -> object:
+        del sender, data
+        return _messages.StoreDomain(self._domain)
 
-        Raises:
-            NotLeaderError: Another store may lead.
-        """
-        if not self._stored.has_lease:
-            # Without the lease, a quorum confirms the leadership.
-            await self._confirm_leadership()
+    async def _ensure_current(self) -> None:
+        await _result_reads.ensure_leader_is_current(self._stored)
 
     async def _confirm_leadership(self) -> None:
         confirmed = await self._stored.node.confirm_leadership()
         if isinstance(confirmed, result.Failure):
-            raise NotLeaderError
+            raise _result_reads.NotLeaderError
 
     async def _handle_sync(
         self, sender: base.InstanceId, data: bytes
@@ -264,49 +280,3 @@
             ),
             true_time=self._true_time.now(),
         )
-
-    async def _handle_read_results(
-        self, sender: base.InstanceId, data: bytes
-    ) -> object:
-        del sender
-        req = _messages.CODEC.decode(data)
-        deadline = self._clock.now() + req.wait_s
-        while True:
-            await self._ensure_current()
-            state = self._stored.ledger.find(req.job, req.account)
-            if state is None:
-                return _messages.NotThere()
-            if len(state.results) > req.after:
-                break
-            if not await self.results.wait(deadline):
-                break
-        return _messages.ResultsPage(
-            len(state.job.items), _make_page(state.results, req.after)
-        )
-
-    async def _handle_read_body(
-        self, sender: base.InstanceId, data: bytes
-    ) -> object:
-        del sender
-        req = _messages.CODEC.decode(data)
-        await self._ensure_current()
-        state = self._stored.ledger.find(req.job, req.account)
-        if state is None or state.is_ended or req.item in state.listed:
-            return _messages.NotThere()
-        for spec in state.job.items:
-            if spec.item == req.item:
-                return _messages.Body(spec.body)
-        return _messages.NotThere()
-
-
-def _make_page(
-    results: list[jobs.ItemResult], after: int
-) -> tuple[jobs.ItemResult, ...]:
-    page: list[jobs.ItemResult] = []
-    size = 0
-    for item_result in results[after:]:
-        size += len(item_result.text)
-        if page and size > MAX_PAGE_CHARS:
-            break
-        page.append(item_result)
-    return tuple(page)
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -97,6 +97,7 @@
         message: typing.Any,
         deadline: float,
         attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
+        first: base.InstanceId | None = None,
     ) -> result.Result[typing.Any, StoreCallError]:
         """Sends a message to the leader and returns its answer.
 
@@ -105,23 +106,52 @@
             message: Message that `_messages.CODEC` can encode.
             deadline: Deadline of all attempts, on the client's clock.
             attempt_timeout_s: Timeout of the call to each store.
+            first: Store to ask before the leader; None for the leader at once.
         """
         data = _messages.CODEC.encode(message)
-        reply = await self.call_raw(method, data, deadline, attempt_timeout_s)
+        reply = await self.call_raw(
+            method, data, deadline, attempt_timeout_s, first
+        )
         return reply.map(_messages.CODEC.decode)
 
+    async def call_store(
+        self,
+        store: base.InstanceId,
+        method: str,
+        message: typing.Any,
+        deadline: float,
+    ) -> result.Result[typing.Any, StoreCallError]:
+        """Sends a message to one store, whether it leads or not."""
+        called = await self._attempt_call(
+            store, method, _messages.CODEC.encode(message), deadline
+        )
+        if isinstance(called, result.Failure):
+            error = called.failure()
+            return result.Failure(
+                StoreCallError(
+                    error.outcome is not base.Outcome.NOT_RUN, error.detail
+                )
+            )
+        payload = called.unwrap().payload
+        if payload is None:
+            return result.Failure(StoreCallError(False, f"{store} refused"))
+        return result.Success(_messages.CODEC.decode(payload))
+
     async def call_raw(
         self,
         method: str,
         data: bytes,
         deadline: float,
         attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
+        first: base.InstanceId | None = None,
     ) -> result.Result[bytes, StoreCallError]:
         """Sends an encoded message and returns the leader's encoded answer."""
         may_have_run = False
         detail = "no store was asked"
+        if first is not None and self._is_avoided(first):
+            first = None
         while self._clock.now() < deadline:
-            target = self._next_target()
+            target = first or self._next_target()
             attempt_deadline = min(
                 deadline, self._clock.now() + attempt_timeout_s
             )
@@ -132,7 +162,8 @@
                 answer = call_result.unwrap()
                 if answer.payload is not None:
                     self._avoided_until.pop(target, None)
-                    self._leader_hint = target
+                    if target != first:
+                        self._leader_hint = target
                     return result.Success(answer.payload)
                 detail = f"{target} does not lead"
                 self._follow_leader_hint(target, answer.leader)
@@ -141,6 +172,7 @@
                 detail = f"{target}: {error.detail}"
                 may_have_run |= error.outcome is not base.Outcome.NOT_RUN
                 self._avoid(target)
+            first = None
             await task.deferLater(self._reactor, RETRY_DELAY_S)
         return result.Failure(StoreCallError(may_have_run, detail))
 
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -3,6 +3,8 @@
 import copy
 import unittest
 
+import banyanbank_base as base
+import banyanbank_node as node
 from twisted.internet import defer
 
 from tests import support
@@ -161,6 +163,35 @@
             if len(page["results"]) == count:
                 return page
 
+    def test_every_store_serves_the_results(self) -> None:
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            await system.call_front(
+                "POST",
+                "/jobs/x",
+                deployment.make_job(),
+                x_banyanbank_request_id="job-1",
+            )
+            expected = await self.read_results(system, 2)
+            req = node.ResultsRequest(
+                "job-1", base.AccountId("account-1"), 0, 1.0
+            )
+            client = system.entry.node.client
+            for store in system.stores:
+                answered = await client.call_store(
+                    store.node.instance,
+                    "store.results",
+                    req,
+                    system.reactor.seconds() + 2.0,
+                )
+                page = answered.unwrap()
+                self.assertEqual(
+                    [item_result.item for item_result in page.results],
+                    [item["id"] for item in expected["results"]],
+                )
+
+        deployment.run_scenario(scenario)
+
     def test_interrupted_run_resumes(self) -> None:
         async def scenario(system: deployment.Deployment) -> None:
             await system.configure()
