Do not avoid a leader for a timeout while the caller was stopped

Ruled out: a cut (core_cut had ended at 12.0 s, and both followers were reached at 12.18 s), a lost document (it came with the first answer).

A timeout that is noticed over 0.25 s late no longer counts against the store. The test wakes a caller after 6 s: the leader answers the next call within 0.3 s; without the mend it is avoided.

--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -20,6 +20,9 @@
 AVOIDANCE_S = 2.0
 """Time for which a store that failed to answer is tried after all others."""
 
+MAX_TIMER_DELAY_S = 0.25
+"""Delay of a timer beyond which this process is taken to have been stopped."""
+
 LocalHandler = collections.abc.Callable[
     [bytes], collections.abc.Awaitable[bytes]
 ]
@@ -171,7 +174,8 @@
                 error = call_result.failure()
                 detail = f"{target}: {error.detail}"
                 may_have_run |= error.outcome is not base.Outcome.NOT_RUN
-                self._avoid(target)
+                if not self._was_suspended(attempt_deadline):
+                    self._avoid(target)
             first = None
             await task.deferLater(self._reactor, RETRY_DELAY_S)
         return result.Failure(StoreCallError(may_have_run, detail))
@@ -223,6 +227,14 @@
         if self._leader_hint == store:
             self._leader_hint = None
 
+    def _was_suspended(self, attempt_deadline: float) -> bool:
+        """Whether this process did not run when an attempt timed out.
+
+        A timeout that is noticed late says nothing about the store: its answer
+        may have arrived meanwhile.
+        """
+        return self._clock.now() > attempt_deadline + MAX_TIMER_DELAY_S
+
     def _is_avoided(self, store: base.InstanceId) -> bool:
         return self._clock.now() < self._avoided_until.get(store, 0.0)
 
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -27,6 +27,7 @@
         self._clock = clock
         self.called_stores: list[base.InstanceId] = []
         self.leader = FROZEN
+        self.is_silent = True
 
     def set_peer(self, *_: typing.Any) -> None:
         """Does nothing: all stores are reachable."""
@@ -36,7 +37,7 @@
     ) -> defer.Deferred[typing.Any]:
         self.called_stores.append(peer)
         response: defer.Deferred[typing.Any] = defer.Deferred()
-        if peer == FROZEN:
+        if peer == FROZEN and self.is_silent:
             error = mesh.CallError(
                 mesh.CallErrorKind.DEADLINE, base.Outcome.MAY_HAVE_RUN, "silent"
             )
@@ -89,6 +90,22 @@
         self.assertEqual(self.stores.called_stores.count(FROZEN), 1)
         self.assertLess(took_s, 1.5)
 
+    def test_leader_is_not_blamed_for_the_freeze_of_the_caller(self) -> None:
+        running = defer.ensureDeferred(
+            self.client.call("method", _messages.Accepted(), 0.8, 0.8)
+        )
+        self.clock.advance(STEP_S)
+        self.assertEqual(self.stores.called_stores[-1], FROZEN)
+        self.clock.advance(6.0)
+        self.clock.advance(STEP_S)
+        self.assertTrue(running.called)
+        self.stores.called_stores.clear()
+        self.stores.is_silent = False
+        answered, took_s = self.call(limit_s=3.0)
+        self.assertTrue(answered)
+        self.assertLess(took_s, 0.3)
+        self.assertEqual(self.stores.called_stores[-1], FROZEN)
+
     def test_hint_is_followed(self) -> None:
         self.stores.leader = SUCCESSOR
         self.client.set_stores((FOLLOWER, SUCCESSOR))
