Order engines when the arriving work needs more than are left

The platform takes orders of engines; nobody sent any.

The leader orders one engine at a time until the arriving work (items a second over 12 s, times the mean duration of a run) uses 0.3 of the slots. An order names the count a domain should have, so engines that are silent or draining are counted, a new leader waits 4 s for announcements, and an unmet order is repeated, not raised, after 10 s.

--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -123,7 +123,7 @@
             False if the announcement is stale or a duplicate, or if its
             address belongs to an endpoint that started later.
         """
-        if self._has_ended(announcement):
+        if self.has_ended(announcement):
             return False
         known = self._known.get(announcement.endpoint)
         if (
@@ -214,7 +214,8 @@
             elif not keep_unlisted:
                 del self._known[endpoint]
 
-    def _has_ended(self, announcement: Announcement) -> bool:
+    def has_ended(self, announcement: Announcement) -> bool:
+        """Whether the announced incarnation is known to have ended."""
         ended = self._tombstones.get(announcement.endpoint)
         return ended is not None and announcement.born_ms <= ended[0]
 
--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -1,5 +1,11 @@
 """Ledger and scheduling of batch jobs, and planning of weight loads; no I/O."""
 
+from banyanbank_jobs._capacity import CapacityBounds
+from banyanbank_jobs._capacity import CapacityOrder
+from banyanbank_jobs._capacity import CapacityPlanner
+from banyanbank_jobs._capacity import count_wanted_engines
+from banyanbank_jobs._capacity import DEMAND_WINDOW_S
+from banyanbank_jobs._capacity import DomainEngines
 from banyanbank_jobs._commands import AcceptJob
 from banyanbank_jobs._commands import Applied
 from banyanbank_jobs._commands import Command
@@ -51,6 +57,7 @@
 
 __all__ = [
     "COMMAND_CODEC",
+    "DEMAND_WINDOW_S",
     "FAILED_RETRY_DELAY_S",
     "MAX_BACKOFF_REJECTIONS",
     "MAX_EVENT_BYTES",
@@ -59,8 +66,12 @@
     "REPLY_CODEC",
     "AcceptJob",
     "Applied",
+    "CapacityBounds",
+    "CapacityOrder",
+    "CapacityPlanner",
     "Command",
     "DeclareDocument",
+    "DomainEngines",
     "EndJob",
     "EngineHealth",
     "EngineView",
@@ -95,6 +106,7 @@
     "TextPart",
     "Undecodable",
     "WeightPlanner",
+    "count_wanted_engines",
     "expected_tokens",
     "max_concurrent_loads",
     "share_engines",
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -148,6 +148,12 @@
         "endpoint model version why",
         "An order got no answer; it may still be executed.",
     ),
+    _make_kind(
+        "capacity.ordered",
+        "service domain count ready wanted fence status",
+        "An order of engines was sent to the platform.",
+        is_final=True,
+    ),
     _make_kind(
         "usage.reported",
         "window counts fence status",
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -27,6 +27,12 @@
 MIN_RUN_TIMEOUT_S = 1.0
 """Minimum timeout of a run, even if its item is late."""
 
+INITIAL_MEAN_RUN_S = 0.6
+"""Average duration of a run, assumed before any has ended."""
+
+MEAN_RUN_WEIGHT = 0.02
+"""Weight of the newest run in the average; a step has tens of items."""
+
 UNPROCESSABLE = 422
 FAILED = 500
 
@@ -47,6 +53,9 @@
         committer: Commits results.
         events: Event log.
         meters: Metrics of the process.
+
+    Attributes:
+        mean_run_s: Moving average of the duration of complete runs.
     """
 
     def __init__(
@@ -82,6 +91,7 @@
             jobs.ItemProgress, defer.Deferred[typing.Any]
         ] = {}
         self._has_loaded_jobs = False
+        self.mean_run_s = INITIAL_MEAN_RUN_S
         self._partial_texts = _partial_texts.PartialTexts(clock, stored, events)
 
     def tick(self) -> None:
@@ -257,7 +267,9 @@
             return
         self._scheduler.mark_generated(item)
         self._log_run(run, "generated", f"{run.events} events")
-        self._meters.items.record(self._clock.now() - run.began_at, "run")
+        run_s = self._clock.now() - run.began_at
+        self.mean_run_s += MEAN_RUN_WEIGHT * (run_s - self.mean_run_s)
+        self._meters.items.record(run_s, "run")
         if item.spec.scorer is None:
             self._finish(item, jobs.ItemOutcome.COMPLETED, "")
         else:
--- a/packages/node/src/banyanbank_node/_ports.py
+++ b/packages/node/src/banyanbank_node/_ports.py
@@ -157,3 +157,13 @@
     ) -> web.UpstreamRequest | None:
         """Returns the report of a usage window; None without a receiver."""
         ...
+
+    def build_capacity_request(
+        self,
+        order: jobs.CapacityOrder,
+        authority: Authority,
+        may_send: typing.Callable[[], bool],
+        deadline: float,
+    ) -> web.UpstreamRequest | None:
+        """Returns an order of engines; None if none can be ordered."""
+        ...
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -11,6 +11,7 @@
 
 from banyanbank_node import _action_guard
 from banyanbank_node import _background
+from banyanbank_node import _capacity_duty
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
 from banyanbank_node import _forwarder
@@ -196,9 +197,23 @@
             node.settings.job_retention_s,
             self.events,
         )
+        capacity = _capacity_duty.CapacityDuty(
+            node.clock,
+            node.true_time,
+            self.stored,
+            self.directory,
+            lambda: runs.mean_run_s,
+            node.upstream,
+            self.wire,
+            node.settings.name,
+            node.settings.domain,
+            self.events,
+            guard,
+        )
         self._duties: tuple[consensus.Duty, ...] = (
             members,
             loads,
+            capacity,
             reports,
             retention,
         )
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -67,6 +67,24 @@
                 lambda b: b.usage_address,
                 None,
             ),
+            (
+                "no cloud to order from",
+                {"cloud": None},
+                lambda b: b.scaling_address,
+                None,
+            ),
+            (
+                "orders of endpoints",
+                {"cloud": {"address": "x", "duties": ["autoscale"]}},
+                lambda b: b.scaling_address,
+                "x",
+            ),
+            (
+                "usage reports only",
+                {"cloud": {"address": "x", "duties": ["usage_report"]}},
+                lambda b: b.scaling_address,
+                None,
+            ),
             ("later start", {"bootstrap": False}, lambda b: b.may_form, False),
             (
                 "not a bool",
