Give the confirmation of leadership a module of its own

It stood with the reads of results, where calls of other kinds took it from. A waiting request no longer depends on two clocks to be the same.

--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -123,7 +123,8 @@
             )
             if wait_until is None:
                 return
-            await self.sync.answers.wait(wait_until)
+            if not await self.sync.answers.wait(wait_until):
+                return
 
     def match_route(
         self, host: str, path: str, key: str | None
--- a/packages/node/src/banyanbank_node/_result_reads.py
+++ b/packages/node/src/banyanbank_node/_result_reads.py
@@ -14,6 +14,7 @@
 from twisted.internet import task
 
 from banyanbank_node import _change_notifier
+from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
 from banyanbank_node import _store_client
@@ -28,10 +29,6 @@
 """Interval between checks of how far the log is applied."""
 
 
-class NotLeaderError(Exception):
-    """This store does not lead; the call had no effect."""
-
-
 class ResultReads:
     """Reads jobs from this store's replica of the ledger.
 
@@ -109,12 +106,12 @@
             NotLeaderError: Another store may lead.
         """
         del sender, data
-        await ensure_leader_is_current(self._stored)
+        await _leadership.ensure_current(self._stored)
         return _messages.LogPosition(self._stored.node.status().applied_index)
 
     async def _ensure_current(self) -> None:
         if self._stored.node.is_leader:
-            await ensure_leader_is_current(self._stored)
+            await _leadership.ensure_current(self._stored)
             return
         deadline = self._clock.now() + CATCH_UP_TIMEOUT_S
         called = await self._client.call(
@@ -124,29 +121,14 @@
             CATCH_UP_TIMEOUT_S,
         )
         if isinstance(called, result.Failure):
-            raise NotLeaderError
+            raise _leadership.NotLeaderError
         position: _messages.LogPosition = called.unwrap()
         while self._stored.node.status().applied_index < position.index:
             if self._clock.now() >= deadline:
-                raise NotLeaderError
+                raise _leadership.NotLeaderError
             await task.deferLater(self._reactor, CATCH_UP_POLL_S)
 
 
-async def ensure_leader_is_current(
-    stored: _ledger_replica.LedgerReplica,
-) -> None:
-    """Waits until the leader's applied state is known to be current.
-
-    Raises:
-        NotLeaderError: Another store may lead.
-    """
-    if not stored.has_lease:
-        # Without the lease, a quorum confirms the leadership.
-        confirmed = await stored.node.confirm_leadership()
-        if isinstance(confirmed, result.Failure):
-            raise NotLeaderError
-
-
 def _make_page(
     results: list[jobs.ItemResult], after: int
 ) -> tuple[jobs.ItemResult, ...]:
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _change_notifier
 from banyanbank_node import _entry_sync
 from banyanbank_node import _event_log
+from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
 from banyanbank_node import _result_reads
@@ -124,7 +125,7 @@
                         if isinstance(message, bytes)
                         else _messages.CODEC.encode(message)
                     )
-                except _result_reads.NotLeaderError:
+                except _leadership.NotLeaderError:
                     payload = None
                 except UncertainOutcomeError as exc:
                     raise mesh.HandlerRefusalError(
@@ -180,7 +181,7 @@
         error = replied.failure()
         if error.may_be_committed:
             raise UncertainOutcomeError(error.detail)
-        raise _result_reads.NotLeaderError
+        raise _leadership.NotLeaderError
 
     def _handle_broadcast(self, sender: base.InstanceId, data: bytes) -> None:
         del sender
@@ -191,7 +192,7 @@
     ) -> object:
         del sender
         self.apply_endpoint_message(_messages.CODEC.decode(data))
-        await self._ensure_current()
+        await _leadership.ensure_current(self._stored)
         return _messages.Accepted()
 
     _handle_withdraw = _handle_announce
@@ -207,7 +208,7 @@
         self, sender: base.InstanceId, data: bytes
     ) -> object:
         del sender, data
-        await self._confirm_leadership()
+        await _leadership.confirm(self._stored)
         ledger = self._stored.ledger
         return _messages.DocumentAnswer(ledger.document_number, ledger.document)
 
@@ -217,14 +218,6 @@
         del sender, data
         return _messages.StoreDomain(self._domain)
 
-    async def _ensure_current(self) -> None:
-        await _result_reads.ensure_leader_is_current(self._stored)
-
-    async def _confirm_leadership(self) -> None:
-        confirmed = await self._stored.node.confirm_leadership()
-        if isinstance(confirmed, result.Failure):
-            raise _result_reads.NotLeaderError
-
     async def _handle_sync(
         self, sender: base.InstanceId, data: bytes
     ) -> object:
@@ -235,7 +228,7 @@
         while not self._has_changes(req):
             if not await self.changes.wait(deadline):
                 break
-        await self._ensure_current()
+        await _leadership.ensure_current(self._stored)
         return self._make_sync_answer(req)
 
     def _has_changes(self, req: _messages.SyncRequest) -> bool:
--- a/tests/node/test_result_reads.py
+++ b/tests/node/test_result_reads.py
@@ -7,6 +7,7 @@
 import banyanbank_base as base
 import banyanbank_jobs as jobs
 from banyanbank_node import _change_notifier
+from banyanbank_node import _leadership
 from banyanbank_node import _messages
 from banyanbank_node import _result_reads
 from banyanbank_node import _store_client
@@ -123,7 +124,7 @@
                 outcome = self.run_to_end(self.begin_read())
                 failure = getattr(outcome, "value", None)
                 self.assertEqual(
-                    isinstance(failure, _result_reads.NotLeaderError),
+                    isinstance(failure, _leadership.NotLeaderError),
                     is_refused,
                 )
 
