Revert the bound on loads that adapts to their speed

A load that is slow since its engine is slow lowered the bound for all, and the mark on a load that is late took its place from another: steps then wait for weights.

--- a/packages/jobs/src/banyanbank_jobs/_weights.py
+++ b/packages/jobs/src/banyanbank_jobs/_weights.py
@@ -23,9 +23,6 @@
 engines.
 """
 
-LOAD_LIMIT_INCREASE = 0.1
-"""Increase of the limit on concurrent loads after a load at full speed."""
-
 MODELS_PER_ENGINE = 2
 """Number of models that an engine serves.
 
@@ -63,23 +60,6 @@
     def __init__(self, models_per_engine: int = MODELS_PER_ENGINE) -> None:
         self._models_per_engine = models_per_engine
         self._models_of: dict[base.EndpointId, frozenset[str]] = {}
-        self._load_limit = math.inf
-
-    def record_load(self, is_slow: bool, concurrent: int) -> None:
-        """Adapts the limit on concurrent loads to the weight store.
-
-        The store serves only so many loads at full speed, however many engines
-        there are. Increases slowly and decreases at once, as TCP does.
-
-        Args:
-            is_slow: Whether the load took longer than one at full speed.
-            concurrent: Loads under way, with this one.
-        """
-        if is_slow:
-            limit = min(self._load_limit, float(concurrent))
-            self._load_limit = max(1.0, limit - 1)
-        else:
-            self._load_limit += LOAD_LIMIT_INCREASE
 
     def plan(
         self,
@@ -113,8 +93,7 @@
             urgent.extend(loads.urgent)
             optional.extend(loads.optional)
         under_way = sum(bool(view.loading) for view in engines)
-        limit = min(max_concurrent_loads(len(engines)), self._load_limit)
-        available_loads = max(0, int(limit) - under_way)
+        available_loads = max(0, max_concurrent_loads(len(engines)) - under_way)
         orders: dict[base.EndpointId, LoadOrder] = {}
         for order in (*urgent, *optional):
             orders.setdefault(order.endpoint, order)
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -213,18 +213,12 @@
         self._engines.end_load(announcement, order.model)
         self._on_weights_changed()
         await task.deferLater(self._reactor, REPORT_LAG_S)
-        is_slow = False
         while self._clock.now() < load_deadline:
             report = await self._request_report(announcement)
             if report is not None and self._apply_report(
                 announcement, report, order
             ):
-                self._planner.record_load(is_slow, len(self._loads_in_flight))
                 return "loaded"
-            if report is not None and not is_slow:
-                # It would reject items; `_load` ends this mark.
-                is_slow = True
-                self._engines.begin_load(announcement, order.model)
             await task.deferLater(self._reactor, POLL_INTERVAL_S)
         return "not loaded in time"
 
