--- a/packages/node/src/banyanbank_node/_partial_texts.py
+++ b/packages/node/src/banyanbank_node/_partial_texts.py
@@ -61,6 +61,9 @@
         if state is None or item.job.job in self._proposing:
             return None
         kept = state.kept.get(item.spec.item)
+        if kept is not None and kept.first_event != text.first_event:
+            # The ledger ignores parts that do not continue what it has.
+            return None
         begins_at = 0 if kept is None else len(kept.pieces)
         if len(text.pieces) - begins_at < MIN_NEW_EVENTS:
             return None
--- a/tests/node/test_partial_texts.py
+++ b/tests/node/test_partial_texts.py
@@ -87,6 +87,12 @@
         self.commit()
         self.assertEqual(len(self.proposed), 1)
 
+    def test_text_that_begins_elsewhere_is_not_proposed_again(self) -> None:
+        self.ledger.jobs["job"].kept["i1"] = jobs.KeptText(7, [], ())
+        self.generate(ENOUGH)
+        self.commit()
+        self.assertEqual(self.proposed, [])
+
     def test_few_events_wait(self) -> None:
         self.generate(ENOUGH - 1)
         self.commit()
