--- a/review/lab/servers.py
+++ b/review/lab/servers.py
@@ -149,6 +149,8 @@
         length: Number of events of a text, by request id.
         made: Every event that was made, by request id and number.
         named: Newest version that trainers named, by model.
+        left_at: When a request was last at a server, in steady seconds.
+        finished: Requests that a server has finished.
     """
 
     def __init__(self) -> None:
@@ -157,6 +159,8 @@
             lambda: collections.defaultdict(list)
         )
         self.named: dict[str, int] = collections.defaultdict(lambda: 1)
+        self.left_at: dict[str, float] = collections.defaultdict(float)
+        self.finished: set[str] = set()
 
     @staticmethod
     def event(item: str, number: int) -> str:
@@ -283,6 +287,7 @@
             await self._stream(req, run, echo)
         finally:
             self.runs.discard(run)
+            self.texts.left_at[req.request_id] = time.monotonic()
 
     async def _stream(
         self, req: wire.Request, run: Run, echo: dict[str, str]
@@ -325,6 +330,7 @@
             event = f"{first_line}id: {number}\ndata: {data}\n\n"
             connection.write_chunk(event.encode())
         connection.write_chunk(b"")
+        self.texts.finished.add(item)
         self.notes.note("run ended", server=self.name, item=item)
 
 
