--- a/review/lab/wire.py
+++ b/review/lab/wire.py
@@ -8,6 +8,9 @@
 
 MAX_LINE_BYTES = 1 << 20
 
+KEEP_ALIVE_S = 6.0
+"""Time after which keep-alive probes end a connection that is silent."""
+
 BROKEN = (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError)
 """Errors of a connection that was refused, cut or garbled."""
 
@@ -131,6 +134,7 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self.is_silent = False
 
     @property
     def is_closed(self) -> bool:
@@ -142,21 +146,34 @@
     ) -> None:
         """Sends a whole response."""
         sent = headers | {"Content-Length": str(len(body))}
-        self._writer.write(encode_head(f"HTTP/1.1 {status} -", sent) + body)
+        self._write(encode_head(f"HTTP/1.1 {status} -", sent) + body)
 
     def start(self, headers: dict[str, str]) -> None:
         """Begins a response of status 200 in chunks."""
         sent = headers | {"Transfer-Encoding": "chunked"}
-        self._writer.write(encode_head("HTTP/1.1 200 OK", sent))
+        self._write(encode_head("HTTP/1.1 200 OK", sent))
 
     def write_chunk(self, data: bytes) -> None:
         """Sends a chunk; an empty one ends the response."""
-        self._writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        self._write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def silence(self) -> None:
+        """Loses all further bytes, as a path that has gone silent does.
+
+        The caller's keep-alive probes would find out after some seconds.
+        """
+        self.is_silent = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(KEEP_ALIVE_S, self.abort)
 
     def abort(self) -> None:
         """Resets the connection."""
         self._writer.transport.abort()
 
+    def _write(self, data: bytes) -> None:
+        if not self.is_silent:
+            self._writer.write(data)
+
 
 class Server:
     """HTTP server on one loopback address.
@@ -186,6 +203,12 @@
         for connection in list(self._connections):
             connection.abort()
 
+    def silence(self) -> int:
+        """Makes all open connections silent; returns how many."""
+        for connection in self._connections:
+            connection.silence()
+        return len(self._connections)
+
     async def handle(self, req: Request, connection: Connection) -> None:
         """Serves one request."""
         raise NotImplementedError
@@ -201,6 +224,8 @@
                     first, headers = await _read_head(reader)
                     method, target, _ = first.split(" ", 2)
                     body = await _read_body(reader, headers)
+                    if connection.is_silent:
+                        continue
                     req = Request(method, target, headers, body)
                     await self.handle(req, connection)
                     await writer.drain()
