Review case 5: a server that left is used again after a late heartbeat

The leave of a server that was cut off for over 5 s leaves no tombstone, so that a late heartbeat registers it once more (rule DRAIN).

--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -248,23 +248,31 @@
             await asyncio.sleep(0.1)
         raise CannotRunError(f"no acknowledgement of {method} {path}")
 
+    async def announce(
+        self, one: servers.Endpoint, method: str, body: bytes
+    ) -> bool:
+        """Sends what a server says of itself; returns whether it was acked."""
+        for _ in range(STORES):
+            address = self.control_addresses[one.daemon % STORES]
+            with contextlib.suppress(*wire.BROKEN):
+                resp = await wire.call(
+                    address,
+                    method,
+                    f"/-/instances/{one.name}",
+                    {"Content-Type": "application/json"} if body else {},
+                    body,
+                    ACK_TIMEOUT_S,
+                )
+                if resp.status == 200:
+                    return True
+            one.daemon += 1
+        return False
+
     async def _keep_announcing(self, one: servers.Endpoint) -> None:
-        number = 0
         while one.is_up:
-            for _ in range(STORES):
-                address = self.control_addresses[number % STORES]
-                with contextlib.suppress(*wire.BROKEN):
-                    resp = await wire.call(
-                        address,
-                        "PUT",
-                        f"/-/instances/{one.name}",
-                        {"Content-Type": "application/json"},
-                        one.announcement(),
-                        ACK_TIMEOUT_S,
-                    )
-                    if resp.status == 200:
-                        break
-                number += 1
+            heartbeat = one.announcement()
+            if one.is_announced:
+                await self.announce(one, "PUT", heartbeat)
             await asyncio.sleep(HEARTBEAT_S)
 
     def _place(
--- a/review/lab/documents.py
+++ b/review/lab/documents.py
@@ -46,17 +46,13 @@
     } | fields
 
 
-def config(
-    version: int,
-    routes: list[dict[str, typing.Any]],
-    engine_services: list[str],
-) -> dict[str, typing.Any]:
-    """Returns a configuration with a route to the scorers besides."""
-    scorer_route = {
-        "name": "score",
+def plain_route(name: str, kind: str) -> dict[str, typing.Any]:
+    """Returns a route to the plain service."""
+    return {
+        "name": name,
         "host": deployment.HOST,
-        "path-prefix": "/score/",
-        "type": "idempotent",
+        "path-prefix": f"/{name}/",
+        "type": kind,
         "timeout-ms": 1500,
         "target-latency-ms": 200,
         "priority": 2,
@@ -64,6 +60,14 @@
         "max-attempts": 4,
         "public": False,
     }
+
+
+def config(
+    version: int,
+    routes: list[dict[str, typing.Any]],
+    engine_services: list[str],
+) -> dict[str, typing.Any]:
+    """Returns a configuration with a route to the scorers besides."""
     plain_service = {
         "name": PLAIN,
         "health-path": "/health",
@@ -73,7 +77,7 @@
     }
     return {
         "version": version,
-        "routes": [*routes, scorer_route],
+        "routes": [*routes, plain_route("score", "idempotent")],
         "services": [*map(engine_service, engine_services), plain_service],
         "limits": {
             "max-header-bytes": 16384,
--- a/review/lab/servers.py
+++ b/review/lab/servers.py
@@ -32,6 +32,11 @@
         service: Name of its service.
         zone: Zone that it runs in.
         notes: Record of the case.
+
+    Attributes:
+        is_up: Whether it has not ended.
+        is_announced: Whether its heartbeats are sent.
+        daemon: Number of the store that it calls.
     """
 
     slots = 8
@@ -51,6 +56,8 @@
         self.zone = zone
         self.notes = notes
         self.is_up = True
+        self.is_announced = True
+        self.daemon = 0
         self._born = int(time.time() * 1000)
         self._sequence = 0
 
@@ -108,10 +115,21 @@
 
 
 class PlainServer(Endpoint):
-    """Server of a plain service; signs its responses."""
+    """Server of a plain service; signs its responses.
+
+    Attributes:
+        work_s: Seconds that a request takes.
+        arrivals: When each request came, in steady seconds, and its id.
+        answered: Ids of the requests that were answered.
+    """
 
     work_s = 0.03
 
+    def __init__(self, *args: typing.Any) -> None:
+        super().__init__(*args)
+        self.arrivals: list[tuple[float, str]] = []
+        self.answered: set[str] = set()
+
     async def run(
         self,
         req: wire.Request,
@@ -119,8 +137,12 @@
         echo: dict[str, str],
     ) -> None:
         """Answers after a while."""
+        self.arrivals.append((time.monotonic(), req.request_id))
         self.notes.note("ran", server=self.name, id=req.request_id)
         await asyncio.sleep(self.work_s)
+        if not self.is_up:
+            return
+        self.answered.add(req.request_id)
         signature = {"X-Banyanbank-Response-Signature": f"s.{req.request_id}"}
         connection.respond(200, echo | signature, b"done")
 
