--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,9 +8,10 @@
 from lab import documents
 from lab import main
 from lab import trainer
+from lab import wire
 
-TEXT_EVENTS = 100
-"""Five seconds of output at the pace of the engines."""
+TEXT_EVENTS = 160
+"""Eight seconds of output at the pace of the engines."""
 
 RUN_OUT_S = 25.0
 """Time from the submission of the step to its trainer's deadline, `due-ms`."""
@@ -41,7 +42,10 @@
         system, "label", "57e10000", min_version=2, groups=2, number=1
     )
     await ahead.submit()
-    await asyncio.sleep(3.0)
+    if not await wire.wait_until(
+        lambda: all(engine.versions["m0"] == 2 for engine in engines), 7.0
+    ):
+        raise deployment.CannotRunError("not all engines have loaded version 2")
     if is_troubled:
         max(engines, key=lambda engine: len(engine.runs)).crash()
     _, is_ahead_complete = await asyncio.gather(
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -21,7 +21,7 @@
 LINGER_S = 2.5
 """Time for which this server serves beyond that: "at times many seconds"."""
 
-REQUEST_INTERVAL_S = 0.05
+REQUEST_INTERVAL_S = 0.03
 WORK_S = 0.8
 
 
