Review case 3: a text is listed as complete after an empty answer

The known entry: a run is broken off, and the server that is asked to continue the text answers 200 with the request's id and nothing else (rule MIXED).

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Texts of a single-version route while an engine changes its weights."""
+"""Model servers after the connections to them have gone silent once."""
 
 import asyncio
 import pathlib
@@ -9,40 +9,45 @@
 from lab import main
 from lab import trainer
 
-LONG_TEXT_EVENTS = 100
-"""Five seconds of output at the pace of the engines."""
+TEXT_EVENTS = 30
+"""A second and a half of output at the pace of the engines."""
+
+GIVE_UP_S = 12.0
+"""Time from the submission of the step to its trainer's deadline."""
+
+CONTACT_S = 3.0
+"""Bound `contact-ms`: steady state begins so long after the disruption."""
+
+UNSERVED_S = 5.0
+"""Seconds of steady state at no server that the rule allows an item."""
 
 
 async def play(system: deployment.Deployment, is_troubled: bool) -> list[str]:
-    """Names a version while items of a step that was asked ahead run."""
-    system.add_engines("pool-a", 5)
+    """Silences what is open to the model servers while all slots are used."""
+    engines = system.add_engines("pool-a", 5)
     system.add_plain(documents.PLAIN, 2)
-    route = documents.rollout_route(
-        "label", "pool-a", **{"single-version": True, "due-ms": 20_000}
-    )
+    route = documents.rollout_route("label", "pool-a")
     await system.start(documents.config(3, [route], ["pool-a"]))
-    first = trainer.Step(system, "label", "57e00000", groups=2, events=10)
-    ahead = trainer.Step(
-        system, "label", "57e10000", events=LONG_TEXT_EVENTS, number=1
+    step = trainer.Step(
+        system, "label", "57e00000", groups=16, events=TEXT_EVENTS
     )
-    await first.submit()
-    await ahead.submit()
-    if not await first.read(time.monotonic() + 20.0):
-        raise deployment.CannotRunError("the first step is not complete")
-    await first.end()
+    await step.submit()
+    deadline = time.monotonic() + GIVE_UP_S
+    await asyncio.sleep(0.7)
+    steady_from = time.monotonic() + CONTACT_S
     if is_troubled:
-        await asyncio.sleep(0.5)
-        await system.name_version("m0", 2)
-    if not await ahead.read(time.monotonic() + 40.0):
-        raise deployment.CannotRunError("the step ahead is not complete")
-    await ahead.end()
-    if not is_troubled:
-        await system.name_version("m0", 2)
+        count = sum(engine.silence() for engine in engines)
+        system.notes.note("connections silent", count=count)
+    await step.read(deadline)
+    texts = system.texts
+    await step.end()
     return [
-        f"VERSION: result {name} of a single-version route lists the versions "
-        f"{result['versions']}"
-        for name, result in ahead.results.items()
-        if len(result["versions"]) > 1
+        f"LOST: item {item} is not listed at the step's deadline and was at no "
+        f"server in the last {unserved_s:.1f} s of steady state"
+        for item in step.missing
+        if item not in texts.finished
+        and (unserved_s := deadline - max(texts.left_at[item], steady_from))
+        > UNSERVED_S
     ]
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Texts of a single-version route whose model server crashes."""
+"""Texts whose run is broken off before a server answers wrongly."""
 
 import asyncio
 import pathlib
@@ -7,58 +7,92 @@
 from lab import deployment
 from lab import documents
 from lab import main
+from lab import servers
 from lab import trainer
 from lab import wire
 
-TEXT_EVENTS = 160
-"""Eight seconds of output at the pace of the engines."""
+GARBLING_SERVERS = 3
+SERVERS = 5
+MAX_SPOILED_SHARE = 0.03
+"""Share of their answers that the garbling servers may spoil."""
 
-RUN_OUT_S = 25.0
-"""Time from the submission of the step to its trainer's deadline, `due-ms`."""
+MAX_BROKEN = 6
+"""Answers that are broken off at most until one of the texts is emptied."""
 
-UNSERVED_S = 5.0
-"""Seconds of steady state at no server that the rule allows an item."""
+EVENTS = 12
+EVENT_S = 0.02
+BROKEN_AFTER_S = 3.5 * EVENT_S
+
+
+class GarblingEngine(servers.Engine):
+    """Model server that breaks off or spoils a few of its answers.
+
+    Attributes:
+        is_garbling: Whether the disruption lasts.
+        broken: Items whose answers were broken off, at any server.
+        emptied: Items whose text was continued by an empty answer.
+        answers: Number of answers of this server.
+    """
+
+    event_s = EVENT_S
+    is_garbling = False
+    broken: set[str] = set()
+    emptied: set[str] = set()
+    answers = 0
+
+    async def _stream(
+        self, req: wire.Request, run: servers.Run, echo: dict[str, str]
+    ) -> None:
+        self.answers += 1
+        item = req.request_id
+        may_spoil = self.is_garbling and not self.emptied
+        if may_spoil and item in self.broken:
+            self.emptied.add(item)
+            self.notes.note("empty answer", server=self.name, item=item)
+            run.connection.start(echo)
+            run.connection.write_chunk(b"")
+            return
+        if may_spoil and len(self.broken) < MAX_BROKEN:
+            self.broken.add(item)
+            self.notes.note("answer broken off", server=self.name, item=item)
+            loop = asyncio.get_running_loop()
+            loop.call_later(BROKEN_AFTER_S, run.connection.abort)
+        await super()._stream(req, run, echo)
 
 
 async def play(system: deployment.Deployment, is_troubled: bool) -> list[str]:
-    """Crashes one of six model servers after a version was loaded."""
-    engines = system.add_engines("pool-a", 6)
+    """Spoils a few of the answers of three of five model servers."""
+    engines = system.add_engines("pool-a", SERVERS, GarblingEngine)
     system.add_plain(documents.PLAIN, 2)
-    route = documents.rollout_route(
-        "label",
-        "pool-a",
-        **{"single-version": True, "due-ms": RUN_OUT_S * 1000},
-    )
+    route = documents.rollout_route("label", "pool-a", **{"due-ms": 20_000})
     await system.start(documents.config(3, [route], ["pool-a"]))
+    garbling = [
+        engine
+        for engine in engines[:GARBLING_SERVERS]
+        if isinstance(engine, GarblingEngine)
+    ]
+    for engine in garbling:
+        engine.is_garbling = is_troubled
     step = trainer.Step(
-        system, "label", "57e00000", groups=6, size=2, events=TEXT_EVENTS
+        system, "label", "57e00000", groups=72, size=8, events=EVENTS
     )
     await step.submit()
-    deadline = time.monotonic() + RUN_OUT_S
-    await asyncio.sleep(0.5)
-    await system.name_version("m0", 2)
-    # Asked ahead by a trainer that allows the newest version only.
-    ahead = trainer.Step(
-        system, "label", "57e10000", min_version=2, groups=2, number=1
-    )
-    await ahead.submit()
-    if not await wire.wait_until(
-        lambda: all(engine.versions["m0"] == 2 for engine in engines), 7.0
-    ):
-        raise deployment.CannotRunError("not all engines have loaded version 2")
-    if is_troubled:
-        max(engines, key=lambda engine: len(engine.runs)).crash()
-    _, is_ahead_complete = await asyncio.gather(
-        step.read(deadline), ahead.read(deadline)
-    )
-    if not is_ahead_complete:
-        raise deployment.CannotRunError("the step ahead is not complete")
+    if not await step.read(time.monotonic() + 40.0):
+        raise deployment.CannotRunError("the step is not complete")
+    await step.end()
+    answers = sum(engine.answers for engine in garbling)
+    spoiled = len(GarblingEngine.broken) + len(GarblingEngine.emptied)
+    system.notes.note("answers spoiled", spoiled=spoiled, answers=answers)
+    if spoiled > MAX_SPOILED_SHARE * answers:
+        raise deployment.CannotRunError("too many answers were spoiled")
+    if is_troubled and not GarblingEngine.emptied:
+        raise deployment.CannotRunError("no broken text came to a garbling one")
     return [
-        f"LOST: item {item} is not listed at the step's deadline and was last "
-        f"at a server {unserved_s:.1f} s before"
-        for item in step.missing
-        if (unserved_s := deadline - system.texts.left_at[item]) > UNSERVED_S
-        and item not in system.texts.finished
+        f"MIXED: result {name} is completed with {len(result['text'])} of "
+        f"{len(system.texts.whole(name))} characters of its output"
+        for name, result in step.results.items()
+        if result["state"] == "completed"
+        and result["text"] != system.texts.whole(name)
     ]
 
 
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -152,13 +152,14 @@
         return [one for one in self.servers if isinstance(one, servers.Engine)]
 
     def add_engines(
-        self, service: str, count: int, models: tuple[str, ...] = ("m0",)
+        self,
+        service: str,
+        count: int,
+        kind: type[servers.Engine] = servers.Engine,
     ) -> list[servers.Engine]:
         """Adds model servers; they start with the deployment."""
         added = [
-            servers.Engine(*self._place(service, number)).prepare(
-                self.texts, models
-            )
+            kind(*self._place(service, number)).prepare(self.texts, ["m0"])
             for number in range(count)
         ]
         self.servers.extend(added)
