--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import time
+import typing
 
 from lab import deployment
 from lab import documents
@@ -16,8 +17,8 @@
 MAX_SPOILED_SHARE = 0.03
 """Share of their answers that the garbling servers may spoil."""
 
-MAX_BROKEN = 6
-"""Answers that are broken off at most until one of the texts is emptied."""
+MAX_STEPS = 3
+"""Steps until a broken text has come to a garbling server."""
 
 EVENTS = 12
 EVENT_S = 0.02
@@ -28,7 +29,8 @@
     """Model server that breaks off or spoils a few of its answers.
 
     Attributes:
-        is_garbling: Whether the disruption lasts.
+        is_garbling: Whether this server spoils answers.
+        has_broken_off: Whether it has broken off an answer in this step.
         broken: Items whose answers were broken off, at any server.
         emptied: Items whose text was continued by an empty answer.
         answers: Number of answers of this server.
@@ -36,6 +38,7 @@
 
     event_s = EVENT_S
     is_garbling = False
+    has_broken_off = False
     broken: set[str] = set()
     emptied: set[str] = set()
     answers = 0
@@ -52,7 +55,8 @@
             run.connection.start(echo)
             run.connection.write_chunk(b"")
             return
-        if may_spoil and len(self.broken) < MAX_BROKEN:
+        if may_spoil and not self.has_broken_off:
+            self.has_broken_off = True
             self.broken.add(item)
             self.notes.note("answer broken off", server=self.name, item=item)
             loop = asyncio.get_running_loop()
@@ -71,15 +75,27 @@
         for engine in engines[:GARBLING_SERVERS]
         if isinstance(engine, GarblingEngine)
     ]
-    for engine in garbling:
-        engine.is_garbling = is_troubled
-    step = trainer.Step(
-        system, "label", "57e00000", groups=72, size=8, events=EVENTS
-    )
-    await step.submit()
-    if not await step.read(time.monotonic() + 40.0):
-        raise deployment.CannotRunError("the step is not complete")
-    await step.end()
+    results: dict[str, typing.Any] = {}
+    for number in range(MAX_STEPS):
+        for engine in garbling:
+            engine.is_garbling = is_troubled
+            engine.has_broken_off = False
+        step = trainer.Step(
+            system,
+            "label",
+            f"57e{number}0000",
+            groups=80,
+            size=8,
+            events=EVENTS,
+            number=number,
+        )
+        await step.submit()
+        if not await step.read(time.monotonic() + 25.0):
+            raise deployment.CannotRunError("the step is not complete")
+        await step.end()
+        results |= step.results
+        if GarblingEngine.emptied:
+            break
     answers = sum(engine.answers for engine in garbling)
     spoiled = len(GarblingEngine.broken) + len(GarblingEngine.emptied)
     system.notes.note("answers spoiled", spoiled=spoiled, answers=answers)
@@ -90,7 +106,7 @@
     return [
         f"MIXED: result {name} is completed with {len(result['text'])} of "
         f"{len(system.texts.whole(name))} characters of its output"
-        for name, result in step.results.items()
+        for name, result in results.items()
         if result["state"] == "completed"
         and result["text"] != system.texts.whole(name)
     ]
