Count one event that ends many runs as one failure of an engine

Callers saw a step run out of time: connections to the model servers went silent once, and no item was sent to any server for up to 16 s.

Cause: each lost run doubled the backoff of its engine, whether or not it had begun before the last failure; all engines in their backoff meant that none was tried; only time ended a backoff. Requests were ranked by the same count, and a kept connection that ended while idle was a failure, too.

Ruled out: slow detection (2.5 s by the log) and missing slots.

Why the fix works: a run that began before the last failure may have been ended by the same event and tells nothing new. A run that generates, or a new start, ends the backoff; an idle engine is probed when all that may run an item are in theirs. A connection lost before any byte of the answer, on which requests had been answered before, says nothing about the server.

MassResetTest failed before (0 of 4 items running 2.1 s after the event) and passes now.

--- a/packages/gateway/src/banyanbank_gateway/_selection.py
+++ b/packages/gateway/src/banyanbank_gateway/_selection.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 import random
 
 import attrs
@@ -18,7 +19,8 @@
 
 @attrs.define
 class _EndpointHealth:
-    suspect_until: float = 0.0
+    failed_at: float = -math.inf
+    suspect_until: float = -math.inf
     consecutive_failures: int = 0
 
 
@@ -88,12 +90,24 @@
         if self._in_flight[endpoint] <= 0:
             del self._in_flight[endpoint]
 
-    def failed(self, endpoint: base.EndpointId, now: float) -> None:
+    def failed(
+        self, endpoint: base.EndpointId, sent_at: float, now: float
+    ) -> None:
         """Records a failure; the endpoint ranks last during its backoff.
 
         The backoff grows with the number of consecutive failures, up to four.
+        Requests that were sent before the last failure may have been ended by
+        the same event and do not count.
+
+        Args:
+            endpoint: Endpoint that the request was sent to.
+            sent_at: When the request was sent.
+            now: Current time.
         """
         health = self._health.setdefault(endpoint, _EndpointHealth())
+        if sent_at <= health.failed_at:
+            return
+        health.failed_at = now
         health.consecutive_failures = min(health.consecutive_failures + 1, 4)
         health.suspect_until = (
             now + SUSPECT_BACKOFF_S * health.consecutive_failures
--- a/packages/jobs/src/banyanbank_jobs/_engines.py
+++ b/packages/jobs/src/banyanbank_jobs/_engines.py
@@ -1,5 +1,7 @@
 """Speed and recent failures of the engines that run items."""
 
+import math
+
 import attrs
 import banyanbank_base as base
 
@@ -12,6 +14,9 @@
 SUSPECT_BACKOFF_S = 2.0
 """Time without new items after a failure; doubles with each further one."""
 
+PROBE_DELAY_S = 0.5
+"""Time after a failure from which an engine may be probed with one item."""
+
 MAX_BACKOFF_EXPONENT = 3
 """Maximum number of doublings of the backoff."""
 
@@ -34,6 +39,8 @@
     """Models whose weights are being replaced; their items are rejected."""
     room: int | None = None
     """Items that its rate limit allows to be sent now; None without a limit."""
+    born_ms: int = 0
+    """Unix time of its start in milliseconds; identifies the incarnation."""
 
     def count_free(self, running: int) -> int:
         """Returns how many items may be sent now.
@@ -47,17 +54,32 @@
 
 @attrs.define
 class _EngineStats:
+    born_ms: int = 0
     event_interval_s: float = NOMINAL_EVENT_INTERVAL_S
-    suspect_until: float = 0.0
+    failed_at: float = -math.inf
+    suspect_until: float = -math.inf
     consecutive_failures: int = 0
 
 
 class EngineHealth:
-    """Tracks the average event interval and the failures of engines."""
+    """Tracks the average event interval and the failures of engines.
+
+    One event, such as a reset of all connections, ends many runs at once. Runs
+    that began before the last failure of their engine may have been ended by
+    the same event, so only a run that began afterwards tells something new.
+    """
 
     def __init__(self) -> None:
         self._stats: dict[base.EndpointId, _EngineStats] = {}
 
+    def observe_incarnation(
+        self, endpoint: base.EndpointId, born_ms: int
+    ) -> None:
+        """Discards what is known of an earlier incarnation of an engine."""
+        stats = self._stats.setdefault(endpoint, _EngineStats(born_ms))
+        if stats.born_ms < born_ms:
+            self._stats[endpoint] = _EngineStats(born_ms)
+
     def record_event_interval(
         self, endpoint: base.EndpointId, seconds: float
     ) -> None:
@@ -73,9 +95,34 @@
         )
         stats.consecutive_failures = 0
 
-    def record_failure(self, endpoint: base.EndpointId, now: float) -> None:
-        """Records a failure; the engine gets no items during its backoff."""
+    def record_first_event(
+        self, endpoint: base.EndpointId, began_at: float
+    ) -> None:
+        """Ends the backoff of an engine that generates for a new run.
+
+        Args:
+            endpoint: Engine that generated the event.
+            began_at: Start time of the run.
+        """
         stats = self._stats.setdefault(endpoint, _EngineStats())
+        if began_at > stats.failed_at:
+            stats.suspect_until = -math.inf
+            stats.consecutive_failures = 0
+
+    def record_failure(
+        self, endpoint: base.EndpointId, began_at: float, now: float
+    ) -> None:
+        """Records a lost run; the engine gets no items during its backoff.
+
+        Args:
+            endpoint: Engine that the run was sent to.
+            began_at: Start time of the run.
+            now: Current time.
+        """
+        stats = self._stats.setdefault(endpoint, _EngineStats())
+        if began_at <= stats.failed_at:
+            return
+        stats.failed_at = now
         stats.suspect_until = (
             now + SUSPECT_BACKOFF_S * 2**stats.consecutive_failures
         )
@@ -88,6 +135,11 @@
         stats = self._stats.get(endpoint)
         return stats is not None and now < stats.suspect_until
 
+    def may_probe(self, endpoint: base.EndpointId, now: float) -> bool:
+        """Whether an engine in its backoff may be sent one item."""
+        stats = self._stats.get(endpoint)
+        return stats is None or now >= stats.failed_at + PROBE_DELAY_S
+
     def mean_event_interval_s(self, endpoint: base.EndpointId) -> float:
         """Returns the average time between events."""
         stats = self._stats.get(endpoint)
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -229,6 +229,8 @@
             engines: All engines that are considered alive.
             now: Current time.
         """
+        for engine in engines:
+            self._health.observe_incarnation(engine.endpoint, engine.born_ms)
         free = {
             view.endpoint: view.count_free(self.running_on(view.endpoint))
             for view in engines
@@ -337,7 +339,7 @@
             if not self._health.is_suspect(view.endpoint, now)
         ]
         if not healthy:
-            return None
+            return self._choose_probe(item, engines, usable, free, now)
         shortest_interval_s = min(
             self._health.mean_event_interval_s(view.endpoint)
             for view in healthy
@@ -361,6 +363,33 @@
 
         return min(healthy, key=cost)
 
+    def _choose_probe(
+        self,
+        item: ItemProgress,
+        engines: collections.abc.Sequence[_engines.EngineView],
+        usable: collections.abc.Sequence[_engines.EngineView],
+        free: collections.abc.Mapping[base.EndpointId, int],
+        now: float,
+    ) -> _engines.EngineView | None:
+        """Returns an idle suspect engine if no healthy one may run the item.
+
+        What all engines failed at may be the connections to them, so waiting
+        for the end of every backoff would stop the job.
+        """
+        if any(
+            may_run(item, view)
+            and not self._health.is_suspect(view.endpoint, now)
+            for view in engines
+        ):
+            return None
+        for view in usable:
+            is_idle = not self.running_on(view.endpoint) and (
+                free[view.endpoint] == view.count_free(0)
+            )
+            if is_idle and self._health.may_probe(view.endpoint, now):
+                return view
+        return None
+
     def _remove_from_engine(self, item: ItemProgress) -> None:
         if item.engine is not None:
             self._running[item.engine].discard(item.key)
--- a/packages/mesh/src/banyanbank_mesh/__init__.py
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -3,6 +3,7 @@
 from banyanbank_mesh._bounded_heads import BoundedHeadPool
 from banyanbank_mesh._bounded_heads import HeadTooLongError
 from banyanbank_mesh._bounded_heads import MAX_HEAD_BYTES
+from banyanbank_mesh._bounded_heads import StaleConnectionError
 from banyanbank_mesh._errors import CallError
 from banyanbank_mesh._errors import CallErrorKind
 from banyanbank_mesh._errors import HandlerRefusalError
@@ -37,6 +38,7 @@
     "MeshTls",
     "NotAnAddressError",
     "ReadResult",
+    "StaleConnectionError",
     "SteadyReactor",
     "Stream",
     "StreamClosedError",
--- a/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -1,4 +1,4 @@
-"""Bounds the heads of answers that HTTP clients read."""
+"""HTTP client connections: bounded heads of answers, and stale ones."""
 
 import typing
 
@@ -15,14 +15,24 @@
     """A peer sent more than a head without ending it."""
 
 
+class StaleConnectionError(Exception):
+    """A kept connection was lost before any byte of an answer.
+
+    The peer may have closed it while it was idle, so the loss says nothing
+    about the peer's health.
+    """
+
+
 class _BoundedHeadProtocol(client.HTTP11ClientProtocol):
     """Counts what comes before an answer's body; Twisted bounds only lines."""
 
     _head_bytes: int | None = None
+    _request_count = 0
 
     def request(self, request: typing.Any) -> "defer.Deferred[iweb.IResponse]":
         """Sends a request; its answer's head is counted from here."""
         self._head_bytes = 0
+        self._request_count += 1
         return super().request(request).addBoth(self._end_head)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -42,7 +52,16 @@
             )
 
     def _end_head(self, outcome: typing.Any) -> typing.Any:
+        is_unanswered = self._head_bytes == 0
         self._head_bytes = None
+        if (
+            isinstance(outcome, failure.Failure)
+            and is_unanswered
+            and self._request_count > 1
+        ):
+            return failure.Failure(
+                StaleConnectionError(outcome.getErrorMessage())
+            )
         return outcome
 
 
@@ -56,3 +75,12 @@
     """Keeps connections whose answers have heads of a bounded length."""
 
     _factory = _BoundedHeadFactory
+
+    def close_idle(self, host: str, port: int) -> None:
+        """Closes the idle connections to one address."""
+        for key, connections in self._connections.items():
+            if key[1:] != (host.encode(), port):
+                continue
+            for connection in list(connections):
+                self._timeouts[connection].cancel()
+                self._removeConnection(key, connection)
--- a/packages/node/src/banyanbank_node/_engine_table.py
+++ b/packages/node/src/banyanbank_node/_engine_table.py
@@ -94,6 +94,7 @@
             versions=versions,
             is_ready=announcement.state is gateway.EndpointState.READY,
             loading=frozenset(weights.loading),
+            born_ms=announcement.born_ms,
         )
 
     def _weights_of(self, announcement: gateway.Announcement) -> _EngineWeights:
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -285,7 +285,8 @@
                     forwarding.may_have_run_since or sent_at
                 )
             if not forwarding.is_abandoned:
-                self._picker.failed(target.endpoint, now)
+                if not error.is_stale_connection:
+                    self._picker.failed(target.endpoint, sent_at, now)
                 self._log_attempt(forwarding, target, "lost", error.detail)
             return None
         response_headers, answer = exchange_result.unwrap()
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -229,10 +229,9 @@
         )
         sent = await self._upstream.send(req)
         if isinstance(sent, result.Failure):
+            # A run that the leader cancelled is not a failure of the engine.
             if self._runs.get(item) is run:
-                self._handle_lost(run, sent.failure().detail)
-            # Otherwise the leader cancelled the run, which is not a failure of
-            # the engine.
+                self._handle_unanswered(run, sent.failure())
             return
         end = await self._reader.read(run, sent.unwrap())
         if end.kind is _run_reader.RunEndKind.GENERATED:
@@ -242,9 +241,18 @@
         else:
             self._handle_lost(run, end.detail)
 
+    def _handle_unanswered(
+        self, run: _run_reader.Run, error: web.UpstreamError
+    ) -> None:
+        if error.is_stale_connection:
+            self._log_run(run, "connection was stale", error.detail)
+            self._requeue(run, 0.0)
+        else:
+            self._handle_lost(run, error.detail)
+
     def _handle_lost(self, run: _run_reader.Run, detail: str) -> None:
         self._health.record_failure(
-            run.announcement.endpoint, self._clock.now()
+            run.announcement.endpoint, run.began_at, self._clock.now()
         )
         self._log_run(run, "lost", detail)
         self._requeue(run, jobs.FAILED_RETRY_DELAY_S)
@@ -334,6 +342,7 @@
             if run.last_received_at < cutoff and run.task is not None:
                 self._handle_lost(run, f"no data for {STREAM_IDLE_TIMEOUT_S} s")
                 run.task.cancel()
+                self._upstream.close_idle(f"http://{run.announcement.address}")
 
     def _give_up_expired(self) -> None:
         now = self._true_time.now()
--- a/packages/node/src/banyanbank_node/_run_reader.py
+++ b/packages/node/src/banyanbank_node/_run_reader.py
@@ -181,6 +181,9 @@
             )
         if events and not run.events:
             self.meters.items.record(now - run.began_at, "first_event")
+            self.health.record_first_event(
+                run.announcement.endpoint, run.began_at
+            )
         run.events += len(events)
         run.last_received_at = now
 
--- a/tests/node/test_item_runs.py
+++ b/tests/node/test_item_runs.py
@@ -38,6 +38,44 @@
                 self.assertEqual(started == [], is_excluded, started)
 
 
+class MassResetTest(unittest.TestCase):
+    """Losing all runs of all engines at once stops a job for 2 s at most.
+
+    Guards against steps that run out of time after connections went silent or
+    were reset once.
+    """
+
+    def test_items_run_again_after_an_event(self) -> None:
+        for name, lose in (
+            ("connections are silent", _exceed_idle_timeout),
+            ("connections are reset", _reset_connections),
+        ):
+            with self.subTest(name):
+                engines = running.FakeEngines("e1", "e2")
+                leader = running.Leader(engines)
+                leader.runs.tick()
+                items = [samples.make_item(f"i{n}") for n in range(4)]
+                leader.accept(samples.make_job("j", *items, due_at=200.0))
+                self.assertEqual(len(engines.waiting()), 4)
+                lose(leader)
+                leader.runs.tick()
+                leader.clock.advance(2.1)
+                leader.runs.tick()
+                self.assertEqual(len(engines.waiting()), 4)
+
+    def test_stale_connection_is_not_a_failure_of_the_engine(self) -> None:
+        """Guards against engines excluded for closing idle connections."""
+        engines = running.FakeEngines("e")
+        leader = running.Leader(engines)
+        leader.runs.tick()
+        leader.accept(samples.make_job("j", due_at=200.0))
+        lost = engines.waiting()
+        for sent in lost:
+            sent.answered.errback(ConnectionError(running.STALE))
+        leader.runs.tick()
+        self.assertEqual(len(engines.waiting()), len(lost))
+
+
 def _exceed_idle_timeout(leader: running.Leader) -> None:
     leader.clock.advance(3.0)
 
