Take only signed answers for those of an endpoint

Callers read a text as completed with a quarter of its events: a run broke off, and an empty 200 of the engine that was to continue it ended the text.

Cause: an engine has nothing to add to a text that is whole, so an answer without events and weight version was its end, whoever it came from. The signature, without which a success does not count, was not looked at. An entry passed unsigned successes on to callers for the same reason.

Ruled out: asking once more.

Why the fix works: an answer that is not the engine's own is a lost run; an unsigned success is no answer to a caller's request.

JobTest.test_empty_answer_after_broken_stream_is_not_its_end was known red and passes; the stand-ins sign answers to items as engines do.

--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -46,6 +46,8 @@
 )
 """Hop-by-hop headers, which are not forwarded."""
 
+MIN_SUCCESS_STATUS = 200
+MIN_REDIRECT_STATUS = 300
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 INTERNAL_SERVER_ERROR_STATUS = 500
@@ -241,14 +243,11 @@
             return send_result
         resp = send_result.unwrap()
         response_headers = self._wire.read_response_headers(resp)
-        if not _is_answer_to(forwarding.req, resp.status, response_headers):
-            # Duplicate answer to an earlier request on this connection.
+        mismatch = _find_mismatch(forwarding.req, resp.status, response_headers)
+        if mismatch is not None:
             resp.cancel()
             return result.Failure(
-                web.UpstreamError(
-                    base.Outcome.MAY_HAVE_RUN,
-                    f"the answer names request {response_headers.request_id!r}",
-                )
+                web.UpstreamError(base.Outcome.MAY_HAVE_RUN, mismatch)
             )
         self._limits.observe(target, resp.status, response_headers, sent_at)
         try:
@@ -356,16 +355,22 @@
         )
 
 
-def _is_answer_to(
+def _find_mismatch(
     req: _ports.CallerRequest,
     status: int,
     response_headers: _ports.ResponseHeaders,
-) -> bool:
-    """Whether an answer belongs to a request.
+) -> str | None:
+    """Returns why an answer is not a request's own, or None if it is.
 
-    An error status is accepted without a request id. A success without one is
-    rejected, since it may belong to another request.
+    An error status is accepted without a request id or signature. A success
+    without them is rejected: it may be a late answer to an earlier request on
+    the connection, or not the endpoint's own.
     """
-    if not response_headers.request_id and status >= MIN_ERROR_STATUS:
-        return True
-    return response_headers.request_id == req.request_id
+    is_error = status >= MIN_ERROR_STATUS
+    named = response_headers.request_id
+    if named != req.request_id and (named or not is_error):
+        return f"the answer names request {named!r}"
+    is_success = MIN_SUCCESS_STATUS <= status < MIN_REDIRECT_STATUS
+    if is_success and not response_headers.signature:
+        return "the answer is a success without a signature"
+    return None
--- a/packages/node/src/banyanbank_node/_run_reader.py
+++ b/packages/node/src/banyanbank_node/_run_reader.py
@@ -116,6 +116,9 @@
                 status=resp.status,
                 has_not_run=response_headers.has_not_run,
             )
+        if not response_headers.signature:
+            # Also proves that an answer without events found the text complete.
+            return _lost_end("answer is not signed")
         if not self._may_generate(run, response_headers):
             return _lost_end(
                 f"weight version {response_headers.weight_version} is too old"
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -34,6 +34,8 @@
     """Whether the endpoint reports that the request did not run."""
     headers: tuple[tuple[str, str], ...] = ()
     """Headers."""
+    signature: str = "signature"
+    """Signature of the answer; empty for none."""
 
     async def read_all(
         self, max_bytes: int
@@ -95,7 +97,7 @@
 
     def read_response_headers(reply: Reply) -> _ports.ResponseHeaders:
         return _ports.ResponseHeaders(
-            reply.request_id, reply.has_not_run, "signature", None
+            reply.request_id, reply.has_not_run, reply.signature, None
         )
 
     endpoints = [samples.make_announcement(f"e{number}") for number in range(3)]
@@ -195,6 +197,7 @@
 
     def test_answers(self) -> None:
         own, other, none = Reply(REQUEST_ID), Reply("r-0"), Reply("")
+        unsigned = Reply(REQUEST_ID, signature="")
         full = Reply(REQUEST_ID, 503, has_not_run=True)
         repeatable = gateway.RouteKind.IDEMPOTENT
         not_repeatable = gateway.RouteKind.NON_IDEMPOTENT
@@ -209,6 +212,21 @@
                 2,
             ),
             ("answer without an id, then own", repeatable, [none, own], 200, 2),
+            ("success without a signature", not_repeatable, [unsigned], ran, 1),
+            (
+                "success without a signature, then own",
+                repeatable,
+                [unsigned, own],
+                200,
+                2,
+            ),
+            (
+                "client error without a signature",
+                not_repeatable,
+                [attrs.evolve(unsigned, status=404)],
+                404,
+                1,
+            ),
             (
                 "answer to another request, not repeatable",
                 not_repeatable,
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -174,6 +174,9 @@
             request.setHeader("x-banyanbank-weight-versions", version)
         request_id = request.getHeader("x-banyanbank-request-id")
         request.setHeader("x-banyanbank-request-id", str(request_id))
+        request.setHeader(
+            "x-banyanbank-response-signature", f"signed.{request_id}"
+        )
         for number in range(first, EVENT_COUNT + 1):
             if cut_after is not None and number > cut_after:
                 task.deferLater(self._reactor, 0.01, _abort_connection, request)
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -228,6 +228,7 @@
                 )
 
     def test_empty_answer_after_broken_stream_is_not_its_end(self) -> None:
+        """Guards against texts listed as complete without their last events."""
         deployment.run_with_heartbeats(
             functools.partial(self._break_stream_and_fail, status=200, body=b"")
         )
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -40,6 +40,7 @@
         first = int(str(last)) + 1 if last else 1
         request.setHeader("content-type", "text/event-stream")
         request.setHeader("x-banyanbank-request-id", item)
+        request.setHeader("x-banyanbank-response-signature", f"signed.{item}")
         if first <= fakes.EVENT_COUNT:
             version = self.versions["model"]
             request.setHeader("x-banyanbank-weight-versions", str(version))
