Run items at the services that their own route names

Operators moved one of two rollout routes to another service, and items of either route were run by the servers of both.

Cause: the engines of all rollout routes were one list, from which an engine was chosen by model and version. The route that stands in the job was not looked at when an item was started or moved. Orders of engines took all items as demand of each service.

Ruled out: a late document; items of the route that did not change went to the new service, too.

Why the fix works: the scheduler asks for the services of the item's route in the document in force at each decision. Groups are spread over the targets of a split by weighted rendezvous hashing, so that leaders agree. Items whose route has been gone for 2 s are listed as dead, since they cannot be served.

RouteTest failed in 3 of 3 cases before and passes.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -17,6 +17,7 @@
 from banyanbank_gateway._known_limits import LimitObservation
 from banyanbank_gateway._rate_limiter import RateLimiter
 from banyanbank_gateway._routing import draw_service
+from banyanbank_gateway._routing import rank_services
 from banyanbank_gateway._routing import RouteTable
 from banyanbank_gateway._selection import EndpointPicker
 from banyanbank_gateway._synced_clock import SyncedClock
@@ -48,4 +49,5 @@
     "UsageTotals",
     "WindowCounts",
     "draw_service",
+    "rank_services",
 ]
--- a/packages/gateway/src/banyanbank_gateway/_routing.py
+++ b/packages/gateway/src/banyanbank_gateway/_routing.py
@@ -1,5 +1,7 @@
 """Finds the route, the service and the client account of a request."""
 
+import hashlib
+import math
 import random
 
 import attrs
@@ -45,6 +47,20 @@
                 return route
         return None
 
+    def find_rollout_route(
+        self, host: str, prefix: str
+    ) -> _documents.Route | None:
+        """Returns the route that runs the items of a batch job now, or None.
+
+        Args:
+            host: Host that the job was submitted to.
+            prefix: Path prefix of the route that accepted the job.
+        """
+        route = self.find(host, prefix)
+        if route is None or route.kind is not _documents.RouteKind.ROLLOUT:
+            return None
+        return route
+
     def account_of(self, key: str | None) -> base.AccountId | None:
         """Returns the client account of a key; None if there is none."""
         if key is None or self.document.accounts is None:
@@ -68,3 +84,32 @@
     weights = [target.weight for target in route.targets]
     (drawn,) = rng.choices(route.targets, weights)
     return drawn.service
+
+
+def rank_services(route: _documents.Route, key: str) -> tuple[str, ...]:
+    """Returns the services of a route in the order of preference of a key.
+
+    Keys are spread over the services by target weight (weighted rendezvous
+    hashing), so that all instances agree on the order. A service without
+    weight is left out.
+
+    Args:
+        route: Route with one or more targets.
+        key: Identifies the work, such as the group of an item.
+    """
+    if len(route.targets) == 1:
+        return (route.targets[0].service,)
+    ranked = sorted(
+        (_hash_cost(target, key), target.service)
+        for target in route.targets
+        if target.weight > 0
+    )
+    return tuple(service for _, service in ranked)
+
+
+def _hash_cost(target: _documents.Target, key: str) -> float:
+    digest = hashlib.blake2b(
+        f"{target.service}\0{key}".encode(), digest_size=8
+    ).digest()
+    uniform = (int.from_bytes(digest) + 1) / 2**64
+    return -math.log(uniform) / target.weight
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -56,6 +56,10 @@
 FAILED_RETRY_DELAY_S = 0.2
 """Delay before an item whose run failed is placed again."""
 
+UNROUTED_GRACE_S = 2.0
+"""Time without a route after which an item is given up; an operator may replace
+a route by two changes."""
+
 ItemKey = tuple[str, str]
 """Ids of the job and of the item."""
 
@@ -99,6 +103,8 @@
     """Start time of the current run."""
     is_spare: bool = False
     """Whether its trainer is expected to finish without its group."""
+    unrouted_until: float | None = None
+    """When the item is given up for lack of a route; None with a route."""
 
     @property
     def key(self) -> ItemKey:
@@ -116,15 +122,26 @@
     """Engine that runs the item."""
 
 
+FindServices = collections.abc.Callable[
+    [ItemProgress], collections.abc.Sequence[str]
+]
+"""Returns the services that the route of an item allows now, the preferred one
+first; empty if its route is gone."""
+
+
 class Scheduler:
     """Tracks the items without a result and places them on engines.
 
     Args:
         health: Speed and recent failures of the engines.
+        find_services: Returns the services that may run an item.
     """
 
-    def __init__(self, health: _engines.EngineHealth) -> None:
+    def __init__(
+        self, health: _engines.EngineHealth, find_services: FindServices
+    ) -> None:
         self._health = health
+        self._find_services = find_services
         self._items: dict[ItemKey, ItemProgress] = {}
         self._running: dict[base.EndpointId, set[ItemKey]] = (
             collections.defaultdict(set)
@@ -235,9 +252,11 @@
             view.endpoint: view.count_free(self.running_on(view.endpoint))
             for view in engines
         }
+        by_service = _group_by_service(engines)
         placements = []
         for item in self._waiting_items(now):
-            view = self._choose_engine(item, engines, free, now)
+            permitted = self._permitted_engines(item, by_service, now)
+            view = self._choose_engine(item, permitted, free, now)
             if view is None:
                 continue
             free[view.endpoint] -= 1
@@ -266,6 +285,7 @@
             view.endpoint: view.count_free(self.running_on(view.endpoint))
             for view in engines
         }
+        by_service = _group_by_service(engines)
         moves = []
         for item in self._items.values():
             if item.stage is not Stage.RUNNING or item.engine is None:
@@ -278,9 +298,8 @@
             )
             better = [
                 view
-                for view in engines
+                for view in self._permitted_engines(item, by_service, now)
                 if free[view.endpoint] > 0
-                and may_run(item, view)
                 and not self._health.is_suspect(view.endpoint, now)
                 and self._health.mean_event_interval_s(view.endpoint)
                 < max_interval_s
@@ -296,6 +315,19 @@
                 moves.append(item)
         return moves
 
+    def take_unrouted(self, now: float) -> list[ItemProgress]:
+        """Returns the waiting items that have had no route for a while."""
+        unrouted = []
+        for item in self._items.values():
+            if item.stage is not Stage.WAITING or self._find_services(item):
+                item.unrouted_until = None
+                continue
+            if item.unrouted_until is None:
+                item.unrouted_until = now + UNROUTED_GRACE_S
+            if now >= item.unrouted_until:
+                unrouted.append(item)
+        return unrouted
+
     def _waiting_items(self, now: float) -> list[ItemProgress]:
         waiting = [
             item
@@ -321,25 +353,47 @@
             - remaining_events * _engines.NOMINAL_EVENT_INTERVAL_S
         )
 
+    def _permitted_engines(
+        self,
+        item: ItemProgress,
+        by_service: collections.abc.Mapping[str, list[_engines.EngineView]],
+        now: float,
+    ) -> list[_engines.EngineView]:
+        """Returns the engines of one service that may run an item.
+
+        The service is the preferred one of the item's route, unless none of
+        its engines is healthy and may run the item.
+        """
+        fallback: list[_engines.EngineView] = []
+        for service in self._find_services(item):
+            views = [
+                view
+                for view in by_service.get(service, ())
+                if may_run(item, view)
+            ]
+            if any(
+                not self._health.is_suspect(view.endpoint, now)
+                for view in views
+            ):
+                return views
+            fallback = fallback or views
+        return fallback
+
     def _choose_engine(
         self,
         item: ItemProgress,
-        engines: collections.abc.Sequence[_engines.EngineView],
+        permitted: collections.abc.Sequence[_engines.EngineView],
         free: dict[base.EndpointId, int],
         now: float,
     ) -> _engines.EngineView | None:
-        usable = [
-            view
-            for view in engines
-            if free[view.endpoint] > 0 and may_run(item, view)
-        ]
+        usable = [view for view in permitted if free[view.endpoint] > 0]
         healthy = [
             view
             for view in usable
             if not self._health.is_suspect(view.endpoint, now)
         ]
         if not healthy:
-            return self._choose_probe(item, engines, usable, free, now)
+            return self._choose_probe(permitted, free, now)
         shortest_interval_s = min(
             self._health.mean_event_interval_s(view.endpoint)
             for view in healthy
@@ -365,9 +419,7 @@
 
     def _choose_probe(
         self,
-        item: ItemProgress,
-        engines: collections.abc.Sequence[_engines.EngineView],
-        usable: collections.abc.Sequence[_engines.EngineView],
+        permitted: collections.abc.Sequence[_engines.EngineView],
         free: collections.abc.Mapping[base.EndpointId, int],
         now: float,
     ) -> _engines.EngineView | None:
@@ -377,14 +429,15 @@
         for the end of every backoff would stop the job.
         """
         if any(
-            may_run(item, view)
-            and not self._health.is_suspect(view.endpoint, now)
-            for view in engines
+            not self._health.is_suspect(view.endpoint, now)
+            for view in permitted
         ):
             return None
-        for view in usable:
-            is_idle = not self.running_on(view.endpoint) and (
-                free[view.endpoint] == view.count_free(0)
+        for view in permitted:
+            is_idle = (
+                not self.running_on(view.endpoint)
+                and free[view.endpoint] == view.count_free(0)
+                and free[view.endpoint] > 0
             )
             if is_idle and self._health.may_probe(view.endpoint, now):
                 return view
@@ -396,6 +449,15 @@
             item.engine = None
 
 
+def _group_by_service(
+    engines: collections.abc.Iterable[_engines.EngineView],
+) -> dict[str, list[_engines.EngineView]]:
+    by_service: dict[str, list[_engines.EngineView]] = {}
+    for view in engines:
+        by_service.setdefault(view.service, []).append(view)
+    return by_service
+
+
 def may_run(item: ItemProgress, view: _engines.EngineView) -> bool:
     """Whether an engine accepts an item and holds a permitted version."""
     if not view.is_ready:
--- a/packages/node/src/banyanbank_node/_capacity_duty.py
+++ b/packages/node/src/banyanbank_node/_capacity_duty.py
@@ -127,7 +127,7 @@
         if shape is None or scaling is None:
             return False
         domains = self._count_engines(service.name)
-        busy_slots = self._items_per_s() * self._mean_run_s()
+        busy_slots = self._items_per_s(service.name) * self._mean_run_s()
         wanted = jobs.count_wanted_engines(busy_slots, shape.slots)
         planner = self._planners.setdefault(
             service.name, jobs.CapacityPlanner(service.name)
@@ -150,16 +150,27 @@
             self._order_task = running
         return True
 
-    def _items_per_s(self) -> float:
-        """Returns the rate at which items were submitted lately."""
+    def _items_per_s(self, service: str) -> float:
+        """Returns the rate at which items for a service were submitted."""
         since = self._true_time.now() - jobs.DEMAND_WINDOW_S
         items = sum(
-            len(state.job.items)
+            len(state.job.items) * self._share_of(service, state.job)
             for state in self._stored.ledger.jobs.values()
             if state.job.accepted_at >= since
         )
         return items / jobs.DEMAND_WINDOW_S
 
+    def _share_of(self, service: str, job: jobs.Job) -> float:
+        """Returns the share of a job's items that its route gives a service."""
+        table = self._stored.table
+        if table is None:
+            return 0.0
+        route = table.find_rollout_route(job.host, job.route)
+        if route is None:
+            return 0.0
+        weights = {target.service: target.weight for target in route.targets}
+        return weights.get(service, 0.0) / sum(weights.values())
+
     def _update_seen(self, now: float) -> None:
         for announcement in self._directory.all():
             self._seen[announcement.endpoint] = _SeenEngine(announcement, now)
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -134,7 +134,13 @@
     _make_kind(
         "item.run",
         "job item endpoint outcome detail last_event age_ms",
-        "A run ended: generated, lost, refused or moved.",
+        "A run ended: generated, lost, stale (its kept connection had ended),"
+        " refused or moved.",
+    ),
+    _make_kind(
+        "item.unrouted",
+        "job item host route",
+        "The route of an item is gone; the item is given up.",
     ),
     _make_kind(
         "item.not_graded",
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -91,7 +91,7 @@
         self._committer = committer
         self._events = events
         self._health = jobs.EngineHealth()
-        self._scheduler = jobs.Scheduler(self._health)
+        self._scheduler = jobs.Scheduler(self._health, self._find_services)
         self._reader = _run_reader.RunReader(
             clock, wire, engines, self._health, meters, limits
         )
@@ -114,6 +114,7 @@
                 self._scheduler.add_job(state)
         self._cancel_silent_runs()
         self._give_up_expired()
+        self._give_up_unrouted()
         self._move_slow_runs()
         self.place_items()
         self._partial_texts.commit(self._scheduler.items())
@@ -148,7 +149,7 @@
         if not self._has_loaded_jobs or not len(self._scheduler):
             return
         now = self._clock.now()
-        for placement in self._scheduler.plan(self._rollout_engines(), now):
+        for placement in self._scheduler.plan(self._engine_views(), now):
             announcement = self._engines.get(placement.engine)
             if announcement is not None and self._stored.has_lease:
                 self._scheduler.mark_started(placement)
@@ -156,7 +157,7 @@
 
     def _move_slow_runs(self) -> None:
         for item in self._scheduler.plan_moves(
-            self._rollout_engines(), self._clock.now()
+            self._engine_views(), self._clock.now()
         ):
             run = self._runs.get(item)
             if run is not None and run.task is not None:
@@ -164,21 +165,19 @@
                 self._requeue(run, 0.0)
                 run.task.cancel()
 
-    def _rollout_engines(self) -> list[jobs.EngineView]:
+    def _engine_views(self) -> list[jobs.EngineView]:
+        return [self._add_room(view) for view in self._engines.views()]
+
+    def _find_services(self, item: jobs.ItemProgress) -> tuple[str, ...]:
+        """Returns the services that the item's route allows now."""
         table = self._stored.table
         if table is None:
-            return []
-        services = {
-            target.service
-            for route in table.document.routes
-            if route.kind is gateway.RouteKind.ROLLOUT
-            for target in route.targets
-        }
-        return [
-            self._add_room(view)
-            for view in self._engines.views()
-            if view.service in services
-        ]
+            return ()
+        route = table.find_rollout_route(item.job.host, item.job.route)
+        if route is None:
+            return ()
+        # Items of a group share a prompt, which one service then caches.
+        return gateway.rank_services(route, item.spec.group or item.spec.item)
 
     def _add_room(self, view: jobs.EngineView) -> jobs.EngineView:
         announcement = self._engines.get(view.endpoint)
@@ -245,7 +244,7 @@
         self, run: _run_reader.Run, error: web.UpstreamError
     ) -> None:
         if error.is_stale_connection:
-            self._log_run(run, "connection was stale", error.detail)
+            self._log_run(run, "stale", error.detail)
             self._requeue(run, 0.0)
         else:
             self._handle_lost(run, error.detail)
@@ -354,6 +353,19 @@
                 self._cancel_tasks(item)
                 self._finish(item, jobs.ItemOutcome.DEAD, "")
 
+    def _give_up_unrouted(self) -> None:
+        if self._stored.table is None:
+            return
+        for item in self._scheduler.take_unrouted(self._clock.now()):
+            self._events.write(
+                "item.unrouted",
+                job=item.job.job,
+                item=item.spec.item,
+                host=item.job.host,
+                route=item.job.route,
+            )
+            self._finish(item, jobs.ItemOutcome.DEAD, "")
+
     def _cancel_tasks(self, item: jobs.ItemProgress) -> None:
         run = self._runs.pop(item, None)
         if run is not None and run.task is not None:
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -3,6 +3,7 @@
 import typing
 import unittest
 
+import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 
@@ -47,6 +48,31 @@
         return str.startswith(self, *args)
 
 
+class RankServicesTest(unittest.TestCase):
+    """Keys are spread over the services of a route by weight."""
+
+    def test_shares(self) -> None:
+        for name, weights, want in (
+            ("one target", {"a": 1.0}, {"a": 1.0}),
+            ("equal weights", {"a": 1.0, "b": 1.0}, {"a": 0.5, "b": 0.5}),
+            ("a tenth", {"a": 9.0, "b": 1.0}, {"a": 0.9, "b": 0.1}),
+            ("no weight", {"a": 0.0, "b": 1.0}, {"a": 0.0, "b": 1.0}),
+        ):
+            with self.subTest(name):
+                targets = tuple(
+                    gateway.Target(service, weight)
+                    for service, weight in weights.items()
+                )
+                route = attrs.evolve(
+                    make_route("r", "a.example", "/x/"), targets=targets
+                )
+                keys = [f"group-{number}" for number in range(2000)]
+                first = [gateway.rank_services(route, key)[0] for key in keys]
+                for service, share in want.items():
+                    found = first.count(service) / len(keys)
+                    self.assertAlmostEqual(found, share, delta=0.04)
+
+
 class RouteTableTest(unittest.TestCase):
     """The route with the longest matching prefix is found."""
 
--- a/tests/jobs/samples.py
+++ b/tests/jobs/samples.py
@@ -6,6 +6,12 @@
 ACCOUNT = base.AccountId("account")
 
 
+def find_services(item: jobs.ItemProgress) -> tuple[str, ...]:
+    """Finds the service of all sample engines for each item."""
+    del item
+    return ("engines",)
+
+
 def make_item(
     name: str, prefix: str = "", length_hint: int = 0
 ) -> jobs.JobItem:
@@ -53,11 +59,12 @@
     slots: int = 2,
     is_ready: bool = True,
     loading: tuple[str, ...] = (),
+    service: str = "engines",
     **versions: int,
 ) -> jobs.EngineView:
     return jobs.EngineView(
         endpoint=base.EndpointId(name),
-        service="engines",
+        service=service,
         slots=slots,
         versions=versions,
         is_ready=is_ready,
--- a/tests/jobs/test_engines.py
+++ b/tests/jobs/test_engines.py
@@ -90,7 +90,7 @@
 
     def setUp(self) -> None:
         self.health = jobs.EngineHealth()
-        self.scheduler = jobs.Scheduler(self.health)
+        self.scheduler = jobs.Scheduler(self.health, samples.find_services)
         names = [f"i{number}" for number in range(9)]
         job = samples.make_job("j", *map(samples.make_item, names))
         self.scheduler.add_job(jobs.JobState(job, []))
--- a/tests/jobs/test_groups.py
+++ b/tests/jobs/test_groups.py
@@ -59,7 +59,7 @@
                 self.assertEqual(found, frozenset(spare))
 
     def test_unfinished_group_is_not_spare_again(self) -> None:
-        scheduler = jobs.Scheduler(jobs.EngineHealth())
+        scheduler = jobs.Scheduler(jobs.EngineHealth(), samples.find_services)
         first = make_step(random.Random(1), WANTED_GROUPS)
         scheduler.add_job(jobs.JobState(first, []))
         (left,) = {i.spec.group for i in scheduler.items() if i.is_spare}
@@ -88,7 +88,7 @@
 
 def _simulate_step(step: jobs.Job) -> float:
     """Returns when the wanted groups are complete; a token takes one second."""
-    scheduler = jobs.Scheduler(jobs.EngineHealth())
+    scheduler = jobs.Scheduler(jobs.EngineHealth(), samples.find_services)
     scheduler.add_job(jobs.JobState(step, []))
     engine = samples.make_engine("e", slots=SLOTS)
     running: list[tuple[float, int, jobs.ItemProgress]] = []
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -12,9 +12,12 @@
 class SchedulerTest(unittest.TestCase):
     """Order of items and choice of their engines."""
 
+    services: tuple[str, ...] = ("engines",)
+    """Services that the route of all items allows."""
+
     def setUp(self) -> None:
         self.health = jobs.EngineHealth()
-        self.scheduler = jobs.Scheduler(self.health)
+        self.scheduler = jobs.Scheduler(self.health, lambda item: self.services)
 
     def add(self, job: jobs.Job) -> None:
         self.scheduler.add_job(jobs.JobState(job, []))
@@ -91,6 +94,73 @@
                 self.add(samples.make_job("j", model="m", least_version=4))
                 self.assertEqual(bool(self.start(engine)), is_started)
 
+    def test_items_run_at_the_services_of_their_route(self) -> None:
+        """Guards against items run by the engines of another route."""
+        engines = [
+            samples.make_engine("a1", service="a"),
+            samples.make_engine("a2", service="a"),
+            samples.make_engine("b1", service="b"),
+            samples.make_engine("a3", service="a", is_ready=False),
+            samples.make_engine("c1", service="c", is_ready=False),
+        ]
+        for name, services, want in (
+            ("one service", ("b",), {"b1"}),
+            ("the preferred one first", ("b", "a"), {"b1"}),
+            ("the next one without a ready engine", ("c", "b"), {"b1"}),
+            ("unknown service", ("d",), set()),
+            ("no route", (), set()),
+        ):
+            with self.subTest(name):
+                self.services = services
+                self.setUp()
+                self.add(samples.make_job("j"))
+                self.assertEqual(set(self.start(*engines).values()), want)
+
+    def test_route_changes_between_two_runs(self) -> None:
+        engines = [
+            samples.make_engine("a1", service="a"),
+            samples.make_engine("b1", service="b"),
+        ]
+        self.services = ("a",)
+        self.add(samples.make_job("j", samples.make_item("i1")))
+        self.assertEqual(self.start(*engines), {"i1": "a1"})
+        self.services = ("b",)
+        self.scheduler.requeue(self.item("i1"), not_before=0.0)
+        self.assertEqual(self.start(*engines), {"i1": "b1"})
+
+    def test_item_moves_within_the_services_of_its_route(self) -> None:
+        for service, moves in (("engines", 1), ("other", 0)):
+            with self.subTest(service):
+                self.setUp()
+                self.add(samples.make_job("j", samples.make_item("i1")))
+                self.start(samples.make_engine("slow"))
+                for _ in range(40):
+                    self.health.record_event_interval(
+                        base.EndpointId("slow"), 0.2
+                    )
+                engines = [
+                    samples.make_engine("slow"),
+                    samples.make_engine("fast", service=service),
+                ]
+                planned = self.scheduler.plan_moves(engines, now=1.0)
+                self.assertEqual(len(planned), moves)
+
+    def test_item_without_a_route_is_given_up_after_a_while(self) -> None:
+        for name, services_at, now, is_given_up in (
+            ("route is there", {0.0: ("a",)}, 3.0, False),
+            ("route is gone", {0.0: ()}, 2.1, True),
+            ("route is gone for a moment", {0.0: (), 1.0: ("a",)}, 3.0, False),
+            ("gone again", {0.0: (), 1.0: ("a",), 2.0: ()}, 3.0, False),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.add(samples.make_job("j", samples.make_item("i1")))
+                for at, services in services_at.items():
+                    self.services = services
+                    self.assertEqual(self.scheduler.take_unrouted(at), [])
+                given_up = self.scheduler.take_unrouted(now)
+                self.assertEqual(bool(given_up), is_given_up)
+
     def test_single_version_text_continues_with_its_version(self) -> None:
         self.add(
             samples.make_job(
--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -9,6 +9,7 @@
 import banyanbank_jobs as jobs
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _item_runs
+from banyanbank_node import _result_committer
 import banyanbank_web as web
 from returns import result
 from twisted.internet import defer
@@ -38,16 +39,25 @@
 
     Args:
         names: Names of the engines.
+        services: Service of each engine that is not in `engines`, by name.
     """
 
-    def __init__(self, *names: str) -> None:
+    def __init__(
+        self, *names: str, services: dict[str, str] | None = None
+    ) -> None:
         self.names = [base.EndpointId(name) for name in names]
+        self._services = services or {}
         self.sent: list[SentRequest] = []
 
     def views(self) -> list[jobs.EngineView]:
         """Returns all engines as idle, with weight version 99 of the model."""
         return [
-            jobs.EngineView(name, "engines", SLOTS, {"m": 99})
+            jobs.EngineView(
+                name,
+                self._services.get(name, "engines"),
+                SLOTS,
+                {"m": 99},
+            )
             for name in self.names
         ]
 
@@ -115,7 +125,9 @@
             ledger=self.ledger,
             has_lease=True,
             propose=self._propose,
-            table=gateway.RouteTable(_document()),
+            table=gateway.RouteTable(
+                make_document(gateway.Target("engines", 1.0))
+            ),
         )
         self.stored = stored
         events = _as_any(types.SimpleNamespace(write=self._write))
@@ -128,13 +140,27 @@
             _as_any(engines),
             _as_any(engines),
             _as_any(None),
-            _as_any(None),
+            _result_committer.ResultCommitter(
+                _as_any(None),
+                self.clock,
+                _as_any(stored),
+                events,
+                _as_any(
+                    types.SimpleNamespace(
+                        items=types.SimpleNamespace(record=lambda *rest: None)
+                    )
+                ),
+            ),
             events,
             _as_any(None),
             _endpoint_limits.EndpointLimits(self.clock, true_time, events),
             _as_any(types.SimpleNamespace(charge=lambda target: None)),
         )
 
+    def configure(self, *targets: gateway.Target) -> None:
+        """Puts a document in force whose route has the given targets."""
+        self.stored.table = gateway.RouteTable(make_document(*targets))
+
     def accept(self, job: jobs.Job) -> None:
         """Commits a job."""
         self._apply(jobs.AcceptJob(job))
@@ -157,19 +183,33 @@
         self.events.append((event, fields))
 
 
-def _document() -> gateway.Document:
-    route = gateway.Route(
-        name="rollouts",
+def make_rollout_route(
+    *targets: gateway.Target, prefix: str = "/route/"
+) -> gateway.Route:
+    """Returns a rollout route; by default that of the sample jobs."""
+    return gateway.Route(
+        name=prefix.strip("/"),
         host="host.example",
-        prefix="/route/",
+        prefix=prefix,
         kind=gateway.RouteKind.ROLLOUT,
-        targets=(gateway.Target("engines", 1.0),),
+        targets=targets,
         timeout_s=10.0,
         objective_s=0.4,
         max_attempts=3,
         is_public=True,
     )
-    return gateway.Document(1, (route,), {}, gateway.Limits(), None)
+
+
+def make_document(*targets: gateway.Target) -> gateway.Document:
+    """Returns a document with a route of the given targets and another one.
+
+    The other route has engines of its own; without targets, it is the only one.
+    """
+    other_target = gateway.Target("other", 1.0)
+    routes = [make_rollout_route(other_target, prefix="/other/")]
+    if targets:
+        routes.append(make_rollout_route(*targets))
+    return gateway.Document(1, tuple(routes), {}, gateway.Limits(), None)
 
 
 def _as_any(value: object) -> typing.Any:
--- a/tests/node/test_capacity_duty.py
+++ b/tests/node/test_capacity_duty.py
@@ -13,6 +13,8 @@
 import banyanbank_web as web
 from returns import result
 
+from tests.node import running
+
 HERE = base.FailureDomain("here")
 THERE = base.FailureDomain("there")
 SLOTS = 8
@@ -65,10 +67,13 @@
             gateway.EngineShape(SLOTS, 1000, ()),
             gateway.Scaling(1, 6),
         )
-        document = types.SimpleNamespace(services={"engines": service})
+        route = running.make_rollout_route(gateway.Target("engines", 1.0))
+        document = gateway.Document(
+            1, (route,), {"engines": service}, gateway.Limits(), None
+        )
         stored = types.SimpleNamespace(
             ledger=self.ledger,
-            table=types.SimpleNamespace(document=document),
+            table=gateway.RouteTable(document),
             node=types.SimpleNamespace(epoch=3),
         )
         guard = types.SimpleNamespace(
@@ -118,8 +123,8 @@
         job = jobs.Job(
             job=f"job-{now}",
             account=base.AccountId("a"),
-            host="h",
-            route="/",
+            host="host.example",
+            route="/route/",
             items=tuple(
                 jobs.JobItem(f"i{n}", "/", (), b"", 1) for n in range(items)
             ),
--- a/tests/node/test_item_runs.py
+++ b/tests/node/test_item_runs.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import banyanbank_gateway as gateway
+import banyanbank_jobs as jobs
+
 from tests.jobs import samples
 from tests.node import running
 
@@ -76,6 +79,51 @@
         self.assertEqual(len(engines.waiting()), len(lost))
 
 
+class RouteTest(unittest.TestCase):
+    """Items run at the services that their route names now.
+
+    Guards against items run by the engines of another route.
+    """
+
+    def setUp(self) -> None:
+        self.engines = running.FakeEngines("a1", "b1", services={"b1": "other"})
+        self.leader = running.Leader(self.engines)
+        self.leader.runs.tick()
+
+    def accept(self, name: str) -> set[str]:
+        """Accepts a job; returns the engines that its items run on."""
+        self.leader.accept(samples.make_job(name, due_at=200.0))
+        return {
+            str(sent.engine)
+            for sent in self.engines.waiting()
+            if sent.item.job.job == name
+        }
+
+    def test_change_of_the_route(self) -> None:
+        self.assertEqual(self.accept("before"), {"a1"})
+        self.leader.configure(gateway.Target("other", 1.0))
+        self.assertEqual(self.accept("after"), {"b1"})
+
+    def test_service_without_weight(self) -> None:
+        self.leader.configure(
+            gateway.Target("engines", 0.0), gateway.Target("other", 1.0)
+        )
+        self.assertEqual(self.accept("j"), {"b1"})
+
+    def test_route_that_is_gone(self) -> None:
+        self.leader.configure()
+        self.assertEqual(self.accept("j"), set())
+        for seconds, outcomes in (
+            (1.0, []),
+            (3.0, [jobs.ItemOutcome.DEAD] * 2),
+        ):
+            self.leader.runs.tick()
+            self.leader.clock.advance(seconds)
+            self.leader.runs.tick()
+            results = self.leader.ledger.jobs["j"].results
+            self.assertEqual([found.outcome for found in results], outcomes)
+
+
 def _exceed_idle_timeout(leader: running.Leader) -> None:
     leader.clock.advance(3.0)
 
