Assign engines only models that they have

With two services of engines, engines were assigned models of the other service and loaded no further version of their own; their texts would have waited for versions that never came.

Cause: the planner divided all engines among all models and did not ask which models an engine has, as the scheduler did not ask for the route.

Why the fix works: engines are grouped by the published models that they have, and each group is divided by itself. With one service nothing changes.

Evidence: test_services_with_different_models failed before (an engine of m0 and m1 was assigned m2 and m3) and passes; the other tests are unchanged.

--- a/packages/jobs/src/banyanbank_jobs/_weights.py
+++ b/packages/jobs/src/banyanbank_jobs/_weights.py
@@ -77,7 +77,15 @@
             demand: Outstanding work of each model, in any common unit.
         """
         ready = [view for view in engines if view.is_ready]
-        self._assign_models(ready, newest, demand)
+        pools = _group_by_models(ready, newest)
+        self._assign_models(pools, newest, demand)
+        # Too few engines to spread the models over them.
+        all_models = {
+            view.endpoint
+            for models, pool in pools.items()
+            for view in pool
+            if len(pool) < len(models)
+        }
         urgent: list[LoadOrder] = []
         optional: list[LoadOrder] = []
         for model in sorted(newest):
@@ -85,7 +93,7 @@
                 view
                 for view in ready
                 if model in self._models_of.get(view.endpoint, ())
-                or len(ready) < len(newest)
+                or (view.endpoint in all_models and model in view.versions)
             ]
             loads = _plan_model_loads(
                 model, newest[model], needed.get(model, 0), assigned_engines
@@ -104,6 +112,24 @@
         return dict(self._models_of)
 
     def _assign_models(
+        self,
+        pools: collections.abc.Mapping[
+            frozenset[str], collections.abc.Sequence[_engines.EngineView]
+        ],
+        newest: collections.abc.Mapping[str, int],
+        demand: collections.abc.Mapping[str, float],
+    ) -> None:
+        """Assigns each engine some of the models that it has."""
+        self._models_of = {
+            view.endpoint: models & self._models_of[view.endpoint]
+            for models, pool in pools.items()
+            for view in pool
+            if view.endpoint in self._models_of
+        }
+        for models, pool in pools.items():
+            self._assign_pool(pool, {m: newest[m] for m in models}, demand)
+
+    def _assign_pool(
         self,
         ready: collections.abc.Sequence[_engines.EngineView],
         newest: collections.abc.Mapping[str, int],
@@ -111,20 +137,13 @@
     ) -> None:
         """Assigns models to engines in proportion to their demand."""
         views = {view.endpoint: view for view in ready}
-        self._models_of = {
-            endpoint: models.intersection(newest)
-            for endpoint, models in self._models_of.items()
-            if endpoint in views
-        }
-        if not newest or not ready:
-            return
         per_engine = min(self._models_per_engine, len(newest))
         wanted = share_engines(
             per_engine * len(ready),
             {m: demand.get(m, 0) for m in newest},
             max_per_model=len(ready),
         )
-        counts = self._count_engines()
+        counts = self._count_engines(views)
         for view in ready:
             models = self._models_of.get(view.endpoint, frozenset())
             while len(models) < per_engine:
@@ -149,7 +168,7 @@
         wanted: collections.abc.Mapping[str, int],
     ) -> None:
         """Reassigns one engine if the lower peak demand justifies the load."""
-        counts = self._count_engines()
+        counts = self._count_engines(views)
         under_assigned = [
             model for model in wanted if counts[model] < wanted[model]
         ]
@@ -179,7 +198,7 @@
         movable = [
             name
             for name, models in self._models_of.items()
-            if source in models and target not in models
+            if name in views and source in models and target not in models
         ]
         if not movable:
             return
@@ -192,13 +211,30 @@
         )
         self._models_of[moved] = self._models_of[moved] - {source} | {target}
 
-    def _count_engines(self) -> collections.Counter[str]:
-        """Returns the number of engines assigned to each model."""
+    def _count_engines(
+        self, engines: collections.abc.Iterable[base.EndpointId]
+    ) -> collections.Counter[str]:
+        """Returns how many of some engines are assigned to each model."""
         return collections.Counter(
-            model for models in self._models_of.values() for model in models
+            model
+            for endpoint in engines
+            for model in self._models_of.get(endpoint, ())
         )
 
 
+def _group_by_models(
+    engines: collections.abc.Iterable[_engines.EngineView],
+    newest: collections.abc.Mapping[str, int],
+) -> dict[frozenset[str], list[_engines.EngineView]]:
+    """Groups engines by which of the published models they have."""
+    pools: dict[frozenset[str], list[_engines.EngineView]] = {}
+    for view in engines:
+        models = frozenset(newest).intersection(view.versions)
+        if models:
+            pools.setdefault(models, []).append(view)
+    return pools
+
+
 def max_concurrent_loads(engines: int) -> int:
     """Returns how many of the engines may load weights concurrently."""
     return max(1, int(MAX_LOADING_SHARE * engines))
--- a/tests/jobs/test_weights.py
+++ b/tests/jobs/test_weights.py
@@ -201,6 +201,29 @@
                     self.planner.plan(views, newest, newest, demand)
                 self.assertEqual(self.count(), want)
 
+    def test_services_with_different_models(self) -> None:
+        """Guards against engines assigned models that they do not have."""
+        first, second = ("m0", "m1"), ("m2", "m3")
+        models_of = {f"a{n}": first for n in range(3)}
+        models_of |= {f"b{n}": second for n in range(5)}
+        demand = {"m0": 300.0, "m1": 100.0, "m2": 2000.0, "m3": 2000.0}
+        held = {name: dict.fromkeys(own, 1) for name, own in models_of.items()}
+        for newest in range(2, 6):
+            versions = dict.fromkeys(demand, newest)
+            for _ in range(12):
+                views = [
+                    samples.make_engine(name, **own)
+                    for name, own in held.items()
+                ]
+                for order in self.planner.plan(
+                    views, versions, versions, demand
+                ):
+                    held[str(order.endpoint)][order.model] = order.version
+            for name, models in self.planner.assigned().items():
+                self.assertLessEqual(models, set(models_of[str(name)]))
+            for name, own in held.items():
+                self.assertEqual(own, dict.fromkeys(models_of[name], newest))
+
     def test_engine_gets_one_order(self) -> None:
         """An engine rejects a second order while it carries out the first."""
         newest = {"m": 2, "n": 2}
