Ask a leader again that followers name for longer than an election takes

Operators saw entries answer 404 for routes whose change had been acknowledged more than config-ms before, with dep.leader_lost in their logs.

Cause: a poll without an answer in 0.8 s set the leader aside for 2 s, while the entry asked the followers, which rightly named that leader, every 50 ms. A stall of half a second, too short for an election, was enough.

Ruled out: a late document at the leader, and slow decoding.

Why the fix works: followers name a silent leader for one election timeout at most. If they still name it later than that after the call was sent, they have heard from it since. Lost links are noticed at once and cost little to try again.

--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -5,6 +5,7 @@
 
 import attrs
 import banyanbank_base as base
+import banyanbank_consensus as consensus
 import banyanbank_mesh as mesh
 from returns import result
 from twisted.internet import task
@@ -17,8 +18,14 @@
 ATTEMPT_TIMEOUT_S = 0.8
 """Default timeout of a call to one store."""
 
-AVOIDANCE_S = 2.0
-"""Time for which a store that failed to answer is tried after all others."""
+SILENCE_AVOIDANCE_S = consensus.MAX_ELECTION_TIMEOUT_S + 0.1
+"""Time after a call that was not answered in time during which the store is
+tried after all others. Followers that name it later have heard from it since,
+or they would have begun an election."""
+
+LOST_LINK_AVOIDANCE_S = 0.3
+"""Time for which a store is tried after all others once a link to it was lost
+or not made. Such a failure is noticed at once, so another try costs little."""
 
 MAX_TIMER_DELAY_S = 0.25
 """Delay of a timer beyond which this process is taken to have been stopped."""
@@ -155,9 +162,8 @@
             first = None
         while self._clock.now() < deadline:
             target = first or self._next_target()
-            attempt_deadline = min(
-                deadline, self._clock.now() + attempt_timeout_s
-            )
+            sent_at = self._clock.now()
+            attempt_deadline = min(deadline, sent_at + attempt_timeout_s)
             call_result = await self._attempt_call(
                 target, method, data, attempt_deadline
             )
@@ -175,7 +181,7 @@
                 detail = f"{target}: {error.detail}"
                 may_have_run |= error.outcome is not base.Outcome.NOT_RUN
                 if not self._was_suspended(attempt_deadline):
-                    self._avoid(target)
+                    self._avoid(target, error.kind, sent_at)
             first = None
             await task.deferLater(self._reactor, RETRY_DELAY_S)
         return result.Failure(StoreCallError(may_have_run, detail))
@@ -217,13 +223,20 @@
         heard = [store for store in rotated if not self._is_avoided(store)]
         return (heard or rotated)[0]
 
-    def _avoid(self, store: base.InstanceId) -> None:
+    def _avoid(
+        self, store: base.InstanceId, kind: mesh.CallErrorKind, sent_at: float
+    ) -> None:
         """Deprioritizes a store that failed to answer.
 
         Followers keep naming a leader that is frozen or partitioned until they
         elect another one.
         """
-        self._avoided_until[store] = self._clock.now() + AVOIDANCE_S
+        now = self._clock.now()
+        self._avoided_until[store] = (
+            max(now, sent_at + SILENCE_AVOIDANCE_S)
+            if kind is mesh.CallErrorKind.DEADLINE
+            else now + LOST_LINK_AVOIDANCE_S
+        )
         if self._leader_hint == store:
             self._leader_hint = None
 
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -28,6 +28,7 @@
         self.called_stores: list[base.InstanceId] = []
         self.leader = FROZEN
         self.is_silent = True
+        self.error_kind = mesh.CallErrorKind.DEADLINE
 
     def set_peer(self, *_: typing.Any) -> None:
         """Does nothing: all stores are reachable."""
@@ -39,9 +40,10 @@
         response: defer.Deferred[typing.Any] = defer.Deferred()
         if peer == FROZEN and self.is_silent:
             error = mesh.CallError(
-                mesh.CallErrorKind.DEADLINE, base.Outcome.MAY_HAVE_RUN, "silent"
+                self.error_kind, base.Outcome.MAY_HAVE_RUN, "silent"
             )
-            wait_s = deadline - self._clock.seconds()
+            is_late = self.error_kind is mesh.CallErrorKind.DEADLINE
+            wait_s = deadline - self._clock.seconds() if is_late else 0.0
             self._clock.callLater(
                 wait_s, response.callback, result.Failure(error)
             )
@@ -90,6 +92,26 @@
         self.assertEqual(self.stores.called_stores.count(FROZEN), 1)
         self.assertLess(took_s, 1.5)
 
+    def test_leader_that_stalled_is_asked_again(self) -> None:
+        """Guards against polling followers for seconds that name a leader.
+
+        They would name it no longer if they had not heard from it.
+        """
+        for name, kind, silent_s, most_s in (
+            ("stall", mesh.CallErrorKind.DEADLINE, 0.9, 1.5),
+            ("lost link", mesh.CallErrorKind.DISCONNECTED, 0.1, 0.5),
+            ("refused connection", mesh.CallErrorKind.UNREACHABLE, 0.5, 1.0),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.stores.error_kind = kind
+                self.clock.callLater(
+                    silent_s, setattr, self.stores, "is_silent", False
+                )
+                answered, took_s = self.call(limit_s=4.0)
+                self.assertTrue(answered)
+                self.assertLess(took_s, most_s)
+
     def test_leader_is_not_blamed_for_the_freeze_of_the_caller(self) -> None:
         running = defer.ensureDeferred(
             self.client.call("method", _messages.Accepted(), 0.8, 0.8)
