Deny nothing from a configuration that may be outdated

Operators saw proper requests answered 404 and 401 by entries that had missed a change (DENIED, and CONFIG: refused as only an older version allows).

Cause: an entry looked only at the table that it holds, and not at how long ago a leader had confirmed it, although it keeps that time and logs it.

Why the fix works: once a poll has failed (0.8 s), a missing route or key may be one that was added meanwhile. The entry answers 503 with "not run" and a Retry-After, and the caller's retry reaches another entry. Requests that the table allows go on as before, and so do denials while polls are answered.

The test checks the answers without a leader and failed before (no such state).

--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -165,14 +165,16 @@
             )
         route = table.find(host, path)
         if route is None:
-            return base.Refusal(
-                base.RefusalReason.NOT_FOUND,
-                base.Outcome.NOT_RUN,
-                "No route matches this host and path.",
+            return self._deny(
+                base.Refusal(
+                    base.RefusalReason.NOT_FOUND,
+                    base.Outcome.NOT_RUN,
+                    "No route matches this host and path.",
+                )
             )
         account = table.account_of(key)
         if account is None and table.needs_key(route):
-            return _make_unauthenticated_refusal()
+            return self._deny(_make_unauthenticated_refusal())
         return route, account
 
     def authenticate_for_jobs(
@@ -187,7 +189,21 @@
         if table.document.accounts is None:
             return base.AccountId("")
         account = table.account_of(key)
-        return _make_unauthenticated_refusal() if account is None else account
+        if account is None:
+            return self._deny(_make_unauthenticated_refusal())
+        return account
+
+    def _deny(self, refusal: base.Refusal) -> base.Refusal:
+        """Returns the refusal of a request that the configuration forbids.
+
+        A later configuration may allow it, so an entry that may have missed one
+        refuses in a way that lets the caller try another entry.
+        """
+        if self.sync.is_current:
+            return refusal
+        return _make_no_leader_refusal(
+            "the configuration of this entry may be outdated; try again"
+        )
 
     def prepare_forwarding(
         self,
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -24,6 +24,10 @@
 RESPONSE_MARGIN_S = 0.3
 """Time that the answer may take in addition to the poll."""
 
+MAX_CONTACT_AGE_S = LONG_POLL_TIMEOUT_S + RESPONSE_MARGIN_S
+"""Time since the last answer of a leader after which a poll has failed, so that
+a change may have been missed."""
+
 POLL_RETRY_DELAY_S = 0.1
 """Delay before the next poll after a failed one."""
 
@@ -89,6 +93,14 @@
         if self._polling is not None:
             self._polling.cancel()
 
+    @property
+    def is_current(self) -> bool:
+        """Whether a leader answered the last poll in time."""
+        return (
+            self.last_contact_at is not None
+            and self._clock.now() <= self.last_contact_at + MAX_CONTACT_AGE_S
+        )
+
     async def _poll_forever(self) -> None:
         while self._is_running:
             if not await self._poll_once():
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -114,6 +114,39 @@
 
         deployment.run_scenario(scenario)
 
+    def test_entry_out_of_touch_denies_nothing(self) -> None:
+        """Guards against a 404 or 401 that a newer configuration disproves."""
+
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            calls = {
+                "route": ("/missing/", "Token key-1"),
+                "key": ("/plain/", "Token missing"),
+                "key of a job": ("/-/lots/job-1", "Token missing"),
+            }
+
+            async def read_statuses() -> dict[str, int]:
+                statuses = {}
+                for name, (path, key) in calls.items():
+                    reply = await system.call_front(
+                        "GET", path, authorization=key
+                    )
+                    statuses[name] = reply.status
+                return statuses
+
+            self.assertEqual(
+                await read_statuses(),
+                {"route": 404, "key": 401, "key of a job": 401},
+            )
+            for store in system.stores:
+                await store.stop()
+            await support.until(lambda: not system.entry.sync.is_current)
+            self.assertEqual(await read_statuses(), dict.fromkeys(calls, 503))
+            reply = await system.call_front("POST", "/plain/", b"x")
+            self.assertEqual(reply.status, 200)
+
+        deployment.run_scenario(scenario)
+
 
 class JobTest(unittest.TestCase):
     """Batch jobs of trainers."""
