Refuse announcements and jobs that cannot be written on

Operators asked whether one odd entry among those of the servers can stop the readers of the list. It can: text with half of a surrogate pair is decoded and kept, and cannot be encoded for entries, whose polls of that leader then fail as long as it is announced.

Cause: foreign values were checked for what they are, and not for whether they can be written where they go next (log, mesh, request line).

Ruled out: deep nesting, numbers over 64 bits and ports out of range, which were refused before; the new tests keep them.

Why the fix works: such JSON is invalid; addresses, paths, headers, versions and event ids are held to the grammar of where they are written.

Evidence: OddAnnouncementTest and three tests of DecodersTest failed before (UnicodeEncodeError in the store) and pass.

--- a/packages/jobs/src/banyanbank_jobs/_event_stream.py
+++ b/packages/jobs/src/banyanbank_jobs/_event_stream.py
@@ -1,6 +1,7 @@
 """Parses event streams of engines and joins the runs of an item."""
 
 import collections.abc
+import re
 
 import attrs
 
@@ -11,6 +12,12 @@
 """Maximum length of an item's text, equal to that of a response."""
 
 
+MAX_DIGITS = 18
+"""Maximum digits of an event id or version: the log takes 64 bits."""
+
+_NUMBER = re.compile(rb"[0-9]{1,%d}" % MAX_DIGITS)
+
+
 class EventStreamError(Exception):
     """The event stream is malformed, or an event is out of order."""
 
@@ -79,12 +86,12 @@
 
 
 def _read_number(value: bytes) -> int:
-    try:
-        return int(value)
-    except ValueError as exc:
+    if not _NUMBER.fullmatch(value.strip()):
         raise EventStreamError(
-            f"Event id or version is not an integer: {value[:40]!r}"
-        ) from exc
+            f"Event id or version is not a number of at most {MAX_DIGITS}"
+            f" digits: {value[:40]!r}"
+        )
+    return int(value)
 
 
 def _read_text(value: bytes) -> str:
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -257,12 +257,19 @@
         producer = None
         if req.body or req.method not in ("GET", "HEAD"):
             producer = _BytesProducer(req.body, req.guard)
-        pending = agent.request(
-            req.method.encode(),
-            req.url.encode(),
-            _headers_of(req),
-            producer,
-        )
+        try:
+            pending = agent.request(
+                req.method.encode(),
+                req.url.encode(),
+                _headers_of(req),
+                producer,
+            )
+        except ValueError as exc:
+            return result.Failure(
+                UpstreamError(
+                    base.Outcome.NOT_RUN, f"The request is malformed: {exc}"
+                )
+            )
         timer = self._reactor.callLater(seconds, pending.cancel)
         try:
             response = await pending
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -11,6 +11,8 @@
 
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+import banyanbank_jobs as jobs
+from banyanbank_platform import _announcement
 from banyanbank_platform import _batch_job
 from banyanbank_platform import _document
 from banyanbank_platform import _fields
@@ -30,6 +32,8 @@
     "",
     "abc",
     "\u00b2",
+    "\ud800",
+    "a\r\nb: c",
     "inf",
     "1e999",
     [],
@@ -99,19 +103,39 @@
             yield changed
 
 
+ANNOUNCEMENT = {
+    "service": "engines",
+    "address": "10.0.0.1:80",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "sequence": 4,
+    "born": 1000,
+}
+
+
 class DecodersTest(unittest.TestCase):
-    """Callers and operators get an error that names the field."""
+    """Callers and operators get an error that names the field.
+
+    What is accepted can be stored and sent on.
+    """
 
     def check_each(
         self,
         source: typing.Any,
         decode: collections.abc.Callable[[bytes], object],
         error: type[Exception],
+        encode: collections.abc.Callable[[typing.Any], bytes] | None = None,
     ) -> None:
         for changed in replace_each(source):
             content = json.dumps(changed).encode()
             try:
-                decode(content)
+                decoded = decode(content)
+                if encode is not None:
+                    encode(decoded)
             except error as exc:
                 self.assertTrue(str(exc))
             except Exception as exc:
@@ -126,8 +150,42 @@
                 "job-1", content, ROUTE, base.AccountId("a"), 0.0
             ),
             _fields.FieldError,
+            lambda job: jobs.COMMAND_CODEC.encode(jobs.AcceptJob(job)),
         )
 
+    def test_announcements(self) -> None:
+        """Guards against an entry that stops all readers of the directory."""
+        self.check_each(
+            ANNOUNCEMENT,
+            lambda content: _announcement.read_announcement("e1", content),
+            _fields.FieldError,
+            base.Codec(gateway.Announcement).encode,
+        )
+
+    def test_addresses(self) -> None:
+        for address, is_valid in (
+            ("10.0.0.1:80", True),
+            ("10.0.0.1:65535", True),
+            ("10.0.0.1:65536", False),
+            ("10.0.0.1:0", False),
+            ("10.0.0.1: 80", False),
+            ("10.0.0.1:+80", False),
+            ("10.0.0.1:8_0", False),
+            ("10.0.0.1:\u0668\u0660", False),
+            ("10.0.0.1:" + "9" * 5000, False),
+            ("0.0.0.0:80", False),
+            ("::1:80", False),
+            ("host.example:80", False),
+        ):
+            with self.subTest(address[:40]):
+                content = json.dumps(ANNOUNCEMENT | {"address": address})
+                try:
+                    _announcement.read_announcement("e1", content.encode())
+                except _fields.FieldError:
+                    self.assertFalse(is_valid)
+                else:
+                    self.assertTrue(is_valid)
+
     def test_documents(self) -> None:
         self.check_each(
             deployment.DOCUMENT,
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -85,6 +85,51 @@
         deployment.run_scenario(scenario)
 
 
+class OddAnnouncementTest(unittest.TestCase):
+    """An announcement of another writer names no endpoint, and others hold."""
+
+    ODD: tuple[dict[str, typing.Any], ...] = (
+        {"service": "\ud800"},
+        {"zone": "\udc00"},
+        {"models": [{"name": "\ud800", "version": 1}]},
+        {"models": [{"name": "model", "version": 10**30}]},
+        {"sequence": 10**400},
+        {"address": "127.0.0.1:70000"},
+        {"address": "127.0.0.1: 80"},
+        {"slots": 2**62},
+    )
+
+    def test_entries_follow_the_directory(self) -> None:
+        """Guards against an entry of the directory that no reader can read."""
+
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            for number in range(1, deployment.STORE_COUNT + 1):
+                for odd in self.ODD:
+                    content = {
+                        "service": "plain",
+                        "address": "127.0.0.1:9",
+                        "zone": "zone-a",
+                        "slots": 4,
+                        "state": "ready",
+                        "sequence": 1,
+                        "born": 1,
+                    } | odd
+                    reply = await system.call_store(
+                        "PUT", "/-/instances/odd", content, number
+                    )
+                    self.assertEqual(reply.status, 400)
+            await system.announce("server-2", "plain", "127.0.0.1:9")
+            await support.until(
+                lambda: (
+                    system.entry.sync.directory.get(base.EndpointId("server-2"))
+                    is not None
+                )
+            )
+
+        deployment.run_scenario(scenario)
+
+
 class ConfigurationTest(unittest.TestCase):
     """Configuration documents of operators."""
 
