--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -5,7 +5,6 @@
 
 import attrs
 import banyanbank_base as base
-import banyanbank_consensus as consensus
 import banyanbank_mesh as mesh
 from returns import result
 from twisted.internet import task
@@ -18,10 +17,11 @@
 ATTEMPT_TIMEOUT_S = 0.8
 """Default timeout of a call to one store."""
 
-SILENCE_AVOIDANCE_S = consensus.MAX_ELECTION_TIMEOUT_S + 0.1
+SILENCE_AVOIDANCE_S = 1.3
 """Time after a call that was not answered in time during which the store is
-tried after all others. Followers that name it later have heard from it since,
-or they would have begun an election."""
+tried after all others. It exceeds the longest election timeout: followers that
+name the store later have heard from it since, or would have begun an election.
+"""
 
 LOST_LINK_AVOIDANCE_S = 0.3
 """Time for which a store is tried after all others once a link to it was lost
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -4,6 +4,7 @@
 import unittest
 
 import banyanbank_base as base
+import banyanbank_consensus as consensus
 import banyanbank_mesh as mesh
 from banyanbank_node import _messages
 from banyanbank_node import _store_client
@@ -112,6 +113,11 @@
                 self.assertTrue(answered)
                 self.assertLess(took_s, most_s)
 
+    def test_followers_name_a_silent_leader_for_a_shorter_time(self) -> None:
+        self.assertGreater(
+            _store_client.SILENCE_AVOIDANCE_S, consensus.MAX_ELECTION_TIMEOUT_S
+        )
+
     def test_leader_is_not_blamed_for_the_freeze_of_the_caller(self) -> None:
         running = defer.ensureDeferred(
             self.client.call("method", _messages.Accepted(), 0.8, 0.8)
