Send nothing to endpoints that withdrew or state their departure

Servers that had left were sent requests: a DELETE while no store knew the server left no trace, and a late heartbeat registered it again. The header by which servers state in each answer that they leave was not read.

Cause: a withdrawal ended the life that a store knew, and nothing if it knew none. Announcements were the only source of an endpoint's state.

Why the fix works: a withdrawal of an unknown endpoint ends all lives that began before it. A new life ends both; both are bounded in number and time.

--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -78,6 +78,11 @@
         )
 
 
+MAX_REMEMBERED = 10_000
+"""Number of departures, and of ended lives, that are remembered; the oldest are
+dropped."""
+
+
 @attrs.define
 class _KnownEndpoint:
     announcement: Announcement
@@ -95,6 +100,7 @@
         self.revision = 0
         self._known: dict[base.EndpointId, _KnownEndpoint] = {}
         self._tombstones: dict[base.EndpointId, tuple[int, float]] = {}
+        self._departures: dict[base.EndpointId, tuple[int, float]] = {}
 
     def __len__(self) -> int:
         return len(self._known)
@@ -135,6 +141,10 @@
             return False
         if not self._claim_address(announcement):
             return False
+        if self._is_leaving(announcement):
+            announcement = attrs.evolve(
+                announcement, state=EndpointState.DRAINING
+            )
         if known is None or not known.announcement.has_same_routing(
             announcement
         ):
@@ -142,17 +152,55 @@
         self._known[announcement.endpoint] = _KnownEndpoint(announcement, now)
         return True
 
-    def withdraw(self, endpoint: base.EndpointId, now: float) -> bool:
+    def mark_leaving(
+        self, endpoint: base.EndpointId, born_ms: int, now: float
+    ) -> bool:
+        """Takes an endpoint for draining, whatever is announced of its life.
+
+        The mark ends with a new life, or `TOMBSTONE_TTL_S` after the endpoint
+        was last known.
+
+        Args:
+            endpoint: Endpoint that states that it leaves.
+            born_ms: Start of its life, as Unix time in milliseconds.
+            now: Current time.
+
+        Returns:
+            False if this was known.
+        """
+        marked = self._departures.get(endpoint)
+        if marked is not None and marked[0] >= born_ms:
+            return False
+        self._departures[endpoint] = (born_ms, now + TOMBSTONE_TTL_S)
+        _drop_oldest(self._departures)
+        known = self._known.get(endpoint)
+        if known is not None and self._is_leaving(known.announcement):
+            known.announcement = attrs.evolve(
+                known.announcement, state=EndpointState.DRAINING
+            )
+            self.revision += 1
+        return True
+
+    def withdraw(
+        self, endpoint: base.EndpointId, now: float, unix_ms: int
+    ) -> bool:
         """Removes an endpoint that announced its shutdown.
 
+        The life of an unknown endpoint began before now, so delayed
+        announcements of such a life are rejected.
+
+        Args:
+            endpoint: Endpoint that shuts down.
+            now: Current time.
+            unix_ms: Current Unix time in milliseconds.
+
         Returns:
             False if the endpoint is unknown.
         """
         known = self._known.get(endpoint)
-        if known is None:
-            return False
-        self.end_incarnation(endpoint, known.announcement.born_ms, now)
-        return True
+        born_ms = unix_ms if known is None else known.announcement.born_ms
+        self.end_incarnation(endpoint, born_ms, now)
+        return known is not None
 
     def expire(self, now: float) -> list[Announcement]:
         """Removes and returns expired endpoints; drops old tombstones."""
@@ -168,6 +216,7 @@
         for endpoint, (_, expires_at) in list(self._tombstones.items()):
             if expires_at < now:
                 del self._tombstones[endpoint]
+        self._expire_departures(now)
         return expired
 
     def renew_all(self, now: float) -> None:
@@ -185,6 +234,8 @@
         ended = self._tombstones.get(endpoint)
         if ended is None or ended[0] < born_ms:
             self._tombstones[endpoint] = (born_ms, now + TOMBSTONE_TTL_S)
+            _drop_oldest(self._tombstones)
+            self.revision += 1
         known = self._known.get(endpoint)
         if known is not None and known.announcement.born_ms <= born_ms:
             del self._known[endpoint]
@@ -219,6 +270,18 @@
         ended = self._tombstones.get(announcement.endpoint)
         return ended is not None and announcement.born_ms <= ended[0]
 
+    def _is_leaving(self, announcement: Announcement) -> bool:
+        marked = self._departures.get(announcement.endpoint)
+        return marked is not None and announcement.born_ms <= marked[0]
+
+    def _expire_departures(self, now: float) -> None:
+        for endpoint, (born_ms, expires_at) in list(self._departures.items()):
+            known = self._known.get(endpoint)
+            if known is not None and known.announcement.born_ms <= born_ms:
+                self._departures[endpoint] = (born_ms, now + TOMBSTONE_TTL_S)
+            elif known is not None or expires_at < now:
+                del self._departures[endpoint]
+
     def _claim_address(self, announcement: Announcement) -> bool:
         """Assigns the address to the endpoint that started last."""
         for other in self.all():
@@ -232,3 +295,9 @@
             del self._known[other.endpoint]
             self.revision += 1
         return True
+
+
+def _drop_oldest(lives: dict[base.EndpointId, tuple[int, float]]) -> None:
+    """Bounds remembered lives: start times and expiry times by endpoint."""
+    if len(lives) > MAX_REMEMBERED:
+        del lives[min(lives, key=lambda endpoint: lives[endpoint][1])]
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from banyanbank_node import _background
+from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _entry_sync
 from banyanbank_node import _event_log
@@ -92,6 +93,9 @@
             self.node.meters,
             limits,
             self._permits,
+            _departures.Departures(
+                self.node.clock, self.sync.directory, self.node.events
+            ),
         )
         self._shutdown: _shutdown.Shutdown | None = None
         self._startup_wait = _startup_wait.start_wait(self.node.clock.now())
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -89,6 +89,11 @@
         "endpoint address",
         "An endpoint expired without an announcement.",
     ),
+    _make_kind(
+        "endpoint.leaving",
+        "endpoint address status",
+        "An endpoint stated in an answer that it leaves.",
+    ),
     _make_kind(
         "endpoint.limit",
         "endpoint rate_per_s",
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -9,6 +9,7 @@
 import banyanbank_web as web
 from returns import result
 
+from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _event_log
 from banyanbank_node import _meters
@@ -113,6 +114,7 @@
         meters: Metrics of the process.
         limits: Rate limits of the endpoints.
         permits: Decides about requests to endpoints with a limit.
+        departures: Records which endpoints state that they leave.
     """
 
     def __init__(
@@ -127,7 +129,9 @@
         meters: _meters.Meters,
         limits: _endpoint_limits.EndpointLimits,
         permits: _permits.PermitSource,
+        departures: _departures.Departures,
     ) -> None:
+        self._departures = departures
         self._clock = clock
         self._upstream = upstream
         self._wire = wire
@@ -249,6 +253,7 @@
             return result.Failure(
                 web.UpstreamError(base.Outcome.MAY_HAVE_RUN, mismatch)
             )
+        self._departures.observe(target, resp.status, response_headers)
         self._limits.observe(target, resp.status, response_headers, sent_at)
         try:
             body = await resp.read_all(MAX_ANSWER_BYTES)
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer
 
 from banyanbank_node import _background
+from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
@@ -58,6 +59,7 @@
         meters: Metrics of the process.
         limits: Rate limits of the endpoints.
         permits: Tells how many items the limits leave room for.
+        departures: Records which engines state that they leave.
 
     Attributes:
         mean_run_s: Moving average of the duration of complete runs.
@@ -77,6 +79,7 @@
         meters: _meters.Meters,
         limits: _endpoint_limits.EndpointLimits,
         permits: _leader_permits.LeaderPermits,
+        departures: _departures.Departures,
     ) -> None:
         self._clock = clock
         self._meters = meters
@@ -93,7 +96,7 @@
         self._health = jobs.EngineHealth()
         self._scheduler = jobs.Scheduler(self._health, self._find_services)
         self._reader = _run_reader.RunReader(
-            clock, wire, engines, self._health, meters, limits
+            clock, wire, engines, self._health, meters, limits, departures
         )
         self._runs: dict[jobs.ItemProgress, _run_reader.Run] = {}
         self._grading_tasks: dict[
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -11,6 +11,7 @@
 
 from banyanbank_node import _action_guard
 from banyanbank_node import _background
+from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
@@ -59,6 +60,7 @@
         on_weights_changed: Called when a load ends, or is expected to be
             complete.
         limits: Rate limits of the endpoints.
+        departures: Records which endpoints state that they leave.
     """
 
     def __init__(
@@ -74,8 +76,10 @@
         guard: _action_guard.ActionGuard,
         on_weights_changed: typing.Callable[[], None],
         limits: _endpoint_limits.EndpointLimits,
+        departures: _departures.Departures,
     ) -> None:
         self._guard = guard
+        self._departures = departures
         self._limits = limits
         self._planned_epoch = 0
         self._reactor = reactor
@@ -201,6 +205,8 @@
             return "loaded"
         if report.is_busy:
             return "busy"
+        if not self._takes_orders(announcement):
+            return "leaving"
         status = await self._send_order(
             order, announcement, report.orders_accepted
         )
@@ -223,6 +229,12 @@
             await task.deferLater(self._reactor, POLL_INTERVAL_S)
         return "not loaded in time"
 
+    def _takes_orders(self, announcement: gateway.Announcement) -> bool:
+        newest = self._engines.get(announcement.endpoint)
+        return (
+            newest is not None and newest.state is gateway.EndpointState.READY
+        )
+
     async def _is_loaded(
         self, order: jobs.LoadOrder, announcement: gateway.Announcement
     ) -> bool:
@@ -288,12 +300,9 @@
         sent = await self._upstream.send(req)
         if isinstance(sent, result.Success):
             resp = sent.unwrap()
-            self._limits.observe(
-                announcement,
-                resp.status,
-                self._wire.read_response_headers(resp),
-                sent_at,
-            )
+            headers = self._wire.read_response_headers(resp)
+            self._departures.observe(announcement, resp.status, headers)
+            self._limits.observe(announcement, resp.status, headers, sent_at)
         return sent
 
     async def _send_order(
--- a/packages/node/src/banyanbank_node/_ports.py
+++ b/packages/node/src/banyanbank_node/_ports.py
@@ -60,6 +60,8 @@
     """Weight version at the start of the response; None if it has none."""
     rate_limit: StatedLimit | None = None
     """Rate limit of the endpoint; None if it states none."""
+    is_leaving: bool = False
+    """Whether the endpoint states that it leaves and takes no new requests."""
 
 
 @attrs.frozen
--- a/packages/node/src/banyanbank_node/_run_reader.py
+++ b/packages/node/src/banyanbank_node/_run_reader.py
@@ -11,6 +11,7 @@
 from returns import result
 from twisted.internet import defer
 
+from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _engine_table
 from banyanbank_node import _meters
@@ -85,6 +86,8 @@
     """Metrics of the process."""
     limits: _endpoint_limits.EndpointLimits
     """Records the rate limits that engines state."""
+    departures: _departures.Departures
+    """Records which engines state that they leave."""
 
     async def read(self, run: Run, resp: web.UpstreamResponse) -> RunEnd:
         """Reads an answer to its end.
@@ -114,6 +117,7 @@
             return _lost_end(
                 f"answer names another request: {response_headers.request_id!r}"
             )
+        self.departures.observe(run.announcement, resp.status, response_headers)
         self.limits.observe(
             run.announcement, resp.status, response_headers, run.began_at
         )
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _action_guard
 from banyanbank_node import _background
 from banyanbank_node import _capacity_duty
+from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
@@ -134,6 +135,9 @@
             limits,
             self.calls,
         )
+        departures = _departures.Departures(
+            node.clock, self.directory, self.events, self.calls.changes.wake
+        )
         forwarder = _forwarder.Forwarder(
             node.clock,
             node.upstream,
@@ -145,6 +149,7 @@
             node.meters,
             limits,
             permits,
+            departures,
         )
         runs = _item_runs.ItemRuns(
             node.clock,
@@ -173,6 +178,7 @@
             node.meters,
             limits,
             permits,
+            departures,
         )
         guard = _action_guard.ActionGuard(
             node.clock, self._log, self.settings.handover_rules
@@ -189,6 +195,7 @@
             guard,
             runs.place_items,
             limits,
+            departures,
         )
         reports = _usage_duty.UsageDuty(
             node.clock,
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -167,7 +167,9 @@
         if isinstance(message, gateway.Announcement):
             self._directory.apply(message, now)
         elif isinstance(message, _messages.Withdrawal):
-            self._directory.withdraw(message.endpoint, now)
+            self._directory.withdraw(
+                message.endpoint, now, round(1000 * self._true_time.now())
+            )
         if self._directory.revision != old_revision:
             self._events.write(
                 "endpoint.heard",
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -5,6 +5,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+from banyanbank_gateway import _directory
 
 from tests.gateway import samples
 
@@ -50,13 +51,99 @@
 
     def test_withdrawn_endpoint_is_not_listed_again(self) -> None:
         self.apply(FIRST)
-        self.assertTrue(self.directory.withdraw(FIRST.endpoint, 1.0))
+        self.assertTrue(self.directory.withdraw(FIRST.endpoint, 1.0, 5_000))
         self.apply(DRAINING)
         self.assertEqual(self.list_announcements(), [])
         restarted = attrs.evolve(FIRST, born_ms=2_000, sequence=1)
         self.apply(restarted)
         self.assertEqual(self.list_announcements(), [restarted])
 
+    def test_endpoint_withdrawn_while_unknown_is_not_listed(self) -> None:
+        """Guards against a late heartbeat that brings an endpoint back."""
+        for name, is_expired in (("never known", False), ("expired", True)):
+            with self.subTest(name):
+                self.directory = gateway.Directory()
+                if is_expired:
+                    self.apply(FIRST)
+                    self.directory.expire(now=9.0)
+                withdrawn_ms = FIRST.born_ms + 500
+                known = self.directory.withdraw(
+                    FIRST.endpoint, 10.0, withdrawn_ms
+                )
+                self.assertFalse(known)
+                self.apply(DRAINING)
+                self.assertEqual(self.list_announcements(), [])
+                born_ms = withdrawn_ms + 1
+                restarted = attrs.evolve(FIRST, born_ms=born_ms, sequence=1)
+                self.apply(restarted)
+                self.assertEqual(self.list_announcements(), [restarted])
+
+    def test_endpoint_that_states_its_departure(self) -> None:
+        """Guards against requests to an endpoint that says it leaves."""
+        draining = gateway.EndpointState.DRAINING
+        ready = gateway.EndpointState.READY
+        later = attrs.evolve(FIRST, sequence=9)
+        restarted = attrs.evolve(FIRST, born_ms=FIRST.born_ms + 1, sequence=1)
+        renamed = attrs.evolve(FIRST, endpoint=base.EndpointId("e9"))
+        for name, before, after, want in (
+            ("known", (FIRST,), (), draining),
+            ("late heartbeat", (FIRST,), (later,), draining),
+            ("snapshot of another instance", (), (FIRST,), draining),
+            ("restart under its name", (FIRST,), (restarted,), ready),
+            ("late, earlier incarnation", (restarted,), (later,), ready),
+            ("another name at its address", (), (renamed,), ready),
+        ):
+            with self.subTest(name):
+                self.directory = gateway.Directory()
+                self.apply(*before)
+                marked = self.directory.mark_leaving(
+                    FIRST.endpoint, FIRST.born_ms, 0.0
+                )
+                self.assertTrue(marked)
+                self.apply(*after)
+                (found,) = self.list_announcements()
+                self.assertIs(found.state, want)
+                again = self.directory.mark_leaving(
+                    FIRST.endpoint, FIRST.born_ms, 0.0
+                )
+                self.assertFalse(again)
+
+    def test_how_long_departures_are_remembered(self) -> None:
+        for name, seconds, is_known, want in (
+            ("a short time", 100.0, False, gateway.EndpointState.DRAINING),
+            ("a long time", 130.0, False, gateway.EndpointState.READY),
+            ("while it is known", 130.0, True, gateway.EndpointState.DRAINING),
+        ):
+            with self.subTest(name):
+                self.directory = gateway.Directory()
+                self.directory.mark_leaving(FIRST.endpoint, FIRST.born_ms, 0.0)
+                for second in range(int(seconds)):
+                    if is_known:
+                        heard = attrs.evolve(FIRST, sequence=second)
+                        self.directory.apply(heard, float(second))
+                    self.directory.expire(float(second))
+                self.directory.expire(seconds)
+                last = attrs.evolve(FIRST, sequence=1000)
+                self.directory.apply(last, seconds)
+                self.assertIs(self.list_announcements()[0].state, want)
+
+    def test_number_of_remembered_departures(self) -> None:
+        count = _directory.MAX_REMEMBERED + 1
+        for number in range(count):
+            name = base.EndpointId(f"e{number}")
+            self.directory.mark_leaving(name, FIRST.born_ms, 0.001 * number)
+        for name, want in (
+            ("e0", gateway.EndpointState.READY),
+            ("e1", gateway.EndpointState.DRAINING),
+            (f"e{count - 1}", gateway.EndpointState.DRAINING),
+        ):
+            endpoint = base.EndpointId(name)
+            address = f"10.0.0.9:{name[1:]}"
+            self.apply(attrs.evolve(FIRST, endpoint=endpoint, address=address))
+            found = self.directory.get(endpoint)
+            assert found is not None
+            self.assertIs(found.state, want, name)
+
     def test_expiry(self) -> None:
         self.apply(FIRST)
         self.assertEqual(self.directory.expire(4.0), [])
--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -155,6 +155,7 @@
             _as_any(None),
             _endpoint_limits.EndpointLimits(self.clock, true_time, events),
             _as_any(types.SimpleNamespace(charge=lambda target: None)),
+            _as_any(types.SimpleNamespace(observe=lambda *rest: None)),
         )
 
     def configure(self, *targets: gateway.Target) -> None:
--- a/tests/node/test_capacity_duty.py
+++ b/tests/node/test_capacity_duty.py
@@ -190,7 +190,7 @@
             (
                 "withdrawn",
                 lambda: self.directory.withdraw(
-                    base.EndpointId("2"), self.clock.now()
+                    base.EndpointId("2"), self.clock.now(), unix_ms=5_000
                 ),
                 2,
             ),
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -9,6 +9,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _forwarder
 from banyanbank_node import _permits
@@ -36,6 +37,8 @@
     """Headers."""
     signature: str = "signature"
     """Signature of the answer; empty for none."""
+    is_leaving: bool = False
+    """Whether the endpoint states that it leaves."""
 
     async def read_all(
         self, max_bytes: int
@@ -69,13 +72,25 @@
         return _permits.Permit(None, retry_at=10.75)
 
 
+def make_directory() -> gateway.Directory:
+    """Returns a directory of three endpoints."""
+    directory = gateway.Directory()
+    for number in range(3):
+        announcement = samples.make_announcement(f"e{number}")
+        address = f"10.0.0.{number + 1}:80"
+        directory.apply(attrs.evolve(announcement, address=address), 10.0)
+    return directory
+
+
 def send_request(
     kind: gateway.RouteKind,
     *replies: Reply,
     limited: tuple[str, ...] = (),
     permits: FakePermits | None = None,
+    directory: gateway.Directory | None = None,
 ) -> tuple[_forwarder.Answer | base.Refusal, int]:
     """Returns the answer or refusal, and the number of endpoints tried."""
+    directory = directory or make_directory()
     clock = base.ManualClock(10.0)
     limits = _endpoint_limits.EndpointLimits(
         clock,
@@ -97,10 +112,13 @@
 
     def read_response_headers(reply: Reply) -> _ports.ResponseHeaders:
         return _ports.ResponseHeaders(
-            reply.request_id, reply.has_not_run, reply.signature, None
+            reply.request_id,
+            reply.has_not_run,
+            reply.signature,
+            None,
+            is_leaving=reply.is_leaving,
         )
 
-    endpoints = [samples.make_announcement(f"e{number}") for number in range(3)]
     forwarder = _forwarder.Forwarder(
         clock,
         _as_any(types.SimpleNamespace(send=send)),
@@ -111,7 +129,7 @@
             )
         ),
         gateway.EndpointPicker(base.FailureDomain("z"), random.Random(1)),
-        lambda service: endpoints,
+        lambda service: directory.all(),
         random.Random(1),
         _as_any(types.SimpleNamespace(write=lambda event, **fields: None)),
         _as_any(
@@ -121,6 +139,11 @@
         ),
         limits,
         permits or FakePermits(),
+        _departures.Departures(
+            clock,
+            directory,
+            _as_any(types.SimpleNamespace(write=lambda event, **fields: None)),
+        ),
     )
     req = _ports.CallerRequest(
         REQUEST_ID, "POST", "host", "/p/", "/p/", (), b"", None, 20.0
@@ -131,6 +154,53 @@
     return got[0], len(forwarding.tried)
 
 
+class DepartureTest(unittest.TestCase):
+    """Endpoints that state their departure get no further requests.
+
+    Guards against requests to an endpoint whose answers say that it leaves.
+    """
+
+    def test_endpoints_of_later_requests(self) -> None:
+        own = Reply(REQUEST_ID)
+        leaving = Reply(REQUEST_ID, is_leaving=True)
+        failed = attrs.evolve(leaving, status=500)
+        full = attrs.evolve(leaving, status=503, has_not_run=True)
+        other = attrs.evolve(leaving, status=421, has_not_run=True)
+        repeatable = gateway.RouteKind.IDEMPOTENT
+        once = gateway.RouteKind.NON_IDEMPOTENT
+        for name, kind, replies, left in (
+            ("no statement", once, [own], 3),
+            ("success", once, [leaving], 2),
+            ("failure that is passed on", once, [failed], 2),
+            ("failure that is tried elsewhere", repeatable, [failed, own], 2),
+            ("at capacity", once, [full, own], 2),
+            ("both attempts", once, [full, full], 1),
+            ("another endpoint at its address", once, [other, own], 3),
+            ("late answer", once, [attrs.evolve(leaving, request_id="x")], 3),
+        ):
+            with self.subTest(name):
+                directory = make_directory()
+                send_request(kind, *replies, directory=directory)
+                ready = [
+                    target
+                    for target in directory.all()
+                    if target.state is gateway.EndpointState.READY
+                ]
+                self.assertEqual(len(ready), left)
+
+    def test_request_is_refused_if_all_leave(self) -> None:
+        directory = make_directory()
+        for target in directory.all():
+            directory.mark_leaving(target.endpoint, target.born_ms, 10.0)
+        refusal, tried = send_request(
+            gateway.RouteKind.NON_IDEMPOTENT, directory=directory
+        )
+        assert isinstance(refusal, base.Refusal)
+        self.assertIs(refusal.outcome, base.Outcome.NOT_RUN)
+        self.assertEqual(tried, 0)
+        self.assertGreater(refusal.retry_after or 0.0, 0.0)
+
+
 class RateLimitTest(unittest.TestCase):
     """Endpoints with a limit get requests only by permit."""
 
--- a/tests/node/test_run_reader.py
+++ b/tests/node/test_run_reader.py
@@ -68,6 +68,7 @@
             jobs.EngineHealth(),
             _as_any(ignore),
             _as_any(ignore),
+            _as_any(ignore),
         )
 
     def read(
--- a/tests/node/test_sync_part_cache.py
+++ b/tests/node/test_sync_part_cache.py
@@ -38,7 +38,9 @@
             ),
             (
                 "the engine leaves",
-                lambda: directory.withdraw(base.EndpointId("e1"), now=2.0),
+                lambda: directory.withdraw(
+                    base.EndpointId("e1"), now=2.0, unix_ms=5_000
+                ),
                 1,
             ),
         ):
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -245,7 +245,12 @@
         return await self.call(method, url, body, **(default_headers | headers))
 
     async def announce(
-        self, name: str, service: str, address: str, sequence: int = 1
+        self,
+        name: str,
+        service: str,
+        address: str,
+        sequence: int = 1,
+        born: int = 1_000,
     ) -> Reply:
         models = [
             {"name": model, "version": version, "adapters": []}
@@ -258,7 +263,7 @@
             "slots": 4,
             "state": "ready",
             "sequence": sequence,
-            "born": 1_000,
+            "born": born,
             "models": models if service == "engines" else [],
         }
         return await self.call_store(
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -35,6 +35,7 @@
         requests: Requests, in the order of their arrival.
         arrived_at: When each of them arrived, on the reactor's clock.
         rate_limit: Rate limit that its answers state; None for none.
+        is_leaving: Whether its answers state that it leaves.
     """
 
     def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
@@ -46,6 +47,7 @@
         self.requests: list[server.Request] = []
         self.arrived_at: list[float] = []
         self.rate_limit: str | None = None
+        self.is_leaving = False
 
     async def stop(self) -> None:
         """Closes the listener."""
@@ -56,6 +58,8 @@
         self.arrived_at.append(self._reactor.seconds())
         if self.rate_limit is not None:
             request.setHeader("server-limit", self.rate_limit)
+        if self.is_leaving:
+            request.setHeader("server-leaving", "1")
         self.answer(request)
 
     def answer(self, request: server.Request) -> None:
