Draw two services of engines, mass resets and departures in the soak

Items are checked for the service of their route and for a single version, and each entry for requests to a server that told it of its departure more than drain-ms before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -135,6 +135,7 @@
 async def _pause(faults: Faults) -> str:
     member = faults.any_member()
     paused = member.running
+    member.pauses += 1
     member.signal(signal.SIGSTOP)
     await faults.wait(0.1, 4.0)
     if member.running is paused:
@@ -206,6 +207,35 @@
     return ""
 
 
+async def _reset_servers(faults: Faults) -> str:
+    """Ends the runs of all engines at once."""
+    for engine in faults.there.farm.all_engines:
+        engine.reset()
+    return ""
+
+
+async def _silence_servers(faults: Faults) -> str:
+    """Lets the runs of all engines fall silent at once."""
+    for engine in faults.there.farm.all_engines:
+        engine.silence()
+    return ""
+
+
+async def _leave(faults: Faults) -> str:
+    """A server states in its answers that it leaves, and starts again later.
+
+    Its heartbeats say that it is ready, as late ones do.
+    """
+    one = faults.rng.choice(faults.there.farm.plain)
+    if any(other.is_leaving for other in faults.there.farm.plain):
+        return "not now"
+    one.is_leaving = True
+    await faults.wait(3.0, 6.0)
+    one.is_leaving = False
+    one.born += 1
+    return one.address
+
+
 KINDS: dict[str, Inject] = {
     "kill": _kill,
     "kill all stores": _kill_all_stores,
@@ -220,5 +250,8 @@
     "delay": _delay,
     "reset": _reset,
     "silence": _silence,
+    "reset servers": _reset_servers,
+    "silence servers": _silence_servers,
+    "leave": _leave,
 }
 """What can go wrong, by name."""
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -18,6 +18,10 @@
 ITEMS = 4
 ACCEPT_S = 10.0
 """Seconds for which a batch job is offered."""
+JOB_ROUTES = {"jobs": "engines", "tuned": "tuned"}
+"""Service of each rollout route; texts of `tuned` are of a single version."""
+DRAIN_S = 2.0
+"""Seconds after an answer that states a departure (`drain-ms`)."""
 TEXT = "\n".join(f"piece {n + 1}" for n in range(fakes.EVENT_COUNT))
 
 
@@ -63,6 +67,8 @@
         self._once: dict[str, int | None] = {}
         self._numbers = 0
         self._seen: dict[tuple[str, int], int] = {}
+        self._routes: dict[str, str] = {}
+        self._left: dict[tuple[str, int, int, str], float] = {}
         self.is_running = True
         self.version = 1
         self.acknowledged = 0
@@ -161,6 +167,8 @@
         self._numbers += 1
         name = f"r{self._numbers}"
         kind = self._rng.choice(("plain", "once"))
+        state = (entry.name, entry.lives, entry.pauses)
+        sent_at = self._there.reactor.seconds()
         url = self._there.front_url(entry) + f"/{kind}/{name}"
         reply = await self._caller.call(
             "POST",
@@ -176,6 +184,7 @@
             self._promises.count("requests without answer")
         elif reply.status == 200:
             self._promises.count("requests answered")
+            self._check_departure(name, state, entry, reply, sent_at)
             mark = reply.headers.get("x-banyanbank-response-signature")
             self._promises.check(
                 mark == f"signed.{name}"
@@ -185,6 +194,27 @@
         else:
             self._promises.count(f"requests refused {reply.status}")
 
+    def _check_departure(
+        self,
+        name: str,
+        state: tuple[str, int, int],
+        entry: world.Member,
+        reply: http.Reply,
+        sent_at: float,
+    ) -> None:
+        """An entry sends nothing to a server that told it of its departure."""
+        if state != (entry.name, entry.lives, entry.pauses):
+            return
+        life = (*state, reply.headers["x-life"])
+        left_at = self._left.get(life)
+        self._promises.check(
+            left_at is None or sent_at <= left_at + DRAIN_S,
+            f"{name} reached {life} after an answer that it leaves",
+        )
+        if reply.headers.get("server-leaving") == "1":
+            self._promises.count("answers of leaving servers")
+            self._left.setdefault(life, self._there.reactor.seconds())
+
     async def _probe(self, entry: world.Member) -> None:
         """An entry never goes back to an older document in one life."""
         life = (entry.name, entry.lives)
@@ -210,13 +240,14 @@
             await support.next_turn(self._rng.uniform(0.4, 1.2))
 
     async def _run_job(self, job: str) -> None:
-        body = make_job(job, self.version)
+        route = self._routes[job] = self._rng.choice(list(JOB_ROUTES))
+        body = make_job(job, self.version, route)
         least = max(1, self.version - 1)
         until = self._there.reactor.seconds() + ACCEPT_S
         status = None
         while status != 202 and self._there.reactor.seconds() < until:
             entry = self._rng.choice(self._there.entries)
-            url = self._there.front_url(entry) + "/jobs/x"
+            url = self._there.front_url(entry) + f"/{route}/x"
             reply = await self._caller.call(
                 "POST", url, body, 3.0, x_banyanbank_request_id=job
             )
@@ -271,6 +302,16 @@
         known = [other["id"] for other in self._jobs[job]]
         made = self._there.farm.versions_of(one["id"])
         could = set().union(*made.values())
+        route = self._routes[job]
+        services = self._there.farm.services_of(one["id"])
+        self._promises.check(
+            services == {JOB_ROUTES[route]},
+            f"{one['id']} of route {route} ran at {services}",
+        )
+        self._promises.check(
+            route != "tuned" or len(one["versions"]) == 1,
+            f"{one['id']} of a single-version route: {one['versions']}",
+        )
         fits = (
             one["id"] not in known
             and one["state"] == "completed"
@@ -338,7 +379,7 @@
         holders: dict[int, str] = {}
         acts = [(h, f) for h, f, _ in self._there.farm.api.reports] + [
             (order["holder"], order["fence"])
-            for engine in self._there.farm.engines
+            for engine in self._there.farm.all_engines
             for order in engine.orders
         ]
         for holder, fence in acts:
@@ -359,18 +400,37 @@
 
 
 def make_document(number: int) -> dict[str, typing.Any]:
-    """Returns a document with a route that no other document has."""
+    """Returns a document with a route that no other document has.
+
+    It has a second rollout route with engines of its own.
+    """
     document = copy.deepcopy(deployment.DOCUMENT) | {"version": number}
+    for group, name, changes in (
+        ("services", "engines", {"name": "tuned"}),
+        (
+            "routes",
+            "jobs",
+            {
+                "name": "tuned",
+                "path-prefix": "/tuned/",
+                "service": "tuned",
+                "single-version": True,
+            },
+        ),
+    ):
+        (found,) = [one for one in document[group] if one["name"] == name]
+        document[group].append(copy.deepcopy(found) | changes)
     mark = dict(document["routes"][0])
     mark |= {"name": f"of-{number}", "path-prefix": f"/of-{number}/"}
     document["routes"].append(mark)
     return document
 
 
-def make_job(job: str, version: int) -> bytes:
+def make_job(job: str, version: int, route: str) -> bytes:
     """Returns a batch job whose items have ids of their own."""
     made = json.loads(deployment.make_job(ITEMS, max(1, version - 1)))
     for number, one in enumerate(made["requests"]):
         one["id"] = f"{job}-{number}"
+        one["path"] = f"/{route}/x/{number}"
         one["scorer"]["id"] = f"score-{one['id']}"
     return json.dumps(made).encode()
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -12,7 +12,10 @@
 
 HOST = "127.0.0.1"
 ENGINES = 2
+TUNED = 2
 PLAIN = 2
+PORTS = ENGINES + TUNED + PLAIN + 1
+"""One for each server and one for the API."""
 EVENT_S = 0.03
 """Seconds between two events of a run."""
 WORK_S = 0.02
@@ -25,11 +28,16 @@
     """Generates events one after the other, and stops when it is left.
 
     Attributes:
+        event_s: Seconds between two events of a run.
         made: Versions under which each event of an item was made.
+        open_runs: Runs under way; a non-empty list ends the run.
     """
 
+    event_s = EVENT_S
+
     def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
         super().__init__(reactor, host, port)
+        self.open_runs: dict[server.Request, list[typing.Any]] = {}
         self.made: dict[str, dict[int, set[int]]] = collections.defaultdict(
             lambda: collections.defaultdict(set)
         )
@@ -44,8 +52,10 @@
         if first <= fakes.EVENT_COUNT:
             version = self.versions["model"]
             request.setHeader("x-banyanbank-weight-versions", str(version))
-        is_left: list[bool] = []
-        request.notifyFinish().addBoth(is_left.append)
+        is_left: list[typing.Any] = []
+        self.open_runs[request] = is_left
+        ended = request.notifyFinish().addBoth(is_left.append)
+        ended.addBoth(lambda _: self.open_runs.pop(request, None))
         self._make(request, item, first, self.versions["model"], is_left)
 
     def _make(
@@ -61,22 +71,56 @@
         if number > fakes.EVENT_COUNT:
             request.finish()
             return
+        change = ""
+        if version != self.versions["model"]:
+            # A load takes effect within a run, as with the mode `retain`.
+            version = self.versions["model"]
+            change = f"x-banyanbank-weight-versions: {version}\n"
         self.made[item][number].add(version)
-        request.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        event = f"{change}id: {number}\ndata: piece {number}\n\n"
+        request.write(event.encode())
         self._reactor.callLater(
-            EVENT_S, self._make, request, item, number + 1, version, is_left
+            self.event_s,
+            self._make,
+            request,
+            item,
+            number + 1,
+            version,
+            is_left,
         )
 
+    def reset(self) -> None:
+        """Resets the connections of all runs."""
+        for request in list(self.open_runs):
+            request.transport.abortConnection()
+
+    def silence(self) -> None:
+        """Sends nothing more on the connections of all runs."""
+        for is_left in self.open_runs.values():
+            is_left.append("silent")
+
+
+class TunedEngine(PacedEngine):
+    """Engine with texts that are long enough for a load to come meanwhile."""
+
+    event_s = 0.25
+
 
 class BusyServer(fakes.PlainServer):
-    """Takes its time, and is full now and then."""
+    """Takes its time, and is full now and then.
+
+    Attributes:
+        born: Start of its life, as Unix time in milliseconds.
+    """
 
     def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
         super().__init__(reactor, host, port)
         self._rng = random.Random(port)
+        self.born = 1_000
 
     def answer(self, request: server.Request) -> None:
         """Answers after a while."""
+        request.setHeader("x-life", f"{self.address}/{self.born}")
         if self._rng.random() < FULL_SHARE:
             self.next_statuses.append(503)
         is_left: list[typing.Any] = []
@@ -110,6 +154,9 @@
         self.engines = [
             PacedEngine(reactor, HOST, next(free)) for _ in range(ENGINES)
         ]
+        self.tuned = [
+            TunedEngine(reactor, HOST, next(free)) for _ in range(TUNED)
+        ]
         self.plain = [
             BusyServer(reactor, HOST, next(free)) for _ in range(PLAIN)
         ]
@@ -117,9 +164,25 @@
 
     async def stop(self) -> None:
         """Closes all listeners."""
-        for one in (*self.engines, *self.plain, self.api):
+        for one in (*self.all_engines, *self.plain, self.api):
             await one.stop()
 
+    @property
+    def all_engines(self) -> list[PacedEngine]:
+        """Engines of both services."""
+        return [*self.engines, *self.tuned]
+
+    def services_of(self, item: str) -> set[str]:
+        """Returns the services whose engines generated a part of an item."""
+        return {
+            name
+            for name, engines in (
+                ("engines", self.engines),
+                ("tuned", self.tuned),
+            )
+            if any(engine.made.get(item) for engine in engines)
+        }
+
     def runs_of(self, request_id: str) -> int:
         """Returns how often plain servers ran a request."""
         return sum(one.ran_request_ids.count(request_id) for one in self.plain)
@@ -127,7 +190,7 @@
     def versions_of(self, item: str) -> dict[int, set[int]]:
         """Returns the versions under which each event of an item was made."""
         joined: dict[int, set[int]] = collections.defaultdict(set)
-        for engine in self.engines:
+        for engine in self.all_engines:
             for number, versions in engine.made.get(item, {}).items():
                 joined[number] |= versions
         return joined
@@ -137,6 +200,7 @@
         said = []
         for service, servers in (
             ("engines", self.engines),
+            ("tuned", self.tuned),
             ("plain", self.plain),
         ):
             for number, one in enumerate(servers, 1):
@@ -151,7 +215,7 @@
                     "slots": 4,
                     "state": "ready",
                     "sequence": sequence,
-                    "born": 1_000,
+                    "born": getattr(one, "born", 1_000),
                     "models": models,
                 }
                 said.append((f"{service}-{number}", json.dumps(body).encode()))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -47,6 +47,8 @@
     """How often it was started."""
     started_at: float = 0.0
     """When it was started last, in steady seconds."""
+    pauses: int = 0
+    """How often it was suspended."""
 
     @property
     def is_up(self) -> bool:
@@ -117,7 +119,7 @@
         from twisted.internet import reactor
 
         self.reactor: typing.Any = reactor
-        ports = support.free_ports(9)
+        ports = support.free_ports(4 + servers.PORTS)
         self._mesh_port, self._control_port = ports[:2]
         self._front_port, self._ready_port = ports[2:4]
         self.farm = servers.Farm(reactor, ports[4:])
