--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -32,6 +32,8 @@
 from banyanbank_jobs._event_stream import MAX_EVENT_BYTES
 from banyanbank_jobs._event_stream import MAX_TEXT_CHARS
 from banyanbank_jobs._event_stream import StreamEvent
+from banyanbank_jobs._item_progress import ItemProgress
+from banyanbank_jobs._item_progress import Stage
 from banyanbank_jobs._ledger import JobState
 from banyanbank_jobs._ledger import KeptText
 from banyanbank_jobs._ledger import Ledger
@@ -44,12 +46,10 @@
 from banyanbank_jobs._records import ScorerCall
 from banyanbank_jobs._records import TextPart
 from banyanbank_jobs._scheduler import FAILED_RETRY_DELAY_S
-from banyanbank_jobs._scheduler import ItemProgress
 from banyanbank_jobs._scheduler import MAX_BACKOFF_REJECTIONS
 from banyanbank_jobs._scheduler import MIN_RETRY_DELAY_S
 from banyanbank_jobs._scheduler import Placement
 from banyanbank_jobs._scheduler import Scheduler
-from banyanbank_jobs._scheduler import Stage
 from banyanbank_jobs._weights import LoadOrder
 from banyanbank_jobs._weights import max_concurrent_loads
 from banyanbank_jobs._weights import share_engines
