Stop sending a request that ended two endpoints

Callers of a service lost their servers one after the other: a request that crashes the server that runs it was sent to the next one, answered 502, and repeated by its client at another entry.

Cause: a lost request was a reason to try elsewhere, and nothing remembered that it had been lost.

Why the fix works: a connection that ends before any byte of an answer makes its request a suspect. A suspect gets a connection of its own and an endpoint without another suspect of this entry, so that a second loss is neither an idle connection that had ended nor a neighbour's crash. What is remembered is keyed by content, for 60 s and 10,000 requests. An answer clears it. Requests that may run once are sent once, as before.

Entries do not share what they have seen yet.

--- a/packages/base/src/banyanbank_base/_outcome.py
+++ b/packages/base/src/banyanbank_base/_outcome.py
@@ -34,6 +34,7 @@
     SHUTTING_DOWN = "shutting-down"
     ENDPOINT_FAILED = "endpoint-failed"
     KEY_WITHDRAWN = "key-withdrawn"
+    ENDS_ENDPOINTS = "ends-endpoints"
     INTERNAL = "internal"
 
 
--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -1,5 +1,7 @@
 """Routing, endpoint directory and usage counting of an entry, without I/O."""
 
+from banyanbank_gateway._crash_suspects import CrashSuspects
+from banyanbank_gateway._crash_suspects import digest_request
 from banyanbank_gateway._directory import Announcement
 from banyanbank_gateway._directory import Directory
 from banyanbank_gateway._directory import EndpointState
@@ -27,6 +29,7 @@
 
 __all__ = [
     "Announcement",
+    "CrashSuspects",
     "Directory",
     "Document",
     "EndpointPicker",
@@ -48,6 +51,7 @@
     "UsageMeter",
     "UsageTotals",
     "WindowCounts",
+    "digest_request",
     "draw_service",
     "rank_services",
 ]
--- /dev/null
+++ b/packages/gateway/src/banyanbank_gateway/_crash_suspects.py
@@ -0,0 +1,102 @@
+"""Tells requests that end their endpoints from others that were there.
+
+A connection that ends before any byte of an answer may have ended because the
+request made its endpoint crash, or because something else did: another
+request, a reset, an endpoint that closed an idle connection. The request is a
+suspect then. A suspect is sent on a connection of its own, to an endpoint that
+runs no other suspect of this instance; if that run ends in the same way, too,
+the request is taken to end its endpoints.
+"""
+
+import collections.abc
+import hashlib
+
+import banyanbank_base as base
+
+SUSPICION_TTL_S = 60.0
+"""Time for which a request is remembered after the last loss."""
+
+MAX_REQUESTS = 10_000
+"""Number of requests that are remembered; the oldest are dropped."""
+
+MAX_LOSSES = 2
+"""Losses after which a request is not sent any more."""
+
+
+def digest_request(
+    method: str,
+    host: str,
+    uri: str,
+    headers: collections.abc.Iterable[tuple[str, str]],
+    body: bytes,
+) -> bytes:
+    """Returns a digest that is the same whoever repeats a request.
+
+    Args:
+        method: HTTP method.
+        host: Requested host.
+        uri: Path and query.
+        headers: Headers that do not differ between two attempts.
+        body: Complete body.
+    """
+    head = repr((method, host, uri, sorted(headers))).encode()
+    return hashlib.blake2b(head + b"\0" + body, digest_size=16).digest()
+
+
+class CrashSuspects:
+    """Losses of requests that this instance has seen."""
+
+    def __init__(self) -> None:
+        self._losses: dict[bytes, tuple[int, float]] = {}
+        self._occupied: set[base.EndpointId] = set()
+
+    def __len__(self) -> int:
+        return len(self._losses)
+
+    def is_suspect(self, digest: bytes, now: float) -> bool:
+        """Whether a request was lost before and has to run alone."""
+        return self._count(digest, now) > 0
+
+    def is_condemned(self, digest: bytes, now: float) -> bool:
+        """Whether a request is taken to end its endpoints."""
+        return self._count(digest, now) >= MAX_LOSSES
+
+    def is_free(self, endpoint: base.EndpointId) -> bool:
+        """Whether no suspect of this instance runs on an endpoint."""
+        return endpoint not in self._occupied
+
+    def enter(self, endpoint: base.EndpointId) -> None:
+        """Records that a suspect is sent to an endpoint."""
+        self._occupied.add(endpoint)
+
+    def leave(self, endpoint: base.EndpointId) -> None:
+        """Records that the run of a suspect has ended."""
+        self._occupied.discard(endpoint)
+
+    def record_loss(self, digest: bytes, was_alone: bool, now: float) -> None:
+        """Records that a connection ended before any byte of the answer.
+
+        Args:
+            digest: Digest of the request.
+            was_alone: Whether the request ran as a suspect.
+            now: Current time.
+        """
+        losses = self._count(digest, now) + 1 if was_alone else 1
+        self._losses.pop(digest, None)
+        self._losses[digest] = (losses, now + SUSPICION_TTL_S)
+        self._drop_old(now)
+
+    def record_answer(self, digest: bytes) -> None:
+        """Clears a request that an endpoint has answered."""
+        self._losses.pop(digest, None)
+
+    def _drop_old(self, now: float) -> None:
+        """Drops expired losses and those over the bound, the oldest first."""
+        for digest, (_, expires_at) in list(self._losses.items()):
+            if expires_at > now and len(self._losses) <= MAX_REQUESTS:
+                return
+            del self._losses[digest]
+
+    def _count(self, digest: bytes, now: float) -> int:
+        losses, expires_at = self._losses.get(digest, (0, now))
+        return losses if now < expires_at else 0
--- a/packages/mesh/src/banyanbank_mesh/__init__.py
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -4,6 +4,7 @@
 from banyanbank_mesh._bounded_heads import HeadTooLongError
 from banyanbank_mesh._bounded_heads import MAX_HEAD_BYTES
 from banyanbank_mesh._bounded_heads import StaleConnectionError
+from banyanbank_mesh._bounded_heads import UnansweredError
 from banyanbank_mesh._errors import CallError
 from banyanbank_mesh._errors import CallErrorKind
 from banyanbank_mesh._errors import HandlerRefusalError
@@ -43,6 +44,7 @@
     "Stream",
     "StreamClosedError",
     "StreamWriter",
+    "UnansweredError",
     "install_reactor",
     "ip_agent",
     "read_body",
--- a/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -15,7 +15,11 @@
     """A peer sent more than a head without ending it."""
 
 
-class StaleConnectionError(Exception):
+class UnansweredError(Exception):
+    """A connection was lost before any byte of an answer."""
+
+
+class StaleConnectionError(UnansweredError):
     """A kept connection was lost before any byte of an answer.
 
     The peer may have closed it while it was idle, so the loss says nothing
@@ -54,15 +58,12 @@
     def _end_head(self, outcome: typing.Any) -> typing.Any:
         is_unanswered = self._head_bytes == 0
         self._head_bytes = None
-        if (
-            isinstance(outcome, failure.Failure)
-            and is_unanswered
-            and self._request_count > 1
-        ):
-            return failure.Failure(
-                StaleConnectionError(outcome.getErrorMessage())
-            )
-        return outcome
+        if not (isinstance(outcome, failure.Failure) and is_unanswered):
+            return outcome
+        error = (
+            StaleConnectionError if self._request_count > 1 else UnansweredError
+        )
+        return failure.Failure(error(outcome.getErrorMessage()))
 
 
 class _BoundedHeadFactory(client._HTTP11ClientFactory):
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -96,6 +96,7 @@
             _departures.Departures(
                 self.node.clock, self.sync.directory, self.node.events
             ),
+            gateway.CrashSuspects(),
         )
         self._shutdown: _shutdown.Shutdown | None = None
         self._startup_wait = _startup_wait.start_wait(self.node.clock.now())
@@ -235,7 +236,11 @@
             self.log_refusal(req, refusal, [])
             return refusal
         return _forwarder.Forwarding(
-            req, route, account if is_counted else None, deadline
+            req,
+            route,
+            account if is_counted else None,
+            deadline,
+            follows_crashes=route.kind.is_repeatable,
         )
 
     async def forward(
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -1,7 +1,9 @@
 """Forwards a request to endpoints of a service, with retries."""
 
 import collections.abc
+import functools
 import random
+import typing
 
 import attrs
 import banyanbank_base as base
@@ -98,6 +100,22 @@
     leave no room for the request; else None."""
     is_abandoned: bool = False
     """Whether the caller has disconnected."""
+    follows_crashes: bool = False
+    """Whether the request may be sent again after its endpoint crashed, and is
+    not sent any more once it is taken to be the cause."""
+
+    @functools.cached_property
+    def digest(self) -> bytes:
+        """Identifies the request whoever repeats it."""
+        req = self.req
+        headers = [
+            (name, value)
+            for name, value in req.headers
+            if name not in req.attempt_headers
+        ]
+        return gateway.digest_request(
+            req.method, req.host, req.uri, headers, req.body
+        )
 
 
 class Forwarder:
@@ -115,6 +133,7 @@
         limits: Rate limits of the endpoints.
         permits: Decides about requests to endpoints with a limit.
         departures: Records which endpoints state that they leave.
+        suspects: Requests that may have ended their endpoints.
     """
 
     def __init__(
@@ -130,8 +149,10 @@
         limits: _endpoint_limits.EndpointLimits,
         permits: _permits.PermitSource,
         departures: _departures.Departures,
+        suspects: gateway.CrashSuspects,
     ) -> None:
         self._departures = departures
+        self._suspects = suspects
         self._clock = clock
         self._upstream = upstream
         self._wire = wire
@@ -149,6 +170,8 @@
         A request is retried only if its route is repeatable or if no endpoint
         may have run it yet, such as after a reply that it was not run.
         """
+        if self._is_condemned(forwarding):
+            return _make_condemned_refusal(base.Outcome.NOT_RUN)
         service = gateway.draw_service(forwarding.route, self._rng)
         for attempt in range(forwarding.route.max_attempts):
             target = await self._choose_endpoint(forwarding, service)
@@ -158,6 +181,8 @@
             answer = await self._attempt(forwarding, target, is_last)
             if answer is not None:
                 return answer
+            if self._is_condemned(forwarding):
+                return _make_condemned_refusal(base.Outcome.MAY_HAVE_RUN)
             if forwarding.is_abandoned or not self._may_retry(forwarding):
                 break
         return forwarding.last_error_answer or self._make_refusal(forwarding)
@@ -189,13 +214,36 @@
     def _rank_endpoints(
         self, forwarding: Forwarding, service: str
     ) -> list[gateway.Announcement]:
+        candidates = self._find_endpoints(service)
+        if self._is_suspect(forwarding):
+            candidates = [
+                target
+                for target in candidates
+                if self._suspects.is_free(target.endpoint)
+            ]
         return self._picker.rank(
-            self._find_endpoints(service),
+            candidates,
             forwarding.tried,
             self._clock.now(),
             self._limits.is_limited,
         )
 
+    def _is_suspect(self, forwarding: Forwarding) -> bool:
+        return (
+            forwarding.follows_crashes
+            and bool(self._suspects)
+            and self._suspects.is_suspect(forwarding.digest, self._clock.now())
+        )
+
+    def _is_condemned(self, forwarding: Forwarding) -> bool:
+        return (
+            forwarding.follows_crashes
+            and bool(self._suspects)
+            and self._suspects.is_condemned(
+                forwarding.digest, self._clock.now()
+            )
+        )
+
     def _may_retry(self, forwarding: Forwarding) -> bool:
         return (
             forwarding.may_have_run_since is None
@@ -215,24 +263,50 @@
             deadline = min(
                 deadline, now + max(attempt_timeout_s, MIN_ATTEMPT_TIMEOUT_S)
             )
+        is_suspect = self._is_suspect(forwarding)
         req = self._wire.build_forward_request(
             forwarding.req,
             forwarding.account,
             target,
             deadline,
             now,
-            forwarding.route.kind.is_repeatable,
+            # A suspect gets a connection of its own.
+            forwarding.route.kind.is_repeatable and not is_suspect,
         )
         forwarding.tried.add(target.endpoint)
         self._picker.started(target.endpoint)
         self._limits.note_sent(target, _endpoint_limits.Purpose.FORWARD)
+        if is_suspect:
+            self._suspects.enter(target.endpoint)
         try:
             exchange_result = await self._exchange(forwarding, target, req)
         finally:
+            if is_suspect:
+                self._suspects.leave(target.endpoint)
             self._picker.ended(target.endpoint)
             self._meters.requests.record(self._clock.now() - now, "attempt")
+        self._follow_up(forwarding, exchange_result, is_suspect)
         return self._evaluate_exchange(forwarding, target, exchange_result, now)
 
+    def _follow_up(
+        self,
+        forwarding: Forwarding,
+        exchange_result: result.Result[typing.Any, web.UpstreamError],
+        was_alone: bool,
+    ) -> None:
+        """Records whether the endpoint may have crashed under the request."""
+        if not forwarding.follows_crashes:
+            return
+        if isinstance(exchange_result, result.Success):
+            if self._suspects:
+                self._suspects.record_answer(forwarding.digest)
+        elif (
+            exchange_result.failure().is_unanswered
+            and not forwarding.is_abandoned
+        ):
+            now = self._clock.now()
+            self._suspects.record_loss(forwarding.digest, was_alone, now)
+
     async def _exchange(
         self,
         forwarding: Forwarding,
@@ -360,6 +434,15 @@
         )
 
 
+def _make_condemned_refusal(outcome: base.Outcome) -> base.Refusal:
+    return base.Refusal(
+        base.RefusalReason.ENDS_ENDPOINTS,
+        outcome,
+        "The connections to endpoints ended without an answer to this request,"
+        " each time; it is not sent again. Do not repeat it.",
+    )
+
+
 def _find_mismatch(
     req: _ports.CallerRequest,
     status: int,
--- a/packages/node/src/banyanbank_node/_ports.py
+++ b/packages/node/src/banyanbank_node/_ports.py
@@ -35,6 +35,8 @@
     """Key sent by the caller; None if there is none."""
     deadline: float
     """Deadline of the caller, on the monotonic clock."""
+    attempt_headers: frozenset[str] = frozenset()
+    """Names of headers that change when the request is repeated."""
 
 
 @attrs.frozen
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -150,6 +150,7 @@
             limits,
             permits,
             departures,
+            gateway.CrashSuspects(),
         )
         runs = _item_runs.ItemRuns(
             node.clock,
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -49,6 +49,8 @@
     """What happened, for the log and the caller."""
     is_timeout: bool = False
     """Whether the deadline passed."""
+    is_unanswered: bool = False
+    """Whether the connection was lost before any byte of the answer."""
     is_stale_connection: bool = False
     """Whether a kept connection was lost before any byte of the answer, which
     says nothing about the endpoint's health."""
@@ -379,6 +381,7 @@
         base.Outcome.MAY_HAVE_RUN,
         f"The endpoint gave no answer: {type(exc).__name__}: {exc}",
         is_timeout,
+        is_unanswered=not is_timeout and isinstance(exc, mesh.UnansweredError),
         is_stale_connection=not is_timeout
         and isinstance(exc, mesh.StaleConnectionError),
     )
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -144,6 +144,7 @@
             directory,
             _as_any(types.SimpleNamespace(write=lambda event, **fields: None)),
         ),
+        gateway.CrashSuspects(),
     )
     req = _ports.CallerRequest(
         REQUEST_ID, "POST", "host", "/p/", "/p/", (), b"", None, 20.0
