Share requests that end their endpoints between entries

A client that repeats a deadly request at another entry made that entry end two endpoints more before it was told not to.

Cause: what an entry had seen stayed there.

Why the fix works: a condemned request is reported to the leader, which gives it to all entries with their next polls, at once if they wait. While the leader is gone, each entry knows what it has seen. Only condemned requests are shared, so a reset of many connections causes no messages.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -1,5 +1,6 @@
 """Routing, endpoint directory and usage counting of an entry, without I/O."""
 
+from banyanbank_gateway._crash_suspects import CondemnedRequest
 from banyanbank_gateway._crash_suspects import CrashSuspects
 from banyanbank_gateway._crash_suspects import digest_request
 from banyanbank_gateway._directory import Announcement
@@ -29,6 +30,7 @@
 
 __all__ = [
     "Announcement",
+    "CondemnedRequest",
     "CrashSuspects",
     "Directory",
     "Document",
--- a/packages/gateway/src/banyanbank_gateway/_crash_suspects.py
+++ b/packages/gateway/src/banyanbank_gateway/_crash_suspects.py
@@ -11,6 +11,7 @@
 import collections.abc
 import hashlib
 
+import attrs
 import banyanbank_base as base
 
 SUSPICION_TTL_S = 60.0
@@ -43,10 +44,31 @@
     return hashlib.blake2b(head + b"\0" + body, digest_size=16).digest()
 
 
+@attrs.frozen
+class CondemnedRequest:
+    """Request that is taken to end its endpoints."""
+
+    digest: bytes
+    """Digest of the request."""
+    expires_at: float
+    """Unix time from which it may be sent again."""
+
+
 class CrashSuspects:
-    """Losses of requests that this instance has seen."""
+    """Losses of requests that this instance has seen or was told of.
+
+    Times are Unix times, since instances tell each other of condemned requests.
+
+    Attributes:
+        revision: Increases with each request that is condemned.
+        on_condemned: Called with each request that this instance condemns.
+    """
 
     def __init__(self) -> None:
+        self.revision = 0
+        self.on_condemned: collections.abc.Callable[
+            [CondemnedRequest], None
+        ] = _ignore_request
         self._losses: dict[bytes, tuple[int, float]] = {}
         self._occupied: set[base.EndpointId] = set()
 
@@ -85,6 +107,28 @@
         self._losses.pop(digest, None)
         self._losses[digest] = (losses, now + SUSPICION_TTL_S)
         self._drop_old(now)
+        if losses == MAX_LOSSES:
+            self.revision += 1
+            self.on_condemned(CondemnedRequest(digest, now + SUSPICION_TTL_S))
+
+    def condemned(self, now: float) -> tuple[CondemnedRequest, ...]:
+        """Returns the requests that are taken to end their endpoints."""
+        return tuple(
+            CondemnedRequest(digest, expires_at)
+            for digest, (losses, expires_at) in self._losses.items()
+            if losses >= MAX_LOSSES and now < expires_at
+        )
+
+    def apply(self, request: CondemnedRequest, now: float) -> bool:
+        """Takes over what another instance found; returns whether it is new."""
+        if self.is_condemned(request.digest, now) or request.expires_at <= now:
+            return False
+        expires_at = min(request.expires_at, now + SUSPICION_TTL_S)
+        self._losses.pop(request.digest, None)
+        self._losses[request.digest] = (MAX_LOSSES, expires_at)
+        self._drop_old(now)
+        self.revision += 1
+        return True
 
     def record_answer(self, digest: bytes) -> None:
         """Clears a request that an endpoint has answered."""
@@ -100,3 +144,7 @@
     def _count(self, digest: bytes, now: float) -> int:
         losses, expires_at = self._losses.get(digest, (0, now))
         return losses if now < expires_at else 0
+
+
+def _ignore_request(request: CondemnedRequest) -> None:
+    """Default of `CrashSuspects.on_condemned`."""
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -29,6 +29,9 @@
 READ_TIMEOUT_MARGIN_S = 1.0
 """Time that a read of results may take in addition to its wait time."""
 
+REPORT_TIMEOUT_S = 5.0
+"""Time limit for telling the leader of a request that ends its endpoints."""
+
 SHUTDOWN_RETRY_AFTER_S = 0.05
 """Retry-After of a refusal during a shutdown; other instances serve."""
 
@@ -59,6 +62,7 @@
         limits = _endpoint_limits.EndpointLimits(
             self.node.clock, self.node.true_time, self.node.events
         )
+        suspects = gateway.CrashSuspects()
         self._near_stores = _near_stores.NearStores(
             self.node.clock,
             self.node.client,
@@ -76,7 +80,9 @@
             self.node.events,
             self._near_stores,
             limits,
+            suspects,
         )
+        suspects.on_condemned = self._report_condemned
         self._permits = _permits.RemotePermits(
             self.node.clock, self.node.client, limits
         )
@@ -96,7 +102,8 @@
             _departures.Departures(
                 self.node.clock, self.sync.directory, self.node.events
             ),
-            gateway.CrashSuspects(),
+            suspects,
+            self.node.true_time,
         )
         self._shutdown: _shutdown.Shutdown | None = None
         self._startup_wait = _startup_wait.start_wait(self.node.clock.now())
@@ -399,6 +406,15 @@
             self._permits.report(observation), "limit report", self.events
         )
 
+    def _report_condemned(self, request: gateway.CondemnedRequest) -> None:
+        part = _messages.CondemnedPart((request,))
+        deadline = self.node.clock.now() + REPORT_TIMEOUT_S
+        _background.run(
+            self.node.client.call(_messages.REPORT_CONDEMNED, part, deadline),
+            "condemned request report",
+            self.events,
+        )
+
     def _count_usage(self, forwarding: _forwarder.Forwarding) -> None:
         if forwarding.account is None or forwarding.may_have_run_since is None:
             return
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -56,7 +56,10 @@
         events: _event_log.EventLog,
         near_stores: _near_stores.NearStores,
         limits: _endpoint_limits.EndpointLimits,
+        suspects: gateway.CrashSuspects,
     ) -> None:
+        self._suspects = suspects
+        self._condemned_revision = 0
         self._near_stores = near_stores
         self._limits = limits
         self._limits_revision = 0
@@ -116,6 +119,7 @@
             directory_revision=self._directory_revision,
             usage=self._usage.report(self._true_time.now()),
             limits_revision=self._limits_revision,
+            condemned_revision=self._condemned_revision,
         )
         response_timeout_s = LONG_POLL_TIMEOUT_S + RESPONSE_MARGIN_S
         call_result = await self._client.call(
@@ -129,8 +133,9 @@
                 "dep.leader_lost", why=call_result.failure().detail
             )
             self.directory.renew_all(self._clock.now())
-            # A store of an earlier release cannot read the revision.
+            # A store of an earlier release cannot read the revisions.
             self._limits_revision = 0
+            self._condemned_revision = 0
             return False
         self._apply_answer(call_result.unwrap())
         return True
@@ -161,6 +166,9 @@
             for observation in part.observations:
                 self._limits.apply(observation)
         self._limits_revision = answer.limits_revision
+        for condemned in answer.condemned:
+            self._suspects.apply(condemned, self._true_time.now())
+        self._condemned_revision = answer.condemned_revision
         self._limits.forget_ended(self.directory)
         self.answers.wake()
 
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -89,6 +89,11 @@
         "endpoint address",
         "An endpoint expired without an announcement.",
     ),
+    _make_kind(
+        "request.condemned",
+        "request digest tried",
+        "A request ended two endpoints and is not sent any more.",
+    ),
     _make_kind(
         "endpoint.leaving",
         "endpoint address status",
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -134,6 +134,7 @@
         permits: Decides about requests to endpoints with a limit.
         departures: Records which endpoints state that they leave.
         suspects: Requests that may have ended their endpoints.
+        true_time: Unix time that the processes agree on.
     """
 
     def __init__(
@@ -150,7 +151,9 @@
         permits: _permits.PermitSource,
         departures: _departures.Departures,
         suspects: gateway.CrashSuspects,
+        true_time: gateway.SyncedClock,
     ) -> None:
+        self._true_time = true_time
         self._departures = departures
         self._suspects = suspects
         self._clock = clock
@@ -232,7 +235,9 @@
         return (
             forwarding.follows_crashes
             and bool(self._suspects)
-            and self._suspects.is_suspect(forwarding.digest, self._clock.now())
+            and self._suspects.is_suspect(
+                forwarding.digest, self._true_time.now()
+            )
         )
 
     def _is_condemned(self, forwarding: Forwarding) -> bool:
@@ -240,7 +245,7 @@
             forwarding.follows_crashes
             and bool(self._suspects)
             and self._suspects.is_condemned(
-                forwarding.digest, self._clock.now()
+                forwarding.digest, self._true_time.now()
             )
         )
 
@@ -304,8 +309,15 @@
             exchange_result.failure().is_unanswered
             and not forwarding.is_abandoned
         ):
-            now = self._clock.now()
+            now = self._true_time.now()
             self._suspects.record_loss(forwarding.digest, was_alone, now)
+            if self._is_condemned(forwarding):
+                self._events.write(
+                    "request.condemned",
+                    request=forwarding.req.request_id,
+                    digest=forwarding.digest.hex(),
+                    tried=sorted(forwarding.tried),
+                )
 
     async def _exchange(
         self,
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -18,6 +18,7 @@
 READ_DOMAIN = "store.domain"
 TAKE_PERMIT = "store.permit"
 REPORT_LIMITS = "store.limits"
+REPORT_CONDEMNED = "store.condemned"
 JOIN = "store.join"
 RETIRE = "store.retire"
 RETIRED = "store.retired"
@@ -58,6 +59,8 @@
     limits_revision: int = 0
     """Revision of the rate limits that it received last, from the same source
     as the directory."""
+    condemned_revision: int = 0
+    """Revision of the condemned requests that it received last, likewise."""
 
 
 @attrs.frozen
@@ -108,6 +111,10 @@
     """Revision of the rate limits."""
     limits: bytes | None = None
     """Encoded `LimitsPart`; None if the entry already has this revision."""
+    condemned_revision: int = 0
+    """Revision of the condemned requests."""
+    condemned: tuple[gateway.CondemnedRequest, ...] = ()
+    """Condemned requests; empty if the entry already has this revision."""
 
 
 @attrs.frozen
@@ -118,6 +125,14 @@
     """Newest observation of each endpoint."""
 
 
+@attrs.frozen
+class CondemnedPart:
+    """Requests that are taken to end their endpoints."""
+
+    requests: tuple[gateway.CondemnedRequest, ...]
+    """The requests."""
+
+
 @attrs.frozen
 class PermitRequest:
     """Asks to send a request to one of several endpoints with a limit."""
@@ -261,6 +276,7 @@
     SyncAnswer,
     DirectoryPart,
     LimitsPart,
+    CondemnedPart,
     PermitRequest,
     PermitAnswer,
     gateway.Announcement,
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -75,6 +75,7 @@
         self._limits = _endpoint_limits.EndpointLimits(
             self.node.clock, self.node.true_time, self.events
         )
+        self._suspects = gateway.CrashSuspects()
         self.calls = _store_calls.StoreCalls(
             reactor,
             self.node.clock,
@@ -87,6 +88,7 @@
             self.events,
             settings.node.domain,
             self._limits,
+            self._suspects,
         )
         self._runs = self._build_duties(usage)
         self._leader_loop = consensus.LeaderLoop(
@@ -150,7 +152,8 @@
             limits,
             permits,
             departures,
-            gateway.CrashSuspects(),
+            self._suspects,
+            node.true_time,
         )
         runs = _item_runs.ItemRuns(
             node.clock,
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -51,6 +51,7 @@
         events: Event log.
         domain: Failure domain of this instance.
         limits: Rate limits of endpoints, sent to entries.
+        suspects: Requests that end their endpoints, sent to entries.
 
     Attributes:
         changes: Notifies of a new document or directory revision.
@@ -72,8 +73,10 @@
         events: _event_log.EventLog,
         domain: base.FailureDomain,
         limits: _endpoint_limits.EndpointLimits,
+        suspects: gateway.CrashSuspects,
     ) -> None:
         self._domain = domain
+        self._suspects = suspects
         self._limits = limits
         self._clock = clock
         self._mesh = transport
@@ -98,6 +101,7 @@
             (_messages.WITHDRAW, self._handle_withdraw),
             (_messages.PROPOSE, self._handle_propose),
             (_messages.READ_DOCUMENT, self._handle_read_document),
+            (_messages.REPORT_CONDEMNED, self._handle_condemned),
             (_messages.READ_LOG_POSITION, reads.read_log_position),
             (_messages.READ_BODY, reads.read_body),
         ):
@@ -204,6 +208,17 @@
         for observation in part.observations:
             self._limits.apply(observation)
 
+    async def _handle_condemned(
+        self, sender: base.InstanceId, data: bytes
+    ) -> object:
+        del sender
+        part: _messages.CondemnedPart = _messages.CODEC.decode(data)
+        now = self._true_time.now()
+        is_new = [self._suspects.apply(one, now) for one in part.requests]
+        if any(is_new):
+            self.changes.wake()
+        return _messages.Accepted()
+
     async def _handle_announce(
         self, sender: base.InstanceId, data: bytes
     ) -> object:
@@ -254,6 +269,7 @@
             or req.directory_of != self._directory_id
             or req.directory_revision != self._directory.revision
             or req.limits_revision != self._limits.known.revision
+            or req.condemned_revision != self._suspects.revision
         )
 
     @property
@@ -273,6 +289,10 @@
             req.directory_of == self._directory_id
             and req.limits_revision == self._limits.known.revision
         )
+        has_condemned = (
+            req.directory_of == self._directory_id
+            and req.condemned_revision == self._suspects.revision
+        )
         now = self._clock.now()
         return _messages.SyncAnswer(
             document_number=ledger.document_number,
@@ -300,4 +320,8 @@
             else self._encoded_parts.limits(
                 self._directory_id, self._limits.known
             ),
+            condemned_revision=self._suspects.revision,
+            condemned=()
+            if has_condemned
+            else self._suspects.condemned(self._true_time.now()),
         )
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -145,6 +145,7 @@
             _as_any(types.SimpleNamespace(write=lambda event, **fields: None)),
         ),
         gateway.CrashSuspects(),
+        gateway.SyncedClock(clock),
     )
     req = _ports.CallerRequest(
         REQUEST_ID, "POST", "host", "/p/", "/p/", (), b"", None, 20.0
--- a/tests/platform/test_deadly_requests.py
+++ b/tests/platform/test_deadly_requests.py
@@ -114,6 +114,21 @@
 
         self.run_scenario(scenario)
 
+    def test_repeated_at_another_entry(self) -> None:
+        async def scenario(
+            system: deployment.Deployment, servers: list[MortalServer]
+        ) -> None:
+            await system.add_entry()
+            for entry in (1, 2):
+                reply = await system.call_front(
+                    "POST", "/plain/a", DEADLY, entry=entry
+                )
+                self.assertEqual(reply.status, 400)
+                await support.next_turn(0.5)
+            self.assertEqual(sum(one.crashes for one in servers), 2)
+
+        self.run_scenario(scenario)
+
     def test_requests_beside_a_deadly_one(self) -> None:
         async def scenario(
             system: deployment.Deployment, servers: list[MortalServer]
