Draw requests that end their servers in the soak

A body that makes a plain server reset all its requests is repeated at drawn entries until it is answered 400. It may end two servers for each life of an entry that could not learn of it.

--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -11,6 +11,7 @@
 from tests.platform import deployment
 from tests.platform import fakes
 from tests.soak import http
+from tests.soak import servers
 from tests.soak import world
 
 BEAT_S = 1.0
@@ -18,6 +19,8 @@
 ITEMS = 4
 ACCEPT_S = 10.0
 """Seconds for which a batch job is offered."""
+MOST_ENDED = 2
+"""Servers that a deadly request may end at one entry."""
 JOB_ROUTES = {"jobs": "engines", "tuned": "tuned"}
 """Service of each rollout route; texts of `tuned` are of a single version."""
 DRAIN_S = 2.0
@@ -162,6 +165,8 @@
             self.start(self._ask_once(entry))
             if self._rng.random() < 0.2:
                 self.start(self._probe(entry))
+            if self._rng.random() < 0.01:
+                self.start(self._ask_deadly())
 
     async def _ask_once(self, entry: world.Member) -> None:
         self._numbers += 1
@@ -194,6 +199,31 @@
         else:
             self._promises.count(f"requests refused {reply.status}")
 
+    async def _ask_deadly(self) -> None:
+        """Repeats a request that ends its servers until it is told not to."""
+        self._numbers += 1
+        body = servers.DEADLY + b"%d" % self._numbers
+        entries = self._there.entries
+        restarts = -sum(entry.lives for entry in entries)
+        status = None
+        for _ in range(6):
+            entry = self._rng.choice(entries)
+            url = self._there.front_url(entry) + "/plain/deadly"
+            reply = await self._caller.call("POST", url, body, 2.5)
+            status = None if reply is None else reply.status
+            if status == 400:
+                self._promises.count("deadly requests told apart")
+                break
+            await support.next_turn(0.1)
+        restarts += sum(entry.lives for entry in entries)
+        # Each life of an entry that is cut off knows what it has seen itself.
+        most = MOST_ENDED * (len(entries) + restarts)
+        ended = sum(one.crashes[body] for one in self._there.farm.plain)
+        self._promises.check(
+            ended <= most,
+            f"{body.decode()} ended {ended} servers, last status {status}",
+        )
+
     def _check_departure(
         self,
         name: str,
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -11,6 +11,8 @@
 from tests.platform import fakes
 
 HOST = "127.0.0.1"
+DEADLY = b"deadly"
+"""Begins the body of a request that ends its server."""
 ENGINES = 2
 TUNED = 2
 PLAIN = 2
@@ -111,15 +113,27 @@
 
     Attributes:
         born: Start of its life, as Unix time in milliseconds.
+        crashes: How often each deadly request has ended it.
     """
 
     def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
         super().__init__(reactor, host, port)
         self._rng = random.Random(port)
         self.born = 1_000
+        self.crashes: collections.Counter[bytes] = collections.Counter()
+        self._held: set[server.Request] = set()
 
     def answer(self, request: server.Request) -> None:
-        """Answers after a while."""
+        """Answers after a while, unless the request ends the server."""
+        assert request.content is not None
+        body = request.content.read()
+        if body.startswith(DEADLY):
+            self.crashes[body] += 1
+            for held in [request, *self._held]:
+                held.transport.abortConnection()
+            return
+        self._held.add(request)
+        request.notifyFinish().addBoth(lambda _: self._held.discard(request))
         request.setHeader("x-life", f"{self.address}/{self.born}")
         if self._rng.random() < FULL_SHARE:
             self.next_statuses.append(503)
