--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -29,7 +29,7 @@
 READ_TIMEOUT_MARGIN_S = 1.0
 """Time that a read of results may take in addition to its wait time."""
 
-REPORT_TIMEOUT_S = 5.0
+REPORT_TIMEOUT_S = 1.0
 """Time limit for telling the leader of a request that ends its endpoints."""
 
 SHUTDOWN_RETRY_AFTER_S = 0.05
@@ -407,10 +407,17 @@
         )
 
     def _report_condemned(self, request: gateway.CondemnedRequest) -> None:
-        part = _messages.CondemnedPart((request,))
-        deadline = self.node.clock.now() + REPORT_TIMEOUT_S
+        """Tells the leader, best effort; this instance remembers it anyway."""
+        leader = self.node.client.leader
+        if leader is None:
+            return
         _background.run(
-            self.node.client.call(_messages.REPORT_CONDEMNED, part, deadline),
+            self.node.client.call_store(
+                leader,
+                _messages.REPORT_CONDEMNED,
+                _messages.CondemnedPart((request,)),
+                self.node.clock.now() + REPORT_TIMEOUT_S,
+            ),
             "condemned request report",
             self.events,
         )
