Clear a suspect only by an endpoint that ran it

A busy endpoint that answers that it has not run a request says nothing about it, but cleared it, so that a deadly request could end more than two endpoints while some were full. SuspectTest failed before the change in one case of three.

--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -3,7 +3,6 @@
 import collections.abc
 import functools
 import random
-import typing
 
 import attrs
 import banyanbank_base as base
@@ -296,14 +295,17 @@
     def _follow_up(
         self,
         forwarding: Forwarding,
-        exchange_result: result.Result[typing.Any, web.UpstreamError],
+        exchange_result: result.Result[
+            tuple[_ports.ResponseHeaders, Answer], web.UpstreamError
+        ],
         was_alone: bool,
     ) -> None:
         """Records whether the endpoint may have crashed under the request."""
         if not forwarding.follows_crashes:
             return
         if isinstance(exchange_result, result.Success):
-            if self._suspects:
+            response_headers, _ = exchange_result.unwrap()
+            if self._suspects and not response_headers.has_not_run:
                 self._suspects.record_answer(forwarding.digest)
         elif (
             exchange_result.failure().is_unanswered
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -88,9 +88,12 @@
     limited: tuple[str, ...] = (),
     permits: FakePermits | None = None,
     directory: gateway.Directory | None = None,
+    suspects: gateway.CrashSuspects | None = None,
 ) -> tuple[_forwarder.Answer | base.Refusal, int]:
     """Returns the answer or refusal, and the number of endpoints tried."""
     directory = directory or make_directory()
+    if suspects is None:
+        suspects = gateway.CrashSuspects()
     clock = base.ManualClock(10.0)
     limits = _endpoint_limits.EndpointLimits(
         clock,
@@ -144,13 +147,15 @@
             directory,
             _as_any(types.SimpleNamespace(write=lambda event, **fields: None)),
         ),
-        gateway.CrashSuspects(),
+        suspects,
         gateway.SyncedClock(clock),
     )
     req = _ports.CallerRequest(
         REQUEST_ID, "POST", "host", "/p/", "/p/", (), b"", None, 20.0
     )
-    forwarding = _forwarder.Forwarding(req, _make_route(kind), None, 20.0)
+    forwarding = _forwarder.Forwarding(
+        req, _make_route(kind), None, 20.0, follows_crashes=kind.is_repeatable
+    )
     got: list[typing.Any] = []
     defer.ensureDeferred(forwarder.send(forwarding)).addBoth(got.append)
     return got[0], len(forwarding.tried)
@@ -203,6 +208,43 @@
         self.assertGreater(refusal.retry_after or 0.0, 0.0)
 
 
+class SuspectTest(unittest.TestCase):
+    """A request that was lost is cleared by an endpoint that ran it."""
+
+    def test_what_clears_a_suspect(self) -> None:
+        """Guards against a deadly request that a busy endpoint clears."""
+        own = Reply(REQUEST_ID)
+        full = Reply(REQUEST_ID, 503, has_not_run=True)
+        digest = gateway.digest_request("POST", "host", "/p/", (), b"")
+        for name, replies, is_suspect in (
+            ("it ran", [own], False),
+            ("it ran and failed", [attrs.evolve(own, status=400)], False),
+            ("it has not run anywhere", [full, full], True),
+        ):
+            with self.subTest(name):
+                suspects = gateway.CrashSuspects()
+                now = gateway.SyncedClock(base.ManualClock(10.0)).now()
+                suspects.record_loss(digest, False, now)
+                send_request(
+                    gateway.RouteKind.IDEMPOTENT, *replies, suspects=suspects
+                )
+                self.assertEqual(suspects.is_suspect(digest, now), is_suspect)
+
+    def test_condemned_request_is_not_sent(self) -> None:
+        suspects = gateway.CrashSuspects()
+        now = gateway.SyncedClock(base.ManualClock(10.0)).now()
+        digest = gateway.digest_request("POST", "host", "/p/", (), b"")
+        for was_alone in (False, True):
+            suspects.record_loss(digest, was_alone, now)
+        refusal, tried = send_request(
+            gateway.RouteKind.IDEMPOTENT, suspects=suspects
+        )
+        assert isinstance(refusal, base.Refusal)
+        self.assertIs(refusal.reason, base.RefusalReason.ENDS_ENDPOINTS)
+        self.assertIs(refusal.outcome, base.Outcome.NOT_RUN)
+        self.assertEqual(tried, 0)
+
+
 class RateLimitTest(unittest.TestCase):
     """Endpoints with a limit get requests only by permit."""
 
