Trace unanswered connections only where requests to endpoints are sent

Cause: the pool that every client uses told stale connections apart by replacing the error.

Why the fix works: only the pool of web.Upstream, which reads the new errors, replaces them; other clients get Twisted's as before.

--- a/packages/mesh/src/banyanbank_mesh/__init__.py
+++ b/packages/mesh/src/banyanbank_mesh/__init__.py
@@ -4,6 +4,7 @@
 from banyanbank_mesh._bounded_heads import HeadTooLongError
 from banyanbank_mesh._bounded_heads import MAX_HEAD_BYTES
 from banyanbank_mesh._bounded_heads import StaleConnectionError
+from banyanbank_mesh._bounded_heads import TracedPool
 from banyanbank_mesh._bounded_heads import UnansweredError
 from banyanbank_mesh._errors import CallError
 from banyanbank_mesh._errors import CallErrorKind
@@ -44,6 +45,7 @@
     "Stream",
     "StreamClosedError",
     "StreamWriter",
+    "TracedPool",
     "UnansweredError",
     "install_reactor",
     "ip_agent",
--- a/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -31,12 +31,10 @@
     """Counts what comes before an answer's body; Twisted bounds only lines."""
 
     _head_bytes: int | None = None
-    _request_count = 0
 
     def request(self, request: typing.Any) -> "defer.Deferred[iweb.IResponse]":
         """Sends a request; its answer's head is counted from here."""
         self._head_bytes = 0
-        self._request_count += 1
         return super().request(request).addBoth(self._end_head)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -56,8 +54,23 @@
             )
 
     def _end_head(self, outcome: typing.Any) -> typing.Any:
-        is_unanswered = self._head_bytes == 0
         self._head_bytes = None
+        return outcome
+
+
+class _TracedProtocol(_BoundedHeadProtocol):
+    """Tells losses before any byte of an answer from others."""
+
+    _request_count = 0
+
+    def request(self, request: typing.Any) -> "defer.Deferred[iweb.IResponse]":
+        """Sends a request; counts those on this connection."""
+        self._request_count += 1
+        return super().request(request)
+
+    def _end_head(self, outcome: typing.Any) -> typing.Any:
+        is_unanswered = self._head_bytes == 0
+        outcome = super()._end_head(outcome)
         if not (isinstance(outcome, failure.Failure) and is_unanswered):
             return outcome
         error = (
@@ -67,9 +80,15 @@
 
 
 class _BoundedHeadFactory(client._HTTP11ClientFactory):
+    _protocol = _BoundedHeadProtocol
+
     def buildProtocol(self, addr: object) -> _BoundedHeadProtocol:  # noqa: N802
         del addr
-        return _BoundedHeadProtocol(self._quiescentCallback)
+        return self._protocol(self._quiescentCallback)
+
+
+class _TracedFactory(_BoundedHeadFactory):
+    _protocol = _TracedProtocol
 
 
 class BoundedHeadPool(client.HTTPConnectionPool):
@@ -77,6 +96,15 @@
 
     _factory = _BoundedHeadFactory
 
+
+class TracedPool(BoundedHeadPool):
+    """Tells losses of connections before any byte of an answer from others.
+
+    Their requests fail with `UnansweredError` instead of Twisted's errors.
+    """
+
+    _factory = _TracedFactory
+
     def close_idle(self, host: str, port: int) -> None:
         """Closes the idle connections to one address."""
         for key, connections in self._connections.items():
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -232,12 +232,14 @@
     def __init__(self, reactor: typing.Any, clock: base.Clock) -> None:
         self._reactor = reactor
         self._clock = clock
-        self._pool = mesh.BoundedHeadPool(reactor, persistent=True)
+        self._pool = mesh.TracedPool(reactor, persistent=True)
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = CONNECTIONS_PER_ENDPOINT
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         self._pooled = mesh.ip_agent(reactor, self._pool)
-        self._fresh = mesh.ip_agent(reactor)
+        self._fresh = mesh.ip_agent(
+            reactor, mesh.TracedPool(reactor, persistent=False)
+        )
 
     async def send(
         self, req: UpstreamRequest
