Accept any signed answer without events as the end of a resumed text

Items stayed unlisted for 10 s and more after a change of leader, each asked for again every half second: the next leader had their whole texts, asked an engine to go on after the last event, and took the answer for a lost run.

Cause: an answer without events counted only if it named no weight version. What proves the end is the signature and the end mark, not the missing header.

The new case of RunReaderTest failed before and passes.

--- a/packages/node/src/banyanbank_node/_run_reader.py
+++ b/packages/node/src/banyanbank_node/_run_reader.py
@@ -181,7 +181,9 @@
                     "stream has events but names no weight version"
                 )
             self._record_events(run, events)
-        if not reader.is_between_events or not (run.events or may_be_complete):
+        # A signed answer without events to a resumed run confirms its text.
+        has_text = bool(run.events or run.item.text.pieces)
+        if not (reader.is_between_events and has_text):
             raise jobs.EventStreamError(
                 "stream ended within an event or without any event"
             )
--- a/tests/node/test_run_reader.py
+++ b/tests/node/test_run_reader.py
@@ -122,6 +122,8 @@
             ("unsigned", set(), FakeResponse(4, [first], ""), lost),
             ("empty", set(), FakeResponse(4, []), lost),
             ("nothing to add", {4}, FakeResponse(None, []), ended),
+            ("nothing to add, with version", {4}, FakeResponse(4, []), ended),
+            ("cut event", {4}, FakeResponse(4, [b"id: 2"]), lost),
             ("nothing to add, unsigned", {4}, FakeResponse(None, [], ""), lost),
         ):
             with self.subTest(name):
