Keep a request condemned when a copy of it is lost beside others

A deadly request that several clients had sent could end further endpoints: a copy that was still under way, and not alone, was lost after the request had been condemned, and its loss was counted as the first one again.

Cause: a loss that was not alone set the count to one, whatever it was.

Why the fix works: such a loss never lowers the count.

The case "condemned, a copy is lost" failed before and passes. The header of departures has one name in the stand-ins.

--- a/packages/gateway/src/banyanbank_gateway/_crash_suspects.py
+++ b/packages/gateway/src/banyanbank_gateway/_crash_suspects.py
@@ -103,11 +103,12 @@
             was_alone: Whether the request ran as a suspect.
             now: Current time.
         """
-        losses = self._count(digest, now) + 1 if was_alone else 1
+        known = self._count(digest, now)
+        losses = known + 1 if was_alone else max(known, 1)
         self._losses.pop(digest, None)
         self._losses[digest] = (losses, now + SUSPICION_TTL_S)
         self._drop_old(now)
-        if losses == MAX_LOSSES:
+        if known < MAX_LOSSES <= losses:
             self.revision += 1
             self.on_condemned(CondemnedRequest(digest, now + SUSPICION_TTL_S))
 
@@ -136,10 +137,14 @@
 
     def _drop_old(self, now: float) -> None:
         """Drops expired losses and those over the bound, the oldest first."""
-        for digest, (_, expires_at) in list(self._losses.items()):
-            if expires_at > now and len(self._losses) <= MAX_REQUESTS:
+        while self._losses:
+            oldest = next(iter(self._losses))
+            if (
+                self._losses[oldest][1] > now
+                and len(self._losses) <= MAX_REQUESTS
+            ):
                 return
-            del self._losses[digest]
+            del self._losses[oldest]
 
     def _count(self, digest: bytes, now: float) -> int:
         losses, expires_at = self._losses.get(digest, (0, now))
--- a/tests/gateway/test_crash_suspects.py
+++ b/tests/gateway/test_crash_suspects.py
@@ -20,6 +20,7 @@
             ("lost once, long ago", [lost], 70.0, False, False),
             ("lost beside others twice", [lost, lost], 1.0, True, False),
             ("lost, then lost alone", [lost, alone], 1.0, True, True),
+            ("condemned, a copy is lost", [lost, alone, lost], 1.0, True, True),
             ("lost, then answered", [lost, answered], 1.0, False, False),
             ("answered in between", [lost, answered, lost], 1.0, True, False),
             ("condemned long ago", [lost, alone], 70.0, False, False),
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -12,6 +12,9 @@
 from twisted.web import resource
 from twisted.web import server
 
+LEAVING_HEADER = "server-leaving"
+"""Header by which a server states that it leaves."""
+
 EVENT_COUNT = 4
 """Number of events in a generated text."""
 
@@ -59,7 +62,7 @@
         if self.rate_limit is not None:
             request.setHeader("server-limit", self.rate_limit)
         if self.is_leaving:
-            request.setHeader("server-leaving", "1")
+            request.setHeader(LEAVING_HEADER, "1")
         self.answer(request)
 
     def answer(self, request: server.Request) -> None:
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -241,7 +241,7 @@
             left_at is None or sent_at <= left_at + DRAIN_S,
             f"{name} reached {life} after an answer that it leaves",
         )
-        if reply.headers.get("server-leaving") == "1":
+        if reply.headers.get(fakes.LEAVING_HEADER) == "1":
             self._promises.count("answers of leaving servers")
             self._left.setdefault(life, self._there.reactor.seconds())
 
