Delay an item whose kept connection had ended like any lost run

An engine that crashes before the first byte of an answer on a kept connection looks like one that had closed an idle connection.

Why the fix works: the loss is still no failure of the engine, and the item waits as after any lost run.

The test of stale connections asserts the wait as well; that failed before.

--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -253,7 +253,7 @@
     ) -> None:
         if error.is_stale_connection:
             self._log_run(run, "stale", error.detail)
-            self._requeue(run, 0.0)
+            self._requeue(run, jobs.FAILED_RETRY_DELAY_S)
         else:
             self._handle_lost(run, error.detail)
 
--- a/tests/node/test_item_runs.py
+++ b/tests/node/test_item_runs.py
@@ -76,6 +76,10 @@
         for sent in lost:
             sent.answered.errback(ConnectionError(running.STALE))
         leader.runs.tick()
+        # An item that ends its engines must not go through them at once.
+        self.assertEqual(engines.waiting(), [])
+        leader.clock.advance(jobs.FAILED_RETRY_DELAY_S)
+        leader.runs.tick()
         self.assertEqual(len(engines.waiting()), len(lost))
 
 
