Log what each store replied to a failed poll, and the table of served requests

Now dep.leader_lost has the last reply of each store (names X, deadline, unreachable, disconnected), the table held and the time since a leader answered; each store logs config.committed when it applies a document, so that a merged log shows the time from there to config.in_force, which has its source and the time since the answer before it; request.answered has the table and its age. With these, a harmed path (deadline or unreachable for the store that the others name), a leader that does not confirm its leadership (it names itself) and a client that goes astray (the leader is not among the asked) differ. No decision is changed.

--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -274,6 +274,8 @@
                 status=answer.status,
                 tried=sorted(forwarding.tried),
                 took_ms=round(1000 * duration_s),
+                table=self._document_number,
+                table_age_ms=self.sync.contact_age_ms,
             )
         return answer
 
@@ -295,7 +297,7 @@
             retry_after_s=refusal.retry_after,
             tried=tried,
             table=self._document_number,
-            table_age_ms=self._contact_age_ms(),
+            table_age_ms=self.sync.contact_age_ms,
         )
 
     async def submit(self, job: jobs.Job) -> base.Refusal | None:
@@ -433,12 +435,6 @@
         table = self.sync.table
         return 0 if table is None else table.document.number
 
-    def _contact_age_ms(self) -> int | None:
-        last_contact_at = self.sync.last_contact_at
-        if last_contact_at is None:
-            return None
-        return round(1000 * (self.node.clock.now() - last_contact_at))
-
 
 def _make_no_leader_refusal(detail: str) -> base.Refusal:
     """Returns the refusal of a call that no leader answered."""
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -104,6 +104,13 @@
             and self._clock.now() <= self.last_contact_at + MAX_CONTACT_AGE_S
         )
 
+    @property
+    def contact_age_ms(self) -> int | None:
+        """Milliseconds since the last answer of a leader; None before it."""
+        if self.last_contact_at is None:
+            return None
+        return round(1000 * (self._clock.now() - self.last_contact_at))
+
     async def _poll_forever(self) -> None:
         while self._is_running:
             if not await self._poll_once():
@@ -129,8 +136,13 @@
             response_timeout_s,
         )
         if isinstance(call_result, result.Failure):
+            error = call_result.failure()
             self._events.write(
-                "dep.leader_lost", why=call_result.failure().detail
+                "dep.leader_lost",
+                why=error.detail,
+                asked=error.asked,
+                table=number,
+                contact_age_ms=self.contact_age_ms,
             )
             self.directory.renew_all(self._clock.now())
             # A store of an earlier release cannot read the revisions.
@@ -142,6 +154,7 @@
 
     def _apply_answer(self, answer: _messages.SyncAnswer) -> None:
         now = self._clock.now()
+        contact_age_ms = self.contact_age_ms
         if answer.directory_of != self._directory_source:
             # A new leader may have received few announcements so far.
             self.directory.renew_all(now)
@@ -152,7 +165,9 @@
             self._near_stores.learn(answer.stores), "domains", self._events
         )
         if answer.document is not None:
-            self._apply_document(answer.document)
+            self._apply_document(
+                answer.document, answer.directory_of, contact_age_ms
+            )
         if answer.directory is not None:
             self._apply_directory(answer, answer.directory, now)
         self.directory.renew(
@@ -192,7 +207,9 @@
             known=len(self.directory),
         )
 
-    def _apply_document(self, compressed: bytes) -> None:
+    def _apply_document(
+        self, compressed: bytes, source: str, contact_age_ms: int | None
+    ) -> None:
         try:
             document = self._wire.read_document(
                 _sync_part_cache.decompress_document(compressed)
@@ -209,6 +226,8 @@
             "config.in_force",
             number=document.number,
             routes=len(document.routes),
+            source=source,
+            contact_age_ms=contact_age_ms,
         )
         self.on_document(document)
 
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -56,11 +56,21 @@
         "counts",
         "Number of dropped log lines, by event.",
     ),
-    _make_kind("dep.leader_lost", "why", "No store answered as leader."),
+    _make_kind(
+        "dep.leader_lost",
+        "why asked table contact_age_ms",
+        "No store answered as leader; `asked` has the last reply of each.",
+    ),
+    _make_kind(
+        "config.committed",
+        "number leads",
+        "This store applied a committed document.",
+    ),
     _make_kind(
         "config.in_force",
-        "number routes",
-        "A document came into force in this process.",
+        "number routes source contact_age_ms",
+        "A document came into force in this process, this long after the"
+        " previous answer of a leader.",
     ),
     _make_kind(
         "config.invalid", "why", "An operator submitted an invalid document."
@@ -122,7 +132,7 @@
     ),
     _make_kind(
         "request.answered",
-        "request route status tried took_ms",
+        "request route status tried took_ms table table_age_ms",
         "The answer of an endpoint was returned to the caller.",
         is_final=True,
     ),
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -355,6 +355,11 @@
         if isinstance(command, jobs.ListResult):
             self.calls.results.wake()
         elif isinstance(command, jobs.DeclareDocument):
+            self.events.write(
+                "config.committed",
+                number=command.number,
+                leads=self._log.is_leader,
+            )
             self.calls.changes.wake()
         self._runs.handle_committed(command)
 
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -43,6 +43,8 @@
     """Whether the call may have taken effect."""
     detail: str
     """Cause of the latest failed attempt."""
+    asked: dict[base.InstanceId, str] = attrs.Factory(dict)
+    """Latest reply of each store that was asked, or why there was none."""
 
 
 class StoreClient:
@@ -158,6 +160,7 @@
         """Sends an encoded message and returns the leader's encoded answer."""
         may_have_run = False
         detail = "no store was asked"
+        asked: dict[base.InstanceId, str] = {}
         if first is not None and self._is_avoided(first):
             first = None
         while self._clock.now() < deadline:
@@ -175,16 +178,18 @@
                         self._leader_hint = target
                     return result.Success(answer.payload)
                 detail = f"{target} does not lead"
+                asked[target] = f"names {answer.leader or 'no leader'}"
                 self._follow_leader_hint(target, answer.leader)
             else:
                 error = call_result.failure()
                 detail = f"{target}: {error.detail}"
+                asked[target] = error.kind.value
                 may_have_run |= error.outcome is not base.Outcome.NOT_RUN
                 if not self._was_suspended(attempt_deadline):
                     self._avoid(target, error.kind, sent_at)
             first = None
             await task.deferLater(self._reactor, RETRY_DELAY_S)
-        return result.Failure(StoreCallError(may_have_run, detail))
+        return result.Failure(StoreCallError(may_have_run, detail, asked))
 
     async def _attempt_call(
         self,
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -140,6 +140,21 @@
         self.assertEqual(self.call(limit_s=3.0)[0], True)
         self.assertEqual(self.client.leader, SUCCESSOR)
 
+    def test_error_has_the_last_reply_of_each_store(self) -> None:
+        running = defer.ensureDeferred(
+            self.client.call("method", _messages.Accepted(), 1.0, 0.8)
+        )
+        while not running.called:
+            self.clock.advance(STEP_S)
+        self.assertEqual(
+            typing.cast(typing.Any, running.result).failure().asked,
+            {
+                FROZEN: "deadline",
+                FOLLOWER: f"names {FROZEN}",
+                SUCCESSOR: f"names {FROZEN}",
+            },
+        )
+
     def test_no_leader(self) -> None:
         answered, took_s = self.call(limit_s=2.0)
         self.assertFalse(answered)
