Reproduce an entry that acts on an overtaken configuration

An operator's change is acknowledged, and more than two seconds later an entry still runs requests of a moved route at the old service.

The path between one entry and the leader goes silent for 8 s, both ways; connections stay open and new ones are accepted and say nothing. All other paths are sound, among them those of the entry to the other stores and of these to the leader. Stores and entries are processes, the cut is made by relays. A request is judged by when it was sent, when changes were acknowledged, and which service ran it or which status came back, so the test does not depend on how entries learn of a change.

--- a/tests/links.py
+++ b/tests/links.py
@@ -80,6 +80,22 @@
             self._ways[pair] = relay.Way(way.delay_s, way.is_cut)
             way.cut()
 
+    def silence_between(
+        self,
+        ones: collections.abc.Sequence[str],
+        others: collections.abc.Sequence[str],
+    ) -> None:
+        """Lets the open connections of two groups go silent for good."""
+        groups = (set(ones), set(others))
+        for pair, way in list(self._ways.items()):
+            source, target = pair
+            if any(
+                source in near and target in far
+                for near, far in (groups, groups[::-1])
+            ):
+                self._ways[pair] = relay.Way(way.delay_s, way.is_cut)
+                way.cut()
+
     def delay(
         self,
         ones: collections.abc.Sequence[str],
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -49,6 +49,8 @@
     """When it was started last, in steady seconds."""
     pauses: int = 0
     """How often it was suspended."""
+    clock_ahead_ms: int = 0
+    """How far its time of day is ahead from its next start on."""
 
     @property
     def is_up(self) -> bool:
@@ -73,6 +75,7 @@
             "BANYANBANK_MESH_LISTEN_HOST": self.host,
             "BANYANBANK_MESH_SOURCE_HOST": self.host,
             role.STEP_VARIABLE: str(CLOCK_STEP_MS),
+            role.AHEAD_VARIABLE: str(self.clock_ahead_ms),
         }
         with (self.folder / "log.txt").open("ab") as log:
             self.running = subprocess.Popen(
@@ -113,9 +116,10 @@
 
     Args:
         folder: For settings, data and logs.
+        entries: Number of entries.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, entries: int = ENTRIES) -> None:
         from twisted.internet import reactor
 
         self.reactor: typing.Any = reactor
@@ -129,7 +133,7 @@
             name: f"{net}.{index + 1}"
             for index, name in enumerate(
                 [f"store-{n + 1}" for n in range(STORES)]
-                + [f"entry-{n + 1}" for n in range(ENTRIES)]
+                + [f"entry-{n + 1}" for n in range(entries)]
             )
         }
         self.links = links.Links(self._hosts, self._mesh_port)
