Avoid a store for its silence only if it had the whole time to answer

Callers saw 503 (no leader) for up to 1.3 s longer than the leader was away: the last attempt of a call is cut short by the deadline of the call, and a store that did not answer within those milliseconds counted as silent. An operator's call of 0.9 s asks a second time for 0.05 s, and a poll that a hint led to the leader late gave it less time than the leader may hold a poll.

Cause: call_raw took any passed deadline for the store's silence. Ruled out: lost connections, which are noticed at once and still count. Evidence: the new test fails without the change (the leader that had 0.3 s of 0.8 s is avoided by the next call). Now an attempt counts as silence only if it had its whole timeout.

--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -185,7 +185,11 @@
                 detail = f"{target}: {error.detail}"
                 asked[target] = error.kind.value
                 may_have_run |= error.outcome is not base.Outcome.NOT_RUN
-                if not self._was_suspended(attempt_deadline):
+                had_time = attempt_deadline >= sent_at + attempt_timeout_s
+                is_silent = error.kind is mesh.CallErrorKind.DEADLINE
+                if not self._was_suspended(attempt_deadline) and (
+                    had_time or not is_silent
+                ):
                     self._avoid(target, error.kind, sent_at)
             first = None
             await task.deferLater(self._reactor, RETRY_DELAY_S)
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -140,6 +140,17 @@
         self.assertEqual(self.call(limit_s=3.0)[0], True)
         self.assertEqual(self.client.leader, SUCCESSOR)
 
+    def test_store_is_not_blamed_for_an_attempt_that_had_less_time(
+        self,
+    ) -> None:
+        answered, _ = self.call(limit_s=0.3)
+        self.assertFalse(answered)
+        self.stores.is_silent = False
+        self.stores.called_stores.clear()
+        answered, _ = self.call(limit_s=0.3)
+        self.assertTrue(answered)
+        self.assertEqual(self.stores.called_stores, [FROZEN])
+
     def test_error_has_the_last_reply_of_each_store(self) -> None:
         running = defer.ensureDeferred(
             self.client.call("method", _messages.Accepted(), 1.0, 0.8)
