Let any store pass an entry's polls on to the leader

Cause: only the leader handed out documents, and an entry asked it alone. While the one path between them is harmed, the entry reaches stores that hold the committed document and learns nothing from them; polls, avoidance and dials repeat for as long as the path is harmed, and nothing bounds the sum. Class: a decision that depends on one path although others carry the same fact.

Ruled out: decoding and listeners (a document is in force in the loop turn that brings it), routes kept by requests (the breaches are requests sent 2 s and more after the acknowledgement).

After a failed poll the next one goes through another store, which passes it on to the leader and returns the leader's answer, so that it confirms as much as a direct one. A store that reaches no leader returns its own document if that is newer, since it is committed and numbers only rise; an entry without a document does not take it, as it may be older than one that was acknowledged. The leader is probed each second and polled directly once it answers or another one leads.

--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -18,6 +18,7 @@
 from banyanbank_node import _near_stores
 from banyanbank_node import _node
 from banyanbank_node import _permits
+from banyanbank_node import _poll_paths
 from banyanbank_node import _ports
 from banyanbank_node import _settings
 from banyanbank_node import _shutdown
@@ -81,6 +82,7 @@
             self._near_stores,
             limits,
             suspects,
+            _poll_paths.PollPaths(self.node.rng),
         )
         suspects.on_condemned = self._report_condemned
         self._permits = _permits.RemotePermits(
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -14,6 +14,7 @@
 from banyanbank_node import _event_log
 from banyanbank_node import _messages
 from banyanbank_node import _near_stores
+from banyanbank_node import _poll_paths
 from banyanbank_node import _ports
 from banyanbank_node import _store_client
 from banyanbank_node import _sync_part_cache
@@ -28,6 +29,9 @@
 """Time since the last answer of a leader after which a poll has failed, so that
 a change may have been missed."""
 
+RELAY_MARGIN_S = 0.2
+"""Time that a store which relays a poll may take in addition."""
+
 POLL_RETRY_DELAY_S = 0.1
 """Delay before the next poll after a failed one."""
 
@@ -57,6 +61,7 @@
         near_stores: _near_stores.NearStores,
         limits: _endpoint_limits.EndpointLimits,
         suspects: gateway.CrashSuspects,
+        paths: _poll_paths.PollPaths,
     ) -> None:
         self._suspects = suspects
         self._condemned_revision = 0
@@ -71,6 +76,7 @@
         self._true_time = true_time
         self._usage = usage
         self._events = events
+        self._paths = paths
         self._is_running = False
         self._directory_source = ""
         self._directory_revision = 0
@@ -117,42 +123,116 @@
                 await task.deferLater(self._reactor, POLL_RETRY_DELAY_S)
 
     async def _poll_once(self) -> bool:
-        """Polls the leader once; returns False if none answered."""
-        number = 0 if self.table is None else self.table.document.number
-        req = _messages.SyncRequest(
+        """Polls the leader once; returns False if nothing was learnt."""
+        now = self._clock.now()
+        leader = self._client.leader
+        path = self._paths.choose(self._client.responsive_stores, now)
+        req = self._make_request()
+        if path.relay is None:
+            error = await self._poll_leader(req)
+        else:
+            self._probe_leader(now)
+            error = await self._poll_through(path.relay, req)
+        if error is None:
+            return True
+        self._paths.record_failure(path, leader, self._clock.now())
+        self._events.write(
+            "dep.leader_lost",
+            why=error.detail,
+            asked=error.asked,
+            relay=path.relay,
+            table=req.document_number,
+            contact_age_ms=self.contact_age_ms,
+        )
+        self.directory.renew_all(self._clock.now())
+        # A store of an earlier release cannot read what the next direct poll
+        # leaves out.
+        self._limits_revision = 0
+        self._condemned_revision = 0
+        return False
+
+    def _make_request(self) -> _messages.SyncRequest:
+        return _messages.SyncRequest(
             entry=self._entry_name,
-            document_number=number,
+            document_number=0
+            if self.table is None
+            else self.table.document.number,
             directory_of=self._directory_source,
             directory_revision=self._directory_revision,
             usage=self._usage.report(self._true_time.now()),
             limits_revision=self._limits_revision,
             condemned_revision=self._condemned_revision,
         )
-        response_timeout_s = LONG_POLL_TIMEOUT_S + RESPONSE_MARGIN_S
-        call_result = await self._client.call(
+
+    async def _poll_leader(
+        self, req: _messages.SyncRequest
+    ) -> _store_client.StoreCallError | None:
+        called = await self._client.call(
             _messages.SYNC,
             req,
-            self._clock.now() + 3 * response_timeout_s,
-            response_timeout_s,
+            self._clock.now() + MAX_CONTACT_AGE_S,
+            MAX_CONTACT_AGE_S,
+        )
+        if isinstance(called, result.Failure):
+            return called.failure()
+        self._apply_answer(_poll_paths.DIRECT, called.unwrap())
+        return None
+
+    async def _poll_through(
+        self, relay: base.InstanceId, req: _messages.SyncRequest
+    ) -> _store_client.StoreCallError | None:
+        called = await self._client.call_store(
+            relay,
+            _messages.RELAY_SYNC,
+            req,
+            self._clock.now() + MAX_CONTACT_AGE_S + RELAY_MARGIN_S,
         )
-        if isinstance(call_result, result.Failure):
-            error = call_result.failure()
-            self._events.write(
-                "dep.leader_lost",
-                why=error.detail,
-                asked=error.asked,
-                table=number,
-                contact_age_ms=self.contact_age_ms,
+        if isinstance(called, result.Failure):
+            return called.failure()
+        relayed: _messages.RelayedSync = called.unwrap()
+        if relayed.answer is not None:
+            self._apply_answer(
+                _poll_paths.PollPath(relay),
+                _messages.CODEC.decode(relayed.answer),
             )
-            self.directory.renew_all(self._clock.now())
-            # A store of an earlier release cannot read the revisions.
-            self._limits_revision = 0
-            self._condemned_revision = 0
-            return False
-        self._apply_answer(call_result.unwrap())
-        return True
+            return None
+        # Without a confirmed document first, this one may be too old to act on.
+        if (
+            relayed.document is not None
+            and self.table is not None
+            and self._apply_document(
+                relayed.document, relay, self.contact_age_ms
+            )
+        ):
+            return None
+        return _store_client.StoreCallError(
+            False, f"{relay} reached no leader", {relay: "relays nothing"}
+        )
 
-    def _apply_answer(self, answer: _messages.SyncAnswer) -> None:
+    def _probe_leader(self, now: float) -> None:
+        leader = self._paths.take_probe(now)
+        if leader is not None:
+            _background.run(
+                self._restore_direct_path(leader), "leader probe", self._events
+            )
+
+    async def _restore_direct_path(self, leader: base.InstanceId) -> None:
+        called = await self._client.call_store(
+            leader,
+            _messages.READ_DOMAIN,
+            _messages.Accepted(),
+            self._clock.now() + MAX_CONTACT_AGE_S,
+        )
+        if isinstance(called, result.Success):
+            self._paths.restore_direct()
+
+    def _apply_answer(
+        self, path: _poll_paths.PollPath, answer: _messages.SyncAnswer
+    ) -> None:
+        leader = base.InstanceId(answer.directory_of.partition("/")[0])
+        self._paths.record_answer(path, leader)
+        if path.relay is not None:
+            self._client.follow_leader(leader)
         now = self._clock.now()
         contact_age_ms = self.contact_age_ms
         if answer.directory_of != self._directory_source:
@@ -209,18 +289,19 @@
 
     def _apply_document(
         self, compressed: bytes, source: str, contact_age_ms: int | None
-    ) -> None:
+    ) -> bool:
+        """Puts a document in force; returns False if it is not a newer one."""
         try:
             document = self._wire.read_document(
                 _sync_part_cache.decompress_document(compressed)
             )
         except (ValueError, gateway.InvalidDocumentError) as exc:
             self._events.write("config.unreadable", why=str(exc))
-            return
+            return False
         if self.table is not None:
             held = self.table.document.number
             if document.number <= held:
-                return
+                return False
         self.table = gateway.RouteTable(document)
         self._events.write(
             "config.in_force",
@@ -230,6 +311,7 @@
             contact_age_ms=contact_age_ms,
         )
         self.on_document(document)
+        return True
 
     def _restart_after_failure(self, failure: typing.Any) -> None:
         if failure.check(defer.CancelledError):
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -58,8 +58,9 @@
     ),
     _make_kind(
         "dep.leader_lost",
-        "why asked table contact_age_ms",
-        "No store answered as leader; `asked` has the last reply of each.",
+        "why asked relay table contact_age_ms",
+        "No leader answered a poll; `asked` has the last reply of each store,"
+        " `relay` the store that was to pass the poll on.",
     ),
     _make_kind(
         "config.committed",
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -8,6 +8,7 @@
 import banyanbank_jobs as jobs
 
 SYNC = "store.sync"
+RELAY_SYNC = "store.relay_sync"
 ANNOUNCE = "store.announce"
 WITHDRAW = "store.withdraw"
 PROPOSE = "store.propose"
@@ -117,6 +118,17 @@
     """Condemned requests; empty if the entry already has this revision."""
 
 
+@attrs.frozen
+class RelayedSync:
+    """Answer of any store to a poll that it passes on to the leader."""
+
+    answer: bytes | None
+    """Encoded `SyncAnswer` of the leader; None if it did not answer."""
+    document: bytes | None
+    """Compressed document that this store has applied, which is committed but
+    need not be the newest; None unless it is newer than the entry's."""
+
+
 @attrs.frozen
 class LimitsPart:
     """Rate limits that endpoints state, or no longer state."""
@@ -276,6 +288,7 @@
     SyncAnswer,
     DirectoryPart,
     LimitsPart,
+    RelayedSync,
     CondemnedPart,
     PermitRequest,
     PermitAnswer,
--- /dev/null
+++ b/packages/node/src/banyanbank_node/_poll_paths.py
@@ -0,0 +1,101 @@
+"""Chooses the store through which an entry polls the leader."""
+
+import collections.abc
+import random
+
+import attrs
+import banyanbank_base as base
+
+DIRECT_AVOIDANCE_S = 5.0
+"""Time after a failed direct poll for which other stores relay the polls,
+unless the leader is found to be reachable or to be another store."""
+
+PROBE_INTERVAL_S = 1.0
+"""Interval between questions whether the leader can be reached again."""
+
+
+@attrs.frozen
+class PollPath:
+    """Way of one poll to the leader."""
+
+    relay: base.InstanceId | None
+    """Store that passes the poll on; None to call the leader itself."""
+
+
+DIRECT = PollPath(None)
+"""Calls the leader itself."""
+
+
+class PollPaths:
+    """Remembers which paths failed, and prefers the one to the leader itself.
+
+    After a failure the other paths are tried in turn, so that one sound path to
+    a store that reaches the leader is found whatever the others do.
+
+    Args:
+        rng: Spreads the polls of several entries over the stores.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._direct_again_at = 0.0
+        self._probe_at = 0.0
+        self._avoided_leader: base.InstanceId | None = None
+        self._relay: base.InstanceId | None = None
+        self._failed: set[base.InstanceId] = set()
+
+    def choose(
+        self, stores: collections.abc.Collection[base.InstanceId], now: float
+    ) -> PollPath:
+        """Returns the path of the next poll.
+
+        Args:
+            stores: Stores that have answered lately or may answer.
+            now: Current time.
+        """
+        if now >= self._direct_again_at:
+            return DIRECT
+        untried = sorted({*stores} - self._failed - {self._avoided_leader})
+        if self._relay not in untried:
+            self._relay = self._rng.choice(untried) if untried else None
+        return PollPath(self._relay)
+
+    def record_answer(self, path: PollPath, leader: base.InstanceId) -> None:
+        """Records that a poll was answered.
+
+        Args:
+            path: Path of the poll.
+            leader: Store that issued the answer.
+        """
+        if path.relay is None or leader != self._avoided_leader:
+            self.restore_direct()
+
+    def record_failure(
+        self, path: PollPath, leader: base.InstanceId | None, now: float
+    ) -> None:
+        """Records that a poll was not answered by a leader.
+
+        Args:
+            path: Path of the poll.
+            leader: Presumed leader before the poll, if any.
+            now: Current time.
+        """
+        if path.relay is not None:
+            self._failed.add(path.relay)
+            return
+        self._failed.clear()
+        self._avoided_leader = leader
+        self._direct_again_at = now + DIRECT_AVOIDANCE_S
+        self._probe_at = now + PROBE_INTERVAL_S
+
+    def restore_direct(self) -> None:
+        """Prefers the direct path again: the leader can be reached."""
+        self._direct_again_at = 0.0
+        self._avoided_leader = None
+
+    def take_probe(self, now: float) -> base.InstanceId | None:
+        """Returns the avoided leader if it is to be probed now."""
+        if self._avoided_leader is None or now < self._probe_at:
+            return None
+        self._probe_at = now + PROBE_INTERVAL_S
+        return self._avoided_leader
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -106,6 +106,9 @@
             (_messages.READ_BODY, reads.read_body),
         ):
             self.serve(method, handler)
+        self.serve(
+            _messages.RELAY_SYNC, self._handle_relay_sync, at_followers=True
+        )
         self.serve(
             _messages.READ_RESULTS, reads.read_results, at_followers=True
         )
@@ -254,7 +257,7 @@
         self, sender: base.InstanceId, data: bytes
     ) -> object:
         del sender
-        req = _messages.CODEC.decode(data)
+        req: _messages.SyncRequest = _messages.CODEC.decode(data)
         self._usage.replace_counts(req.entry, req.usage)
         deadline = self._clock.now() + _entry_sync.LONG_POLL_TIMEOUT_S
         while not self._has_changes(req):
@@ -263,6 +266,32 @@
         await _leadership.ensure_current(self._stored)
         return self._make_sync_answer(req)
 
+    async def _handle_relay_sync(
+        self, sender: base.InstanceId, data: bytes
+    ) -> object:
+        del sender
+        req: _messages.SyncRequest = _messages.CODEC.decode(data)
+        held = self._find_newer_document(req)
+        if held is not None:
+            return _messages.RelayedSync(None, held)
+        timeout_s = (
+            _entry_sync.LONG_POLL_TIMEOUT_S + _entry_sync.RESPONSE_MARGIN_S
+        )
+        answered = await self._client.call_raw(
+            _messages.SYNC, data, self._clock.now() + timeout_s, timeout_s
+        )
+        return _messages.RelayedSync(
+            answered.value_or(None), self._find_newer_document(req)
+        )
+
+    def _find_newer_document(self, req: _messages.SyncRequest) -> bytes | None:
+        ledger = self._stored.ledger
+        if ledger.document_number <= req.document_number:
+            return None
+        return self._encoded_parts.document(
+            ledger.document_number, ledger.document
+        )
+
     def _has_changes(self, req: _messages.SyncRequest) -> bool:
         return (
             req.document_number < self._stored.ledger.document_number
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -82,6 +82,18 @@
         """Presumed leader: the last to answer, or named by another store."""
         return self._leader_hint
 
+    @property
+    def responsive_stores(self) -> list[base.InstanceId]:
+        """Known stores, but for those that lately failed to answer."""
+        known = sorted({*self._stores, *self._seeds})
+        return [store for store in known if not self._is_avoided(store)]
+
+    def follow_leader(self, leader: base.InstanceId) -> None:
+        """Takes a store for the leader unless it lately failed to answer."""
+        if not self._is_avoided(leader):
+            self.register_address(leader)
+            self._leader_hint = leader
+
     def set_stores(self, stores: tuple[base.InstanceId, ...]) -> None:
         """Replaces the known stores and registers their addresses."""
         self._stores = stores
--- /dev/null
+++ b/tests/node/test_entry_sync.py
@@ -0,0 +1,196 @@
+"""Tests of what an entry does with the answers to its polls."""
+
+import random
+import types
+import typing
+import unittest
+import zlib
+
+import banyanbank_base as base
+import banyanbank_gateway as gateway
+from banyanbank_node import _entry_sync
+from banyanbank_node import _messages
+from banyanbank_node import _poll_paths
+from banyanbank_node import _store_client
+from returns import result
+from twisted.internet import defer
+from twisted.internet import task
+
+LEADER, RELAY = (base.InstanceId(f"127.0.1.{n}:7000") for n in (1, 2))
+
+SILENT: result.Result[typing.Any, _store_client.StoreCallError] = (
+    result.Failure(_store_client.StoreCallError(True, "silent"))
+)
+
+
+def make_answer(number: int) -> _messages.SyncAnswer:
+    """Returns an answer of the leader that contains a document."""
+    return _messages.SyncAnswer(
+        document_number=number,
+        document=zlib.compress(b"%d" % number),
+        directory_of=f"{LEADER}/1",
+        directory_revision=1,
+        directory=None,
+        is_settled=True,
+        stores=(LEADER, RELAY),
+        true_time=0.0,
+    )
+
+
+class _FakeStores:
+    """Fake client whose calls have the results that a test sets."""
+
+    def __init__(self) -> None:
+        self.leader: base.InstanceId | None = LEADER
+        self.responsive_stores = [LEADER, RELAY]
+        self.direct: typing.Any = SILENT
+        self.relayed: typing.Any = SILENT
+        self.probed: typing.Any = SILENT
+        self.calls: list[tuple[base.InstanceId | None, str]] = []
+        self.requests: list[_messages.SyncRequest] = []
+
+    async def call(
+        self, method: str, message: typing.Any, *rest: float
+    ) -> typing.Any:
+        del rest
+        self.calls.append((None, method))
+        self.requests.append(message)
+        return self.direct
+
+    async def call_store(
+        self,
+        store: base.InstanceId,
+        method: str,
+        message: typing.Any,
+        deadline: float,
+    ) -> typing.Any:
+        del deadline
+        self.calls.append((store, method))
+        if method == _messages.READ_DOMAIN:
+            return self.probed
+        self.requests.append(message)
+        return self.relayed
+
+    def follow_leader(self, leader: base.InstanceId) -> None:
+        self.leader = leader
+
+    def set_stores(self, stores: typing.Any) -> None:
+        """Does nothing."""
+
+
+class EntrySyncTest(unittest.TestCase):
+    """An entry learns of documents while its path to the leader is harmed."""
+
+    def setUp(self) -> None:
+        self.clock = base.ManualClock(100.0)
+        self.stores = _FakeStores()
+        self.events: list[tuple[str, dict[str, typing.Any]]] = []
+        nothing: typing.Any = types.SimpleNamespace
+        self.sync = _entry_sync.EntrySync(
+            task.Clock(),
+            self.clock,
+            typing.cast(typing.Any, self.stores),
+            nothing(
+                read_document=lambda content: gateway.Document(
+                    int(content), (), {}, gateway.Limits(), None
+                )
+            ),
+            "entry",
+            gateway.SyncedClock(self.clock),
+            nothing(report=lambda now: ()),
+            nothing(write=lambda event, **kw: self.events.append((event, kw))),
+            nothing(learn=_learn_nothing),
+            nothing(forget_ended=lambda directory: None),
+            nothing(),
+            _poll_paths.PollPaths(random.Random(1)),
+        )
+
+    def poll(self) -> bool:
+        """Polls once; returns whether something was learnt."""
+        polled = defer.ensureDeferred(self.sync._poll_once())
+        return bool(typing.cast(typing.Any, polled).result)
+
+    @property
+    def number(self) -> int:
+        return 0 if self.sync.table is None else self.sync.table.document.number
+
+    def relay(
+        self, answer: _messages.SyncAnswer | None, held: int | None = None
+    ) -> None:
+        """Sets what the relaying store answers."""
+        self.stores.relayed = result.Success(
+            _messages.RelayedSync(
+                None if answer is None else _messages.CODEC.encode(answer),
+                None if held is None else zlib.compress(b"%d" % held),
+            )
+        )
+
+    def test_poll_through_another_store_while_the_leader_is_silent(
+        self,
+    ) -> None:
+        """Guards against acting on a former table for as long."""
+        self.relay(make_answer(7))
+        self.assertFalse(self.poll())
+        self.assertTrue(self.poll())
+        self.assertEqual(self.stores.calls[-1], (RELAY, _messages.RELAY_SYNC))
+        self.assertEqual(self.number, 7)
+        self.assertTrue(self.sync.is_current)
+
+    def test_documents_of_a_store_without_a_leader(self) -> None:
+        for name, held_before, document, number in (
+            ("newer", 7, 8, 8),
+            ("older", 7, 6, 7),
+            ("the first is not taken, since it may be too old", 0, 8, 0),
+            ("none", 7, None, 7),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                if held_before:
+                    self.stores.direct = result.Success(
+                        make_answer(held_before)
+                    )
+                    self.poll()
+                    self.clock.advance(1.0)
+                    self.stores.direct = SILENT
+                self.poll()
+                self.relay(None, document)
+                self.assertEqual(self.poll(), number == document)
+                self.assertEqual(self.number, number)
+                self.assertFalse(self.sync.is_current)
+
+    def test_leader_that_answers_a_probe_is_polled_again(self) -> None:
+        self.relay(make_answer(7))
+        self.poll()
+        self.poll()
+        self.stores.probed = result.Success(_messages.Accepted())
+        self.stores.direct = result.Success(make_answer(8))
+        self.clock.advance(_poll_paths.PROBE_INTERVAL_S)
+        self.poll()
+        self.assertIn((LEADER, _messages.READ_DOMAIN), self.stores.calls)
+        self.poll()
+        self.assertEqual(self.number, 8)
+
+    def test_failed_poll_is_logged_with_its_path(self) -> None:
+        self.relay(None)
+        self.poll()
+        self.poll()
+        lost = [kw for event, kw in self.events if event == "dep.leader_lost"]
+        self.assertEqual([kw["relay"] for kw in lost], [None, RELAY])
+
+    def test_relayed_document_that_is_not_newer_counts_as_no_answer(
+        self,
+    ) -> None:
+        self.stores.direct = result.Success(make_answer(7))
+        self.poll()
+        self.relay(None, 7)
+        self.stores.direct = SILENT
+        self.poll()
+        self.assertFalse(self.poll())
+
+
+async def _learn_nothing(stores: typing.Any) -> None:
+    del stores
+
+
+if __name__ == "__main__":
+    unittest.main()
