Acknowledge a document once the entries in contact act on it

Cause and class: an acknowledgement of a state that those who act on it may not have. Whatever keeps an entry from the leader (a harmed path, a late leader, its own choice of stores), the age of its table had no bound that the 200 respected.

Now each poll names the answer that arrived last, and the leader knows which entries may still act on less: those it issued an answer to in the last 2 s that have not shown to have one from after the change. The 200 waits for them; an entry without an answer for 2 s is out of contact and holds nothing up, a new leader waits as long for entries of its predecessor, and the first document waits for nobody. A call that is not settled within its time is answered 503 and sent again, which commits nothing anew.

--- a/packages/jobs/src/banyanbank_jobs/_ledger.py
+++ b/packages/jobs/src/banyanbank_jobs/_ledger.py
@@ -83,6 +83,8 @@
     Attributes:
         document_number: Number of the document in force; 0 before the first.
         document: The document in force as it was received.
+        has_replaced_document: Whether an earlier document may have been in
+            force; not part of the state.
         versions: Newest published version of each model.
         jobs: Batch jobs by id.
         windows: Final counts of usage windows.
@@ -131,6 +133,7 @@
         held = _SNAPSHOT_CODEC.decode(data)
         records = [_RECORD_CODEC.decode(encoded) for encoded in held.jobs]
         self._clear()
+        self.has_replaced_document = True
         self.document_number = held.document_number
         self.document = held.document
         self.versions.update(held.versions)
@@ -154,6 +157,7 @@
         return state
 
     def _clear(self) -> None:
+        self.has_replaced_document = False
         self.document_number = 0
         self.document = b""
         self.versions: dict[str, int] = {}
@@ -177,6 +181,7 @@
     def _declare(self, cmd: _commands.DeclareDocument) -> _commands.Reply:
         if cmd.number <= self.document_number:
             return _commands.Applied(is_new=False)
+        self.has_replaced_document = self.document_number > 0
         self.document_number = cmd.number
         self.document = cmd.content
         return _commands.Applied(is_new=True)
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -77,6 +77,7 @@
         self._usage = usage
         self._events = events
         self._paths = paths
+        self._answer_issued_at = 0.0
         self._is_running = False
         self._directory_source = ""
         self._directory_revision = 0
@@ -149,6 +150,8 @@
         # leaves out.
         self._limits_revision = 0
         self._condemned_revision = 0
+        if path.relay is None:
+            self._answer_issued_at = 0.0
         return False
 
     def _make_request(self) -> _messages.SyncRequest:
@@ -162,6 +165,7 @@
             usage=self._usage.report(self._true_time.now()),
             limits_revision=self._limits_revision,
             condemned_revision=self._condemned_revision,
+            answer_issued_at=self._answer_issued_at,
         )
 
     async def _poll_leader(
@@ -264,6 +268,7 @@
         for condemned in answer.condemned:
             self._suspects.apply(condemned, self._true_time.now())
         self._condemned_revision = answer.condemned_revision
+        self._answer_issued_at = answer.issued_at
         self._limits.forget_ended(self.directory)
         self.answers.wake()
 
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -67,6 +67,12 @@
         "number leads",
         "This store applied a committed document.",
     ),
+    _make_kind(
+        "config.awaited",
+        "number outcome waiting_for took_ms",
+        "An operator's document was confirmed once the entries in contact acted"
+        " on it, or was not; `waiting_for` names some that did not.",
+    ),
     _make_kind(
         "config.in_force",
         "number routes source contact_age_ms",
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -9,6 +9,7 @@
 
 SYNC = "store.sync"
 RELAY_SYNC = "store.relay_sync"
+AWAIT_ENTRIES = "store.await_entries"
 ANNOUNCE = "store.announce"
 WITHDRAW = "store.withdraw"
 PROPOSE = "store.propose"
@@ -62,6 +63,9 @@
     as the directory."""
     condemned_revision: int = 0
     """Revision of the condemned requests that it received last, likewise."""
+    answer_issued_at: float = 0.0
+    """`SyncAnswer.issued_at` of the last answer that it received, likewise; 0
+    for none."""
 
 
 @attrs.frozen
@@ -116,6 +120,9 @@
     """Revision of the condemned requests."""
     condemned: tuple[gateway.CondemnedRequest, ...] = ()
     """Condemned requests; empty if the entry already has this revision."""
+    issued_at: float = 0.0
+    """When the leader made the answer, on its monotonic clock. The entry
+    returns it with its next poll, which proves that the answer arrived."""
 
 
 @attrs.frozen
@@ -129,6 +136,31 @@
     need not be the newest; None unless it is newer than the entry's."""
 
 
+@attrs.frozen
+class AwaitEntries:
+    """Asks the leader whether the entries in contact have a document."""
+
+    document_number: int
+    """Number of the document."""
+    wait_s: float
+    """Time for which the leader may hold the answer until they have it."""
+
+
+@attrs.frozen
+class EntriesStatus:
+    """Entries in contact that may still act on an earlier document."""
+
+    waiting_for: tuple[str, ...]
+    """Their names and incarnations; empty once all have the document."""
+    is_counting: bool
+    """Whether the leader may not know all entries in contact yet."""
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no entry in contact acts on an earlier document."""
+        return not self.waiting_for and not self.is_counting
+
+
 @attrs.frozen
 class LimitsPart:
     """Rate limits that endpoints state, or no longer state."""
@@ -289,6 +321,8 @@
     DirectoryPart,
     LimitsPart,
     RelayedSync,
+    AwaitEntries,
+    EntriesStatus,
     CondemnedPart,
     PermitRequest,
     PermitAnswer,
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -38,6 +38,15 @@
 CALL_TIMEOUT_S = 0.9
 """Timeout within which an operator or endpoint must get an answer."""
 
+MAX_WAIT_S = 0.4
+"""Time for which the leader may hold the answer about entries."""
+
+ANSWER_MARGIN_S = 0.1
+"""Time that this answer may take in addition."""
+
+MAX_LOGGED_ENTRIES = 8
+"""Number of entries that a line of the log names."""
+
 EXPIRY_INTERVAL_S = 0.5
 """Interval between checks for endpoints without recent announcements."""
 
@@ -286,12 +295,25 @@
         self.events.flush()
 
     async def commit_document(self, number: int, content: bytes) -> bool:
-        """Commits a validated document; returns False if not confirmed."""
-        return await self._commit_command(jobs.DeclareDocument(number, content))
+        """Commits a validated document and waits until entries act on it.
+
+        Returns:
+            False if it is not confirmed that the document is committed and that
+            every entry in contact with the leader acts on it or a later one.
+        """
+        deadline = self.node.clock.now() + CALL_TIMEOUT_S
+        if self.stored.ledger.document_number < number:
+            command = jobs.DeclareDocument(number, content)
+            if not await self._commit_command(command, deadline):
+                return False
+        return await self._await_entries(number, deadline)
 
     async def publish_version(self, model: str, version: int) -> bool:
         """Commits a published version; returns False if not confirmed."""
-        return await self._commit_command(jobs.NameVersion(model, version))
+        return await self._commit_command(
+            jobs.NameVersion(model, version),
+            self.node.clock.now() + CALL_TIMEOUT_S,
+        )
 
     async def announce(self, announcement: gateway.Announcement) -> bool:
         """Sends an announcement to the leader; False if none accepted it."""
@@ -329,8 +351,9 @@
         self.calls.broadcast_to_stores(message)
         return await self._call_leader(method, message) is not None
 
-    async def _commit_command(self, command: jobs.Command) -> bool:
-        deadline = self.node.clock.now() + CALL_TIMEOUT_S
+    async def _commit_command(
+        self, command: jobs.Command, deadline: float
+    ) -> bool:
         replied = await self.node.client.call_raw(
             _messages.PROPOSE, jobs.COMMAND_CODEC.encode(command), deadline
         )
@@ -344,6 +367,37 @@
         )
         return isinstance(replied, result.Success)
 
+    async def _await_entries(self, number: int, deadline: float) -> bool:
+        """Waits until all entries in contact act on a document."""
+        started_at = now = self.node.clock.now()
+        waiting_for: tuple[str, ...] = ()
+        outcome = "no time left"
+        while now + ANSWER_MARGIN_S < deadline:
+            wait_s = min(MAX_WAIT_S, deadline - now - ANSWER_MARGIN_S)
+            answered = await self.node.client.call(
+                _messages.AWAIT_ENTRIES,
+                _messages.AwaitEntries(number, wait_s),
+                deadline,
+            )
+            now = self.node.clock.now()
+            if isinstance(answered, result.Failure):
+                outcome = "no leader answered"
+                break
+            status: _messages.EntriesStatus = answered.unwrap()
+            waiting_for = status.waiting_for
+            if status.is_settled:
+                outcome = "confirmed"
+                break
+            outcome = "entries are behind" if waiting_for else "new leader"
+        self.events.write(
+            "config.awaited",
+            number=number,
+            outcome=outcome,
+            waiting_for=waiting_for[:MAX_LOGGED_ENTRIES],
+            took_ms=round(1000 * (now - started_at)),
+        )
+        return outcome == "confirmed"
+
     async def _call_leader(
         self, method: str, message: typing.Any
     ) -> typing.Any:
@@ -360,7 +414,7 @@
                 number=command.number,
                 leads=self._log.is_leader,
             )
-            self.calls.changes.wake()
+            self.calls.note_document(command.number)
         self._runs.handle_committed(command)
 
     def _send_heartbeat(self) -> None:
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -11,6 +11,7 @@
 
 from banyanbank_node import _change_notifier
 from banyanbank_node import _endpoint_limits
+from banyanbank_node import _entry_contacts
 from banyanbank_node import _entry_sync
 from banyanbank_node import _event_log
 from banyanbank_node import _leadership
@@ -20,6 +21,10 @@
 from banyanbank_node import _store_client
 from banyanbank_node import _sync_part_cache
 
+MIN_RECHECK_S = 0.02
+"""Minimum delay between two checks which entries have a document, unless one
+polls."""
+
 DIRECTORY_SETTLE_S = 3.0
 """Time after which a new leader knows every running endpoint."""
 
@@ -87,6 +92,8 @@
         self._true_time = true_time
         self._events = events
         self._encoded_parts = _sync_part_cache.SyncPartCache()
+        self._contacts = _entry_contacts.EntryContacts()
+        self._polls = _change_notifier.ChangeNotifier(reactor)
         self.changes = _change_notifier.ChangeNotifier(reactor)
         self.results = _change_notifier.ChangeNotifier(reactor)
         self.led_since: float | None = None
@@ -97,6 +104,7 @@
         transport.on_message(_messages.LIMITS, self._handle_limits)
         for method, handler in (
             (_messages.SYNC, self._handle_sync),
+            (_messages.AWAIT_ENTRIES, self._handle_await_entries),
             (_messages.ANNOUNCE, self._handle_announce),
             (_messages.WITHDRAW, self._handle_withdraw),
             (_messages.PROPOSE, self._handle_propose),
@@ -186,6 +194,12 @@
             )
             self.changes.wake()
 
+    def note_document(self, number: int) -> None:
+        """Records that this store applied a document, and answers polls."""
+        self._contacts.record_document(number, self._clock.now())
+        self.changes.wake()
+        self._polls.wake()
+
     async def commit(self, command: jobs.Command) -> jobs.Reply:
         """Commits a command.
 
@@ -259,6 +273,11 @@
         del sender
         req: _messages.SyncRequest = _messages.CODEC.decode(data)
         self._usage.replace_counts(req.entry, req.usage)
+        self._contacts.begin_epoch(self._directory_id, self._clock.now())
+        self._contacts.record_poll(
+            req.entry, req.directory_of, req.answer_issued_at
+        )
+        self._polls.wake()
         deadline = self._clock.now() + _entry_sync.LONG_POLL_TIMEOUT_S
         while not self._has_changes(req):
             if not await self.changes.wait(deadline):
@@ -292,6 +311,38 @@
             ledger.document_number, ledger.document
         )
 
+    async def _handle_await_entries(
+        self, sender: base.InstanceId, data: bytes
+    ) -> object:
+        del sender
+        req: _messages.AwaitEntries = _messages.CODEC.decode(data)
+        deadline = self._clock.now() + req.wait_s
+        while True:
+            now = self._clock.now()
+            status = self._find_entries_status(req.document_number, now)
+            if status.is_settled or now >= deadline:
+                break
+            next_loss = self._contacts.find_next_loss(req.document_number, now)
+            await self._polls.wait(
+                min(deadline, max(next_loss, now + MIN_RECHECK_S))
+            )
+        await _leadership.ensure_current(self._stored)
+        return status
+
+    def _find_entries_status(
+        self, document_number: int, now: float
+    ) -> _messages.EntriesStatus:
+        ledger = self._stored.ledger
+        if ledger.document_number < document_number:
+            return _messages.EntriesStatus((), is_counting=True)
+        if not ledger.has_replaced_document:
+            return _messages.EntriesStatus((), is_counting=False)
+        self._contacts.begin_epoch(self._directory_id, now)
+        return _messages.EntriesStatus(
+            tuple(self._contacts.find_outdated(document_number, now)),
+            is_counting=not self._contacts.is_complete(now),
+        )
+
     def _has_changes(self, req: _messages.SyncRequest) -> bool:
         return (
             req.document_number < self._stored.ledger.document_number
@@ -323,6 +374,7 @@
             and req.condemned_revision == self._suspects.revision
         )
         now = self._clock.now()
+        self._contacts.record_answer(req.entry, now)
         return _messages.SyncAnswer(
             document_number=ledger.document_number,
             document=self._encoded_parts.document(
@@ -353,4 +405,5 @@
             condemned=()
             if has_condemned
             else self._suspects.condemned(self._true_time.now()),
+            issued_at=now,
         )
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -34,6 +34,7 @@
         is_settled=True,
         stores=(LEADER, RELAY),
         true_time=0.0,
+        issued_at=5.0,
     )
 
 
@@ -158,6 +159,16 @@
                 self.assertEqual(self.number, number)
                 self.assertFalse(self.sync.is_current)
 
+    def test_next_poll_proves_which_answer_arrived(self) -> None:
+        self.stores.direct = result.Success(make_answer(7))
+        self.poll()
+        self.stores.direct = SILENT
+        self.poll()
+        self.poll()
+        issued = [req.answer_issued_at for req in self.stores.requests]
+        # A store of an earlier release cannot read it after a failed poll.
+        self.assertEqual(issued, [0.0, 5.0, 0.0])
+
     def test_leader_that_answers_a_probe_is_polled_again(self) -> None:
         self.relay(make_answer(7))
         self.poll()
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -2,11 +2,14 @@
 
 import copy
 import functools
+import json
 import typing
 import unittest
 
 import banyanbank_base as base
 import banyanbank_node as node
+from banyanbank_node import _entry_contacts
+from banyanbank_node import _messages
 from twisted.internet import defer
 
 from tests import support
@@ -192,6 +195,63 @@
 
         deployment.run_scenario(scenario)
 
+    def test_acknowledged_document_is_in_force_at_once(self) -> None:
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            await system.add_entry()
+            entries = [system.entry, *system.further_entries]
+            for number in range(10, 20):
+                document = deployment.DOCUMENT | {"version": number}
+                await system.call_store("PUT", "/-/config", document)
+                self.assertEqual(
+                    [entry.sync.table.document.number for entry in entries],
+                    [number] * len(entries),
+                )
+
+        deployment.run_scenario(scenario)
+
+    def test_lost_entry_holds_up_an_acknowledgement_for_its_window_only(
+        self,
+    ) -> None:
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            await system.add_entry()
+            system.further_entries[0].sync.stop()
+            began_at = system.reactor.seconds()
+            document = deployment.DOCUMENT | {"version": 10}
+            await system.call_store("PUT", "/-/config", document)
+            took_s = system.reactor.seconds() - began_at
+            self.assertEqual(system.entry.sync.table.document.number, 10)
+            self.assertGreater(took_s, 1.0)
+            self.assertLess(took_s, _entry_contacts.CONTACT_WINDOW_S + 1.0)
+
+        deployment.run_scenario(scenario)
+
+    def test_wait_for_a_document_that_no_store_has_ends(self) -> None:
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            client = system.stores[0].node.client
+            answered = await client.call(
+                _messages.AWAIT_ENTRIES,
+                _messages.AwaitEntries(99, 0.3),
+                system.reactor.seconds() + 0.8,
+            )
+            self.assertFalse(answered.unwrap().is_settled)
+
+        deployment.run_scenario(scenario)
+
+    def test_first_document_waits_for_no_entry(self) -> None:
+        async def scenario(system: deployment.Deployment) -> None:
+            await support.until(lambda: system.leader is not None)
+            reply = await system.call(
+                "PUT",
+                f"http://127.0.1.1:{system.control_port}/-/config",
+                json.dumps(deployment.DOCUMENT).encode(),
+            )
+            self.assertEqual(reply.status, 200)
+
+        deployment.run_scenario(scenario)
+
 
 class JobTest(unittest.TestCase):
     """Batch jobs of trainers."""
