Apply the document of an answer before the rest of it

A document that cannot be read was asked for again at once, which the leader answers at once: polls in a tight loop at both.

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -78,6 +78,7 @@
         self._events = events
         self._paths = paths
         self._answer_issued_at = 0.0
+        self._has_unreadable_document = False
         self._is_running = False
         self._directory_source = ""
         self._directory_revision = 0
@@ -124,7 +125,7 @@
                 await task.deferLater(self._reactor, POLL_RETRY_DELAY_S)
 
     async def _poll_once(self) -> bool:
-        """Polls the leader once; returns False if nothing was learnt."""
+        """Polls the leader once; returns False if the next poll has to wait."""
         now = self._clock.now()
         leader = self._client.leader
         path = self._paths.choose(self._client.responsive_stores, now)
@@ -135,7 +136,8 @@
             self._probe_leader(now)
             error = await self._poll_through(path.relay, req)
         if error is None:
-            return True
+            # A document that cannot be read would be sent again at once.
+            return not self._has_unreadable_document
         self._paths.record_failure(path, leader, self._clock.now())
         self._events.write(
             "dep.leader_lost",
@@ -233,25 +235,26 @@
     def _apply_answer(
         self, path: _poll_paths.PollPath, answer: _messages.SyncAnswer
     ) -> None:
+        now = self._clock.now()
+        contact_age_ms = self.contact_age_ms
+        self.last_contact_at = now
+        # First, since nothing else in the answer may keep it from being applied.
+        if answer.document is not None:
+            self._apply_document(
+                answer.document, answer.directory_of, contact_age_ms
+            )
         leader = base.InstanceId(answer.directory_of.partition("/")[0])
         self._paths.record_answer(path, leader)
         if path.relay is not None:
             self._client.follow_leader(leader)
-        now = self._clock.now()
-        contact_age_ms = self.contact_age_ms
         if answer.directory_of != self._directory_source:
             # A new leader may have received few announcements so far.
             self.directory.renew_all(now)
-        self.last_contact_at = now
         self._true_time.set_time(answer.true_time)
         self._client.set_stores(answer.stores)
         _background.run(
             self._near_stores.learn(answer.stores), "domains", self._events
         )
-        if answer.document is not None:
-            self._apply_document(
-                answer.document, answer.directory_of, contact_age_ms
-            )
         if answer.directory is not None:
             self._apply_directory(answer, answer.directory, now)
         self.directory.renew(
@@ -302,7 +305,9 @@
             )
         except (ValueError, gateway.InvalidDocumentError) as exc:
             self._events.write("config.unreadable", why=str(exc))
+            self._has_unreadable_document = True
             return False
+        self._has_unreadable_document = False
         if self.table is not None:
             held = self.table.document.number
             if document.number <= held:
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -6,6 +6,7 @@
 import unittest
 import zlib
 
+import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 from banyanbank_node import _entry_sync
@@ -181,6 +182,32 @@
         self.poll()
         self.assertEqual(self.number, 8)
 
+    def test_document_is_applied_whatever_follows_in_the_answer(self) -> None:
+        """Guards against an answer that fails after its document each time."""
+
+        def refuse(stores: typing.Any) -> None:
+            raise ValueError(f"{stores} cannot be registered")
+
+        self.stores.set_stores = refuse  # type: ignore[method-assign]
+        self.stores.direct = result.Success(make_answer(7))
+        polled = defer.ensureDeferred(self.sync._poll_once())
+        polled.addErrback(lambda failure: failure.trap(ValueError))
+        self.assertEqual(self.number, 7)
+
+    def test_poll_after_an_unreadable_document_waits(self) -> None:
+        """Guards against polls in a tight loop, each answered at once."""
+        answer = make_answer(8)
+        self.stores.direct = result.Success(make_answer(7))
+        self.assertTrue(self.poll())
+        self.stores.direct = result.Success(
+            attrs.evolve(answer, document=b"not compressed")
+        )
+        self.assertFalse(self.poll())
+        self.assertTrue(self.sync.is_current)
+        self.stores.direct = result.Success(answer)
+        self.assertTrue(self.poll())
+        self.assertEqual(self.number, 8)
+
     def test_failed_poll_is_logged_with_its_path(self) -> None:
         self.relay(None)
         self.poll()
