--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -238,7 +238,7 @@
         now = self._clock.now()
         contact_age_ms = self.contact_age_ms
         self.last_contact_at = now
-        # First, since nothing else in the answer may keep it from being applied.
+        # First, since nothing else in the answer may hold it up.
         if answer.document is not None:
             self._apply_document(
                 answer.document, answer.directory_of, contact_age_ms
