--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -3,6 +3,7 @@
 import base64
 import collections.abc
 import copy
+import itertools
 import json
 import pathlib
 import tempfile
@@ -103,6 +104,15 @@
             yield changed
 
 
+def encode_each(value: typing.Any) -> collections.abc.Iterator[bytes]:
+    """Yields encodings of a JSON value that writers may choose."""
+    encoded = json.dumps(value)
+    yield encoded.encode()
+    yield encoded.encode("utf-16")
+    raw = json.dumps(value, ensure_ascii=False)
+    yield raw.encode("utf-8", "surrogatepass")
+
+
 ANNOUNCEMENT = {
     "service": "engines",
     "address": "10.0.0.1:80",
@@ -130,8 +140,10 @@
         error: type[Exception],
         encode: collections.abc.Callable[[typing.Any], bytes] | None = None,
     ) -> None:
-        for changed in replace_each(source):
-            content = json.dumps(changed).encode()
+        contents = itertools.chain.from_iterable(
+            map(encode_each, replace_each(source))
+        )
+        for content in contents:
             try:
                 decoded = decode(content)
                 if encode is not None:
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -2,6 +2,7 @@
 
 import copy
 import functools
+import json
 import typing
 import unittest
 
@@ -88,6 +89,16 @@
 class OddAnnouncementTest(unittest.TestCase):
     """An announcement of another writer names no endpoint, and others hold."""
 
+    ANNOUNCEMENT: typing.ClassVar[dict[str, typing.Any]] = {
+        "service": "plain",
+        "address": "127.0.0.1:9",
+        "zone": "zone-a",
+        "slots": 4,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+    }
+
     ODD: tuple[dict[str, typing.Any], ...] = (
         {"service": "\ud800"},
         {"zone": "\udc00"},
@@ -106,19 +117,23 @@
             await system.configure()
             for number in range(1, deployment.STORE_COUNT + 1):
                 for odd in self.ODD:
-                    content = {
-                        "service": "plain",
-                        "address": "127.0.0.1:9",
-                        "zone": "zone-a",
-                        "slots": 4,
-                        "state": "ready",
-                        "sequence": 1,
-                        "born": 1,
-                    } | odd
+                    content = self.ANNOUNCEMENT | odd
                     reply = await system.call_store(
                         "PUT", "/-/instances/odd", content, number
                     )
                     self.assertEqual(reply.status, 400)
+                for encoding in ("utf-8", "utf-16"):
+                    text = json.dumps(
+                        self.ANNOUNCEMENT | {"service": "\ud800"},
+                        ensure_ascii=encoding == "utf-16",
+                    )
+                    reply = await system.call(
+                        "PUT",
+                        f"http://127.0.1.{number}:{system.control_port}"
+                        "/-/instances/odd",
+                        text.encode(encoding, "surrogatepass"),
+                    )
+                    self.assertEqual(reply.status, 400)
             await system.announce("server-2", "plain", "127.0.0.1:9")
             await support.until(
                 lambda: (
