--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -127,6 +127,52 @@
                 {"routes": [make_route(0, **_traffic_split(0, 0))]},
                 "weights add up to 0",
             ),
+            (
+                "an unknown service beside weights",
+                {
+                    "routes": [
+                        make_route(0, service="none", **_traffic_split(1, 1))
+                    ]
+                },
+                "unknown service 'none'",
+            ),
+            (
+                "a service of another type beside weights",
+                {"routes": [make_route(0, service=7, **_traffic_split(1, 1))]},
+                "'service' must be a non-empty string",
+            ),
+            (
+                "weights of another type",
+                {"routes": [make_route(0, **{"traffic-split": {}})]},
+                "'traffic-split' must be a list",
+            ),
+            (
+                "an unknown service with a weight of 0",
+                {
+                    "routes": [
+                        make_route(
+                            0,
+                            **{
+                                "traffic-split": [
+                                    {"service": "app", "weight": 1},
+                                    {"service": "none", "weight": 0},
+                                ]
+                            },
+                        )
+                    ]
+                },
+                "unknown service 'none'",
+            ),
+            (
+                "one host in two spellings",
+                {"routes": [make_route(0), make_route(0, host="A.Example")]},
+                "share host",
+            ),
+            (
+                "a number that JSON does not have",
+                {"limits": {"a-later-field": float("nan")}},
+                "NaN",
+            ),
             (
                 "a shared key",
                 {
@@ -150,6 +196,43 @@
             with self.subTest(f"valid document after {name}"):
                 self.assertEqual(len(read(reader, valid_source).routes), 2)
 
+    def test_every_cut(self) -> None:
+        """A document that is cut anywhere cannot be read in full."""
+        source = make_source([make_route(0), make_route(1)])
+        source["tenants"] = source["tenants"][:2]
+        content = json.dumps(source).encode()
+        for length in range(len(content)):
+            with self.assertRaises(gateway.InvalidDocumentError):
+                _document.DocumentReader().read(content[:length])
+        with self.assertRaises(gateway.InvalidDocumentError):
+            _document.DocumentReader().read(content + b"}")
+
+    def test_optional_fields(self) -> None:
+        """A field without a value is absent."""
+        for name, changes, expected in (
+            ("no weights", {"traffic-split": None}, ["app"]),
+            ("an empty list of weights", {"traffic-split": []}, ["app"]),
+            (
+                "no service",
+                {"service": None, **_traffic_split(1)},
+                ["app"],
+            ),
+            (
+                "a known service beside weights",
+                {"service": "other", **_traffic_split(1)},
+                ["app"],
+            ),
+        ):
+            with self.subTest(name):
+                document = read(
+                    _document.DocumentReader(),
+                    make_source([make_route(0, **changes)]),
+                )
+                (route,) = document.routes
+                self.assertEqual(
+                    [target.service for target in route.targets], expected
+                )
+
 
 def _path_prefix(number: int) -> dict[str, typing.Any]:
     return {"path-prefix": f"/p{number}/"}
