End the submission of a batch job at its route's time-out

A caller could wait 2.5 s for the answer to a batch job, whatever time-out the route had and whatever deadline the caller had given. On a route whose time-out is under 2 s, a submission while no leader answers was held over 0.5 s longer than the operator allows.

Cause: the deadline of the call to the leader was taken from the time limit of such calls alone.

Why the fix works: it is the earliest of the time limit, the caller's deadline and the route's time-out by the configuration in force, as for other requests. Like before, an answer after a proposal that may have been committed is 504, and the caller's resend is accepted again.

--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -1,5 +1,6 @@
 """Entry process: accepts callers' requests and batch jobs."""
 
+import math
 import typing
 
 import attrs
@@ -230,7 +231,7 @@
         """
         is_counted = account is not None and not route.is_public
         now = self.node.clock.now()
-        deadline = min(req.deadline, now + route.timeout_s)
+        deadline = self._find_deadline(req, route)
         if self._shutdown is not None and not self._shutdown.may_accept(
             now, deadline
         ):
@@ -298,13 +299,22 @@
             table_age_ms=self._contact_age_ms(),
         )
 
-    async def submit(self, job: jobs.Job) -> base.Refusal | None:
+    async def submit(
+        self, job: jobs.Job, req: _ports.CallerRequest, route: gateway.Route
+    ) -> base.Refusal | None:
         """Submits a batch job to the stores.
 
+        Args:
+            job: Job to submit.
+            req: Request of the caller that submits it.
+            route: Route that the request matched.
+
         Returns:
             None on success, otherwise the refusal.
         """
-        reply = await self._propose(jobs.AcceptJob(job))
+        reply = await self._propose(
+            jobs.AcceptJob(job), self._find_deadline(req, route)
+        )
         self.events.write(
             "job.submitted",
             job=job.job,
@@ -330,7 +340,7 @@
         Returns:
             None on success, otherwise the refusal.
         """
-        reply = await self._propose(jobs.EndJob(job, account))
+        reply = await self._propose(jobs.EndJob(job, account), math.inf)
         if isinstance(reply, base.Refusal):
             return reply
         return (
@@ -382,10 +392,16 @@
             return _make_no_leader_refusal(call_result.failure().detail)
         return call_result.unwrap()
 
+    def _find_deadline(
+        self, req: _ports.CallerRequest, route: gateway.Route
+    ) -> float:
+        """Returns when a request that has just arrived must be answered."""
+        return min(req.deadline, self.node.clock.now() + route.timeout_s)
+
     async def _propose(
-        self, command: jobs.Command
+        self, command: jobs.Command, req_deadline: float
     ) -> jobs.Reply | base.Refusal:
-        deadline = self.node.clock.now() + JOB_CALL_TIMEOUT_S
+        deadline = min(req_deadline, self.node.clock.now() + JOB_CALL_TIMEOUT_S)
         reply = await self.node.client.call_raw(
             _messages.PROPOSE, jobs.COMMAND_CODEC.encode(command), deadline
         )
