Test the service that a request draws at the extremes of the draw

A service without weight must get no request, also at a draw of 0 and just below 1, first or last among the targets. Only the ranking of items had a test. The cases passed at once; tried with a draw by `bisect_left`, two of them fail.

--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -1,5 +1,6 @@
 """Tests of the route table."""
 
+import random
 import typing
 import unittest
 
@@ -73,6 +74,47 @@
                     self.assertAlmostEqual(found, share, delta=0.04)
 
 
+class FixedRandom(random.Random):
+    """Draws one value again and again.
+
+    Args:
+        value: Value to draw.
+    """
+
+    def __init__(self, value: float) -> None:
+        super().__init__()
+        self._value = value
+
+    def random(self) -> float:
+        """Returns the value."""
+        return self._value
+
+
+class DrawServiceTest(unittest.TestCase):
+    """Requests are drawn by weight; a service without weight gets none."""
+
+    def test_extremes(self) -> None:
+        for name, weights, lowest, highest in (
+            ("one target", [1.0], "s0", "s0"),
+            ("two targets", [1.0, 9.0], "s0", "s1"),
+            ("first without weight", [0.0, 1.0], "s1", "s1"),
+            ("last without weight", [1.0, 0.0], "s0", "s0"),
+            ("all but one without weight", [0.0, 0.3, 0.0], "s1", "s1"),
+            ("large weights", [2.0**62, 0.0, 2.0**62], "s0", "s2"),
+        ):
+            targets = tuple(
+                gateway.Target(f"s{number}", weight)
+                for number, weight in enumerate(weights)
+            )
+            route = attrs.evolve(
+                make_route("r", "a.example", "/x/"), targets=targets
+            )
+            for drawn, expected in ((0.0, lowest), (1.0 - 2.0**-53, highest)):
+                with self.subTest(name, drawn=drawn):
+                    service = gateway.draw_service(route, FixedRandom(drawn))
+                    self.assertEqual(service, expected)
+
+
 class RouteTableTest(unittest.TestCase):
     """The route with the longest matching prefix is found."""
 
