Test that no attempt outlasts the deadline of its request

The deadline is the earlier of the caller's and that of the route's time-out in force, so this is how a changed time-out is kept. The cases passed at once; tried without the look at the clock after an endpoint is chosen, one of them fails.

--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -89,8 +89,14 @@
     permits: FakePermits | None = None,
     directory: gateway.Directory | None = None,
     suspects: gateway.CrashSuspects | None = None,
+    attempt_s: float = 0.0,
+    deadlines: list[float] | None = None,
 ) -> tuple[_forwarder.Answer | base.Refusal, int]:
-    """Returns the answer or refusal, and the number of endpoints tried."""
+    """Returns the answer or refusal, and the number of endpoints tried.
+
+    Each attempt takes `attempt_s`, or as long as its deadline allows, which is
+    appended to `deadlines`.
+    """
     directory = directory or make_directory()
     if suspects is None:
         suspects = gateway.CrashSuspects()
@@ -109,8 +115,15 @@
         )
     remaining = list(replies)
 
-    async def send(req: object) -> result.Result[Reply, web.UpstreamError]:
-        del req
+    async def send(deadline: float) -> result.Result[Reply, web.UpstreamError]:
+        if deadlines is not None:
+            deadlines.append(deadline)
+        remaining_s = deadline - clock.now()
+        clock.advance(min(attempt_s, remaining_s))
+        if attempt_s > remaining_s:
+            return result.Failure(
+                web.UpstreamError(base.Outcome.MAY_HAVE_RUN, "late", True)
+            )
         return result.Success(remaining.pop(0))
 
     def read_response_headers(reply: Reply) -> _ports.ResponseHeaders:
@@ -127,7 +140,7 @@
         _as_any(types.SimpleNamespace(send=send)),
         _as_any(
             types.SimpleNamespace(
-                build_forward_request=lambda *rest: None,
+                build_forward_request=lambda *rest: rest[3],
                 read_response_headers=read_response_headers,
             )
         ),
@@ -208,6 +221,42 @@
         self.assertGreater(refusal.retry_after or 0.0, 0.0)
 
 
+class TimeLimitTest(unittest.TestCase):
+    """All attempts together end at the deadline of the request.
+
+    Guards against a request that is held past the time-out of its route.
+    """
+
+    def test_silent_endpoints(self) -> None:
+        repeatable = gateway.RouteKind.IDEMPOTENT
+        once = gateway.RouteKind.NON_IDEMPOTENT
+        for name, kind, expected in (
+            # Half of the time that is left, but for the last attempt.
+            ("repeatable", repeatable, [15.0, 20.0]),
+            ("once", once, [20.0]),
+        ):
+            with self.subTest(name):
+                deadlines: list[float] = []
+                refusal, tried = send_request(
+                    kind, attempt_s=60.0, deadlines=deadlines
+                )
+                self.assertIsInstance(refusal, base.Refusal)
+                self.assertEqual(deadlines, expected)
+                self.assertEqual(tried, len(expected))
+
+    def test_no_attempt_begins_after_the_deadline(self) -> None:
+        """Guards against a request sent when its caller has been answered."""
+        full = Reply(REQUEST_ID, 503, has_not_run=True)
+        deadlines: list[float] = []
+        _, tried = send_request(
+            gateway.RouteKind.NON_IDEMPOTENT,
+            full,
+            attempt_s=10.0,
+            deadlines=deadlines,
+        )
+        self.assertEqual((tried, deadlines), (1, [20.0]))
+
+
 class SuspectTest(unittest.TestCase):
     """A request that was lost is cleared by an endpoint that ran it."""
 
