End the question for a permit at the deadline of its request

A request to endpoints with a rate limit could be held 0.3 s past its deadline if the leader did not answer.

Cause: the call for a permit had a time limit of its own and did not know the deadline.

Why the fix works: it ends at the earlier of both; the forwarder looks at the clock before it sends, as before.

--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -224,7 +224,7 @@
         limited = [
             target for target in ranked if self._limits.is_limited(target)
         ]
-        permit = await self._permits.acquire(limited)
+        permit = await self._permits.acquire(limited, forwarding.deadline)
         # Endpoints may have left while the leader was asked.
         ranked = self._rank_endpoints(forwarding, service)
         for target in ranked:
--- a/packages/node/src/banyanbank_node/_leader_permits.py
+++ b/packages/node/src/banyanbank_node/_leader_permits.py
@@ -68,9 +68,12 @@
         """Does nothing; permits are valid for one epoch."""
 
     async def acquire(
-        self, targets: collections.abc.Sequence[gateway.Announcement]
+        self,
+        targets: collections.abc.Sequence[gateway.Announcement],
+        deadline: float,
     ) -> _permits.Permit:
-        """Takes a permit for a request of this process."""
+        """Takes a permit for a request of this process, without a wait."""
+        del deadline
         return self._take_first(targets)
 
     def count_room(self, target: gateway.Announcement) -> int | None:
--- a/packages/node/src/banyanbank_node/_permits.py
+++ b/packages/node/src/banyanbank_node/_permits.py
@@ -1,6 +1,7 @@
 """Permits to send requests to endpoints with a rate limit."""
 
 import collections.abc
+import math
 import typing
 
 import attrs
@@ -33,12 +34,15 @@
     """Decides whether a request may be sent to an endpoint with a limit."""
 
     async def acquire(
-        self, targets: collections.abc.Sequence[gateway.Announcement]
+        self,
+        targets: collections.abc.Sequence[gateway.Announcement],
+        deadline: float,
     ) -> Permit:
         """Takes a permit for the first endpoint that has one.
 
         Args:
             targets: Endpoints with a limit, in order of preference.
+            deadline: When the request must be answered.
         """
         ...
 
@@ -65,7 +69,9 @@
         self._limits = limits
 
     async def acquire(
-        self, targets: collections.abc.Sequence[gateway.Announcement]
+        self,
+        targets: collections.abc.Sequence[gateway.Announcement],
+        deadline: float,
     ) -> Permit:
         """Takes a permit from the leader."""
         known = (self._limits.known.get(target) for target in targets)
@@ -73,7 +79,7 @@
             tuple(target.endpoint for target in targets),
             tuple(limit for limit in known if limit is not None),
         )
-        answer = await self._call(_messages.TAKE_PERMIT, req)
+        answer = await self._call(_messages.TAKE_PERMIT, req, deadline)
         now = self._clock.now()
         if answer is None:
             return Permit(None, now + NO_LEADER_RETRY_AFTER_S)
@@ -85,12 +91,17 @@
             _messages.REPORT_LIMITS, _messages.LimitsPart((observation,))
         )
 
-    async def _call(self, method: str, message: typing.Any) -> typing.Any:
+    async def _call(
+        self, method: str, message: typing.Any, deadline: float = math.inf
+    ) -> typing.Any:
         leader = self._client.leader
         if leader is None:
             return None
         answered = await self._client.call_store(
-            leader, method, message, self._clock.now() + CALL_TIMEOUT_S
+            leader,
+            method,
+            message,
+            min(deadline, self._clock.now() + CALL_TIMEOUT_S),
         )
         return (
             answered.unwrap() if isinstance(answered, result.Success) else None
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -59,11 +59,16 @@
     """Endpoint with a permit; None for none."""
     asked: list[list[str]] = attrs.Factory(list)
     """Endpoints that permits were asked for, by call."""
+    deadlines: list[float] = attrs.Factory(list)
+    """Deadlines of the calls."""
 
     async def acquire(
-        self, targets: collections.abc.Sequence[gateway.Announcement]
+        self,
+        targets: collections.abc.Sequence[gateway.Announcement],
+        deadline: float,
     ) -> _permits.Permit:
         """Grants a permit if the endpoint is among the targets."""
+        self.deadlines.append(deadline)
         names = [target.endpoint for target in targets]
         self.asked.append(sorted(names))
         for name in names:
@@ -244,6 +249,15 @@
                 self.assertEqual(deadlines, expected)
                 self.assertEqual(tried, len(expected))
 
+    def test_question_for_a_permit(self) -> None:
+        permits = FakePermits()
+        send_request(
+            gateway.RouteKind.NON_IDEMPOTENT,
+            limited=("e0", "e1", "e2"),
+            permits=permits,
+        )
+        self.assertEqual(permits.deadlines, [20.0])
+
     def test_no_attempt_begins_after_the_deadline(self) -> None:
         """Guards against a request sent when its caller has been answered."""
         full = Reply(REQUEST_ID, 503, has_not_run=True)
--- a/tests/node/test_permits.py
+++ b/tests/node/test_permits.py
@@ -72,6 +72,7 @@
                 )
             ),
         )
+        self.deadlines: list[float] = []
         self.entries = [self._make_entry() for _ in range(entry_count)]
 
     def _make_limits(self) -> _endpoint_limits.EndpointLimits:
@@ -91,7 +92,8 @@
     async def _call_store(
         self, store: str, method: str, message: object, deadline: float
     ) -> result.Result[typing.Any, str]:
-        del store, deadline
+        del store
+        self.deadlines.append(deadline)
         if not self.is_leader_reachable:
             return result.Failure("unreachable")
         data = _messages.CODEC.encode(message)
@@ -120,10 +122,11 @@
         handler = self.handlers[_messages.TAKE_PERMIT]
         return _messages.CODEC.encode(_run(handler(LEADER, data)))
 
-    def ask(self, entry: int) -> _permits.Permit:
+    def ask(self, entry: int, deadline: float = 1000.0) -> _permits.Permit:
         """Returns the leader's answer to an entry."""
         return typing.cast(
-            _permits.Permit, _run(self.entries[entry].acquire(self.targets))
+            _permits.Permit,
+            _run(self.entries[entry].acquire(self.targets, deadline)),
         )
 
 
@@ -176,6 +179,18 @@
                 if want is None:
                     self.assertGreater(permit.retry_at, cluster.clock.now())
 
+    def test_time_limit(self) -> None:
+        """Guards against a request held past its deadline for a permit."""
+        for name, left_s, expected_s in (
+            ("much time", 10.0, _permits.CALL_TIMEOUT_S),
+            ("little time", 0.1, 0.1),
+        ):
+            with self.subTest(name):
+                cluster = Cluster(1, "e1", "e2")
+                now = cluster.clock.now()
+                cluster.ask(0, now + left_s)
+                self.assertEqual(cluster.deadlines, [now + expected_s])
+
     def test_leader_learns_limit_from_request(self) -> None:
         cluster = Cluster(1, "e1")
         _run(
