Ask the leader before a store hands out its own document

The store now passes each poll on, which the leader answers at once after a change, and returns its own document only without an answer.

--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -290,9 +290,6 @@
     ) -> object:
         del sender
         req: _messages.SyncRequest = _messages.CODEC.decode(data)
-        held = self._find_newer_document(req)
-        if held is not None:
-            return _messages.RelayedSync(None, held)
         timeout_s = (
             _entry_sync.LONG_POLL_TIMEOUT_S + _entry_sync.RESPONSE_MARGIN_S
         )
