Give polls more time while all paths are slow

Callers of an entry whose every path had a round trip of 1 s saw routes of a former configuration for as long as that lasted: a poll waits for 0.8 s, of which the leader may hold it for 0.5 s, and later answers are dropped. Cause: a fixed time limit where the paths, not the stores, are slow. After two failed polls in a row the limit is 1.6 s until an answer is fast again.

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -173,25 +173,28 @@
     async def _poll_leader(
         self, req: _messages.SyncRequest
     ) -> _store_client.StoreCallError | None:
+        sent_at = self._clock.now()
+        timeout_s = self._paths.response_timeout_s
         called = await self._client.call(
             _messages.SYNC,
             req,
-            self._clock.now() + MAX_CONTACT_AGE_S,
-            MAX_CONTACT_AGE_S,
+            sent_at + timeout_s,
+            timeout_s,
         )
         if isinstance(called, result.Failure):
             return called.failure()
-        self._apply_answer(_poll_paths.DIRECT, called.unwrap())
+        self._apply_answer(_poll_paths.DIRECT, called.unwrap(), sent_at)
         return None
 
     async def _poll_through(
         self, relay: base.InstanceId, req: _messages.SyncRequest
     ) -> _store_client.StoreCallError | None:
+        sent_at = self._clock.now()
         called = await self._client.call_store(
             relay,
             _messages.RELAY_SYNC,
             req,
-            self._clock.now() + MAX_CONTACT_AGE_S + RELAY_MARGIN_S,
+            sent_at + self._paths.response_timeout_s + RELAY_MARGIN_S,
         )
         if isinstance(called, result.Failure):
             return called.failure()
@@ -200,6 +203,7 @@
             self._apply_answer(
                 _poll_paths.PollPath(relay),
                 _messages.CODEC.decode(relayed.answer),
+                sent_at,
             )
             return None
         # Without a confirmed document first, this one may be too old to act on.
@@ -233,7 +237,10 @@
             self._paths.restore_direct()
 
     def _apply_answer(
-        self, path: _poll_paths.PollPath, answer: _messages.SyncAnswer
+        self,
+        path: _poll_paths.PollPath,
+        answer: _messages.SyncAnswer,
+        sent_at: float,
     ) -> None:
         now = self._clock.now()
         contact_age_ms = self.contact_age_ms
@@ -244,7 +251,7 @@
                 answer.document, answer.directory_of, contact_age_ms
             )
         leader = base.InstanceId(answer.directory_of.partition("/")[0])
-        self._paths.record_answer(path, leader)
+        self._paths.record_answer(path, leader, now - sent_at)
         if path.relay is not None:
             self._client.follow_leader(leader)
         if answer.directory_of != self._directory_source:
--- a/packages/node/src/banyanbank_node/_poll_paths.py
+++ b/packages/node/src/banyanbank_node/_poll_paths.py
@@ -10,6 +10,17 @@
 """Time after a failed direct poll for which other stores relay the polls,
 unless the leader is found to be reachable or to be another store."""
 
+FAST_RESPONSE_S = 0.8
+"""Time for the response to a poll unless all paths are slow."""
+
+SLOW_RESPONSE_S = 1.6
+"""Time for the response once two polls in a row have failed, until one is
+answered faster than `FAST_RESPONSE_S`. An entry whose every path is slow would
+learn nothing otherwise."""
+
+MAX_FAST_FAILURES = 2
+"""Failed polls in a row after which paths may be slow rather than silent."""
+
 PROBE_INTERVAL_S = 1.0
 """Interval between questions whether the leader can be reached again."""
 
@@ -43,6 +54,14 @@
         self._avoided_leader: base.InstanceId | None = None
         self._relay: base.InstanceId | None = None
         self._failed: set[base.InstanceId] = set()
+        self._failure_count = 0
+
+    @property
+    def response_timeout_s(self) -> float:
+        """Time for the response to the next poll."""
+        if self._failure_count < MAX_FAST_FAILURES:
+            return FAST_RESPONSE_S
+        return SLOW_RESPONSE_S
 
     def choose(
         self, stores: collections.abc.Collection[base.InstanceId], now: float
@@ -60,13 +79,18 @@
             self._relay = self._rng.choice(untried) if untried else None
         return PollPath(self._relay)
 
-    def record_answer(self, path: PollPath, leader: base.InstanceId) -> None:
+    def record_answer(
+        self, path: PollPath, leader: base.InstanceId, took_s: float
+    ) -> None:
         """Records that a poll was answered.
 
         Args:
             path: Path of the poll.
             leader: Store that issued the answer.
+            took_s: Time from the poll to the answer.
         """
+        if took_s < FAST_RESPONSE_S:
+            self._failure_count = 0
         if path.relay is None or leader != self._avoided_leader:
             self.restore_direct()
 
@@ -80,6 +104,7 @@
             leader: Presumed leader before the poll, if any.
             now: Current time.
         """
+        self._failure_count += 1
         if path.relay is not None:
             self._failed.add(path.relay)
             return
--- a/tests/node/test_poll_paths.py
+++ b/tests/node/test_poll_paths.py
@@ -30,7 +30,7 @@
     def test_sound_path_to_the_leader_is_kept(self) -> None:
         for _ in range(3):
             self.assertEqual(self.choose(), _poll_paths.DIRECT)
-            self.paths.record_answer(_poll_paths.DIRECT, LEADER)
+            self.paths.record_answer(_poll_paths.DIRECT, LEADER, 0.5)
 
     def test_every_other_store_is_tried_before_the_leader_again(self) -> None:
         self.fail(self.choose())
@@ -47,16 +47,16 @@
         self.fail(self.choose())
         path = self.choose()
         for _ in range(5):
-            self.paths.record_answer(path, LEADER)
+            self.paths.record_answer(path, LEADER, 0.5)
             self.assertEqual(self.choose(), path)
         self.assertIsNotNone(path.relay)
 
     def test_when_the_leader_is_polled_again(self) -> None:
         def answer_of_successor() -> None:
-            self.paths.record_answer(self.choose(), SECOND)
+            self.paths.record_answer(self.choose(), SECOND, 0.5)
 
         def answer_of_the_same_leader() -> None:
-            self.paths.record_answer(self.choose(), LEADER)
+            self.paths.record_answer(self.choose(), LEADER, 0.5)
 
         def pass_time() -> None:
             self.now += _poll_paths.DIRECT_AVOIDANCE_S
@@ -76,6 +76,19 @@
     def restore(self) -> None:
         self.paths.restore_direct()
 
+    def test_slow_paths_get_more_time_until_one_is_fast(self) -> None:
+        """Guards against an entry that learns nothing while all are slow."""
+        fast, slow = _poll_paths.FAST_RESPONSE_S, _poll_paths.SLOW_RESPONSE_S
+        timeouts = []
+        for took_s in (None, None, 1.2, 1.2, 0.5, None):
+            timeouts.append(self.paths.response_timeout_s)
+            path = self.choose()
+            if took_s is None:
+                self.fail(path)
+            else:
+                self.paths.record_answer(path, LEADER, took_s)
+        self.assertEqual(timeouts, [fast, fast, slow, slow, slow, fast])
+
     def test_unknown_leader_excludes_no_store(self) -> None:
         self.fail(self.choose(), leader=None)
         tried = set()
--- a/tests/platform/configuration_age.py
+++ b/tests/platform/configuration_age.py
@@ -465,6 +465,17 @@
     return inject
 
 
+def _delay_entry(one_way_s: float, seconds: float) -> Inject:
+    async def inject(observer: Observer, entry: str, leader: str) -> None:
+        del leader
+        stores = [store.name for store in observer.there.stores]
+        observer.there.links.delay([entry], stores, one_way_s)
+        await support.next_turn(seconds)
+        observer.there.links.delay([entry], stores, 0.0)
+
+    return inject
+
+
 def _flap_path(down_s: float, up_s: float, times: int) -> Inject:
     async def inject(observer: Observer, entry: str, leader: str) -> None:
         for _ in range(times):
@@ -579,6 +590,7 @@
     "path delayed by 0.3 s": _delay_path(0.3, 8.0),
     "path delayed by 0.5 s": _delay_path(0.5, 8.0),
     "path delayed by 1 s": _delay_path(1.0, 8.0),
+    "all paths of the entry delayed by 0.5 s": _delay_entry(0.5, 8.0),
     "entry isolated": _isolate_entry(6.0),
     "leader stopped for 0.5 s": _stop_leader(0.5, 1.0, 6),
     "leader stopped for 0.9 s": _stop_leader(0.9, 0.4, 6),
