Answer 504 to a change whose commit is open

A change of the configuration or a version could be answered 503 and come into force later. 503 is a promise: not run, and never will be.

Cause: a store answered 503 to whatever was not confirmed within 0.9 s, although its client tells whether the leader may have proposed the change.

Why the fix works: a call that may have taken effect is answered 504, which promises nothing; one that nobody proposed keeps 503. Operators and trainers repeat a call after any 5xx. Not changed: retirements, announcements and withdrawals, which are answered 503 when no leader confirms them.

Test: `OpenOutcomeTest` lets a leader alone and compares the status with its log. Both kinds of calls got 503 with their proposal in the log before, and 504 now; the call after it has stepped down appends nothing and gets 503.

--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -285,12 +285,14 @@
         self.events.write("process.stopped", role="store")
         self.events.flush()
 
-    async def commit_document(self, number: int, content: bytes) -> bool:
-        """Commits a validated document; returns False if not confirmed."""
+    async def commit_document(
+        self, number: int, content: bytes
+    ) -> base.Outcome:
+        """Commits a validated document; returns whether this is confirmed."""
         return await self._commit_command(jobs.DeclareDocument(number, content))
 
-    async def publish_version(self, model: str, version: int) -> bool:
-        """Commits a published version; returns False if not confirmed."""
+    async def publish_version(self, model: str, version: int) -> base.Outcome:
+        """Commits a published version; returns whether this is confirmed."""
         return await self._commit_command(jobs.NameVersion(model, version))
 
     async def announce(self, announcement: gateway.Announcement) -> bool:
@@ -329,7 +331,7 @@
         self.calls.broadcast_to_stores(message)
         return await self._call_leader(method, message) is not None
 
-    async def _commit_command(self, command: jobs.Command) -> bool:
+    async def _commit_command(self, command: jobs.Command) -> base.Outcome:
         deadline = self.node.clock.now() + CALL_TIMEOUT_S
         replied = await self.node.client.call_raw(
             _messages.PROPOSE, jobs.COMMAND_CODEC.encode(command), deadline
@@ -342,7 +344,11 @@
             if isinstance(replied, result.Success)
             else replied.failure().detail,
         )
-        return isinstance(replied, result.Success)
+        if isinstance(replied, result.Success):
+            return base.Outcome.RAN
+        if replied.failure().may_have_run:
+            return base.Outcome.MAY_HAVE_RUN
+        return base.Outcome.NOT_RUN
 
     async def _call_leader(
         self, method: str, message: typing.Any
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -220,12 +220,12 @@
     async def call_store(
         self, method: str, path: str, document: typing.Any, store: int = 1
     ) -> Reply:
-        """Calls a store as operators do: retries while the status is 503."""
+        """Calls a store as operators do: repeats a call without a result."""
         url = f"http://127.0.1.{store}:{self.control_port}{path}"
         body = b"" if document is None else json.dumps(document).encode()
         while True:
             reply = await self.call(method, url, body)
-            if reply.status != 503:
+            if reply.status not in (503, 504):
                 return reply
 
     async def call_front(
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,6 +1,7 @@
 """Tests of changes of the configuration over the whole path."""
 
 import copy
+import functools
 import json
 import typing
 import unittest
@@ -189,6 +190,50 @@
         deployment.run_scenario(scenario)
 
 
+class OpenOutcomeTest(unittest.TestCase):
+    """Only what has not run, and never will, is answered 503."""
+
+    def test_leader_that_was_left_alone(self) -> None:
+        """Guards against 503 for a change that may come into force later."""
+        for method, path, content in (
+            ("PUT", "/-/config", make_document(10)),
+            ("POST", "/-/version-put", {"model": "model", "version": 2}),
+        ):
+            with self.subTest(path):
+                call = functools.partial(
+                    self.call_lone_leader,
+                    method=method,
+                    path=path,
+                    body=json.dumps(content).encode(),
+                )
+                deployment.run_scenario(call)
+
+    async def call_lone_leader(
+        self, system: deployment.Deployment, method: str, path: str, body: bytes
+    ) -> None:
+        await system.configure()
+        await support.until(lambda: system.leader is not None)
+        leader = system.leader
+        assert leader is not None
+        for store in system.stores:
+            if store is not leader:
+                await store.stop()
+        url = f"http://{leader.settings.control}{path}"
+        for name, status, proposals in (
+            ("proposed", 504, 1),
+            ("after the leader has stepped down", 503, 0),
+        ):
+            with self.subTest(name):
+                last_index = leader.stored.node.status().last_index
+                reply = await system.call(method, url, body)
+                self.assertEqual(reply.status, status)
+                # What stands in the log may be committed later.
+                self.assertEqual(
+                    leader.stored.node.status().last_index,
+                    last_index + proposals,
+                )
+
+
 class AddedRouteTest(unittest.TestCase):
     """Routes that were added later are served like the first ones."""
 
