Merge the outcome of changes whose commit is open

The wait for entries keeps its place between commit and answer: a change that is committed and that an entry in contact does not act on in time is answered 504, as it stays in force.

--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -294,22 +294,27 @@
         self.events.write("process.stopped", role="store")
         self.events.flush()
 
-    async def commit_document(self, number: int, content: bytes) -> bool:
+    async def commit_document(
+        self, number: int, content: bytes
+    ) -> base.Outcome:
         """Commits a validated document and waits until entries act on it.
 
         Returns:
-            False if it is not confirmed that the document is committed and that
+            `RAN` if it is confirmed that the document is committed and that
             every entry in contact with the leader acts on it or a later one.
         """
         deadline = self.node.clock.now() + CALL_TIMEOUT_S
         if self.stored.ledger.document_number < number:
             command = jobs.DeclareDocument(number, content)
-            if not await self._commit_command(command, deadline):
-                return False
-        return await self._await_entries(number, deadline)
-
-    async def publish_version(self, model: str, version: int) -> bool:
-        """Commits a published version; returns False if not confirmed."""
+            outcome = await self._commit_command(command, deadline)
+            if outcome is not base.Outcome.RAN:
+                return outcome
+        if await self._await_entries(number, deadline):
+            return base.Outcome.RAN
+        return base.Outcome.MAY_HAVE_RUN
+
+    async def publish_version(self, model: str, version: int) -> base.Outcome:
+        """Commits a published version; returns whether this is confirmed."""
         return await self._commit_command(
             jobs.NameVersion(model, version),
             self.node.clock.now() + CALL_TIMEOUT_S,
@@ -353,7 +358,7 @@
 
     async def _commit_command(
         self, command: jobs.Command, deadline: float
-    ) -> bool:
+    ) -> base.Outcome:
         replied = await self.node.client.call_raw(
             _messages.PROPOSE, jobs.COMMAND_CODEC.encode(command), deadline
         )
@@ -365,7 +370,11 @@
             if isinstance(replied, result.Success)
             else replied.failure().detail,
         )
-        return isinstance(replied, result.Success)
+        if isinstance(replied, result.Success):
+            return base.Outcome.RAN
+        if replied.failure().may_have_run:
+            return base.Outcome.MAY_HAVE_RUN
+        return base.Outcome.NOT_RUN
 
     async def _await_entries(self, number: int, deadline: float) -> bool:
         """Waits until all entries in contact act on a document."""
