Bound what the answers of all requests hold together

A faulty server that sends bodies without end took 376 to 407 MB from an entry within a second when 50 requests met it at once; a machine of 300 MB is killed by then, and the requests of all its callers end with it.

Cause: each answer alone is bounded to 8 MiB, but nothing bounded their sum.

Ruled out: heads, interim answers, chunk sizes, chunk extensions, trailers and bytes after an answer are bounded for each connection, and grow the entry by 25 MiB at most (folded headers).

Why the fix works: the answers that a process gathers share 64 MiB. When these are exceeded, the largest answer is ended as if its connection was lost, again until the rest fits. Small answers pass beside any number of floods, and no answer waits for another one, so nothing can lock up.

Answers that are complete and wait for a slow caller are not counted.

--- a/packages/web/src/banyanbank_web/__init__.py
+++ b/packages/web/src/banyanbank_web/__init__.py
@@ -1,5 +1,7 @@
 """HTTP towards callers, endpoints and operators, on twisted.web."""
 
+from banyanbank_web._buffer_budget import BufferBudget
+from banyanbank_web._buffer_budget import Share as BufferShare
 from banyanbank_web._exchange import Exchange
 from banyanbank_web._exchange import ExchangeClosed
 from banyanbank_web._problem import problem_body
@@ -16,6 +18,8 @@
 from banyanbank_web._upstream import UpstreamResponse
 
 __all__ = [
+    "BufferBudget",
+    "BufferShare",
     "Exchange",
     "ExchangeClosed",
     "GuardClosedError",
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -23,6 +23,8 @@
 from twisted.web import iweb
 import zope.interface
 
+from banyanbank_web import _buffer_budget
+
 HIGH_WATER_BYTES = 256 * 1024
 LOW_WATER_BYTES = 64 * 1024
 IDLE_CONNECTION_S = 20
@@ -155,6 +157,7 @@
         headers: Every header, names in lower case.
         reader: Holds the body.
         timer: Delayed call that ends the exchange at its deadline.
+        budget: Bounds what all answers hold.
     """
 
     def __init__(
@@ -163,7 +166,9 @@
         headers: tuple[tuple[str, str], ...],
         reader: _BodyReader,
         timer: typing.Any,
+        budget: _buffer_budget.BufferBudget,
     ) -> None:
+        self._budget = budget
         self.status = status
         self.headers = headers
         self._reader = reader
@@ -183,9 +188,21 @@
     async def read_all(
         self, max_bytes: int
     ) -> result.Result[bytes, UpstreamError]:
-        """Returns the whole body; more than `max_bytes` is an error."""
+        """Returns the whole body; more than `max_bytes` is an error.
+
+        So is a body that is the largest while all answers together exceed the
+        budget of the process.
+        """
+        share = self._budget.open(self._cut)
+        try:
+            return await self._gather(max_bytes, share)
+        finally:
+            self._budget.close(share)
+
+    async def _gather(
+        self, max_bytes: int, share: _buffer_budget.Share
+    ) -> result.Result[bytes, UpstreamError]:
         pieces: list[bytes] = []
-        size = 0
         while True:
             chunk = await self.next_chunk()
             if not _is_success(chunk):
@@ -194,13 +211,18 @@
             if not piece:
                 return result.Success(b"".join(pieces))
             pieces.append(piece)
-            size += len(piece)
-            if size > max_bytes:
+            self._budget.add(share, len(piece))
+            if share.is_cut:
+                return result.Failure(_over_budget(self._budget))
+            if share.size > max_bytes:
                 detail = f"The answer is over {max_bytes} bytes."
                 problem = UpstreamError(base.Outcome.RAN, detail)
                 self.cancel(problem)
                 return result.Failure(problem)
 
+    def _cut(self) -> None:
+        self.cancel(_over_budget(self._budget))
+
     def cancel(
         self,
         problem: UpstreamError = UpstreamError(
@@ -217,6 +239,14 @@
         self._timer = None
 
 
+def _over_budget(budget: _buffer_budget.BufferBudget) -> UpstreamError:
+    return UpstreamError(
+        base.Outcome.MAY_HAVE_RUN,
+        f"The answers of all requests are over {budget.max_bytes} bytes, and"
+        " this one was the largest.",
+    )
+
+
 def _is_success(value: result.Result[typing.Any, typing.Any]) -> bool:
     return isinstance(value, result.Success)
 
@@ -227,9 +257,16 @@
     Args:
         reactor: Reactor that carries sockets and timers.
         clock: Clock that deadlines are told on.
+        budget: Bounds what all answers hold; None for the default.
     """
 
-    def __init__(self, reactor: typing.Any, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: base.Clock,
+        budget: _buffer_budget.BufferBudget | None = None,
+    ) -> None:
+        self._budget = budget or _buffer_budget.BufferBudget()
         self._reactor = reactor
         self._clock = clock
         self._pool = mesh.TracedPool(reactor, persistent=True)
@@ -305,7 +342,9 @@
             for name, values in response.headers.getAllRawHeaders()
             for value in values
         )
-        return UpstreamResponse(response.code, headers, reader, timer)
+        return UpstreamResponse(
+            response.code, headers, reader, timer, self._budget
+        )
 
     def close_idle(self, url: str) -> None:
         """Closes the idle connections to the address of a URL.
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -206,7 +206,7 @@
         request_headers = http_headers.Headers()
         for name, value in headers.items():
             request_headers.addRawHeader(name.replace("_", "-"), value)
-        producer = client.FileBodyProducer(_open_body(body)) if body else None
+        producer = client.FileBodyProducer(open_body(body)) if body else None
         resp: iweb.IResponse = await agent.request(
             method.encode(), url.encode(), request_headers, producer
         )
@@ -294,7 +294,7 @@
         )
 
 
-def _open_body(body: bytes) -> typing.Any:
+def open_body(body: bytes) -> typing.Any:
     import io
 
     return io.BytesIO(body)
--- /dev/null
+++ b/tests/platform/floods.py
@@ -0,0 +1,137 @@
+"""Servers that send bytes without end."""
+
+import re
+import typing
+
+from twisted.internet import interfaces
+from twisted.internet import protocol
+import zope.interface
+
+PIECE_BYTES = 64 * 1024
+
+_REQUEST_ID = re.compile(rb"(?i)x-banyanbank-request-id: *([^\r\n]*)")
+
+
+class Flood(typing.NamedTuple):
+    """What a server sends in answer to a request."""
+
+    beginning: bytes
+    """Sent once; `%ID` is replaced by the id of the request."""
+    piece: bytes
+    """Sent again and again."""
+
+
+@zope.interface.implementer(interfaces.IPushProducer)
+class _Flooding(protocol.Protocol):
+    """Sends its flood until the peer closes."""
+
+    def __init__(self, server: "FloodServer") -> None:
+        self._server = server
+        self._flood: Flood | None = None
+        self._is_paused = False
+        self._is_closed = False
+        self._head = b""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self._server.opened += 1
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._flood is not None:
+            return
+        self._head += data
+        if b"\r\n\r\n" not in self._head:
+            return
+        self._flood = self._server.flood
+        found = _REQUEST_ID.search(self._head)
+        name = found.group(1) if found else b""
+        self.transport.write(self._flood.beginning.replace(b"%ID", name))
+        if self._flood.piece:
+            self.transport.registerProducer(self, True)
+            self._go_on()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self._is_paused = False
+        self._go_on()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self._is_paused = True
+
+    def stopProducing(self) -> None:  # noqa: N802
+        self._is_closed = True
+
+    def connectionLost(  # noqa: N802
+        self, reason: typing.Any = protocol.connectionDone
+    ) -> None:
+        del reason
+        self._is_closed = True
+        self._server.closed += 1
+
+    def _go_on(self) -> None:
+        if self._is_paused or self._is_closed or self._flood is None:
+            return
+        piece = self._flood.piece
+        self.transport.write(piece * (PIECE_BYTES // len(piece) or 1))
+        self._server.reactor.callLater(0, self._go_on)
+
+
+class FloodServer:
+    """Answers each request with its flood.
+
+    Attributes:
+        flood: What it sends.
+        opened: Connections accepted so far.
+        closed: Those that have ended.
+    """
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        self.reactor = reactor
+        self.address = f"{host}:{port}"
+        self.flood = Flood(b"", b"x")
+        self.opened = 0
+        self.closed = 0
+        factory = protocol.Factory()
+        factory.buildProtocol = self._build  # type: ignore[method-assign,assignment]
+        self._port = reactor.listenTCP(port, factory, interface=host)
+
+    async def stop(self) -> None:
+        """Closes the listener."""
+        await self._port.stopListening()
+
+    def _build(self, addr: object) -> _Flooding:
+        del addr
+        return _Flooding(self)
+
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"X-Banyanbank-Request-Id: %ID\r\n"
+    b"X-Banyanbank-Response-Signature: signed.%ID\r\n"
+    b"X-Banyanbank-Weight-Versions: 1\r\n"
+)
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+HEAD_PLACES = {
+    "status line": Flood(b"HTTP/1.1 200 ", b"fine"),
+    "no answer": Flood(b"", b"\x00\x01\x02\x03"),
+    "headers": Flood(HEAD, b"X-More: and more\r\n"),
+    "one header": Flood(HEAD + b"X-More: ", b"more"),
+    "folded header": Flood(HEAD + b"X-More: a\r\n", b" more\r\n"),
+    "interim answers": Flood(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
+BODY_PLACES = {
+    "body without a length": Flood(HEAD + b"\r\n", b"more"),
+    "body of a false length": Flood(
+        HEAD + b"Content-Length: 999999999999999\r\n\r\n", b"more"
+    ),
+    "chunked body": Flood(CHUNKED, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "chunk size": Flood(CHUNKED, b"0"),
+    "chunk extension": Flood(CHUNKED + b"4;", b"more"),
+    "trailers": Flood(CHUNKED + b"0\r\n", b"X-More: and more\r\n"),
+}
+BEYOND_PLACES = {
+    "after a length": Flood(HEAD + b"Content-Length: 4\r\n\r\ndone", b"more"),
+    "after the last chunk": Flood(CHUNKED + b"4\r\ndone\r\n0\r\n\r\n", b"more"),
+    "after an empty answer": Flood(
+        HEAD.replace(b"200 OK", b"204 No") + b"\r\n", b"more"
+    ),
+}
--- /dev/null
+++ b/tests/platform/test_endless_answers.py
@@ -0,0 +1,188 @@
+"""Tests of servers that send bytes without end to real processes.
+
+Guards against a process that keeps what a faulty server sends until its memory
+is exhausted, which ends the requests of other callers with it.
+"""
+
+import collections
+import pathlib
+import tempfile
+import typing
+import unittest
+
+from twisted.internet import defer
+
+from tests import support
+from tests.platform import deployment
+from tests.platform import fakes
+from tests.platform import floods
+from tests.platform import machines
+
+HOST = "127.0.0.1"
+SCENARIO_S = 120.0
+REQUESTS = 50
+"""Floods at once; each answer alone may have 8 MiB."""
+
+MACHINE_BYTES = 300_000_000
+"""Memory of a machine, after which the process is killed."""
+
+MAX_GROWTH = 128 * 1024 * 1024
+"""The 64 MiB that answers may hold, and a copy of them."""
+
+
+def _make_route(name: str, **fields: typing.Any) -> dict[str, typing.Any]:
+    return {
+        "name": name,
+        "host": "host.example",
+        "path-prefix": f"/{name}/",
+        "type": "idempotent",
+        "timeout-ms": 4000,
+        "target-latency-ms": 200,
+        "service": name,
+        "max-attempts": 1,
+    } | fields
+
+
+DOCUMENT = deployment.DOCUMENT | {
+    "routes": [
+        _make_route("flood"),
+        # A route's timeout is how long a sound request may wait.
+        _make_route("sound", **{"timeout-ms": 2000}),
+    ],
+    "services": [
+        {"name": name, "health-path": "/health", "max-connections": 100}
+        for name in ("flood", "sound")
+    ],
+}
+
+
+class World:
+    """Both machines, a server that floods and a sound one.
+
+    Attributes:
+        machines: The store and the entry.
+        flood: Server of the service `flood`.
+    """
+
+    def __init__(self, folder: str) -> None:
+        from twisted.internet import reactor
+
+        ports = support.free_ports(3)
+        self.api = fakes.PlatformApi(reactor, HOST, ports[0])
+        self.flood = floods.FloodServer(reactor, HOST, ports[1])
+        self.sound = fakes.PlainServer(reactor, HOST, ports[2])
+        self.machines = machines.Machines(
+            pathlib.Path(folder), self.api.address
+        )
+
+        self._announcing: defer.Deferred[typing.Any] | None = None
+
+    async def start(self) -> None:
+        """Waits until the entry serves both services."""
+        services = {"flood": self.flood.address, "sound": self.sound.address}
+        await self.machines.configure(DOCUMENT, services)
+        self._announcing = defer.ensureDeferred(
+            self.machines.keep_announcing(services)
+        )
+        self._announcing.addErrback(
+            lambda failure: failure.trap(defer.CancelledError)
+        )
+
+    async def stop(self) -> None:
+        """Ends everything that was started."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        self.machines.stop()
+        for server in (self.api, self.flood, self.sound):
+            await server.stop()
+
+    async def flood_requests(
+        self, body: bytes = b""
+    ) -> tuple[collections.Counter[int], collections.Counter[int]]:
+        """Sends requests that are flooded, and sound ones meanwhile.
+
+        Returns:
+            Number of answers by status, of the flooded and the sound requests.
+        """
+        flooded: collections.Counter[int] = collections.Counter()
+        sound: collections.Counter[int] = collections.Counter()
+
+        async def send(number: int) -> None:
+            reply = await self.machines.call_front(
+                "POST" if body else "GET",
+                f"/flood/{number}",
+                body,
+                x_banyanbank_request_id=f"r{number}",
+            )
+            flooded[reply.status] += 1
+
+        calls = [defer.ensureDeferred(send(n)) for n in range(REQUESTS)]
+        ended = defer.gatherResults(calls, consumeErrors=True)
+        while not ended.called:
+            reply = await self.machines.call_front("GET", "/sound/a")
+            sound[reply.status] += 1
+            await support.next_turn(0.02)
+        await ended
+        return flooded, sound
+
+
+def run_scenario(
+    scenario: typing.Callable[
+        [World], typing.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    """Runs a scenario against new machines."""
+
+    async def run() -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            world = World(folder)
+            try:
+                await world.start()
+                await scenario(world)
+            finally:
+                await world.stop()
+
+    support.run_async(run, SCENARIO_S)
+
+
+class ForwardedRequestTest(unittest.TestCase):
+    """An entry ends floods within bounds and serves others meanwhile."""
+
+    def _check(
+        self, places: dict[str, floods.Flood], want_status: int | None
+    ) -> None:
+        async def scenario(world: World) -> None:
+            for name, flood in places.items():
+                with self.subTest(name):
+                    await self._check_one(world, flood, want_status)
+
+        run_scenario(scenario)
+
+    async def _check_one(
+        self, world: World, flood: floods.Flood, want_status: int | None
+    ) -> None:
+        world.flood.flood = flood
+        entry = world.machines.entry
+        entry.reset_peak()
+        held_before = entry.held_bytes
+        flooded, sound = await world.flood_requests()
+        self.assertEqual(flooded.total(), REQUESTS)
+        if want_status is not None:
+            self.assertEqual(set(flooded), {want_status})
+        self.assertEqual(set(sound), {200})
+        await support.until(lambda: world.flood.closed == world.flood.opened)
+        self.assertLess(entry.peak_bytes - held_before, MAX_GROWTH)
+        self.assertLess(entry.peak_bytes, MACHINE_BYTES)
+
+    def test_head(self) -> None:
+        self._check(floods.HEAD_PLACES, 502)
+
+    def test_body(self) -> None:
+        self._check(floods.BODY_PLACES, 502)
+
+    def test_after_an_answer(self) -> None:
+        self._check(floods.BEYOND_PLACES, None)
+
+
+if __name__ == "__main__":
+    unittest.main()
