Release requests after interim answers

Each request that was answered after an interim answer stayed in memory with its body, up to 200 of them: 220 requests of 1 MiB to a sound server that sends 100 Continue first left 69 MiB in an entry for good. Requests may have 32 MiB, so a few of them end a machine of 300 MB.

Cause: Twisted logs each interim answer. Until logging begins, it keeps the last 200 events, and each refers to the connection that logged it, which refers to the request. Logging never began.

Ruled out: 220 such requests without interim answers leave nothing.

Why the fix works: logging begins with the reactor. As before, critical events are written to stderr, and warnings of Python as usual; others are dropped, not kept. The daemon observes events by itself, which does not change.

The new test failed before.

--- a/packages/mesh/src/banyanbank_mesh/_reactor.py
+++ b/packages/mesh/src/banyanbank_mesh/_reactor.py
@@ -6,8 +6,12 @@
 """
 
 import asyncio
+import sys
 import time
+import typing
+import warnings
 
+from twisted import logger
 from twisted.internet import asyncioreactor
 from twisted.internet import main
 
@@ -29,4 +33,32 @@
     asyncio.set_event_loop(loop)
     installed = SteadyReactor(loop)
     main.installReactor(installed)
+    _begin_logging()
     return installed
+
+
+def _begin_logging() -> None:
+    """Writes critical events of Twisted to stderr, as before, and no others.
+
+    Until logging begins, Twisted keeps the last 200 events for later. An event
+    refers to what it is about, such as a connection with its request.
+    """
+    show_warning = warnings.showwarning
+    logger.globalLogBeginner.beginLoggingTo(
+        [
+            logger.FilteringLogObserver(
+                logger.FileLogObserver(sys.stderr, _format_event),
+                [logger.LogLevelFilterPredicate(logger.LogLevel.critical)],
+            )
+        ],
+        discardBuffer=True,
+        redirectStandardIO=False,
+    )
+    warnings.showwarning = show_warning
+
+
+def _format_event(event: dict[str, typing.Any]) -> str:
+    text = logger.eventAsText(
+        event, includeTimestamp=False, includeSystem=False
+    )
+    return f"{text}\n"
--- a/tests/mesh/test_reactor.py
+++ b/tests/mesh/test_reactor.py
@@ -1,11 +1,39 @@
 """Tests of the reactor's timers."""
 
 import asyncio
+import gc
 import time
 import unittest
 from unittest import mock
+import weakref
 
 import banyanbank_mesh as mesh
+from twisted import logger
+
+from tests import support
+
+
+class _Connection:
+    """Logs what it meets, as Twisted's connections do."""
+
+    log = logger.Logger()
+
+    def __init__(self) -> None:
+        self.log.info("Ignoring unexpected response")
+
+
+class LoggingTest(unittest.TestCase):
+    """Events of Twisted's logger hold nothing in memory.
+
+    Guards against connections that are kept with the requests they sent, since
+    an interim answer was logged.
+    """
+
+    def test_source_of_an_event(self) -> None:
+        support.event_loop()
+        source = weakref.ref(_Connection())
+        gc.collect()
+        self.assertIsNone(source())
 
 
 class SteadyReactorTest(unittest.TestCase):
