Close connections whose peer does not read the request

A faulty server that sent bytes that are no answer, and did not read the body of the request, kept the connection and that body in an entry for ever: up to 32 MiB a request.

Cause: such a connection was closed once all of the request was sent, which never happens. Requests that reach their deadline, and bodies that are too long, abort it and were not concerned. Connections that the pool closes after 20 idle seconds with an unread request are, by reading the code.

Why the fix works: what is still to be sent when a connection is closed has one second; then it is aborted. The pool closes its connections in the same way.

The new test sends 16 MiB to a real entry whose server floods without reading.

--- a/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -18,6 +18,8 @@
 SHORT_READ_BYTES = 8 * 1024
 """Most bytes to take in at once of what is slow to parse, so that other
 connections get their turn."""
+CLOSE_LIMIT_S = 1.0
+"""Seconds for what is still to be sent on a connection that is closed."""
 
 _DECODERS = {b"chunked": _chunks.JoiningDecoder}
 
@@ -72,6 +74,16 @@
                 )
             )
 
+    def close(self) -> None:
+        """Closes the connection, whether or not the peer reads the request."""
+        transport: typing.Any = self.transport
+        transport.loseConnection()
+        transport.reactor.callLater(CLOSE_LIMIT_S, transport.abortConnection)
+
+    def _giveUp(self, reason: failure.Failure) -> None:  # noqa: N802
+        self.close()
+        super()._giveUp(reason)
+
     def _end_head(self, outcome: typing.Any) -> typing.Any:
         self._head_bytes = None
         self._read_at_most(FULL_READ_BYTES)
@@ -120,6 +132,12 @@
 
     _factory = _BoundedHeadFactory
 
+    def _removeConnection(  # noqa: N802
+        self, key: typing.Any, connection: _BoundedHeadProtocol
+    ) -> None:
+        connection.close()
+        super()._removeConnection(key, connection)
+
 
 class TracedPool(BoundedHeadPool):
     """Tells losses of connections before any byte of an answer from others.
--- a/tests/platform/floods.py
+++ b/tests/platform/floods.py
@@ -44,6 +44,8 @@
         self._flood = self._server.flood
         found = _REQUEST_ID.search(self._head)
         name = found.group(1) if found else b""
+        if not self._server.reads_requests:
+            self.transport.pauseProducing()
         self.transport.write(self._flood.beginning.replace(b"%ID", name))
         if self._flood.piece:
             self.transport.registerProducer(self, True)
@@ -79,6 +81,7 @@
 
     Attributes:
         flood: What it sends.
+        reads_requests: Whether it reads more than the head of a request.
         opened: Connections accepted so far.
         closed: Those that have ended.
     """
@@ -87,6 +90,7 @@
         self.reactor = reactor
         self.address = f"{host}:{port}"
         self.flood = Flood(b"", b"x")
+        self.reads_requests = True
         self.opened = 0
         self.closed = 0
         factory = protocol.Factory()
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -23,6 +23,9 @@
 REQUESTS = 50
 """Floods at once; each answer alone may have 8 MiB."""
 
+LARGE_REQUEST_BYTES = 16 * 1024 * 1024
+"""More than the sockets of both sides take."""
+
 MACHINE_BYTES = 300_000_000
 """Memory of a machine, after which the process is killed."""
 
@@ -174,6 +177,23 @@
         self.assertLess(entry.peak_bytes - held_before, MAX_GROWTH)
         self.assertLess(entry.peak_bytes, MACHINE_BYTES)
 
+    def test_requests_that_are_not_read(self) -> None:
+        async def scenario(world: World) -> None:
+            world.flood.reads_requests = False
+            for place in ("no answer", "headers"):
+                with self.subTest(place):
+                    world.flood.flood = floods.HEAD_PLACES[place]
+                    body = b"x" * LARGE_REQUEST_BYTES
+                    reply = await world.machines.call_front(
+                        "POST", "/flood/a", body
+                    )
+                    self.assertEqual(reply.status, 502)
+                    await support.until(
+                        lambda: world.flood.closed == world.flood.opened
+                    )
+
+        run_scenario(scenario)
+
     def test_head(self) -> None:
         self._check(floods.HEAD_PLACES, 502)
 
