--- a/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -7,9 +7,22 @@
 from twisted.web import client
 from twisted.web import iweb
 
+from banyanbank_mesh import _chunks
+
 MAX_HEAD_BYTES = 64 * 1024
 """Largest head of an answer, interim answers before it included."""
 
+FULL_READ_BYTES = 64 * 1024
+"""Most bytes to take in at once."""
+
+SHORT_READ_BYTES = 8 * 1024
+"""Most bytes to take in at once of what is slow to parse, so that other
+connections get their turn."""
+CLOSE_LIMIT_S = 1.0
+"""Seconds for what is still to be sent on a connection that is closed."""
+
+_DECODERS = {b"chunked": _chunks.JoiningDecoder}
+
 
 class HeadTooLongError(Exception):
     """A peer sent more than a head without ending it."""
@@ -35,13 +48,21 @@
     def request(self, request: typing.Any) -> "defer.Deferred[iweb.IResponse]":
         """Sends a request; its answer's head is counted from here."""
         self._head_bytes = 0
-        return super().request(request).addBoth(self._end_head)
+        self._read_at_most(SHORT_READ_BYTES)
+        answer = super().request(request)
+        if self._parser is not None:
+            parser: typing.Any = self._parser
+            parser._transferDecoders = _DECODERS
+        return answer.addBoth(self._end_head)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Takes bytes in, unless a head has grown too long."""
         if self._head_bytes is not None:
             self._head_bytes += len(data)
         super().dataReceived(data)
+        decoder = self._parser and self._parser.bodyDecoder
+        if isinstance(decoder, _chunks.JoiningDecoder) and decoder.is_dense:
+            self._read_at_most(SHORT_READ_BYTES)
         # A head that has ended meanwhile is not counted any more.
         if self._head_bytes is not None and self._head_bytes > MAX_HEAD_BYTES:
             self._head_bytes = None
@@ -53,10 +74,25 @@
                 )
             )
 
+    def close(self) -> None:
+        """Closes the connection, whether or not the peer reads the request."""
+        transport: typing.Any = self.transport
+        transport.loseConnection()
+        transport.reactor.callLater(CLOSE_LIMIT_S, transport.abortConnection)
+
+    def _giveUp(self, reason: failure.Failure) -> None:  # noqa: N802
+        self.close()
+        super()._giveUp(reason)
+
     def _end_head(self, outcome: typing.Any) -> typing.Any:
         self._head_bytes = None
+        self._read_at_most(FULL_READ_BYTES)
         return outcome
 
+    def _read_at_most(self, byte_count: int) -> None:
+        transport: typing.Any = self.transport
+        transport.bufferSize = byte_count
+
 
 class _TracedProtocol(_BoundedHeadProtocol):
     """Tells losses before any byte of an answer from others."""
@@ -96,6 +132,12 @@
 
     _factory = _BoundedHeadFactory
 
+    def _removeConnection(  # noqa: N802
+        self, key: typing.Any, connection: _BoundedHeadProtocol
+    ) -> None:
+        connection.close()
+        super()._removeConnection(key, connection)
+
 
 class TracedPool(BoundedHeadPool):
     """Tells losses of connections before any byte of an answer from others.
