--- a/packages/consensus/src/banyanbank_consensus/_store.py
+++ b/packages/consensus/src/banyanbank_consensus/_store.py
@@ -99,7 +99,9 @@
             self.files.truncate(LOG_FILE_NAME, recovered.size)
         self.files.sync(LOG_FILE_NAME)
         self._file_size = self._synced_size = recovered.size
-        return _recovery.combine_with_snapshot(recovered, snapshot)
+        stored = _recovery.combine_with_snapshot(recovered, snapshot)
+        self._drop_replaced_entries(recovered.image, stored.image)
+        return stored
 
     def append(self, entries: Sequence[_log.Entry]) -> None:
         """Buffers entries, which become durable at the next `sync`."""
@@ -179,6 +181,16 @@
         self._write_log_file(image)
         return _disk.StoredState(store, image, None, b"")
 
+    def _drop_replaced_entries(
+        self, file_image: _disk.LogImage, image: _disk.LogImage
+    ) -> None:
+        """Rewrites the log file if the snapshot replaced entries in it.
+
+        Entries appended later would not follow those in the file.
+        """
+        if image != file_image:
+            self._write_log_file(image)
+
     def _load_snapshot(self) -> _snapshot_file.SnapshotFile | None:
         content = self.files.read(SNAPSHOT_FILE_NAME)
         if content is None:
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -158,6 +158,32 @@
             self.assertEqual(stored.image.base.index, 15)
             self.assertEqual(stored.image.entries, ())
 
+    def test_entries_after_interrupted_installation_survive(self) -> None:
+        """Guards against a log file that keeps entries dropped at the start."""
+        for name, old_entries in (
+            ("empty log", []),
+            ("log that ends before the snapshot", make_entries(1, 5)),
+            ("log that ends with another epoch", make_entries(1, 15, epoch=7)),
+            ("log that goes on in another epoch", make_entries(1, 20, epoch=7)),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.disk.save_hard_state(HARD_STATE)
+                self.write(old_entries)
+                self.fail_nth_sync(3)
+                with self.assertRaises(consensus.StorageError):
+                    self.save(15, [])
+                self.files.crash(random.Random(1))
+                self.assertEqual(self.reopen().snapshot.index, 15)
+                self.write(make_entries(16, 18))
+                stored = self.reopen()
+                self.assertEqual(stored.store, "first")
+                self.assertEqual(stored.image.hard_state, HARD_STATE)
+                self.assertEqual(stored.image.base.index, 15)
+                self.assertEqual(
+                    list(stored.image.entries), make_entries(16, 18)
+                )
+
 
 class CorruptionTest(MemoryDiskTestCase):
     """Detection of corrupt synced data at any offset."""
