Lose unsynced names of simulated files independently

After a loss of power each name that was created, renamed or removed without a sync of its folder may be kept or lost by itself. `MemoryFiles` kept a prefix of the changes, so that of a rename the removal of the old name was never kept without the new one. Now each name keeps or loses its changes on its own.

--- a/packages/consensus/src/banyanbank_consensus/_memory_files.py
+++ b/packages/consensus/src/banyanbank_consensus/_memory_files.py
@@ -79,7 +79,9 @@
         """Makes file creations, renames and removals durable."""
         if self._consume_sync_error():
             raise OSError("injected sync error")
-        self._persist_changes(len(self._pending_changes))
+        for name, file in self._pending_changes:
+            self._persist_name(name, file)
+        self._pending_changes.clear()
 
     def close(self) -> None:
         """Does nothing; the content remains readable."""
@@ -90,8 +92,7 @@
         Args:
             rng: Selects the part of the unsynced data that survives.
         """
-        self._persist_changes(rng.randint(0, len(self._pending_changes)))
-        self._pending_changes.clear()
+        self._persist_names(rng)
         self._files = dict(self._durable_files)
         for file in self._files.values():
             _damage_unsynced_tail(file, rng)
@@ -100,13 +101,22 @@
         """Inverts the bits of a byte; a second call restores it."""
         self._files[name].data[offset] ^= 0xFF
 
-    def _persist_changes(self, count: int) -> None:
-        for name, file in self._pending_changes[:count]:
-            if file is None:
-                self._durable_files.pop(name, None)
-            else:
-                self._durable_files[name] = file
-        del self._pending_changes[:count]
+    def _persist_names(self, rng: random.Random) -> None:
+        """Keeps or loses the unsynced changes of each name independently."""
+        changes: dict[str, list[_File | None]] = {}
+        for name, file in self._pending_changes:
+            changes.setdefault(name, []).append(file)
+        self._pending_changes.clear()
+        for name, files in changes.items():
+            kept_count = rng.randint(0, len(files))
+            if kept_count:
+                self._persist_name(name, files[kept_count - 1])
+
+    def _persist_name(self, name: str, file: _File | None) -> None:
+        if file is None:
+            self._durable_files.pop(name, None)
+        else:
+            self._durable_files[name] = file
 
     def _consume_sync_error(self) -> bool:
         if self.pending_sync_errors == 0:
