--- a/tests/links.py
+++ b/tests/links.py
@@ -114,6 +114,18 @@
         for way in self._ways.values():
             way.heal()
 
+    def heal_resending(
+        self,
+        ones: collections.abc.Sequence[str],
+        others: collections.abc.Sequence[str],
+    ) -> None:
+        """Joins two groups; what was held back waits to be sent again."""
+        for way in (
+            *self._between(ones, others),
+            *self._between(others, ones),
+        ):
+            way.heal_resending()
+
     def reset(self) -> None:
         """Aborts every connection, so that what was held back is lost."""
         for front in self._relays.values():
