Play a store whose newer life only the entries remember

An entry refuses a store that it knows a newer life of, for 60 s. Case 'store in the past leads': a follower restarts with its clock set back by a minute, the two other stores restart and forget its newer life, and it leads.

Ruled out by case 'documents of 3000 routes': large documents, each changed every 0.6 s (no breach, 0.68 s without a leader).

--- a/tests/platform/configuration_age.py
+++ b/tests/platform/configuration_age.py
@@ -47,6 +47,11 @@
 """Delay of the observer's own loop from which on it is noted."""
 AGE_METRIC = "banyanbank_belief_age_seconds "
 START_LIMIT_S = 40.0
+LEADERSHIP_EVENTS = (
+    "process.started",
+    "leader.elected",
+    "leader.stepped_down",
+)
 OK = 200
 ACCEPTED = 202
 DENIALS = (401, 403, 404)
@@ -176,6 +181,7 @@
         self._oldest_contact_s: dict[str, float] = {}
         self._longest_recovery_s: dict[str, float] = {}
         self.faults: list[Fault] = []
+        self.padding = 0
         self.late_loops: list[tuple[float, float]] = []
         self._caller = http.Caller(there.reactor)
         self._serial = 0
@@ -235,7 +241,7 @@
         """Makes a change and sends it until it is acknowledged."""
         change = Change(len(self.changes) + 1, self._now())
         self.changes.append(change)
-        body = json.dumps(make_document(change)).encode()
+        body = json.dumps(make_document(change, self.padding)).encode()
         while self.is_running:
             store = self.rng.choice(self.there.stores)
             url = self.there.control_url(store) + "/-/config"
@@ -520,8 +526,13 @@
         return float(self.there.reactor.seconds())
 
 
-def make_document(change: Change) -> dict[str, typing.Any]:
-    """Returns the document of a change."""
+def make_document(change: Change, padding: int = 0) -> dict[str, typing.Any]:
+    """Returns the document of a change.
+
+    Args:
+        change: What changes.
+        padding: Number of further routes, which change each time.
+    """
     document = copy.deepcopy(deployment.DOCUMENT) | {"version": change.number}
     plain = document["routes"][0]
     [jobs] = [route for route in document["routes"] if route["name"] == "jobs"]
@@ -547,6 +558,7 @@
                 for number in range(1, change.number + 1)
                 if change.has_route(number)
             ),
+            *(f"further-{number}" for number in range(padding)),
         )
     ]
     return document
@@ -563,6 +575,15 @@
     return [event for event in events if isinstance(event, dict)]
 
 
+def leads(store: world.Member) -> bool:
+    """Whether a store was elected and has not stepped down, by its log."""
+    latest = ""
+    for event in read_events(store):
+        if event["event"] in LEADERSHIP_EVENTS:
+            latest = event["event"]
+    return store.is_up and latest == "leader.elected"
+
+
 Inject = typing.Callable[
     [Observer, str, str], typing.Coroutine[typing.Any, typing.Any, None]
 ]
@@ -752,6 +773,40 @@
     await support.next_turn(10.0)
 
 
+async def _let_store_in_past_lead(
+    observer: Observer, entry: str, leader: str
+) -> None:
+    """Lets a store lead whose newer life only the entries remember."""
+    del entry
+    past, other = [s for s in observer.there.stores if s.name != leader]
+    past.kill()
+    past.clock_ahead_ms -= 60_000
+    past.start()
+    for store in (other, observer.there.members[leader]):
+        await support.next_turn(3.0)
+        store.kill()
+        store.start()
+    await support.next_turn(3.0)
+    for _ in range(4):
+        leading = [s for s in observer.there.stores if leads(s)]
+        if past in leading:
+            break
+        for store in leading:
+            store.kill()
+            await support.next_turn(2.0)
+            store.start()
+        await support.next_turn(3.0)
+    await support.next_turn(8.0)
+
+
+async def _enlarge_documents(
+    observer: Observer, entry: str, leader: str
+) -> None:
+    del entry, leader
+    observer.padding = 3000
+    await support.next_turn(12.0)
+
+
 async def _move_lead_to_store_in_past(
     observer: Observer, entry: str, leader: str
 ) -> None:
@@ -789,6 +844,8 @@
     "leader killed for 2 s": _kill_leader(2.0, 3),
     "leader killed, its clock set back": _kill_leader(0.1, 1, 60_000),
     "entry restarted, its clock set back": _restart_entry_in_past,
+    "store in the past leads": _let_store_in_past_lead,
+    "documents of 3000 routes": _enlarge_documents,
     "leader's clock was set back": _move_lead_to_store_in_past,
     "near store stopped": _stop_near_store(10.0),
     "near store stopped, results read": _read_while(_stop_near_store(10.0), 6),
