Shut out an instance whose clock was set back for two seconds, not sixty

Callers saw requests run by a route's former service although all paths were sound: a store was restarted with its clock set back, and led later. Entries that remembered its newer life refused its handshakes ('Incarnation ... is older than ...'), so they had no leader, while the other stores, restarted since, knew nothing of that life and followed it.

Cause: an instance draws its incarnation from the wall clock, and a peer refuses a lower one for 60 s after the last connection of the higher. Ruled out: lives that are still connected, which are refused as before.

The new test is refused for 3 s before, which is the time that operators give a restarted machine, and passes now.

The memory is to refuse connections that an ended life had begun. A dial ends after 1.5 s, so 2 s are enough; each life that connects later is the present one.

--- a/packages/mesh/src/banyanbank_mesh/_peer.py
+++ b/packages/mesh/src/banyanbank_mesh/_peer.py
@@ -20,8 +20,9 @@
 """Largest mean delay between two dials."""
 
 
-LIFE_MEMORY_S = 60.0
-"""Time for which the newest life of a disconnected peer is remembered."""
+LIFE_MEMORY_S = 2.0
+"""Time for which the newest life of a disconnected peer is remembered. It
+exceeds `CONNECT_LIMIT_S`, after which no dial of an ended life is made."""
 
 MAX_REMEMBERED = 4096
 """Instances whose lives are remembered."""
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -26,6 +26,9 @@
 NOT_RUN = base.Outcome.NOT_RUN
 MAY_HAVE_RUN = base.Outcome.MAY_HAVE_RUN
 
+IN_TOUCH_S = 3.0
+"""Time after a restart by which an instance has to be reachable."""
+
 
 @attrs.define
 class _WaysBySource:
@@ -252,6 +255,25 @@
 
         self.run_case(case)
 
+    def test_restart_with_the_clock_set_back(self) -> None:
+        """Guards against an instance that some peers shut out for a minute."""
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            a.on_call("echo", echo)
+            later = await self.start_mesh(B, incarnation=5)
+            later.set_peer(A, "127.0.0.1", a.port)
+            await later.call(A, "echo", b"", self.soon())
+            await later.stop()
+            began_at = time.monotonic()
+            while time.monotonic() < began_at + IN_TOUCH_S:
+                answer = await b.call(A, "echo", b"x", self.soon())
+                if isinstance(answer, result.Success):
+                    return
+                await support.next_turn(support.POLL_S)
+            self.fail(f"still refused: {answer}")
+
+        self.run_case(case)
+
     def test_restart_at_the_same_address(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             b.on_call("echo", echo)
