Send invalid documents and an odd announcement in the soak, too

The soak's operator sent valid documents only, and its servers announced themselves in plain text. It draws from a source of its own, so that the other load draws as before.

--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -25,6 +25,24 @@
 """Service of each rollout route; texts of `tuned` are of a single version."""
 DRAIN_S = 2.0
 """Seconds after an answer that states a departure (`drain-ms`)."""
+INVALID_LEAD = 1_000
+"""How far the number of an invalid document is above those of valid ones."""
+INVALID_CHANGES: tuple[dict[str, typing.Any], ...] = (
+    {"service": "none"},
+    {"timeout-ms": 0},
+    {"path-prefix": "/plain/"},
+    {"traffic-split": [{"service": "plain", "weight": 0}]},
+    {
+        "service": "none",
+        "traffic-split": [{"service": "plain", "weight": 1}],
+    },
+)
+"""Changes of a route that make its document invalid."""
+ODD_ANNOUNCEMENT = (
+    b'{"service": "\xed\xa0\x80", "address": "127.0.0.1:9", "zone": "zone-a",'
+    b' "slots": 4, "state": "ready", "sequence": 1, "born": 1}'
+)
+"""An announcement whose service is not Unicode text."""
 TEXT = "\n".join(f"piece {n + 1}" for n in range(fakes.EVENT_COUNT))
 
 
@@ -144,6 +162,30 @@
                 f"acknowledged and {self.sent} sent",
             )
 
+    async def disturb(self, rng: random.Random) -> None:
+        """Sends invalid documents and odd announcements to the stores.
+
+        Args:
+            rng: Source of the choices, apart from those of the other load.
+        """
+        while self.is_running:
+            await support.next_turn(rng.uniform(0.5, 2.0))
+            store = rng.choice(self._there.stores)
+            if rng.random() < 0.5:
+                path, body = "/-/instances/odd", ODD_ANNOUNCEMENT
+            else:
+                document = make_document(self.sent + INVALID_LEAD)
+                document["routes"][-1] |= rng.choice(INVALID_CHANGES)
+                path, body = "/-/config", json.dumps(document).encode()
+            url = self._there.control_url(store) + path
+            reply = await self._caller.call("PUT", url, body, CALL_S)
+            if reply is not None:
+                self._promises.count("invalid calls answered")
+                self._promises.check(
+                    reply.status == 400,
+                    f"{store.name} answered {reply.status} to {body[:200]!r}",
+                )
+
     async def publish(self) -> None:
         """Names new versions of the weights."""
         while self.is_running:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -65,6 +65,7 @@
         await there.start()
         people.start(people.beat())
         people.start(people.operate())
+        people.start(people.disturb(random.Random(f"disturb {seed}")))
         await support.until(lambda: people.acknowledged)
         for work in (people.ask, people.train, people.publish):
             people.start(work())
