Let the soak lose a second disk only once the first store votes again

The soak allowed a further loss of a disk after a calm of 6 s, whether the store that had lost its disk was back or not, and checked nothing. With three voters that is a loss of two disks where the deployment has to bear one, and no store can be blamed for what follows.

Now the calm of 6 s begins when all stores have logged that they serve, at most 20 s later, and ends with a check that is new: the member sets in the stores' logs must name a voter at that address with an identity that was not known before the loss. A store that is not replaced in that time breaks the run, where it went unseen before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,8 +11,11 @@
 from tests.soak import world
 
 CALM_S = 6.0
-"""Seconds without a fault after which a lost disk counts as replaced: somewhat
-more than `catch-up-s` of the users' sheets."""
+"""Seconds without a fault after which a store without its disk must vote again:
+somewhat more than `catch-up-s` of the users' sheets."""
+
+START_S = 20.0
+"""Most seconds that a start is waited for."""
 
 CALM_SHARE = 0.1
 """Share of the pauses between faults that are so long."""
@@ -45,8 +48,8 @@
     """What was injected, with its time."""
     under_way: int = 0
     """Faults that are not over."""
-    has_wiped: bool = False
-    """Whether a disk was lost that may not be replaced yet."""
+    wiped: world.Member | None = None
+    """Store whose disk was lost and that may not vote again yet."""
     cuts: int = 0
     """Cuts that have not healed yet."""
 
@@ -68,8 +71,38 @@
             await support.next_turn(self.rng.uniform(0.2, 2.0))
             return
         await support.until(lambda: not self.under_way)
+        await self._await_replacement()
+
+    async def _await_replacement(self) -> None:
+        """Waits until a store that lost its disk votes again, and checks it.
+
+        Its time begins once all stores serve: a start may take seconds.
+        """
+        store = self.wiped
+        start_until = self.there.reactor.seconds() + START_S
+        while (
+            store is not None
+            and not all(one.has_served for one in self.there.stores)
+            and self.there.reactor.seconds() < start_until
+        ):
+            await support.next_turn(0.1)
         await support.next_turn(CALM_S)
-        self.has_wiped = False
+        if store is not None:
+            self.work.promises.check(
+                self.there.is_replaced(store),
+                f"{store.name} does not vote {CALM_S} s after all serve",
+            )
+        self.wiped = None
+
+    def lose_disk(self) -> world.Member | None:
+        """Ends a store and empties its disk, unless one is not replaced yet."""
+        if self.wiped is not None:
+            return None
+        self.wiped = self.rng.choice(self.there.stores)
+        self.wiped.kill()
+        self.wiped.changes_before_wipe = len(self.there.changes())
+        self.wiped.wipe()
+        return self.wiped
 
     async def _inject(self, index: int, inject: Inject) -> None:
         try:
@@ -114,12 +147,9 @@
 
 async def _wipe(faults: Faults) -> str:
     """Loses one disk; no further one before the store has caught up."""
-    if faults.has_wiped:
+    store = faults.lose_disk()
+    if store is None:
         return "not now"
-    faults.has_wiped = True
-    store = faults.rng.choice(faults.there.stores)
-    store.kill()
-    store.wipe()
     await faults.wait(0.0, 1.0)
     store.start()
     return store.name
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -64,7 +64,7 @@
     ) -> None:
         self._there = there
         self._rng = rng
-        self._promises = promises
+        self.promises = promises
         self._caller = http.Caller(there.reactor)
         self._jobs: dict[str, list[typing.Any]] = {}
         self._once: dict[str, int | None] = {}
@@ -83,7 +83,7 @@
         """Starts something that nobody waits for; its defects are noted."""
         running = defer.ensureDeferred(work)
         running.addErrback(
-            lambda failure: self._promises.check(False, failure.getTraceback())
+            lambda failure: self.promises.check(False, failure.getTraceback())
         )
 
     async def stop(self) -> None:
@@ -121,10 +121,10 @@
             url = self._there.control_url(store) + "/-/config"
             reply = await self._caller.call("PUT", url, body, CALL_S)
             if reply is not None and reply.status == 200:
-                self._promises.count("documents acknowledged")
+                self.promises.count("documents acknowledged")
                 self.acknowledged = max(self.acknowledged, number)
                 return
-            self._promises.check(
+            self.promises.check(
                 reply is None or reply.status >= 500,
                 f"document {number} was refused: {reply}",
             )
@@ -136,9 +136,9 @@
         url = self._there.control_url(store) + "/-/config"
         reply = await self._caller.call("GET", url, limit_s=CALL_S)
         if reply is not None and reply.status == 200:
-            self._promises.count("documents read")
+            self.promises.count("documents read")
             held = reply.json()["version"]
-            self._promises.check(
+            self.promises.check(
                 least <= held <= self.sent,
                 f"{store.name} read document {held} after {least} was "
                 f"acknowledged and {self.sent} sent",
@@ -186,18 +186,18 @@
         if kind == "once":
             self._once[name] = None if reply is None else reply.status
         if reply is None:
-            self._promises.count("requests without answer")
+            self.promises.count("requests without answer")
         elif reply.status == 200:
-            self._promises.count("requests answered")
+            self.promises.count("requests answered")
             self._check_departure(name, state, entry, reply, sent_at)
             mark = reply.headers.get("x-banyanbank-response-signature")
-            self._promises.check(
+            self.promises.check(
                 mark == f"signed.{name}"
                 and reply.body == b"answer to " + name.encode(),
                 f"{name} got an answer that is not its own: {reply}",
             )
         else:
-            self._promises.count(f"requests refused {reply.status}")
+            self.promises.count(f"requests refused {reply.status}")
 
     async def _ask_deadly(self) -> None:
         """Repeats a request that ends its servers until it is told not to."""
@@ -212,14 +212,14 @@
             reply = await self._caller.call("POST", url, body, 2.5)
             status = None if reply is None else reply.status
             if status == 400:
-                self._promises.count("deadly requests told apart")
+                self.promises.count("deadly requests told apart")
                 break
             await support.next_turn(0.1)
         restarts += sum(entry.lives for entry in entries)
         # Each life of an entry that is cut off knows what it has seen itself.
         most = MOST_ENDED * (len(entries) + restarts)
         ended = sum(one.crashes[body] for one in self._there.farm.plain)
-        self._promises.check(
+        self.promises.check(
             ended <= most,
             f"{body.decode()} ended {ended} servers, last status {status}",
         )
@@ -237,12 +237,12 @@
             return
         life = (*state, reply.headers["x-life"])
         left_at = self._left.get(life)
-        self._promises.check(
+        self.promises.check(
             left_at is None or sent_at <= left_at + DRAIN_S,
             f"{name} reached {life} after an answer that it leaves",
         )
         if reply.headers.get(fakes.LEAVING_HEADER) == "1":
-            self._promises.count("answers of leaving servers")
+            self.promises.count("answers of leaving servers")
             self._left.setdefault(life, self._there.reactor.seconds())
 
     async def _probe(self, entry: world.Member) -> None:
@@ -256,7 +256,7 @@
         )
         if reply is None or reply.status != 200 or entry.lives != life[1]:
             return
-        self._promises.check(
+        self.promises.check(
             number >= newest,
             f"{entry.name} served document {number} after {newest}",
         )
@@ -282,21 +282,21 @@
                 "POST", url, body, 3.0, x_banyanbank_request_id=job
             )
             status = None if reply is None else reply.status
-            self._promises.check(
+            self.promises.check(
                 status is None or status == 202 or status >= 429,
                 f"{job} was refused: {reply}",
             )
             if status != 202:
                 await support.next_turn(0.3)
         if status != 202:
-            self._promises.count("jobs not accepted")
+            self.promises.count("jobs not accepted")
             return
-        self._promises.count("jobs accepted")
+        self.promises.count("jobs accepted")
         self._jobs[job] = []
         while len(self._jobs[job]) < ITEMS:
             await self._read_job(job, least)
             await support.next_turn(0.2)
-        self._promises.count("jobs read to the end")
+        self.promises.count("jobs read to the end")
 
     async def _read_job(self, job: str, least: int) -> None:
         """Results keep their positions, and each is what engines made."""
@@ -309,16 +309,16 @@
         )
         if reply is None or reply.status == 503:
             return
-        self._promises.check(
+        self.promises.check(
             reply.status == 200, f"{job} could not be read: {reply}"
         )
         if reply.status != 200:
             return
         page = reply.json()
-        self._promises.check(page["total"] == ITEMS, f"{job}: {page['total']}")
+        self.promises.check(page["total"] == ITEMS, f"{job}: {page['total']}")
         for position, one in enumerate(page["results"], after):
             if position < len(known):
-                self._promises.check(
+                self.promises.check(
                     known[position] == one,
                     f"{job} position {position}: {known[position]} is {one}",
                 )
@@ -334,11 +334,11 @@
         could = set().union(*made.values())
         route = self._routes[job]
         services = self._there.farm.services_of(one["id"])
-        self._promises.check(
+        self.promises.check(
             services == {JOB_ROUTES[route]},
             f"{one['id']} of route {route} ran at {services}",
         )
-        self._promises.check(
+        self.promises.check(
             route != "tuned" or len(one["versions"]) == 1,
             f"{one['id']} of a single-version route: {one['versions']}",
         )
@@ -350,14 +350,14 @@
             and set(one["versions"]) <= could
             and min(one["versions"], default=0) >= least
         )
-        self._promises.check(fits, f"{job}: {one} made under {dict(made)}")
+        self.promises.check(fits, f"{job}: {one} made under {dict(made)}")
 
     async def settle(self, limit_s: float) -> None:
         """Waits for what was accepted, and checks what must hold at the end."""
         until = self._there.reactor.seconds() + limit_s
         while self._there.reactor.seconds() < until and self._unread():
             await support.next_turn(0.1)
-        self._promises.check(
+        self.promises.check(
             not self._unread(), f"jobs that were not finished: {self._unread()}"
         )
         for job in list(self._jobs):
@@ -375,10 +375,10 @@
             url = self._there.control_url(store) + "/-/config"
             reply = await self._caller.call("GET", url, limit_s=2 * CALL_S)
             status = None if reply is None else reply.status
-            self._promises.check(status == 200, f"{store.name}: {reply}")
+            self.promises.check(status == 200, f"{store.name}: {reply}")
             if reply is not None and status == 200:
                 newest = reply.json()["version"]
-                self._promises.check(
+                self.promises.check(
                     self.acknowledged <= newest <= self.sent,
                     f"{store.name} holds {newest} at the end, not "
                     f"{self.acknowledged} or newer",
@@ -389,7 +389,7 @@
                 "POST", url, b"x", 2.0, x_banyanbank_request_id="last"
             )
             # A server may say that it is full.
-            self._promises.check(
+            self.promises.check(
                 reply is not None and reply.status in (200, 503),
                 f"{entry.name} does not serve document {newest}: {reply}",
             )
@@ -397,8 +397,8 @@
     def _check_requests(self) -> None:
         for name, status in self._once.items():
             runs = self._there.farm.runs_of(name)
-            self._promises.check(runs <= 1, f"{name} ran {runs} times")
-            self._promises.check(
+            self.promises.check(runs <= 1, f"{name} ran {runs} times")
+            self.promises.check(
                 not (runs and status in http.PROMISES_NOT_RUN),
                 f"{name} ran, but was answered {status}",
             )
@@ -414,13 +414,13 @@
         ]
         for holder, fence in acts:
             first = holders.setdefault(fence, holder)
-            self._promises.check(
+            self.promises.check(
                 first == holder, f"fence {fence} of {first} and {holder}"
             )
         for _, _, report in self._there.farm.api.reports:
             window = report["window-number"]
             first = figures.setdefault(window, report["counts"])
-            self._promises.check(
+            self.promises.check(
                 first == report["counts"],
                 f"window {window}: {first} and {report['counts']}",
             )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -49,6 +49,10 @@
     """When it was started last, in steady seconds."""
     pauses: int = 0
     """How often it was suspended."""
+    events_before_start: int = 0
+    """Number of events that it had logged when it was started last."""
+    changes_before_wipe: int = 0
+    """Number of member sets that were logged before it lost its disk last."""
 
     @property
     def is_up(self) -> bool:
@@ -66,6 +70,7 @@
             return
         self.lives += 1
         self.started_at = time.monotonic()
+        self.events_before_start = len(self.events())
         path = self.folder / "boot.json"
         path.write_text(json.dumps(self.settings))
         environment = os.environ | {
@@ -95,6 +100,26 @@
             self.running.wait()
             self.running = None
 
+    @property
+    def has_served(self) -> bool:
+        """Whether it has begun to serve since its latest start."""
+        return any(
+            event["event"] == "process.started"
+            for event in self.events()[self.events_before_start :]
+        )
+
+    def events(self) -> list[dict[str, typing.Any]]:
+        """Reads the events that it has logged."""
+        events = []
+        path = self.folder / "log.txt"
+        text = path.read_text(errors="replace") if path.exists() else ""
+        for line in text.splitlines():
+            try:
+                events.append(json.loads(line))
+            except ValueError:
+                continue
+        return [event for event in events if isinstance(event, dict)]
+
     def wipe(self) -> None:
         """Empties its disk; it comes back as a machine that lost it."""
         shutil.rmtree(self.folder / "data", ignore_errors=True)
@@ -147,6 +172,35 @@
         """Members that take callers' requests."""
         return [m for m in self.members.values() if m.role == "entry"]
 
+    def changes(self) -> list[list[str]]:
+        """Returns the member sets that leaders logged, as `ip:port=store/role`.
+
+        Epochs order them, since a time of day may have jumped.
+        """
+        logged = [
+            (event["epoch"], position, event["detail"].split())
+            for store in self.stores
+            for position, event in enumerate(store.events())
+            if event["event"] == "members.changing"
+        ]
+        return [members for _, _, members in sorted(logged)]
+
+    def is_replaced(self, store: Member) -> bool:
+        """Whether a store votes that was made after its disk was lost."""
+        changes = self.changes()
+        lost = {
+            member.partition("/")[0]
+            for members in changes[: store.changes_before_wipe]
+            for member in members
+        }
+        address = f"{store.settings['ip']}:{self._mesh_port}="
+        return any(
+            member.startswith(address)
+            and member.endswith("/voter")
+            and member.partition("/")[0] not in lost
+            for member in (changes or [[]])[-1]
+        )
+
     def control_url(self, store: Member) -> str:
         """Base URL of a store for servers and operators."""
         return f"http://{store.host}:{self._control_port}"
