Lose power and a disk as a store without its disk has just begun to vote

The fuzzer draws this now and then; the test does it for each pair of stores that lose their disks and each of the first six operations of the leader's disk after the first store's return. All 54 losses happen, service is back within 12 s, and nothing that was applied is gone. No fault was found.

--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -171,7 +171,7 @@
         """
         lost: list[str] = []
         for name in names:
-            if name not in lost and self._may_lose([*lost, name]):
+            if name not in lost and self.may_lose([*lost, name]):
                 lost.append(name)
         self._lost_stores.update(map(self._find_store, lost))
         self.world.black_out(*lost)
@@ -385,7 +385,7 @@
         intact = [v for v in remaining if v.store not in self._lost_stores]
         return len(intact) > len(remaining) // 2
 
-    def _may_lose(self, names: list[str]) -> bool:
+    def may_lose(self, names: list[str]) -> bool:
         """Whether any member set that may be in force bears these losses.
 
         A voter that lost its disk before must have been replaced in all.
--- a/tests/consensus/test_blackout.py
+++ b/tests/consensus/test_blackout.py
@@ -7,6 +7,7 @@
 
 from tests.consensus import cluster
 from tests.consensus import oracle
+from tests.consensus import simulation
 
 FIRST_S = 2.5
 RECOVER_S = 12.0
@@ -80,5 +81,38 @@
             world.step(cluster.TICK_S)
 
 
+class ReplacementBlackoutTest(unittest.TestCase):
+    """A store that has just begun to vote bears the loss of another disk."""
+
+    def test_power_is_lost_as_a_store_begins_to_vote(self) -> None:
+        lost_count = 0
+        for first, second, operations in itertools.product(
+            ("*", "1#", "2#"), ("*", "1#", "2#"), range(6)
+        ):
+            with self.subTest(
+                first=first, second=second, operations=operations
+            ):
+                lost_count += self._play(first, second, operations)
+        self.assertEqual(lost_count, 54)
+
+    def _play(self, first: str, second: str, operations: int) -> int:
+        """Returns the number of disks lost with the power."""
+        sim = simulation.Simulation(operations, "abc")
+        for line in ("lead 8", "run 10", f"wipe {first}"):
+            sim.perform(line)
+        sim.world.run_until(
+            lambda: any(
+                sim.may_lose([name]) for name in sim.world.lease_holders()
+            )
+        )
+        sim.perform(f"cut_power * {operations} {second}")
+        while not sim.blackouts:
+            sim.perform("lead 8")
+            sim.perform("run 1")
+        sim.perform("recover")
+        sim.perform("settle")
+        return sim.disks_lost_in_blackouts
+
+
 if __name__ == "__main__":
     unittest.main()
