--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -3,6 +3,7 @@
 import copy
 import json
 import random
+import time
 import typing
 
 from twisted.internet import defer
@@ -82,7 +83,7 @@
     ) -> None:
         self._there = there
         self._rng = rng
-        self._promises = promises
+        self.promises = promises
         self._caller = http.Caller(there.reactor)
         self._jobs: dict[str, list[typing.Any]] = {}
         self._once: dict[str, int | None] = {}
@@ -90,6 +91,7 @@
         self._seen: dict[tuple[str, int], int] = {}
         self._routes: dict[str, str] = {}
         self._left: dict[tuple[str, int, int, str], float] = {}
+        self._acknowledgements: list[tuple[float, int]] = []
         self.is_running = True
         self.version = 1
         self.acknowledged = 0
@@ -101,7 +103,7 @@
         """Starts something that nobody waits for; its defects are noted."""
         running = defer.ensureDeferred(work)
         running.addErrback(
-            lambda failure: self._promises.check(False, failure.getTraceback())
+            lambda failure: self.promises.check(False, failure.getTraceback())
         )
 
     async def stop(self) -> None:
@@ -139,10 +141,11 @@
             url = self._there.control_url(store) + "/-/config"
             reply = await self._caller.call("PUT", url, body, CALL_S)
             if reply is not None and reply.status == 200:
-                self._promises.count("documents acknowledged")
+                self.promises.count("documents acknowledged")
                 self.acknowledged = max(self.acknowledged, number)
+                self._acknowledgements.append((time.monotonic(), number))
                 return
-            self._promises.check(
+            self.promises.check(
                 reply is None or reply.status >= 500,
                 f"document {number} was refused: {reply}",
             )
@@ -154,9 +157,9 @@
         url = self._there.control_url(store) + "/-/config"
         reply = await self._caller.call("GET", url, limit_s=CALL_S)
         if reply is not None and reply.status == 200:
-            self._promises.count("documents read")
+            self.promises.count("documents read")
             held = reply.json()["version"]
-            self._promises.check(
+            self.promises.check(
                 least <= held <= self.sent,
                 f"{store.name} read document {held} after {least} was "
                 f"acknowledged and {self.sent} sent",
@@ -180,8 +183,8 @@
             url = self._there.control_url(store) + path
             reply = await self._caller.call("PUT", url, body, CALL_S)
             if reply is not None:
-                self._promises.count("invalid calls answered")
-                self._promises.check(
+                self.promises.count("invalid calls answered")
+                self.promises.check(
                     reply.status == 400,
                     f"{store.name} answered {reply.status} to {body[:200]!r}",
                 )
@@ -228,18 +231,18 @@
         if kind == "once":
             self._once[name] = None if reply is None else reply.status
         if reply is None:
-            self._promises.count("requests without answer")
+            self.promises.count("requests without answer")
         elif reply.status == 200:
-            self._promises.count("requests answered")
+            self.promises.count("requests answered")
             self._check_departure(name, state, entry, reply, sent_at)
             mark = reply.headers.get("x-banyanbank-response-signature")
-            self._promises.check(
+            self.promises.check(
                 mark == f"signed.{name}"
                 and reply.body == b"answer to " + name.encode(),
                 f"{name} got an answer that is not its own: {reply}",
             )
         else:
-            self._promises.count(f"requests refused {reply.status}")
+            self.promises.count(f"requests refused {reply.status}")
 
     async def _ask_deadly(self) -> None:
         """Repeats a request that ends its servers until it is told not to."""
@@ -254,14 +257,14 @@
             reply = await self._caller.call("POST", url, body, 2.5)
             status = None if reply is None else reply.status
             if status == 400:
-                self._promises.count("deadly requests told apart")
+                self.promises.count("deadly requests told apart")
                 break
             await support.next_turn(0.1)
         restarts += sum(entry.lives for entry in entries)
         # Each life of an entry that is cut off knows what it has seen itself.
         most = MOST_ENDED * (len(entries) + restarts)
         ended = sum(one.crashes[body] for one in self._there.farm.plain)
-        self._promises.check(
+        self.promises.check(
             ended <= most,
             f"{body.decode()} ended {ended} servers, last status {status}",
         )
@@ -279,18 +282,21 @@
             return
         life = (*state, reply.headers["x-life"])
         left_at = self._left.get(life)
-        self._promises.check(
+        self.promises.check(
             left_at is None or sent_at <= left_at + DRAIN_S,
             f"{name} reached {life} after an answer that it leaves",
         )
         if reply.headers.get(fakes.LEAVING_HEADER) == "1":
-            self._promises.count("answers of leaving servers")
+            self.promises.count("answers of leaving servers")
             self._left.setdefault(life, self._there.reactor.seconds())
 
     async def _probe(self, entry: world.Member) -> None:
-        """An entry never goes back to an older document in one life."""
+        """An entry never goes back to an older document in one life.
+
+        Its first one is not older than what was acknowledged before its start.
+        """
         life = (entry.name, entry.lives)
-        newest = self._seen.get(life, 0)
+        newest = self._seen.get(life) or self._newest_before(entry.started_at)
         number = self._rng.randint(max(1, self.sent - 4), max(1, self.sent))
         url = self._there.front_url(entry) + f"/of-{number}/x"
         reply = await self._caller.call(
@@ -298,12 +304,19 @@
         )
         if reply is None or reply.status != 200 or entry.lives != life[1]:
             return
-        self._promises.check(
+        self.promises.check(
             number >= newest,
             f"{entry.name} served document {number} after {newest}",
         )
         self._seen[life] = max(self._seen.get(life, 0), number)
 
+    def _newest_before(self, moment: float) -> int:
+        """Returns the newest document acknowledged before a moment."""
+        return max(
+            (number for at, number in self._acknowledgements if at < moment),
+            default=0,
+        )
+
     async def train(self) -> None:
         """Submits batch jobs and reads them to their ends."""
         while self.is_running:
@@ -324,21 +337,21 @@
                 "POST", url, body, 3.0, x_banyanbank_request_id=job
             )
             status = None if reply is None else reply.status
-            self._promises.check(
+            self.promises.check(
                 status is None or status == 202 or status >= 429,
                 f"{job} was refused: {reply}",
             )
             if status != 202:
                 await support.next_turn(0.3)
         if status != 202:
-            self._promises.count("jobs not accepted")
+            self.promises.count("jobs not accepted")
             return
-        self._promises.count("jobs accepted")
+        self.promises.count("jobs accepted")
         self._jobs[job] = []
         while len(self._jobs[job]) < ITEMS:
             await self._read_job(job, least)
             await support.next_turn(0.2)
-        self._promises.count("jobs read to the end")
+        self.promises.count("jobs read to the end")
 
     async def _read_job(self, job: str, least: int) -> None:
         """Results keep their positions, and each is what engines made."""
@@ -351,16 +364,16 @@
         )
         if reply is None or reply.status == 503:
             return
-        self._promises.check(
+        self.promises.check(
             reply.status == 200, f"{job} could not be read: {reply}"
         )
         if reply.status != 200:
             return
         page = reply.json()
-        self._promises.check(page["total"] == ITEMS, f"{job}: {page['total']}")
+        self.promises.check(page["total"] == ITEMS, f"{job}: {page['total']}")
         for position, one in enumerate(page["results"], after):
             if position < len(known):
-                self._promises.check(
+                self.promises.check(
                     known[position] == one,
                     f"{job} position {position}: {known[position]} is {one}",
                 )
@@ -376,11 +389,11 @@
         could = set().union(*made.values())
         route = self._routes[job]
         services = self._there.farm.services_of(one["id"])
-        self._promises.check(
+        self.promises.check(
             services == {JOB_ROUTES[route]},
             f"{one['id']} of route {route} ran at {services}",
         )
-        self._promises.check(
+        self.promises.check(
             route != "tuned" or len(one["versions"]) == 1,
             f"{one['id']} of a single-version route: {one['versions']}",
         )
@@ -392,14 +405,14 @@
             and set(one["versions"]) <= could
             and min(one["versions"], default=0) >= least
         )
-        self._promises.check(fits, f"{job}: {one} made under {dict(made)}")
+        self.promises.check(fits, f"{job}: {one} made under {dict(made)}")
 
     async def settle(self, limit_s: float) -> None:
         """Waits for what was accepted, and checks what must hold at the end."""
         until = self._there.reactor.seconds() + limit_s
         while self._there.reactor.seconds() < until and self._unread():
             await support.next_turn(0.1)
-        self._promises.check(
+        self.promises.check(
             not self._unread(), f"jobs that were not finished: {self._unread()}"
         )
         for job in list(self._jobs):
@@ -417,10 +430,10 @@
             url = self._there.control_url(store) + "/-/config"
             reply = await self._caller.call("GET", url, limit_s=2 * CALL_S)
             status = None if reply is None else reply.status
-            self._promises.check(status == 200, f"{store.name}: {reply}")
+            self.promises.check(status == 200, f"{store.name}: {reply}")
             if reply is not None and status == 200:
                 newest = reply.json()["version"]
-                self._promises.check(
+                self.promises.check(
                     self.acknowledged <= newest <= self.sent,
                     f"{store.name} holds {newest} at the end, not "
                     f"{self.acknowledged} or newer",
@@ -431,7 +444,7 @@
                 "POST", url, b"x", 2.0, x_banyanbank_request_id="last"
             )
             # A server may say that it is full.
-            self._promises.check(
+            self.promises.check(
                 reply is not None and reply.status in (200, 503),
                 f"{entry.name} does not serve document {newest}: {reply}",
             )
@@ -439,8 +452,8 @@
     def _check_requests(self) -> None:
         for name, status in self._once.items():
             runs = self._there.farm.runs_of(name)
-            self._promises.check(runs <= 1, f"{name} ran {runs} times")
-            self._promises.check(
+            self.promises.check(runs <= 1, f"{name} ran {runs} times")
+            self.promises.check(
                 not (runs and status in http.PROMISES_NOT_RUN),
                 f"{name} ran, but was answered {status}",
             )
@@ -456,13 +469,13 @@
         ]
         for holder, fence in acts:
             first = holders.setdefault(fence, holder)
-            self._promises.check(
+            self.promises.check(
                 first == holder, f"fence {fence} of {first} and {holder}"
             )
         for _, _, report in self._there.farm.api.reports:
             window = report["window-number"]
             first = figures.setdefault(window, report["counts"])
-            self._promises.check(
+            self.promises.check(
                 first == report["counts"],
                 f"window {window}: {first} and {report['counts']}",
             )
