Store parts of long texts in commands that the log takes

When the new events of a job's texts exceeded 1 MiB, none of them was stored any more: each proposal was refused with "A command of 1497165 bytes exceeds the maximum", the next one was larger (10 MB after some seconds), and the next leader would have begun all texts of the job anew. One engine that sent events without end did so to all items of the job; sound items can, too, after a time without a leader.

Cause: a proposal took all events since the last one that was stored.

Why the fix works: a proposal has 64 KiB of each text and 512 KiB of all texts at most; the rest goes with the next ones.

--- a/packages/node/src/banyanbank_node/_partial_texts.py
+++ b/packages/node/src/banyanbank_node/_partial_texts.py
@@ -20,6 +20,15 @@
 MIN_NEW_EVENTS = 10
 """Minimum number of new events of a text: a third of a second of output."""
 
+MAX_PART_BYTES = 64 * 1024
+"""Maximum size of the events of one text in a proposal."""
+
+MAX_PARTS_BYTES = 512 * 1024
+"""Maximum size of all events of a proposal; later ones wait for the next."""
+
+EVENT_HEAD_BYTES = 5
+"""What an event takes in a proposal besides its text, at most."""
+
 
 @attrs.define
 class PartialTexts:
@@ -43,10 +52,14 @@
             return
         self._next_at = now + COMMIT_INTERVAL_S
         parts: dict[str, list[jobs.TextPart]] = {}
+        room: dict[str, int] = {}
         for item in items:
-            part = self._make_part(item)
+            job = item.job.job
+            job_room = room.setdefault(job, MAX_PARTS_BYTES)
+            part = self._make_part(item, min(job_room, MAX_PART_BYTES))
             if part is not None:
-                parts.setdefault(item.job.job, []).append(part)
+                parts.setdefault(job, []).append(part)
+                room[job] -= _measure(part.pieces)
         for job, new_parts in parts.items():
             self._proposing.add(job)
             _background.run(
@@ -55,7 +68,9 @@
                 self.events,
             )
 
-    def _make_part(self, item: jobs.ItemProgress) -> jobs.TextPart | None:
+    def _make_part(
+        self, item: jobs.ItemProgress, room: int
+    ) -> jobs.TextPart | None:
         text = item.text
         state = self.stored.ledger.jobs.get(item.job.job)
         if state is None or item.job.job in self._proposing:
@@ -70,12 +85,15 @@
         begins_at = 0 if kept is None else len(kept.pieces)
         if len(text.pieces) - begins_at < MIN_NEW_EVENTS:
             return None
+        pieces = _take(text.pieces, begins_at, room)
+        if not pieces:
+            return None
         assert text.first_event is not None
         return jobs.TextPart(
             item=item.spec.item,
             first_event=text.first_event,
             begins_at=begins_at,
-            pieces=tuple(text.pieces[begins_at:]),
+            pieces=pieces,
             versions=tuple(sorted(text.versions)),
         )
 
@@ -84,3 +102,20 @@
             return await self.stored.propose(command)
         finally:
             self._proposing.discard(command.job)
+
+
+def _take(
+    pieces: collections.abc.Sequence[str], begins_at: int, room: int
+) -> tuple[str, ...]:
+    """Returns the events from `begins_at` that fit the room."""
+    ends_at = begins_at
+    while ends_at < len(pieces):
+        room -= _measure((pieces[ends_at],))
+        if room < 0:
+            break
+        ends_at += 1
+    return tuple(pieces[begins_at:ends_at])
+
+
+def _measure(pieces: collections.abc.Iterable[str]) -> int:
+    return sum(len(piece.encode()) + EVENT_HEAD_BYTES for piece in pieces)
--- a/tests/node/test_partial_texts.py
+++ b/tests/node/test_partial_texts.py
@@ -5,6 +5,7 @@
 import unittest
 
 import banyanbank_base as base
+import banyanbank_consensus as consensus
 import banyanbank_jobs as jobs
 from banyanbank_node import _partial_texts
 from returns import result
@@ -93,6 +94,39 @@
                 self.finish(is_committed=True, is_known=True)
                 self.assertEqual(self.count_kept(), 2 * ENOUGH)
 
+    def test_texts_that_exceed_a_command(self) -> None:
+        """Guards against a long text that keeps others from being stored."""
+        for name, data, items in (
+            ("one text of many events", "ab", 1),
+            ("one text of long events", "x" * 10_000, 1),
+            ("several texts", "x" * 10_000, 12),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                specs = [samples.make_item(f"i{n}") for n in range(items)]
+                self.job = samples.make_job("many", *specs)
+                self.apply(jobs.AcceptJob(self.job))
+                running = [jobs.ItemProgress(self.job, one) for one in specs]
+                count = 900_000 // (len(data) + 1)
+                count = min(count, jobs.MAX_TEXT_EVENTS)
+                for item in running:
+                    for number in range(1, count + 1):
+                        item.text.append(jobs.StreamEvent(number, data, 1))
+                kept = self.ledger.jobs["many"].kept
+                while sum(len(one.pieces) for one in kept.values()) < (
+                    items * (count - ENOUGH)
+                ):
+                    known = len(self.proposed)
+                    self.clock.advance(_partial_texts.COMMIT_INTERVAL_S)
+                    self.texts.commit(running)
+                    self.assertEqual(len(self.proposed), known + 1)
+                    command, _ = self.proposed[-1]
+                    self.assertLess(
+                        len(jobs.COMMAND_CODEC.encode(command)),
+                        consensus.MAX_COMMAND_BYTES,
+                    )
+                    self.finish(is_committed=True, is_known=True)
+
     def test_nothing_is_proposed_twice_at_once(self) -> None:
         self.generate(ENOUGH)
         self.commit()
