End event streams beyond the tokens of their items

A faulty engine that sent small events without end to 50 items at once had its store grow by 15 MiB a second (182 MiB when the items were given up after 10 s), and the store did not answer reads of results for most of that time (503). A text between 1 and 8 MiB could not be completed either: its result exceeds the maximum of a command (by reading the code, as are the sums below).

Cause: a text had 8 Mi characters. An event of two characters takes 59 bytes of memory, one with a new weight version 133 more, so an item could take 165 MiB, or 537 MB with versions. Each event also takes some 7 us. An item whose text was too long kept it, and no engine could complete it.

Ruled out: a single event without end (bounded to 1 MiB, 43 MiB for 50), and comments (no event, refused).

Why the fix works: an event has one token or more, so a text has at most two events a token that its item may have, and 64; 65,536 if the item states none. It has 960 KiB in UTF-8, which a command takes with 1,024 versions. A text that exceeds a limit is begun anew.

The maximum is tested against the encoded command.

The sum over items that stay within their tokens is not bounded.

--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -30,8 +30,11 @@
 from banyanbank_jobs._event_stream import EventStreamReader
 from banyanbank_jobs._event_stream import ItemText
 from banyanbank_jobs._event_stream import MAX_EVENT_BYTES
-from banyanbank_jobs._event_stream import MAX_TEXT_CHARS
+from banyanbank_jobs._event_stream import MAX_TEXT_BYTES
+from banyanbank_jobs._event_stream import MAX_TEXT_EVENTS
+from banyanbank_jobs._event_stream import MAX_TEXT_VERSIONS
 from banyanbank_jobs._event_stream import StreamEvent
+from banyanbank_jobs._event_stream import TextTooLongError
 from banyanbank_jobs._item_progress import ItemProgress
 from banyanbank_jobs._item_progress import Stage
 from banyanbank_jobs._ledger import JobState
@@ -61,7 +64,9 @@
     "FAILED_RETRY_DELAY_S",
     "MAX_BACKOFF_REJECTIONS",
     "MAX_EVENT_BYTES",
-    "MAX_TEXT_CHARS",
+    "MAX_TEXT_BYTES",
+    "MAX_TEXT_EVENTS",
+    "MAX_TEXT_VERSIONS",
     "MIN_RETRY_DELAY_S",
     "REPLY_CODEC",
     "AcceptJob",
@@ -104,6 +109,7 @@
     "Stage",
     "StreamEvent",
     "TextPart",
+    "TextTooLongError",
     "Undecodable",
     "WeightPlanner",
     "count_wanted_engines",
--- a/packages/jobs/src/banyanbank_jobs/_event_stream.py
+++ b/packages/jobs/src/banyanbank_jobs/_event_stream.py
@@ -8,8 +8,14 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Maximum size of one event."""
 
-MAX_TEXT_CHARS = 8 * 1024 * 1024
-"""Maximum length of an item's text, equal to that of a response."""
+MAX_TEXT_BYTES = 960 * 1024
+"""Maximum size of an item's text: its result is one command of the log."""
+
+MAX_TEXT_EVENTS = 64 * 1024
+"""Maximum number of events of a text."""
+
+MAX_TEXT_VERSIONS = 1024
+"""Maximum number of weight versions of a text."""
 
 
 MAX_DIGITS = 18
@@ -22,6 +28,10 @@
     """The event stream is malformed, or an event is out of order."""
 
 
+class TextTooLongError(EventStreamError):
+    """The text exceeds a maximum, so it cannot be completed."""
+
+
 @attrs.frozen
 class StreamEvent:
     """One event of an engine's stream."""
@@ -114,7 +124,7 @@
         self.versions: set[int] = set()
         self._first_event: int | None = None
         self._weight_version = 0
-        self._char_count = 0
+        self._byte_count = 0
 
     @classmethod
     def resume(
@@ -127,7 +137,7 @@
         text = cls()
         text._first_event = first_event
         text.pieces = list(pieces)
-        text._char_count = len(text.text)
+        text._byte_count = len(text.text.encode())
         text.versions = set(versions)
         return text
 
@@ -162,8 +172,8 @@
         """Appends the next event.
 
         Raises:
-            EventStreamError: The event is out of order, or the text exceeds
-                the maximum length.
+            EventStreamError: The event is out of order.
+            TextTooLongError: The text would exceed a maximum.
         """
         if self._first_event is None:
             self._first_event = event.number
@@ -172,11 +182,15 @@
                 f"Event {event.number} is out of order after event"
                 f" {self.last_event}."
             )
-        self._char_count += len(event.data) + 1
-        if self._char_count > MAX_TEXT_CHARS:
-            raise EventStreamError(
-                f"Text is over the maximum of {MAX_TEXT_CHARS} characters."
-            )
+        self._byte_count += len(event.data.encode()) + 1
+        if self._byte_count > MAX_TEXT_BYTES:
+            raise TextTooLongError(f"Text is over {MAX_TEXT_BYTES} bytes.")
+        if len(self.pieces) >= MAX_TEXT_EVENTS:
+            raise TextTooLongError(f"Text is over {MAX_TEXT_EVENTS} events.")
         self._weight_version = self.next_version(event)
         self.pieces.append(event.data)
         self.versions.add(self._weight_version)
+        if len(self.versions) > MAX_TEXT_VERSIONS:
+            raise TextTooLongError(
+                f"Text is over {MAX_TEXT_VERSIONS} weight versions."
+            )
--- a/packages/jobs/src/banyanbank_jobs/_item_progress.py
+++ b/packages/jobs/src/banyanbank_jobs/_item_progress.py
@@ -56,6 +56,11 @@
     unrouted_until: float | None = None
     """When the item is given up for lack of a route; None with a route."""
 
+    def discard_text(self) -> None:
+        """Begins the text anew."""
+        self.text = _event_stream.ItemText()
+        self.has_restarted = True
+
     @property
     def key(self) -> ItemKey:
         """Identifies the item across all jobs."""
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -157,8 +157,7 @@
         """Records that an item was sent to an engine."""
         item = placement.item
         if placement.discards_text:
-            item.text = _event_stream.ItemText()
-            item.has_restarted = True
+            item.discard_text()
         item.stage = _item_progress.Stage.RUNNING
         item.engine = placement.engine
         self._running[placement.engine].add(item.key)
--- a/packages/node/src/banyanbank_node/_run_reader.py
+++ b/packages/node/src/banyanbank_node/_run_reader.py
@@ -19,6 +19,13 @@
 
 OK = 200
 
+MAX_EVENTS_PER_TOKEN = 2
+"""Maximum events for each token that an item may have; an event has one or
+more."""
+
+MAX_OTHER_EVENTS = 64
+"""Maximum events of a text beyond those."""
+
 
 @attrs.define(eq=False)
 class Run:
@@ -137,6 +144,10 @@
         item.consecutive_rejections = 0
         try:
             await self._read_events(run, resp, response_headers)
+        except jobs.TextTooLongError as exc:
+            # It fits no result, whichever engine would continue it.
+            item.discard_text()
+            return _lost_end(str(exc))
         except jobs.EventStreamError as exc:
             return _lost_end(str(exc))
         except _OtherVersionError as exc:
@@ -207,8 +218,14 @@
 
     def _record_events(self, run: Run, events: list[jobs.StreamEvent]) -> None:
         now = self.clock.now()
+        max_events = _max_events(run.item)
         for event in events:
             self._check_version(run, event)
+            if len(run.item.text.pieces) >= max_events:
+                raise jobs.TextTooLongError(
+                    f"Text is over {max_events} events, with at most"
+                    f" {run.item.spec.tokens} tokens."
+                )
             run.item.text.append(event)
         if events and run.events:
             interval_s = (now - run.last_received_at) / len(events)
@@ -228,6 +245,13 @@
     return RunEnd(RunEndKind.LOST, detail)
 
 
+def _max_events(item: jobs.ItemProgress) -> int:
+    tokens = item.spec.tokens
+    if not tokens:
+        return jobs.MAX_TEXT_EVENTS
+    return MAX_EVENTS_PER_TOKEN * tokens + MAX_OTHER_EVENTS
+
+
 def _may_be_complete(
     item: jobs.ItemProgress, response_headers: _ports.ResponseHeaders
 ) -> bool:
--- a/tests/jobs/test_event_stream.py
+++ b/tests/jobs/test_event_stream.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import banyanbank_consensus as consensus
 import banyanbank_jobs as jobs
 
 VERSION_FIELD = b"weight-version"
@@ -71,15 +72,64 @@
         self.assertEqual(text.last_event, 3)
 
     def test_text_without_end(self) -> None:
-        for name, begun, data in (
-            ("long events", 1, "x" * 100_000),
-            ("empty events", jobs.MAX_TEXT_CHARS - 50, ""),
+        for name, begun, make_event in (
+            (
+                "long events",
+                1,
+                lambda number: jobs.StreamEvent(number, "x" * 100_000, None),
+            ),
+            (
+                "long characters",
+                1,
+                lambda number: jobs.StreamEvent(
+                    number, "\u20ac" * 34_000, None
+                ),
+            ),
+            (
+                "empty events",
+                jobs.MAX_TEXT_BYTES - 50,
+                lambda number: jobs.StreamEvent(number, "", None),
+            ),
         ):
             with self.subTest(name):
                 text = jobs.ItemText.resume(0, ["x" * begun], ())
-                with self.assertRaisesRegex(jobs.EventStreamError, "is over"):
+                with self.assertRaisesRegex(jobs.TextTooLongError, "is over"):
                     for number in range(1, 100):
-                        text.append(jobs.StreamEvent(number, data, None))
+                        text.append(make_event(number))
+
+    def test_events_without_end(self) -> None:
+        for name, limit, version_of in (
+            ("small events", jobs.MAX_TEXT_EVENTS, lambda number: None),
+            ("versions", jobs.MAX_TEXT_VERSIONS, lambda number: number),
+        ):
+            with self.subTest(name):
+                text = jobs.ItemText()
+                for number in range(1, limit):
+                    event = jobs.StreamEvent(number, "x", version_of(number))
+                    text.append(event)
+                with self.assertRaisesRegex(jobs.TextTooLongError, "is over"):
+                    for number in range(limit, limit + 2):
+                        event = jobs.StreamEvent(
+                            number, "x", version_of(number)
+                        )
+                        text.append(event)
+
+    def test_result_of_the_longest_text(self) -> None:
+        text = jobs.ItemText()
+        size = jobs.MAX_TEXT_BYTES // 1024 - 1
+        for number in range(1024):
+            text.append(
+                jobs.StreamEvent(number + 1, "x" * size, 10**17 + number)
+            )
+        item_result = jobs.ItemResult(
+            item="i" * 100,
+            outcome=jobs.ItemOutcome.COMPLETED,
+            text=text.text,
+            versions=tuple(sorted(text.versions)),
+            score="s" * 1000,
+        )
+        command = jobs.COMMAND_CODEC.encode(jobs.ListResult("j", item_result))
+        self.assertLess(len(command), consensus.MAX_COMMAND_BYTES)
 
     def test_out_of_order(self) -> None:
         for number in (1, 3):
--- a/tests/node/test_run_reader.py
+++ b/tests/node/test_run_reader.py
@@ -72,12 +72,16 @@
         )
 
     def read(
-        self, resp: FakeResponse, versions: set[int], is_single_version: bool
+        self,
+        resp: FakeResponse,
+        versions: set[int],
+        is_single_version: bool,
+        tokens: int = 100,
     ) -> tuple[_run_reader.RunEndKind, jobs.ItemText]:
         """Reads an answer to a run that continues a text of one event."""
         job = samples.make_job(
             "j",
-            samples.make_item("i1"),
+            attrs.evolve(samples.make_item("i1"), tokens=tokens),
             model="m",
             is_single_version=is_single_version,
         )
@@ -130,6 +134,28 @@
                 kind, _ = self.read(resp, versions, is_single_version=False)
                 self.assertEqual(kind, end)
 
+    def test_text_without_end(self) -> None:
+        """Guards against a text that no engine can complete any more."""
+        ended = _run_reader.RunEndKind.GENERATED
+        lost = _run_reader.RunEndKind.LOST
+        for name, tokens, count, want in (
+            ("an event a token", 100, 100, (ended, 100)),
+            ("over the tokens", 100, 100_000, (lost, 0)),
+            ("tokens not stated", 0, jobs.MAX_TEXT_EVENTS, (ended, None)),
+            ("no tokens, over", 0, jobs.MAX_TEXT_EVENTS + 1, (lost, 0)),
+        ):
+            with self.subTest(name):
+                events = b"".join(
+                    b"id: %d\ndata: a\n\n" % number
+                    for number in range(2, count + 1)
+                )
+                resp = FakeResponse(4, [events])
+                kind, text = self.read(resp, {4}, False, tokens)
+                self.assertEqual(kind, want[0])
+                self.assertEqual(
+                    len(text.pieces), count if want[1] is None else want[1]
+                )
+
 
 def _as_any(value: object) -> typing.Any:
     return value
--- a/tests/platform/floods.py
+++ b/tests/platform/floods.py
@@ -18,7 +18,7 @@
     beginning: bytes
     """Sent once; `%ID` is replaced by the id of the request."""
     piece: bytes
-    """Sent again and again."""
+    """Sent again and again; `%N` is replaced by a number that grows."""
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -30,6 +30,7 @@
         self._flood: Flood | None = None
         self._is_paused = False
         self._is_closed = False
+        self._number = 1
         self._head = b""
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -41,7 +42,8 @@
         self._head += data
         if b"\r\n\r\n" not in self._head:
             return
-        self._flood = self._server.flood
+        is_report = self._head.startswith(b"GET /-/report ")
+        self._flood = REPORT if is_report else self._server.flood
         found = _REQUEST_ID.search(self._head)
         name = found.group(1) if found else b""
         if not self._server.reads_requests:
@@ -71,10 +73,20 @@
     def _go_on(self) -> None:
         if self._is_paused or self._is_closed or self._flood is None:
             return
-        piece = self._flood.piece
-        self.transport.write(piece * (PIECE_BYTES // len(piece) or 1))
+        self.transport.write(self._next_data(self._flood.piece))
         self._server.reactor.callLater(0, self._go_on)
 
+    def _next_data(self, piece: bytes) -> bytes:
+        count = PIECE_BYTES // len(piece) or 1
+        if b"%N" not in piece:
+            return piece * count
+        first = self._number
+        self._number += count
+        return b"".join(
+            piece.replace(b"%N", b"%d" % (first + number))
+            for number in range(count)
+        )
+
 
 class FloodServer:
     """Answers each request with its flood.
@@ -114,6 +126,12 @@
 )
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
+REPORT = Flood(
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+    b'{"models": [{"name": "model", "version": 1, "adapters": []}],'
+    b' "busy": false, "sequence": 0}',
+    b"",
+)
 HEAD_PLACES = {
     "status line": Flood(b"HTTP/1.1 200 ", b"fine"),
     "no answer": Flood(b"", b"\x00\x01\x02\x03"),
@@ -140,3 +158,13 @@
         HEAD.replace(b"200 OK", b"204 No") + b"\r\n", b"more"
     ),
 }
+EVENT_PLACES = {
+    "event without end": Flood(CHUNKED, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "events": Flood(HEAD + b"\r\n", b"id: %N\ndata: some text\n\n"),
+    "small events": Flood(HEAD + b"\r\n", b"id: %N\ndata:xy\n\n"),
+    "versions": Flood(
+        HEAD + b"\r\n",
+        b"x-banyanbank-weight-versions: 1%N\nid: %N\ndata:xy\n\n",
+    ),
+    "comments": Flood(HEAD + b"\r\n", b": ping\n\n"),
+}
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -4,7 +4,9 @@
 is exhausted, which ends the requests of other callers with it.
 """
 
+import base64
 import collections
+import json
 import pathlib
 import tempfile
 import typing
@@ -51,10 +53,31 @@
         _make_route("flood"),
         # A route's timeout is how long a sound request may wait.
         _make_route("sound", **{"timeout-ms": 2000}),
+        _make_route(
+            "jobs",
+            **{
+                "type": "rollout",
+                "service": "engines",
+                "due-ms": 7500,
+                "item-ttl-s": 3,
+            },
+        ),
     ],
     "services": [
         {"name": name, "health-path": "/health", "max-connections": 100}
         for name in ("flood", "sound")
+    ]
+    + [
+        {
+            "name": "engines",
+            "health-path": "/health",
+            "max-connections": 100,
+            "engine": {
+                "slots": 64,
+                "kv-tokens": 1_000_000,
+                "models": [{"name": "model"}],
+            },
+        }
     ],
 }
 
@@ -82,7 +105,11 @@
 
     async def start(self) -> None:
         """Waits until the entry serves both services."""
-        services = {"flood": self.flood.address, "sound": self.sound.address}
+        services = {
+            "flood": self.flood.address,
+            "engines": self.flood.address,
+            "sound": self.sound.address,
+        }
         await self.machines.configure(DOCUMENT, services)
         self._announcing = defer.ensureDeferred(
             self.machines.keep_announcing(services)
@@ -128,6 +155,25 @@
         await ended
         return flooded, sound
 
+    async def ask_until_ended(self, job: str) -> collections.Counter[int]:
+        """Sends sound requests until each item of a job has a result.
+
+        Returns:
+            Number of their answers, and of pages of results, by status.
+        """
+        statuses: collections.Counter[int] = collections.Counter()
+        read = 0
+        while read < REQUESTS:
+            reply = await self.machines.call_front("GET", "/sound/a")
+            statuses[reply.status] += 1
+            path = f"/-/lots/{job}?after={read}"
+            page = await self.machines.call_front("GET", path)
+            statuses[page.status] += 1
+            if page.status == 200:
+                read = page.json()["next"]
+            await support.next_turn(0.1)
+        return statuses
+
 
 def run_scenario(
     scenario: typing.Callable[
@@ -204,5 +250,67 @@
         self._check(floods.BEYOND_PLACES, None)
 
 
+class ItemRunTest(unittest.TestCase):
+    """A store bounds what engines send without end."""
+
+    async def _check_one(
+        self, world: World, name: str, flood: floods.Flood
+    ) -> None:
+        world.flood.flood = flood
+        opened = world.flood.opened
+        store = world.machines.store
+        store.reset_peak()
+        held_before = store.held_bytes
+        reply = await world.machines.call_front(
+            "POST",
+            "/jobs/x",
+            make_job(REQUESTS),
+            x_banyanbank_request_id=name.replace(" ", "-"),
+        )
+        self.assertEqual(reply.status, 202, reply.body)
+        await support.until(lambda: world.flood.opened >= opened + REQUESTS)
+        sound = await world.ask_until_ended(name.replace(" ", "-"))
+        self.assertEqual(set(sound), {200})
+        await support.until(lambda: world.flood.closed == world.flood.opened)
+        self.assertLess(store.peak_bytes - held_before, MAX_GROWTH)
+        self.assertLess(store.peak_bytes, MACHINE_BYTES)
+
+    def test_events(self) -> None:
+        for name, flood in floods.EVENT_PLACES.items():
+
+            async def scenario(
+                world: World, name: str = name, flood: floods.Flood = flood
+            ) -> None:
+                await self._check_one(world, name, flood)
+
+            with self.subTest(name):
+                # An engine that has failed before gets few items.
+                run_scenario(scenario)
+
+
+def make_job(items: int) -> bytes:
+    """Returns the body of a batch job without scorers."""
+    prompt = base64.b64encode(b"prompt").decode()
+    return json.dumps(
+        {
+            "step": 0,
+            "model": "model",
+            "min-version": 1,
+            "desired-count": 1,
+            "requests": [
+                {
+                    "id": f"item-{number}",
+                    "path": f"/jobs/x/{number}",
+                    "headers": {"X-Banyanbank-Model": "model"},
+                    "body": prompt,
+                    "tokens": 100,
+                    "group": f"g{number}",
+                }
+                for number in range(items)
+            ],
+        }
+    ).encode()
+
+
 if __name__ == "__main__":
     unittest.main()
