Test floods in answer to a store's own calls

Loads, reports of engines and reports of usage are answered without end in four places at a real store, which keeps its memory within bounds and serves others.

--- a/tests/platform/floods.py
+++ b/tests/platform/floods.py
@@ -42,7 +42,9 @@
         self._head += data
         if b"\r\n\r\n" not in self._head:
             return
-        is_report = self._head.startswith(b"GET /-/report ")
+        is_report = self._server.reports and self._head.startswith(
+            b"GET /-/report "
+        )
         self._flood = REPORT if is_report else self._server.flood
         found = _REQUEST_ID.search(self._head)
         name = found.group(1) if found else b""
@@ -94,6 +96,7 @@
     Attributes:
         flood: What it sends.
         reads_requests: Whether it reads more than the head of a request.
+        reports: Whether it answers the request for an engine's report.
         opened: Connections accepted so far.
         closed: Those that have ended.
     """
@@ -103,6 +106,7 @@
         self.address = f"{host}:{port}"
         self.flood = Flood(b"", b"x")
         self.reads_requests = True
+        self.reports = True
         self.opened = 0
         self.closed = 0
         factory = protocol.Factory()
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -87,18 +87,25 @@
 
     Attributes:
         machines: The store and the entry.
-        flood: Server of the service `flood`.
+        flood: Server of the service `flood`, and engine.
+        cloud: Server that can stand for the platform's API.
+
+    Args:
+        folder: For settings, data and logs.
+        is_cloud_flooding: Whether the platform's API floods.
     """
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, folder: str, is_cloud_flooding: bool = False) -> None:
         from twisted.internet import reactor
 
-        ports = support.free_ports(3)
+        ports = support.free_ports(4)
         self.api = fakes.PlatformApi(reactor, HOST, ports[0])
         self.flood = floods.FloodServer(reactor, HOST, ports[1])
         self.sound = fakes.PlainServer(reactor, HOST, ports[2])
+        self.cloud = floods.FloodServer(reactor, HOST, ports[3])
         self.machines = machines.Machines(
-            pathlib.Path(folder), self.api.address
+            pathlib.Path(folder),
+            self.cloud.address if is_cloud_flooding else self.api.address,
         )
 
         self._announcing: defer.Deferred[typing.Any] | None = None
@@ -123,7 +130,7 @@
         if self._announcing is not None:
             self._announcing.cancel()
         self.machines.stop()
-        for server in (self.api, self.flood, self.sound):
+        for server in (self.api, self.flood, self.sound, self.cloud):
             await server.stop()
 
     async def flood_requests(
@@ -179,12 +186,13 @@
     scenario: typing.Callable[
         [World], typing.Coroutine[typing.Any, typing.Any, None]
     ],
+    is_cloud_flooding: bool = False,
 ) -> None:
     """Runs a scenario against new machines."""
 
     async def run() -> None:
         with tempfile.TemporaryDirectory() as folder:
-            world = World(folder)
+            world = World(folder, is_cloud_flooding)
             try:
                 await world.start()
                 await scenario(world)
@@ -288,14 +296,76 @@
                 run_scenario(scenario)
 
 
-def make_job(items: int) -> bytes:
+class DutyTest(unittest.TestCase):
+    """A store ends floods in answer to its own calls, and serves others."""
+
+    PLACES: typing.ClassVar[dict[str, floods.Flood]] = {
+        "headers": floods.HEAD_PLACES["headers"],
+        "interim answers": floods.HEAD_PLACES["interim answers"],
+        "body": floods.BODY_PLACES["body without a length"],
+        "small chunks": floods.BODY_PLACES["small chunks"],
+    }
+    CALLS = 3
+
+    def test_loads(self) -> None:
+        async def scenario(world: World) -> None:
+            world.flood.reports = False
+            document = DOCUMENT | {
+                "version": 4,
+                "routes": [*DOCUMENT["routes"]],
+            }
+            document["routes"][-1] = document["routes"][-1] | {"item-ttl-s": 40}
+            reply = await world.machines.call_store(
+                "PUT", "/-/config", document
+            )
+            self.assertEqual(reply.status, 200, reply.body)
+            reply = await world.machines.call_store(
+                "POST",
+                "/-/version-put",
+                {"model": "model", "version": 2},
+            )
+            self.assertEqual(reply.status, 200, reply.body)
+            reply = await world.machines.call_front(
+                "POST",
+                "/jobs/x",
+                make_job(1, min_version=2),
+                x_banyanbank_request_id="job",
+            )
+            self.assertEqual(reply.status, 202, reply.body)
+            await self._check(world, world.flood)
+
+        run_scenario(scenario)
+
+    def test_usage_reports(self) -> None:
+        async def scenario(world: World) -> None:
+            await self._check(world, world.cloud)
+
+        run_scenario(scenario, is_cloud_flooding=True)
+
+    async def _check(self, world: World, server: floods.FloodServer) -> None:
+        store = world.machines.store
+        for name, flood in self.PLACES.items():
+            with self.subTest(name):
+                server.flood = flood
+                opened = server.opened
+                store.reset_peak()
+                held_before = store.held_bytes
+                while server.opened < opened + self.CALLS:
+                    reply = await world.machines.call_front("GET", "/sound/a")
+                    self.assertEqual(reply.status, 200)
+                    await support.next_turn(0.05)
+                self.assertLess(store.peak_bytes - held_before, MAX_GROWTH)
+        await support.until(lambda: server.closed >= server.opened - 1)
+
+
+def make_job(items: int, min_version: int = 1) -> bytes:
     """Returns the body of a batch job without scorers."""
     prompt = base64.b64encode(b"prompt").decode()
     return json.dumps(
         {
             "step": 0,
             "model": "model",
-            "min-version": 1,
+            "min-version": min_version,
             "desired-count": 1,
             "requests": [
                 {
