--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -4,7 +4,9 @@
 is exhausted, which ends the requests of other callers with it.
 """
 
+import base64
 import collections
+import json
 import pathlib
 import tempfile
 import typing
@@ -51,10 +53,31 @@
         _make_route("flood"),
         # A route's timeout is how long a sound request may wait.
         _make_route("sound", **{"timeout-ms": 2000}),
+        _make_route(
+            "jobs",
+            **{
+                "type": "rollout",
+                "service": "engines",
+                "due-ms": 7500,
+                "item-ttl-s": 3,
+            },
+        ),
     ],
     "services": [
         {"name": name, "health-path": "/health", "max-connections": 100}
         for name in ("flood", "sound")
+    ]
+    + [
+        {
+            "name": "engines",
+            "health-path": "/health",
+            "max-connections": 100,
+            "engine": {
+                "slots": 64,
+                "kv-tokens": 1_000_000,
+                "models": [{"name": "model"}],
+            },
+        }
     ],
 }
 
@@ -64,25 +87,36 @@
 
     Attributes:
         machines: The store and the entry.
-        flood: Server of the service `flood`.
+        flood: Server of the service `flood`, and engine.
+        cloud: Server that can stand for the platform's API.
+
+    Args:
+        folder: For settings, data and logs.
+        is_cloud_flooding: Whether the platform's API floods.
     """
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, folder: str, is_cloud_flooding: bool = False) -> None:
         from twisted.internet import reactor
 
-        ports = support.free_ports(3)
+        ports = support.free_ports(4)
         self.api = fakes.PlatformApi(reactor, HOST, ports[0])
         self.flood = floods.FloodServer(reactor, HOST, ports[1])
         self.sound = fakes.PlainServer(reactor, HOST, ports[2])
+        self.cloud = floods.FloodServer(reactor, HOST, ports[3])
         self.machines = machines.Machines(
-            pathlib.Path(folder), self.api.address
+            pathlib.Path(folder),
+            self.cloud.address if is_cloud_flooding else self.api.address,
         )
 
         self._announcing: defer.Deferred[typing.Any] | None = None
 
     async def start(self) -> None:
         """Waits until the entry serves both services."""
-        services = {"flood": self.flood.address, "sound": self.sound.address}
+        services = {
+            "flood": self.flood.address,
+            "engines": self.flood.address,
+            "sound": self.sound.address,
+        }
         await self.machines.configure(DOCUMENT, services)
         self._announcing = defer.ensureDeferred(
             self.machines.keep_announcing(services)
@@ -96,7 +130,7 @@
         if self._announcing is not None:
             self._announcing.cancel()
         self.machines.stop()
-        for server in (self.api, self.flood, self.sound):
+        for server in (self.api, self.flood, self.sound, self.cloud):
             await server.stop()
 
     async def flood_requests(
@@ -128,17 +162,37 @@
         await ended
         return flooded, sound
 
+    async def ask_until_ended(self, job: str) -> collections.Counter[int]:
+        """Sends sound requests until each item of a job has a result.
+
+        Returns:
+            Number of their answers, and of pages of results, by status.
+        """
+        statuses: collections.Counter[int] = collections.Counter()
+        read = 0
+        while read < REQUESTS:
+            reply = await self.machines.call_front("GET", "/sound/a")
+            statuses[reply.status] += 1
+            path = f"/-/lots/{job}?after={read}"
+            page = await self.machines.call_front("GET", path)
+            statuses[page.status] += 1
+            if page.status == 200:
+                read = page.json()["next"]
+            await support.next_turn(0.1)
+        return statuses
+
 
 def run_scenario(
     scenario: typing.Callable[
         [World], typing.Coroutine[typing.Any, typing.Any, None]
     ],
+    is_cloud_flooding: bool = False,
 ) -> None:
     """Runs a scenario against new machines."""
 
     async def run() -> None:
         with tempfile.TemporaryDirectory() as folder:
-            world = World(folder)
+            world = World(folder, is_cloud_flooding)
             try:
                 await world.start()
                 await scenario(world)
@@ -204,5 +258,129 @@
         self._check(floods.BEYOND_PLACES, None)
 
 
+class ItemRunTest(unittest.TestCase):
+    """A store bounds what engines send without end."""
+
+    async def _check_one(
+        self, world: World, name: str, flood: floods.Flood
+    ) -> None:
+        world.flood.flood = flood
+        opened = world.flood.opened
+        store = world.machines.store
+        store.reset_peak()
+        held_before = store.held_bytes
+        reply = await world.machines.call_front(
+            "POST",
+            "/jobs/x",
+            make_job(REQUESTS),
+            x_banyanbank_request_id=name.replace(" ", "-"),
+        )
+        self.assertEqual(reply.status, 202, reply.body)
+        await support.until(lambda: world.flood.opened >= opened + REQUESTS)
+        sound = await world.ask_until_ended(name.replace(" ", "-"))
+        self.assertEqual(set(sound), {200})
+        await support.until(lambda: world.flood.closed == world.flood.opened)
+        self.assertLess(store.peak_bytes - held_before, MAX_GROWTH)
+        self.assertLess(store.peak_bytes, MACHINE_BYTES)
+
+    def test_events(self) -> None:
+        for name, flood in floods.EVENT_PLACES.items():
+
+            async def scenario(
+                world: World, name: str = name, flood: floods.Flood = flood
+            ) -> None:
+                await self._check_one(world, name, flood)
+
+            with self.subTest(name):
+                # An engine that has failed before gets few items.
+                run_scenario(scenario)
+
+
+class DutyTest(unittest.TestCase):
+    """A store ends floods in answer to its own calls, and serves others."""
+
+    PLACES: typing.ClassVar[dict[str, floods.Flood]] = {
+        "headers": floods.HEAD_PLACES["headers"],
+        "interim answers": floods.HEAD_PLACES["interim answers"],
+        "body": floods.BODY_PLACES["body without a length"],
+        "small chunks": floods.BODY_PLACES["small chunks"],
+    }
+    CALLS = 3
+
+    def test_loads(self) -> None:
+        async def scenario(world: World) -> None:
+            world.flood.reports = False
+            document = DOCUMENT | {
+                "version": 4,
+                "routes": [*DOCUMENT["routes"]],
+            }
+            document["routes"][-1] = document["routes"][-1] | {"item-ttl-s": 40}
+            reply = await world.machines.call_store(
+                "PUT", "/-/config", document
+            )
+            self.assertEqual(reply.status, 200, reply.body)
+            reply = await world.machines.call_store(
+                "POST",
+                "/-/version-put",
+                {"model": "model", "version": 2},
+            )
+            self.assertEqual(reply.status, 200, reply.body)
+            reply = await world.machines.call_front(
+                "POST",
+                "/jobs/x",
+                make_job(1, min_version=2),
+                x_banyanbank_request_id="job",
+            )
+            self.assertEqual(reply.status, 202, reply.body)
+            await self._check(world, world.flood)
+
+        run_scenario(scenario)
+
+    def test_usage_reports(self) -> None:
+        async def scenario(world: World) -> None:
+            await self._check(world, world.cloud)
+
+        run_scenario(scenario, is_cloud_flooding=True)
+
+    async def _check(self, world: World, server: floods.FloodServer) -> None:
+        store = world.machines.store
+        for name, flood in self.PLACES.items():
+            with self.subTest(name):
+                server.flood = flood
+                opened = server.opened
+                store.reset_peak()
+                held_before = store.held_bytes
+                while server.opened < opened + self.CALLS:
+                    reply = await world.machines.call_front("GET", "/sound/a")
+                    self.assertEqual(reply.status, 200)
+                    await support.next_turn(0.05)
+                self.assertLess(store.peak_bytes - held_before, MAX_GROWTH)
+        await support.until(lambda: server.closed >= server.opened - 1)
+
+
+def make_job(items: int, min_version: int = 1) -> bytes:
+    """Returns the body of a batch job without scorers."""
+    prompt = base64.b64encode(b"prompt").decode()
+    return json.dumps(
+        {
+            "step": 0,
+            "model": "model",
+            "min-version": min_version,
+            "desired-count": 1,
+            "requests": [
+                {
+                    "id": f"item-{number}",
+                    "path": f"/jobs/x/{number}",
+                    "headers": {"X-Banyanbank-Model": "model"},
+                    "body": prompt,
+                    "tokens": 100,
+                    "group": f"g{number}",
+                }
+                for number in range(items)
+            ],
+        }
+    ).encode()
+
+
 if __name__ == "__main__":
     unittest.main()
