Keep usage counts from going back when a poll arrives late

Operators could be reported too few requests: a store that is stopped with an entry's poll in its socket, and goes on later, passes the old poll to the leader after newer ones of the same entry, whose counts it replaced. The next poll put that right, unless the window was frozen before it or the entry was gone.

Found by reading in review; the test fails without the change (1 instead of 9). Counts of one incarnation only grow, so the higher one is the later one.

--- a/packages/gateway/src/banyanbank_gateway/_usage.py
+++ b/packages/gateway/src/banyanbank_gateway/_usage.py
@@ -66,13 +66,18 @@
     ) -> None:
         """Replaces the counts of one incarnation of an entry.
 
+        Counts only grow, so a report that arrives after a later one changes
+        nothing.
+
         Args:
             entry: Identifies the incarnation of the entry.
             reported: Total counts of its recent windows.
         """
         for window in reported:
             by_entry = self._counts_by_window.setdefault(window.window, {})
-            by_entry[entry] = dict(window.counts)
+            counts = by_entry.setdefault(entry, {})
+            for account, count in window.counts.items():
+                counts[account] = max(count, counts.get(account, 0))
 
     def total(self, window: int) -> dict[base.AccountId, int]:
         """Returns the counts of a window, summed over all entries."""
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -37,6 +37,14 @@
         totals.forget_before(1)
         self.assertEqual(totals.total(0), {})
 
+    def test_poll_that_a_relay_delivers_late_lowers_no_count(self) -> None:
+        totals = gateway.UsageTotals()
+        for count in (1, 9, 1):
+            totals.replace_counts(
+                "entry-1", [gateway.WindowCounts(0, {A: count})]
+            )
+        self.assertEqual(totals.total(0), {A: 9})
+
 
 class _SteppingClock:
     def __init__(self) -> None:
