Confirm no answer whose document could not be read

Found in review: an entry that cannot read a document, as of an earlier release, still named the answer as received, so that the change was acknowledged although the entry acts on the former one. After a failed poll through another store nothing is named either, so that a leader of an earlier release can read the next one. The test fails without the change (6.0 instead of 5.0).

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -148,12 +148,11 @@
             contact_age_ms=self.contact_age_ms,
         )
         self.directory.renew_all(self._clock.now())
-        # A store of an earlier release cannot read what the next direct poll
-        # leaves out.
+        # A store of an earlier release cannot read what the next poll leaves
+        # out.
         self._limits_revision = 0
         self._condemned_revision = 0
-        if path.relay is None:
-            self._answer_issued_at = 0.0
+        self._answer_issued_at = 0.0
         return False
 
     def _make_request(self) -> _messages.SyncRequest:
@@ -278,7 +277,8 @@
         for condemned in answer.condemned:
             self._suspects.apply(condemned, self._true_time.now())
         self._condemned_revision = answer.condemned_revision
-        self._answer_issued_at = answer.issued_at
+        if not self._has_unreadable_document:
+            self._answer_issued_at = answer.issued_at
         self._limits.forget_ended(self.directory)
         self.answers.wake()
 
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -200,10 +200,13 @@
         self.stores.direct = result.Success(make_answer(7))
         self.assertTrue(self.poll())
         self.stores.direct = result.Success(
-            attrs.evolve(answer, document=b"not compressed")
+            attrs.evolve(answer, document=b"not compressed", issued_at=6.0)
         )
         self.assertFalse(self.poll())
         self.assertTrue(self.sync.is_current)
+        self.poll()
+        # Acknowledging the document now would count on an entry without it.
+        self.assertEqual(self.stores.requests[-1].answer_issued_at, 5.0)
         self.stores.direct = result.Success(answer)
         self.assertTrue(self.poll())
         self.assertEqual(self.number, 8)
