Let relayed polls neither blame stores nor carry the document twice

Found in review: a poll that a store passes on and that the leader answers late made that store avoid its leader for 1.3 s, for its own proposals too, although the poll is another instance's; and each relayed answer carried the document a second time. A relayed poll now blames no store for silence, and the store's own document goes only where the leader's answer is missing. The new test fails without the change, by construction: the leader is avoided by the next call.

--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -294,11 +294,15 @@
             _entry_sync.LONG_POLL_TIMEOUT_S + _entry_sync.RESPONSE_MARGIN_S
         )
         answered = await self._client.call_raw(
-            _messages.SYNC, data, self._clock.now() + timeout_s, timeout_s
-        )
-        return _messages.RelayedSync(
-            answered.value_or(None), self._find_newer_document(req)
+            _messages.SYNC,
+            data,
+            self._clock.now() + timeout_s,
+            timeout_s,
+            is_relayed=True,
         )
+        if isinstance(answered, result.Success):
+            return _messages.RelayedSync(answered.unwrap(), None)
+        return _messages.RelayedSync(None, self._find_newer_document(req))
 
     def _find_newer_document(self, req: _messages.SyncRequest) -> bytes | None:
         ledger = self._stored.ledger
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -168,8 +168,19 @@
         deadline: float,
         attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
         first: base.InstanceId | None = None,
+        is_relayed: bool = False,
     ) -> result.Result[bytes, StoreCallError]:
-        """Sends an encoded message and returns the leader's encoded answer."""
+        """Sends an encoded message and returns the leader's encoded answer.
+
+        Args:
+            method: Name of the handler.
+            data: Encoded message.
+            deadline: Deadline of all attempts, on the client's clock.
+            attempt_timeout_s: Timeout of the call to each store.
+            first: Store to ask before the leader; None for the leader at once.
+            is_relayed: Whether the call is another instance's, whose paths and
+                messages say nothing about the stores.
+        """
         may_have_run = False
         detail = "no store was asked"
         asked: dict[base.InstanceId, str] = {}
@@ -200,7 +211,7 @@
                 had_time = attempt_deadline >= sent_at + attempt_timeout_s
                 is_silent = error.kind is mesh.CallErrorKind.DEADLINE
                 if not self._was_suspended(attempt_deadline) and (
-                    had_time or not is_silent
+                    not is_silent or (had_time and not is_relayed)
                 ):
                     self._avoid(target, error.kind, sent_at)
             first = None
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -151,6 +151,19 @@
         self.assertTrue(answered)
         self.assertEqual(self.stores.called_stores, [FROZEN])
 
+    def test_relayed_call_blames_no_store(self) -> None:
+        """Guards against entries that keep a store from its leader."""
+        running = defer.ensureDeferred(
+            self.client.call_raw("method", b"", 0.8, 0.8, is_relayed=True)
+        )
+        while not running.called:
+            self.clock.advance(STEP_S)
+        self.stores.is_silent = False
+        self.stores.called_stores.clear()
+        answered, _ = self.call(limit_s=0.8)
+        self.assertTrue(answered)
+        self.assertEqual(self.stores.called_stores, [FROZEN])
+
     def test_error_has_the_last_reply_of_each_store(self) -> None:
         running = defer.ensureDeferred(
             self.client.call("method", _messages.Accepted(), 1.0, 0.8)
