--- a/packages/node/src/banyanbank_node/_entry_contacts.py
+++ b/packages/node/src/banyanbank_node/_entry_contacts.py
@@ -8,7 +8,7 @@
 CONTACT_WINDOW_S = 2.0
 """Time since the issue of the last answer that an entry may have received
 after which it is out of contact. It exceeds the time in which an entry finds
-another path to the leader while two of its paths are silent."""
+another path to the leader while one of its paths is silent."""
 
 MAX_CHANGES = 256
 """Number of changes whose times are kept; for older ones, the next time is
