Give the flooding engine of the tests an address of its own

Since the tests of item runs, engine and flooding server shared an address, and the directory took the newer announcement: all requests to be flooded got 503, and 15 cases of forwarded requests failed. Only the stand-ins were wrong.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -87,7 +87,8 @@
 
     Attributes:
         machines: The store and the entry.
-        flood: Server of the service `flood`, and engine.
+        flood: Server of the service `flood`.
+        engine: Server of the service `engines`.
         cloud: Server that can stand for the platform's API.
 
     Args:
@@ -98,10 +99,11 @@
     def __init__(self, folder: str, is_cloud_flooding: bool = False) -> None:
         from twisted.internet import reactor
 
-        ports = support.free_ports(4)
+        ports = support.free_ports(5)
         self.api = fakes.PlatformApi(reactor, HOST, ports[0])
         self.flood = floods.FloodServer(reactor, HOST, ports[1])
         self.sound = fakes.PlainServer(reactor, HOST, ports[2])
+        self.engine = floods.FloodServer(reactor, HOST, ports[4])
         self.cloud = floods.FloodServer(reactor, HOST, ports[3])
         self.machines = machines.Machines(
             pathlib.Path(folder),
@@ -114,7 +116,7 @@
         """Waits until the entry serves both services."""
         services = {
             "flood": self.flood.address,
-            "engines": self.flood.address,
+            "engines": self.engine.address,
             "sound": self.sound.address,
         }
         await self.machines.configure(DOCUMENT, services)
@@ -130,7 +132,13 @@
         if self._announcing is not None:
             self._announcing.cancel()
         self.machines.stop()
-        for server in (self.api, self.flood, self.sound, self.cloud):
+        for server in (
+            self.api,
+            self.flood,
+            self.engine,
+            self.sound,
+            self.cloud,
+        ):
             await server.stop()
 
     async def flood_requests(
@@ -264,8 +272,8 @@
     async def _check_one(
         self, world: World, name: str, flood: floods.Flood
     ) -> None:
-        world.flood.flood = flood
-        opened = world.flood.opened
+        world.engine.flood = flood
+        opened = world.engine.opened
         store = world.machines.store
         store.reset_peak()
         held_before = store.held_bytes
@@ -276,10 +284,10 @@
             x_banyanbank_request_id=name.replace(" ", "-"),
         )
         self.assertEqual(reply.status, 202, reply.body)
-        await support.until(lambda: world.flood.opened >= opened + REQUESTS)
+        await support.until(lambda: world.engine.opened >= opened + REQUESTS)
         sound = await world.ask_until_ended(name.replace(" ", "-"))
         self.assertEqual(set(sound), {200})
-        await support.until(lambda: world.flood.closed == world.flood.opened)
+        await support.until(lambda: world.engine.closed == world.engine.opened)
         self.assertLess(store.peak_bytes - held_before, MAX_GROWTH)
         self.assertLess(store.peak_bytes, MACHINE_BYTES)
 
@@ -309,7 +317,7 @@
 
     def test_loads(self) -> None:
         async def scenario(world: World) -> None:
-            world.flood.reports = False
+            world.engine.reports = False
             document = DOCUMENT | {
                 "version": 4,
                 "routes": [*DOCUMENT["routes"]],
@@ -332,7 +340,7 @@
                 x_banyanbank_request_id="job",
             )
             self.assertEqual(reply.status, 202, reply.body)
-            await self._check(world, world.flood)
+            await self._check(world, world.engine)
 
         run_scenario(scenario)
 
