Fail answers that are ended before they are read

An answer that had arrived whole, and was ended before all of it was read, ended as if it was complete: its unread part was dropped, and the reader was told that nothing followed. A daemon that streams an answer to a slow caller does so when the deadline passes, so that the caller takes a part for the whole answer (by reading the code; the test calls the client alone).

Cause: ending an answer set an error only if its end had not arrived.

Why the fix works: an answer with unread bytes fails as well. One that was read to its end still succeeds.

The new test got an empty success before.

--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -121,7 +121,7 @@
         return self._end.map(lambda _none: b"")
 
     def fail(self, problem: UpstreamError) -> None:
-        if self._end is None:
+        if self._end is None or self._chunks:
             self._end = result.Failure(problem)
         self._chunks.clear()
         if self.transport is not None:
--- a/tests/web/test_cut_answers.py
+++ b/tests/web/test_cut_answers.py
@@ -106,6 +106,35 @@
 
         support.run_async(scenario, LIMIT_S)
 
+    def test_answer_that_is_ended_before_it_is_read(self) -> None:
+        """Guards against a part of an answer that looks whole."""
+
+        async def scenario() -> None:
+            from twisted.internet import reactor
+
+            loop = typing.cast(typing.Any, reactor)
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+            factory = protocol.Factory()
+            factory.buildProtocol = lambda addr: _CutServer(  # type: ignore[method-assign,assignment,misc]
+                answer, False
+            )
+            port = loop.listenTCP(0, factory, interface="127.0.0.1")
+            upstream = web.Upstream(loop, base.SystemClock())
+            url = f"http://127.0.0.1:{port.getHost().port}/"
+            deadline = base.SystemClock().now() + 5.0
+            sent = await upstream.send(
+                web.UpstreamRequest("GET", url, (), b"", deadline)
+            )
+            resp = sent.unwrap()
+            await support.next_turn(0.1)
+            resp.cancel()
+            got = await resp.next_chunk()
+            self.assertIsInstance(got, result.Failure, got)
+            await port.stopListening()
+            await upstream.close()
+
+        support.run_async(scenario, LIMIT_S)
+
 
 if __name__ == "__main__":
     unittest.main()
