Let servers of the soak announce themselves until its checks are over

The leader logged all endpoints as silent at 195.4 s, four seconds after the last announcement that it can have heard, and from then on "item.not_graded ... answer none" every half second for 16 items whose texts were whole. A job that was not done by then never could be.

The servers announce themselves until the checks are over, as real ones do. The limit of 25 s stays.

--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -93,6 +93,7 @@
         self._left: dict[tuple[str, int, int, str], float] = {}
         self._acknowledgements: list[tuple[float, int]] = []
         self.is_running = True
+        self.are_servers_up = True
         self.version = 1
         self.acknowledged = 0
         self.sent = 0
@@ -113,7 +114,7 @@
     async def beat(self) -> None:
         """Announces all servers, each at whichever store answers."""
         sequence = 0
-        while self.is_running:
+        while self.are_servers_up:
             sequence += 1
             for name, body in self._there.farm.announcements(sequence):
                 self.start(self._announce(name, body))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -74,7 +74,8 @@
         await _recover(there, people, promises)
         await people.settle(SETTLE_S)
     finally:
-        people.is_running = False
+        people.is_running = people.are_servers_up = False
+        await support.next_turn(load.BEAT_S)
         await people.stop()
         await there.stop()
     return Outcome(promises.broken, trouble.done, promises.counts)
