--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -39,6 +39,20 @@
 class EntrySync:
     """Polls the leader and holds the routes and endpoints it returned.
 
+    Args:
+        reactor: Twisted reactor for timers.
+        clock: Monotonic clock of deadlines.
+        client: Calls the stores.
+        wire: Parses documents.
+        name: Name and incarnation of this entry.
+        true_time: Unix time, set by the leader's answers.
+        usage: Counts that each poll reports.
+        events: Event log.
+        near_stores: Told of the stores.
+        limits: Rate limits, updated by the leader's answers.
+        suspects: Condemned requests, updated by the leader's answers.
+        paths: Chooses the store through which to poll.
+
     Attributes:
         table: Routes in force; None before the first document arrives.
         directory: Endpoints that are considered alive.
@@ -226,6 +240,7 @@
             )
 
     async def _restore_direct_path(self, leader: base.InstanceId) -> None:
+        # Any store answers this call, and at little cost.
         called = await self._client.call_store(
             leader,
             _messages.READ_DOMAIN,
@@ -249,18 +264,35 @@
             self._apply_document(
                 answer.document, answer.directory_of, contact_age_ms
             )
+        self._true_time.set_time(answer.true_time)
+        self._learn_stores(path, answer, now - sent_at)
+        self._renew_directory(answer, now)
+        self._apply_limits(answer)
+        if not self._has_unreadable_document:
+            self._answer_issued_at = answer.issued_at
+        self.answers.wake()
+
+    def _learn_stores(
+        self,
+        path: _poll_paths.PollPath,
+        answer: _messages.SyncAnswer,
+        took_s: float,
+    ) -> None:
         leader = base.InstanceId(answer.directory_of.partition("/")[0])
-        self._paths.record_answer(path, leader, now - sent_at)
+        self._paths.record_answer(path, leader, took_s)
         if path.relay is not None:
             self._client.follow_leader(leader)
-        if answer.directory_of != self._directory_source:
-            # A new leader may have received few announcements so far.
-            self.directory.renew_all(now)
-        self._true_time.set_time(answer.true_time)
         self._client.set_stores(answer.stores)
         _background.run(
             self._near_stores.learn(answer.stores), "domains", self._events
         )
+
+    def _renew_directory(
+        self, answer: _messages.SyncAnswer, now: float
+    ) -> None:
+        if answer.directory_of != self._directory_source:
+            # A new leader may have received few announcements so far.
+            self.directory.renew_all(now)
         if answer.directory is not None:
             self._apply_directory(answer, answer.directory, now)
         self.directory.renew(
@@ -269,6 +301,9 @@
         self.directory.expire(now)
         self._directory_source = answer.directory_of
         self._directory_revision = answer.directory_revision
+
+    def _apply_limits(self, answer: _messages.SyncAnswer) -> None:
+        """Applies rate limits and condemned requests."""
         if answer.limits is not None:
             part: _messages.LimitsPart = _messages.CODEC.decode(answer.limits)
             for observation in part.observations:
@@ -277,10 +312,7 @@
         for condemned in answer.condemned:
             self._suspects.apply(condemned, self._true_time.now())
         self._condemned_revision = answer.condemned_revision
-        if not self._has_unreadable_document:
-            self._answer_issued_at = answer.issued_at
         self._limits.forget_ended(self.directory)
-        self.answers.wake()
 
     def _apply_directory(
         self, answer: _messages.SyncAnswer, encoded: bytes, now: float
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -38,11 +38,11 @@
 CALL_TIMEOUT_S = 0.9
 """Timeout within which an operator or endpoint must get an answer."""
 
-MAX_WAIT_S = 0.4
-"""Time for which the leader may hold the answer about entries."""
+ENTRIES_HOLD_S = 0.4
+"""Time for which the leader may hold the answer to `AwaitEntries`."""
 
-ANSWER_MARGIN_S = 0.1
-"""Time that this answer may take in addition."""
+ENTRIES_MARGIN_S = 0.1
+"""Time that the answer to `AwaitEntries` may take in addition."""
 
 MAX_LOGGED_ENTRIES = 8
 """Number of entries that a line of the log names."""
@@ -381,8 +381,8 @@
         started_at = now = self.node.clock.now()
         waiting_for: tuple[str, ...] = ()
         outcome = "no time left"
-        while now + ANSWER_MARGIN_S < deadline:
-            wait_s = min(MAX_WAIT_S, deadline - now - ANSWER_MARGIN_S)
+        while now + ENTRIES_MARGIN_S < deadline:
+            wait_s = min(ENTRIES_HOLD_S, deadline - now - ENTRIES_MARGIN_S)
             answered = await self.node.client.call(
                 _messages.AWAIT_ENTRIES,
                 _messages.AwaitEntries(number, wait_s),
