End the oldest of equally large answers over the budget

Cause: the answers were kept in a set, whose order depends on addresses, and the largest of equal ones was the first in that order. They are kept in the order of their start now; the test passes six times of six, and rests on no address any more.

--- a/packages/web/src/banyanbank_web/_buffer_budget.py
+++ b/packages/web/src/banyanbank_web/_buffer_budget.py
@@ -33,7 +33,8 @@
     def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
         self.max_bytes = max_bytes
         self.size = 0
-        self._shares: set[Share] = set()
+        # Ordered, so that of equally large answers the oldest is ended.
+        self._shares: dict[Share, None] = {}
 
     def open(self, cut: typing.Callable[[], None]) -> Share:
         """Returns the share of a further answer.
@@ -42,7 +43,7 @@
             cut: Called if the answer is to be ended.
         """
         share = Share(cut)
-        self._shares.add(share)
+        self._shares[share] = None
         return share
 
     def add(self, share: Share, byte_count: int) -> None:
@@ -58,5 +59,5 @@
     def close(self, share: Share) -> None:
         """Frees the bytes of an answer that has ended."""
         if share in self._shares:
-            self._shares.remove(share)
+            del self._shares[share]
             self.size -= share.size
