--- a/tests/platform/configuration_age.py
+++ b/tests/platform/configuration_age.py
@@ -236,6 +236,11 @@
             late_s = self._now() - due_at
             if late_s > LATE_S:
                 self.late_loops.append((self._now(), late_s))
+                # Relays that are late delay everything between processes.
+                stores = frozenset(store.name for store in self.there.stores)
+                self.faults.append(
+                    Fault("observer late", stores, due_at, self._now())
+                )
 
     async def change(self) -> Change:
         """Makes a change and sends it until it is acknowledged."""
