--- a/tests/platform/test_configuration_age.py
+++ b/tests/platform/test_configuration_age.py
@@ -1,6 +1,7 @@
 """Tests of the age of the configuration that entries act on."""
 
 import pathlib
+import shutil
 import tempfile
 import unittest
 
@@ -21,12 +22,12 @@
         self._play("each path to the leader harmed")
 
     def _play(self, case: str) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            report = configuration_age.play_case(case, pathlib.Path(folder))
-        self.assertGreater(report.acknowledged_under_fault, 0)
-        self.assertFalse(
-            report.breaches, configuration_age.format_report(report)
-        )
+        folder = pathlib.Path(tempfile.mkdtemp(prefix="configuration-age-"))
+        report = configuration_age.play_case(case, folder)
+        shown = f"{configuration_age.format_report(report)}  logs {folder}"
+        self.assertGreater(report.acknowledged_under_fault, 0, shown)
+        self.assertFalse(report.breaches, shown)
+        shutil.rmtree(folder)
 
 
 if __name__ == "__main__":
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """A short seeded soak, and the seeds that have failed."""
 
 import pathlib
+import shutil
 import tempfile
 import unittest
 
@@ -40,7 +41,10 @@
         seconds: float,
         kinds: dict[str, faults.Inject] = faults.KINDS,
     ) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            outcome = run.play(seed, seconds, pathlib.Path(folder), kinds)
-        self.assertEqual(outcome.broken, [], f"faults: {outcome.faults}")
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        outcome = run.play(seed, seconds, folder, kinds)
+        self.assertEqual(
+            outcome.broken, [], f"faults: {outcome.faults}, logs: {folder}"
+        )
+        shutil.rmtree(folder)
         self.assertTrue(outcome.counts.get("jobs read to the end"))
