Try the leader again between the stores that relay polls

Cause: after the leader, each other store was waited for, over connections that had fallen silent, too, each found so 1.5 s after its first use; then the client, which had forgotten the leader, asked those stores first. Now the leader is tried again after each other store, and asked first: the connection to it is found silent and made anew before that. Polls have more time after three failures instead of two.

With two silent paths another store is found later than before (by one poll).

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -193,6 +193,7 @@
             req,
             sent_at + timeout_s,
             timeout_s,
+            first=self._paths.avoided_leader,
         )
         if isinstance(called, result.Failure):
             return called.failure()
@@ -280,8 +281,7 @@
     ) -> None:
         leader = base.InstanceId(answer.directory_of.partition("/")[0])
         self._paths.record_answer(path, leader, took_s)
-        if path.relay is not None:
-            self._client.follow_leader(leader)
+        self._client.follow_leader(leader)
         self._client.set_stores(answer.stores)
         _background.run(
             self._near_stores.learn(answer.stores), "domains", self._events
--- a/packages/node/src/banyanbank_node/_poll_paths.py
+++ b/packages/node/src/banyanbank_node/_poll_paths.py
@@ -14,11 +14,11 @@
 """Time for the response to a poll unless all paths are slow."""
 
 SLOW_RESPONSE_S = 1.6
-"""Time for the response once two polls in a row have failed, until one is
-answered faster than `FAST_RESPONSE_S`. An entry whose every path is slow would
-learn nothing otherwise."""
+"""Time for the response once `MAX_FAST_FAILURES` polls in a row have failed,
+until one is answered faster than `FAST_RESPONSE_S`. An entry whose every path
+is slow would learn nothing otherwise."""
 
-MAX_FAST_FAILURES = 2
+MAX_FAST_FAILURES = 3
 """Failed polls in a row after which paths may be slow rather than silent."""
 
 PROBE_INTERVAL_S = 1.0
@@ -41,7 +41,9 @@
     """Remembers which paths failed, and prefers the one to the leader itself.
 
     After a failure the other paths are tried in turn, so that one sound path to
-    a store that reaches the leader is found whatever the others do.
+    a store that reaches the leader is found whatever the others do. The leader
+    is tried again in between: where connections fell silent, the one to it is
+    made anew first.
 
     Args:
         rng: Spreads the polls of several entries over the stores.
@@ -63,6 +65,11 @@
             return FAST_RESPONSE_S
         return SLOW_RESPONSE_S
 
+    @property
+    def avoided_leader(self) -> base.InstanceId | None:
+        """Leader that did not answer, to be asked first by a direct poll."""
+        return self._avoided_leader
+
     def choose(
         self, stores: collections.abc.Collection[base.InstanceId], now: float
     ) -> PollPath:
@@ -74,7 +81,10 @@
         """
         if now >= self._direct_again_at:
             return DIRECT
-        untried = sorted({*stores} - self._failed - {self._avoided_leader})
+        relays = {*stores} - {self._avoided_leader}
+        if not relays - self._failed:
+            self._failed.clear()
+        untried = sorted(relays - self._failed)
         if self._relay not in untried:
             self._relay = self._rng.choice(untried) if untried else None
         return PollPath(self._relay)
@@ -107,9 +117,9 @@
         self._failure_count += 1
         if path.relay is not None:
             self._failed.add(path.relay)
+            self._direct_again_at = now
             return
-        self._failed.clear()
-        self._avoided_leader = leader
+        self._avoided_leader = leader or self._avoided_leader
         self._direct_again_at = now + DIRECT_AVOIDANCE_S
         self._probe_at = now + PROBE_INTERVAL_S
 
@@ -117,6 +127,7 @@
         """Prefers the direct path again: the leader can be reached."""
         self._direct_again_at = 0.0
         self._avoided_leader = None
+        self._failed.clear()
 
     def take_probe(self, now: float) -> base.InstanceId | None:
         """Returns the avoided leader if it is to be probed now."""
