Answer 504 to the removal of a store whose commit is open

Cause: `Store.retire` dropped whether the call may have run.

Ruled out: a refusal before the proposal (404 and 409 are told as before; after the leader has stepped down nothing is appended, and the call gets 503).

Evidence: `OpenOutcomeTest` with a third case. The test lowers the number of voters that must remain, since three stores allow no removal.

Why it works: the outcome of the client's error decides, as for the other two calls. Operators repeat a call after any 5xx, and a second removal of the same store changes nothing. Announcements and withdrawals keep 503: they are soft state that every store applies, and are sent again each second.

Run: `tests.platform.test_configuration.OpenOutcomeTest` (1 test).

--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -30,6 +30,7 @@
 from banyanbank_node import _retention_duty
 from banyanbank_node import _settings
 from banyanbank_node import _store_calls
+from banyanbank_node import _store_client
 from banyanbank_node import _usage_duty
 
 HEARTBEAT_INTERVAL_S = 0.7
@@ -338,9 +339,26 @@
 
     async def retire(
         self, node: str
-    ) -> _messages.Accepted | _messages.NotThere | _messages.TooFew | None:
-        """Begins to remove a store; returns None if no leader answers."""
-        return await self._call_leader(_messages.RETIRE, _messages.Retire(node))
+    ) -> (
+        _messages.Accepted
+        | _messages.NotThere
+        | _messages.TooFew
+        | base.Outcome
+    ):
+        """Begins to remove a store.
+
+        Returns:
+            The leader's answer, or whether the call may have taken effect if
+            no leader answered.
+        """
+        answered = await self.node.client.call(
+            _messages.RETIRE,
+            _messages.Retire(node),
+            self.node.clock.now() + CALL_TIMEOUT_S,
+        )
+        if isinstance(answered, result.Failure):
+            return _find_outcome(answered.failure())
+        return answered.unwrap()
 
     async def retired(
         self, node: str
@@ -372,9 +390,7 @@
         )
         if isinstance(replied, result.Success):
             return base.Outcome.RAN
-        if replied.failure().may_have_run:
-            return base.Outcome.MAY_HAVE_RUN
-        return base.Outcome.NOT_RUN
+        return _find_outcome(replied.failure())
 
     async def _await_entries(self, number: int, deadline: float) -> bool:
         """Waits until all entries in contact act on a document."""
@@ -449,3 +465,10 @@
             )
         if silent:
             self.calls.changes.wake()
+
+
+def _find_outcome(error: _store_client.StoreCallError) -> base.Outcome:
+    """Returns whether a call that no leader answered may have taken effect."""
+    if error.may_have_run:
+        return base.Outcome.MAY_HAVE_RUN
+    return base.Outcome.NOT_RUN
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -8,6 +8,7 @@
 
 import banyanbank_jobs as jobs
 import banyanbank_node as node
+from banyanbank_node import _member_duty
 from twisted.internet import defer
 
 from tests import support
@@ -215,6 +216,7 @@
         for method, path, content in (
             ("PUT", "/-/config", make_document(10)),
             ("POST", "/-/version-put", {"model": "model", "version": 2}),
+            ("POST", "/-/retire/store-2", {"duration-s": 10}),
         ):
             with self.subTest(path):
                 call = functools.partial(
@@ -232,6 +234,11 @@
         await support.until(lambda: system.leader is not None)
         leader = system.leader
         assert leader is not None
+        # Any store but one may be removed, once the leader has heard of all.
+        members = leader._duties[0]
+        assert isinstance(members, _member_duty.MemberDuty)
+        members._voters_wanted = deployment.STORE_COUNT - 1
+        await support.until(lambda: len(members._heartbeats) == len(STORES))
         for store in system.stores:
             if store is not leader:
                 await store.stop()
