Give a store's calls to itself their deadline

Cause: `StoreClient._attempt_call` handed calls to a handler of its own instance without the deadline; calls to other instances have it.

Ruled out: calls that wait for ever (the log fails a proposal or a confirmation after 5 s, and every other wait of a handler has a limit).

Why it works: the caller stops waiting at its deadline and gets an open outcome; the handler runs on, as it does at another instance. There is one attempt with the whole time, so that no command is proposed twice, and a store does not avoid itself. A commit at the leader that takes over 0.9 s is now answered 504, as at the other stores, and the operator's repetition finds it.

`OpenOutcomeTest` waits until the leader has stepped down before the case that says so; until now its first answer came after that by chance of the missing deadline.

Run: tests.node (102), tests.platform.test_configuration (6), test_end_to_end (23), `OpenOutcomeTest` three times more.

--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -7,6 +7,7 @@
 import banyanbank_base as base
 import banyanbank_mesh as mesh
 from returns import result
+from twisted.internet import defer
 from twisted.internet import task
 
 from banyanbank_node import _messages
@@ -189,7 +190,13 @@
         while self._clock.now() < deadline:
             target = first or self._next_target()
             sent_at = self._clock.now()
-            attempt_deadline = min(deadline, sent_at + attempt_timeout_s)
+            is_own = target == self._mesh.instance
+            # Another attempt would repeat what the handler has begun.
+            attempt_deadline = (
+                deadline
+                if is_own
+                else min(deadline, sent_at + attempt_timeout_s)
+            )
             call_result = await self._attempt_call(
                 target, method, data, attempt_deadline
             )
@@ -210,8 +217,9 @@
                 may_have_run |= error.outcome is not base.Outcome.NOT_RUN
                 had_time = attempt_deadline >= sent_at + attempt_timeout_s
                 is_silent = error.kind is mesh.CallErrorKind.DEADLINE
+                may_blame = had_time and not is_relayed and not is_own
                 if not self._was_suspended(attempt_deadline) and (
-                    not is_silent or (had_time and not is_relayed)
+                    not is_silent or may_blame
                 ):
                     self._avoid(target, error.kind, sent_at)
             first = None
@@ -227,7 +235,17 @@
     ) -> result.Result[_messages.StoreAnswer, mesh.CallError]:
         if target == self._mesh.instance and method in self._local_handlers:
             try:
-                answer = await self._local_handlers[method](data)
+                answer = await self._call_locally(
+                    method, data, attempt_deadline
+                )
+            except defer.TimeoutError:
+                return result.Failure(
+                    mesh.CallError(
+                        mesh.CallErrorKind.DEADLINE,
+                        base.Outcome.MAY_HAVE_RUN,
+                        "This store did not answer itself in time.",
+                    )
+                )
             except mesh.HandlerRefusalError as exc:
                 return result.Failure(
                     mesh.CallError(
@@ -243,6 +261,21 @@
             answer = call_result.unwrap()
         return result.Success(_messages.CODEC.decode(answer))
 
+    def _call_locally(
+        self, method: str, data: bytes, deadline: float
+    ) -> "defer.Deferred[bytes]":
+        """Calls a handler of this instance, which runs on after the deadline.
+
+        So do those of other instances.
+        """
+        answered: defer.Deferred[bytes] = defer.Deferred()
+        running = defer.ensureDeferred(
+            typing.cast(typing.Any, self._local_handlers[method](data))
+        )
+        running.addCallbacks(answered.callback, answered.errback)
+        remaining_s = max(0.0, deadline - self._clock.now())
+        return answered.addTimeout(remaining_s, self._reactor)
+
     def _next_target(self) -> base.InstanceId:
         if self._leader_hint is not None:
             return self._leader_hint
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -164,6 +164,45 @@
         self.assertTrue(answered)
         self.assertEqual(self.stores.called_stores, [FROZEN])
 
+    def test_own_handler_that_takes_long(self) -> None:
+        """Guards against a leader that answers an operator seconds late.
+
+        The handler has no time limit of its own, or a longer one.
+        """
+        self.stores.instance = self.stores.leader = FOLLOWER
+        self.client.follow_leader(FOLLOWER)
+        sent: list[bytes] = []
+        never: defer.Deferred[bytes] = defer.Deferred()
+
+        async def hang(data: bytes) -> bytes:
+            sent.append(data)
+            return await never
+
+        self.client.set_local_handler("method", hang)
+        for attempt_timeout_s in (0.8, 2.0):
+            for is_relayed in (False, True):
+                with self.subTest(attempt_timeout_s, is_relayed=is_relayed):
+                    sent.clear()
+                    running = defer.ensureDeferred(
+                        self.client.call_raw(
+                            "method",
+                            b"x",
+                            self.clock.seconds() + 0.9,
+                            attempt_timeout_s,
+                            is_relayed=is_relayed,
+                        )
+                    )
+                    self.clock.pump([STEP_S] * 20)
+                    self.assertTrue(running.called)
+                    error = typing.cast(typing.Any, running.result).failure()
+                    self.assertTrue(error.may_have_run)
+                    self.assertEqual(error.asked, {FOLLOWER: "deadline"})
+                    # It is not proposed again, and this store still leads.
+                    self.assertEqual(sent, [b"x"])
+                    self.assertEqual(self.client.leader, FOLLOWER)
+                    self.assertIn(FOLLOWER, self.client.responsive_stores)
+        self.assertEqual(self.stores.called_stores, [])
+
     def test_error_has_the_last_reply_of_each_store(self) -> None:
         running = defer.ensureDeferred(
             self.client.call("method", _messages.Accepted(), 1.0, 0.8)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -244,21 +244,22 @@
                 await store.stop()
         commands = record_commands(leader)
         url = f"http://{leader.settings.control}{path}"
-        for name, status, proposals in (
-            ("proposed", 504, 1),
-            ("after the leader has stepped down", 503, 0),
+        log = leader.stored.node
+        for name, leads, status, proposals in (
+            ("proposed", True, 504, 1),
+            ("after the leader has stepped down", False, 503, 0),
         ):
             with self.subTest(name):
+                await support.until(lambda leads=leads: log.is_leader == leads)
                 commands.clear()
-                last_index = leader.stored.node.status().last_index
+                last_index = log.status().last_index
                 reply = await system.call(method, url, body)
                 self.assertEqual(reply.status, status)
                 # A leader reports usage without being asked to.
                 own = [c for c in commands if isinstance(c, USAGE_COMMANDS)]
                 # What stands in the log may be committed later.
                 self.assertEqual(
-                    leader.stored.node.status().last_index,
-                    last_index + proposals + len(own),
+                    log.status().last_index, last_index + proposals + len(own)
                 )
 
 
