Answer 404 and 409 to a removal only once all stores were heard

Cause: a leader knows machines by their heartbeats only. It forgets them when its duties stop, which is when the lease ends and before it has stepped down, and hears them anew within 0.7 s of its first tick. Until then each machine is unknown and too few stores remain (409). Not new: the code is as old as the duty.

Ruled out: the removal itself (nothing was proposed).

Evidence: `RemovalTest`: three of four cases got `TooFew` and `NotThere` before; all four pass now. The fourth shows that both are told 2.5 s after the leader began.

Why it works: until 2.5 s after its first tick (the time for which a heartbeat counts) a leader that would answer 404 or 409 answers as one that does not lead, so that the operator gets 503 and calls again. A removal that can go ahead is not held up.

--- a/packages/node/src/banyanbank_node/_member_duty.py
+++ b/packages/node/src/banyanbank_node/_member_duty.py
@@ -10,6 +10,7 @@
 
 from banyanbank_node import _background
 from banyanbank_node import _event_log
+from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
 from banyanbank_node import _store_calls
@@ -224,11 +225,25 @@
         return _messages.Accepted()
 
     def _find_instance(self, node: str) -> base.InstanceId | None:
+        """Returns the store of a machine; None if there is none.
+
+        Raises:
+            NotLeaderError: Its heartbeats may not have arrived yet.
+        """
         for instance, heard in self._heartbeats.items():
             if heard.node == node:
                 return instance
+        self._require_all_heard()
         return None
 
+    def _require_all_heard(self) -> None:
+        """Raises NotLeaderError unless each live store has been heard."""
+        if (
+            self._led_since is None
+            or self._clock.now() < self._led_since + LIVE_TIMEOUT_S
+        ):
+            raise _leadership.NotLeaderError
+
     async def _handle_retire(
         self, sender: base.InstanceId, data: bytes
     ) -> object:
@@ -248,6 +263,7 @@
             and self._is_live(name, now)
         ]
         if len(remaining) < self._voters_wanted:
+            self._require_all_heard()
             return _messages.TooFew()
         await self._calls.commit(jobs.RetireInstance(instance))
         return _messages.Accepted()
--- a/tests/node/test_members.py
+++ b/tests/node/test_members.py
@@ -1,9 +1,14 @@
 """Tests of the membership changes of the log."""
 
+import typing
 import unittest
+import unittest.mock
 
 import banyanbank_base as base
+import banyanbank_consensus as consensus
+from banyanbank_node import _leadership
 from banyanbank_node import _member_duty
+from banyanbank_node import _messages
 
 ADD = _member_duty.ChangeKind.ADD_VOTER
 STANDBY = _member_duty.ChangeKind.ADD_STANDBY
@@ -131,3 +136,62 @@
                         kind, base.InstanceId(instance)
                     )
                 self.assertEqual(_member_duty.next_change(view), expected)
+
+
+class RemovalTest(unittest.TestCase):
+    """Operators learn what the leader knows, and only once it knows it."""
+
+    def setUp(self) -> None:
+        self.clock = base.ManualClock()
+        self.handlers: dict[str, typing.Any] = {}
+        calls = unittest.mock.Mock()
+        calls.serve = self.handlers.__setitem__
+        stored = unittest.mock.Mock()
+        stored.ledger.retired = set()
+        stored.node.status.return_value = unittest.mock.Mock(
+            spec=consensus.NodeStatus, members_committed=False
+        )
+        self.duty = _member_duty.MemberDuty(
+            self.clock, stored, calls, 3, unittest.mock.Mock()
+        )
+
+    def call(self, method: str, message: object, sender: str = "") -> object:
+        """Calls a handler; returns its answer, or the error's class."""
+        answered = self.handlers[method](
+            base.InstanceId(sender), _messages.CODEC.encode(message)
+        )
+        try:
+            answered.send(None)
+        except StopIteration as end:
+            return end.value
+        except _leadership.NotLeaderError:
+            return _leadership.NotLeaderError
+        raise AssertionError("it waits")
+
+    def test_leader_that_has_not_heard_of_all_stores(self) -> None:
+        """Guards against 404 and 409 on a store that can be removed."""
+        gone, few = _messages.NotThere(), _messages.TooFew()
+        unknown = _leadership.NotLeaderError
+        settled_s = _member_duty.LIVE_TIMEOUT_S
+        for name, leads, led_s, silent, heard in (
+            ("its duties are stopped", False, 9.0, unknown, unknown),
+            ("it has just begun", True, 0.0, unknown, unknown),
+            ("some were heard", True, settled_s - 0.1, unknown, unknown),
+            ("all were heard", True, settled_s, gone, few),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                if leads:
+                    self.duty.tick()
+                self.clock.advance(led_s)
+                join = _messages.Join("store-1")
+                self.call(_messages.JOIN, join, "a")
+                for machine, expected in (
+                    ("store-1", heard),
+                    ("store-2", silent),
+                ):
+                    req = _messages.Retire(machine)
+                    answer = self.call(_messages.RETIRE, req)
+                    self.assertEqual(answer, expected)
+                answer = self.call(_messages.RETIRED, req)
+                self.assertEqual(answer, silent)
