Let drawn faults of a path end with resent packets

Seen: of the three ways in which a drawn fault of a path ends (`heals`, `resends`, `loses`), the first two were the same.

Cause: after `heal_resending` the same ways were healed, which delivers at once what was to wait for its next resending.

--- a/tests/platform/configuration_faults.py
+++ b/tests/platform/configuration_faults.py
@@ -364,6 +364,7 @@
             links.silence_between([entry], [store])
         if end == "resends":
             links.heal_resending([entry], [store])
+            return
         for source, target in pairs:
             links.way(source, target).heal()
 
