Send endless answers by one stand-in in the tests of both layers

Seen: `tests/web/test_endless.py` and `tests/platform/floods.py` had the same server twice, and eleven of the same places where bytes can have no end.

--- a/tests/platform/floods.py
+++ b/tests/floods.py
@@ -50,7 +50,7 @@
         name = found.group(1) if found else b""
         if not self._server.reads_requests:
             self.transport.pauseProducing()
-        self.transport.write(self._flood.beginning.replace(b"%ID", name))
+        self._write(self._flood.beginning.replace(b"%ID", name))
         if self._flood.piece:
             self.transport.registerProducer(self, True)
             self._go_on()
@@ -75,9 +75,13 @@
     def _go_on(self) -> None:
         if self._is_paused or self._is_closed or self._flood is None:
             return
-        self.transport.write(self._next_data(self._flood.piece))
+        self._write(self._next_data(self._flood.piece))
         self._server.reactor.callLater(0, self._go_on)
 
+    def _write(self, data: bytes) -> None:
+        self._server.sent += len(data)
+        self.transport.write(data)
+
     def _next_data(self, piece: bytes) -> bytes:
         count = PIECE_BYTES // len(piece) or 1
         if b"%N" not in piece:
@@ -93,25 +97,33 @@
 class FloodServer:
     """Answers each request with its flood.
 
+    Args:
+        reactor: Provides sockets and timers.
+        host: IP number to listen at.
+        port: Port to listen at; 0 for any.
+
     Attributes:
+        address: Where it listens.
         flood: What it sends.
         reads_requests: Whether it reads more than the head of a request.
         reports: Whether it answers the request for an engine's report.
         opened: Connections accepted so far.
         closed: Those that have ended.
+        sent: Bytes of all floods so far, those in buffers included.
     """
 
-    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+    def __init__(self, reactor: typing.Any, host: str, port: int = 0) -> None:
         self.reactor = reactor
-        self.address = f"{host}:{port}"
         self.flood = Flood(b"", b"x")
         self.reads_requests = True
         self.reports = True
         self.opened = 0
         self.closed = 0
+        self.sent = 0
         factory = protocol.Factory()
         factory.buildProtocol = self._build  # type: ignore[method-assign,assignment]
         self._port = reactor.listenTCP(port, factory, interface=host)
+        self.address = f"{host}:{self._port.getHost().port}"
 
     async def stop(self) -> None:
         """Closes the listener."""
