Give each test process ports that no other one gets

Seen: LeaderCutTest.test_mute ran into its time limit of 240 s beside another test run, without one request: all eight instances had ended right after their start with "Cannot listen at 127.0.0.N:29362: address already in use", and the story waited for them until its end.

Instances listen on their callers' and operators' ports only once they have started, 13 s later at a load of 27, so another process finds these ports free meanwhile. In the run seen, the other process's mesh port was bound at once (its relays) and skipped, which is why the third number became our second.

Change: a test process claims one of 24 blocks of 500 ports by a lock on a file that it holds until it ends, and goes round within it. The look at the port itself stays.

Ruled out: a port that the system gave to a client (the numbers lie below those), instances of the same run (they had not started), ports in TIME_WAIT (the message came from an address at which another cluster of eight listens).

--- a/tests/support.py
+++ b/tests/support.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import collections.abc
+import fcntl
 import functools
-import itertools
 import os
+import pathlib
 import socket
+import tempfile
 import typing
 
 import banyanbank_mesh as mesh
@@ -24,14 +26,10 @@
 """Pause between two looks at a condition."""
 
 FIRST_PORT = 20_000
-PORT_COUNT = 12_000
-PORT_STEP = 240
-"""Ports between the first ones of two test processes."""
-
-_PORTS = (
-    FIRST_PORT + (os.getpid() * PORT_STEP + number) % PORT_COUNT
-    for number in itertools.count()
-)
+"""The ports end below those that the system gives out."""
+BLOCK_PORTS = 500
+"""Ports of one block; each test process has a block of its own."""
+BLOCKS = 24
 
 
 @functools.cache
@@ -88,8 +86,8 @@
 def free_ports(count: int) -> list[int]:
     """Returns TCP ports that were free on every address a moment ago.
 
-    They lie below those that the system gives out, and each test process
-    begins elsewhere, so that nobody takes them before they are used.
+    Nobody else is given them before this process ends: what listens there may
+    start much later.
     """
     ports: list[int] = []
     while len(ports) < count:
@@ -103,4 +101,35 @@
     return ports
 
 
+def _own_ports() -> collections.abc.Iterator[int]:
+    """Yields the ports of this process's block, again and again."""
+    first, _lock = _claim_block()
+    while True:
+        yield from range(first, first + BLOCK_PORTS)
+
+
+def _claim_block() -> tuple[int, typing.BinaryIO]:
+    """Claims a block that no running test process has.
+
+    Returns:
+        The block's first port, and the file whose lock holds the block while
+        it is open.
+    """
+    folder = pathlib.Path(
+        tempfile.gettempdir(), f"banyanbank-test-ports-{os.getuid()}"
+    )
+    folder.mkdir(exist_ok=True)
+    for offset in range(BLOCKS):
+        block = (os.getpid() + offset) % BLOCKS
+        lock = (folder / str(block)).open("wb")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            lock.close()
+            continue
+        return FIRST_PORT + block * BLOCK_PORTS, lock
+    raise RuntimeError(f"{BLOCKS} other test processes hold all ports.")
+
+
+_PORTS = _own_ports()
 event_loop()
