Tell of a call's earlier attempts when the last one did not run

Seen while tracing lookups that were answered 503: a call to a plain service that is repeated, and whose endpoint is lost at the first attempt and refuses connections afterwards, is answered with outcome "not run", although the first attempt may have run. docs/API.md says of this outcome that no endpoint received any byte of the request, and docs/GUARANTEES.md that it is true.

Cause: `ServiceCalls.open` returned the refusal of its last attempt. Calls of models tell an earlier run since they are repeated (`_truest` in the dispatcher); the calls of plain services did not, and their only scenario makes one attempt.

Change: the last refusal after which the call may have run goes before one that says "not run". Whether an attempt is repeated still depends on that attempt alone.

Ruled out: calls that are not idempotent (they end with the first attempt that may have run), the users' platform (its forwarder keeps the first such attempt).

Evidence: `ServiceCallsTest.test_outcome_of_all_attempts` fails before in its cases "first" and "second" and passes after, as do the tests of the dispatcher and of the client for endpoints.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_services.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -240,6 +240,7 @@
             call.deadline,
             call.is_idempotent,
         )
+        run_before: base.Refusal | None = None
         while True:
             endpoint, sent = await self._attempt(
                 call, series.number, series.tried
@@ -247,10 +248,14 @@
             if isinstance(sent, result.Success):
                 return sent
             refusal = sent.failure()
-            if not await series.may_repeat(
+            is_repeated = await series.may_repeat(
                 endpoint, refusal.outcome, refusal.retry_after
-            ):
-                return sent
+            )
+            if refusal.outcome is not base.Outcome.NOT_RUN:
+                run_before = refusal
+            if not is_repeated:
+                # An endpoint may have run an earlier attempt.
+                return result.Failure(run_before or refusal)
 
     async def _attempt(
         self,
--- /dev/null
+++ b/tests/daemon/test_service_calls.py
@@ -0,0 +1,175 @@
+"""Tests of what the refusals of calls to plain services say."""
+
+import random
+import types
+import typing
+import unittest
+
+import banyanbank_base as base
+import banyanbank_control as control
+from banyanbank_daemon._entry import _active_requests
+from banyanbank_daemon._entry import _intents
+from banyanbank_daemon._entry import _services
+import banyanbank_dispatch as dispatch
+import banyanbank_web as web
+from returns import result
+from twisted.internet import defer
+from twisted.internet import task
+
+ACCOUNT = base.AccountId("account-1")
+KEY = base.KeyId("key-1")
+ENDPOINT = base.EndpointId("endpoint-1")
+ROUTE = control.Route("/refill", "refills", control.Access.KEYED, ("*",))
+RETRIES_S = 3.0
+"""Seconds after which no retry follows any more."""
+REFUSED = web.UpstreamError(base.Outcome.NOT_RUN, "connection refused")
+LOST = web.UpstreamError(base.Outcome.MAY_HAVE_RUN, "connection lost")
+
+Sent = result.Result[web.UpstreamResponse, web.UpstreamError]
+
+
+class _FakeUpstream:
+    """Fake client; each request is answered by the next Deferred."""
+
+    def __init__(self) -> None:
+        self.answers: list[defer.Deferred[Sent]] = []
+        self.scripted: list[Sent] = []
+
+    async def send(self, request: web.UpstreamRequest) -> Sent:
+        del request
+        answer: defer.Deferred[Sent] = defer.Deferred()
+        self.answers.append(answer)
+        if self.scripted:
+            answer.callback(self.scripted.pop(0))
+        return await answer
+
+
+class _FakePlane:
+    """Fake replicated log; each command waits for its reply."""
+
+    def __init__(self) -> None:
+        self.commands: list[control.Command] = []
+        self.replies: list[defer.Deferred[typing.Any]] = []
+
+    async def propose(
+        self, command: control.Command, deadline: float
+    ) -> typing.Any:
+        del deadline
+        self.commands.append(command)
+        reply: defer.Deferred[typing.Any] = defer.Deferred()
+        self.replies.append(reply)
+        return await reply
+
+
+class _FakeExchange:
+    """Fake request of a caller; keeps the refusal that it is answered with."""
+
+    def __init__(self, method: str, idempotency_key: str) -> None:
+        self.method = method
+        self.path = self.uri = "/refill/1"
+        self.body = b""
+        self.request_id = base.RequestId("request-1")
+        self.has_started = False
+        self.is_closed = False
+        self.refusals: list[base.Refusal] = []
+        self._headers = {"idempotency-key": idempotency_key}
+
+    def header(self, name: str) -> str:
+        return self._headers.get(name, "")
+
+    def header_items(self) -> list[tuple[str, str]]:
+        return []
+
+    def refuse(self, refusal: base.Refusal) -> None:
+        if not self.has_started:
+            self.has_started = self.is_closed = True
+            self.refusals.append(refusal)
+
+    def end_early(self, refusal: base.Refusal) -> None:
+        self.refuse(refusal)
+
+
+class ServiceCallsTest(unittest.TestCase):
+    """What callers are told of calls that fail or are ended."""
+
+    def setUp(self) -> None:
+        self.reactor = task.Clock()
+        clock = base.ManualClock()
+        clock.now = self.reactor.seconds  # type: ignore[method-assign]
+        self.upstream = _FakeUpstream()
+        self.plane = _FakePlane()
+        waits = types.SimpleNamespace(
+            refused=lambda account: None, granted=lambda *_: None
+        )
+        self.active = _active_requests.ActiveRequests(
+            clock, dispatch.AdmissionLimits(0.0), typing.cast(typing.Any, waits)
+        )
+        intents = _intents.IntentRunner(
+            self.reactor,
+            clock,
+            typing.cast(typing.Any, self.plane),
+            base.InstanceId("i1"),
+            base.Incarnation(1),
+        )
+        self.calls = _services.ServiceCalls(
+            self.reactor,
+            clock,
+            typing.cast(typing.Any, self),
+            self.active,
+            typing.cast(typing.Any, self),
+            dispatch.Router(base.FailureDomain("zone-1"), random.Random(1)),
+            dispatch.RetryPolicy(random.Random(1)),
+            typing.cast(typing.Any, self.upstream),
+            intents,
+            typing.cast(typing.Any, None),
+            typing.cast(typing.Any, waits),
+        )
+
+    async def admit_route(self, *_: typing.Any) -> typing.Any:
+        """Admits every call."""
+        return result.Success(
+            control.Admission(ROUTE, control.Principal(ACCOUNT, KEY))
+        )
+
+    def service_candidates(self, service: str) -> list[dispatch.Candidate]:
+        """Returns the only endpoint."""
+        del service
+        domain = base.FailureDomain("zone-1")
+        return [dispatch.Candidate(ENDPOINT, domain, 8)]
+
+    def url_of(self, endpoint: base.EndpointId) -> str:
+        return f"http://{endpoint}"
+
+    def begin(self, method: str, idempotency_key: str = "") -> _FakeExchange:
+        exchange = _FakeExchange(method, idempotency_key)
+        defer.ensureDeferred(
+            self.calls.serve(typing.cast(typing.Any, exchange))
+        )
+        return exchange
+
+    def advance(self) -> None:
+        """Lets all retries of a call come."""
+        self.reactor.pump([0.01] * int(RETRIES_S / 0.01))
+
+    def test_outcome_of_all_attempts(self) -> None:
+        """A refusal speaks of all attempts of its request.
+
+        Guards against "not run" after an attempt that may have run, when the
+        endpoint is gone at the next one.
+        """
+        for name, attempts, outcome in (
+            ("none ran", [REFUSED] * 4, base.Outcome.NOT_RUN),
+            ("first", [LOST] + [REFUSED] * 3, base.Outcome.MAY_HAVE_RUN),
+            ("second", [REFUSED, LOST, REFUSED, REFUSED], LOST.outcome),
+            ("last", [REFUSED] * 3 + [LOST], base.Outcome.MAY_HAVE_RUN),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.upstream.scripted = [
+                    result.Failure(error) for error in attempts
+                ]
+                exchange = self.begin("GET")
+                self.advance()
+                self.assertEqual(len(self.upstream.answers), 4)
+                outcomes = [refusal.outcome for refusal in exchange.refusals]
+                self.assertEqual(outcomes, [outcome])
