End requests that were not sent as "not run", and never send them

Seen in a trace of LeaderCutTest.test_mute (load 29): booking 113 came to the leader just before it was cut off. 1.7 s later it was answered 503 configuration-stale with outcome "may have run", while it waited for its intent's commit and had not been sent; its work went on, for 9.7 s after its arrival at least. test_rolling_restart_loses_no_request has once got such an answer to a booking.

Cause: when the configuration has been stale for 0.5 s, or a key is withdrawn, `ActiveRequests` answers each request in progress with "may have run" and calls back those that have an open answer of an endpoint. What has not got there, a booking whose intent waits up to 10 s for a leader or a call that waits for its next attempt, goes on and is sent later, after the caller was answered and under a key that may be withdrawn. docs/API.md promises "may have run" where an endpoint may have received the request, docs/GUARANTEES.md that open requests of a withdrawn key end.

Change: a call of a plain service is known as unsent until its first attempt, and again after an attempt that did not run. If it is ended then, it is refused as "not run"; whether it was ended is asked right before each attempt, so that it is never sent afterwards. Its intent is abandoned, so that a resend under the same Idempotency-Key runs. A resend that finds an earlier run in progress still says "may have run".

Ruled out: a lookup or booking that an endpoint received (still "may have run", and no longer repeated afterwards). Requests to models are as before.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_active_requests.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_active_requests.py
@@ -31,12 +31,16 @@
         self._by_key: dict[base.KeyId, set[web.Exchange]] = (
             collections.defaultdict(set)
         )
+        self._unsent: set[web.Exchange] = set()
+        self._ended: set[web.Exchange] = set()
 
     def begin(
         self,
         account: base.AccountId,
         key_id: base.KeyId,
         exchange: web.Exchange,
+        *,
+        is_unsent: bool = False,
     ) -> base.Refusal | None:
         """Admits a request; an admitted request must be passed to `end` later.
 
@@ -45,6 +49,9 @@
                 which has no account limits.
             key_id: Id of the API key; empty on a public route.
             exchange: The request and its response.
+            is_unsent: Whether `may_send` is asked before each attempt and an
+                earlier run is noted; if not, the request may have run from now
+                on.
 
         Returns:
             None when the request is admitted, otherwise the refusal.
@@ -55,8 +62,28 @@
                 self._waits.refused(account)
                 return admitted.failure()
         self._by_key[key_id].add(exchange)
+        if is_unsent:
+            self._unsent.add(exchange)
         return None
 
+    def may_send(self, exchange: web.Exchange) -> bool:
+        """Returns whether a request may be sent, and counts it as sent if so.
+
+        One that was terminated may not.
+        """
+        if exchange in self._ended:
+            return False
+        self._unsent.discard(exchange)
+        return True
+
+    def note_earlier_run(self, exchange: web.Exchange) -> None:
+        """Notes that the same request may run for an earlier exchange."""
+        self._unsent.discard(exchange)
+
+    def note_not_run(self, exchange: web.Exchange) -> None:
+        """Notes that no endpoint received any byte of a request so far."""
+        self._unsent.add(exchange)
+
     def end(
         self,
         account: base.AccountId,
@@ -66,6 +93,8 @@
         """Releases the account's concurrency slot and the index entry."""
         if account:
             self._limits.release(account)
+        self._unsent.discard(exchange)
+        self._ended.discard(exchange)
         exchanges = self._by_key[key_id]
         exchanges.discard(exchange)
         if not exchanges:
@@ -94,6 +123,9 @@
     def _end_requests(
         self, key_id: base.KeyId, reason: base.RefusalReason, detail: str
     ) -> None:
-        refusal = base.Refusal(reason, base.Outcome.MAY_HAVE_RUN, detail)
         for exchange in list(self._by_key.get(key_id, ())):
-            exchange.end_early(refusal)
+            outcome = base.Outcome.MAY_HAVE_RUN
+            if exchange in self._unsent:
+                outcome = base.Outcome.NOT_RUN
+            self._ended.add(exchange)
+            exchange.end_early(base.Refusal(reason, outcome, detail))
--- a/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
@@ -102,11 +102,21 @@
         self._instance = instance
         self._incarnation = incarnation
 
-    async def run(self, call: Call, open_call: Open[Call]) -> Answer:
+    async def run(
+        self,
+        call: Call,
+        open_call: Open[Call],
+        on_earlier_run: typing.Callable[[], None],
+    ) -> Answer:
         """Runs a call, or returns the stored answer of its earlier run.
 
         While an earlier run is in progress, polls until it ends, up to the
         deadline and `MAX_POLLS`.
+
+        Args:
+            call: The call.
+            open_call: Sends the call.
+            on_earlier_run: Called when an earlier run is in progress.
         """
         if len(call.idempotency_key) > MAX_IDEMPOTENCY_KEY_CHARS:
             return _refuse_not_run(
@@ -125,6 +135,7 @@
                 return await self._run_once(call, open_call)
             if not _is_in_progress(reply):
                 return _to_answer(reply)
+            on_earlier_run()
             if self._clock.now() + POLL_INTERVAL_S >= call.deadline:
                 break
             await task.deferLater(self._reactor, POLL_INTERVAL_S)
--- a/packages/daemon/src/banyanbank_daemon/_entry/_services.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -116,7 +116,7 @@
             return
         call = admitted.unwrap()
         refusal = self._active_requests.begin(
-            call.account, call.key_id, exchange
+            call.account, call.key_id, exchange, is_unsent=True
         )
         if refusal is not None:
             exchange.refuse(refusal)
@@ -170,7 +170,7 @@
         )
 
     async def _forward(self, exchange: web.Exchange, call: ServiceCall) -> None:
-        opened = await self.open(call)
+        opened = await self.open(call, exchange)
         if isinstance(opened, result.Failure):
             exchange.refuse(opened.failure())
             return
@@ -200,7 +200,11 @@
     async def _run_at_most_once(
         self, exchange: web.Exchange, call: ServiceCall
     ) -> None:
-        run_result = await self._intents.run(call, self.open)
+        run_result = await self._intents.run(
+            call,
+            lambda begun: self.open(begun, exchange),
+            lambda: self._active_requests.note_earlier_run(exchange),
+        )
         if isinstance(run_result, result.Failure):
             exchange.refuse(run_result.failure())
             return
@@ -225,10 +229,15 @@
             self._waits.granted(call.account, _figures.SERVICE, seconds)
 
     async def open(
-        self, call: ServiceCall
+        self, call: ServiceCall, exchange: web.Exchange | None = None
     ) -> result.Result[web.UpstreamResponse, base.Refusal]:
         """Sends a call to an endpoint; retries on others if that is safe.
 
+        Args:
+            call: The call.
+            exchange: The caller's request, which is not sent once it has been
+                terminated; None for a call of this instance.
+
         Returns:
             The response once its headers have arrived, or a refusal whose
             outcome says whether an endpoint may have run the call.
@@ -242,17 +251,21 @@
         )
         run_before: base.Refusal | None = None
         while True:
+            if exchange and not self._active_requests.may_send(exchange):
+                return result.Failure(run_before or _refuse_terminated())
             endpoint, sent = await self._attempt(
                 call, series.number, series.tried
             )
             if isinstance(sent, result.Success):
                 return sent
             refusal = sent.failure()
+            if refusal.outcome is not base.Outcome.NOT_RUN:
+                run_before = refusal
+            elif exchange and run_before is None:
+                self._active_requests.note_not_run(exchange)
             is_repeated = await series.may_repeat(
                 endpoint, refusal.outcome, refusal.retry_after
             )
-            if refusal.outcome is not base.Outcome.NOT_RUN:
-                run_before = refusal
             if not is_repeated:
                 # An endpoint may have run an earlier attempt.
                 return result.Failure(run_before or refusal)
@@ -336,6 +349,15 @@
     return base.Refusal(reason, error.outcome, error.detail)
 
 
+def _refuse_terminated() -> base.Refusal:
+    # The caller has been answered; this only ends the work.
+    return base.Refusal(
+        base.RefusalReason.KEY_WITHDRAWN,
+        base.Outcome.NOT_RUN,
+        "The request was terminated before it was sent.",
+    )
+
+
 def _refuse_key_in_request() -> base.Refusal:
     return base.Refusal(
         base.RefusalReason.BAD_REQUEST,
--- a/tests/daemon/test_service_calls.py
+++ b/tests/daemon/test_service_calls.py
@@ -173,3 +173,75 @@
                 self.assertEqual(len(self.upstream.answers), 4)
                 outcomes = [refusal.outcome for refusal in exchange.refusals]
                 self.assertEqual(outcomes, [outcome])
+
+    def test_request_ended_before_it_was_sent(self) -> None:
+        """A request that was not sent is ended as "not run" and stays unsent.
+
+        Guards against a booking that waits for its intent's commit, or a lookup
+        that waits for its next attempt, that is answered "may have run" when
+        its key is withdrawn or the configuration stale, and sent afterwards.
+        """
+        for name, method, end in (
+            ("booking, stale", "POST", self.active.end_keyed),
+            ("booking, key", "POST", lambda: self.active.withdraw_key(KEY)),
+            ("lookup, stale", "GET", self.active.end_keyed),
+            ("lookup, key", "GET", lambda: self.active.withdraw_key(KEY)),
+        ):
+            with self.subTest(name):
+                self.upstream.answers.clear()
+                self.plane.commands.clear()
+                self.plane.replies.clear()
+                self.upstream.scripted = [result.Failure(REFUSED)]
+                exchange = self.begin(method, "booking-1")
+                sent = len(self.upstream.answers)
+                end()
+                outcomes = [refusal.outcome for refusal in exchange.refusals]
+                self.assertEqual(outcomes, [base.Outcome.NOT_RUN])
+                for reply in self.plane.replies[:]:
+                    reply.callback(result.Success(control.IntentBegun()))
+                self.advance()
+                self.assertEqual(len(self.upstream.answers), sent)
+                # Resends under the same key may run.
+                self.assertEqual(
+                    [type(command) for command in self.plane.commands],
+                    [control.BeginIntent, control.AbandonIntent]
+                    if method == "POST"
+                    else [],
+                )
+
+    def test_request_ended_after_it_was_sent(self) -> None:
+        """A request that may have run says so, and is not sent again."""
+        for name, method, answers in (
+            ("booking", "POST", []),
+            ("lookup", "GET", []),
+            ("lookup, lost once", "GET", [LOST]),
+        ):
+            with self.subTest(name):
+                self.upstream.answers.clear()
+                self.plane.replies.clear()
+                self.upstream.scripted = [result.Failure(e) for e in answers]
+                exchange = self.begin(method, "booking-1")
+                for reply in self.plane.replies[:]:
+                    reply.callback(result.Success(control.IntentBegun()))
+                self.assertEqual(len(self.upstream.answers), 1)
+                self.active.end_keyed()
+                outcomes = [refusal.outcome for refusal in exchange.refusals]
+                self.assertEqual(outcomes, [base.Outcome.MAY_HAVE_RUN])
+                if not answers:
+                    self.upstream.answers[0].callback(result.Failure(REFUSED))
+                self.advance()
+                self.assertEqual(len(self.upstream.answers), 1)
+
+    def test_resend_ended_during_the_first_run(self) -> None:
+        """A resend that waits for an earlier run is not told "not run"."""
+        exchange = self.begin("POST", "booking-1")
+        reply = control.IntentOpen(
+            base.InstanceId("i2"), base.Incarnation(1), may_have_run=False
+        )
+        self.plane.replies[0].callback(result.Success(reply))
+        self.active.end_keyed()
+        outcomes = [refusal.outcome for refusal in exchange.refusals]
+        self.assertEqual(outcomes, [base.Outcome.MAY_HAVE_RUN])
+        self.reactor.advance(_intents.POLL_INTERVAL_S)
+        self.plane.replies[1].callback(result.Success(control.IntentBegun()))
+        self.assertEqual(self.upstream.answers, [])
