Let the soak play with more entries

The soak plays three stores and two entries; a larger deployment could only be played by changing the code. `--entries N` sets how many entries there are.

The default and the seeds of the tests are as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from tests.soak import faults
 from tests.soak import run
+from tests.soak import world
 
 
 def soak(
@@ -20,6 +21,7 @@
     seconds: float = 20.0,
     keep: str = "",
     blackouts: bool = False,
+    entries: int = world.ENTRIES,
 ) -> None:
     """Plays runs with rising seeds and prints what broke.
 
@@ -29,6 +31,7 @@
         seconds: For how long each run injects faults.
         keep: Folder in which the logs of broken runs are kept.
         blackouts: Whether most faults are losses of power at all machines.
+        entries: Number of entries.
     """
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
     failed = 0
@@ -37,7 +40,7 @@
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None)
         )
-        outcome = run.play(number, seconds, folder, kinds)
+        outcome = run.play(number, seconds, folder, kinds, entries)
         verdict = "BROKEN" if outcome.broken else "holds"
         sys.stdout.write(f"seed {number}: {verdict} {outcome.counts}\n")
         for line in outcome.broken:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -35,6 +35,7 @@
     seconds: float,
     folder: pathlib.Path,
     kinds: dict[str, faults.Inject] = faults.ALL_KINDS,
+    entries: int = world.ENTRIES,
 ) -> Outcome:
     """Plays a run and returns what it showed.
 
@@ -43,10 +44,11 @@
         seconds: For how long faults are injected.
         folder: For settings, data and logs.
         kinds: Kinds of faults to draw from.
+        entries: Number of entries; there are three stores besides.
     """
     limit_s = START_S + 2 * seconds + RECOVER_S + 2 * SETTLE_S
     return support.run_async(
-        lambda: _play(seed, seconds, folder, kinds), limit_s
+        lambda: _play(seed, seconds, folder, kinds, entries), limit_s
     )
 
 
@@ -55,8 +57,9 @@
     seconds: float,
     folder: pathlib.Path,
     kinds: dict[str, faults.Inject],
+    entries: int,
 ) -> Outcome:
-    there = world.World(folder)
+    there = world.World(folder, entries)
     promises = load.Promises()
     people = load.Load(there, random.Random(f"load {seed}"), promises)
     rng = random.Random(f"faults {seed}")
