Show that a direct poll asks the avoided leader first

No test of the entry showed it: the fake client ignored the argument, and all tests passed without the line.

The fake client records the argument now, and two tests are added: the avoided leader is asked first, whatever the client presumes meanwhile, until a leader has answered; and it stays the avoided one while the client presumes none.

The code is not changed.

--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -50,6 +50,7 @@
         self.probed: typing.Any = SILENT
         self.calls: list[tuple[base.InstanceId | None, str]] = []
         self.requests: list[_messages.SyncRequest] = []
+        self.asked_first: list[base.InstanceId | None] = []
 
     async def call(
         self,
@@ -58,8 +59,9 @@
         *rest: float,
         first: base.InstanceId | None = None,
     ) -> typing.Any:
-        del rest, first
+        del rest
         self.calls.append((None, method))
+        self.asked_first.append(first)
         self.requests.append(message)
         return self.direct
 
@@ -186,6 +188,44 @@
         self.poll()
         self.assertEqual(self.number, 8)
 
+    def test_direct_poll_asks_the_avoided_leader_first(self) -> None:
+        """Guards against waiting for stores whose connections fell silent.
+
+        After a poll without an answer the client has no leader and would ask
+        any store, but the connection to the leader is the one made anew.
+        """
+        for name, presumed in (
+            ("the client forgot the leader", None),
+            ("the client was told of another store", RELAY),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.assertFalse(self.poll())
+                self.stores.leader = presumed
+                self.assertFalse(self.poll())
+                self.stores.direct = result.Success(make_answer(7))
+                self.assertTrue(self.poll())
+                self.assertTrue(self.poll())
+                direct, relayed = _messages.SYNC, _messages.RELAY_SYNC
+                methods = [method for _, method in self.stores.calls]
+                self.assertEqual(methods, [direct, relayed, direct, direct])
+                # Once a leader has answered, none is avoided.
+                self.assertEqual(self.stores.asked_first, [None, LEADER, None])
+
+    def test_leader_is_avoided_until_another_one_is_presumed(self) -> None:
+        """Guards against forgetting which leader to ask first."""
+        for name, presumed, expected in (
+            ("none", None, [None, LEADER, LEADER]),
+            ("another store", RELAY, [None, LEADER, RELAY]),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.poll()
+                self.stores.leader = presumed
+                for _ in range(4):
+                    self.assertFalse(self.poll())
+                self.assertEqual(self.stores.asked_first, expected)
+
     def test_document_is_applied_whatever_follows_in_the_answer(self) -> None:
         """Guards against an answer that fails after its document each time."""
 
