Let the test of relayed polls fail without the change that it is for

The client follows the frozen store now, so that the call to it has all of its time, and the test asserts that. An own call beside it shows that such a call does blame.

The code is not changed.

--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -153,16 +153,27 @@
 
     def test_relayed_call_blames_no_store(self) -> None:
         """Guards against entries that keep a store from its leader."""
-        running = defer.ensureDeferred(
-            self.client.call_raw("method", b"", 0.8, 0.8, is_relayed=True)
-        )
-        while not running.called:
-            self.clock.advance(STEP_S)
-        self.stores.is_silent = False
-        self.stores.called_stores.clear()
-        answered, _ = self.call(limit_s=0.8)
-        self.assertTrue(answered)
-        self.assertEqual(self.stores.called_stores, [FROZEN])
+        for name, is_relayed, asked_next in (
+            ("own call", False, FOLLOWER),
+            ("relayed call", True, FROZEN),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.client.follow_leader(FROZEN)
+                running = defer.ensureDeferred(
+                    self.client.call_raw(
+                        "method", b"", 0.8, 0.8, is_relayed=is_relayed
+                    )
+                )
+                while not running.called:
+                    self.clock.advance(STEP_S)
+                # The store is blamed only if it had all of the time.
+                self.assertEqual(self.stores.called_stores, [FROZEN])
+                self.stores.is_silent = False
+                self.stores.called_stores.clear()
+                answered, _ = self.call(limit_s=0.8)
+                self.assertTrue(answered)
+                self.assertEqual(self.stores.called_stores[0], asked_next)
 
     def test_error_has_the_last_reply_of_each_store(self) -> None:
         running = defer.ensureDeferred(
