Share what tests of processes and of a whole deployment do alike

Seen: `run_scenario`, the sending of a request, the caller's headers, the work that may be cancelled, and the body of a batch job stood in `deployment.py` and again in `machines.py` or `test_endless_answers.py`.

Change: `deployment.run_against` runs a scenario against any system and stops it, `deployment.call` sends a request, `run_until_cancelled` starts work; the document and the job of the endless answers are made from those of the deployment. A deployment whose start fails is stopped now, too.

Evidence: the document and the jobs are equal to those of before (compared as objects); assertions are unchanged. `open_body` is gone, which nothing else used.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -1,6 +1,7 @@
 """Runs a complete deployment on loopback, with fake endpoints."""
 
 import base64
+import io
 import itertools
 import json
 import os
@@ -202,20 +203,7 @@
         **headers: str,
     ) -> Reply:
         """Sends a request on a new connection."""
-        agent = mesh.ip_agent(self.reactor)
-        request_headers = http_headers.Headers()
-        for name, value in headers.items():
-            request_headers.addRawHeader(name.replace("_", "-"), value)
-        producer = client.FileBodyProducer(open_body(body)) if body else None
-        resp: iweb.IResponse = await agent.request(
-            method.encode(), url.encode(), request_headers, producer
-        )
-        response_body = await mesh.read_body(resp)
-        response_headers = {
-            name.decode().lower(): values[0].decode()
-            for name, values in resp.headers.getAllRawHeaders()
-        }
-        return Reply(resp.code, response_headers, response_body)
+        return await call(self.reactor, method, url, body, **headers)
 
     async def call_store(
         self, method: str, path: str, document: typing.Any, store: int = 1
@@ -237,12 +225,8 @@
         **headers: str,
     ) -> Reply:
         """Calls an entry with the API key of `account-1`."""
-        default_headers = {
-            "host": "host.example",
-            "authorization": "Token key-1",
-        }
         url = f"http://127.0.2.{entry}:{self.front_port}{path}"
-        return await self.call(method, url, body, **(default_headers | headers))
+        return await self.call(method, url, body, **(CALLER_HEADERS | headers))
 
     async def announce(
         self,
@@ -294,11 +278,40 @@
         )
 
 
-def open_body(body: bytes) -> typing.Any:
-    import io
-
-    return io.BytesIO(body)
-
+async def call(
+    reactor: typing.Any,
+    method: str,
+    url: str,
+    body: bytes = b"",
+    **headers: str,
+) -> Reply:
+    """Sends a request on a new connection.
+
+    Args:
+        reactor: Provides sockets and timers.
+        method: Method of the request.
+        url: Where to send it.
+        body: Its body; empty for none.
+        **headers: Its headers, with underscores for hyphens.
+    """
+    agent = mesh.ip_agent(reactor)
+    request_headers = http_headers.Headers()
+    for name, value in headers.items():
+        request_headers.addRawHeader(name.replace("_", "-"), value)
+    producer = client.FileBodyProducer(io.BytesIO(body)) if body else None
+    resp: iweb.IResponse = await agent.request(
+        method.encode(), url.encode(), request_headers, producer
+    )
+    response_body = await mesh.read_body(resp)
+    response_headers = {
+        name.decode().lower(): values[0].decode()
+        for name, values in resp.headers.getAllRawHeaders()
+    }
+    return Reply(resp.code, response_headers, response_body)
+
+
+CALLER_HEADERS = {"host": "host.example", "authorization": "Token key-1"}
+"""Headers of requests with the API key of `account-1`."""
 
 DOCUMENT: dict[str, typing.Any] = {
     "version": 3,
@@ -397,22 +410,59 @@
     ).encode()
 
 
-def run_scenario(
+class System(typing.Protocol):
+    """What a scenario runs against."""
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
+S = typing.TypeVar("S", bound=System)
+
+
+def run_against(
+    make_system: typing.Callable[[], S],
     scenario: typing.Callable[
-        [Deployment], typing.Coroutine[typing.Any, typing.Any, None]
+        [S], typing.Coroutine[typing.Any, typing.Any, None]
     ],
+    limit_s: float = support.TEST_LIMIT_S,
 ) -> None:
-    """Runs a scenario against a new deployment."""
+    """Runs a scenario against a new system, and stops it.
+
+    Args:
+        make_system: Makes the system.
+        scenario: What to run.
+        limit_s: Seconds after which the test fails.
+    """
 
     async def run() -> None:
-        deployment = Deployment()
-        await deployment.start()
+        system = make_system()
         try:
-            await scenario(deployment)
+            await system.start()
+            await scenario(system)
         finally:
-            await deployment.stop()
+            await system.stop()
 
-    support.run_async(run)
+    support.run_async(run, limit_s)
+
+
+def run_scenario(
+    scenario: typing.Callable[
+        [Deployment], typing.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    """Runs a scenario against a new deployment."""
+    run_against(Deployment, scenario)
+
+
+def run_until_cancelled(
+    work: typing.Coroutine[typing.Any, typing.Any, None],
+) -> "defer.Deferred[None]":
+    """Starts work whose cancellation is no error."""
+    running = defer.ensureDeferred(work)
+    running.addErrback(lambda failure: failure.trap(defer.CancelledError))
+    return running
 
 
 def run_with_heartbeats(
@@ -424,10 +474,7 @@
 
     async def run(system: Deployment) -> None:
         await system.configure()
-        announcing = defer.ensureDeferred(system.keep_announcing())
-        announcing.addErrback(
-            lambda failure: failure.trap(defer.CancelledError)
-        )
+        announcing = run_until_cancelled(system.keep_announcing())
         try:
             await scenario(system)
         finally:
--- a/tests/platform/machines.py
+++ b/tests/platform/machines.py
@@ -8,11 +8,7 @@
 import typing
 
 import attrs
-import banyanbank_mesh as mesh
 from twisted.internet import task
-from twisted.web import client
-from twisted.web import http_headers
-from twisted.web import iweb
 
 from tests import support
 from tests.platform import deployment
@@ -125,35 +121,16 @@
         self, method: str, url: str, body: bytes = b"", **headers: str
     ) -> deployment.Reply:
         """Sends a request on a new connection."""
-        agent = mesh.ip_agent(self.reactor)
-        fields = http_headers.Headers()
-        for name, value in headers.items():
-            fields.addRawHeader(name.replace("_", "-"), value)
-        producer = (
-            client.FileBodyProducer(deployment.open_body(body))
-            if body
-            else None
-        )
-        resp: iweb.IResponse = await agent.request(
-            method.encode(), url.encode(), fields, producer
-        )
-        content = await mesh.read_body(resp)
-        found = {
-            name.decode().lower(): values[0].decode()
-            for name, values in resp.headers.getAllRawHeaders()
-        }
-        return deployment.Reply(resp.code, found, content)
+        return await deployment.call(self.reactor, method, url, body, **headers)
 
     async def call_front(
         self, method: str, path: str, body: bytes = b"", **headers: str
     ) -> deployment.Reply:
         """Calls the entry with the API key of `account-1`."""
         url = f"http://{self._net}.2:{self._front_port}{path}"
-        default_headers = {
-            "host": "host.example",
-            "authorization": "Token key-1",
-        }
-        return await self.call(method, url, body, **(default_headers | headers))
+        return await self.call(
+            method, url, body, **(deployment.CALLER_HEADERS | headers)
+        )
 
     async def call_store(
         self, method: str, path: str, document: typing.Any
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -4,7 +4,6 @@
 is exhausted, which ends the requests of other callers with it.
 """
 
-import base64
 import collections
 import json
 import pathlib
@@ -36,16 +35,17 @@
 
 
 def _make_route(name: str, **fields: typing.Any) -> dict[str, typing.Any]:
-    return {
-        "name": name,
-        "host": "host.example",
-        "path-prefix": f"/{name}/",
-        "type": "idempotent",
-        "timeout-ms": 4000,
-        "target-latency-ms": 200,
-        "service": name,
-        "max-attempts": 1,
-    } | fields
+    return (
+        deployment.DOCUMENT["routes"][0]
+        | {
+            "name": name,
+            "path-prefix": f"/{name}/",
+            "timeout-ms": 4000,
+            "service": name,
+            "max-attempts": 1,
+        }
+        | fields
+    )
 
 
 DOCUMENT = deployment.DOCUMENT | {
@@ -92,13 +92,13 @@
         cloud: Server that can stand for the platform's API.
 
     Args:
-        folder: For settings, data and logs.
         is_cloud_flooding: Whether the platform's API floods.
     """
 
-    def __init__(self, folder: str, is_cloud_flooding: bool = False) -> None:
+    def __init__(self, is_cloud_flooding: bool = False) -> None:
         from twisted.internet import reactor
 
+        self._folder = tempfile.TemporaryDirectory()
         ports = support.free_ports(5)
         self.api = fakes.PlatformApi(reactor, HOST, ports[0])
         self.flood = floods.FloodServer(reactor, HOST, ports[1])
@@ -106,10 +106,9 @@
         self.engine = floods.FloodServer(reactor, HOST, ports[4])
         self.cloud = floods.FloodServer(reactor, HOST, ports[3])
         self.machines = machines.Machines(
-            pathlib.Path(folder),
+            pathlib.Path(self._folder.name),
             self.cloud.address if is_cloud_flooding else self.api.address,
         )
-
         self._announcing: defer.Deferred[typing.Any] | None = None
 
     async def start(self) -> None:
@@ -120,12 +119,9 @@
             "sound": self.sound.address,
         }
         await self.machines.configure(DOCUMENT, services)
-        self._announcing = defer.ensureDeferred(
+        self._announcing = deployment.run_until_cancelled(
             self.machines.keep_announcing(services)
         )
-        self._announcing.addErrback(
-            lambda failure: failure.trap(defer.CancelledError)
-        )
 
     async def stop(self) -> None:
         """Ends everything that was started."""
@@ -140,6 +136,7 @@
             self.cloud,
         ):
             await server.stop()
+        self._folder.cleanup()
 
     async def flood_requests(
         self, body: bytes = b""
@@ -197,17 +194,9 @@
     is_cloud_flooding: bool = False,
 ) -> None:
     """Runs a scenario against new machines."""
-
-    async def run() -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            world = World(folder, is_cloud_flooding)
-            try:
-                await world.start()
-                await scenario(world)
-            finally:
-                await world.stop()
-
-    support.run_async(run, SCENARIO_S)
+    deployment.run_against(
+        lambda: World(is_cloud_flooding), scenario, SCENARIO_S
+    )
 
 
 class ForwardedRequestTest(unittest.TestCase):
@@ -367,27 +356,12 @@
 
 
 def make_job(items: int, min_version: int = 1) -> bytes:
-    """Returns the body of a batch job without scorers."""
-    prompt = base64.b64encode(b"prompt").decode()
-    return json.dumps(
-        {
-            "step": 0,
-            "model": "model",
-            "min-version": min_version,
-            "desired-count": 1,
-            "requests": [
-                {
-                    "id": f"item-{number}",
-                    "path": f"/jobs/x/{number}",
-                    "headers": {"X-Banyanbank-Model": "model"},
-                    "body": prompt,
-                    "tokens": 100,
-                    "group": f"g{number}",
-                }
-                for number in range(items)
-            ],
-        }
-    ).encode()
+    """Returns the body of a batch job without scorers, each item a group."""
+    job = json.loads(deployment.make_job(items, min_version))
+    for number, item in enumerate(job["requests"]):
+        del item["scorer"]
+        item["group"] = f"g{number}"
+    return json.dumps(job).encode()
 
 
 if __name__ == "__main__":
