Join what tests of lives and silent links prepare alike

Seen: three tests of `LifeTest` started the later life of an instance in the same lines, one of them new; four replaced the same constants of times.

Change: `_start_later_life`, which also checks the answer (only one test did), and `_patch_times`. Assertions are unchanged otherwise.

Tried and taken back: one handler that never answers, in place of three. With a wait of its own for each call `test_no_answer` fails: the call that waits while its peer stops is answered "stopped", not disconnected. It passes because both of its calls wait for one Deferred, of which only the first can be cancelled. Either error says that the call may have run, so nothing but the name differs; the test stays as it was.

--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -1,6 +1,8 @@
 """Tests of messages and calls between instances."""
 
 import asyncio
+import collections.abc
+import contextlib
 import time
 import typing
 import unittest
@@ -52,6 +54,23 @@
     return pinged
 
 
+@contextlib.contextmanager
+def _patch_times(
+    ping_period_s: float,
+    ping_limit_s: float = _sockets.PING_LIMIT_S,
+    silence_s: float = _link.SILENCE_S,
+    probe_s: float = _link.PROBE_S,
+) -> collections.abc.Iterator[None]:
+    """Replaces the times after which a silent link is given up."""
+    with (
+        unittest.mock.patch.object(_sockets, "PING_PERIOD_S", ping_period_s),
+        unittest.mock.patch.object(_sockets, "PING_LIMIT_S", ping_limit_s),
+        unittest.mock.patch.object(_link, "SILENCE_S", silence_s),
+        unittest.mock.patch.object(_link, "PROBE_S", probe_s),
+    ):
+        yield
+
+
 async def echo(sender: base.InstanceId, data: bytes) -> bytes:
     return sender.encode() + b":" + data
 
@@ -197,6 +216,14 @@
 class LifeTest(mesh_support.MeshCase):
     """Restarts, moves and mistaken addresses of peers."""
 
+    async def _start_later_life(self, a: mesh.Mesh) -> mesh.Mesh:
+        """Starts a later life of `b`, and lets `a` hear of it."""
+        later = await self.start_mesh(B, incarnation=5)
+        later.set_peer(A, "127.0.0.1", a.port)
+        answer = await later.call(A, "echo", b"", self.soon())
+        self.assertEqual(answer, result.Success(b"b:"))
+        return later
+
     def test_restart_under_new_address(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             b.on_call("echo", echo)
@@ -236,9 +263,7 @@
             b.on_call("hang", hang)
             cut = a.call(B, "hang", b"", self.soon())
             await support.until(lambda: b.calls_running)
-            later = await self.start_mesh(B, incarnation=5)
-            later.set_peer(A, "127.0.0.1", a.port)
-            await later.call(A, "echo", b"", self.soon())
+            await self._start_later_life(a)
             self.expect_error(await cut, KIND.DISCONNECTED, MAY_HAVE_RUN)
 
         self.run_case(case)
@@ -246,9 +271,7 @@
     def test_older_life_after_the_newer_has_gone(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             a.on_call("echo", echo)
-            later = await self.start_mesh(B, incarnation=5)
-            later.set_peer(A, "127.0.0.1", a.port)
-            await later.call(A, "echo", b"", self.soon())
+            later = await self._start_later_life(a)
             await later.stop()
             answer = await b.call(A, "echo", b"", self.soon())
             self.expect_error(answer, KIND.UNREACHABLE, NOT_RUN)
@@ -260,9 +283,7 @@
 
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             a.on_call("echo", echo)
-            later = await self.start_mesh(B, incarnation=5)
-            later.set_peer(A, "127.0.0.1", a.port)
-            await later.call(A, "echo", b"", self.soon())
+            later = await self._start_later_life(a)
             await later.stop()
             began_at = time.monotonic()
             while time.monotonic() < began_at + IN_TOUCH_S:
@@ -310,10 +331,7 @@
             self.assertEqual(answer, result.Success(b"a:"))
             await between.stop()
 
-        with (
-            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 0.05),
-            unittest.mock.patch.object(_sockets, "PING_LIMIT_S", 0.1),
-        ):
+        with _patch_times(0.05, ping_limit_s=0.1):
             self.run_case(case)
 
     def test_link_that_fell_silent_is_replaced(self) -> None:
@@ -342,11 +360,7 @@
                         await support.next_turn(support.POLL_S)
             await between.stop()
 
-        with (
-            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 3600.0),
-            unittest.mock.patch.object(_link, "SILENCE_S", 0.05),
-            unittest.mock.patch.object(_link, "PROBE_S", 0.05),
-        ):
+        with _patch_times(3600.0, silence_s=0.05, probe_s=0.05):
             self.run_case(case)
 
     def test_slow_answer_over_a_sound_link(self) -> None:
@@ -364,11 +378,7 @@
             answered.callback(b"at last")
             self.assertEqual(await waiting, result.Success(b"at last"))
 
-        with (
-            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 3600.0),
-            unittest.mock.patch.object(_link, "SILENCE_S", 0.05),
-            unittest.mock.patch.object(_link, "PROBE_S", 5.0),
-        ):
+        with _patch_times(3600.0, silence_s=0.05, probe_s=5.0):
             self.run_case(case)
 
     def test_own_standstill_is_no_silence(self) -> None:
@@ -394,11 +404,7 @@
             answered.callback(b"at last")
             self.assertEqual(await waiting, result.Success(b"at last"))
 
-        with (
-            unittest.mock.patch.object(_sockets, "PING_PERIOD_S", 3600.0),
-            unittest.mock.patch.object(_link, "SILENCE_S", 0.05),
-            unittest.mock.patch.object(_link, "PROBE_S", 0.2),
-        ):
+        with _patch_times(3600.0, silence_s=0.05, probe_s=0.2):
             self.run_case(case)
 
     def test_source_host_tells_instances_apart(self) -> None:
