Deliver the answer of a booking that waits for its commit

Cause: a request whose whole answer is at the instance is ended like one that still runs. The caller is told that its fate is unknown, though it is known, and that the key may have been withdrawn, though it was valid when the request ran.

Change: once the endpoint's whole answer has been read, the request is not ended any more.

Evidence: `ServiceCallsTest.test_answer_waits_for_its_commit` fails before in both cases and passes after.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_active_requests.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_active_requests.py
@@ -32,6 +32,7 @@
             collections.defaultdict(set)
         )
         self._unsent: set[web.Exchange] = set()
+        self._answered: set[web.Exchange] = set()
         self._ended: set[web.Exchange] = set()
 
     def begin(
@@ -80,6 +81,14 @@
         """Notes that the same request may run for an earlier exchange."""
         self._unsent.discard(exchange)
 
+    def note_answered(self, exchange: web.Exchange) -> None:
+        """Notes that an endpoint's whole answer to a request is here.
+
+        The answer is delivered, though late: the request ran while its key was
+        valid.
+        """
+        self._answered.add(exchange)
+
     def note_not_run(self, exchange: web.Exchange) -> None:
         """Notes that no endpoint received any byte of a request so far."""
         self._unsent.add(exchange)
@@ -94,6 +103,7 @@
         if account:
             self._limits.release(account)
         self._unsent.discard(exchange)
+        self._answered.discard(exchange)
         self._ended.discard(exchange)
         exchanges = self._by_key[key_id]
         exchanges.discard(exchange)
@@ -123,7 +133,8 @@
     def _end_requests(
         self, key_id: base.KeyId, reason: base.RefusalReason, detail: str
     ) -> None:
-        for exchange in list(self._by_key.get(key_id, ())):
+        exchanges = self._by_key.get(key_id, set()) - self._answered
+        for exchange in exchanges:
             outcome = base.Outcome.MAY_HAVE_RUN
             if exchange in self._unsent:
                 outcome = base.Outcome.NOT_RUN
--- a/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_intents.py
@@ -65,6 +65,18 @@
         ...
 
 
+class IntentProgress(typing.Protocol):
+    """Is told how far a call has come."""
+
+    def note_earlier_run(self) -> None:
+        """Notes that an earlier run of the call is in progress."""
+        ...
+
+    def note_answered(self) -> None:
+        """Notes that the whole answer is here, and waits for its commit."""
+        ...
+
+
 Call = typing.TypeVar("Call", bound=IntentCall)
 Open = typing.Callable[
     [Call],
@@ -106,7 +118,7 @@
         self,
         call: Call,
         open_call: Open[Call],
-        on_earlier_run: typing.Callable[[], None],
+        progress: IntentProgress,
     ) -> Answer:
         """Runs a call, or returns the stored answer of its earlier run.
 
@@ -116,7 +128,7 @@
         Args:
             call: The call.
             open_call: Sends the call.
-            on_earlier_run: Called when an earlier run is in progress.
+            progress: Told how far the call has come.
         """
         if len(call.idempotency_key) > MAX_IDEMPOTENCY_KEY_CHARS:
             return _refuse_not_run(
@@ -132,10 +144,10 @@
                 return result.Failure(begun.failure())
             reply = begun.unwrap()
             if isinstance(reply, control.IntentBegun):
-                return await self._run_once(call, open_call)
+                return await self._run_once(call, open_call, progress)
             if not _is_in_progress(reply):
                 return _to_answer(reply)
-            on_earlier_run()
+            progress.note_earlier_run()
             if self._clock.now() + POLL_INTERVAL_S >= call.deadline:
                 break
             await task.deferLater(self._reactor, POLL_INTERVAL_S)
@@ -166,7 +178,9 @@
         # resends get "may have run" and do not run.
         return proposed.alt(lambda error: _refuse_uncommitted(error.detail))
 
-    async def _run_once(self, call: Call, open_call: Open[Call]) -> Answer:
+    async def _run_once(
+        self, call: Call, open_call: Open[Call], progress: IntentProgress
+    ) -> Answer:
         opened = await open_call(call)
         if isinstance(opened, result.Failure):
             refusal = opened.failure()
@@ -177,6 +191,7 @@
         body = await response.read_all(control.MAX_ANSWER_BYTES)
         if isinstance(body, result.Failure):
             return _refuse_may_have_run(body.failure().detail)
+        progress.note_answered()
         answer = StoredAnswer(response.status, response.headers, body.unwrap())
         await self._complete(call, answer)
         return result.Success(answer)
--- a/packages/daemon/src/banyanbank_daemon/_entry/_services.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_services.py
@@ -203,7 +203,7 @@
         run_result = await self._intents.run(
             call,
             lambda begun: self.open(begun, exchange),
-            lambda: self._active_requests.note_earlier_run(exchange),
+            _BookingProgress(self._active_requests, exchange),
         )
         if isinstance(run_result, result.Failure):
             exchange.refuse(run_result.failure())
@@ -314,6 +314,22 @@
         )
 
 
+@attrs.frozen
+class _BookingProgress:
+    """Notes how far a request that must not run twice has come."""
+
+    _active_requests: _active_requests.ActiveRequests
+    """Requests in flight at this instance."""
+    _exchange: web.Exchange
+    """The request and its response."""
+
+    def note_earlier_run(self) -> None:
+        self._active_requests.note_earlier_run(self._exchange)
+
+    def note_answered(self) -> None:
+        self._active_requests.note_answered(self._exchange)
+
+
 _NO_ACCOUNT = base.AccountId("")
 _NO_KEY = base.KeyId("")
 
--- a/tests/daemon/test_service_calls.py
+++ b/tests/daemon/test_service_calls.py
@@ -72,6 +72,7 @@
         self.has_started = False
         self.is_closed = False
         self.refusals: list[base.Refusal] = []
+        self.answers: list[tuple[int, bytes]] = []
         self._headers = {"idempotency-key": idempotency_key}
 
     def header(self, name: str) -> str:
@@ -80,6 +81,18 @@
     def header_items(self) -> list[tuple[str, str]]:
         return []
 
+    def start(self, status: int, headers: object) -> None:
+        del headers
+        self.has_started = True
+        self.answers.append((status, b""))
+
+    async def write(self, data: bytes) -> None:
+        status, before = self.answers.pop()
+        self.answers.append((status, before + data))
+
+    def finish(self) -> None:
+        self.is_closed = True
+
     def refuse(self, refusal: base.Refusal) -> None:
         if not self.has_started:
             self.has_started = self.is_closed = True
@@ -111,6 +124,7 @@
             base.InstanceId("i1"),
             base.Incarnation(1),
         )
+        usage = types.SimpleNamespace(count_call=lambda account: None)
         self.calls = _services.ServiceCalls(
             self.reactor,
             clock,
@@ -121,7 +135,7 @@
             dispatch.RetryPolicy(random.Random(1)),
             typing.cast(typing.Any, self.upstream),
             intents,
-            typing.cast(typing.Any, None),
+            typing.cast(typing.Any, usage),
             typing.cast(typing.Any, waits),
         )
 
@@ -245,3 +259,36 @@
         self.reactor.advance(_intents.POLL_INTERVAL_S)
         self.plane.replies[1].callback(result.Success(control.IntentBegun()))
         self.assertEqual(self.upstream.answers, [])
+
+    def test_answer_waits_for_its_commit(self) -> None:
+        """An answer that is here is delivered, though its commit is late.
+
+        Guards against a booking that ran, and is answered "may have run" since
+        the configuration becomes stale, or its key is withdrawn, before its
+        answer is committed.
+        """
+        for name, end in (
+            ("stale", self.active.end_keyed),
+            ("key", lambda: self.active.withdraw_key(KEY)),
+        ):
+            with self.subTest(name):
+                self.plane.replies.clear()
+                response = types.SimpleNamespace(
+                    status=200,
+                    headers=(),
+                    header=lambda name: "",
+                    read_all=lambda limit: defer.succeed(
+                        result.Success(b"whole")
+                    ),
+                )
+                self.upstream.scripted = [
+                    result.Success(typing.cast(typing.Any, response))
+                ]
+                exchange = self.begin("POST", "booking-1")
+                self.plane.replies[0].callback(
+                    result.Success(control.IntentBegun())
+                )
+                end()
+                self.plane.replies[1].callback(result.Success(None))
+                self.assertEqual(exchange.refusals, [])
+                self.assertEqual(exchange.answers, [(200, b"whole")])
