Suspend and restart processes in one place of the configuration faults

Seen: killing and starting a process stood eight times in `configuration_faults.py`, stopping it four times, the names of the stores six times, the type of what a draw returns five times.

Change: `_suspend`, `_restart`, `_store_names`, `Drawn`. Cases, their times, and the draws with their order are unchanged; between the end of a process and its start one turn of the loop passes where there was none.

--- a/tests/platform/configuration_faults.py
+++ b/tests/platform/configuration_faults.py
@@ -16,6 +16,29 @@
 """Injects a fault, given an entry and the leader, and returns when it is
 over."""
 
+PAST_MS = 60_000
+"""How far clocks are set back."""
+
+
+def _store_names(observer: configuration_observer.Observer) -> list[str]:
+    return [store.name for store in observer.there.stores]
+
+
+async def _suspend(member: world.Member, seconds: float) -> None:
+    member.signal(signal.SIGSTOP)
+    await support.next_turn(seconds)
+    member.signal(signal.SIGCONT)
+
+
+async def _restart(
+    member: world.Member, down_s: float = 0.0, ahead_ms: int = 0
+) -> None:
+    """Kills a process and starts it again, with its clock moved."""
+    member.kill()
+    await support.next_turn(down_s)
+    member.clock_ahead_ms += ahead_ms
+    member.start()
+
 
 def _cut_path(
     seconds: float,
@@ -57,7 +80,7 @@
         observer: configuration_observer.Observer, entry: str, leader: str
     ) -> None:
         del leader
-        stores = [store.name for store in observer.there.stores]
+        stores = _store_names(observer)
         observer.there.links.delay([entry], stores, one_way_s)
         await support.next_turn(seconds)
         observer.there.links.delay([entry], stores, 0.0)
@@ -97,7 +120,7 @@
         observer: configuration_observer.Observer, entry: str, leader: str
     ) -> None:
         links = observer.there.links
-        stores = [store.name for store in observer.there.stores]
+        stores = _store_names(observer)
         links.part([entry], stores)
         await support.next_turn(seconds)
         links.silence_between([entry], stores)
@@ -112,10 +135,7 @@
     ) -> None:
         del entry
         for _ in range(times):
-            store = observer.there.members[leader]
-            store.signal(signal.SIGSTOP)
-            await support.next_turn(stopped_s)
-            store.signal(signal.SIGCONT)
+            await _suspend(observer.there.members[leader], stopped_s)
             await support.next_turn(running_s)
             leader = observer.leader()
 
@@ -128,11 +148,7 @@
     ) -> None:
         del entry
         for _ in range(times):
-            store = observer.there.members[leader]
-            store.kill()
-            await support.next_turn(down_s)
-            store.clock_ahead_ms -= ahead_ms
-            store.start()
+            await _restart(observer.there.members[leader], down_s, ahead_ms)
             await support.next_turn(5.0)
             leader = observer.leader()
 
@@ -191,9 +207,7 @@
     ) -> None:
         near = _near_store(observer, entry)
         assert near.name != leader
-        near.signal(signal.SIGSTOP)
-        await support.next_turn(seconds)
-        near.signal(signal.SIGCONT)
+        await _suspend(near, seconds)
 
     return inject
 
@@ -231,10 +245,7 @@
     The leader knows the entry's newer life; the other stores may not.
     """
     del leader
-    member = observer.there.members[entry]
-    member.kill()
-    member.clock_ahead_ms -= 60_000
-    member.start()
+    await _restart(observer.there.members[entry], ahead_ms=-PAST_MS)
     await support.next_turn(10.0)
 
 
@@ -244,13 +255,10 @@
     """Lets a store lead whose newer life only the entries remember."""
     del entry
     past, other = [s for s in observer.there.stores if s.name != leader]
-    past.kill()
-    past.clock_ahead_ms -= 60_000
-    past.start()
+    await _restart(past, ahead_ms=-PAST_MS)
     for store in (other, observer.there.members[leader]):
         await support.next_turn(3.0)
-        store.kill()
-        store.start()
+        await _restart(store)
     await support.next_turn(3.0)
     for _ in range(4):
         leading = [
@@ -259,9 +267,7 @@
         if past in leading:
             break
         for store in leading:
-            store.kill()
-            await support.next_turn(2.0)
-            store.start()
+            await _restart(store, 2.0)
         await support.next_turn(3.0)
     await support.next_turn(8.0)
 
@@ -280,9 +286,7 @@
     """Restarts a follower with a clock set back, and lets it lead."""
     del entry
     [first, second] = [s for s in observer.there.stores if s.name != leader]
-    first.kill()
-    first.clock_ahead_ms -= 60_000
-    first.start()
+    await _restart(first, ahead_ms=-PAST_MS)
     await support.next_turn(4.0)
     links = observer.there.links
     links.part([leader], [first.name, second.name])
@@ -310,7 +314,7 @@
     "leader stopped for 3 s": _stop_leader(3.0, 3.0, 3),
     "leader killed": _kill_leader(0.1, 3),
     "leader killed for 2 s": _kill_leader(2.0, 3),
-    "leader killed, its clock set back": _kill_leader(0.1, 1, 60_000),
+    "leader killed, its clock set back": _kill_leader(0.1, 1, -PAST_MS),
     "entry restarted, its clock set back": _restart_entry_in_past,
     "store in the past leads": _let_store_in_past_lead,
     "documents of 3000 routes": _enlarge_documents,
@@ -332,16 +336,14 @@
 """Faults by name."""
 
 
-Draw = typing.Callable[
-    [configuration_observer.Observer],
-    tuple[str, list[str], typing.Coroutine[typing.Any, typing.Any, None]],
-]
-"""Draws a fault; returns what it is, whom it concerns, and its injection."""
+Drawn = tuple[str, list[str], typing.Coroutine[typing.Any, typing.Any, None]]
+"""What a fault is, whom it concerns, and its injection."""
+
+Draw = typing.Callable[[configuration_observer.Observer], Drawn]
+"""Draws a fault."""
 
 
-def _draw_path_fault(
-    observer: configuration_observer.Observer,
-) -> tuple[str, list[str], typing.Coroutine[typing.Any, typing.Any, None]]:
+def _draw_path_fault(observer: configuration_observer.Observer) -> Drawn:
     rng = observer.rng
     entry = rng.choice(observer.there.entries).name
     store = (
@@ -372,40 +374,30 @@
     return what, [entry], inject()
 
 
-def _draw_entry_fault(
-    observer: configuration_observer.Observer,
-) -> tuple[str, list[str], typing.Coroutine[typing.Any, typing.Any, None]]:
+def _draw_entry_fault(observer: configuration_observer.Observer) -> Drawn:
     rng = observer.rng
     entry = rng.choice(observer.there.entries)
     seconds = rng.uniform(0.3, 4.0)
-    stores = [store.name for store in observer.there.stores]
+    stores = _store_names(observer)
     kind = rng.choice(("stopped", "isolated", "silenced", "delayed"))
 
     async def inject() -> None:
         links = observer.there.links
         if kind == "silenced":
             links.silence_between([entry.name], stores)
-            return
-        if kind == "stopped":
-            entry.signal(signal.SIGSTOP)
+        elif kind == "stopped":
+            await _suspend(entry, seconds)
         elif kind == "isolated":
             links.part([entry.name], stores)
-        else:
-            links.delay([entry.name], stores, 0.3)
-        await support.next_turn(seconds)
-        if kind == "stopped":
-            entry.signal(signal.SIGCONT)
-        elif kind == "isolated":
+            await support.next_turn(seconds)
             links.heal_resending([entry.name], stores)
         else:
-            links.delay([entry.name], stores, 0.0)
+            await _delay_entry(0.3, seconds)(observer, entry.name, "")
 
     return f"{entry.name} {kind} {seconds:.2f} s", [entry.name], inject()
 
 
-def _draw_store_fault(
-    observer: configuration_observer.Observer,
-) -> tuple[str, list[str], typing.Coroutine[typing.Any, typing.Any, None]]:
+def _draw_store_fault(observer: configuration_observer.Observer) -> Drawn:
     rng = observer.rng
     store = (
         observer.there.members[observer.leader()]
@@ -423,13 +415,9 @@
         elif kind == "silenced":
             links.silence()
         elif kind == "stopped":
-            store.signal(signal.SIGSTOP)
-            await support.next_turn(seconds)
-            store.signal(signal.SIGCONT)
+            await _suspend(store, seconds)
         elif kind == "killed":
-            store.kill()
-            await support.next_turn(seconds)
-            store.start()
+            await _restart(store, seconds)
             await support.next_turn(3.0)
         else:
             links.part([store.name], others)
@@ -439,21 +427,15 @@
     return f"{store.name} {kind} {seconds:.2f} s", [store.name], inject()
 
 
-def _draw_silence(
-    observer: configuration_observer.Observer,
-) -> tuple[str, list[str], typing.Coroutine[typing.Any, typing.Any, None]]:
-    stores = [store.name for store in observer.there.stores]
-
+def _draw_silence(observer: configuration_observer.Observer) -> Drawn:
     async def inject() -> None:
         observer.there.links.silence()
 
-    return "all links silent", stores, inject()
+    return "all links silent", _store_names(observer), inject()
 
 
-def _draw_entry_silence(
-    observer: configuration_observer.Observer,
-) -> tuple[str, list[str], typing.Coroutine[typing.Any, typing.Any, None]]:
-    stores = [store.name for store in observer.there.stores]
+def _draw_entry_silence(observer: configuration_observer.Observer) -> Drawn:
+    stores = _store_names(observer)
     entries = [entry.name for entry in observer.there.entries]
 
     async def inject() -> None:
