Read the events of a process in one place

Seen: `configuration_observer.read_events` did what `world.Member.events` does, and the two tests of the age said nothing about what they guard against; their names say what happened at the operators.

Change: the observer reads events by the member; docstrings.

--- a/tests/platform/configuration_observer.py
+++ b/tests/platform/configuration_observer.py
@@ -282,7 +282,7 @@
         latest = 0.0
         host = ""
         for entry in self.there.entries:
-            for event in read_events(entry):
+            for event in entry.events():
                 if event["event"] == "endpoints.changed" and (
                     event["t"] > latest
                 ):
@@ -559,21 +559,10 @@
     return document
 
 
-def read_events(member: world.Member) -> list[dict[str, typing.Any]]:
-    """Returns what a process has logged."""
-    events = []
-    for line in (member.folder / "log.txt").read_text("utf-8").splitlines():
-        try:
-            events.append(json.loads(line))
-        except ValueError:
-            continue
-    return [event for event in events if isinstance(event, dict)]
-
-
 def leads(store: world.Member) -> bool:
     """Whether a store was elected and has not stepped down, by its log."""
     latest = ""
-    for event in read_events(store):
+    for event in store.events():
         if event["event"] in LEADERSHIP_EVENTS:
             latest = event["event"]
     return store.is_up and latest == "leader.elected"
--- a/tests/platform/test_configuration_age.py
+++ b/tests/platform/test_configuration_age.py
@@ -14,11 +14,13 @@
     def test_entry_cut_from_leader_runs_moved_route_at_old_service(
         self,
     ) -> None:
+        """Guards against an entry that only the leader tells of a change."""
         self._play("path to the leader silent")
 
     def test_entries_with_one_way_or_slow_path_act_on_old_configuration(
         self,
     ) -> None:
+        """Guards against the same with polls or answers that pass."""
         self._play("each path to the leader harmed")
 
     def _play(self, case: str) -> None:
