Wait in process tests until a refusal has the awaited reason

Seen: LeaderCutTest.test_both_ways and test_mute ended once each with KeyError: 'outcome', on answers of instances that were to refuse.

Cause: the tests. `check_closed` and `check_withdrawn` (and the same lines of test_withdrawn_key_through_failover) look up until an answer is not 200, whatever its reason, and then ask for "not run" in each further answer; a 200 has no outcome. After a change of leader instances refuse with 429, too: they have no share of the account's limit for a while. In a traced run of test_deaf (load 32) i3, i4 and i5 ended the loop with 429 "Too many requests are in flight"; whether the key was withdrawn there by the next lookup was left to chance. At a leader that is cut off the shares run out up to 0.5 s before its configuration is stale (3.0 s from a renewal each second, 2.5 s from a poll each 0.4 s).

Change: the loops end at the awaited reason alone, `configuration-stale` or `key-withdrawn`. An answer before it must be whole, say "not run", or come from a stale configuration; anything else fails, where it ended the loop before. What follows the loops is as strict as it was.

Ruled out: an answer from a relay or another instance (the callers speak to one instance directly), a refusal without its outcome (each of 4,275 traced answers 429 or 503 had one).

The logs of the red runs were not kept, so their own reason is not known.

--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -306,6 +306,23 @@
     return answer.document.get("outcome") == NOT_RUN
 
 
+async def until_refused(caller: fakes.Caller, path: str, reason: str) -> None:
+    """Looks up until it is refused for a reason, such as `key-withdrawn`.
+
+    Until then each answer is whole, or a refusal as not run or for a stale
+    configuration: after a change of leader, an instance may have no share of
+    the account's limit or no fresh configuration for a while.
+    """
+    while True:
+        answer = await caller.call("GET", path)
+        if answer.status != OK:
+            kind = answer.document["type"].rpartition(":")[2]
+            if kind == reason:
+                return
+            assert kind == "configuration-stale" or _is_not_run(answer), answer
+        await support.next_turn(0.02)
+
+
 async def read_status(operator: fakes.Caller) -> dict[str, typing.Any]:
     try:
         path = "/operator/status?scope=instance"
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -65,8 +65,9 @@
                 if name != leader
             ]
             for caller in callers:
-                while (await caller.call("GET", "/lookup/1")).status == OK:
-                    await support.next_turn(0.02)
+                await cluster.until_refused(
+                    caller, "/lookup/1", "key-withdrawn"
+                )
             # Once refused, it never works again, whoever is asked.
             runs = len(world.service.runs)
             for caller in callers * 3:
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -100,8 +100,9 @@
     async def check_closed(self, world: worlds.World, name: str) -> None:
         """Checks that a cut-off instance serves open routes only."""
         keyed = world.cluster.caller(name, world.secrets["rheintal"])
-        while (await keyed.call("GET", "/lookup/fresh")).status == OK:
-            await support.next_turn(0.05)
+        await cluster.until_refused(
+            keyed, "/lookup/fresh", "configuration-stale"
+        )
         for method, path in (
             ("GET", "/lookup/closed"),
             ("POST", "/refill/closed"),
@@ -126,8 +127,9 @@
         """Checks that a key stops working and then never works again."""
         callers = [world.cluster.caller(name, secret) for name in names]
         for caller in callers:
-            while (await caller.call("GET", "/lookup/withdrawn")).status == OK:
-                await support.next_turn(0.02)
+            await cluster.until_refused(
+                caller, "/lookup/withdrawn", "key-withdrawn"
+            )
         count = _count(world, "/lookup/withdrawn")
         for caller in callers * 2:
             answer = await caller.call("GET", "/lookup/withdrawn")
