Read what has arrived before requests end for a stale configuration

Seen in a trial that stops and restarts instances (load 36 on 8 cores): i1, which the trial did not touch, answered four lookups with 503 configuration-stale, "may have run". The test process had not been held up.

Timeline (trace of i1): it gets no CPU for 2.4 s; 0.1 s of work, in which the four lookups are sent; again none for 1.0 s. Its next poll is due at once, finds the configuration stale by 0.914 s and ends the four. In the next 0.1 s it reads the whole answers of all four endpoints and the answers to its polls, after which the configuration is fresh for 2.3 s.

Cause: an instance that was held up decides by its clock before it has read what came meanwhile: the time past freshness is meant to be one in which polls were not answered. DEVELOPERS.md: answers that are ready are delivered, also late.

Change: requests end only when the instance has seen the configuration to be stale for 0.3 s, too, less than the time between two polls. Where the loop runs, they end at the same poll as before, 0.5 to 0.9 s past freshness; new requests are refused or wait from the deadline on, as before. After a hold-up a request of a key that was withdrawn meanwhile lasts up to 0.7 s longer.

Ruled out: a late answer of the endpoint (all four were there), the test process.

--- a/packages/daemon/src/banyanbank_daemon/_sync/_client.py
+++ b/packages/daemon/src/banyanbank_daemon/_sync/_client.py
@@ -16,6 +16,12 @@
 CALL_S = 1.0
 STALE_GRACE_S = 0.5
 """Time past freshness at which keyed requests in progress end."""
+STALE_SEEN_S = 0.3
+"""Time for which the configuration has been seen to be stale before they end.
+
+An instance that was held up reads meanwhile what has arrived: answers to its
+polls, and answers to be delivered.
+"""
 
 Reply = control.SyncReply | control.SyncRefused | None
 
@@ -78,6 +84,7 @@
         self._plane = plane
         self._entry = entry
         self._listener = listener
+        self._stale_since: float | None = None
         self._loop = task.LoopingCall(self._poll)
         self._loop.clock = reactor
 
@@ -108,7 +115,7 @@
 
     async def _exchange(self) -> None:
         now = self._clock.now()
-        if now > self._entry.freshness.deadline + STALE_GRACE_S:
+        if self._is_surely_stale(now):
             self._listener.config_stale()
         req = self._entry.request(now)
         reply = await self._ask(req)
@@ -122,6 +129,16 @@
         self._note_peers()
         self._listener.endpoints_changed()
 
+    def _is_surely_stale(self, now: float) -> bool:
+        deadline = self._entry.freshness.deadline
+        if now <= deadline:
+            self._stale_since = None
+            return False
+        if self._stale_since is None:
+            self._stale_since = now
+        has_been_seen = now >= self._stale_since + STALE_SEEN_S
+        return has_been_seen and now > deadline + STALE_GRACE_S
+
     async def _ask(self, req: control.SyncRequest) -> Reply:
         asked = await self._leader.ask(req)
         if isinstance(asked, result.Failure):
