--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -17,6 +17,8 @@
 
 OK = 200
 BEAT_S = 0.05
+HOLD_UP_S = 0.1
+"""Lateness of a beat from which on this process counts as held up."""
 LIMIT_S = 120.0
 SIZE = 8
 SHEET = _demo_world.sheet()
@@ -136,8 +138,8 @@
     @property
     def total_s(self) -> float:
         """Seconds so far, those of a hold-up that ends now included."""
-        late_s = self._reactor.seconds() - self._beat_at - BEAT_S
-        return self._total_s + max(0.0, float(late_s))
+        late_s = float(self._reactor.seconds() - self._beat_at - BEAT_S)
+        return self._total_s + (late_s if late_s >= HOLD_UP_S else 0.0)
 
     def _beat(self) -> None:
         self._total_s = self.total_s
