Fail at once when an instance of a process test has ended by itself

Seen: an instance that had ended at its start, such as for a port in use, was waited for until the time limit of the test; its log was not shown. Change: the waits look whether it runs, and fail with the end of its log.

--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -24,6 +24,7 @@
 SERVICE_UNAVAILABLE = 503
 TOO_MANY_REQUESTS = 429
 OK = 200
+LOG_END_CHARS = 2_000
 
 
 @attrs.define
@@ -59,6 +60,12 @@
     def has_ended(self) -> bool:
         return self.running is None or self.running.poll() is not None
 
+    def check_running(self) -> None:
+        """Fails with the end of the log if the process has ended."""
+        if self.has_ended:
+            log = self.log.read_text(errors="replace")[-LOG_END_CHARS:]
+            raise AssertionError(f"{self.name} has ended: {log}")
+
 
 class Cluster:
     """Instances on 127.0.0.x, the first ones with data folders.
@@ -177,6 +184,7 @@
         for name in names:
             operator = self.operator(name)
             while not (await read_status(operator)).get("fresh"):
+                self.processes[name].check_running()
                 await support.next_turn(0.05)
 
     async def leader(self, besides: str = "") -> str:
@@ -231,6 +239,7 @@
         for name in names:
             operator = self.operator(name)
             while (await read_status(operator)).get("revision", 0) < revision:
+                self.processes[name].check_running()
                 await support.next_turn(0.02)
 
     async def until_serving(self, *endpoints: str) -> None:
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -4,6 +4,7 @@
 import signal
 
 import banyanbank_fakes as fakes
+from twisted.internet import defer
 
 from tests import support
 from tests.processes import cluster
@@ -158,13 +159,9 @@
         async def story(world: worlds.World) -> None:
             load = world.load()
             for name in world.cluster.processes:
-                process = world.cluster.processes[name]
-                process.signal(signal.SIGTERM)
-                await support.until(lambda process=process: process.has_ended)
-                assert process.running is not None
-                self.assertEqual(process.running.returncode, 0, name)
-                process.start()
-                await world.cluster.until_fresh(name)
+                restarting = defer.ensureDeferred(self.restart(world, name))
+                reactor = world.service.reactor
+                await restarting.addTimeout(support.TEST_LIMIT_S, reactor)
             await load.stop()
             self.assertEqual(load.failed, [])
             self.assertGreater(load.lookups, 100)
@@ -174,6 +171,16 @@
 
         self.play(story)
 
+    async def restart(self, world: worlds.World, name: str) -> None:
+        """Restarts an instance gracefully; waits until it serves."""
+        process = world.cluster.processes[name]
+        process.signal(signal.SIGTERM)
+        await support.until(lambda: process.has_ended)
+        assert process.running is not None
+        self.assertEqual(process.running.returncode, 0, name)
+        process.start()
+        await world.cluster.until_fresh(name)
+
     def test_step_survives_leader_killed(self) -> None:
         async def story(world: worlds.World) -> None:
             for engine in world.engines:
