Take a change of voters for made whose answer was lost

Seen: RepairTest.test_leader_lost_after_repair did not end within its time limit, once, on an otherwise idle machine; its logs were not kept.

Cause of such an end, in the test: `replace` repeats each change of voters until it is answered 200. A change that is committed, but whose answer is lost (a leader that loses its lease, or a call that ends, as one voter has just been killed) is answered 409 "Instance i4 is a member already" (or "is no member") from then on, so the story runs to its limit.

Change: after another answer than 200 the test looks whether the change has been made. That the voters are as wanted is checked at the end as before.

Ruled out: a member that never becomes a voter (checked by the same last loop).

--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -351,6 +351,9 @@
             operator = world.cluster.operator(await world.cluster.leader())
             path = f"/operator/voters/{name}/{verb}"
             while (await operator.call("POST", path)).status != OK:
+                # A change whose answer was lost is refused when repeated.
+                if _is_changed(await cluster.read_status(operator), name, verb):
+                    break
                 await support.next_turn(0.1)
         leader = world.cluster.operator(await world.cluster.leader())
         while True:
@@ -361,5 +364,13 @@
             await support.next_turn(0.05)
 
 
+def _is_changed(status: dict[str, typing.Any], name: str, verb: str) -> bool:
+    control = status.get("control")
+    if not control:
+        return False
+    is_member = name in (*control["voters"], *control["learners"])
+    return is_member == (verb == "add")
+
+
 def _count(world: worlds.World, path: str) -> int:
     return sum(run.path == path for run in world.service.runs)
