End all instances of a process test that passed its time limit

Seen: after three trials of process tests that ended at their time limit, 8, 7 and 8 instances of them still ran, up to 15 minutes later, polling each other and holding their ports; they load the machine for the tests that follow.

Cause: once the limit has passed, the loop ends at the first wait of the clean-up. `Cluster.stop` closed callers, which waits, before it killed the processes.

Change: the processes are killed first.

Evidence: a story that waits for ever with a limit of 45 s leaves no process (1 of 1); before, see above.

--- a/tests/processes/cluster.py
+++ b/tests/processes/cluster.py
@@ -254,11 +254,12 @@
                 await support.next_turn(0.05)
 
     async def stop(self) -> None:
-        for caller in self._callers:
-            await caller.close()
+        # After a passed time limit nothing is waited for any more.
         for process in self.processes.values():
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
+        for caller in self._callers:
+            await caller.close()
         await self.links.stop()
 
     def wipe(self, name: str) -> None:
