Keep the stand-in that sends endless answers with the platform's tests

Only the place and two imports change: tests.web.test_endless (1 test) and ForwardedRequestTest (4 tests) pass.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -13,10 +13,10 @@
 
 from twisted.internet import defer
 
-from tests import floods
 from tests import support
 from tests.platform import deployment
 from tests.platform import fakes
+from tests.platform import floods
 from tests.platform import machines
 
 HOST = "127.0.0.1"
--- a/tests/web/test_endless.py
+++ b/tests/web/test_endless.py
@@ -7,8 +7,8 @@
 import banyanbank_web as web
 from returns import result
 
-from tests import floods
 from tests import support
+from tests.platform import floods
 
 LIMIT_S = 20.0
 MAX_BODY = 64 * 1024
