Keep evacuated failure domains in the replicated ledger

Operators order that nothing be sent to the endpoints of a failure domain. The ledger gets the commands EvacuateDomain and ReadmitDomain and holds the evacuated domains, a revision and the time of each readmission.

The messages between entries and stores carry the state; nothing acts on it yet.

--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -12,6 +12,7 @@
 from banyanbank_jobs._commands import COMMAND_CODEC
 from banyanbank_jobs._commands import DeclareDocument
 from banyanbank_jobs._commands import EndJob
+from banyanbank_jobs._commands import EvacuateDomain
 from banyanbank_jobs._commands import ForgetJobs
 from banyanbank_jobs._commands import FreezeWindow
 from banyanbank_jobs._commands import Frozen
@@ -20,12 +21,14 @@
 from banyanbank_jobs._commands import MarkReported
 from banyanbank_jobs._commands import NameVersion
 from banyanbank_jobs._commands import NotFound
+from banyanbank_jobs._commands import ReadmitDomain
 from banyanbank_jobs._commands import Reply
 from banyanbank_jobs._commands import REPLY_CODEC
 from banyanbank_jobs._commands import RetireInstance
 from banyanbank_jobs._commands import Undecodable
 from banyanbank_jobs._engines import EngineHealth
 from banyanbank_jobs._engines import EngineView
+from banyanbank_jobs._evacuations import Evacuations
 from banyanbank_jobs._event_stream import EventStreamError
 from banyanbank_jobs._event_stream import EventStreamReader
 from banyanbank_jobs._event_stream import ItemText
@@ -80,6 +83,8 @@
     "EndJob",
     "EngineHealth",
     "EngineView",
+    "EvacuateDomain",
+    "Evacuations",
     "EventStreamError",
     "EventStreamReader",
     "ForgetJobs",
@@ -102,6 +107,7 @@
     "NameVersion",
     "NotFound",
     "Placement",
+    "ReadmitDomain",
     "Reply",
     "RetireInstance",
     "Scheduler",
--- a/packages/jobs/src/banyanbank_jobs/_commands.py
+++ b/packages/jobs/src/banyanbank_jobs/_commands.py
@@ -101,6 +101,24 @@
     """The instance."""
 
 
+@attrs.frozen
+class EvacuateDomain:
+    """Orders that nothing be sent to the endpoints of a failure domain."""
+
+    domain: base.FailureDomain
+    """The failure domain."""
+
+
+@attrs.frozen
+class ReadmitDomain:
+    """Withdraws the order to evacuate a failure domain."""
+
+    domain: base.FailureDomain
+    """The failure domain."""
+    readmitted_at: float
+    """Unix time of the readmission, as the leader knows it."""
+
+
 @attrs.frozen
 class Applied:
     """The command has been applied."""
@@ -138,6 +156,8 @@
     | FreezeWindow
     | MarkReported
     | RetireInstance
+    | EvacuateDomain
+    | ReadmitDomain
 )
 """Commands that the log of a store may contain."""
 
@@ -155,6 +175,8 @@
     FreezeWindow,
     MarkReported,
     RetireInstance,
+    EvacuateDomain,
+    ReadmitDomain,
 )
 """Encoding of commands in the log."""
 
--- a/packages/jobs/src/banyanbank_jobs/_ledger.py
+++ b/packages/jobs/src/banyanbank_jobs/_ledger.py
@@ -1,4 +1,4 @@
-"""Replicated state machine: documents, versions, batch jobs and usage."""
+"""Replicated state machine: documents, versions, jobs, usage, evacuations."""
 
 import collections.abc
 import typing
@@ -7,6 +7,7 @@
 import banyanbank_base as base
 
 from banyanbank_jobs import _commands
+from banyanbank_jobs import _evacuations
 from banyanbank_jobs import _records
 
 
@@ -65,9 +66,15 @@
     windows: dict[int, dict[base.AccountId, int]]
     reported: tuple[int, ...]
     retired: tuple[base.InstanceId, ...]
+    evacuations: _evacuations.Evacuations = attrs.Factory(
+        _evacuations.Evacuations
+    )
 
 
-_SNAPSHOT_CODEC: base.Codec[_Snapshot] = base.Codec(_Snapshot)
+# A snapshot without evacuations can be read by an earlier release.
+_SNAPSHOT_CODEC: base.Codec[_Snapshot] = base.Codec(
+    _Snapshot, sparse=(_Snapshot,)
+)
 _RECORD_CODEC: base.Codec[_JobRecord] = base.Codec(_JobRecord)
 
 Observer = collections.abc.Callable[[_commands.Command], None]
@@ -90,6 +97,7 @@
         windows: Final counts of usage windows.
         reported: Windows whose report the platform accepted.
         retired: Instances to be removed from the log's members, or removed.
+        evacuations: Failure domains to whose endpoints nothing is sent.
         on_committed: Called with each command whose reply is `Applied` with
             `is_new`; not part of the state.
     """
@@ -121,6 +129,7 @@
                 windows=self.windows,
                 reported=tuple(sorted(self.reported)),
                 retired=tuple(sorted(self.retired)),
+                evacuations=self.evacuations,
             )
         )
 
@@ -140,6 +149,7 @@
         self.windows.update(held.windows)
         self.reported.update(held.reported)
         self.retired.update(held.retired)
+        self.evacuations = held.evacuations
         for record, encoded in zip(records, held.jobs, strict=True):
             self.jobs[record.job.job] = JobState(
                 record.job,
@@ -165,6 +175,7 @@
         self.windows: dict[int, dict[base.AccountId, int]] = {}
         self.reported: set[int] = set()
         self.retired: set[base.InstanceId] = set()
+        self.evacuations = _evacuations.Evacuations()
         self._handlers: dict[type, typing.Callable[..., _commands.Reply]] = {
             _commands.DeclareDocument: self._declare,
             _commands.NameVersion: self._name_version,
@@ -176,6 +187,8 @@
             _commands.FreezeWindow: self._freeze,
             _commands.MarkReported: self._mark_reported,
             _commands.RetireInstance: self._retire,
+            _commands.EvacuateDomain: self._evacuate,
+            _commands.ReadmitDomain: self._readmit,
         }
 
     def _declare(self, cmd: _commands.DeclareDocument) -> _commands.Reply:
@@ -285,6 +298,21 @@
         self.retired.add(cmd.instance)
         return _commands.Applied(is_new)
 
+    def _evacuate(self, cmd: _commands.EvacuateDomain) -> _commands.Reply:
+        return self._replace_evacuations(self.evacuations.evacuate(cmd.domain))
+
+    def _readmit(self, cmd: _commands.ReadmitDomain) -> _commands.Reply:
+        return self._replace_evacuations(
+            self.evacuations.readmit(cmd.domain, cmd.readmitted_at)
+        )
+
+    def _replace_evacuations(
+        self, changed: _evacuations.Evacuations
+    ) -> _commands.Reply:
+        is_new = changed.revision != self.evacuations.revision
+        self.evacuations = changed
+        return _commands.Applied(is_new)
+
 
 def _encode_job(state: JobState) -> bytes:
     """Returns the encoding of a job for snapshots.
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -13,6 +13,7 @@
 ANNOUNCE = "store.announce"
 WITHDRAW = "store.withdraw"
 PROPOSE = "store.propose"
+ORDER_EVACUATION = "store.evacuation"
 READ_DOCUMENT = "store.document"
 READ_RESULTS = "store.results"
 READ_BODY = "store.body"
@@ -66,6 +67,8 @@
     answer_issued_at: float = 0.0
     """`SyncAnswer.issued_at` of the last answer that it received, likewise; 0
     for none."""
+    evacuation_revision: int = 0
+    """Revision of the evacuations that it received last."""
 
 
 @attrs.frozen
@@ -123,6 +126,8 @@
     issued_at: float = 0.0
     """When the leader made the answer, on its monotonic clock. The entry
     returns it with its next poll, which proves that the answer arrived."""
+    evacuations: jobs.Evacuations = attrs.Factory(jobs.Evacuations)
+    """Evacuated failure domains and their revision."""
 
 
 @attrs.frozen
@@ -138,29 +143,51 @@
 
 @attrs.frozen
 class AwaitEntries:
-    """Asks the leader whether the entries in contact have a document."""
+    """Asks the leader whether the entries in contact act on a change."""
 
     document_number: int
-    """Number of the document."""
+    """Number of the document; 0 to wait for no document."""
     wait_s: float
-    """Time for which the leader may hold the answer until they have it."""
+    """Time for which the leader may hold the answer until they do."""
+    evacuation_revision: int = 0
+    """Revision of the evacuations; 0 to wait for none."""
 
 
 @attrs.frozen
 class EntriesStatus:
-    """Entries in contact that may still act on an earlier document."""
+    """Entries in contact that may still act on an earlier state."""
 
     waiting_for: tuple[str, ...]
-    """Their names and incarnations; empty once all have the document."""
+    """Their names and incarnations; empty once all act on the change."""
     is_counting: bool
     """Whether the leader may not know all entries in contact yet."""
 
     @property
     def is_settled(self) -> bool:
-        """Whether no entry in contact acts on an earlier document."""
+        """Whether no entry in contact acts on an earlier state."""
         return not self.waiting_for and not self.is_counting
 
 
+@attrs.frozen
+class EvacuationOrder:
+    """Asks the leader to commit an operator's order."""
+
+    domain: base.FailureDomain
+    """The failure domain."""
+    is_evacuated: bool
+    """Whether to evacuate the domain; false to readmit it."""
+    is_configured: bool
+    """Whether the settings of the asking store name the domain."""
+
+
+@attrs.frozen
+class EvacuationState:
+    """Confirms that an order is committed."""
+
+    revision: int
+    """Revision of the evacuations that follows from it, or a later one."""
+
+
 @attrs.frozen
 class LimitsPart:
     """Rate limits that endpoints state, or no longer state."""
@@ -323,6 +350,8 @@
     RelayedSync,
     AwaitEntries,
     EntriesStatus,
+    EvacuationOrder,
+    EvacuationState,
     CondemnedPart,
     PermitRequest,
     PermitAnswer,
@@ -341,6 +370,6 @@
     Retire,
     TooFew,
     Retiring,
-    sparse=(SyncRequest, SyncAnswer),
+    sparse=(SyncRequest, SyncAnswer, AwaitEntries),
 )
 """Codec of all messages between entries and stores."""
--- a/tests/jobs/test_ledger.py
+++ b/tests/jobs/test_ledger.py
@@ -4,10 +4,21 @@
 
 import banyanbank_base as base
 import banyanbank_jobs as jobs
+from banyanbank_jobs import _evacuations
 from banyanbank_jobs import _ledger
 
 from tests.jobs import samples
 
+ZONE, OTHER_ZONE = map(base.FailureDomain, ("zone-a", "zone-b"))
+
+EARLIER_SNAPSHOT = bytes.fromhex(
+    "a76f646f63756d656e745f6e756d6265720368646f63756d656e74457468726565687665"
+    "7273696f6e73a1616d02646a6f6273806777696e646f7773a0687265706f727465648067"
+    "72657469726564816d31302e302e302e313a37303030"
+)
+"""Snapshot of a release without evacuations: document 3, version 2 of a model
+and a retired store."""
+
 NEW = jobs.Applied(is_new=True)
 OLD = jobs.Applied(is_new=False)
 
@@ -111,6 +122,65 @@
         self.apply(jobs.ForgetJobs(accepted_before=1.0))
         self.assertEqual(list(self.ledger.jobs), ["open"])
 
+    def test_evacuations(self) -> None:
+        """Guards against orders that are lost, or count twice if repeated."""
+        evacuate, readmit = jobs.EvacuateDomain, jobs.ReadmitDomain
+        for name, command, reply, expected in (
+            ("never evacuated", readmit(ZONE, 1.0), OLD, (0, (), {})),
+            ("first", evacuate(OTHER_ZONE), NEW, (1, (OTHER_ZONE,), {})),
+            ("repeated", evacuate(OTHER_ZONE), OLD, (1, (OTHER_ZONE,), {})),
+            ("second", evacuate(ZONE), NEW, (2, (ZONE, OTHER_ZONE), {})),
+            (
+                "withdrawn",
+                readmit(ZONE, 5.0),
+                NEW,
+                (3, (OTHER_ZONE,), {ZONE: 5.0}),
+            ),
+            (
+                "withdrawn again",
+                readmit(ZONE, 6.0),
+                OLD,
+                (3, (OTHER_ZONE,), {ZONE: 5.0}),
+            ),
+            (
+                "evacuated again",
+                evacuate(ZONE),
+                NEW,
+                (4, (ZONE, OTHER_ZONE), {}),
+            ),
+        ):
+            with self.subTest(name):
+                self.assertEqual(self.apply(command), reply)
+                self.assertEqual(
+                    self.ledger.evacuations, jobs.Evacuations(*expected)
+                )
+                restored = jobs.Ledger()
+                restored.restore(self.ledger.snapshot())
+                self.assertEqual(restored.evacuations, self.ledger.evacuations)
+                self.assertEqual(restored.snapshot(), self.ledger.snapshot())
+        self.assertEqual(len(self.seen), 4)
+        self.assertFalse(self.ledger.evacuations.permits(ZONE))
+
+    def test_remembered_readmissions_are_bounded(self) -> None:
+        """Guards against a snapshot that grows with each readmission."""
+        count = _evacuations.MAX_READMITTED + 1
+        for number in range(count):
+            domain = base.FailureDomain(f"zone-{number}")
+            self.apply(jobs.EvacuateDomain(domain))
+            self.apply(jobs.ReadmitDomain(domain, float(number)))
+        self.assertEqual(
+            list(self.ledger.evacuations.readmitted.values()),
+            [float(number) for number in range(1, count)],
+        )
+
+    def test_snapshot_of_an_earlier_release(self) -> None:
+        """Guards against a store that loses its state in an upgrade."""
+        self.ledger.restore(EARLIER_SNAPSHOT)
+        self.assertEqual(self.ledger.document, b"three")
+        self.assertEqual(self.ledger.evacuations, jobs.Evacuations())
+        # Nor can a store of the earlier release lose it in a downgrade.
+        self.assertEqual(self.ledger.snapshot(), EARLIER_SNAPSHOT)
+
     def test_snapshot(self) -> None:
         for command in (
             jobs.DeclareDocument(3, b"three"),
