--- a/tests/node/test_capacity_duty.py
+++ b/tests/node/test_capacity_duty.py
@@ -210,6 +210,35 @@
                 self.run_for(STEP_S, items_per_step=200)
                 self.assertEqual(self.ordered()[:1], [(HERE, expected)])
 
+    def test_missing_engines_are_ordered_elsewhere(self) -> None:
+        """Guards against orders in, or engines counted of, such a domain."""
+        near, far = map(base.FailureDomain, ("near", "far"))
+        for name, evacuated, regions, ordered in (
+            ("none", [], {}, {HERE, THERE}),
+            ("the other one", [THERE], {}, {HERE}),
+            ("the own one", [HERE], {}, {THERE}),
+            ("all known", [HERE, THERE], {}, set()),
+            (
+                "all that have engines",
+                [HERE, THERE],
+                {HERE: "r1", THERE: "r1", near: "r1", far: "r2"},
+                {near},
+            ),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.regions.update(regions)
+                for domain in evacuated:
+                    self.ledger.evacuations = self.ledger.evacuations.evacuate(
+                        domain
+                    )
+                # Six engines would be enough.
+                for number in range(6):
+                    self.announce(str(number), (HERE, THERE)[number % 2])
+                items = 10 if evacuated else 40
+                self.run_for(SETTLED_S + 4.0, items_per_step=items)
+                self.assertEqual({d for d, _ in self.ordered()}, ordered)
+
     def test_unclear_answers_delay_the_next_order(self) -> None:
         cases = (("no answer", None), ("an error", 500), ("none there", 409))
         for name, status in cases:
--- a/tests/node/test_entry_contacts.py
+++ b/tests/node/test_entry_contacts.py
@@ -47,6 +47,28 @@
                     contacts.record_poll("e", LEADER, received)
                 self.assertEqual(contacts.find_outdated(number, now), expected)
 
+    def test_entries_that_hold_up_an_evacuation(self) -> None:
+        # Document 5 is applied at 10 s, revision 3 of evacuations at 11 s.
+        for name, received, number, revision, expected in (
+            ("before both", 9.9, 0, 3, ["e"]),
+            ("between them", 10.5, 0, 3, ["e"]),
+            ("between them, asked for the document", 10.5, 5, 0, []),
+            ("between them, asked for both", 10.5, 5, 3, ["e"]),
+            ("after both", 11.1, 5, 3, []),
+            ("asked for an earlier revision", 10.5, 0, 2, ["e"]),
+            ("asked for neither", 9.9, 0, 0, []),
+            ("applied before this epoch", 9.9, 0, 4, []),
+        ):
+            with self.subTest(name):
+                contacts = make_contacts()
+                contacts.record_document(5, 10.0)
+                contacts.record_evacuations(3, 11.0)
+                contacts.record_answer("e", received)
+                contacts.record_poll("e", LEADER, received)
+                self.assertEqual(
+                    contacts.find_outdated(number, 11.2, revision), expected
+                )
+
     def test_answer_of_a_former_leader_proves_nothing(self) -> None:
         contacts = make_contacts()
         contacts.record_document(5, 10.0)
@@ -89,12 +111,14 @@
     source: str
     issued_at: float
     number: int
+    revision: int
 
 
 @attrs.define
 class _Entry:
     name: str
     number: int = 0
+    revision: int = 0
     last: _Answer | None = None
     last_issued_at: float = float("-inf")
     """Issue of the last answer that it received, on the model's clock."""
@@ -114,11 +138,12 @@
         self.rng = random.Random(seed)
         self.now = 100.0
         self.number = 1
+        self.revision = 0
         self.entries = [_Entry(f"entry-{n}") for n in range(entry_count)]
         self.acked: set[int] = set()
-        self.waiting: set[int] = set()
+        self.waiting: set[tuple[int, int]] = set()
         self.slowest_ack_s = 0.0
-        self._sent_at: dict[int, float] = {}
+        self._sent_at: dict[tuple[int, int], float] = {}
         # Stores have clocks of their own.
         self._stores = [
             (_entry_contacts.EntryContacts(), self.rng.uniform(-50.0, 50.0))
@@ -143,12 +168,20 @@
         return self.now + self._stores[self._leader][1]
 
     def change(self) -> None:
-        """Commits a document at all stores."""
-        self.number += self.rng.randint(1, 3)
+        """Commits a document or an order to evacuate at all stores."""
+        is_document = self.rng.random() < 0.5
+        if is_document:
+            self.number += self.rng.randint(1, 3)
+        else:
+            self.revision += 1
         for contacts, offset in self._stores:
-            contacts.record_document(self.number, self.now + offset)
-        self.waiting.add(self.number)
-        self._sent_at[self.number] = self.now
+            if is_document:
+                contacts.record_document(self.number, self.now + offset)
+            else:
+                contacts.record_evacuations(self.revision, self.now + offset)
+        change = (self.number, 0) if is_document else (0, self.revision)
+        self.waiting.add(change)
+        self._sent_at[change] = self.now
 
     def poll(self, entry: _Entry) -> None:
         """Lets an entry poll; its path may lose the poll or the answer."""
@@ -162,25 +195,29 @@
         self._contacts.record_answer(entry.name, self._local_now)
         if entry.is_cut:
             return
-        entry.last = _Answer(self._source, self._local_now, self.number)
+        entry.last = _Answer(
+            self._source, self._local_now, self.number, self.revision
+        )
         entry.last_issued_at = self.now
         entry.number = self.number
+        entry.revision = self.revision
 
     def acknowledge(self) -> list[str]:
         """Acknowledges what may be; returns broken promises."""
         broken = []
-        for number in sorted(self.waiting):
+        for change in sorted(self.waiting):
+            number, revision = change
             if not self._contacts.is_complete(self._local_now) or (
-                self._contacts.find_outdated(number, self._local_now)
+                self._contacts.find_outdated(number, self._local_now, revision)
             ):
                 continue
-            self.waiting.discard(number)
-            took_s = self.now - self._sent_at[number]
+            self.waiting.discard(change)
+            took_s = self.now - self._sent_at[change]
             self.slowest_ack_s = max(self.slowest_ack_s, took_s)
             broken += [
-                f"{entry.name} acts on {entry.number}, not {number}"
+                f"{entry.name} acts on {entry.number}, not {change}"
                 for entry in self.entries
-                if entry.number < number
+                if (entry.number < number or entry.revision < revision)
                 and self.now < entry.last_issued_at + WINDOW_S - 1e-6
             ]
         return broken
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -9,6 +9,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+import banyanbank_jobs as jobs
 from banyanbank_node import _entry_sync
 from banyanbank_node import _messages
 from banyanbank_node import _poll_paths
@@ -17,6 +18,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+IN_FORCE = "evacuation.in_force"
 LEADER, RELAY = (base.InstanceId(f"127.0.1.{n}:7000") for n in (1, 2))
 
 SILENT: result.Result[typing.Any, _store_client.StoreCallError] = (
@@ -255,6 +257,43 @@
         self.assertTrue(self.poll())
         self.assertEqual(self.number, 8)
 
+    def test_evacuations(self) -> None:
+        """Guards against evacuations that an entry loses, or hears too late."""
+        zone = base.FailureDomain("zone-a")
+        evacuated = jobs.Evacuations().evacuate(zone)
+        readmitted = evacuated.readmit(zone, 1.0)
+        served: list[bool] = []
+        self.sync.on_document = lambda document: served.append(
+            self.sync.evacuations.permits(zone)
+        )
+        for name, sent, held, changes in (
+            ("first answer", evacuated, evacuated, 1),
+            ("the same again", evacuated, evacuated, 1),
+            ("no answer", None, evacuated, 1),
+            ("withdrawn", readmitted, readmitted, 2),
+            (
+                "older, by a store that no longer leads",
+                evacuated,
+                readmitted,
+                2,
+            ),
+        ):
+            with self.subTest(name):
+                self.stores.direct = SILENT
+                if sent is not None:
+                    self.stores.direct = result.Success(
+                        attrs.evolve(make_answer(7), evacuations=sent)
+                    )
+                self.sync._paths.restore_direct()
+                self.poll()
+                self.assertEqual(self.sync.evacuations, held)
+                logged = [e for e, _ in self.events if e == IN_FORCE]
+                self.assertEqual(len(logged), changes)
+        self.assertEqual(served, [False])
+        # The poll after the failed one can be read by any release.
+        revisions = [req.evacuation_revision for req in self.stores.requests]
+        self.assertEqual(revisions, [0, 1, 1, 0, 2])
+
     def test_failed_poll_is_logged_with_its_path(self) -> None:
         self.relay(None)
         self.poll()
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -185,6 +185,42 @@
     return got[0], len(forwarding.tried)
 
 
+class EvacuationTest(unittest.TestCase):
+    """Endpoints of evacuated failure domains are no candidates."""
+
+    def test_which_endpoints_are_tried(self) -> None:
+        """Guards against retries there, and against a wait without hope."""
+        a, b = map(base.FailureDomain, ("zone-a", "zone-b"))
+        full = Reply(REQUEST_ID, status=503, has_not_run=True)
+        for name, domains, evacuated, tried in (
+            ("another domain", [a, a, a], (b,), 2),
+            ("all but one", [b, a, b], (b,), 1),
+            ("all of them", [a, b, a], (a, b), 0),
+        ):
+            with self.subTest(name):
+                directory = make_directory()
+                for number, domain in enumerate(domains):
+                    known = directory.get(base.EndpointId(f"e{number}"))
+                    assert known is not None
+                    directory.apply(
+                        attrs.evolve(
+                            known, domain=domain, sequence=known.sequence + 1
+                        ),
+                        10.0,
+                    )
+                got, count = send_request(
+                    gateway.RouteKind.IDEMPOTENT,
+                    *[full] * 3,
+                    directory=directory,
+                    evacuated=evacuated,
+                )
+                self.assertEqual(count, tried)
+                assert isinstance(got, base.Refusal)
+                self.assertIs(got.outcome, base.Outcome.NOT_RUN)
+                self.assertIsNotNone(got.retry_after)
+                self.assertEqual("evacuated" in got.detail, not tried)
+
+
 class DepartureTest(unittest.TestCase):
     """Endpoints that state their departure get no further requests.
 
