--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -85,6 +85,13 @@
                 lambda b: b.scaling_address,
                 None,
             ),
+            (
+                "zones",
+                {"zones": {"zone-a": "north"}},
+                lambda b: b.store().regions,
+                {"zone-a": "north"},
+            ),
+            ("no zones", {}, lambda b: b.store().regions, {}),
             ("later start", {"bootstrap": False}, lambda b: b.may_form, False),
             (
                 "not a bool",
@@ -108,6 +115,7 @@
             ("no address", {"ip": None}, "ip"),
             ("no ports", {"internal-ports": []}, "IndexError"),
             ("port is not a number", {"seeds": ["10.1.0.11:x"]}, "ValueError"),
+            ("zones without regions", {"zones": ["zone-a"]}, "list"),
             ("bad bound", {"bounds": {"grace-s": "soon"}}, "soon"),
         ):
             with self.subTest(name):
