Bound the requests to cold endpoints over all instances

Cause: an endpoint that has just started is slow and crashes when it gets too many requests; nothing kept the instances from sending it their full load.

The leader's permits bound a cold endpoint as they bound one with a stated rate limit, at most cold-per-s in a sliding second; a permit is void 0.5 s after it was asked for, also during the dial. Warm endpoints and engines that have room are preferred. After the readmission of a domain its endpoints count as cold until an announcement received 1.5 s later. A withheld request is reported as not run; it counted as lost, and as a loss that may condemn the request.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -1,5 +1,8 @@
 """Routing, endpoint directory and usage counting of an entry, without I/O."""
 
+from banyanbank_gateway._cold_state import find_cold_rate
+from banyanbank_gateway._cold_state import find_longest_cold_s
+from banyanbank_gateway._cold_state import may_be_cold
 from banyanbank_gateway._crash_suspects import CondemnedRequest
 from banyanbank_gateway._crash_suspects import CrashSuspects
 from banyanbank_gateway._crash_suspects import digest_request
@@ -18,6 +21,7 @@
 from banyanbank_gateway._documents import Target
 from banyanbank_gateway._known_limits import KnownLimits
 from banyanbank_gateway._known_limits import LimitObservation
+from banyanbank_gateway._permit_bucket import MAX_PERMIT_AGE_S
 from banyanbank_gateway._rate_limiter import RateLimiter
 from banyanbank_gateway._routing import draw_service
 from banyanbank_gateway._routing import rank_services
@@ -29,6 +33,7 @@
 from banyanbank_gateway._usage import WindowCounts
 
 __all__ = [
+    "MAX_PERMIT_AGE_S",
     "Announcement",
     "CondemnedRequest",
     "CrashSuspects",
@@ -55,5 +60,8 @@
     "WindowCounts",
     "digest_request",
     "draw_service",
+    "find_cold_rate",
+    "find_longest_cold_s",
+    "may_be_cold",
     "rank_services",
 ]
--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -59,6 +59,9 @@
     """Increases with each announcement of one incarnation."""
     models: tuple[LoadedModel, ...] = ()
     """Models that an engine has loaded."""
+    is_cold: bool = False
+    """Whether the endpoint has just started and so takes requests at the lower
+    rate of its service; False if the service states none."""
 
     @property
     def order_key(self) -> tuple[int, int]:
@@ -138,6 +141,10 @@
         ):
             if known.announcement.order_key == announcement.order_key:
                 known.last_heard_at = max(known.last_heard_at, now)
+                # A leader may take an endpoint for cold after it announced.
+                return announcement.is_cold and self.mark_cold(
+                    announcement.endpoint
+                )
             return False
         if not self._claim_address(announcement):
             return False
@@ -152,6 +159,36 @@
         self._known[announcement.endpoint] = _KnownEndpoint(announcement, now)
         return True
 
+    def heard_at(self, endpoint: base.EndpointId) -> float | None:
+        """Returns when an endpoint was last heard; None if it is unknown."""
+        known = self._known.get(endpoint)
+        return None if known is None else known.last_heard_at
+
+    def mark_cold(self, endpoint: base.EndpointId) -> bool:
+        """Takes an endpoint for cold until its next announcement.
+
+        Returns:
+            False if the endpoint is unknown or known to be cold.
+        """
+        known = self._known.get(endpoint)
+        if known is None or known.announcement.is_cold:
+            return False
+        known.announcement = attrs.evolve(known.announcement, is_cold=True)
+        self.revision += 1
+        return True
+
+    def forget_cold(self) -> bool:
+        """Takes all endpoints for warm; returns whether any was cold."""
+        cold = [
+            known
+            for known in self._known.values()
+            if known.announcement.is_cold
+        ]
+        for known in cold:
+            known.announcement = attrs.evolve(known.announcement, is_cold=False)
+        self.revision += bool(cold)
+        return bool(cold)
+
     def mark_leaving(
         self, endpoint: base.EndpointId, born_ms: int, now: float
     ) -> bool:
--- a/packages/gateway/src/banyanbank_gateway/_documents.py
+++ b/packages/gateway/src/banyanbank_gateway/_documents.py
@@ -106,6 +106,11 @@
     """Capacity of its engines; None for a service without engines."""
     scaling: Scaling | None = None
     """Bounds on its endpoints; None if endpoints cannot be provisioned."""
+    cold_start_s: float = 0.0
+    """Time for which an endpoint is cold after its start; 0 if it is not."""
+    cold_per_s: float = 0.0
+    """Requests a second that a cold endpoint tolerates from all instances
+    together; 0 for no bound."""
 
 
 @attrs.frozen
--- a/packages/gateway/src/banyanbank_gateway/_selection.py
+++ b/packages/gateway/src/banyanbank_gateway/_selection.py
@@ -17,6 +17,11 @@
 """
 
 
+FULL_S = 0.25
+"""Time for which an endpoint that rejected a request is taken for full: the
+drain time of a queue of tens of requests of 25 ms over several slots."""
+
+
 @attrs.define
 class _EndpointHealth:
     failed_at: float = -math.inf
@@ -48,6 +53,7 @@
             collections.Counter()
         )
         self._health: dict[base.EndpointId, _EndpointHealth] = {}
+        self._full_until: dict[base.EndpointId, float] = {}
 
     def rank(
         self,
@@ -60,6 +66,8 @@
     ) -> list[_directory.Announcement]:
         """Returns the endpoints that were not tried, the best one first.
 
+        Cold endpoints come after warm ones that have room.
+
         Args:
             candidates: Endpoints of the service.
             tried: Endpoints to which the request has been sent already.
@@ -73,10 +81,11 @@
             if announcement.state is _directory.EndpointState.READY
             and announcement.endpoint not in tried
         ]
+        has_cold = any(announcement.is_cold for announcement in usable)
         return sorted(
             usable,
             key=lambda announcement: self._sort_key(
-                announcement, now, is_limited(announcement)
+                announcement, now, is_limited(announcement), has_cold
             ),
         )
 
@@ -113,24 +122,37 @@
             now + SUSPECT_BACKOFF_S * health.consecutive_failures
         )
 
+    def rejected(self, endpoint: base.EndpointId, now: float) -> None:
+        """Records that an endpoint had no room for a request."""
+        self._full_until[endpoint] = now + FULL_S
+
     def succeeded(self, endpoint: base.EndpointId) -> None:
         """Records a success; ends the endpoint's backoff."""
         self._health.pop(endpoint, None)
+        self._full_until.pop(endpoint, None)
 
     def _sort_key(
         self,
         announcement: _directory.Announcement,
         now: float,
         is_limited: bool,
-    ) -> tuple[bool, float, bool, bool, float]:
+        has_cold: bool,
+    ) -> tuple[bool, int, float, bool, bool, float]:
         health = self._health.get(announcement.endpoint)
         is_suspect = health is not None and now < health.suspect_until
         load = self._in_flight[announcement.endpoint] / max(
             1, announcement.slots
         )
         is_other_domain = announcement.domain != self._domain
+        cold_rank = 0
+        if has_cold:
+            is_full = load >= 1 or now < self._full_until.get(
+                announcement.endpoint, -math.inf
+            )
+            cold_rank = 2 if is_full else int(announcement.is_cold)
         return (
             is_suspect,
+            cold_rank,
             load,
             is_limited,
             is_other_domain,
--- a/packages/jobs/src/banyanbank_jobs/_engine_selection.py
+++ b/packages/jobs/src/banyanbank_jobs/_engine_selection.py
@@ -16,6 +16,10 @@
 In the same unit as `LOAD_COST`.
 """
 
+COLD_COST = 1.0
+"""Cost of a cold engine, in the same unit: until its own event intervals are
+known, it counts as an engine of half the speed."""
+
 CONTINUE_GRACE_S = 1.0
 """Time for which a text of one version waits for a suspect engine that could
 continue it, before it is begun anew elsewhere."""
@@ -133,6 +137,7 @@
                 self._event_interval_s(view) / shortest_interval_s
                 + LOAD_COST * used
                 + PREFIX_MISS_COST * is_prefix_miss
+                + COLD_COST * view.is_cold
             )
 
         return min(healthy, key=cost)
@@ -152,6 +157,7 @@
             view
             for view in self._healthy_with_slots(permitted)
             if self._event_interval_s(view) < max_interval_s
+            and not view.is_cold
         ]
         return min(faster, key=self._event_interval_s, default=None)
 
--- a/packages/jobs/src/banyanbank_jobs/_engines.py
+++ b/packages/jobs/src/banyanbank_jobs/_engines.py
@@ -38,9 +38,12 @@
     loading: frozenset[str] = frozenset()
     """Models whose weights are being replaced; their items are rejected."""
     room: int | None = None
-    """Items that its rate limit allows to be sent now; None without a limit."""
+    """Items that its rate limit, or the rate of its cold state, allows to be
+    sent now; None without either."""
     born_ms: int = 0
     """Unix time of its start in milliseconds; identifies the incarnation."""
+    is_cold: bool = False
+    """Whether it has just started and is slow for some seconds."""
 
     def count_free(self, running: int) -> int:
         """Returns how many items may be sent now.
--- /dev/null
+++ b/packages/node/src/banyanbank_node/_cold_endpoints.py
@@ -0,0 +1,176 @@
+"""Cold endpoints as a store knows them."""
+
+import collections.abc
+import typing
+
+import attrs
+import banyanbank_base as base
+import banyanbank_gateway as gateway
+
+from banyanbank_node import _event_log
+from banyanbank_node import _ledger_replica
+from banyanbank_node import _meters
+
+Readmissions = collections.abc.Mapping[base.FailureDomain, float]
+"""Unix time of the readmission of each domain that was evacuated."""
+
+
+def _find_no_readmissions() -> Readmissions:
+    """Default of `ColdEndpoints.find_readmissions`."""
+    return {}
+
+
+class ColdEndpoints:
+    """Decides which announced endpoints a store takes for cold.
+
+    The directory holds the decision, so that entries learn of it through their
+    polls. Costs nothing while no service of the document states a rate for
+    cold endpoints.
+
+    Args:
+        clock: Monotonic clock.
+        true_time: Estimated Unix time, in which domains are readmitted.
+        stored: Replicated ledger; its document states the rates.
+        directory: Endpoints that are considered alive.
+        events: Event log.
+        meters: Metrics of the process.
+
+    Attributes:
+        find_readmissions: Returns the readmissions in the ledger.
+    """
+
+    def __init__(
+        self,
+        clock: base.Clock,
+        true_time: gateway.SyncedClock,
+        stored: _ledger_replica.LedgerReplica,
+        directory: gateway.Directory,
+        events: _event_log.EventLog,
+        meters: _meters.Meters,
+    ) -> None:
+        self._clock = clock
+        self._true_time = true_time
+        self._stored = stored
+        self._directory = directory
+        self._events = events
+        self._meters = meters
+        self._applied_readmissions: dict[base.FailureDomain, float] = {}
+        self._cold_since: dict[base.EndpointId, float] = {}
+        self._seen_revision = -1
+        self.find_readmissions: typing.Callable[[], Readmissions] = (
+            _find_no_readmissions
+        )
+
+    def find_rate(self, target: gateway.Announcement) -> float | None:
+        """Returns the requests a second that a cold endpoint takes.
+
+        None means that the endpoint is not cold, or its service states none.
+        """
+        newest = self._directory.get(target.endpoint)
+        if (
+            newest is None
+            or not newest.is_cold
+            or newest.born_ms != target.born_ms
+        ):
+            return None
+        return self._find_service_rate(newest)
+
+    def drop_unused(
+        self, announcement: gateway.Announcement
+    ) -> gateway.Announcement:
+        """Drops the cold state if the endpoint's service states no rate.
+
+        Earlier releases cannot read it.
+        """
+        if (
+            not announcement.is_cold
+            or self._find_service_rate(announcement) is not None
+        ):
+            return announcement
+        return attrs.evolve(announcement, is_cold=False)
+
+    def judge(self, announcement: gateway.Announcement) -> gateway.Announcement:
+        """Returns a received announcement with the state that is assumed."""
+        readmissions = self.find_readmissions()
+        if (
+            not readmissions
+            or announcement.is_cold
+            or self._find_service_rate(announcement) is None
+            or not gateway.may_be_cold(
+                announcement, self._true_time.now(), readmissions
+            )
+        ):
+            return announcement
+        return attrs.evolve(announcement, is_cold=True)
+
+    def apply_readmissions(self) -> None:
+        """Takes the endpoints of domains that have been readmitted for cold."""
+        readmissions = self.find_readmissions()
+        if readmissions == self._applied_readmissions:
+            return
+        self._applied_readmissions = dict(readmissions)
+        for announcement in self._directory.all():
+            heard_at = self._directory.heard_at(announcement.endpoint)
+            if (
+                heard_at is not None
+                and self._find_service_rate(announcement) is not None
+                and gateway.may_be_cold(
+                    announcement, self._true_time.at(heard_at), readmissions
+                )
+            ):
+                self._directory.mark_cold(announcement.endpoint)
+
+    def observe(self) -> collections.abc.Collection[base.EndpointId]:
+        """Logs which endpoints became cold or warm; returns the cold ones."""
+        if self._seen_revision == self._directory.revision:
+            return self._cold_since.keys()
+        self._seen_revision = self._directory.revision
+        now = self._clock.now()
+        cold = {
+            announcement.endpoint: announcement
+            for announcement in self._directory.all()
+            if announcement.is_cold
+        }
+        for endpoint in self._cold_since.keys() - cold.keys():
+            self._events.write(
+                "endpoint.warm",
+                endpoint=endpoint,
+                is_known=self._directory.get(endpoint) is not None,
+                cold_ms=round(1000 * (now - self._cold_since.pop(endpoint))),
+            )
+        for endpoint in cold.keys() - self._cold_since.keys():
+            self._cold_since[endpoint] = now
+            self._events.write(
+                "endpoint.cold",
+                endpoint=endpoint,
+                domain=cold[endpoint].domain,
+                service=cold[endpoint].service,
+                rate_per_s=self._find_service_rate(cold[endpoint]),
+            )
+        self._meters.cold_endpoints.set(len(cold))
+        return self._cold_since.keys()
+
+    def stop_observing(self) -> None:
+        """Forgets what was logged; the next leader logs the cold endpoints."""
+        self._meters.cold_endpoints.set(0)
+        self._cold_since.clear()
+        self._seen_revision = -1
+
+    def count_decision(
+        self,
+        targets: collections.abc.Iterable[gateway.Announcement],
+        is_granted: bool,
+    ) -> None:
+        """Counts a decision about permits if a cold endpoint is concerned."""
+        if any(target.is_cold for target in targets):
+            self._meters.cold_permits.add(
+                1, "granted" if is_granted else "refused"
+            )
+
+    def _find_service_rate(
+        self, announcement: gateway.Announcement
+    ) -> float | None:
+        table = self._stored.table
+        return gateway.find_cold_rate(
+            None if table is None else table.document, announcement.service
+        )
--- a/packages/node/src/banyanbank_node/_endpoint_limits.py
+++ b/packages/node/src/banyanbank_node/_endpoint_limits.py
@@ -117,27 +117,29 @@
 
     def is_limited(self, target: gateway.Announcement) -> bool:
         """Whether requests to an endpoint need a permit."""
-        return self.known.get(target) is not None
+        return target.is_cold or self.known.get(target) is not None
 
     def note_sent(self, target: gateway.Announcement, purpose: Purpose) -> None:
         """Counts a request that is sent to an endpoint.
 
-        The requests of each second to a limited endpoint are logged.
+        The requests of each second to a limited or cold endpoint are logged.
         """
         limit = self.known.get(target)
+        is_counted = target.is_cold or limit is not None
         second = int(self._true_time.now())
         counts = self._counts.get(target.endpoint)
-        if counts is not None and (limit is None or counts.second != second):
+        if counts is not None and not (is_counted and counts.second == second):
             del self._counts[target.endpoint]
             self._events.write(
                 "endpoint.limit_use",
                 endpoint=target.endpoint,
                 second=counts.second,
                 rate_per_s=None if limit is None else limit.rate_per_s,
+                is_cold=target.is_cold,
                 sent=dict(counts.by_purpose),
             )
             counts = None
-        if limit is None:
+        if not is_counted:
             return
         if counts is None:
             counts = self._counts[target.endpoint] = _SendCounts(second)
--- a/packages/node/src/banyanbank_node/_engine_table.py
+++ b/packages/node/src/banyanbank_node/_engine_table.py
@@ -95,6 +95,7 @@
             is_ready=announcement.state is gateway.EndpointState.READY,
             loading=frozenset(weights.loading),
             born_ms=announcement.born_ms,
+            is_cold=announcement.is_cold,
         )
 
     def _weights_of(self, announcement: gateway.Announcement) -> _EngineWeights:
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -162,6 +162,7 @@
             contact_age_ms=self.contact_age_ms,
         )
         self.directory.renew_all(self._clock.now())
+        self._forget_old_cold_states()
         # A store of an earlier release cannot read what the next poll leaves
         # out.
         self._limits_revision = 0
@@ -169,6 +170,21 @@
         self._answer_issued_at = 0.0
         return False
 
+    def _forget_old_cold_states(self) -> None:
+        """Takes endpoints for warm once they cannot be cold since long ago.
+
+        Without contact, an endpoint that was cold would else stay unused, as
+        there are no permits.
+        """
+        if self.table is None or self.last_contact_at is None:
+            return
+        cold_until = self.last_contact_at + gateway.find_longest_cold_s(
+            self.table.document
+        )
+        if self._clock.now() > cold_until and self.directory.forget_cold():
+            # The leader sends the directory with its cold states again.
+            self._directory_revision = 0
+
     def _make_request(self) -> _messages.SyncRequest:
         return _messages.SyncRequest(
             entry=self._entry_name,
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -123,8 +123,19 @@
     ),
     _make_kind(
         "endpoint.limit_use",
-        "endpoint second rate_per_s sent",
-        "What this process sent to a limited endpoint in a second, by purpose.",
+        "endpoint second rate_per_s is_cold sent",
+        "What this process sent to a limited or cold endpoint in a second, by"
+        " purpose.",
+    ),
+    _make_kind(
+        "endpoint.cold",
+        "endpoint domain service rate_per_s",
+        "The leader takes an endpoint for cold; requests to it need permits.",
+    ),
+    _make_kind(
+        "endpoint.warm",
+        "endpoint is_known cold_ms",
+        "A cold endpoint announced that it is warm, or is gone.",
     ),
     _make_kind(
         "endpoint.unreadable", "endpoint why", "An announcement is invalid."
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import functools
+import math
 import random
 
 import attrs
@@ -48,6 +49,9 @@
 )
 """Hop-by-hop headers, which are not forwarded."""
 
+OTHER_ENDPOINT_STATUS = 421
+"""Status of an answer by another endpoint than the one that was meant."""
+
 MIN_SUCCESS_STATUS = 200
 MIN_REDIRECT_STATUS = 300
 MIN_ERROR_STATUS = 400
@@ -97,6 +101,9 @@
     permit_expected_at: float | None = None
     """When to return, on the monotonic clock, if the rate limits of endpoints
     leave no room for the request; else None."""
+    permit_expires_at: float = math.inf
+    """When the permit for the next attempt is too old to be used, on the
+    monotonic clock."""
     is_abandoned: bool = False
     """Whether the caller has disconnected."""
     follows_crashes: bool = False
@@ -219,6 +226,7 @@
         """Returns the best endpoint that may be sent the request now."""
         ranked = self._rank_endpoints(forwarding, service)
         forwarding.permit_expected_at = None
+        forwarding.permit_expires_at = math.inf
         if not ranked or not self._limits.is_limited(ranked[0]):
             return ranked[0] if ranked else None
         limited = [
@@ -229,6 +237,7 @@
         ranked = self._rank_endpoints(forwarding, service)
         for target in ranked:
             if target.endpoint == permit.endpoint:
+                forwarding.permit_expires_at = permit.expires_at
                 return target
         if permit.endpoint is None:
             forwarding.permit_expected_at = permit.retry_at
@@ -301,6 +310,10 @@
             # A suspect gets a connection of its own.
             forwarding.route.kind.is_repeatable and not is_suspect,
         )
+        if forwarding.permit_expires_at < math.inf:
+            req = _permits.withhold_after(
+                req, forwarding.permit_expires_at, self._clock
+            )
         forwarding.tried.add(target.endpoint)
         self._picker.started(target.endpoint)
         self._limits.note_sent(target, _endpoint_limits.Purpose.FORWARD)
@@ -407,6 +420,8 @@
             return None
         response_headers, answer = exchange_result.unwrap()
         if response_headers.has_not_run:
+            if answer.status != OTHER_ENDPOINT_STATUS:
+                self._picker.rejected(target.endpoint, now)
             self._log_attempt(
                 forwarding, target, "not-run", f"status {answer.status}"
             )
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -21,6 +21,7 @@
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _meters
 from banyanbank_node import _partial_texts
+from banyanbank_node import _permits
 from banyanbank_node import _ports
 from banyanbank_node import _result_committer
 from banyanbank_node import _run_reader
@@ -231,6 +232,10 @@
             now + max(remaining_s, MIN_RUN_TIMEOUT_S),
             now,
         )
+        if run.announcement.is_cold:
+            req = _permits.withhold_after(
+                req, now + gateway.MAX_PERMIT_AGE_S, self._clock
+            )
         sent = await self._upstream.send(req)
         if isinstance(sent, result.Failure):
             # A run that the leader cancelled is not a failure of the engine.
--- a/packages/node/src/banyanbank_node/_leader_permits.py
+++ b/packages/node/src/banyanbank_node/_leader_permits.py
@@ -3,9 +3,11 @@
 import collections.abc
 import typing
 
+import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 
+from banyanbank_node import _cold_endpoints
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
@@ -17,6 +19,10 @@
 """Interval at which the other stores are told all limits, for the case that
 one of them leads next."""
 
+NEW_LEADER_PAUSE_S = 1.0
+"""Time after which a new leader's permits for cold endpoints begin to accrue;
+what the former one sent without a permit is not known."""
+
 
 class LeaderPermits:
     """Permits for this process and, by calls, for the entries.
@@ -28,6 +34,7 @@
         stored: Replicated ledger.
         directory: Endpoints that are considered alive.
         limits: Rate limits known to this process.
+        cold: Cold endpoints, and the rates they take.
         calls: Registers the handlers for calls of entries.
     """
 
@@ -37,6 +44,7 @@
         stored: _ledger_replica.LedgerReplica,
         directory: gateway.Directory,
         limits: _endpoint_limits.EndpointLimits,
+        cold: _cold_endpoints.ColdEndpoints,
         calls: _store_calls.StoreCalls,
     ) -> None:
         self._clock = clock
@@ -44,7 +52,8 @@
         self._directory = directory
         self._limits = limits
         self._calls = calls
-        self._limiter = gateway.RateLimiter(limits.known)
+        self._cold = cold
+        self._limiter = gateway.RateLimiter(limits.known, cold.find_rate)
         self._limiter_epoch = 0
         self._next_spread_at = 0.0
         limits.on_observed = self._spread_change
@@ -54,6 +63,7 @@
     def tick(self) -> None:
         """Tells the other stores the limits in force."""
         now = self._clock.now()
+        self._begin_cold_rates(now)
         if now < self._next_spread_at:
             return
         self._next_spread_at = now + SPREAD_INTERVAL_S
@@ -65,7 +75,8 @@
             )
 
     def stop(self) -> None:
-        """Does nothing; permits are valid for one epoch."""
+        """Ends the log of cold endpoints; permits are valid for one epoch."""
+        self._cold.stop_observing()
 
     async def acquire(
         self,
@@ -74,7 +85,15 @@
     ) -> _permits.Permit:
         """Takes a permit for a request of this process, without a wait."""
         del deadline
-        return self._take_first(targets)
+        permit = self._take_first(targets)
+        if permit.endpoint is None or not any(
+            target.is_cold and target.endpoint == permit.endpoint
+            for target in targets
+        ):
+            return permit
+        return attrs.evolve(
+            permit, expires_at=self._clock.now() + gateway.MAX_PERMIT_AGE_S
+        )
 
     def count_room(self, target: gateway.Announcement) -> int | None:
         """Returns how many requests an endpoint may get now, or None."""
@@ -84,13 +103,31 @@
         """Counts a request that this process sends in any case."""
         self._current_limiter().charge(target, self._clock.now())
 
+    def charge_order(self, target: gateway.Announcement) -> None:
+        """Counts a report request or an order of weights to an engine."""
+        self._current_limiter().charge_order(target, self._clock.now())
+
     def _current_limiter(self) -> gateway.RateLimiter:
         epoch = self._stored.node.epoch
         if self._limiter_epoch != epoch:
-            self._limiter_epoch = epoch
-            self._limiter.reset()
+            self._limiter.reset(self._clock.now() + NEW_LEADER_PAUSE_S)
+            if self._stored.has_lease:
+                self._limiter_epoch = epoch
         return self._limiter
 
+    def _begin_cold_rates(self, now: float) -> None:
+        """Has permits accrue from when an endpoint is first seen as cold.
+
+        Otherwise the first request to each would be refused.
+        """
+        self._cold.apply_readmissions()
+        limiter = self._current_limiter()
+        cold = self._cold.observe()
+        limiter.forget_warm(cold)
+        for target in map(self._directory.get, cold):
+            if target is not None:
+                limiter.count_room(target, now)
+
     def _take_first(
         self, targets: collections.abc.Sequence[gateway.Announcement]
     ) -> _permits.Permit:
@@ -100,7 +137,9 @@
         limiter = self._current_limiter()
         for target in targets:
             if limiter.take(target, now):
+                self._cold.count_decision((target,), is_granted=True)
                 return _permits.Permit(target.endpoint)
+        self._cold.count_decision(targets, is_granted=False)
         soonest = min(
             targets, key=lambda target: limiter.find_turn(target, now)
         )
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -15,6 +15,7 @@
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
+from banyanbank_node import _leader_permits
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _ports
 
@@ -61,6 +62,7 @@
             complete.
         limits: Rate limits of the endpoints.
         departures: Records which endpoints state that they leave.
+        permits: Counts what is sent to cold engines.
     """
 
     def __init__(
@@ -77,7 +79,9 @@
         on_weights_changed: typing.Callable[[], None],
         limits: _endpoint_limits.EndpointLimits,
         departures: _departures.Departures,
+        permits: _leader_permits.LeaderPermits,
     ) -> None:
+        self._permits = permits
         self._guard = guard
         self._departures = departures
         self._limits = limits
@@ -297,6 +301,7 @@
     ) -> result.Result[web.UpstreamResponse, web.UpstreamError]:
         sent_at = self._clock.now()
         self._limits.note_sent(announcement, _endpoint_limits.Purpose.ORDER)
+        self._permits.charge_order(announcement)
         sent = await self._upstream.send(req)
         if isinstance(sent, result.Success):
             resp = sent.unwrap()
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -341,6 +341,6 @@
     Retire,
     TooFew,
     Retiring,
-    sparse=(SyncRequest, SyncAnswer),
+    sparse=(SyncRequest, SyncAnswer, gateway.Announcement),
 )
 """Codec of all messages between entries and stores."""
--- a/packages/node/src/banyanbank_node/_meters.py
+++ b/packages/node/src/banyanbank_node/_meters.py
@@ -21,6 +21,8 @@
         items: Latency of batch job items in seconds, by part.
         leader_contact_age: Seconds since the last answer of a leader.
         open_items: Batch job items without a result, by stage.
+        cold_endpoints: Endpoints that the leader takes for cold.
+        cold_permits: Decisions about requests to cold endpoints, by outcome.
     """
 
     def __init__(self, clock: base.Clock) -> None:
@@ -55,6 +57,16 @@
             "Items of batch jobs without a result, by stage.",
             "stage",
         )
+        self.cold_endpoints = self.registry.gauge(
+            "banyanbank_cold_endpoints",
+            "Endpoints that this leader takes for cold.",
+        )
+        self.cold_permits = self.registry.counter(
+            "banyanbank_cold_permits_total",
+            "Decisions about requests to cold endpoints, by outcome:"
+            " granted, refused.",
+            "outcome",
+        )
 
     def count_event(
         self, event: str, fields: typing.Mapping[str, typing.Any]
--- a/packages/node/src/banyanbank_node/_permits.py
+++ b/packages/node/src/banyanbank_node/_permits.py
@@ -7,6 +7,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+import banyanbank_web as web
 from returns import result
 
 from banyanbank_node import _endpoint_limits
@@ -28,6 +29,28 @@
     """Endpoint that the request may be sent to; None for none of them."""
     retry_at: float = 0.0
     """If none: when to try again, on the monotonic clock."""
+    expires_at: float = math.inf
+    """If the endpoint is cold: when the permit is too old for the request to be
+    sent, on the monotonic clock. The rate holds only if permits arrive in the
+    order of time in which they were granted, but for this much."""
+
+
+def withhold_after(
+    req: web.UpstreamRequest, expires_at: float, clock: base.Clock
+) -> web.UpstreamRequest:
+    """Returns a request that is not sent once its permit is too old.
+
+    A connection may take seconds to establish, and a process may be stopped. A
+    request without a body is complete with its head, and cannot be withheld.
+
+    Args:
+        req: Request to a cold endpoint.
+        expires_at: When the permit is too old, on the monotonic clock.
+        clock: Monotonic clock.
+    """
+    if not req.body:
+        return req
+    return attrs.evolve(req, guard=lambda: clock.now() < expires_at)
 
 
 class PermitSource(typing.Protocol):
@@ -79,11 +102,20 @@
             tuple(target.endpoint for target in targets),
             tuple(limit for limit in known if limit is not None),
         )
+        # The leader grants it later, so its age is at most the time since now.
+        expires_at = self._clock.now() + gateway.MAX_PERMIT_AGE_S
         answer = await self._call(_messages.TAKE_PERMIT, req, deadline)
         now = self._clock.now()
         if answer is None:
             return Permit(None, now + NO_LEADER_RETRY_AFTER_S)
-        return Permit(answer.endpoint or None, now + answer.retry_after_s)
+        granted = answer.endpoint or None
+        if not any(
+            target.is_cold and target.endpoint == granted for target in targets
+        ):
+            return Permit(granted, now + answer.retry_after_s)
+        if now >= expires_at:
+            return Permit(None, now)
+        return Permit(granted, expires_at=expires_at)
 
     async def report(self, observation: gateway.LimitObservation) -> None:
         """Tells the leader of a limit that this process has observed."""
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _action_guard
 from banyanbank_node import _background
 from banyanbank_node import _capacity_duty
+from banyanbank_node import _cold_endpoints
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _engine_table
@@ -85,6 +86,14 @@
         self._limits = _endpoint_limits.EndpointLimits(
             self.node.clock, self.node.true_time, self.events
         )
+        self._cold = _cold_endpoints.ColdEndpoints(
+            self.node.clock,
+            self.node.true_time,
+            self.stored,
+            self.directory,
+            self.events,
+            self.node.meters,
+        )
         self._suspects = gateway.CrashSuspects()
         self.calls = _store_calls.StoreCalls(
             reactor,
@@ -99,6 +108,7 @@
             settings.node.domain,
             self._limits,
             self._suspects,
+            self._cold,
         )
         self._runs = self._build_duties(usage)
         self._leader_loop = consensus.LeaderLoop(
@@ -145,6 +155,7 @@
             self.stored,
             self.directory,
             limits,
+            self._cold,
             self.calls,
         )
         departures = _departures.Departures(
@@ -210,6 +221,7 @@
             runs.place_items,
             limits,
             departures,
+            permits,
         )
         reports = _usage_duty.UsageDuty(
             node.clock,
@@ -323,7 +335,9 @@
 
     async def announce(self, announcement: gateway.Announcement) -> bool:
         """Sends an announcement to the leader; False if none accepted it."""
-        return await self._send_to_leader(_messages.ANNOUNCE, announcement)
+        return await self._send_to_leader(
+            _messages.ANNOUNCE, self._cold.drop_unused(announcement)
+        )
 
     async def withdraw(self, endpoint: base.EndpointId) -> bool:
         """Withdraws an endpoint; returns False if no leader accepted it."""
@@ -440,6 +454,7 @@
                 leads=self._log.is_leader,
             )
             self.calls.note_document(command.number)
+        self._cold.apply_readmissions()
         self._runs.handle_committed(command)
 
     def _send_heartbeat(self) -> None:
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from banyanbank_node import _change_notifier
+from banyanbank_node import _cold_endpoints
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _entry_contacts
 from banyanbank_node import _entry_sync
@@ -57,6 +58,7 @@
         domain: Failure domain of this instance.
         limits: Rate limits of endpoints, sent to entries.
         suspects: Requests that end their endpoints, sent to entries.
+        cold: Decides which endpoints are taken for cold.
 
     Attributes:
         changes: Notifies of a new document or directory revision.
@@ -79,7 +81,9 @@
         domain: base.FailureDomain,
         limits: _endpoint_limits.EndpointLimits,
         suspects: gateway.CrashSuspects,
+        cold: _cold_endpoints.ColdEndpoints,
     ) -> None:
+        self._cold = cold
         self._domain = domain
         self._suspects = suspects
         self._limits = limits
@@ -180,7 +184,7 @@
         now = self._clock.now()
         old_revision = self._directory.revision
         if isinstance(message, gateway.Announcement):
-            self._directory.apply(message, now)
+            self._directory.apply(self._cold.judge(message), now)
         elif isinstance(message, _messages.Withdrawal):
             self._directory.withdraw(
                 message.endpoint, now, round(1000 * self._true_time.now())
@@ -345,6 +349,7 @@
         )
 
     def _has_changes(self, req: _messages.SyncRequest) -> bool:
+        self._cold.apply_readmissions()
         return (
             req.document_number < self._stored.ledger.document_number
             or req.directory_of != self._directory_id
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -318,6 +318,12 @@
             is_timeout = not timer.active()
             if not is_timeout:
                 timer.cancel()
+            if producer is not None and producer.is_withheld:
+                return result.Failure(
+                    UpstreamError(
+                        base.Outcome.NOT_RUN, "The request was withheld."
+                    )
+                )
             problem = _error_of(exc, is_timeout)
             if problem.is_stale_connection:
                 self.close_idle(req.url)
@@ -370,11 +376,13 @@
         self.length = len(body)
         self._body = body
         self._guard = guard
+        self.is_withheld = False
 
     def startProducing(  # noqa: N802
         self, consumer: interfaces.IConsumer
     ) -> defer.Deferred[None]:
         if self._guard is not None and not self._guard():
+            self.is_withheld = True
             return defer.fail(GuardClosedError("The lease is not held."))
         consumer.write(self._body)
         if self._guard is not None:
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -331,6 +331,33 @@
         )
         self.assertEqual(set(started.values()), {"fast"})
 
+    def test_cold_engine_comes_last(self) -> None:
+        """Guards against urgent items on an engine that has just started."""
+        for name, slow_s, want in (
+            ("warm slots for some", 0.04, ["w", "w", "c"]),
+            ("the warm one is slow", 0.4, ["c", "c", "w"]),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.services = ("engines",)
+                for number in range(3):
+                    self.add(
+                        samples.make_job(
+                            f"j{number}",
+                            samples.make_item(f"i{number}"),
+                            due_at=10.0 + number,
+                        )
+                    )
+                for _ in range(50):
+                    self.health.record_event_interval(
+                        base.EndpointId("w"), slow_s
+                    )
+                cold = attrs.evolve(samples.make_engine("c"), is_cold=True)
+                started = self.start(cold, samples.make_engine("w"))
+                self.assertEqual(
+                    [started[f"i{number}"] for number in range(3)], want
+                )
+
     def test_failed_engine_gets_no_items_during_backoff(self) -> None:
         engine = samples.make_engine("e1")
         self.add(samples.make_job("j"))
--- /dev/null
+++ b/tests/node/test_cold_endpoints.py
@@ -0,0 +1,120 @@
+"""Tests of which endpoints a store takes for cold."""
+
+import types
+import typing
+import unittest
+
+import attrs
+import banyanbank_base as base
+import banyanbank_gateway as gateway
+from banyanbank_node import _cold_endpoints
+from banyanbank_node import _messages
+
+from tests.gateway import samples
+from tests.node import test_cold_model
+
+WARM = samples.make_announcement("e1")
+COLD = attrs.evolve(WARM, is_cold=True)
+READMITTED = {WARM.domain: 100.0}
+
+
+class ColdEndpointsTest(unittest.TestCase):
+    """Announcements, configuration and readmissions taken together."""
+
+    def setUp(self) -> None:
+        self.clock = base.ManualClock(100.2)
+        self.true_time = gateway.SyncedClock(self.clock)
+        self.true_time.set_time(100.2)
+        self.directory = gateway.Directory()
+        self.events: list[tuple[str, str]] = []
+        self.counts: list[int] = []
+        self.stored = types.SimpleNamespace(table=None)
+        self.cold = _cold_endpoints.ColdEndpoints(
+            self.clock,
+            self.true_time,
+            typing.cast(typing.Any, self.stored),
+            self.directory,
+            typing.cast(
+                typing.Any, types.SimpleNamespace(write=self._write_event)
+            ),
+            typing.cast(
+                typing.Any,
+                types.SimpleNamespace(
+                    cold_endpoints=types.SimpleNamespace(set=self.counts.append)
+                ),
+            ),
+        )
+
+    def _write_event(self, event: str, **fields: typing.Any) -> None:
+        self.events.append((event, fields["endpoint"]))
+
+    def configure(self, cold_per_s: float) -> None:
+        document = test_cold_model.make_document(cold_per_s)
+        self.stored.table = gateway.RouteTable(document)
+
+    def test_announcements(self) -> None:
+        """Guards against a cold state where the configuration states none."""
+        for name, cold_per_s, announcement, readmitted, is_sent, is_cold in (
+            ("cold", 13.0, COLD, {}, True, True),
+            ("warm", 13.0, WARM, {}, False, False),
+            ("no rate", 0.0, COLD, {}, False, False),
+            ("readmitted", 13.0, WARM, READMITTED, False, True),
+            ("readmitted, no rate", 0.0, WARM, READMITTED, False, False),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.configure(cold_per_s)
+                self.cold.find_readmissions = lambda found=readmitted: found
+                sent = self.cold.drop_unused(announcement)
+                self.assertEqual(sent.is_cold, is_sent)
+                judged = self.cold.judge(sent)
+                self.assertEqual(judged.is_cold, is_cold)
+                self.directory.apply(judged, self.clock.now())
+                self.assertEqual(
+                    self.cold.find_rate(WARM), cold_per_s if is_cold else None
+                )
+
+    def test_readmission_of_known_endpoints(self) -> None:
+        """Guards against a full load on endpoints that announced before it."""
+        self.configure(13.0)
+        elsewhere = samples.make_announcement(
+            "e2", domain=base.FailureDomain("b"), address="10.0.0.2:80"
+        )
+        for announcement in (WARM, elsewhere):
+            self.directory.apply(announcement, now=99.0)
+        self.cold.find_readmissions = lambda: READMITTED
+        for _ in range(2):
+            self.cold.apply_readmissions()
+            self.assertEqual(self.cold.find_rate(WARM), 13.0)
+            self.assertIsNone(self.cold.find_rate(elsewhere))
+            self.assertEqual(self.directory.revision, 3)
+        for since_s, sequence, want in ((1.4, 5, 13.0), (1.5, 6, None)):
+            self.true_time.set_time(100.0 + since_s)
+            later = attrs.evolve(WARM, sequence=sequence)
+            self.directory.apply(self.cold.judge(later), self.clock.now())
+            self.assertEqual(self.cold.find_rate(WARM), want)
+
+    def test_log(self) -> None:
+        self.configure(13.0)
+        for announcement in (COLD, attrs.evolve(COLD, sequence=5)):
+            self.directory.apply(announcement, now=100.0)
+            self.assertEqual(list(self.cold.observe()), ["e1"])
+        self.directory.apply(attrs.evolve(WARM, sequence=6), now=100.0)
+        self.assertEqual(list(self.cold.observe()), [])
+        self.assertEqual(
+            self.events, [("endpoint.cold", "e1"), ("endpoint.warm", "e1")]
+        )
+        self.assertEqual(self.counts, [1, 0])
+
+    def test_messages_to_earlier_releases(self) -> None:
+        """Guards against a field that an earlier release cannot read."""
+        for announcement, is_named in ((WARM, False), (COLD, True)):
+            part = _messages.DirectoryPart((announcement,), ())
+            for message in (announcement, part):
+                data = _messages.CODEC.encode(message)
+                self.assertEqual(b"is_cold" in data, is_named)
+                self.assertEqual(_messages.CODEC.decode(data), message)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -17,6 +17,8 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from tests.gateway import samples
+
 LEADER, RELAY = (base.InstanceId(f"127.0.1.{n}:7000") for n in (1, 2))
 
 SILENT: result.Result[typing.Any, _store_client.StoreCallError] = (
@@ -166,6 +168,22 @@
                 self.assertEqual(self.number, number)
                 self.assertFalse(self.sync.is_current)
 
+    def test_cold_endpoints_without_contact(self) -> None:
+        """Guards against endpoints unused for as long as contact is lost."""
+        self.stores.direct = result.Success(make_answer(7))
+        self.poll()
+        cold = samples.make_announcement("e1", is_cold=True)
+        self.sync.directory.apply(cold, self.clock.now())
+        self.stores.direct = SILENT
+        for waited_s, is_cold in ((1.0, True), (0.6, False)):
+            self.clock.advance(waited_s)
+            self.poll()
+            (known,) = self.sync.directory.all()
+            self.assertEqual(known.is_cold, is_cold)
+        self.poll()
+        # The leader sends the cold states again.
+        self.assertEqual(self.stores.requests[-1].directory_revision, 0)
+
     def test_next_poll_proves_which_answer_arrived(self) -> None:
         self.stores.direct = result.Success(make_answer(7))
         self.poll()
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -351,6 +351,38 @@
                 self.assertEqual(len(permits.asked), asked)
 
 
+class ColdDomainTest(unittest.TestCase):
+    """A domain returns cold while the other endpoints are full."""
+
+    def test_which_endpoints_are_tried(self) -> None:
+        """Guards against refusals while cold endpoints have room."""
+        own = Reply(REQUEST_ID)
+        full = Reply(REQUEST_ID, 503, has_not_run=True)
+        for name, granted, replies, want, asked in (
+            ("the others have room", None, [own], 200, []),
+            ("others full, permit", "e1", [full, own], 200, [["e0", "e1"]]),
+            ("others full, no permit", None, [full], 0.75, [["e0", "e1"]]),
+        ):
+            with self.subTest(name):
+                directory = make_directory()
+                for endpoint in ("e0", "e1"):
+                    directory.mark_cold(base.EndpointId(endpoint))
+                permits = FakePermits(granted)
+                answer, _ = send_request(
+                    gateway.RouteKind.NON_IDEMPOTENT,
+                    *replies,
+                    permits=permits,
+                    directory=directory,
+                )
+                got = (
+                    answer.status
+                    if isinstance(answer, _forwarder.Answer)
+                    else answer.retry_after
+                )
+                self.assertEqual(got, want)
+                self.assertEqual(permits.asked, asked)
+
+
 def _make_route(kind: gateway.RouteKind) -> gateway.Route:
     return gateway.Route(
         name="route",
--- a/tests/node/test_permits.py
+++ b/tests/node/test_permits.py
@@ -6,6 +6,7 @@
 
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+from banyanbank_node import _cold_endpoints
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _leader_permits
 from banyanbank_node import _messages
@@ -62,6 +63,20 @@
             _as_any(self.stored),
             self.directory,
             self.limits,
+            _cold_endpoints.ColdEndpoints(
+                self.clock,
+                self.true_time,
+                _as_any(self.stored),
+                self.directory,
+                _as_any(None),
+                _as_any(
+                    types.SimpleNamespace(
+                        cold_endpoints=types.SimpleNamespace(
+                            set=lambda value: None
+                        )
+                    )
+                ),
+            ),
             _as_any(
                 types.SimpleNamespace(
                     serve=self.handlers.__setitem__,
--- a/tests/node/test_store_calls.py
+++ b/tests/node/test_store_calls.py
@@ -78,6 +78,7 @@
             base.FailureDomain("zone"),
             nothing(),
             nothing(),
+            nothing(),
         )
 
     def relay(self, held_by_entry: int) -> tuple[_messages.RelayedSync, bytes]:
