--- a/tests/node/test_cold_model.py
+++ b/tests/node/test_cold_model.py
@@ -28,6 +28,7 @@
 
 SIMULATED_S = 20.0
 LEADER_COUNT = 3
+STALL_PERIOD_S = 2.5
 TARGET = samples.make_announcement("e1", is_cold=True)
 
 
@@ -64,9 +65,16 @@
     loss: float = 0.0
     """Share of calls to the leader that are lost, in each direction."""
     has_slow_links: bool = False
-    """Whether calls and dials take long and end together."""
+    """Whether calls to the leader take up to 0.2 s in each direction."""
+    stall_s: float = 0.0
+    """Time in each `STALL_PERIOD_S` during which no dial ends; all end after
+    it."""
+    has_bursts: bool = False
+    """Whether callers send all requests of a second at once."""
     leads_for_s: float = 100.0
     """Time between two leaders."""
+    election_s: float = 0.5
+    """Longest time without a leader between them."""
     has_items: bool = False
     """Whether the leader sends items, too."""
     orders_per_s: int = 0
@@ -78,6 +86,7 @@
 
     Attributes:
         arrived_at: Times at which requests reached the endpoint.
+        leads_since: Times at which leaders took the lease.
     """
 
     def __init__(self, case: Case, seed: int) -> None:
@@ -85,6 +94,7 @@
         self.rng = random.Random(seed)
         self.clock = base.ManualClock(10.0)
         self.arrived_at: list[float] = []
+        self.leads_since = [10.0]
         self._events: list[tuple[float, int, typing.Any]] = []
         self._order = itertools.count()
         self._lead_counts = [0] * LEADER_COUNT
@@ -172,11 +182,16 @@
         self._at(1.0, self._send_orders)
 
     def _send_from_caller(self) -> None:
-        entry = self.rng.choice(self.entries)
-        defer.ensureDeferred(self._send(entry))
-        self._at(
-            self.rng.expovariate(self.case.tries_per_s), self._send_from_caller
+        count = round(self.case.tries_per_s) if self.case.has_bursts else 1
+        for _ in range(count):
+            entry = self.rng.choice(self.entries)
+            defer.ensureDeferred(self._send(entry))
+        wait_s = (
+            1.005
+            if self.case.has_bursts
+            else self.rng.expovariate(self.case.tries_per_s)
         )
+        self._at(wait_s, self._send_from_caller)
 
     async def _send(self, entry: _permits.RemotePermits) -> None:
         permit = await entry.acquire([TARGET], self.clock.now() + 2.0)
@@ -199,15 +214,8 @@
         self._at(self._draw_dial_s(), arrive)
 
     def _draw_dial_s(self) -> float:
-        if not self.case.has_slow_links:
-            return 0.001
-        if self.rng.random() < 0.1:
-            return self.rng.uniform(0.0, 2.0)
-        # Dials of half a second end together, which is the worst order.
-        return 0.499 - self.clock.now() % 0.5 if self._is_slow_phase() else 0.0
-
-    def _is_slow_phase(self) -> bool:
-        return self.clock.now() % 1.5 < 0.5
+        phase_s = self.clock.now() % STALL_PERIOD_S
+        return max(0.001, self.case.stall_s - phase_s)
 
     def _draw_delay_s(self) -> float:
         if not self.case.has_slow_links:
@@ -249,13 +257,14 @@
 
     def _lose_lease(self) -> None:
         self._stored[self.leader].has_lease = False
-        self._at(self.rng.uniform(0.0, 0.5), self._take_lease)
+        self._at(self.rng.uniform(0.01, self.case.election_s), self._take_lease)
 
     def _take_lease(self) -> None:
         self.leader = self.rng.randrange(LEADER_COUNT)
         epoch = 1 + max(stored.node.epoch for stored in self._stored)
         self._stored[self.leader].node.epoch = epoch
         self._stored[self.leader].has_lease = True
+        self.leads_since.append(self.clock.now())
         self._client.leader = base.InstanceId(str(self.leader))
         self._at(self.case.leads_for_s, self._lose_lease)
 
@@ -282,17 +291,28 @@
     ("fraction", Case(65, 2.5), 0.75),
     ("high rate", Case(360, 100.0, 400.0), 0.85),
     ("items", Case(65, 13.0, 30.0, has_items=True), 0.9),
-    ("items and orders", Case(65, 13.0, has_items=True, orders_per_s=4), 0.9),
+    ("items and orders", Case(65, 13.0, has_items=True, orders_per_s=12), 0.9),
     ("calls are lost", Case(360, 13.0, 200.0, loss=0.1), 0.65),
-    ("slow links", Case(7, 13.0, 100.0, has_slow_links=True), 0.6),
-    ("slow links, many", Case(360, 13.0, 300.0, has_slow_links=True), 0.6),
+    ("slow links", Case(7, 13.0, 100.0, has_slow_links=True), 0.65),
+    ("short stalls", Case(65, 13.0, 200.0, stall_s=0.49), 0.9),
+    ("long stalls", Case(360, 13.0, 200.0, stall_s=2.0), 0.3),
+    ("bursts", Case(65, 13.0, 40.0, has_bursts=True, stall_s=0.49), 0.15),
     ("leaders change", Case(65, 13.0, leads_for_s=3.0), 0.55),
+    (
+        "leaders change at once",
+        Case(65, 13.0, 200.0, leads_for_s=0.2, election_s=0.01),
+        0.0,
+    ),
     (
         "everything at once",
-        Case(360, 13.0, 300.0, 0.05, True, 2.0, True, 3),
-        0.3,
+        Case(360, 13.0, 300.0, 0.05, True, 1.0, False, 2.0, 0.5, True, 3),
+        0.2,
+    ),
+    (
+        "everything, few",
+        Case(7, 5.0, 100.0, 0.05, True, 1.0, False, 2.0, 0.5, True, 2),
+        0.2,
     ),
-    ("everything, few", Case(7, 5.0, 100.0, 0.05, True, 2.0, True, 2), 0.3),
 )
 """Name, conditions, and the least share of the rate that is to be used."""
 
@@ -313,6 +333,16 @@
                         least_share * case.cold_per_s * (SIMULATED_S - 1.0),
                     )
 
+    def test_first_second_of_leaders(self) -> None:
+        """Guards against permits beside what a former leader sent."""
+        simulation = Simulation(Case(65, 13.0, leads_for_s=2.0), seed=1)
+        simulation.run()
+        self.assertGreater(len(simulation.leads_since), 5)
+        for since in simulation.leads_since:
+            # What the former leader granted arrives within 0.01 s.
+            for arrived_at in simulation.arrived_at:
+                self.assertFalse(since + 0.01 < arrived_at < since + 1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -45,6 +45,9 @@
     """Three stores and an entry with an engine and a plain server behind it.
 
     Further entries can be added to it.
+
+    Attributes:
+        cold_ms: Time for which the endpoints announce that they stay cold.
     """
 
     def __init__(self) -> None:
@@ -63,6 +66,7 @@
         self.stores = [self._make_store(n + 1) for n in range(STORE_COUNT)]
         self.entry = self._make_entry()
         self.further_entries: list[node.Entry] = []
+        self.cold_ms = 0
         self._listeners: list[_listener.Listener] = []
 
     def _make_settings(self, name: str, host: str) -> dict[str, typing.Any]:
@@ -250,6 +254,8 @@
             "born": born,
             "models": models if service == "engines" else [],
         }
+        if self.cold_ms:
+            announcement["cold-remaining-ms"] = self.cold_ms
         return await self.call_store(
             "PUT", f"/-/instances/{name}", announcement
         )
