Merge the bound on requests to cold endpoints

Joined with evacuations: the readmissions come from the replicated ledger, and items and orders to cold engines go through the sender that holds back requests to evacuated domains. The tests' stand-ins got a real ledger.

--- a/packages/node/src/banyanbank_node/_engine_table.py
+++ b/packages/node/src/banyanbank_node/_engine_table.py
@@ -101,6 +101,7 @@
             is_ready=self._is_ready(announcement),
             loading=frozenset(weights.loading),
             born_ms=announcement.born_ms,
+            is_cold=announcement.is_cold,
         )
 
     def _weights_of(self, announcement: gateway.Announcement) -> _EngineWeights:
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -370,6 +370,6 @@
     Retire,
     TooFew,
     Retiring,
-    sparse=(SyncRequest, SyncAnswer, AwaitEntries),
+    sparse=(SyncRequest, SyncAnswer, AwaitEntries, gateway.Announcement),
 )
 """Codec of all messages between entries and stores."""
--- a/packages/node/src/banyanbank_node/_meters.py
+++ b/packages/node/src/banyanbank_node/_meters.py
@@ -22,6 +22,8 @@
         leader_contact_age: Seconds since the last answer of a leader.
         open_items: Batch job items without a result, by stage.
         evacuated_domains: Failure domains that this process holds evacuated.
+        cold_endpoints: Endpoints that the leader takes for cold.
+        cold_permits: Decisions about requests to cold endpoints, by outcome.
     """
 
     def __init__(self, clock: base.Clock) -> None:
@@ -60,6 +62,16 @@
             "banyanbank_evacuated_domains",
             "Failure domains to whose endpoints nothing is sent.",
         )
+        self.cold_endpoints = self.registry.gauge(
+            "banyanbank_cold_endpoints",
+            "Endpoints that this leader takes for cold.",
+        )
+        self.cold_permits = self.registry.counter(
+            "banyanbank_cold_permits_total",
+            "Decisions about requests to cold endpoints, by outcome:"
+            " granted, refused.",
+            "outcome",
+        )
 
     def count_event(
         self, event: str, fields: typing.Mapping[str, typing.Any]
--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -69,6 +69,7 @@
             born_ms=1,
             address="127.0.0.1:1",
             domain=base.FailureDomain("zone"),
+            is_cold=False,
         )
 
     def build_item_request(
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -171,6 +171,7 @@
                 self.clock, gateway.SyncedClock(self.clock), events
             ),
             types.SimpleNamespace(observe=lambda *rest: None),  # type: ignore[arg-type]
+            types.SimpleNamespace(charge_order=lambda target: None),  # type: ignore[arg-type]
         )
         for name, domain in (("1", ZONE), ("2", OTHER_ZONE)):
             self.directory.apply(make_endpoint(name, domain), 10.0)
@@ -292,6 +293,7 @@
             ZONE,
             nothing(known=gateway.KnownLimits()),
             gateway.CrashSuspects(),
+            nothing(apply_readmissions=lambda: False),
         )
         self.calls.led_since = 0.0
         self.regions: dict[base.FailureDomain, str] = {}
--- a/tests/node/test_permits.py
+++ b/tests/node/test_permits.py
@@ -6,6 +6,8 @@
 
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+import banyanbank_jobs as jobs
+from banyanbank_node import _cold_endpoints
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _leader_permits
 from banyanbank_node import _messages
@@ -54,7 +56,9 @@
         self.told_stores: list[typing.Any] = []
         self.handlers: dict[str, typing.Any] = {}
         self.stored = types.SimpleNamespace(
-            has_lease=True, node=types.SimpleNamespace(epoch=1)
+            has_lease=True,
+            node=types.SimpleNamespace(epoch=1),
+            ledger=jobs.Ledger(),
         )
         self.limits = self._make_limits()
         self.leader = _leader_permits.LeaderPermits(
@@ -62,6 +66,20 @@
             _as_any(self.stored),
             self.directory,
             self.limits,
+            _cold_endpoints.ColdEndpoints(
+                self.clock,
+                self.true_time,
+                _as_any(self.stored),
+                self.directory,
+                _as_any(None),
+                _as_any(
+                    types.SimpleNamespace(
+                        cold_endpoints=types.SimpleNamespace(
+                            set=lambda value: None
+                        )
+                    )
+                ),
+            ),
             _as_any(
                 types.SimpleNamespace(
                     serve=self.handlers.__setitem__,
