Give client accounts priorities

Operators could order batch jobs by route only. An account's priority now takes precedence over that of the route wherever a priority counts: a job takes it over when it is accepted, and keeps it.

Item requests state the priority of their job only while the document allows jobs of different priorities, so that the requests of other deployments stay as they are. A priority that is no number makes the document invalid.

--- a/packages/gateway/src/banyanbank_gateway/_documents.py
+++ b/packages/gateway/src/banyanbank_gateway/_documents.py
@@ -136,3 +136,5 @@
     """Limits on client requests."""
     accounts: dict[str, base.AccountId] | None
     """Client account of each key; None if requests need no key."""
+    account_priorities: dict[base.AccountId, int] = attrs.Factory(dict)
+    """Priorities of accounts that take precedence over those of routes."""
--- a/packages/gateway/src/banyanbank_gateway/_routing.py
+++ b/packages/gateway/src/banyanbank_gateway/_routing.py
@@ -1,5 +1,6 @@
 """Finds the route, the service and the client account of a request."""
 
+import functools
 import hashlib
 import math
 import random
@@ -67,6 +68,29 @@
             return None
         return self.document.accounts.get(key)
 
+    def find_priority(
+        self, route: _documents.Route, account: base.AccountId | None
+    ) -> int:
+        """Returns the priority of an account's work on a route."""
+        if account is None:
+            return route.priority
+        return self.document.account_priorities.get(account, route.priority)
+
+    @functools.cached_property
+    def has_several_priorities(self) -> bool:
+        """Whether batch jobs may be submitted with different priorities."""
+        accounts = set((self.document.accounts or {}).values())
+        priorities: set[int] = set()
+        for route in self.document.routes:
+            if route.kind is not _documents.RouteKind.ROLLOUT:
+                continue
+            priorities.update(
+                self.find_priority(route, account) for account in accounts
+            )
+            if not self.needs_key(route):
+                priorities.add(route.priority)
+        return len(priorities) > 1
+
     def needs_key(self, route: _documents.Route) -> bool:
         """Whether requests of a route need a key."""
         return self.document.accounts is not None and not route.is_public
--- a/packages/jobs/src/banyanbank_jobs/_records.py
+++ b/packages/jobs/src/banyanbank_jobs/_records.py
@@ -86,7 +86,8 @@
     is_single_version: bool = False
     """Whether one weight version must generate an entire text."""
     priority: int = 0
-    """Priority of its route; 0 is the most urgent."""
+    """Priority of its account, or else of its route, when it was accepted; 0 is
+    the most urgent."""
 
 
 @attrs.frozen
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -192,6 +192,15 @@
             return self._deny(_make_unauthenticated_refusal())
         return route, account
 
+    def find_priority(
+        self, route: gateway.Route, account: base.AccountId | None
+    ) -> int:
+        """Returns the priority of a batch job that is submitted now."""
+        table = self.sync.table
+        if table is None:
+            return route.priority
+        return table.find_priority(route, account)
+
     def authenticate_for_jobs(
         self, key: str | None
     ) -> base.AccountId | base.Refusal:
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -230,6 +230,7 @@
             run.announcement,
             now + max(remaining_s, MIN_RUN_TIMEOUT_S),
             now,
+            self._has_several_priorities(),
         )
         sent = await self._upstream.send(req)
         if isinstance(sent, result.Failure):
@@ -248,6 +249,10 @@
         else:
             self._handle_lost(run, end.detail)
 
+    def _has_several_priorities(self) -> bool:
+        table = self._stored.table
+        return table is not None and table.has_several_priorities
+
     def _handle_unanswered(
         self, run: _run_reader.Run, error: web.UpstreamError
     ) -> None:
--- a/packages/node/src/banyanbank_node/_ports.py
+++ b/packages/node/src/banyanbank_node/_ports.py
@@ -117,8 +117,17 @@
         target: gateway.Announcement,
         deadline: float,
         now: float,
+        states_priority: bool,
     ) -> web.UpstreamRequest:
-        """Returns the request that generates an item's text."""
+        """Returns the request that generates an item's text.
+
+        Args:
+            item: Item to run.
+            target: Engine that runs it.
+            deadline: Deadline of the run, on the monotonic clock.
+            now: Current time.
+            states_priority: Whether to tell the engine the priority of the job.
+        """
         ...
 
     def grade(self, call: jobs.ScorerCall, deadline: float) -> CallerRequest:
--- a/tests/gateway/test_routing.py
+++ b/tests/gateway/test_routing.py
@@ -35,6 +35,63 @@
     )
 
 
+class PriorityTest(unittest.TestCase):
+    """Priorities of accounts take precedence over those of routes."""
+
+    def test_find_priority(self) -> None:
+        route = attrs.evolve(make_route("r", "a", "/"), priority=4)
+        document = attrs.evolve(
+            make_table(route).document,
+            account_priorities={base.AccountId("urgent"): 0},
+        )
+        table = gateway.RouteTable(document)
+        for account, expected in (("urgent", 0), ("other", 4), (None, 4)):
+            with self.subTest(account):
+                found = table.find_priority(
+                    route, account and base.AccountId(account)
+                )
+                self.assertEqual(found, expected)
+
+    def test_has_several_priorities(self) -> None:
+        """Guards against a header that a deployment does not expect."""
+        for name, routes, accounts, expected in (
+            ("no priority", (0, 0), {"a": None, "b": None}, False),
+            ("no keys", (0, 1), {}, True),
+            ("unlike routes", (0, 1), {"a": None}, True),
+            ("one account precedes", (2, 2), {"a": 1, "b": None}, True),
+            ("the same for all", (2, 2), {"a": 1, "b": 1}, False),
+            ("accounts hide routes", (0, 1), {"a": 3, "b": 3}, False),
+            ("no rollout route", (), {"a": 1, "b": 2}, False),
+        ):
+            with self.subTest(name):
+                rollouts = [
+                    attrs.evolve(
+                        make_route("r", "a", f"/{n}/"),
+                        kind=gateway.RouteKind.ROLLOUT,
+                        priority=priority,
+                    )
+                    for n, priority in enumerate(routes)
+                ]
+                document = attrs.evolve(
+                    make_table(
+                        *rollouts,
+                        attrs.evolve(make_route("i", "b", "/"), priority=9),
+                    ).document,
+                    accounts={
+                        f"key-{account}": base.AccountId(account)
+                        for account in accounts
+                    }
+                    or None,
+                    account_priorities={
+                        base.AccountId(account): priority
+                        for account, priority in accounts.items()
+                        if priority is not None
+                    },
+                )
+                table = gateway.RouteTable(document)
+                self.assertIs(table.has_several_priorities, expected)
+
+
 class CountedPath(str):
     """A path that counts its slices and prefix comparisons."""
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -159,7 +159,7 @@
         self.check_each(
             JOB,
             lambda content: _batch_job.read_job(
-                "job-1", content, ROUTE, base.AccountId("a"), 0.0
+                "job-1", content, ROUTE, base.AccountId("a"), 0.0, 0
             ),
             _fields.FieldError,
             lambda job: jobs.COMMAND_CODEC.encode(jobs.AcceptJob(job)),
--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -183,6 +183,26 @@
                 },
                 "share a key",
             ),
+            (
+                "a priority of an account that is no number",
+                {"tenants": [{"name": "x", "priority": "1"}]},
+                "'priority' must be a number",
+            ),
+            (
+                "a negative priority of an account",
+                {"tenants": [{"name": "x", "priority": -1}]},
+                "'priority' must lie between 0",
+            ),
+            (
+                "an account with two priorities",
+                {
+                    "tenants": [
+                        {"name": "x", "priority": 1},
+                        {"name": "x", "priority": 2},
+                    ]
+                },
+                "'x' has two priorities",
+            ),
         ):
             reader = _document.DocumentReader()
             read(reader, valid_source)
