--- a/packages/node/src/banyanbank_node/_meters.py
+++ b/packages/node/src/banyanbank_node/_meters.py
@@ -24,6 +24,7 @@
         evacuated_domains: Failure domains that this process holds evacuated.
         cold_endpoints: Endpoints that the leader takes for cold.
         cold_permits: Decisions about requests to cold endpoints, by outcome.
+        waiting_scorer_calls: Scorer calls that wait for an endpoint.
     """
 
     def __init__(self, clock: base.Clock) -> None:
@@ -46,7 +47,8 @@
         )
         self.items = self.registry.histogram(
             "banyanbank_item_seconds",
-            "Seconds of items, by part: first_event, run, grade, commit.",
+            "Seconds of items, by part: first_event, run, grade_wait, grade,"
+            " commit.",
             "part",
         )
         self.leader_contact_age = self.registry.gauge(
@@ -72,6 +74,10 @@
             " granted, refused.",
             "outcome",
         )
+        self.waiting_scorer_calls = self.registry.gauge(
+            "banyanbank_waiting_scorer_calls",
+            "Scorer calls that wait for an endpoint with room.",
+        )
 
     def count_event(
         self, event: str, fields: typing.Mapping[str, typing.Any]
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -31,6 +31,7 @@
 from banyanbank_node import _ports
 from banyanbank_node import _result_committer
 from banyanbank_node import _retention_duty
+from banyanbank_node import _scorer_admission
 from banyanbank_node import _settings
 from banyanbank_node import _store_calls
 from banyanbank_node import _store_client
@@ -176,11 +177,23 @@
         departures = _departures.Departures(
             node.clock, self.directory, self.events, self.calls.changes.wake
         )
+        picker = gateway.EndpointPicker(node.settings.domain, node.rng)
+        self._admission = _scorer_admission.ScorerAdmission(
+            node.clock,
+            self.stored,
+            lambda service: filter(
+                endpoints.may_send, self.directory.of_service(service)
+            ),
+            picker.is_failing,
+            self.events,
+            node.meters,
+        )
+        self.calls.changes.subscribe(self._admission.dispatch)
         forwarder = _forwarder.Forwarder(
             node.clock,
             endpoints,
             self.wire,
-            gateway.EndpointPicker(node.settings.domain, node.rng),
+            picker,
             self.directory.of_service,
             node.rng,
             self.events,
@@ -206,6 +219,7 @@
                 forwarder,
                 self.events,
                 node.meters,
+                self._admission,
             ),
             _result_committer.ResultCommitter(
                 node.reactor,
@@ -285,6 +299,7 @@
             reports,
             retention,
             permits,
+            self._admission,
         )
         return runs
 
@@ -295,6 +310,7 @@
         self.node.meters.evacuated_domains.set(
             len(self.stored.ledger.evacuations.domains)
         )
+        self.node.meters.waiting_scorer_calls.set(len(self._admission))
         return self.node.meters.registry.render()
 
     @property
--- a/tests/node/test_item_grading.py
+++ b/tests/node/test_item_grading.py
@@ -15,6 +15,7 @@
 from banyanbank_node import _forwarder
 from banyanbank_node import _item_grading
 from banyanbank_node import _ports
+from banyanbank_node import _scorer_admission
 import banyanbank_web as web
 from returns import result
 from twisted.internet import defer
@@ -58,6 +59,9 @@
         ignored = types.SimpleNamespace(record=lambda *rest: None)
         meters = _as_any(types.SimpleNamespace(requests=ignored, items=ignored))
         directory = make_directory()
+        picker = gateway.EndpointPicker(
+            base.FailureDomain("a"), random.Random(1)
+        )
         forwarder = _forwarder.Forwarder(
             clock,
             _endpoint_sender.EndpointSender(
@@ -65,7 +69,7 @@
                 jobs.Evacuations,
             ),
             _as_any(self),
-            gateway.EndpointPicker(base.FailureDomain("a"), random.Random(1)),
+            picker,
             directory.of_service,
             random.Random(1),
             events,
@@ -86,6 +90,14 @@
             forwarder,
             events,
             meters,
+            _scorer_admission.ScorerAdmission(
+                clock,
+                _as_any(self.stored),
+                directory.of_service,
+                picker.is_failing,
+                events,
+                meters,
+            ),
         )
 
     def start(self) -> None:
