Move items by what a move saves and costs

Cause: the speed of an engine was a moving average that a single pause of a stream raised by half, and an item moved whenever another engine had less than 0.6 of its engine's event interval. A moved item went back to the waiting items and could land on any engine.

Change: the speed is the median of the last 25 intervals over all runs of the engine, with its standard error. An item moves if the time saved on the expected rest of its text exceeds the cost of reading prompt and text again by 0.5 s and is 30% of the rest, with two standard errors for both engines. It goes to the engine that was chosen, longest text first, and does not move again for 2 s. A new leader moves nothing in its first 2 s.

--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -44,6 +44,7 @@
 from banyanbank_jobs._ledger import KeptText
 from banyanbank_jobs._ledger import Ledger
 from banyanbank_jobs._lengths import LengthEstimate
+from banyanbank_jobs._moves import MoveReason
 from banyanbank_jobs._records import expected_tokens
 from banyanbank_jobs._records import ItemOutcome
 from banyanbank_jobs._records import ItemResult
@@ -54,6 +55,7 @@
 from banyanbank_jobs._scheduler import FAILED_RETRY_DELAY_S
 from banyanbank_jobs._scheduler import MAX_BACKOFF_REJECTIONS
 from banyanbank_jobs._scheduler import MIN_RETRY_DELAY_S
+from banyanbank_jobs._scheduler import Move
 from banyanbank_jobs._scheduler import Placement
 from banyanbank_jobs._scheduler import Scheduler
 from banyanbank_jobs._weights import LoadOrder
@@ -104,6 +106,8 @@
     "ListResult",
     "LoadOrder",
     "MarkReported",
+    "Move",
+    "MoveReason",
     "NameVersion",
     "NotFound",
     "Placement",
--- a/packages/jobs/src/banyanbank_jobs/_engine_selection.py
+++ b/packages/jobs/src/banyanbank_jobs/_engine_selection.py
@@ -6,6 +6,7 @@
 
 from banyanbank_jobs import _engines
 from banyanbank_jobs import _item_progress
+from banyanbank_jobs import _moves
 
 LOAD_COST = 0.5
 """Cost of a fully loaded engine, in units of the shortest event interval."""
@@ -146,14 +147,19 @@
 
         Args:
             permitted: Engines that may run the item.
-            max_interval_s: Bound on the engine's time between events.
+            max_interval_s: Bound on the engine's time between events, which
+                also its error must not exceed.
         """
+
+        def interval_s(view: _engines.EngineView) -> float:
+            return _moves.cautious_interval_s(self._health.speed(view.endpoint))
+
         faster = [
             view
             for view in self._healthy_with_slots(permitted)
-            if self._event_interval_s(view) < max_interval_s
+            if interval_s(view) < max_interval_s
         ]
-        return min(faster, key=self._event_interval_s, default=None)
+        return min(faster, key=interval_s, default=None)
 
     def _choose_probe(
         self, permitted: collections.abc.Sequence[_engines.EngineView]
@@ -187,7 +193,7 @@
         return not self._health.is_suspect(view.endpoint, self._now)
 
     def _event_interval_s(self, view: _engines.EngineView) -> float:
-        return self._health.mean_event_interval_s(view.endpoint)
+        return self._health.speed(view.endpoint).event_interval_s
 
 
 def may_run(
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -181,7 +181,8 @@
         "item.run",
         "job item endpoint outcome detail last_event age_ms",
         "A run ended: generated, lost, stale (its kept connection had ended),"
-        " other version, refused or moved.",
+        " other version, refused or moved. `detail` of a move: why, and to"
+        " which engine.",
     ),
     _make_kind(
         "item.restarted",
--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -10,6 +10,7 @@
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _item_runs
+from banyanbank_node import _meters
 from banyanbank_node import _result_committer
 import banyanbank_web as web
 from returns import result
@@ -136,6 +137,7 @@
         self.stored = stored
         events = _as_any(types.SimpleNamespace(write=self._write))
         true_time = gateway.SyncedClock(self.clock)
+        self.meters = _meters.Meters(self.clock)
         self.runs = _item_runs.ItemRuns(
             self.clock,
             _as_any(stored),
@@ -158,7 +160,7 @@
                 ),
             ),
             events,
-            _as_any(None),
+            self.meters,
             _endpoint_limits.EndpointLimits(self.clock, true_time, events),
             _as_any(types.SimpleNamespace(charge=lambda target: None)),
             _as_any(types.SimpleNamespace(observe=lambda *rest: None)),
