Place long texts on fast engines

Cause: the choice of an engine weighed its speed against load and prefix alike for all texts, so long texts shared slow engines with their group.

Change: above 30 expected events, speed counts in proportion to the rest of the text.

A rule by which an item that would be late waits up to 1 s for a slot that is free soon was tried and taken out.

--- a/measurements/placement.py
+++ b/measurements/placement.py
@@ -46,6 +46,7 @@
     fastest: float = 0.7
     gap_share: float = 0.003
     slow_every_s: float = 10.0
+    events: int = EVENTS
 
 
 FLEETS = (
@@ -53,6 +54,7 @@
     Fleet("gaps only", 1.0, 1.0, 0.003, math.inf),
     Fleet("unequal", slow_every_s=math.inf),
     Fleet("unequal, some become slow"),
+    Fleet("the same, texts 35% longer", events=35),
 )
 
 
@@ -97,6 +99,7 @@
         self._undone: dict[str, dict[str, int]] = {}
         self._ends: dict[str, tuple[float, int]] = {}
         self.moves = 0
+        self.prefix_misses = 0
         self.tokens_again = 0
         self.tokens = 0
         self.whole_s: list[float] = []
@@ -139,7 +142,7 @@
             is_long = self._load.random() < 0.08
             events = max(
                 3.0,
-                EVENTS
+                self._fleet.events
                 * (5 if is_long else 1)
                 * self._load.lognormvariate(-0.02, 0.2),
             )
@@ -206,6 +209,7 @@
         read = text
         if item.spec.prefix not in engine.prefixes:
             engine.prefixes.add(item.spec.prefix)
+            self.prefix_misses += 1
             read += PROMPT_TOKENS
         self._after(
             read / READ_TOKENS_PER_S + self._interval_s(engine),
@@ -286,6 +290,8 @@
             "moves": sum(run.moves for run in runs),
             "k_tokens": sum(run.tokens for run in runs) // 1000,
             "k_tokens_again": sum(run.tokens_again for run in runs) // 1000,
+            "prefix_misses": sum(run.prefix_misses for run in runs),
+            "late_items": sum(run.item_late for run in runs),
             "whole_mean_s": round(statistics.mean(whole_s), 2),
             "whole_p90_s": round(whole_s[len(whole_s) * 9 // 10], 2),
             "late_steps": sum(seconds > DUE_S for seconds in whole_s),
--- a/packages/jobs/src/banyanbank_jobs/_engine_selection.py
+++ b/packages/jobs/src/banyanbank_jobs/_engine_selection.py
@@ -21,6 +21,11 @@
 """Time for which a text of one version waits for a suspect engine that could
 continue it, before it is begun anew elsewhere."""
 
+SHORT_TEXT_EVENTS = 30.0
+"""Texts up to this length weigh speed against load and prefix as above. For
+longer ones, speed counts in proportion, since the time on a slow engine adds up
+while the load and the prefix cost the same."""
+
 FindServices = collections.abc.Callable[
     [_item_progress.ItemProgress], collections.abc.Sequence[str]
 ]
@@ -115,23 +120,28 @@
         self,
         permitted: collections.abc.Sequence[_engines.EngineView],
         prefix_engine: base.EndpointId | None,
+        remaining_events: float = 0.0,
     ) -> _engines.EngineView | None:
         """Returns the best engine with a free slot, or None.
 
         Args:
             permitted: Engines that may run the item.
             prefix_engine: Engine that has cached the item's prompt prefix.
+            remaining_events: Events that its text is expected to lack.
         """
         healthy = self._healthy_with_slots(permitted)
         if not healthy:
             return self._choose_probe(permitted)
         shortest_interval_s = min(map(self._event_interval_s, healthy))
+        speed_weight = max(1.0, remaining_events / SHORT_TEXT_EVENTS)
 
         def cost(view: _engines.EngineView) -> float:
             used = 1 - self._free[view.endpoint] / max(1, view.slots)
             is_prefix_miss = view.endpoint != prefix_engine
             return (
-                self._event_interval_s(view) / shortest_interval_s
+                speed_weight
+                * self._event_interval_s(view)
+                / shortest_interval_s
                 + LOAD_COST * used
                 + PREFIX_MISS_COST * is_prefix_miss
             )
--- a/packages/jobs/src/banyanbank_jobs/_scheduler.py
+++ b/packages/jobs/src/banyanbank_jobs/_scheduler.py
@@ -6,7 +6,8 @@
 the rate of a stream. Items of one group share a prompt prefix and are placed on
 the same engine while it has a free slot. If a trainer does not wait for all
 groups, the groups that it is expected to finish without come last; under high
-load these are a tenth of the work.
+load these are a tenth of the work. Long texts come first within a job and
+prefer fast engines.
 """
 
 import collections
@@ -208,7 +209,9 @@
                 permitted = selection.permitted(item, continues_text=False)
             prefix = (item.job.model, item.spec.prefix)
             view = selection.choose(
-                permitted, self._engine_by_prefix.get(prefix)
+                permitted,
+                self._engine_by_prefix.get(prefix),
+                self._remaining_events(item),
             )
             if view is None:
                 continue
