Keep the cold state that a store cannot judge yet

A store removed is_cold from announcements whenever its document stated no rate for the service, so also while it knew no document. After a common restart, stores receive announcements before they replay their logs, and entries took the endpoints for warm until the next announcement, 1.2 s later.

The receiving store now removes the flag only if it knows a leader and a document; the leader judges what it receives by the document in force.

--- a/packages/node/src/banyanbank_node/_cold_endpoints.py
+++ b/packages/node/src/banyanbank_node/_cold_endpoints.py
@@ -66,17 +66,17 @@
     ) -> gateway.Announcement:
         """Drops the cold state if the endpoint's service states no rate.
 
-        Earlier releases cannot read it.
+        Earlier releases cannot read it. A store that has just started may know
+        no document, or an old one, until it knows a leader; it leaves the
+        decision to the leader, which judges what it receives.
         """
-        if (
-            not announcement.is_cold
-            or self._find_service_rate(announcement) is not None
-        ):
+        if self._stored.node.leader is None:
             return announcement
-        return attrs.evolve(announcement, is_cold=False)
+        return self._drop_without_rate(announcement)
 
     def judge(self, announcement: gateway.Announcement) -> gateway.Announcement:
         """Returns a received announcement with the state that is assumed."""
+        announcement = self._drop_without_rate(announcement)
         readmissions = self._stored.ledger.evacuations.readmitted
         if (
             not readmissions
@@ -159,6 +159,17 @@
                 1, "granted" if is_granted else "refused"
             )
 
+    def _drop_without_rate(
+        self, announcement: gateway.Announcement
+    ) -> gateway.Announcement:
+        if (
+            not announcement.is_cold
+            or self._stored.table is None
+            or self._find_service_rate(announcement) is not None
+        ):
+            return announcement
+        return attrs.evolve(announcement, is_cold=False)
+
     def _find_service_rate(
         self, announcement: gateway.Announcement
     ) -> float | None:
--- a/tests/node/test_cold_endpoints.py
+++ b/tests/node/test_cold_endpoints.py
@@ -29,7 +29,10 @@
         self.directory = gateway.Directory()
         self.events: list[tuple[str, str]] = []
         self.counts: list[int] = []
-        self.stored = types.SimpleNamespace(table=None, ledger=jobs.Ledger())
+        self.node = types.SimpleNamespace(leader="s1")
+        self.stored = types.SimpleNamespace(
+            table=None, ledger=jobs.Ledger(), node=self.node
+        )
         self.cold = _cold_endpoints.ColdEndpoints(
             self.clock,
             self.true_time,
@@ -77,6 +80,31 @@
                     self.cold.find_rate(WARM), cold_per_s if is_cold else None
                 )
 
+    def test_announcements_before_the_document_is_known(self) -> None:
+        """Guards against a full load after a common restart.
+
+        Endpoints announce that they are cold before stores have replayed their
+        logs, and announce again only 1.2 s later.
+        """
+        for name, old_rate, leader, rate, is_cold in (
+            ("no document yet", None, "s1", 13.0, True),
+            ("no leader, old document", 0.0, None, 13.0, True),
+            ("no leader, no rate", 0.0, None, 0.0, False),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.node.leader = leader
+                if old_rate is not None:
+                    self.configure(old_rate)
+                sent = self.cold.drop_unused(COLD)
+                self.directory.apply(self.cold.judge(sent), self.clock.now())
+                self.configure(rate)
+                # The call to the leader arrives once one is elected.
+                self.directory.apply(self.cold.judge(sent), self.clock.now())
+                self.assertEqual(
+                    self.cold.find_rate(WARM), rate if is_cold else None
+                )
+
     def test_readmission_of_known_endpoints(self) -> None:
         """Guards against a full load on endpoints that announced before it."""
         self.configure(13.0)
