Serve a split route whose drawn service is evacuated

A split route drew a service by weight before evacuated domains were considered, so a request drawn to a service with endpoints in evacuated domains only was refused although another target had endpoints. A scorer call that waited for such a service waited until the domain was readmitted.

The forwarder now draws again among the targets with ready endpoints outside evacuated domains, and waiting scorer calls find their service anew after a change of the evacuations. Nothing changes while the drawn service has an endpoint that may be sent to, or none at all.

--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -247,7 +247,41 @@
             if route != forwarding.route:
                 forwarding.route = route
                 former = None
-        return former or gateway.draw_service(forwarding.route, self._rng)
+        return self._avoid_evacuated(
+            forwarding.route,
+            former or gateway.draw_service(forwarding.route, self._rng),
+        )
+
+    def _avoid_evacuated(self, route: gateway.Route, service: str) -> str:
+        """Returns a service of a route that has endpoints to send to.
+
+        Args:
+            route: Route of the request.
+            service: Service that is returned unless all its endpoints are in
+                evacuated domains and another target's are not.
+        """
+        if len(route.targets) == 1:
+            return service
+        known = list(self._find_endpoints(service))
+        if not known or any(map(self._endpoints.may_send, known)):
+            return service
+        others = tuple(
+            target
+            for target in route.targets
+            if target.weight > 0 and self._is_served(target.service)
+        )
+        if not others:
+            return service
+        return gateway.draw_service(
+            attrs.evolve(route, targets=others), self._rng
+        )
+
+    def _is_served(self, service: str) -> bool:
+        return any(
+            target.state is gateway.EndpointState.READY
+            and self._endpoints.may_send(target)
+            for target in self._find_endpoints(service)
+        )
 
     async def _choose_endpoint(
         self, forwarding: Forwarding, service: str
--- a/packages/node/src/banyanbank_node/_scorer_admission.py
+++ b/packages/node/src/banyanbank_node/_scorer_admission.py
@@ -57,6 +57,7 @@
         self._waiters: dict[jobs.WaitingScorerCall, defer.Deferred[bool]] = {}
         self._sequence = itertools.count()
         self._table: gateway.RouteTable | None = None
+        self._evacuations = jobs.Evacuations()
         self._is_dispatching = False
 
     def __len__(self) -> int:
@@ -130,11 +131,17 @@
         self.dispatch()
 
     def _recheck_routes(self) -> None:
-        """Lets the calls find their routes anew after a new document."""
+        """Lets the calls find their routes and services anew.
+
+        A document may have changed their routes, and an evacuation may have
+        left the service that was drawn for a split route without endpoints.
+        """
         table = self._stored.table
-        if table is self._table:
+        evacuations = self._stored.ledger.evacuations
+        if table is self._table and evacuations is self._evacuations:
             return
         self._table = table
+        self._evacuations = evacuations
         for call in list(self._waiters):
             self._resolve(call, False)
 
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -99,11 +99,13 @@
     attempt_s: float = 0.0,
     deadlines: list[float] | None = None,
     evacuated: tuple[base.FailureDomain, ...] = (),
+    split: tuple[str, ...] = (),
 ) -> tuple[_forwarder.Answer | base.Refusal, int]:
     """Returns the answer or refusal, and the number of endpoints tried.
 
     Each attempt takes `attempt_s`, or as long as its deadline allows, which is
-    appended to `deadlines`.
+    appended to `deadlines`. The route is split evenly over the services of
+    `split`.
     """
     directory = directory or make_directory()
     if suspects is None:
@@ -156,7 +158,9 @@
             )
         ),
         gateway.EndpointPicker(base.FailureDomain("z"), random.Random(1)),
-        lambda service: directory.all(),
+        lambda service: (
+            directory.of_service(service) if split else directory.all()
+        ),
         random.Random(1),
         _as_any(types.SimpleNamespace(write=lambda event, **fields: None)),
         _as_any(
@@ -177,8 +181,12 @@
     req = _ports.CallerRequest(
         REQUEST_ID, "POST", "host", "/p/", "/p/", (), b"", None, 20.0
     )
+    route = _make_route(kind)
+    if split:
+        targets = tuple(gateway.Target(service, 1.0) for service in split)
+        route = attrs.evolve(route, targets=targets)
     forwarding = _forwarder.Forwarding(
-        req, _make_route(kind), None, 20.0, follows_crashes=kind.is_repeatable
+        req, route, None, 20.0, follows_crashes=kind.is_repeatable
     )
     got: list[typing.Any] = []
     defer.ensureDeferred(forwarder.send(forwarding)).addBoth(got.append)
@@ -220,6 +228,43 @@
                 self.assertIsNotNone(got.retry_after)
                 self.assertEqual("evacuated" in got.detail, not tried)
 
+    def test_split_route(self) -> None:
+        """Guards against refusals while another target has endpoints."""
+        a, b = map(base.FailureDomain, ("zone-a", "zone-b"))
+        services = tuple(f"s{number}" for number in range(8))
+        for name, domains, draining, evacuated, is_served in (
+            ("none evacuated", [a] * 8, "", (b,), True),
+            ("all but one", [a] * 7 + [b], "", (a,), True),
+            ("all but one, which drains", [a] * 7 + [b], "s7", (a,), False),
+            ("all", [a] * 8, "", (a,), False),
+        ):
+            with self.subTest(name):
+                directory = gateway.Directory()
+                for number, domain in enumerate(domains):
+                    announcement = samples.make_announcement(
+                        f"e{number}",
+                        service=f"s{number}",
+                        domain=domain,
+                        address=f"10.0.0.{number + 1}:80",
+                        state=gateway.EndpointState.DRAINING
+                        if draining == f"s{number}"
+                        else gateway.EndpointState.READY,
+                    )
+                    directory.apply(announcement, 10.0)
+                got, _ = send_request(
+                    gateway.RouteKind.NON_IDEMPOTENT,
+                    Reply(REQUEST_ID),
+                    directory=directory,
+                    evacuated=evacuated,
+                    split=services,
+                )
+                if is_served:
+                    assert isinstance(got, _forwarder.Answer), got
+                    self.assertEqual(got.status, 200)
+                else:
+                    assert isinstance(got, base.Refusal)
+                    self.assertIn("evacuated", got.detail)
+
 
 class DepartureTest(unittest.TestCase):
     """Endpoints that state their departure get no further requests.
--- a/tests/node/test_item_grading.py
+++ b/tests/node/test_item_grading.py
@@ -52,7 +52,9 @@
         self.reactor = task.Clock()
         self.sent_to: list[str] = []
         self.pending: list[defer.Deferred[typing.Any]] = []
-        self.stored = types.SimpleNamespace(has_lease=True, table=None)
+        self.stored = types.SimpleNamespace(
+            has_lease=True, table=None, ledger=jobs.Ledger()
+        )
         self.configure("old")
         clock = base.ManualClock(10.0)
         events = _as_any(types.SimpleNamespace(write=lambda *_, **__: None))
--- a/tests/node/test_scorer_admission.py
+++ b/tests/node/test_scorer_admission.py
@@ -142,7 +142,9 @@
         self.graded: dict[str, float] = {}
         self.running: list[defer.Deferred[typing.Any]] = []
         self.events: list[tuple[str, dict[str, typing.Any]]] = []
-        self.stored = types.SimpleNamespace(has_lease=True, table=None)
+        self.stored = types.SimpleNamespace(
+            has_lease=True, table=None, ledger=jobs.Ledger()
+        )
         self.is_shared = is_shared
         self.is_wanted = True
         self.configure()
@@ -152,20 +154,23 @@
         picker = gateway.EndpointPicker(
             base.FailureDomain("a"), random.Random(1)
         )
+        endpoints = _endpoint_sender.EndpointSender(
+            _as_any(types.SimpleNamespace(send=self._send)),
+            lambda: self.stored.ledger.evacuations,
+        )
         self.admission = _scorer_admission.ScorerAdmission(
             clock,
             _as_any(self.stored),
-            self.directory.of_service,
+            lambda service: filter(
+                endpoints.may_send, self.directory.of_service(service)
+            ),
             picker.is_failing,
             events,
             meters,
         )
         forwarder = _forwarder.Forwarder(
             clock,
-            _endpoint_sender.EndpointSender(
-                _as_any(types.SimpleNamespace(send=self._send)),
-                jobs.Evacuations,
-            ),
+            endpoints,
             _as_any(self),
             picker,
             self.directory.of_service,
@@ -197,14 +202,17 @@
         for number, speed in enumerate(speeds):
             self.announce(f"e{number}", speed)
 
-    def configure(self, service: str = "service") -> None:
-        """Puts a document in force that routes scorer calls to a service."""
+    def configure(self, *services: str) -> None:
+        """Puts a document in force that routes scorer calls to services."""
         route = gateway.Route(
             name="scorer",
             host="host.example",
             prefix="/score/",
             kind=gateway.RouteKind.IDEMPOTENT,
-            targets=(gateway.Target(service, 1.0),),
+            targets=tuple(
+                gateway.Target(service, 1.0)
+                for service in services or ("service",)
+            ),
             timeout_s=2.0,
             objective_s=0.2,
             max_attempts=3,
@@ -223,6 +231,7 @@
         speed: float = 1.0,
         service: str = "service",
         slots: int | None = None,
+        domain: str = "a",
     ) -> None:
         """Adds an endpoint."""
         slots = slots or self.slots
@@ -233,6 +242,7 @@
                 service=service,
                 slots=slots,
                 address=f"10.0.0.{len(self.endpoints)}:80",
+                domain=base.FailureDomain(domain),
             ),
             self.reactor.seconds(),
         )
@@ -562,6 +572,23 @@
         self.world.run(1.0)
         self.assertEqual(len(self.world.graded), 3)
 
+    def test_service_that_is_evacuated(self) -> None:
+        """Guards against waits while another target has endpoints."""
+        self.world = World(speeds=(1.0,), has_ticks=False)
+        self.world.announce("other", service="other", domain="b")
+        self.world.configure("service", "other")
+        self.world.end_items(20)
+        is_started = {item for item, _ in self.world.sent}
+        ledger = self.world.stored.ledger
+        ledger.evacuations = ledger.evacuations.evacuate(
+            base.FailureDomain("a")
+        )
+        self.world.admission.dispatch()
+        self.world.run(2.0)
+        self.assertEqual(len(self.world.graded), 20)
+        later = {n for item, n in self.world.sent if item not in is_started}
+        self.assertEqual(later, {"other"})
+
     def test_lease_that_lapses(self) -> None:
         """Guards against calls of a leader that may have been replaced."""
         self.world.end_items(3)
