Don't count cancelled scorer calls as failures of endpoints

When a job ends, its scorer calls in flight are cancelled, and the HTTP client reports each as lost. The forwarder recorded a failure of the endpoint, which ranked last for 1.5 s; since scorer calls are limited, calls of other jobs even wait while an endpoint without failures exists. In the new test two of four endpoints got no call.

A forwarding now knows whether the leader still wants its answer.

--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -121,9 +121,19 @@
     find_route: collections.abc.Callable[[], gateway.Route | None] | None = None
     """Returns the route of the next attempt, or None if there must be none;
     without it, the route that the request matched holds for all attempts."""
+    is_wanted: collections.abc.Callable[[], bool] | None = None
+    """Whether this process still needs the answer to a request of its own; None
+    if it is the request of a caller."""
     gate: _send_gate.SendGate | None = None
     """Admission control of its attempts; None if they are sent at once."""
 
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether nobody needs an answer, so that attempts are cancelled."""
+        return self.is_abandoned or (
+            self.is_wanted is not None and not self.is_wanted()
+        )
+
     @functools.cached_property
     def digest(self) -> bytes:
         """Identifies the request whoever repeats it."""
@@ -496,7 +506,7 @@
                 forwarding.may_have_run_since = (
                     forwarding.may_have_run_since or sent_at
                 )
-            if not forwarding.is_abandoned:
+            if not forwarding.is_cancelled:
                 if not error.is_stale_connection:
                     self._picker.failed(target.endpoint, sent_at, now)
                 self._log_attempt(forwarding, target, "lost", error.detail)
--- a/packages/node/src/banyanbank_node/_item_grading.py
+++ b/packages/node/src/banyanbank_node/_item_grading.py
@@ -137,5 +137,6 @@
             find_route=functools.partial(
                 self._find_allowed_route, call, is_wanted
             ),
+            is_wanted=is_wanted,
             gate=gate,
         )
--- a/tests/node/test_scorer_admission.py
+++ b/tests/node/test_scorer_admission.py
@@ -324,6 +324,13 @@
             return result.Failure(
                 web.UpstreamError(base.Outcome.MAY_HAVE_RUN, str(exc))
             )
+        except defer.CancelledError as exc:
+            if self.is_wanted:
+                raise
+            # As `web.Upstream` does.
+            return result.Failure(
+                web.UpstreamError(base.Outcome.MAY_HAVE_RUN, str(exc))
+            )
         finally:
             endpoint.calls.discard(done)
             if timer.active():
@@ -561,6 +568,21 @@
                     self.world.reactor.advance(CALL_S)
                 self.assertEqual(len(self.world.graded), left)
 
+    def test_job_that_ends_beside_another(self) -> None:
+        """Guards against cancelled calls that count as failures of endpoints.
+
+        Calls of other jobs would wait for the endpoints without such calls.
+        """
+        self.world = World(speeds=(1.0,) * 4, slots=2, has_ticks=False)
+        self.world.end_items(2, "a")
+        self.world.end_jobs()
+        self.world.is_wanted = True
+        self.world.end_items(4, "b")
+        self.assertEqual(
+            sorted(name for item, name in self.world.sent if item[0] == "b"),
+            ["e0", "e1", "e2", "e3"],
+        )
+
     def test_route_that_moves(self) -> None:
         """Guards against calls to the service of a former route."""
         self.world = World(speeds=(1.0,), slots=1, has_ticks=False)
