Decide once for scorer calls that tried the same endpoints

Each choice looked at all endpoints for each waiting retry. After a loss that makes many calls retries, the leader spends time on that at each call's begin and end. With 300 retries and 30 endpoints, in a timing loop over ScorerQueue on a shared machine: 148 ms to begin them and 157 ms until all had ended, now 5.5 and 6.6 ms; without retries 4.4 and 6.1 ms, now 3.3 and 4.3 ms.

--- a/packages/jobs/src/banyanbank_jobs/_scorer_queue.py
+++ b/packages/jobs/src/banyanbank_jobs/_scorer_queue.py
@@ -9,6 +9,7 @@
 import bisect
 import collections
 import collections.abc
+import functools
 import typing
 
 import attrs
@@ -141,20 +142,25 @@
             service: Service whose waiting calls are considered.
             endpoints: Endpoints of the service that accept requests.
         """
-        if not self._may_go(frozenset(), endpoints):
+
+        # Calls that were lost together have tried the same endpoints.
+        @functools.cache
+        def may_go(tried: frozenset[base.EndpointId]) -> bool:
+            return self._may_go(tried, endpoints)
+
+        if not may_go(frozenset()):
             # Only calls that ignore some of the endpoints can go.
             eligible = (
                 call
                 for call in self._retries
-                if call.service == service
-                and self._may_go(call.tried, endpoints)
+                if call.service == service and may_go(call.tried)
             )
             return min(eligible, key=self._rank, default=None)
         lines = [line for key, line in self._lines.items() if key[0] == service]
         lines.sort(key=lambda line: self._rank(line[0]))
         for line in lines:
             for call in line:
-                if not call.tried or self._may_go(call.tried, endpoints):
+                if may_go(call.tried):
                     return call
         return None
 
