Compute in linear time whether priorities differ

RouteTable.has_several_priorities, which the leader asks at the first item of each document, paired all batch routes with all accounts, also in a deployment without priorities of accounts. With 1,000 batch routes and 1,000 accounts it took 151 ms, now 0.3 ms (timed once each in a loop by hand).

--- a/packages/gateway/src/banyanbank_gateway/_routing.py
+++ b/packages/gateway/src/banyanbank_gateway/_routing.py
@@ -81,15 +81,20 @@
     def has_several_priorities(self) -> bool:
         """Whether batch jobs may be submitted with different priorities."""
         accounts = set((self.document.accounts or {}).values())
-        priorities: set[int] = set()
-        for route in self.document.routes:
-            if route.kind is not _documents.RouteKind.ROLLOUT:
-                continue
-            priorities.update(
-                self.find_priority(route, account) for account in accounts
-            )
-            if not self.needs_key(route):
-                priorities.add(route.priority)
+        own = self.document.account_priorities
+        uses_route_priorities = bool(accounts - own.keys())
+        routes = [
+            route
+            for route in self.document.routes
+            if route.kind is _documents.RouteKind.ROLLOUT
+        ]
+        priorities = {
+            route.priority
+            for route in routes
+            if uses_route_priorities or not self.needs_key(route)
+        }
+        if routes:
+            priorities.update(own[name] for name in accounts & own.keys())
         return len(priorities) > 1
 
     def count_routes(self, service: str) -> int:
