Let scorer calls of a split route leave a lost service

A scorer call that waits for room has drawn one service of its route. When that service lost all its endpoints, the call waited until some came back, although another target had endpoints; before calls waited, each was refused and drew again 0.5 s later.

Waiting calls now find their service anew when the services of split routes that have endpoints change, and a call that waits draws among those. The calls of a route with one target wait as before, and requests of callers aren't concerned.

--- a/packages/gateway/src/banyanbank_gateway/_routing.py
+++ b/packages/gateway/src/banyanbank_gateway/_routing.py
@@ -101,6 +101,16 @@
         """Returns the number of routes that lead requests to a service."""
         return self._route_counts[service]
 
+    @functools.cached_property
+    def split_services(self) -> frozenset[str]:
+        """Services of the routes that lead to several."""
+        return frozenset(
+            target.service
+            for route in self.document.routes
+            if len(route.targets) > 1
+            for target in route.targets
+        )
+
     @functools.cached_property
     def _route_counts(self) -> collections.Counter[str]:
         return collections.Counter(
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -257,23 +257,21 @@
             if route != forwarding.route:
                 forwarding.route = route
                 former = None
-        return self._avoid_evacuated(
-            forwarding.route,
+        return self._avoid_closed(
+            forwarding,
             former or gateway.draw_service(forwarding.route, self._rng),
         )
 
-    def _avoid_evacuated(self, route: gateway.Route, service: str) -> str:
-        """Returns a service of a route that has endpoints to send to.
+    def _avoid_closed(self, forwarding: Forwarding, service: str) -> str:
+        """Returns a service whose endpoints the request may be sent to.
 
         Args:
-            route: Route of the request.
-            service: Service that is returned unless all its endpoints are in
-                evacuated domains and another target's are not.
+            forwarding: Request to send.
+            service: Service that is returned unless it is closed and another
+                target of the route is not.
         """
-        if len(route.targets) == 1:
-            return service
-        known = list(self._find_endpoints(service))
-        if not known or any(map(self._endpoints.may_send, known)):
+        route = forwarding.route
+        if len(route.targets) == 1 or not self._is_closed(forwarding, service):
             return service
         others = tuple(
             target
@@ -286,6 +284,18 @@
             attrs.evolve(route, targets=others), self._rng
         )
 
+    def _is_closed(self, forwarding: Forwarding, service: str) -> bool:
+        """Whether a request has to go to another service of its route.
+
+        A caller's request does if all endpoints are in evacuated domains. One
+        that waits for room does if there are no endpoints either, as it might
+        wait without end.
+        """
+        if forwarding.gate is not None:
+            return not self._is_served(service)
+        known = list(self._find_endpoints(service))
+        return bool(known) and not any(map(self._endpoints.may_send, known))
+
     def _is_served(self, service: str) -> bool:
         return any(
             target.state is gateway.EndpointState.READY
--- a/packages/node/src/banyanbank_node/_scorer_admission.py
+++ b/packages/node/src/banyanbank_node/_scorer_admission.py
@@ -58,6 +58,8 @@
         self._sequence = itertools.count()
         self._table: gateway.RouteTable | None = None
         self._evacuations = jobs.Evacuations()
+        # Services with endpoints when calls to those without were released.
+        self._served: set[str] | None = None
         self._is_dispatching = False
 
     def __len__(self) -> int:
@@ -89,6 +91,7 @@
         self._is_dispatching = True
         try:
             self._recheck_routes()
+            self._release_unserved()
             while (call := self._choose()) is not None:
                 self._resolve(call, True)
         finally:
@@ -145,13 +148,44 @@
         for call in list(self._waiters):
             self._resolve(call, False)
 
+    def _release_unserved(self) -> None:
+        """Lets calls find another service if theirs has lost its endpoints.
+
+        Only calls of split routes may find one; the others keep waiting.
+        """
+        table = self._stored.table
+        if table is None:
+            return
+        split = table.split_services
+        unserved = {
+            service
+            for service in split.intersection(self._queue.services())
+            if not self._find_ready(service)
+        }
+        if not unserved:
+            self._served = None
+            return
+        served = set(filter(self._find_ready, split))
+        if served == self._served:
+            return
+        self._served = served
+        for call in list(self._waiters):
+            if call.service in unserved:
+                self._resolve(call, False)
+
+    def _find_ready(self, service: str) -> list[gateway.Announcement]:
+        return [
+            target
+            for target in self._find_endpoints(service)
+            if target.state is gateway.EndpointState.READY
+        ]
+
     def _choose(self) -> jobs.WaitingScorerCall | None:
         now = self._clock.now()
         for service in self._queue.services():
             endpoints = [
                 self._describe(target, now)
-                for target in self._find_endpoints(service)
-                if target.state is gateway.EndpointState.READY
+                for target in self._find_ready(service)
             ]
             call = self._queue.choose(service, endpoints)
             if call is not None:
--- a/tests/node/test_scorer_admission.py
+++ b/tests/node/test_scorer_admission.py
@@ -611,6 +611,21 @@
         later = {n for item, n in self.world.sent if item not in is_started}
         self.assertEqual(later, {"other"})
 
+    def test_service_that_is_lost(self) -> None:
+        """Guards against endless waits while another target has endpoints."""
+        for name, is_lost_first in (("before", True), ("meanwhile", False)):
+            with self.subTest(name):
+                self.world = World(speeds=(1.0,), has_ticks=False)
+                self.world.announce("other", service="other")
+                self.world.configure("service", "other")
+                if is_lost_first:
+                    self.world.lose("e0")
+                self.world.end_items(20)
+                if not is_lost_first:
+                    self.world.lose("e0")
+                self.world.run(3.0)
+                self.assertEqual(len(self.world.graded), 20)
+
     def test_lease_that_lapses(self) -> None:
         """Guards against calls of a leader that may have been replaced."""
         self.world.end_items(3)
