--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -121,9 +121,19 @@
     find_route: collections.abc.Callable[[], gateway.Route | None] | None = None
     """Returns the route of the next attempt, or None if there must be none;
     without it, the route that the request matched holds for all attempts."""
+    is_wanted: collections.abc.Callable[[], bool] | None = None
+    """Whether this process still needs the answer to a request of its own; None
+    if it is the request of a caller."""
     gate: _send_gate.SendGate | None = None
     """Admission control of its attempts; None if they are sent at once."""
 
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether nobody needs an answer, so that attempts are cancelled."""
+        return self.is_abandoned or (
+            self.is_wanted is not None and not self.is_wanted()
+        )
+
     @functools.cached_property
     def digest(self) -> bytes:
         """Identifies the request whoever repeats it."""
@@ -247,7 +257,51 @@
             if route != forwarding.route:
                 forwarding.route = route
                 former = None
-        return former or gateway.draw_service(forwarding.route, self._rng)
+        return self._avoid_closed(
+            forwarding,
+            former or gateway.draw_service(forwarding.route, self._rng),
+        )
+
+    def _avoid_closed(self, forwarding: Forwarding, service: str) -> str:
+        """Returns a service whose endpoints the request may be sent to.
+
+        Args:
+            forwarding: Request to send.
+            service: Service that is returned unless it is closed and another
+                target of the route is not.
+        """
+        route = forwarding.route
+        if len(route.targets) == 1 or not self._is_closed(forwarding, service):
+            return service
+        others = tuple(
+            target
+            for target in route.targets
+            if target.weight > 0 and self._is_served(target.service)
+        )
+        if not others:
+            return service
+        return gateway.draw_service(
+            attrs.evolve(route, targets=others), self._rng
+        )
+
+    def _is_closed(self, forwarding: Forwarding, service: str) -> bool:
+        """Whether a request has to go to another service of its route.
+
+        A caller's request does if all endpoints are in evacuated domains. One
+        that waits for room does if there are no endpoints either, as it might
+        wait without end.
+        """
+        if forwarding.gate is not None:
+            return not self._is_served(service)
+        known = list(self._find_endpoints(service))
+        return bool(known) and not any(map(self._endpoints.may_send, known))
+
+    def _is_served(self, service: str) -> bool:
+        return any(
+            target.state is gateway.EndpointState.READY
+            and self._endpoints.may_send(target)
+            for target in self._find_endpoints(service)
+        )
 
     async def _choose_endpoint(
         self, forwarding: Forwarding, service: str
@@ -462,7 +516,7 @@
                 forwarding.may_have_run_since = (
                     forwarding.may_have_run_since or sent_at
                 )
-            if not forwarding.is_abandoned:
+            if not forwarding.is_cancelled:
                 if not error.is_stale_connection:
                     self._picker.failed(target.endpoint, sent_at, now)
                 self._log_attempt(forwarding, target, "lost", error.detail)
