--- a/tests/platform/test_priority.py
+++ b/tests/platform/test_priority.py
@@ -56,6 +56,14 @@
         )
         self.assertTrue(table.has_several_priorities)
 
+    def test_tenant_that_is_listed_twice(self) -> None:
+        """Guards against a stored document that an upgrade cannot read."""
+        table = read_table(
+            {"name": "x", "api-keys": ["k1"], "priority": 2},
+            {"name": "x", "api-keys": ["k2"], "priority": 1},
+        )
+        self.assertEqual(table.document.account_priorities, {"x": 1})
+
     def test_job_keeps_the_priority_it_was_accepted_with(self) -> None:
         """Guards against jobs reordered by a later configuration."""
         route = next(
