Choose among shared plain endpoints by figures of all instances: decisions

An entry sees a request every 11 s, so its own experience tells neither which endpoint is slow nor which fails. Adds the pure decisions: samples of attempts, their collection into rounded figures, marks for failing endpoints with trials, a weighted random choice, waits after rejections and a spread Retry-After. They are not wired yet; the order for services that are not shared is unchanged.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -1,5 +1,7 @@
 """Routing, endpoint directory and usage counting of an entry, without I/O."""
 
+from banyanbank_gateway._attempt_samples import AttemptSample
+from banyanbank_gateway._attempt_samples import SampleLog
 from banyanbank_gateway._crash_suspects import CondemnedRequest
 from banyanbank_gateway._crash_suspects import CrashSuspects
 from banyanbank_gateway._crash_suspects import digest_request
@@ -16,13 +18,22 @@
 from banyanbank_gateway._documents import Scaling
 from banyanbank_gateway._documents import Service
 from banyanbank_gateway._documents import Target
+from banyanbank_gateway._endpoint_figures import EndpointFigure
+from banyanbank_gateway._endpoint_figures import KnownFigures
+from banyanbank_gateway._figure_collector import FigureCollector
 from banyanbank_gateway._known_limits import KnownLimits
 from banyanbank_gateway._known_limits import LimitObservation
+from banyanbank_gateway._latency_histogram import LatencyHistogram
 from banyanbank_gateway._rate_limiter import RateLimiter
+from banyanbank_gateway._rejections import Backoff
+from banyanbank_gateway._rejections import draw_retry_after
+from banyanbank_gateway._rejections import ServiceTimes
 from banyanbank_gateway._routing import draw_service
 from banyanbank_gateway._routing import rank_services
 from banyanbank_gateway._routing import RouteTable
 from banyanbank_gateway._selection import EndpointPicker
+from banyanbank_gateway._selection import SharedView
+from banyanbank_gateway._shared_services import find_shared_services
 from banyanbank_gateway._synced_clock import SyncedClock
 from banyanbank_gateway._usage import UsageMeter
 from banyanbank_gateway._usage import UsageTotals
@@ -30,15 +41,21 @@
 
 __all__ = [
     "Announcement",
+    "AttemptSample",
+    "Backoff",
     "CondemnedRequest",
     "CrashSuspects",
     "Directory",
     "Document",
+    "EndpointFigure",
     "EndpointPicker",
     "EndpointState",
     "EngineShape",
+    "FigureCollector",
     "InvalidDocumentError",
+    "KnownFigures",
     "KnownLimits",
+    "LatencyHistogram",
     "LimitObservation",
     "Limits",
     "LoadedModel",
@@ -46,14 +63,19 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "SampleLog",
     "Scaling",
     "Service",
+    "ServiceTimes",
+    "SharedView",
     "SyncedClock",
     "Target",
     "UsageMeter",
     "UsageTotals",
     "WindowCounts",
     "digest_request",
+    "draw_retry_after",
     "draw_service",
+    "find_shared_services",
     "rank_services",
 ]
--- a/packages/gateway/src/banyanbank_gateway/_selection.py
+++ b/packages/gateway/src/banyanbank_gateway/_selection.py
@@ -9,6 +9,8 @@
 import banyanbank_base as base
 
 from banyanbank_gateway import _directory
+from banyanbank_gateway import _endpoint_figures
+from banyanbank_gateway import _weighted_choice
 
 SUSPECT_BACKOFF_S = 1.5
 """An endpoint that failed ranks last for about one announcement interval.
@@ -16,6 +18,20 @@
 Multiplied by the number of consecutive failures.
 """
 
+REJECTION_MEMORY_S = 0.1
+"""Time for which an endpoint that rejected a request for lack of room comes
+after others."""
+
+
+@attrs.frozen
+class SharedView:
+    """What is known of shared plain endpoints besides the own requests."""
+
+    figures: _endpoint_figures.KnownFigures
+    """Figures of the leader."""
+    is_connected: collections.abc.Callable[[_directory.Announcement], bool]
+    """Whether there is an idle kept connection to an endpoint."""
+
 
 @attrs.define
 class _EndpointHealth:
@@ -48,6 +64,7 @@
             collections.Counter()
         )
         self._health: dict[base.EndpointId, _EndpointHealth] = {}
+        self._rejected_at: dict[base.EndpointId, float] = {}
 
     def rank(
         self,
@@ -57,6 +74,7 @@
         is_limited: collections.abc.Callable[
             [_directory.Announcement], bool
         ] = _has_no_limit,
+        view: SharedView | None = None,
     ) -> list[_directory.Announcement]:
         """Returns the endpoints that were not tried, the best one first.
 
@@ -66,6 +84,7 @@
             now: Current time.
             is_limited: Whether an endpoint limits the requests it takes; it
                 then comes after others with the same load.
+            view: What is known of shared endpoints; None for other services.
         """
         usable = [
             announcement
@@ -73,6 +92,8 @@
             if announcement.state is _directory.EndpointState.READY
             and announcement.endpoint not in tried
         ]
+        if view is not None:
+            return self._rank_shared(usable, now, is_limited, view)
         return sorted(
             usable,
             key=lambda announcement: self._sort_key(
@@ -117,21 +138,86 @@
         """Records a success; ends the endpoint's backoff."""
         self._health.pop(endpoint, None)
 
+    def rejected(self, endpoint: base.EndpointId, now: float) -> None:
+        """Records that an endpoint had no room for a request."""
+        self._rejected_at[endpoint] = now
+
+    def _rank_shared(
+        self,
+        usable: list[_directory.Announcement],
+        now: float,
+        is_limited: collections.abc.Callable[[_directory.Announcement], bool],
+        view: SharedView,
+    ) -> list[_directory.Announcement]:
+        """Ranks endpoints by figures of all instances and the own load.
+
+        Failing ones come last, and those that rejected a request just now come
+        after the others. Where all take the same time, the least own load goes
+        first; else the order is drawn.
+        """
+        tiers: dict[
+            tuple[bool, bool],
+            list[_weighted_choice.Option[_directory.Announcement]],
+        ] = {}
+        for target in usable:
+            figure = view.figures.get(target, now)
+            is_failing = figure is not None and figure.is_failing
+            tier = (
+                is_failing or self._is_suspect(target.endpoint, now),
+                self._has_rejected(target.endpoint, now),
+            )
+            option = _weighted_choice.Option(
+                target,
+                1.0 if figure is None else figure.time_factor,
+                self._find_load(target),
+                (
+                    is_limited(target),
+                    not view.is_connected(target),
+                    target.domain != self._domain,
+                ),
+            )
+            tiers.setdefault(tier, []).append(option)
+        ranked: list[_directory.Announcement] = []
+        for _, options in sorted(tiers.items(), key=lambda item: item[0]):
+            ranked += self._order_tier(options)
+        return ranked
+
+    def _order_tier(
+        self, options: list[_weighted_choice.Option[_directory.Announcement]]
+    ) -> list[_directory.Announcement]:
+        if len({option.time_factor for option in options}) > 1:
+            return _weighted_choice.draw_order(options, self._rng)
+        options.sort(
+            key=lambda one: (one.load, one.preference, self._rng.random())
+        )
+        return [option.target for option in options]
+
+    def _is_suspect(self, endpoint: base.EndpointId, now: float) -> bool:
+        health = self._health.get(endpoint)
+        return health is not None and now < health.suspect_until
+
+    def _has_rejected(self, endpoint: base.EndpointId, now: float) -> bool:
+        rejected_at = self._rejected_at.get(endpoint)
+        if rejected_at is None:
+            return False
+        if now < rejected_at + REJECTION_MEMORY_S:
+            return True
+        del self._rejected_at[endpoint]
+        return False
+
+    def _find_load(self, target: _directory.Announcement) -> float:
+        return self._in_flight[target.endpoint] / max(1, target.slots)
+
     def _sort_key(
         self,
         announcement: _directory.Announcement,
         now: float,
         is_limited: bool,
     ) -> tuple[bool, float, bool, bool, float]:
-        health = self._health.get(announcement.endpoint)
-        is_suspect = health is not None and now < health.suspect_until
-        load = self._in_flight[announcement.endpoint] / max(
-            1, announcement.slots
-        )
         is_other_domain = announcement.domain != self._domain
         return (
-            is_suspect,
-            load,
+            self._is_suspect(announcement.endpoint, now),
+            self._find_load(announcement),
             is_limited,
             is_other_domain,
             self._rng.random(),
