Choose among shared plain endpoints by figures of all instances: wiring

Entries report times and failures of attempts at shared endpoints with their polls; the leader, with its own scorer calls, tells them which endpoints differ. Fields are left out at their defaults, and samples are sent only after an answer of a leader that collects. A rejection or refused connection uses up no attempt at a shared service; when all endpoints are full the request waits a quarter of its objective at most, and a refusal has a spread Retry-After. Services that are not shared are served as before.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -20,10 +20,13 @@
 from banyanbank_gateway._documents import Target
 from banyanbank_gateway._endpoint_figures import EndpointFigure
 from banyanbank_gateway._endpoint_figures import KnownFigures
+from banyanbank_gateway._endpoint_figures import MAX_FIGURES_AGE_S
 from banyanbank_gateway._figure_collector import FigureCollector
 from banyanbank_gateway._known_limits import KnownLimits
 from banyanbank_gateway._known_limits import LimitObservation
 from banyanbank_gateway._latency_histogram import LatencyHistogram
+from banyanbank_gateway._latency_histogram import RouteLatency
+from banyanbank_gateway._latency_histogram import summarize_latencies
 from banyanbank_gateway._rate_limiter import RateLimiter
 from banyanbank_gateway._rejections import Backoff
 from banyanbank_gateway._rejections import draw_retry_after
@@ -40,6 +43,7 @@
 from banyanbank_gateway._usage import WindowCounts
 
 __all__ = [
+    "MAX_FIGURES_AGE_S",
     "Announcement",
     "AttemptSample",
     "Backoff",
@@ -62,6 +66,7 @@
     "RateLimiter",
     "Route",
     "RouteKind",
+    "RouteLatency",
     "RouteTable",
     "SampleLog",
     "Scaling",
@@ -78,4 +83,5 @@
     "draw_service",
     "find_shared_services",
     "rank_services",
+    "summarize_latencies",
 ]
--- a/packages/gateway/src/banyanbank_gateway/_figure_estimate.py
+++ b/packages/gateway/src/banyanbank_gateway/_figure_estimate.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import math
-import statistics
 
 import attrs
 
@@ -119,8 +118,8 @@
         }
         if len(estimates) < 2:
             continue
-        median = statistics.median(mean for mean, _ in estimates.values())
-        variance = statistics.median(
+        median = _find_median(mean for mean, _ in estimates.values())
+        variance = _find_median(
             by_endpoint[name].slow.variance for name in estimates
         )
         for name, (mean, weight) in estimates.items():
@@ -129,6 +128,13 @@
     return {name: _combine(found) for name, found in parts.items()}
 
 
+def _find_median(values: collections.abc.Iterable[float]) -> float:
+    # The module `statistics` would add 10 ms to the start of an entry.
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[~middle]) / 2
+
+
 def _combine(parts: list[tuple[float, float]]) -> Deviation:
     total = sum(precision for _, precision in parts)
     mean = sum(value * precision for value, precision in parts) / total
--- a/packages/gateway/src/banyanbank_gateway/_latency_histogram.py
+++ b/packages/gateway/src/banyanbank_gateway/_latency_histogram.py
@@ -7,6 +7,8 @@
 import collections.abc
 import math
 
+import attrs
+
 BUCKETS_PER_DOUBLING = 8
 """A bucket is 9% wide, which bounds the error of a quantile."""
 
@@ -19,6 +21,24 @@
 FORGOTTEN_COUNT = 0.05
 """Decayed count below which a bucket is dropped."""
 
+SENT_QUANTILES = (0.5, 0.9, 0.95, 0.99)
+"""Quantiles that the leader sends."""
+
+MIN_SENT_COUNT = 50
+"""Least (decayed) number of durations for quantiles to be sent."""
+
+
+@attrs.frozen
+class RouteLatency:
+    """Quantiles of the durations of one route's requests at one service."""
+
+    service: str
+    """Name of the service."""
+    route: str
+    """Name of the route."""
+    buckets: tuple[int, ...]
+    """Buckets of `SENT_QUANTILES`."""
+
 
 def find_bucket(duration_s: float) -> int:
     """Returns the bucket of a duration."""
@@ -80,3 +100,19 @@
             for bucket, count in self._counts.items()
             if count * factor > FORGOTTEN_COUNT
         }
+
+
+def summarize_latencies(
+    histograms: collections.abc.Mapping[tuple[str, str], LatencyHistogram],
+) -> tuple[RouteLatency, ...]:
+    """Returns the quantiles of all routes with enough durations."""
+    summaries = []
+    for (service, route), histogram in sorted(histograms.items()):
+        quantiles = [
+            histogram.find_quantile(share, MIN_SENT_COUNT)
+            for share in SENT_QUANTILES
+        ]
+        buckets = tuple(find_bucket(one) for one in quantiles if one)
+        if buckets:
+            summaries.append(RouteLatency(service, route, buckets))
+    return tuple(summaries)
--- a/packages/gateway/src/banyanbank_gateway/_rejections.py
+++ b/packages/gateway/src/banyanbank_gateway/_rejections.py
@@ -63,19 +63,19 @@
 
 
 class ServiceTimes:
-    """Average times of successful requests by service, at this instance."""
+    """Average times of successful requests by route, at this instance."""
 
     def __init__(self) -> None:
         self._means: dict[str, float] = {}
 
-    def add(self, service: str, took_s: float) -> None:
+    def add(self, route: str, took_s: float) -> None:
         """Adds the time of a request."""
-        mean = self._means.get(service, took_s)
-        self._means[service] = mean + SERVICE_TIME_WEIGHT * (took_s - mean)
+        mean = self._means.get(route, took_s)
+        self._means[route] = mean + SERVICE_TIME_WEIGHT * (took_s - mean)
 
-    def get(self, service: str) -> float:
-        """Returns the average time of a service's requests."""
-        return self._means.get(service, DEFAULT_SERVICE_TIME_S)
+    def get(self, route: str) -> float:
+        """Returns the average time of a route's requests."""
+        return self._means.get(route, DEFAULT_SERVICE_TIME_S)
 
 
 def draw_retry_after(service_time_s: float, rng: random.Random) -> float:
--- a/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -147,6 +147,10 @@
 
     _factory = _TracedFactory
 
+    def has_idle(self, host: str, port: int) -> bool:
+        """Whether an idle connection to one address is kept."""
+        return bool(self._connections.get((b"http", host.encode(), port)))
+
     def close_idle(self, host: str, port: int) -> None:
         """Closes the idle connections to one address."""
         for key, connections in self._connections.items():
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -22,6 +22,7 @@
 from banyanbank_node import _poll_paths
 from banyanbank_node import _ports
 from banyanbank_node import _settings
+from banyanbank_node import _shared_endpoints
 from banyanbank_node import _shutdown
 from banyanbank_node import _startup_wait
 
@@ -65,6 +66,13 @@
             self.node.clock, self.node.true_time, self.node.events
         )
         suspects = gateway.CrashSuspects()
+        shared = _shared_endpoints.SharedEndpoints(
+            self.node.clock,
+            lambda: self.sync.table,
+            self.node.upstream.has_idle,
+            self.node.sleep,
+            self.node.rng,
+        )
         self._near_stores = _near_stores.NearStores(
             self.node.clock,
             self.node.client,
@@ -84,6 +92,7 @@
             limits,
             suspects,
             _poll_paths.PollPaths(self.node.rng),
+            shared,
         )
         suspects.on_condemned = self._report_condemned
         self._permits = _permits.RemotePermits(
@@ -107,6 +116,7 @@
             ),
             suspects,
             self.node.true_time,
+            shared,
         )
         self._shutdown: _shutdown.Shutdown | None = None
         self._startup_wait = _startup_wait.start_wait(self.node.clock.now())
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -1,5 +1,6 @@
 """Synchronizes an entry with the store that leads, by long polling."""
 
+import math
 import typing
 
 import banyanbank_base as base
@@ -16,6 +17,7 @@
 from banyanbank_node import _near_stores
 from banyanbank_node import _poll_paths
 from banyanbank_node import _ports
+from banyanbank_node import _shared_endpoints
 from banyanbank_node import _store_client
 from banyanbank_node import _sync_part_cache
 
@@ -52,6 +54,7 @@
         limits: Rate limits, updated by the leader's answers.
         suspects: Condemned requests, updated by the leader's answers.
         paths: Chooses the store through which to poll.
+        shared: Shared endpoints; reported and updated with each poll.
 
     Attributes:
         table: Routes in force; None before the first document arrives.
@@ -76,7 +79,10 @@
         limits: _endpoint_limits.EndpointLimits,
         suspects: gateway.CrashSuspects,
         paths: _poll_paths.PollPaths,
+        shared: _shared_endpoints.SharedEndpoints | None = None,
     ) -> None:
+        self._shared = shared or _shared_endpoints.make_unshared(clock)
+        self._figures_revision = 0
         self._suspects = suspects
         self._condemned_revision = 0
         self._near_stores = near_stores
@@ -131,7 +137,13 @@
         """Milliseconds since the last answer of a leader; None before it."""
         if self.last_contact_at is None:
             return None
-        return round(1000 * (self._clock.now() - self.last_contact_at))
+        return round(1000 * self._contact_age_s)
+
+    @property
+    def _contact_age_s(self) -> float:
+        if self.last_contact_at is None:
+            return math.inf
+        return self._clock.now() - self.last_contact_at
 
     async def _poll_forever(self) -> None:
         while self._is_running:
@@ -167,6 +179,8 @@
         self._limits_revision = 0
         self._condemned_revision = 0
         self._answer_issued_at = 0.0
+        self._figures_revision = 0
+        self._shared.note_lost_contact(self._contact_age_s)
         return False
 
     def _make_request(self) -> _messages.SyncRequest:
@@ -181,6 +195,10 @@
             limits_revision=self._limits_revision,
             condemned_revision=self._condemned_revision,
             answer_issued_at=self._answer_issued_at,
+            figures_revision=self._figures_revision,
+            samples=self._shared.take_samples()
+            if self._figures_revision
+            else (),
         )
 
     async def _poll_leader(
@@ -269,6 +287,7 @@
         self._learn_stores(path, answer, now - sent_at)
         self._renew_directory(answer, now)
         self._apply_limits(answer)
+        self._apply_figures(answer)
         if not self._has_unreadable_document:
             self._answer_issued_at = answer.issued_at
         self.answers.wake()
@@ -314,6 +333,20 @@
         self._condemned_revision = answer.condemned_revision
         self._limits.forget_ended(self.directory)
 
+    def _apply_figures(self, answer: _messages.SyncAnswer) -> None:
+        part: _messages.FiguresPart | None = (
+            None
+            if answer.figures is None
+            else _messages.CODEC.decode(answer.figures)
+        )
+        self._figures_revision = answer.figures_revision
+        self._shared.apply_answer(
+            answer.directory_of,
+            answer.figures_revision,
+            None if part is None else part.endpoints,
+            () if part is None else part.latencies,
+        )
+
     def _apply_directory(
         self, answer: _messages.SyncAnswer, encoded: bytes, now: float
     ) -> None:
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -126,6 +126,12 @@
         "endpoint second rate_per_s sent",
         "What this process sent to a limited endpoint in a second, by purpose.",
     ),
+    _make_kind(
+        "endpoint.figure",
+        "endpoint time_factor is_failing",
+        "The leader tells all instances how long a shared endpoint takes"
+        " relative to others, or whether it fails.",
+    ),
     _make_kind(
         "endpoint.unreadable", "endpoint why", "An announcement is invalid."
     ),
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -16,6 +16,7 @@
 from banyanbank_node import _meters
 from banyanbank_node import _permits
 from banyanbank_node import _ports
+from banyanbank_node import _shared_endpoints
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Maximum size of an answer; it is buffered before it is forwarded."""
@@ -53,6 +54,8 @@
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 INTERNAL_SERVER_ERROR_STATUS = 500
+OTHER_ENDPOINT_STATUS = 421
+"""Status of an answer by another endpoint than the one that was meant."""
 
 EndpointLookup = collections.abc.Callable[
     [str], collections.abc.Iterable[gateway.Announcement]
@@ -87,7 +90,16 @@
     deadline: float
     """Deadline of all attempts, on the monotonic clock."""
     tried: set[base.EndpointId] = attrs.Factory(set)
-    """Endpoints that the request was sent to."""
+    """Endpoints that the request was sent to, and may still run at."""
+    rejected_by: set[base.EndpointId] = attrs.Factory(set)
+    """Those of them that have rejected it for lack of room."""
+    retryable: set[base.EndpointId] = attrs.Factory(set)
+    """Those of them that may be asked again, after a wait."""
+    attempts_used: int = 0
+    """Attempts that count against the route's maximum, running ones included;
+    at shared services, those that certainly did not run do not count."""
+    backoff: gateway.Backoff | None = None
+    """Waits after all endpoints have rejected it; None before the first."""
     may_have_run_since: float | None = None
     """Start of the first attempt that may have run the request, or None."""
     last_error_answer: Answer | None = None
@@ -137,6 +149,7 @@
         departures: Records which endpoints state that they leave.
         suspects: Requests that may have ended their endpoints.
         true_time: Unix time that the processes agree on.
+        shared: What is known of shared services; None if there are none.
     """
 
     def __init__(
@@ -154,7 +167,9 @@
         departures: _departures.Departures,
         suspects: gateway.CrashSuspects,
         true_time: gateway.SyncedClock,
+        shared: _shared_endpoints.SharedEndpoints | None = None,
     ) -> None:
+        self._shared = shared or _shared_endpoints.make_unshared(clock)
         self._true_time = true_time
         self._departures = departures
         self._suspects = suspects
@@ -173,19 +188,27 @@
         """Returns the answer of an endpoint, or a refusal.
 
         A request is retried only if its route is repeatable or if no endpoint
-        may have run it yet, such as after a reply that it was not run.
+        may have run it yet, such as after a reply that it was not run. Such a
+        reply uses up no attempt at a shared service, and once all endpoints
+        have rejected the request it waits for room, briefly.
         """
         if self._is_condemned(forwarding):
             return _make_condemned_refusal(base.Outcome.NOT_RUN)
         service: str | None = None
-        for attempt in range(forwarding.route.max_attempts):
+        while forwarding.attempts_used < forwarding.route.max_attempts:
             service = self._find_service(forwarding, service)
             if service is None:
                 break
             target = await self._choose_endpoint(forwarding, service)
+            if target is None and await self._wait_for_room(
+                forwarding, service
+            ):
+                continue
             if target is None or self._clock.now() >= forwarding.deadline:
                 break
-            is_last = attempt + 1 >= forwarding.route.max_attempts
+            is_last = (
+                forwarding.attempts_used + 1 >= forwarding.route.max_attempts
+            )
             answer = await self._attempt(forwarding, target, is_last)
             if answer is not None:
                 return answer
@@ -237,6 +260,30 @@
                 return target
         return None
 
+    async def _wait_for_room(
+        self, forwarding: Forwarding, service: str
+    ) -> bool:
+        """Waits after rejections; False if the request must be refused."""
+        if (
+            service not in self._shared.services
+            or not forwarding.rejected_by
+            or forwarding.permit_expected_at is not None
+        ):
+            return False
+        if forwarding.backoff is None:
+            forwarding.backoff = gateway.Backoff.of_objective(
+                forwarding.route.objective_s
+            )
+        wait_s = forwarding.backoff.next_wait(
+            self._clock.now(), forwarding.deadline, self._rng
+        )
+        if wait_s is None:
+            return False
+        await self._shared.sleep(wait_s)
+        self._meters.requests.record(wait_s, "backoff")
+        forwarding.retryable |= forwarding.rejected_by
+        return not forwarding.is_abandoned
+
     def _rank_endpoints(
         self, forwarding: Forwarding, service: str
     ) -> list[gateway.Announcement]:
@@ -249,9 +296,10 @@
             ]
         return self._picker.rank(
             candidates,
-            forwarding.tried,
+            forwarding.tried - forwarding.retryable,
             self._clock.now(),
             self._limits.is_limited,
+            self._shared.find_view(service),
         )
 
     def _is_suspect(self, forwarding: Forwarding) -> bool:
@@ -302,6 +350,9 @@
             forwarding.route.kind.is_repeatable and not is_suspect,
         )
         forwarding.tried.add(target.endpoint)
+        forwarding.rejected_by.discard(target.endpoint)
+        forwarding.retryable.discard(target.endpoint)
+        forwarding.attempts_used += 1
         self._picker.started(target.endpoint)
         self._limits.note_sent(target, _endpoint_limits.Purpose.FORWARD)
         if is_suspect:
@@ -396,6 +447,8 @@
         now = self._clock.now()
         if isinstance(exchange_result, result.Failure):
             error = exchange_result.failure()
+            if error.outcome is base.Outcome.NOT_RUN and not error.is_timeout:
+                self._return_attempt(forwarding, target)
             if error.outcome is not base.Outcome.NOT_RUN:
                 forwarding.may_have_run_since = (
                     forwarding.may_have_run_since or sent_at
@@ -403,16 +456,27 @@
             if not forwarding.is_abandoned:
                 if not error.is_stale_connection:
                     self._picker.failed(target.endpoint, sent_at, now)
+                self._shared.record_loss(
+                    target, forwarding.route, error, now - sent_at
+                )
                 self._log_attempt(forwarding, target, "lost", error.detail)
             return None
         response_headers, answer = exchange_result.unwrap()
         if response_headers.has_not_run:
+            if self._return_attempt(forwarding, target) and (
+                answer.status != OTHER_ENDPOINT_STATUS
+            ):
+                forwarding.rejected_by.add(target.endpoint)
+                self._picker.rejected(target.endpoint, now)
             self._log_attempt(
                 forwarding, target, "not-run", f"status {answer.status}"
             )
             return None
         forwarding.may_have_run_since = forwarding.may_have_run_since or sent_at
         self._picker.succeeded(target.endpoint)
+        self._shared.record_answer(
+            target, forwarding.route, answer.status, now - sent_at
+        )
         if answer.status < MIN_SERVER_ERROR_STATUS:
             return answer
         self._log_attempt(
@@ -424,6 +488,18 @@
         )
         return None
 
+    def _return_attempt(
+        self, forwarding: Forwarding, target: gateway.Announcement
+    ) -> bool:
+        """Does not count an attempt that did not run at a shared service.
+
+        Returns:
+            Whether the service is shared.
+        """
+        is_shared = target.service in self._shared.services
+        forwarding.attempts_used -= is_shared
+        return is_shared
+
     def _log_attempt(
         self,
         forwarding: Forwarding,
@@ -458,11 +534,14 @@
                 retry_after=round(max(wait_s, MIN_RETRY_AFTER_S), 3),
             )
         if forwarding.tried:
+            spread_s = self._shared.draw_retry_after(forwarding.route)
             return base.Refusal(
                 base.RefusalReason.OVERLOADED,
                 base.Outcome.NOT_RUN,
                 "All endpoints that were tried are at capacity; try again.",
-                retry_after=OVERLOADED_RETRY_AFTER_S,
+                retry_after=OVERLOADED_RETRY_AFTER_S
+                if spread_s is None
+                else round(spread_s, 3),
             )
         return base.Refusal(
             base.RefusalReason.NO_ENDPOINT,
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -66,6 +66,11 @@
     answer_issued_at: float = 0.0
     """`SyncAnswer.issued_at` of the last answer that it received, likewise; 0
     for none."""
+    figures_revision: int = 0
+    """Revision of the figures of endpoints that it received last, likewise."""
+    samples: tuple[gateway.AttemptSample, ...] = ()
+    """What it observed of shared endpoints since its last answered poll; empty
+    unless the last answer had a revision of figures."""
 
 
 @attrs.frozen
@@ -123,6 +128,21 @@
     issued_at: float = 0.0
     """When the leader made the answer, on its monotonic clock. The entry
     returns it with its next poll, which proves that the answer arrived."""
+    figures_revision: int = 0
+    """Revision of the figures of endpoints; 0 if the configuration has no
+    shared services."""
+    figures: bytes | None = None
+    """Encoded `FiguresPart`; None if the entry already has this revision."""
+
+
+@attrs.frozen
+class FiguresPart:
+    """Figures of shared endpoints."""
+
+    endpoints: tuple[gateway.EndpointFigure, ...]
+    """Endpoints that differ from others of their service."""
+    latencies: tuple[gateway.RouteLatency, ...] = ()
+    """Latencies over all instances; empty unless a setting asks for them."""
 
 
 @attrs.frozen
@@ -324,6 +344,7 @@
     AwaitEntries,
     EntriesStatus,
     CondemnedPart,
+    FiguresPart,
     PermitRequest,
     PermitAnswer,
     gateway.Announcement,
@@ -341,6 +362,12 @@
     Retire,
     TooFew,
     Retiring,
-    sparse=(SyncRequest, SyncAnswer),
+    sparse=(
+        SyncRequest,
+        SyncAnswer,
+        FiguresPart,
+        gateway.AttemptSample,
+        gateway.EndpointFigure,
+    ),
 )
 """Codec of all messages between entries and stores."""
--- a/packages/node/src/banyanbank_node/_meters.py
+++ b/packages/node/src/banyanbank_node/_meters.py
@@ -38,7 +38,7 @@
         )
         self.requests = self.registry.histogram(
             "banyanbank_request_seconds",
-            "Seconds of requests, by part: attempt, whole.",
+            "Seconds of requests, by part: attempt, backoff, whole.",
             "part",
         )
         self.items = self.registry.histogram(
--- a/packages/node/src/banyanbank_node/_node.py
+++ b/packages/node/src/banyanbank_node/_node.py
@@ -9,6 +9,7 @@
 import banyanbank_gateway as gateway
 import banyanbank_mesh as mesh
 import banyanbank_web as web
+from twisted.internet import task
 
 from banyanbank_node import _event_log
 from banyanbank_node import _meters
@@ -72,3 +73,7 @@
             reactor, self.clock, self.mesh, settings.seeds
         )
         self.upstream = web.Upstream(reactor, self.clock)
+
+    async def sleep(self, seconds: float) -> None:
+        """Waits on the reactor's clock."""
+        await task.deferLater(self.reactor, seconds)
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -16,6 +16,7 @@
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _engine_table
 from banyanbank_node import _event_log
+from banyanbank_node import _figure_source
 from banyanbank_node import _forwarder
 from banyanbank_node import _item_grading
 from banyanbank_node import _item_runs
@@ -29,6 +30,7 @@
 from banyanbank_node import _result_committer
 from banyanbank_node import _retention_duty
 from banyanbank_node import _settings
+from banyanbank_node import _shared_endpoints
 from banyanbank_node import _store_calls
 from banyanbank_node import _store_client
 from banyanbank_node import _usage_duty
@@ -86,6 +88,16 @@
             self.node.clock, self.node.true_time, self.events
         )
         self._suspects = gateway.CrashSuspects()
+        self._shared = _shared_endpoints.SharedEndpoints(
+            self.node.clock,
+            lambda: self.stored.table,
+            self.node.upstream.has_idle,
+            self.node.sleep,
+            self.node.rng,
+        )
+        self._figures = _figure_source.FigureSource(
+            self.node.clock, self.stored, self._shared, self.events
+        )
         self.calls = _store_calls.StoreCalls(
             reactor,
             self.node.clock,
@@ -99,6 +111,7 @@
             settings.node.domain,
             self._limits,
             self._suspects,
+            self._figures,
         )
         self._runs = self._build_duties(usage)
         self._leader_loop = consensus.LeaderLoop(
@@ -164,6 +177,7 @@
             departures,
             self._suspects,
             node.true_time,
+            self._shared,
         )
         runs = _item_runs.ItemRuns(
             node.clock,
@@ -257,6 +271,7 @@
             reports,
             retention,
             permits,
+            self._figures,
         )
         return runs
 
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -14,6 +14,7 @@
 from banyanbank_node import _entry_contacts
 from banyanbank_node import _entry_sync
 from banyanbank_node import _event_log
+from banyanbank_node import _figure_source
 from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
@@ -57,6 +58,7 @@
         domain: Failure domain of this instance.
         limits: Rate limits of endpoints, sent to entries.
         suspects: Requests that end their endpoints, sent to entries.
+        figures: Figures of shared endpoints, sent to entries; None for none.
 
     Attributes:
         changes: Notifies of a new document or directory revision.
@@ -79,7 +81,9 @@
         domain: base.FailureDomain,
         limits: _endpoint_limits.EndpointLimits,
         suspects: gateway.CrashSuspects,
+        figures: _figure_source.FigureSource | None = None,
     ) -> None:
+        self._figures = figures
         self._domain = domain
         self._suspects = suspects
         self._limits = limits
@@ -273,6 +277,8 @@
         del sender
         req: _messages.SyncRequest = _messages.CODEC.decode(data)
         self._usage.replace_counts(req.entry, req.usage)
+        if self._figures is not None:
+            self._figures.add(req.entry, req.samples)
         self._contacts.begin_epoch(self._directory_id, self._clock.now())
         self._contacts.record_poll(
             req.entry, req.directory_of, req.answer_issued_at
@@ -374,6 +380,9 @@
             req.directory_of == self._directory_id
             and req.condemned_revision == self._suspects.revision
         )
+        figures_revision = (
+            0 if self._figures is None else self._figures.revision
+        )
         now = self._clock.now()
         self._contacts.record_answer(req.entry, now)
         return _messages.SyncAnswer(
@@ -407,4 +416,19 @@
             if has_condemned
             else self._suspects.condemned(self._true_time.now()),
             issued_at=now,
+            figures_revision=figures_revision,
+            figures=self._encode_figures(req, figures_revision),
         )
+
+    def _encode_figures(
+        self, req: _messages.SyncRequest, revision: int
+    ) -> bytes | None:
+        """Returns the figures of endpoints if the entry lacks them."""
+        is_same_source = req.directory_of == self._directory_id
+        if (
+            self._figures is None
+            or not revision
+            or (is_same_source and req.figures_revision == revision)
+        ):
+            return None
+        return self._figures.encode(is_same_source)
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -346,6 +346,11 @@
             response.code, headers, reader, timer, self._budget
         )
 
+    def has_idle(self, address: str) -> bool:
+        """Whether an idle connection to an IP number and port is kept."""
+        host, _, port = address.rpartition(":")
+        return self._pool.has_idle(host, int(port))
+
     def close_idle(self, url: str) -> None:
         """Closes the idle connections to the address of a URL.
 
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -12,11 +12,14 @@
 from banyanbank_node import _entry_sync
 from banyanbank_node import _messages
 from banyanbank_node import _poll_paths
+from banyanbank_node import _shared_endpoints
 from banyanbank_node import _store_client
 from returns import result
 from twisted.internet import defer
 from twisted.internet import task
 
+from tests.gateway import samples
+
 LEADER, RELAY = (base.InstanceId(f"127.0.1.{n}:7000") for n in (1, 2))
 
 SILENT: result.Result[typing.Any, _store_client.StoreCallError] = (
@@ -94,6 +97,7 @@
         self.stores = _FakeStores()
         self.events: list[tuple[str, dict[str, typing.Any]]] = []
         nothing: typing.Any = types.SimpleNamespace
+        self.shared = _shared_endpoints.make_unshared(self.clock)
         self.sync = _entry_sync.EntrySync(
             task.Clock(),
             self.clock,
@@ -111,6 +115,7 @@
             nothing(forget_ended=lambda directory: None),
             nothing(),
             _poll_paths.PollPaths(random.Random(1)),
+            self.shared,
         )
 
     def poll(self) -> bool:
@@ -176,6 +181,28 @@
         # A store of an earlier release cannot read it after a failed poll.
         self.assertEqual(issued, [0.0, 5.0, 0.0])
 
+    def test_samples_are_sent_to_a_leader_that_collects_them(self) -> None:
+        """Guards against polls that a store of an earlier release refuses."""
+        target = samples.make_announcement("e1")
+        figure = gateway.EndpointFigure(target.endpoint, target.born_ms, 2.0)
+        answer = attrs.evolve(
+            make_answer(7),
+            figures_revision=3,
+            figures=_messages.CODEC.encode(_messages.FiguresPart((figure,))),
+        )
+        for answered in (result.Success(answer), SILENT, SILENT, SILENT):
+            self.shared.samples.record_success(target, "route", 0.1)
+            self.stores.direct = answered
+            self.poll()
+        sent = [
+            (req.figures_revision, bool(req.samples))
+            for req in self.stores.requests
+        ]
+        self.assertEqual(sent, [(0, False), (3, True), (0, False), (0, False)])
+        self.assertEqual(
+            self.shared.figures.get(target, self.clock.now()), figure
+        )
+
     def test_leader_that_answers_a_probe_is_polled_again(self) -> None:
         self.relay(make_answer(7))
         self.poll()
