Keep the shared services of the former document while one is unreadable

A store finds the shared services in the committed document. One that an earlier build accepted and this one cannot read would raise where an answer of a scorer is recorded, and the answer would be lost.

--- a/packages/node/src/banyanbank_node/_shared_endpoints.py
+++ b/packages/node/src/banyanbank_node/_shared_endpoints.py
@@ -67,8 +67,14 @@
 
     @property
     def services(self) -> frozenset[str]:
-        """Services whose endpoints are shared by the routes in force."""
-        table = self._find_table()
+        """Services whose endpoints are shared by the routes in force.
+
+        While the document cannot be read, those of the former one.
+        """
+        try:
+            table = self._find_table()
+        except gateway.InvalidDocumentError:
+            return self._services
         if table is not self._table:
             self._table = table
             self._services = (
--- a/tests/node/test_shared_endpoints.py
+++ b/tests/node/test_shared_endpoints.py
@@ -173,6 +173,17 @@
         self.assertEqual(refusal.retry_after, 0.25)
         self.assertEqual(process.waits, [])
 
+    def test_unreadable_document(self) -> None:
+        """Guards against an answer that is lost with a bad document."""
+        process = Process()
+        self.assertEqual(process.shared.services, {"app"})
+
+        def find_table() -> gateway.RouteTable:
+            raise gateway.InvalidDocumentError("unreadable")
+
+        process.shared._find_table = find_table
+        self.assertEqual(process.shared.services, {"app"})
+
     def test_caller_leaves_during_a_wait(self) -> None:
         """Guards against requests on behalf of a caller that has gone."""
         process = Process()
