--- a/packages/gateway/src/banyanbank_gateway/_figure_estimate.py
+++ b/packages/gateway/src/banyanbank_gateway/_figure_estimate.py
@@ -129,7 +129,7 @@
 
 
 def _find_median(values: collections.abc.Iterable[float]) -> float:
-    # The module `statistics` would add 10 ms to the start of an entry.
+    # Importing the module `statistics` would slow the start of an entry.
     ordered = sorted(values)
     middle = len(ordered) // 2
     return (ordered[middle] + ordered[~middle]) / 2
--- a/packages/gateway/src/banyanbank_gateway/_selection.py
+++ b/packages/gateway/src/banyanbank_gateway/_selection.py
@@ -25,7 +25,8 @@
 EXPLORATION_SHARE = 0.5
 """Share of the choices that do not prefer a kept connection. Without them an
 entry with few requests keeps to one endpoint, and one that has recovered gets
-no request for up to 20 s; a new connection costs 1 to 2 ms."""
+few for as long as idle connections are kept. A new connection costs one more
+round trip."""
 
 
 @attrs.frozen
