--- a/packages/gateway/src/banyanbank_gateway/_selection.py
+++ b/packages/gateway/src/banyanbank_gateway/_selection.py
@@ -9,6 +9,8 @@
 import banyanbank_base as base
 
 from banyanbank_gateway import _directory
+from banyanbank_gateway import _endpoint_figures
+from banyanbank_gateway import _weighted_choice
 
 SUSPECT_BACKOFF_S = 1.5
 """An endpoint that failed ranks last for about one announcement interval.
@@ -16,10 +18,30 @@
 Multiplied by the number of consecutive failures.
 """
 
+REJECTION_MEMORY_S = 0.1
+"""Time for which an endpoint that rejected a request for lack of room comes
+after others."""
 
 FULL_S = 0.25
-"""Time for which an endpoint that rejected a request is taken for full: the
-drain time of a queue of tens of requests of 25 ms over several slots."""
+"""Time for which an endpoint that rejected a request is taken for full where
+there are cold ones: the drain time of a queue of tens of requests of 25 ms over
+several slots."""
+
+EXPLORATION_SHARE = 0.5
+"""Share of the choices that do not prefer a kept connection. Without them an
+entry with few requests keeps to one endpoint, and one that has recovered gets
+few for as long as idle connections are kept. A new connection costs one more
+round trip."""
+
+
+@attrs.frozen
+class SharedView:
+    """What is known of shared plain endpoints besides the own requests."""
+
+    figures: _endpoint_figures.KnownFigures
+    """Figures of the leader."""
+    is_connected: collections.abc.Callable[[_directory.Announcement], bool]
+    """Whether there is an idle kept connection to an endpoint."""
 
 
 @attrs.define
@@ -53,7 +75,7 @@
             collections.Counter()
         )
         self._health: dict[base.EndpointId, _EndpointHealth] = {}
-        self._full_until: dict[base.EndpointId, float] = {}
+        self._rejected_at: dict[base.EndpointId, float] = {}
 
     def rank(
         self,
@@ -63,6 +85,7 @@
         is_limited: collections.abc.Callable[
             [_directory.Announcement], bool
         ] = _has_no_limit,
+        view: SharedView | None = None,
     ) -> list[_directory.Announcement]:
         """Returns the endpoints that were not tried, the best one first.
 
@@ -74,6 +97,7 @@
             now: Current time.
             is_limited: Whether an endpoint limits the requests it takes; it
                 then comes after others with the same load.
+            view: What is known of shared endpoints; None for other services.
         """
         usable = [
             announcement
@@ -81,6 +105,8 @@
             if announcement.state is _directory.EndpointState.READY
             and announcement.endpoint not in tried
         ]
+        if view is not None:
+            return self._rank_shared(usable, now, is_limited, view)
         has_cold = any(announcement.is_cold for announcement in usable)
         return sorted(
             usable,
@@ -124,18 +150,82 @@
 
     def rejected(self, endpoint: base.EndpointId, now: float) -> None:
         """Records that an endpoint had no room for a request."""
-        self._full_until[endpoint] = now + FULL_S
+        self._rejected_at[endpoint] = now
 
     def succeeded(self, endpoint: base.EndpointId) -> None:
         """Records a success; ends the endpoint's backoff."""
         self._health.pop(endpoint, None)
-        self._full_until.pop(endpoint, None)
+        self._rejected_at.pop(endpoint, None)
 
     def is_failing(self, endpoint: base.EndpointId, now: float) -> bool:
         """Whether an endpoint is in its backoff after a failure."""
         health = self._health.get(endpoint)
         return health is not None and now < health.suspect_until
 
+    def _rank_shared(
+        self,
+        usable: list[_directory.Announcement],
+        now: float,
+        is_limited: collections.abc.Callable[[_directory.Announcement], bool],
+        view: SharedView,
+    ) -> list[_directory.Announcement]:
+        """Ranks endpoints by figures of all instances and the own load.
+
+        Failing ones come last, and those that rejected a request just now come
+        after the others, cold ones after warm ones that did not. Where all take
+        the same time, the least own load goes first; else the order is drawn.
+        """
+        tiers: dict[
+            tuple[bool, bool, bool],
+            list[_weighted_choice.Option[_directory.Announcement]],
+        ] = {}
+        explores = self._rng.random() < EXPLORATION_SHARE
+        for target in usable:
+            figure = view.figures.get(target, now)
+            is_failing = figure is not None and figure.is_failing
+            tier = (
+                is_failing or self.is_failing(target.endpoint, now),
+                self._has_rejected(target.endpoint, now),
+                target.is_cold,
+            )
+            option = _weighted_choice.Option(
+                target,
+                1.0 if figure is None else figure.time_factor,
+                self._find_load(target),
+                (
+                    is_limited(target),
+                    not (explores or view.is_connected(target)),
+                    target.domain != self._domain,
+                ),
+            )
+            tiers.setdefault(tier, []).append(option)
+        ranked: list[_directory.Announcement] = []
+        for _, options in sorted(tiers.items(), key=lambda item: item[0]):
+            ranked += self._order_tier(options)
+        return ranked
+
+    def _order_tier(
+        self, options: list[_weighted_choice.Option[_directory.Announcement]]
+    ) -> list[_directory.Announcement]:
+        if len({option.time_factor for option in options}) > 1:
+            return _weighted_choice.draw_order(options, self._rng)
+        options.sort(
+            key=lambda one: (one.load, one.preference, self._rng.random())
+        )
+        return [option.target for option in options]
+
+    def _has_rejected(
+        self,
+        endpoint: base.EndpointId,
+        now: float,
+        memory_s: float = REJECTION_MEMORY_S,
+    ) -> bool:
+        rejected_at = self._rejected_at.get(endpoint, -math.inf)
+        return now < rejected_at + memory_s
+
+    def _find_load(self, target: _directory.Announcement) -> float:
+        return self._in_flight[target.endpoint] / max(1, target.slots)
+
     def _sort_key(
         self,
         announcement: _directory.Announcement,
@@ -143,20 +233,16 @@
         is_limited: bool,
         has_cold: bool,
     ) -> tuple[bool, int, float, bool, bool, float]:
-        health = self._health.get(announcement.endpoint)
-        is_suspect = health is not None and now < health.suspect_until
-        load = self._in_flight[announcement.endpoint] / max(
-            1, announcement.slots
-        )
+        load = self._find_load(announcement)
         is_other_domain = announcement.domain != self._domain
         cold_rank = 0
         if has_cold:
-            is_full = load >= 1 or now < self._full_until.get(
-                announcement.endpoint, -math.inf
+            is_full = load >= 1 or self._has_rejected(
+                announcement.endpoint, now, FULL_S
             )
             cold_rank = 2 if is_full else int(announcement.is_cold)
         return (
-            is_suspect,
+            self.is_failing(announcement.endpoint, now),
             cold_rank,
             load,
             is_limited,
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -156,6 +156,12 @@
         "endpoint is_known cold_ms",
         "A cold endpoint announced that it is warm, or is gone.",
     ),
+    _make_kind(
+        "endpoint.figure",
+        "endpoint time_factor is_failing",
+        "The leader tells all instances how long a shared endpoint takes"
+        " relative to others, or whether it fails.",
+    ),
     _make_kind(
         "endpoint.unreadable", "endpoint why", "An announcement is invalid."
     ),
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -69,6 +69,11 @@
     for none."""
     evacuation_revision: int = 0
     """Revision of the evacuations that it received last."""
+    figures_revision: int = 0
+    """Revision of the figures of endpoints that it received last, likewise."""
+    samples: tuple[gateway.AttemptSample, ...] = ()
+    """What it observed of shared endpoints since its last answered poll; empty
+    unless the last answer had a revision of figures."""
 
 
 @attrs.frozen
@@ -128,6 +133,21 @@
     returns it with its next poll, which proves that the answer arrived."""
     evacuations: jobs.Evacuations = attrs.Factory(jobs.Evacuations)
     """Evacuated failure domains and their revision."""
+    figures_revision: int = 0
+    """Revision of the figures of endpoints; 0 if the configuration has no
+    shared services."""
+    figures: bytes | None = None
+    """Encoded `FiguresPart`; None if the entry already has this revision."""
+
+
+@attrs.frozen
+class FiguresPart:
+    """Figures of shared endpoints."""
+
+    endpoints: tuple[gateway.EndpointFigure, ...]
+    """Endpoints that differ from others of their service."""
+    latencies: tuple[gateway.RouteLatency, ...] = ()
+    """Latencies over all instances; empty unless a setting asks for them."""
 
 
 @attrs.frozen
@@ -353,6 +373,7 @@
     EvacuationOrder,
     EvacuationState,
     CondemnedPart,
+    FiguresPart,
     PermitRequest,
     PermitAnswer,
     gateway.Announcement,
@@ -370,6 +391,14 @@
     Retire,
     TooFew,
     Retiring,
-    sparse=(SyncRequest, SyncAnswer, AwaitEntries, gateway.Announcement),
+    sparse=(
+        SyncRequest,
+        SyncAnswer,
+        AwaitEntries,
+        gateway.Announcement,
+        FiguresPart,
+        gateway.AttemptSample,
+        gateway.EndpointFigure,
+    ),
 )
 """Codec of all messages between entries and stores."""
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -19,6 +19,7 @@
 from banyanbank_node import _engine_table
 from banyanbank_node import _evacuation_orders
 from banyanbank_node import _event_log
+from banyanbank_node import _figure_source
 from banyanbank_node import _forwarder
 from banyanbank_node import _item_grading
 from banyanbank_node import _item_runs
@@ -33,6 +34,7 @@
 from banyanbank_node import _retention_duty
 from banyanbank_node import _scorer_admission
 from banyanbank_node import _settings
+from banyanbank_node import _shared_endpoints
 from banyanbank_node import _store_calls
 from banyanbank_node import _store_client
 from banyanbank_node import _usage_duty
@@ -98,6 +100,16 @@
             self.node.meters,
         )
         self._suspects = gateway.CrashSuspects()
+        self._shared = _shared_endpoints.SharedEndpoints(
+            self.node.clock,
+            lambda: self.stored.table,
+            self.node.upstream.has_idle,
+            self.node.sleep,
+            self.node.rng,
+        )
+        self._figures = _figure_source.FigureSource(
+            self.node.clock, self.stored, self._shared, self.events
+        )
         self.calls = _store_calls.StoreCalls(
             reactor,
             self.node.clock,
@@ -112,6 +124,7 @@
             self._limits,
             self._suspects,
             self._cold,
+            self._figures,
         )
         self._evacuations = _evacuation_orders.EvacuationOrders(
             self.node.clock,
@@ -203,6 +216,7 @@
             departures,
             self._suspects,
             node.true_time,
+            self._shared,
         )
         runs = _item_runs.ItemRuns(
             node.clock,
@@ -300,6 +314,7 @@
             retention,
             permits,
             self._admission,
+            self._figures,
         )
         return runs
 
