--- a/measurements/starts.py
+++ b/measurements/starts.py
@@ -55,6 +55,7 @@
     """Prints the figures as JSON."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--runs", type=int, default=10)
+    parser.add_argument("--losses", type=int, default=10)
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--python", default=sys.executable)
     parser.add_argument("--compare", type=pathlib.Path, default=None)
@@ -74,11 +75,11 @@
         world = _World(pathlib.Path(folder), options.python, options.entries)
         try:
             await world.start()
-            for taken, measure in (
-                (starts, _start_once),
-                (returns, _black_out),
+            for taken, measure, runs in (
+                (starts, _start_once, options.runs),
+                (returns, _black_out, options.losses),
             ):
-                for _ in range(options.runs):
+                for _ in range(runs):
                     for name, tree in trees.items():
                         world.use(tree)
                         taken[name].append(await measure(world))
@@ -101,7 +102,7 @@
             "least": round(min(values), 1),
             "worst": round(max(values), 1),
         }
-        for name in runs[0]
+        for name in dict.fromkeys(name for run in runs for name in run)
         for values in [[run[name] for run in runs if name in run]]
     }
 
