--- a/packages/base/src/banyanbank_base/__init__.py
+++ b/packages/base/src/banyanbank_base/__init__.py
@@ -12,6 +12,7 @@
 from banyanbank_base._clock import SystemClock
 from banyanbank_base._codec import Codec
 from banyanbank_base._codec import CodecError
+from banyanbank_base._codec import prepare_codecs
 from banyanbank_base._events import Event
 from banyanbank_base._events import HybridClock
 from banyanbank_base._events import HybridTime
@@ -60,4 +61,5 @@
     "TrainerId",
     "WeightVersion",
     "load_chart",
+    "prepare_codecs",
 ]
