Defer imports that serve no request until after the first answer

An entry imported batch jobs, loguru, templates, cookies, TLS of asyncio and other modules that no request of its start uses; most of them come from imports at the top of libraries. They are now executed at the first use of one of their attributes.

What is put off, these imports and the parts of codecs, is done in small steps after the first answer of an endpoint, or 1.5 s after the start without one.

--- a/packages/base/src/banyanbank_base/__init__.py
+++ b/packages/base/src/banyanbank_base/__init__.py
@@ -11,8 +11,9 @@
 from banyanbank_base._clock import ManualClock
 from banyanbank_base._clock import SystemClock
 from banyanbank_base._codec import Codec
+from banyanbank_base._codec import codec_preparations
 from banyanbank_base._codec import CodecError
-from banyanbank_base._codec import prepare_codecs
+from banyanbank_base._codec import Preparation
 from banyanbank_base._events import Event
 from banyanbank_base._events import HybridClock
 from banyanbank_base._events import HybridTime
@@ -53,6 +54,7 @@
     "MemoryRecorder",
     "ModelName",
     "Outcome",
+    "Preparation",
     "Recorder",
     "Refusal",
     "RefusalReason",
@@ -60,6 +62,6 @@
     "SystemClock",
     "TrainerId",
     "WeightVersion",
+    "codec_preparations",
     "load_chart",
-    "prepare_codecs",
 ]
--- a/packages/base/src/banyanbank_base/_codec.py
+++ b/packages/base/src/banyanbank_base/_codec.py
@@ -15,6 +15,9 @@
 
 T = typing.TypeVar("T")
 
+Preparation = collections.abc.Callable[[], object]
+"""Call that does ahead of time what the first message of a kind would do."""
+
 
 class CodecError(Exception):
     """Bytes could not be read as a message of the codec's union."""
@@ -64,15 +67,13 @@
         except Exception as exc:
             raise CodecError(f"Not a known message: {exc!r}") from exc
 
-    def prepare(self) -> collections.abc.Iterator[None]:
-        """Generates what reads and writes each member, one in each step."""
+    def preparations(self) -> collections.abc.Iterator[Preparation]:
+        """Yields calls that generate what no message needed so far."""
         for member in self._members.values():
             if member not in self._writers:
-                self._make_writer(member)
-                yield
+                yield functools.partial(self._make_writer, member)
             if member not in self._readers:
-                self._make_reader(member)
-                yield
+                yield functools.partial(self._make_reader, member)
 
     def _make_writer(self, member: type) -> typing.Callable[..., typing.Any]:
         if member not in self._members.values():
@@ -91,10 +92,10 @@
 _CODECS: weakref.WeakSet[Codec[typing.Any]] = weakref.WeakSet()
 
 
-def prepare_codecs() -> collections.abc.Iterator[None]:
-    """Prepares all codecs of the process, one member's part in each step."""
+def codec_preparations() -> collections.abc.Iterator[Preparation]:
+    """Yields the preparations of all codecs of the process."""
     for codec in list(_CODECS):
-        yield from codec.prepare()
+        yield from codec.preparations()
 
 
 @functools.cache
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -1,5 +1,7 @@
 """Entry process: accepts callers' requests and batch jobs."""
 
+from __future__ import annotations
+
 import math
 import typing
 
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -240,7 +240,7 @@
 
     total: int
     """Number of items in the job."""
-    results: tuple[jobs.ItemResult, ...]
+    results: "tuple[jobs.ItemResult, ...]"
     """Results in order of their positions."""
 
 
--- a/packages/node/src/banyanbank_node/_ports.py
+++ b/packages/node/src/banyanbank_node/_ports.py
@@ -4,6 +4,8 @@
 bodies, and contains no decisions.
 """
 
+from __future__ import annotations
+
 import typing
 
 import attrs
--- a/packages/web/src/banyanbank_web/__init__.py
+++ b/packages/web/src/banyanbank_web/__init__.py
@@ -9,6 +9,7 @@
 from banyanbank_web._quiet import keep_new_out
 from banyanbank_web._site import HttpLimits
 from banyanbank_web._site import LimitedSite
+from banyanbank_web._site import Observer
 from banyanbank_web._site import Route
 from banyanbank_web._site import RouteTable
 from banyanbank_web._upstream import GuardClosedError
@@ -25,6 +26,7 @@
     "GuardClosedError",
     "HttpLimits",
     "LimitedSite",
+    "Observer",
     "Route",
     "RouteTable",
     "Upstream",
--- a/packages/web/src/banyanbank_web/_quiet.py
+++ b/packages/web/src/banyanbank_web/_quiet.py
@@ -9,7 +9,7 @@
 import ctypes
 import socket
 
-from loguru import logger
+import loguru
 
 SO_ATTACH_FILTER = 26
 FLAGS_OFFSET = 13
@@ -56,4 +56,4 @@
     try:
         listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, bytes(program))
     except OSError as exc:
-        logger.warning("no filter on the listener: {}", exc)
+        loguru.logger.warning("no filter on the listener: {}", exc)
--- a/packages/web/src/banyanbank_web/_site.py
+++ b/packages/web/src/banyanbank_web/_site.py
@@ -5,7 +5,7 @@
 
 import attrs
 import banyanbank_base as base
-from loguru import logger
+import loguru
 from twisted.internet import defer
 from twisted.web import http
 from twisted.web import resource
@@ -285,7 +285,7 @@
         if failure.check(_exchange.ExchangeClosed, defer.CancelledError):
             exchange.abort()
             return
-        logger.error(
+        loguru.logger.error(
             "request {} failed: {}",
             exchange.request_id,
             failure.getTraceback(),
--- a/tests/base/test_codec.py
+++ b/tests/base/test_codec.py
@@ -71,10 +71,9 @@
     def test_preparation(self) -> None:
         """Guards against a message kind that fails at its first use only."""
         codec: base.Codec[typing.Any] = base.Codec(Ping, Pong)
-        self.assertEqual(len(list(codec.prepare())), 4)
-        self.assertEqual(list(codec.prepare()), [])
-        for _ in base.prepare_codecs():
-            pass
+        for prepare in codec.preparations():
+            prepare()
+        self.assertEqual(list(codec.preparations()), [])
 
     def test_round_trip(self) -> None:
         for message in (Ping(7), Pong(b"\x00", ("a", "b"))):
--- a/tests/platform/test_serve.py
+++ b/tests/platform/test_serve.py
@@ -19,6 +19,11 @@
     print("runs", front_socket, flush=True)
 """
 
+DEFERRED_IMPORTS_MODULE = """
+def install():
+    print("defers", flush=True)
+"""
+
 EARLY_SOCKET_MODULE = """
 def open_front_socket(role, environment):
     return "socket of " + role
@@ -38,6 +43,9 @@
             (package / "__init__.py").touch()
             (package / "_main.py").write_text(BLOCKING_MAIN_MODULE)
             (package / "_early_socket.py").write_text(EARLY_SOCKET_MODULE)
+            (package / "_deferred_imports.py").write_text(
+                DEFERRED_IMPORTS_MODULE
+            )
             with subprocess.Popen(
                 [sys.executable, SERVE_SCRIPT, "entry"],
                 env=os.environ | {"PYTHONPATH": folder},
@@ -45,6 +53,7 @@
                 stdout=subprocess.PIPE,
             ) as process:
                 assert process.stdout is not None
+                self.assertEqual(process.stdout.readline(), b"defers\n")
                 self.assertEqual(process.stdout.readline(), b"importing\n")
                 process.send_signal(signal.SIGHUP)
                 rest, _ = process.communicate(b"\n")
