Ask a leader that was just named without a pause; keep bytecode valid

A call to a store that does not lead waited 50 ms before it went to the leader that this store named. The leader that was named is now asked at once; no two hints in a row are followed without the pause, since stores may name each other.

The build writes bytecode that does not refer to the times of the sources.

The measurement now has ten endpoints, as deployments have.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,9 @@
   rm -rf "$deps"
   python3 -m pip install --quiet --disable-pip-version-check \
     --target "$deps" --requirement deploy/requirements.txt
+  # Bytecode that does not refer to the times of the sources stays valid when
+  # the tree is copied; otherwise each start would compile all libraries.
+  python3 -m compileall -q -f --invalidation-mode unchecked-hash "$deps" || true
   cp deploy/requirements.txt "$stamp"
 fi
 for member in base consensus mesh web gateway jobs node; do
@@ -17,4 +20,4 @@
 done
 rm -rf "$deps/banyanbank_platform"
 cp -R platform/src/banyanbank_platform "$deps/"
-python3 -m compileall -q "$deps"/banyanbank_*
+python3 -m compileall -q --invalidation-mode unchecked-hash "$deps"/banyanbank_*
--- a/measurements/starts.py
+++ b/measurements/starts.py
@@ -34,7 +34,7 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 STORES = 3
-SERVERS = 4
+SERVERS = 10
 HEARTBEAT_S = 1.2
 """Interval between the announcements of an endpoint."""
 CALLER_PAUSE_S = 0.005
--- a/packages/base/src/banyanbank_base/_charts.py
+++ b/packages/base/src/banyanbank_base/_charts.py
@@ -1,10 +1,9 @@
 """Interpreter of statecharts kept in YAML files.
 
-Its library and the YAML parser take some 3 MB, so they are loaded with the
-first chart: many processes run none.
+Its library, the YAML parser and the reader of the packages' files take time and
+some 3 MB, so they are loaded with the first chart: many processes run none.
 """
 
-import importlib.resources
 import typing
 
 if typing.TYPE_CHECKING:
@@ -25,6 +24,8 @@
     Raises:
         ChartError: The file is missing or not a valid chart.
     """
+    import importlib.resources
+
     import sismic.exceptions
     import sismic.io
 
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -13,7 +13,7 @@
 from banyanbank_node import _messages
 
 RETRY_DELAY_S = 0.05
-"""Delay between two attempts."""
+"""Delay between two attempts, but for one to a leader that was just named."""
 
 ATTEMPT_TIMEOUT_S = 0.8
 """Default timeout of a call to one store."""
@@ -185,10 +185,12 @@
         may_have_run = False
         detail = "no store was asked"
         asked: dict[base.InstanceId, str] = {}
+        follows_hint = False
         if first is not None and self._is_avoided(first):
             first = None
         while self._clock.now() < deadline:
             target = first or self._next_target()
+            has_hint = False
             sent_at = self._clock.now()
             is_own = target == self._mesh.instance
             # Another attempt would repeat what the handler has begun.
@@ -209,7 +211,7 @@
                     return result.Success(answer.payload)
                 detail = f"{target} does not lead"
                 asked[target] = f"names {answer.leader or 'no leader'}"
-                self._follow_leader_hint(target, answer.leader)
+                has_hint = self._follow_leader_hint(target, answer.leader)
             else:
                 error = call_result.failure()
                 detail = f"{target}: {error.detail}"
@@ -223,7 +225,11 @@
                 ):
                     self._avoid(target, error.kind, sent_at)
             first = None
-            await task.deferLater(self._reactor, RETRY_DELAY_S)
+            # Two stores may name each other, so no two hints in a row are
+            # followed at once.
+            follows_hint = has_hint and not follows_hint
+            if not follows_hint:
+                await task.deferLater(self._reactor, RETRY_DELAY_S)
         return result.Failure(StoreCallError(may_have_run, detail, asked))
 
     async def _attempt_call(
@@ -318,10 +324,12 @@
 
     def _follow_leader_hint(
         self, responder: base.InstanceId, leader: str
-    ) -> None:
+    ) -> bool:
+        """Takes a store for the leader that another one named, if it may be."""
         hint = base.InstanceId(leader) if leader else None
         if hint is None or hint == responder or self._is_avoided(hint):
             self._leader_hint = None
-            return
+            return False
         self.register_address(hint)
         self._leader_hint = hint
+        return True
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -28,6 +28,7 @@
         self._clock = clock
         self.called_stores: list[base.InstanceId] = []
         self.leader = FROZEN
+        self.names: dict[base.InstanceId, base.InstanceId] = {}
         self.is_silent = True
         self.error_kind = mesh.CallErrorKind.DEADLINE
 
@@ -52,7 +53,8 @@
         payload = None
         if peer == self.leader:
             payload = _messages.CODEC.encode(_messages.Accepted())
-        answer = _messages.StoreAnswer(str(self.leader), payload)
+        named = self.names.get(peer, self.leader)
+        answer = _messages.StoreAnswer(str(named), payload)
         response.callback(result.Success(_messages.CODEC.encode(answer)))
         return response
 
@@ -134,6 +136,24 @@
         self.assertLess(took_s, 0.3)
         self.assertEqual(self.stores.called_stores[-1], FROZEN)
 
+    def test_hint_is_followed_at_once(self) -> None:
+        """Guards against a delay of each entry's first configuration."""
+        self.client.set_seeds((FOLLOWER,))
+        self.stores.leader = SUCCESSOR
+        running = defer.ensureDeferred(
+            self.client.call("method", _messages.Accepted(), 3.0)
+        )
+        self.assertTrue(running.called)
+        self.assertEqual(self.stores.called_stores, [FOLLOWER, SUCCESSOR])
+
+    def test_stores_that_name_each_other(self) -> None:
+        """Guards against calls without a pause while no store leads."""
+        self.stores.names = {FOLLOWER: SUCCESSOR, SUCCESSOR: FOLLOWER}
+        self.client.set_seeds((FOLLOWER, SUCCESSOR))
+        self.assertFalse(self.call(limit_s=1.0)[0])
+        most = 2 * round(1.0 / _store_client.RETRY_DELAY_S)
+        self.assertLessEqual(len(self.stores.called_stores), most)
+
     def test_hint_is_followed(self) -> None:
         self.stores.leader = SUCCESSOR
         self.client.set_stores((FOLLOWER, SUCCESSOR))
