--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -24,6 +24,7 @@
 from banyanbank_gateway._endpoint_figures import EndpointFigure
 from banyanbank_gateway._endpoint_figures import KnownFigures
 from banyanbank_gateway._endpoint_figures import MAX_FIGURES_AGE_S
+from banyanbank_gateway._evacuations import Evacuations
 from banyanbank_gateway._figure_collector import FigureCollector
 from banyanbank_gateway._known_limits import KnownLimits
 from banyanbank_gateway._known_limits import LimitObservation
@@ -60,6 +61,7 @@
     "EndpointPicker",
     "EndpointState",
     "EngineShape",
+    "Evacuations",
     "FigureCollector",
     "InvalidDocumentError",
     "KnownFigures",
--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -28,7 +28,6 @@
 from banyanbank_jobs._commands import Undecodable
 from banyanbank_jobs._engines import EngineHealth
 from banyanbank_jobs._engines import EngineView
-from banyanbank_jobs._evacuations import Evacuations
 from banyanbank_jobs._event_stream import EventStreamError
 from banyanbank_jobs._event_stream import EventStreamReader
 from banyanbank_jobs._event_stream import ItemText
@@ -90,7 +89,6 @@
     "EngineHealth",
     "EngineView",
     "EvacuateDomain",
-    "Evacuations",
     "EventStreamError",
     "EventStreamReader",
     "ForgetJobs",
--- a/packages/jobs/src/banyanbank_jobs/_ledger.py
+++ b/packages/jobs/src/banyanbank_jobs/_ledger.py
@@ -5,9 +5,9 @@
 
 import attrs
 import banyanbank_base as base
+import banyanbank_gateway as gateway
 
 from banyanbank_jobs import _commands
-from banyanbank_jobs import _evacuations
 from banyanbank_jobs import _records
 
 
@@ -66,9 +66,7 @@
     windows: dict[int, dict[base.AccountId, int]]
     reported: tuple[int, ...]
     retired: tuple[base.InstanceId, ...]
-    evacuations: _evacuations.Evacuations = attrs.Factory(
-        _evacuations.Evacuations
-    )
+    evacuations: gateway.Evacuations = attrs.Factory(gateway.Evacuations)
 
 
 # A snapshot without evacuations can be read by an earlier release.
@@ -175,7 +173,7 @@
         self.windows: dict[int, dict[base.AccountId, int]] = {}
         self.reported: set[int] = set()
         self.retired: set[base.InstanceId] = set()
-        self.evacuations = _evacuations.Evacuations()
+        self.evacuations = gateway.Evacuations()
         self._handlers: dict[type, typing.Callable[..., _commands.Reply]] = {
             _commands.DeclareDocument: self._declare,
             _commands.NameVersion: self._name_version,
@@ -307,7 +305,7 @@
         )
 
     def _replace_evacuations(
-        self, changed: _evacuations.Evacuations
+        self, changed: gateway.Evacuations
     ) -> _commands.Reply:
         is_new = changed.revision != self.evacuations.revision
         self.evacuations = changed
--- a/packages/node/src/banyanbank_node/_endpoint_sender.py
+++ b/packages/node/src/banyanbank_node/_endpoint_sender.py
@@ -5,7 +5,6 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-import banyanbank_jobs as jobs
 import banyanbank_web as web
 from returns import result
 
@@ -20,7 +19,7 @@
 
     upstream: web.Upstream
     """HTTP client."""
-    find_evacuations: collections.abc.Callable[[], jobs.Evacuations]
+    find_evacuations: collections.abc.Callable[[], gateway.Evacuations]
     """Returns the evacuations that this process knows."""
 
     def may_send(self, target: gateway.Announcement) -> bool:
--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -5,7 +5,6 @@
 
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-import banyanbank_jobs as jobs
 from returns import result
 from twisted.internet import defer
 from twisted.internet import task
@@ -109,7 +108,7 @@
         self._polling: defer.Deferred[None] | None = None
         self.table: gateway.RouteTable | None = None
         self.directory = gateway.Directory()
-        self.evacuations = jobs.Evacuations()
+        self.evacuations = gateway.Evacuations()
         self.last_contact_at: float | None = None
         self.answers = _change_notifier.ChangeNotifier(reactor)
         self.on_document: typing.Callable[[gateway.Document], None] = (
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -131,7 +131,7 @@
     issued_at: float = 0.0
     """When the leader made the answer, on its monotonic clock. The entry
     returns it with its next poll, which proves that the answer arrived."""
-    evacuations: jobs.Evacuations = attrs.Factory(jobs.Evacuations)
+    evacuations: gateway.Evacuations = attrs.Factory(gateway.Evacuations)
     """Evacuated failure domains and their revision."""
     figures_revision: int = 0
     """Revision of the figures of endpoints; 0 if the configuration has no
--- a/packages/node/src/banyanbank_node/_scorer_admission.py
+++ b/packages/node/src/banyanbank_node/_scorer_admission.py
@@ -57,7 +57,7 @@
         self._waiters: dict[jobs.WaitingScorerCall, defer.Deferred[bool]] = {}
         self._sequence = itertools.count()
         self._table: gateway.RouteTable | None = None
-        self._evacuations = jobs.Evacuations()
+        self._evacuations = gateway.Evacuations()
         # Services with endpoints when calls to those without were released.
         self._served: set[str] | None = None
         self._is_dispatching = False
--- a/tests/jobs/test_ledger.py
+++ b/tests/jobs/test_ledger.py
@@ -3,8 +3,9 @@
 import unittest
 
 import banyanbank_base as base
+import banyanbank_gateway as gateway
+from banyanbank_gateway import _evacuations
 import banyanbank_jobs as jobs
-from banyanbank_jobs import _evacuations
 from banyanbank_jobs import _ledger
 
 from tests.jobs import samples
@@ -152,7 +153,7 @@
             with self.subTest(name):
                 self.assertEqual(self.apply(command), reply)
                 self.assertEqual(
-                    self.ledger.evacuations, jobs.Evacuations(*expected)
+                    self.ledger.evacuations, gateway.Evacuations(*expected)
                 )
                 restored = jobs.Ledger()
                 restored.restore(self.ledger.snapshot())
@@ -177,7 +178,7 @@
         """Guards against a store that loses its state in an upgrade."""
         self.ledger.restore(EARLIER_SNAPSHOT)
         self.assertEqual(self.ledger.document, b"three")
-        self.assertEqual(self.ledger.evacuations, jobs.Evacuations())
+        self.assertEqual(self.ledger.evacuations, gateway.Evacuations())
         # Nor can a store of the earlier release lose it in a downgrade.
         self.assertEqual(self.ledger.snapshot(), EARLIER_SNAPSHOT)
 
--- a/tests/node/test_cold_endpoints.py
+++ b/tests/node/test_cold_endpoints.py
@@ -68,7 +68,7 @@
             with self.subTest(name):
                 self.setUp()
                 self.configure(cold_per_s)
-                self.stored.ledger.evacuations = jobs.Evacuations(
+                self.stored.ledger.evacuations = gateway.Evacuations(
                     readmitted=readmitted
                 )
                 sent = self.cold.drop_unused(announcement)
@@ -113,7 +113,9 @@
         )
         for announcement in (WARM, elsewhere):
             self.directory.apply(announcement, now=99.0)
-        self.stored.ledger.evacuations = jobs.Evacuations(readmitted=READMITTED)
+        self.stored.ledger.evacuations = gateway.Evacuations(
+            readmitted=READMITTED
+        )
         for is_change in (True, False):
             self.assertEqual(self.cold.apply_readmissions(), is_change)
             self.assertEqual(self.cold.find_rate(WARM), 13.0)
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -9,7 +9,6 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-import banyanbank_jobs as jobs
 from banyanbank_node import _entry_sync
 from banyanbank_node import _messages
 from banyanbank_node import _poll_paths
@@ -303,7 +302,7 @@
     def test_evacuations(self) -> None:
         """Guards against evacuations that an entry loses, or hears too late."""
         zone = base.FailureDomain("zone-a")
-        evacuated = jobs.Evacuations().evacuate(zone)
+        evacuated = gateway.Evacuations().evacuate(zone)
         readmitted = evacuated.readmit(zone, 1.0)
         served: list[bool] = []
         self.sync.on_document = lambda document: served.append(
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -47,9 +47,9 @@
 _Any = typing.Any
 
 
-def evacuate(*domains: base.FailureDomain) -> jobs.Evacuations:
+def evacuate(*domains: base.FailureDomain) -> gateway.Evacuations:
     """Returns the state in which domains are evacuated."""
-    state = jobs.Evacuations()
+    state = gateway.Evacuations()
     for domain in domains:
         state = state.evacuate(domain)
     return state
@@ -80,7 +80,7 @@
 
     def test_which_endpoints_are_sent_to(self) -> None:
         for name, state, is_sent in (
-            ("no evacuation", jobs.Evacuations(), True),
+            ("no evacuation", gateway.Evacuations(), True),
             ("another domain", evacuate(OTHER_ZONE), True),
             ("its domain", evacuate(ZONE), False),
             ("its domain and another", evacuate(OTHER_ZONE, ZONE), False),
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -9,7 +9,6 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-import banyanbank_jobs as jobs
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
@@ -156,7 +155,7 @@
         clock,
         _endpoint_sender.EndpointSender(
             _as_any(types.SimpleNamespace(send=send)),
-            lambda: jobs.Evacuations(1, evacuated),
+            lambda: gateway.Evacuations(1, evacuated),
         ),
         _as_any(
             types.SimpleNamespace(
--- a/tests/node/test_item_grading.py
+++ b/tests/node/test_item_grading.py
@@ -68,7 +68,7 @@
             clock,
             _endpoint_sender.EndpointSender(
                 _as_any(types.SimpleNamespace(send=self._send)),
-                jobs.Evacuations,
+                gateway.Evacuations,
             ),
             _as_any(self),
             picker,
--- a/tests/node/test_shared_endpoints.py
+++ b/tests/node/test_shared_endpoints.py
@@ -8,7 +8,6 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-import banyanbank_jobs as jobs
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
@@ -391,7 +390,7 @@
     return _forwarder.Forwarder(
         process.clock,
         _endpoint_sender.EndpointSender(
-            _as_any(types.SimpleNamespace(send=send)), jobs.Evacuations
+            _as_any(types.SimpleNamespace(send=send)), gateway.Evacuations
         ),
         _as_any(
             types.SimpleNamespace(
