--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,7 @@
     --target "$deps" --requirement deploy/requirements.txt
   # Bytecode that does not refer to the times of the sources stays valid when
   # the tree is copied; otherwise each start would compile all libraries.
-  python3 -m compileall -q -f --invalidation-mode unchecked-hash "$deps" || true
+  python3 -m compileall -q -f --invalidation-mode unchecked-hash "$deps"
   cp deploy/requirements.txt "$stamp"
 fi
 for member in base consensus mesh web gateway jobs node; do
