Let errors of documents say which value they concern

Cause: a check of a whole configuration needs the place of each error, and the answer of a store named a route only for some of its fields.

Answers to invalid documents name the route or service for every field and say what to do. What is valid does not change.

--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -115,12 +115,17 @@
             (
                 "a removed service",
                 {"services": [{"name": "other"}]},
-                "unknown service 'app'",
+                "Route 'route-0': .* unknown service 'app'",
             ),
             (
                 "timeout of 0",
                 {"routes": [make_route(0, **{"timeout-ms": 0})]},
-                "'timeout-ms' is 0",
+                "Route 'route-0': 'timeout-ms' is 0",
+            ),
+            (
+                "a service with a field of another type",
+                {"services": [{"name": "app", "max-connections": "x"}]},
+                "Service 'app': 'max-connections' must be",
             ),
             (
                 "weights of 0",
