Decide when a request gets a second attempt

Some answers take far longer than usual because one endpoint is slow or an answer is lost.

Cancelled attempts are reported with the time until then. Without them slow endpoints would look fast, and the quantiles would fall with each second attempt. The number of routes whose quantiles are sent is bounded by 64.

Nothing uses the decision yet.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -38,6 +38,10 @@
 from banyanbank_gateway._routing import draw_service
 from banyanbank_gateway._routing import rank_services
 from banyanbank_gateway._routing import RouteTable
+from banyanbank_gateway._second_attempts import MAX_SECOND_ATTEMPT_SHARE
+from banyanbank_gateway._second_attempts import Obstacle
+from banyanbank_gateway._second_attempts import SecondAttemptPolicy
+from banyanbank_gateway._second_attempts import SecondAttemptRules
 from banyanbank_gateway._selection import EndpointPicker
 from banyanbank_gateway._selection import SharedView
 from banyanbank_gateway._shared_services import find_shared_services
@@ -49,6 +53,7 @@
 __all__ = [
     "MAX_FIGURES_AGE_S",
     "MAX_PERMIT_AGE_S",
+    "MAX_SECOND_ATTEMPT_SHARE",
     "Announcement",
     "AttemptSample",
     "Backoff",
@@ -68,6 +73,7 @@
     "LimitObservation",
     "Limits",
     "LoadedModel",
+    "Obstacle",
     "RateLimiter",
     "Route",
     "RouteKind",
@@ -75,6 +81,8 @@
     "RouteTable",
     "SampleLog",
     "Scaling",
+    "SecondAttemptPolicy",
+    "SecondAttemptRules",
     "Service",
     "ServiceTimes",
     "SharedView",
--- a/packages/gateway/src/banyanbank_gateway/_attempt_samples.py
+++ b/packages/gateway/src/banyanbank_gateway/_attempt_samples.py
@@ -1,5 +1,7 @@
 """What an instance observed of plain endpoints since its last poll."""
 
+import collections.abc
+
 import attrs
 import banyanbank_base as base
 
@@ -26,6 +28,9 @@
     """Number of successes by bucket of `LatencyHistogram`."""
     failures: int = 0
     """Number of failures that are attributable to the endpoint."""
+    cut_times: dict[int, int] = attrs.Factory(dict)
+    """Number of attempts that were cancelled because another one was first, by
+    bucket of the time until then."""
 
 
 _Key = tuple[base.EndpointId, int, str, str]
@@ -71,6 +76,21 @@
             )
         )
 
+    def record_cut(
+        self, target: _directory.Announcement, route: str, took_s: float
+    ) -> None:
+        """Records an attempt that took at least this long."""
+        bucket = _latency_histogram.find_bucket(took_s)
+        self._add(
+            AttemptSample(
+                target.endpoint,
+                target.born_ms,
+                target.service,
+                route,
+                cut_times={bucket: 1},
+            )
+        )
+
     def take(self) -> tuple[AttemptSample, ...]:
         """Returns all samples that the leader may not have received yet."""
         fresh, self._new = self._new, self._sent
@@ -94,9 +114,20 @@
             if len(self._new) < MAX_KEYS:
                 self._new[key] = sample
             return
-        times = dict(known.times)
-        for bucket, count in sample.times.items():
-            times[bucket] = times.get(bucket, 0) + count
         self._new[key] = attrs.evolve(
-            known, times=times, failures=known.failures + sample.failures
+            known,
+            times=add_counts(known.times, sample.times),
+            failures=known.failures + sample.failures,
+            cut_times=add_counts(known.cut_times, sample.cut_times),
         )
+
+
+def add_counts(
+    left: collections.abc.Mapping[int, int],
+    right: collections.abc.Mapping[int, int],
+) -> dict[int, int]:
+    """Returns the sum of two counts by bucket."""
+    total = dict(left)
+    for bucket, count in right.items():
+        total[bucket] = total.get(bucket, 0) + count
+    return total
--- a/packages/gateway/src/banyanbank_gateway/_figure_collector.py
+++ b/packages/gateway/src/banyanbank_gateway/_figure_collector.py
@@ -86,18 +86,23 @@
             record.watch.add(
                 reporter, sum(sample.times.values()), sample.failures, now
             )
-            if not sample.times:
+            # A slow attempt that was cancelled took at least this long. Left
+            # out, slow endpoints would look fast, and quantiles would fall.
+            known_times = _attempt_samples.add_counts(
+                sample.times, sample.cut_times
+            )
+            if not known_times:
                 continue
             times = record.times.setdefault(
                 sample.route, _figure_estimate.RouteTimes()
             )
-            for bucket, count in sample.times.items():
+            for bucket, count in known_times.items():
                 duration_s = _latency_histogram.duration_of(bucket)
                 times.add(duration_s, count, now)
             self.latencies.setdefault(
                 (sample.service, sample.route),
                 _latency_histogram.LatencyHistogram(),
-            ).add(sample.times, now)
+            ).add(known_times, now)
 
     def find_figures(
         self, now: float
--- a/packages/gateway/src/banyanbank_gateway/_latency_histogram.py
+++ b/packages/gateway/src/banyanbank_gateway/_latency_histogram.py
@@ -27,6 +27,10 @@
 MIN_SENT_COUNT = 50
 """Least (decayed) number of durations for quantiles to be sent."""
 
+MAX_SENT_ROUTES = 64
+"""Pairs of service and route whose quantiles are sent, those with the most
+durations; each takes some 40 bytes."""
+
 
 @attrs.frozen
 class RouteLatency:
@@ -70,6 +74,11 @@
         for bucket, count in counts.items():
             self._counts[bucket] = self._counts.get(bucket, 0.0) + count
 
+    @property
+    def total(self) -> float:
+        """Decayed number of durations."""
+        return sum(self._counts.values())
+
     def find_quantile(self, share: float, min_count: float) -> float | None:
         """Returns a quantile in seconds, or None with too few durations.
 
@@ -77,7 +86,7 @@
             share: Share of the durations that are not longer.
             min_count: Least (decayed) number of durations.
         """
-        total = sum(self._counts.values())
+        total = self.total
         if not total or total < min_count:
             return None
         seen = 0.0
@@ -105,9 +114,14 @@
 def summarize_latencies(
     histograms: collections.abc.Mapping[tuple[str, str], LatencyHistogram],
 ) -> tuple[RouteLatency, ...]:
-    """Returns the quantiles of all routes with enough durations."""
+    """Returns the quantiles of the routes with the most durations."""
     summaries = []
-    for (service, route), histogram in sorted(histograms.items()):
+    busiest = sorted(
+        histograms.items(), key=lambda item: (-item[1].total, item[0])
+    )[:MAX_SENT_ROUTES]
+    for (service, route), histogram in sorted(
+        busiest, key=lambda item: item[0]
+    ):
         quantiles = [
             histogram.find_quantile(share, MIN_SENT_COUNT)
             for share in SENT_QUANTILES
--- a/packages/gateway/src/banyanbank_gateway/_selection.py
+++ b/packages/gateway/src/banyanbank_gateway/_selection.py
@@ -162,6 +162,21 @@
         health = self._health.get(endpoint)
         return health is not None and now < health.suspect_until
 
+    def is_spare(
+        self, target: _directory.Announcement, now: float, view: SharedView
+    ) -> bool:
+        """Whether an endpoint may get requests that others might run as well.
+
+        It may not if it is cold or fails, or rejected a request just now.
+        """
+        figure = view.figures.get(target, now)
+        return not (
+            target.is_cold
+            or (figure is not None and figure.is_failing)
+            or self.is_failing(target.endpoint, now)
+            or self._has_rejected(target.endpoint, now)
+        )
+
     def _rank_shared(
         self,
         usable: list[_directory.Announcement],
