Send second attempts of idempotent requests

A request whose endpoint is slow, or whose answer is lost, waited for up to half of its time. With BANYANBANK_SECOND_ATTEMPT_SHARE set, it is sent to a second endpoint once it has taken longer than most do, within the budget of the instance; the first good answer counts, and the other attempt is cancelled, which is neither a loss nor a failure of its endpoint. Beside a second attempt the first one runs on to the deadline unless the request has an attempt left. Scorer calls of the leader have second attempts, too, where their admission has room.

The leader sends usual times only if it has the setting, and none for a service whose endpoints reject requests; instances report rejections and the times of cancelled attempts only where second attempts are made.

Members of a message that are written without defaults are registered before the messages that contain them: samples were written with all their fields.

Without the setting the attempts of a request and their deadlines are as before.

--- a/packages/gateway/src/banyanbank_gateway/_attempt_samples.py
+++ b/packages/gateway/src/banyanbank_gateway/_attempt_samples.py
@@ -31,6 +31,9 @@
     cut_times: dict[int, int] = attrs.Factory(dict)
     """Number of attempts that were cancelled because another one was first, by
     bucket of the time until then."""
+    rejections: int = 0
+    """Number of requests that the endpoint had no room for; counted only where
+    second attempts are made."""
 
 
 _Key = tuple[base.EndpointId, int, str, str]
@@ -91,6 +94,20 @@
             )
         )
 
+    def record_rejection(
+        self, target: _directory.Announcement, route: str
+    ) -> None:
+        """Records that an endpoint had no room for a request."""
+        self._add(
+            AttemptSample(
+                target.endpoint,
+                target.born_ms,
+                target.service,
+                route,
+                rejections=1,
+            )
+        )
+
     def take(self) -> tuple[AttemptSample, ...]:
         """Returns all samples that the leader may not have received yet."""
         fresh, self._new = self._new, self._sent
@@ -119,6 +136,7 @@
             times=add_counts(known.times, sample.times),
             failures=known.failures + sample.failures,
             cut_times=add_counts(known.cut_times, sample.cut_times),
+            rejections=known.rejections + sample.rejections,
         )
 
 
--- a/packages/gateway/src/banyanbank_gateway/_figure_collector.py
+++ b/packages/gateway/src/banyanbank_gateway/_figure_collector.py
@@ -11,6 +11,7 @@
 from banyanbank_gateway import _failure_watch
 from banyanbank_gateway import _figure_estimate
 from banyanbank_gateway import _latency_histogram
+from banyanbank_gateway import _overload_watch
 
 RECOMPUTE_INTERVAL_S = 0.25
 """Least time between two computations; entries poll twice a second."""
@@ -59,6 +60,7 @@
     Attributes:
         revision: Increases with each change of the figures.
         latencies: Durations by service and route, over all instances.
+        overloads: Services whose endpoints reject requests.
     """
 
     def __init__(self) -> None:
@@ -66,6 +68,7 @@
         self.latencies: dict[
             tuple[str, str], _latency_histogram.LatencyHistogram
         ] = {}
+        self.overloads = _overload_watch.OverloadWatch()
         self._records: dict[_Life, _EndpointRecord] = {}
         self._figures: tuple[_endpoint_figures.EndpointFigure, ...] = ()
         self._computed_at = -math.inf
@@ -78,6 +81,10 @@
     ) -> None:
         """Adds what an instance observed since its last report."""
         for sample in samples:
+            if sample.rejections:
+                self.overloads.add(sample.service, sample.endpoint, now)
+            if not (sample.times or sample.failures or sample.cut_times):
+                continue
             life = (sample.endpoint, sample.born_ms)
             record = self._records.get(life)
             if record is None:
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -22,6 +22,7 @@
 from banyanbank_node import _permits
 from banyanbank_node import _poll_paths
 from banyanbank_node import _ports
+from banyanbank_node import _second_attempts
 from banyanbank_node import _settings
 from banyanbank_node import _shared_endpoints
 from banyanbank_node import _shutdown
@@ -120,6 +121,14 @@
             suspects,
             self.node.true_time,
             shared,
+            _second_attempts.SecondAttempts(
+                settings.node.second_attempts,
+                self.node.clock,
+                shared,
+                self.node.rng,
+                self.node.events,
+                self.node.meters,
+            ),
         )
         self._shutdown: _shutdown.Shutdown | None = None
         self._startup_wait = _startup_wait.start_wait(self.node.clock.now())
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -173,6 +173,13 @@
         "request endpoint address outcome detail tried left_ms",
         "An attempt did not succeed; `outcome` is lost, not-run or failed.",
     ),
+    _make_kind(
+        "request.second_attempt",
+        "request first second outcome after_ms",
+        "A request was sent to a second endpoint beside the first, `after_ms`"
+        " or more after it; `outcome` is won if the second answered first, lost"
+        " if the first did, failed if neither did, or cancelled.",
+    ),
     _make_kind(
         "request.answered",
         "request route status tried took_ms table table_age_ms",
--- a/packages/node/src/banyanbank_node/_figure_source.py
+++ b/packages/node/src/banyanbank_node/_figure_source.py
@@ -104,8 +104,15 @@
         ):
             self._latencies_at = now
             self._latencies = gateway.summarize_latencies(self.latencies)
+        # Without them there are no second attempts at a service.
+        latencies = tuple(
+            latency
+            for latency in self._latencies
+            if not self._collector.overloads.is_overloaded(latency.service, now)
+        )
+        self._shared.hold_latencies(latencies)
         part = _messages.FiguresPart(
-            self._collector.find_figures(now), self._latencies
+            self._collector.find_figures(now), latencies
         )
         if part != self._part:
             self._log_changes(part.endpoints)
@@ -140,6 +147,8 @@
         if self._epoch != epoch:
             self._epoch = epoch
             self._collector = gateway.FigureCollector()
+            self._latencies = ()
+            self._latencies_at = 0.0
 
     def _log_changes(
         self, figures: typing.Iterable[gateway.EndpointFigure]
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -11,6 +11,7 @@
 import banyanbank_web as web
 from returns import result
 
+from banyanbank_node import _attempt_pair
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
@@ -18,6 +19,7 @@
 from banyanbank_node import _meters
 from banyanbank_node import _permits
 from banyanbank_node import _ports
+from banyanbank_node import _second_attempts
 from banyanbank_node import _send_gate
 from banyanbank_node import _shared_endpoints
 
@@ -146,6 +148,18 @@
             self.is_wanted is not None and not self.is_wanted()
         )
 
+    @property
+    def has_attempt_left(self) -> bool:
+        """Whether it may be sent to a further endpoint."""
+        return self.attempts_used < self.route.max_attempts
+
+    def note_may_have_run(self, sent_at: float) -> None:
+        """Records that an attempt sent at this time may have run it."""
+        known = self.may_have_run_since
+        self.may_have_run_since = (
+            sent_at if known is None else min(known, sent_at)
+        )
+
     @functools.cached_property
     def digest(self) -> bytes:
         """Identifies the request whoever repeats it."""
@@ -178,6 +192,7 @@
         suspects: Requests that may have ended their endpoints.
         true_time: Unix time that the processes agree on.
         shared: What is known of shared services; None if there are none.
+        second: Decides about second attempts; None if there are none.
     """
 
     def __init__(
@@ -196,8 +211,12 @@
         suspects: gateway.CrashSuspects,
         true_time: gateway.SyncedClock,
         shared: _shared_endpoints.SharedEndpoints | None = None,
+        second: _second_attempts.SecondAttempts | None = None,
     ) -> None:
         self._shared = shared or _shared_endpoints.make_unshared(clock)
+        self._second = second or _second_attempts.make_disabled(
+            clock, self._shared, events, meters
+        )
         self._true_time = true_time
         self._departures = departures
         self._suspects = suspects
@@ -223,7 +242,7 @@
         if self._is_condemned(forwarding):
             return _make_condemned_refusal(base.Outcome.NOT_RUN)
         service: str | None = None
-        while forwarding.attempts_used < forwarding.route.max_attempts:
+        while forwarding.has_attempt_left:
             service = await self._find_open_service(forwarding, service)
             if service is None:
                 break
@@ -237,7 +256,7 @@
             is_last = (
                 forwarding.attempts_used + 1 >= forwarding.route.max_attempts
             )
-            answer = await self._attempt_admitted(forwarding, target, is_last)
+            answer = await self._run_attempts(forwarding, target, is_last)
             if answer is not None:
                 return answer
             if self._is_condemned(forwarding):
@@ -422,46 +441,139 @@
             or forwarding.route.kind.is_repeatable
         )
 
-    async def _attempt_admitted(
+    async def _run_attempts(
         self,
         forwarding: Forwarding,
         target: gateway.Announcement,
         is_last: bool,
+    ) -> Answer | None:
+        """Runs an attempt, with a second one beside it if that takes long."""
+        cut_at = self._find_attempt_deadline(forwarding, is_last)
+        delay_s = (
+            None
+            if is_last
+            else self._second.find_delay(
+                forwarding.route, target.service, not forwarding.tried
+            )
+        )
+        if delay_s is None:
+            return await self._attempt_admitted(
+                forwarding, _attempt_pair.Run(target, cut_at)
+            )
+        # Beside a second attempt it may run on to the deadline of the request.
+        first = _attempt_pair.Run(target, forwarding.deadline, cut_at)
+        pair = _attempt_pair.AttemptPair[Answer | None](
+            self._clock,
+            self._shared.sleep,
+            functools.partial(self._attempt_of_pair, forwarding, delay_s),
+            functools.partial(self._start_second, forwarding, target.service),
+            lambda: forwarding.has_attempt_left,
+        )
+        try:
+            return await pair.run(first, delay_s)
+        finally:
+            self._second.log(
+                forwarding.req.request_id,
+                pair,
+                first,
+                delay_s,
+                forwarding.is_cancelled,
+            )
+
+    async def _attempt_of_pair(
+        self, forwarding: Forwarding, delay_s: float, run: _attempt_pair.Run
+    ) -> Answer | None:
+        started_at = self._clock.now()
+        try:
+            return await self._attempt_admitted(forwarding, run)
+        finally:
+            self._second.record_end(run, forwarding.route, started_at, delay_s)
+
+    def _start_second(
+        self, forwarding: Forwarding, service: str
+    ) -> _attempt_pair.Run | None:
+        """Returns the second attempt of a request; None if there is none.
+
+        It goes neither to endpoints that need a permit, which it would take
+        from other requests, nor to those that are likely to fail it.
+        """
+        now = self._clock.now()
+        view = self._shared.find_view(service)
+        if (
+            view is None
+            or now >= forwarding.deadline
+            or forwarding.is_cancelled
+            or not forwarding.has_attempt_left
+            # It may end its endpoints, so it runs alone.
+            or self._is_suspect(forwarding)
+            or not self._is_route_in_force(forwarding)
+        ):
+            return None
+        ranked = [
+            target
+            for target in self._rank_endpoints(forwarding, service)
+            if target.endpoint not in forwarding.tried
+            and not self._limits.is_limited(target)
+            and self._picker.is_spare(target, now, view)
+        ]
+        target = self._second.start(service, ranked)
+        if target is None:
+            return None
+        is_last = forwarding.attempts_used + 1 >= forwarding.route.max_attempts
+        return _attempt_pair.Run(
+            target,
+            forwarding.deadline,
+            self._find_attempt_deadline(forwarding, is_last),
+            is_second=True,
+        )
+
+    def _is_route_in_force(self, forwarding: Forwarding) -> bool:
+        find_route = forwarding.find_route
+        return find_route is None or find_route() == forwarding.route
+
+    def _find_attempt_deadline(
+        self, forwarding: Forwarding, is_last: bool
+    ) -> float:
+        """Returns when an attempt that begins now has to end."""
+        deadline = forwarding.deadline
+        if is_last or not forwarding.route.kind.is_repeatable:
+            return deadline
+        now = self._clock.now()
+        attempt_timeout_s = ATTEMPT_TIME_FRACTION * (deadline - now)
+        return min(
+            deadline, now + max(attempt_timeout_s, MIN_ATTEMPT_TIMEOUT_S)
+        )
+
+    async def _attempt_admitted(
+        self, forwarding: Forwarding, run: _attempt_pair.Run
     ) -> Answer | None:
         gate = forwarding.gate
         if gate is None:
-            return await self._attempt(forwarding, target, is_last)
-        gate.started(target)
+            return await self._attempt(forwarding, run)
+        gate.started(run.target)
         try:
-            return await self._attempt(forwarding, target, is_last)
+            return await self._attempt(forwarding, run)
         finally:
             # Only now is it known whether the endpoint has failed.
-            gate.ended(target)
+            gate.ended(run.target)
 
     async def _attempt(
-        self,
-        forwarding: Forwarding,
-        target: gateway.Announcement,
-        is_last: bool,
+        self, forwarding: Forwarding, run: _attempt_pair.Run
     ) -> Answer | None:
         now = self._clock.now()
-        deadline = forwarding.deadline
-        if not is_last and forwarding.route.kind.is_repeatable:
-            attempt_timeout_s = ATTEMPT_TIME_FRACTION * (deadline - now)
-            deadline = min(
-                deadline, now + max(attempt_timeout_s, MIN_ATTEMPT_TIMEOUT_S)
-            )
+        target = run.target
         is_suspect = self._is_suspect(forwarding)
         req = self._wire.build_forward_request(
             forwarding.req,
             forwarding.account,
             target,
-            deadline,
+            run.deadline,
             now,
             # A suspect gets a connection of its own.
             forwarding.route.kind.is_repeatable and not is_suspect,
         )
-        if forwarding.permit_expires_at < math.inf:
+        # A second attempt needs no permit; the first may have had one.
+        if forwarding.permit_expires_at < math.inf and not run.is_second:
             req = _permits.withhold_after(
                 req, forwarding.permit_expires_at, self._clock
             )
@@ -474,14 +586,16 @@
         if is_suspect:
             self._suspects.enter(target.endpoint)
         try:
-            exchange_result = await self._exchange(forwarding, target, req)
+            exchange_result = await run.settle(
+                self._exchange(forwarding, target, req)
+            )
         finally:
             if is_suspect:
                 self._suspects.leave(target.endpoint)
             self._picker.ended(target.endpoint)
             self._meters.requests.record(self._clock.now() - now, "attempt")
         self._follow_up(forwarding, exchange_result, is_suspect)
-        return self._evaluate_exchange(forwarding, target, exchange_result, now)
+        return self._evaluate_exchange(forwarding, run, exchange_result, now)
 
     def _follow_up(
         self,
@@ -554,22 +668,21 @@
     def _evaluate_exchange(
         self,
         forwarding: Forwarding,
-        target: gateway.Announcement,
+        run: _attempt_pair.Run,
         exchange_result: result.Result[
             tuple[_ports.ResponseHeaders, Answer], web.UpstreamError
         ],
         sent_at: float,
     ) -> Answer | None:
         now = self._clock.now()
+        target = run.target
         if isinstance(exchange_result, result.Failure):
             error = exchange_result.failure()
             if error.outcome is base.Outcome.NOT_RUN and not error.is_timeout:
                 self._return_attempt(forwarding, target)
             if error.outcome is not base.Outcome.NOT_RUN:
-                forwarding.may_have_run_since = (
-                    forwarding.may_have_run_since or sent_at
-                )
-            if not forwarding.is_cancelled:
+                forwarding.note_may_have_run(sent_at)
+            if not (forwarding.is_cancelled or run.is_superseded):
                 if not error.is_stale_connection:
                     self._picker.failed(target.endpoint, sent_at, now)
                 self._shared.record_loss(
@@ -579,16 +692,9 @@
             return None
         response_headers, answer = exchange_result.unwrap()
         if response_headers.has_not_run:
-            is_shared = self._return_attempt(forwarding, target)
-            if answer.status != OTHER_ENDPOINT_STATUS:
-                self._picker.rejected(target.endpoint, now)
-                if is_shared:
-                    forwarding.rejected_by.add(target.endpoint)
-            self._log_attempt(
-                forwarding, target, "not-run", f"status {answer.status}"
-            )
+            self._record_not_run(forwarding, target, response_headers, answer)
             return None
-        forwarding.may_have_run_since = forwarding.may_have_run_since or sent_at
+        forwarding.note_may_have_run(sent_at)
         self._picker.succeeded(target.endpoint)
         self._shared.record_answer(
             target, forwarding.route, answer.status, now - sent_at
@@ -604,6 +710,25 @@
         )
         return None
 
+    def _record_not_run(
+        self,
+        forwarding: Forwarding,
+        target: gateway.Announcement,
+        response_headers: _ports.ResponseHeaders,
+        answer: Answer,
+    ) -> None:
+        is_shared = self._return_attempt(forwarding, target)
+        if answer.status != OTHER_ENDPOINT_STATUS:
+            self._picker.rejected(target.endpoint, self._clock.now())
+            if is_shared:
+                forwarding.rejected_by.add(target.endpoint)
+            # One that leaves rejects requests however few there are.
+            if not response_headers.is_leaving:
+                self._second.record_rejection(target, forwarding.route)
+        self._log_attempt(
+            forwarding, target, "not-run", f"status {answer.status}"
+        )
+
     def _return_attempt(
         self, forwarding: Forwarding, target: gateway.Announcement
     ) -> bool:
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -392,13 +392,15 @@
     TooFew,
     Retiring,
     sparse=(
+        # Members come before those that contain them, which are else written
+        # with all fields of these.
+        gateway.AttemptSample,
+        gateway.EndpointFigure,
         SyncRequest,
         SyncAnswer,
         AwaitEntries,
         gateway.Announcement,
         FiguresPart,
-        gateway.AttemptSample,
-        gateway.EndpointFigure,
     ),
 )
 """Codec of all messages between entries and stores."""
--- a/packages/node/src/banyanbank_node/_meters.py
+++ b/packages/node/src/banyanbank_node/_meters.py
@@ -26,6 +26,9 @@
         cold_endpoints: Endpoints that the leader takes for cold.
         cold_permits: Decisions about requests to cold endpoints, by outcome.
         waiting_scorer_calls: Scorer calls that wait for an endpoint.
+        second_attempts: Second attempts of requests, by outcome.
+        cancelled_seconds: Seconds of attempts that were cancelled as the other
+            one was first, by attempt.
     """
 
     def __init__(self, clock: base.Clock) -> None:
@@ -85,6 +88,19 @@
             "Scorer calls that wait for an endpoint with room.",
         )
 
+        self.second_attempts = self.registry.counter(
+            "banyanbank_second_attempts_total",
+            "Second attempts, by outcome: started, then won, lost, failed or"
+            " cancelled; or why none was: budget, overload, no-endpoint.",
+            "outcome",
+        )
+        self.cancelled_seconds = self.registry.counter(
+            "banyanbank_cancelled_attempt_seconds_total",
+            "Seconds of attempts that were cancelled because the other one of"
+            " the request was first, by attempt: first, second.",
+            "attempt",
+        )
+
     def count_event(
         self, event: str, fields: typing.Mapping[str, typing.Any]
     ) -> None:
--- a/packages/node/src/banyanbank_node/_settings.py
+++ b/packages/node/src/banyanbank_node/_settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 import banyanbank_base as base
+import banyanbank_gateway as gateway
 
 from banyanbank_node import _action_guard
 
@@ -44,6 +45,10 @@
     others connect to; None for the same."""
     mesh_source_host: str | None = None
     """Source IP address of mesh connections; None lets the system choose."""
+    second_attempts: gateway.SecondAttemptRules = attrs.Factory(
+        gateway.SecondAttemptRules
+    )
+    """Limits on second attempts; none are made unless set."""
 
 
 @attrs.frozen
--- a/packages/node/src/banyanbank_node/_shared_endpoints.py
+++ b/packages/node/src/banyanbank_node/_shared_endpoints.py
@@ -1,6 +1,7 @@
 """What one process knows of the plain endpoints that several loads share."""
 
 import collections.abc
+import math
 import random
 import typing
 
@@ -12,6 +13,10 @@
 MIN_REDIRECT_STATUS = 300
 MIN_SERVER_ERROR_STATUS = 500
 
+MAX_LATENCIES_AGE_S = 60.0
+"""Time for which usual times hold after contact to the leader that gave them,
+such as until a new leader has seen enough requests."""
+
 TableLookup = collections.abc.Callable[[], gateway.RouteTable | None]
 """Returns the routes in force, or None."""
 
@@ -62,6 +67,8 @@
         self.figures = self._view.figures
         self.samples = gateway.SampleLog()
         self.latencies: dict[tuple[str, str], gateway.RouteLatency] = {}
+        self._latencies_of = ""
+        self._latencies_until = math.inf
         self.is_collecting = False
         self.refresh: collections.abc.Callable[[], None] = lambda: None
 
@@ -125,6 +132,34 @@
         if not error.is_timeout or took_s >= max(route.objective_s, 0.001):
             self._record_failure(target, route)
 
+    def record_cut(
+        self, target: gateway.Announcement, route: gateway.Route, took_s: float
+    ) -> None:
+        """Records an attempt that was cancelled as another one was first."""
+        if self.is_collecting and target.service in self.services:
+            self.samples.record_cut(target, route.name, took_s)
+
+    def record_rejection(
+        self, target: gateway.Announcement, route: gateway.Route
+    ) -> None:
+        """Records that an endpoint had no room for a request."""
+        if self.is_collecting and target.service in self.services:
+            self.samples.record_rejection(target, route.name)
+
+    def find_latency(
+        self, service: str, route: str
+    ) -> gateway.RouteLatency | None:
+        """Returns the usual times of a route at a service, if known."""
+        if self._clock.now() > self._latencies_until:
+            return None
+        return self.latencies.get((service, route))
+
+    def hold_latencies(
+        self, latencies: tuple[gateway.RouteLatency, ...]
+    ) -> None:
+        """Replaces the usual times of all routes."""
+        self.latencies = {(one.service, one.route): one for one in latencies}
+
     def draw_retry_after(self, route: gateway.Route) -> float | None:
         """Returns the Retry-After of a request that was rejected everywhere.
 
@@ -158,11 +193,16 @@
         self.is_collecting = revision > 0
         if not self.is_collecting:
             self.samples.clear()
-        if endpoints is None:
+        if endpoints is not None:
+            self.figures.replace(source, endpoints, now)
+            # A new leader knows no usual times yet.
+            if latencies or source == self._latencies_of:
+                self.hold_latencies(latencies)
+                self._latencies_of = source
+        else:
             self.figures.renew(source, now)
-            return
-        self.figures.replace(source, endpoints, now)
-        self.latencies = {(one.service, one.route): one for one in latencies}
+        if source == self._latencies_of:
+            self._latencies_until = now + MAX_LATENCIES_AGE_S
 
     def note_lost_contact(self, contact_age_s: float) -> None:
         """Drops samples that are too old to tell anything of the present."""
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -33,6 +33,7 @@
 from banyanbank_node import _result_committer
 from banyanbank_node import _retention_duty
 from banyanbank_node import _scorer_admission
+from banyanbank_node import _second_attempts
 from banyanbank_node import _settings
 from banyanbank_node import _shared_endpoints
 from banyanbank_node import _store_calls
@@ -108,7 +109,11 @@
             self.node.rng,
         )
         self._figures = _figure_source.FigureSource(
-            self.node.clock, self.stored, self._shared, self.events
+            self.node.clock,
+            self.stored,
+            self._shared,
+            self.events,
+            sends_latencies=settings.node.second_attempts.share > 0,
         )
         self.calls = _store_calls.StoreCalls(
             reactor,
@@ -217,6 +222,14 @@
             self._suspects,
             node.true_time,
             self._shared,
+            _second_attempts.SecondAttempts(
+                node.settings.second_attempts,
+                node.clock,
+                self._shared,
+                node.rng,
+                self.events,
+                node.meters,
+            ),
         )
         runs = _item_runs.ItemRuns(
             node.clock,
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -6,6 +6,7 @@
 import typing
 import unittest
 
+import banyanbank_gateway as gateway
 import banyanbank_node as node
 from banyanbank_platform import _settings_file
 
@@ -163,3 +164,59 @@
             _settings_file.with_mesh_hosts(
                 read({}), {_settings_file.MESH_SOURCE_HOST_VARIABLE: "store-1"}
             )
+
+
+class SecondAttemptsTest(unittest.TestCase):
+    """Limits on second attempts in the environment."""
+
+    def test_values(self) -> None:
+        """Guards against second attempts where operators set none."""
+        for name, share, room, expected in (
+            ("not set", None, None, (0.0, 0.25)),
+            ("empty", "", "", (0.0, 0.25)),
+            ("off", "0", None, (0.0, 0.25)),
+            ("set", "0.05", "0.5", (0.05, 0.5)),
+            ("largest", "0.5", "1", (0.5, 1.0)),
+        ):
+            with self.subTest(name):
+                rules = read_second_attempts(share, room)
+                self.assertEqual((rules.share, rules.room), expected)
+
+    def test_bad_values(self) -> None:
+        """Guards against a process that starts with limits nobody set."""
+        share_name = _settings_file.SECOND_ATTEMPT_SHARE_VARIABLE
+        room_name = _settings_file.SECOND_ATTEMPT_ROOM_VARIABLE
+        for share, room, expected in (
+            ("5%", None, share_name),
+            ("0.6", None, share_name),
+            ("-0.1", None, share_name),
+            ("nan", None, share_name),
+            ("inf", None, share_name),
+            ("0.1", "0", room_name),
+            ("0.1", "1.1", room_name),
+            ("0.1", "nan", room_name),
+            (None, "much", room_name),
+        ):
+            with (
+                self.subTest(share=share, room=room),
+                self.assertRaisesRegex(
+                    _settings_file.SettingsFileError, expected
+                ),
+            ):
+                read_second_attempts(share, room)
+
+
+def read_second_attempts(
+    share: str | None, room: str | None
+) -> gateway.SecondAttemptRules:
+    """Returns the limits that the environment sets."""
+    environment = {
+        name: value
+        for name, value in (
+            (_settings_file.SECOND_ATTEMPT_SHARE_VARIABLE, share),
+            (_settings_file.SECOND_ATTEMPT_ROOM_VARIABLE, room),
+        )
+        if value is not None
+    }
+    settings_file = _settings_file.with_second_attempts(read({}), environment)
+    return settings_file.common.second_attempts
