Split the forwarder's data, refusals and check of answers from it

The module had grown to 830 lines with the choice of endpoints, evacuations and second attempts. What it does is unchanged; a constant that two merges had left twice stands once.

--- a/packages/node/src/banyanbank_node/__init__.py
+++ b/packages/node/src/banyanbank_node/__init__.py
@@ -12,9 +12,9 @@
 from banyanbank_node._event_catalogue import EventKind
 from banyanbank_node._event_catalogue import EVENTS
 from banyanbank_node._event_log import EventLog
-from banyanbank_node._forwarder import Answer
-from banyanbank_node._forwarder import Forwarding
-from banyanbank_node._forwarder import HOP_BY_HOP
+from banyanbank_node._forwarding import Answer
+from banyanbank_node._forwarding import Forwarding
+from banyanbank_node._forwarding import HOP_BY_HOP
 from banyanbank_node._messages import BodyRequest
 from banyanbank_node._messages import DocumentAnswer
 from banyanbank_node._messages import NotThere
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -18,6 +18,7 @@
 from banyanbank_node import _entry_sync
 from banyanbank_node import _event_log
 from banyanbank_node import _forwarder
+from banyanbank_node import _forwarding
 from banyanbank_node import _messages
 from banyanbank_node import _near_stores
 from banyanbank_node import _node
@@ -261,7 +262,7 @@
         req: _ports.CallerRequest,
         route: gateway.Route,
         account: base.AccountId | None,
-    ) -> _forwarder.Forwarding | base.Refusal:
+    ) -> _forwarding.Forwarding | base.Refusal:
         """Returns the initial forwarding state of a request, or a refusal.
 
         The deadline is the earlier of the caller's and the route's. A process
@@ -281,7 +282,7 @@
             )
             self.log_refusal(req, refusal, [])
             return refusal
-        return _forwarder.Forwarding(
+        return _forwarding.Forwarding(
             req,
             route,
             account if is_counted else None,
@@ -290,8 +291,8 @@
         )
 
     async def forward(
-        self, forwarding: _forwarder.Forwarding
-    ) -> _forwarder.Answer | base.Refusal:
+        self, forwarding: _forwarding.Forwarding
+    ) -> _forwarding.Answer | base.Refusal:
         """Sends a request and returns the answer of an endpoint or a refusal.
 
         Logs the outcome and records usage and latency.
@@ -478,7 +479,7 @@
             self.events,
         )
 
-    def _count_usage(self, forwarding: _forwarder.Forwarding) -> None:
+    def _count_usage(self, forwarding: _forwarding.Forwarding) -> None:
         if forwarding.account is None or forwarding.may_have_run_since is None:
             return
         age_s = self.node.clock.now() - forwarding.may_have_run_since
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -11,16 +11,18 @@
 import banyanbank_web as web
 from returns import result
 
+from banyanbank_node import _answer_check
 from banyanbank_node import _attempt_pair
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _event_log
+from banyanbank_node import _forwarding
+from banyanbank_node import _forwarding_refusals
 from banyanbank_node import _meters
 from banyanbank_node import _permits
 from banyanbank_node import _ports
 from banyanbank_node import _second_attempts
-from banyanbank_node import _send_gate
 from banyanbank_node import _shared_endpoints
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -32,38 +34,6 @@
 MIN_ATTEMPT_TIMEOUT_S = 0.25
 """Minimum time for an attempt, unless the deadline of the request is sooner."""
 
-OVERLOADED_RETRY_AFTER_S = 0.25
-"""Retry-After of a refusal because endpoints are at capacity."""
-
-MIN_RETRY_AFTER_S = 0.05
-"""Minimum Retry-After of a refusal because of a rate limit."""
-
-NO_ENDPOINT_RETRY_AFTER_S = 0.5
-"""Retry-After of a refusal because no endpoint is available."""
-
-EVACUATED_RETRY_AFTER_S = 1.0
-"""Retry-After of a refusal because all endpoints are in evacuated domains;
-an operator readmits them."""
-
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Hop-by-hop headers, which are not forwarded."""
-
-OTHER_ENDPOINT_STATUS = 421
-"""Status of an answer by another endpoint than the one that was meant."""
-
-MIN_SUCCESS_STATUS = 200
-MIN_REDIRECT_STATUS = 300
-MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 INTERNAL_SERVER_ERROR_STATUS = 500
 OTHER_ENDPOINT_STATUS = 421
@@ -75,105 +45,6 @@
 """Returns the latest announcements of a service's endpoints."""
 
 
-@attrs.frozen
-class Answer:
-    """Complete answer of an endpoint."""
-
-    status: int
-    """HTTP status."""
-    headers: tuple[tuple[str, str], ...]
-    """Headers, without hop-by-hop headers and Content-Length."""
-    body: bytes
-    """Complete body."""
-    signature: str
-    """Signature of the answer; empty if it has none."""
-
-
-@attrs.define
-class Forwarding:
-    """State of a request while it is forwarded."""
-
-    req: _ports.CallerRequest
-    """Request of the caller."""
-    route: gateway.Route
-    """Route that the request matched."""
-    account: base.AccountId | None
-    """Client account to count usage for; None on a public route."""
-    deadline: float
-    """Deadline of all attempts, on the monotonic clock."""
-    tried: set[base.EndpointId] = attrs.Factory(set)
-    """Endpoints that the request was sent to, and may still run at."""
-    rejected_by: set[base.EndpointId] = attrs.Factory(set)
-    """Those of them that have rejected it for lack of room."""
-    retryable: set[base.EndpointId] = attrs.Factory(set)
-    """Those of them that may be asked again, after a wait."""
-    attempts_used: int = 0
-    """Attempts that count against the route's maximum, running ones included;
-    at shared services, those that certainly did not run do not count."""
-    backoff: gateway.Backoff | None = None
-    """Waits after all endpoints have rejected it; None before the first."""
-    may_have_run_since: float | None = None
-    """Start of the first attempt that may have run the request, or None."""
-    last_error_answer: Answer | None = None
-    """Latest answer with a server error status."""
-    internal_error_count: int = 0
-    """Number of answers with status 500."""
-    permit_expected_at: float | None = None
-    """When to return, on the monotonic clock, if the rate limits of endpoints
-    leave no room for the request; else None."""
-    has_only_evacuated: bool = False
-    """Whether all endpoints that the latest attempt could choose from are in
-    evacuated failure domains."""
-    permit_expires_at: float = math.inf
-    """When the permit for the next attempt is too old to be used, on the
-    monotonic clock."""
-    is_abandoned: bool = False
-    """Whether the caller has disconnected."""
-    follows_crashes: bool = False
-    """Whether the request may be sent again after its endpoint crashed, and is
-    not sent any more once it is taken to be the cause."""
-    find_route: collections.abc.Callable[[], gateway.Route | None] | None = None
-    """Returns the route of the next attempt, or None if there must be none;
-    without it, the route that the request matched holds for all attempts."""
-    is_wanted: collections.abc.Callable[[], bool] | None = None
-    """Whether this process still needs the answer to a request of its own; None
-    if it is the request of a caller."""
-    gate: _send_gate.SendGate | None = None
-    """Admission control of its attempts; None if they are sent at once."""
-
-    @property
-    def is_cancelled(self) -> bool:
-        """Whether nobody needs an answer, so that attempts are cancelled."""
-        return self.is_abandoned or (
-            self.is_wanted is not None and not self.is_wanted()
-        )
-
-    @property
-    def has_attempt_left(self) -> bool:
-        """Whether it may be sent to a further endpoint."""
-        return self.attempts_used < self.route.max_attempts
-
-    def note_may_have_run(self, sent_at: float) -> None:
-        """Records that an attempt sent at this time may have run it."""
-        known = self.may_have_run_since
-        self.may_have_run_since = (
-            sent_at if known is None else min(known, sent_at)
-        )
-
-    @functools.cached_property
-    def digest(self) -> bytes:
-        """Identifies the request whoever repeats it."""
-        req = self.req
-        headers = [
-            (name, value)
-            for name, value in req.headers
-            if name not in req.attempt_headers
-        ]
-        return gateway.digest_request(
-            req.method, req.host, req.uri, headers, req.body
-        )
-
-
 class Forwarder:
     """Sends requests to endpoints and retries failed attempts.
 
@@ -231,7 +102,9 @@
         self._limits = limits
         self._permits = permits
 
-    async def send(self, forwarding: Forwarding) -> Answer | base.Refusal:
+    async def send(
+        self, forwarding: _forwarding.Forwarding
+    ) -> _forwarding.Answer | base.Refusal:
         """Returns the answer of an endpoint, or a refusal.
 
         A request is retried only if its route is repeatable or if no endpoint
@@ -240,7 +113,9 @@
         have rejected the request it waits for room, briefly.
         """
         if self._is_condemned(forwarding):
-            return _make_condemned_refusal(base.Outcome.NOT_RUN)
+            return _forwarding_refusals.make_condemned_refusal(
+                base.Outcome.NOT_RUN
+            )
         service: str | None = None
         while forwarding.has_attempt_left:
             service = await self._find_open_service(forwarding, service)
@@ -260,13 +135,22 @@
             if answer is not None:
                 return answer
             if self._is_condemned(forwarding):
-                return _make_condemned_refusal(base.Outcome.MAY_HAVE_RUN)
+                return _forwarding_refusals.make_condemned_refusal(
+                    base.Outcome.MAY_HAVE_RUN
+                )
             if forwarding.is_abandoned or not self._may_retry(forwarding):
                 break
-        return forwarding.last_error_answer or self._make_refusal(forwarding)
+        return (
+            forwarding.last_error_answer
+            or _forwarding_refusals.make_refusal(
+                forwarding,
+                self._clock.now(),
+                self._shared.draw_retry_after(forwarding.route),
+            )
+        )
 
     async def _find_open_service(
-        self, forwarding: Forwarding, former: str | None
+        self, forwarding: _forwarding.Forwarding, former: str | None
     ) -> str | None:
         """Returns the service of the next attempt once it may be sent.
 
@@ -284,7 +168,7 @@
         return service
 
     def _find_service(
-        self, forwarding: Forwarding, former: str | None
+        self, forwarding: _forwarding.Forwarding, former: str | None
     ) -> str | None:
         """Returns the service of the next attempt; None if there is none.
 
@@ -304,7 +188,9 @@
             former or gateway.draw_service(forwarding.route, self._rng),
         )
 
-    def _avoid_closed(self, forwarding: Forwarding, service: str) -> str:
+    def _avoid_closed(
+        self, forwarding: _forwarding.Forwarding, service: str
+    ) -> str:
         """Returns a service whose endpoints the request may be sent to.
 
         Args:
@@ -326,7 +212,9 @@
             attrs.evolve(route, targets=others), self._rng
         )
 
-    def _is_closed(self, forwarding: Forwarding, service: str) -> bool:
+    def _is_closed(
+        self, forwarding: _forwarding.Forwarding, service: str
+    ) -> bool:
         """Whether a request has to go to another service of its route.
 
         A caller's request does if all endpoints are in evacuated domains. One
@@ -346,7 +234,7 @@
         )
 
     async def _choose_endpoint(
-        self, forwarding: Forwarding, service: str
+        self, forwarding: _forwarding.Forwarding, service: str
     ) -> gateway.Announcement | None:
         """Returns the best endpoint that may be sent the request now."""
         ranked = self._rank_endpoints(forwarding, service)
@@ -372,7 +260,7 @@
         return None
 
     async def _wait_for_room(
-        self, forwarding: Forwarding, service: str
+        self, forwarding: _forwarding.Forwarding, service: str
     ) -> bool:
         """Waits after rejections; False if the request must be refused."""
         if (
@@ -396,7 +284,7 @@
         return not forwarding.is_abandoned
 
     def _rank_endpoints(
-        self, forwarding: Forwarding, service: str
+        self, forwarding: _forwarding.Forwarding, service: str
     ) -> list[gateway.Announcement]:
         known = list(self._find_endpoints(service))
         candidates = list(filter(self._endpoints.may_send, known))
@@ -417,7 +305,7 @@
             self._shared.find_view(service),
         )
 
-    def _is_suspect(self, forwarding: Forwarding) -> bool:
+    def _is_suspect(self, forwarding: _forwarding.Forwarding) -> bool:
         return (
             forwarding.follows_crashes
             and bool(self._suspects)
@@ -426,7 +314,7 @@
             )
         )
 
-    def _is_condemned(self, forwarding: Forwarding) -> bool:
+    def _is_condemned(self, forwarding: _forwarding.Forwarding) -> bool:
         return (
             forwarding.follows_crashes
             and bool(self._suspects)
@@ -435,7 +323,7 @@
             )
         )
 
-    def _may_retry(self, forwarding: Forwarding) -> bool:
+    def _may_retry(self, forwarding: _forwarding.Forwarding) -> bool:
         return (
             forwarding.may_have_run_since is None
             or forwarding.route.kind.is_repeatable
@@ -443,10 +331,10 @@
 
     async def _run_attempts(
         self,
-        forwarding: Forwarding,
+        forwarding: _forwarding.Forwarding,
         target: gateway.Announcement,
         is_last: bool,
-    ) -> Answer | None:
+    ) -> _forwarding.Answer | None:
         """Runs an attempt, with a second one beside it if that takes long."""
         cut_at = self._find_attempt_deadline(forwarding, is_last)
         delay_s = (
@@ -462,7 +350,7 @@
             )
         # Beside a second attempt it may run on to the deadline of the request.
         first = _attempt_pair.Run(target, forwarding.deadline, cut_at)
-        pair = _attempt_pair.AttemptPair[Answer | None](
+        pair = _attempt_pair.AttemptPair[_forwarding.Answer | None](
             self._clock,
             self._shared.sleep,
             functools.partial(self._attempt_of_pair, forwarding, delay_s),
@@ -481,8 +369,11 @@
             )
 
     async def _attempt_of_pair(
-        self, forwarding: Forwarding, delay_s: float, run: _attempt_pair.Run
-    ) -> Answer | None:
+        self,
+        forwarding: _forwarding.Forwarding,
+        delay_s: float,
+        run: _attempt_pair.Run,
+    ) -> _forwarding.Answer | None:
         started_at = self._clock.now()
         try:
             return await self._attempt_admitted(forwarding, run)
@@ -490,7 +381,7 @@
             self._second.record_end(run, forwarding.route, started_at, delay_s)
 
     def _start_second(
-        self, forwarding: Forwarding, service: str
+        self, forwarding: _forwarding.Forwarding, service: str
     ) -> _attempt_pair.Run | None:
         """Returns the second attempt of a request; None if there is none.
 
@@ -527,12 +418,12 @@
             is_second=True,
         )
 
-    def _is_route_in_force(self, forwarding: Forwarding) -> bool:
+    def _is_route_in_force(self, forwarding: _forwarding.Forwarding) -> bool:
         find_route = forwarding.find_route
         return find_route is None or find_route() == forwarding.route
 
     def _find_attempt_deadline(
-        self, forwarding: Forwarding, is_last: bool
+        self, forwarding: _forwarding.Forwarding, is_last: bool
     ) -> float:
         """Returns when an attempt that begins now has to end."""
         deadline = forwarding.deadline
@@ -545,8 +436,8 @@
         )
 
     async def _attempt_admitted(
-        self, forwarding: Forwarding, run: _attempt_pair.Run
-    ) -> Answer | None:
+        self, forwarding: _forwarding.Forwarding, run: _attempt_pair.Run
+    ) -> _forwarding.Answer | None:
         gate = forwarding.gate
         if gate is None:
             return await self._attempt(forwarding, run)
@@ -558,8 +449,8 @@
             gate.ended(run.target)
 
     async def _attempt(
-        self, forwarding: Forwarding, run: _attempt_pair.Run
-    ) -> Answer | None:
+        self, forwarding: _forwarding.Forwarding, run: _attempt_pair.Run
+    ) -> _forwarding.Answer | None:
         now = self._clock.now()
         target = run.target
         is_suspect = self._is_suspect(forwarding)
@@ -599,9 +490,9 @@
 
     def _follow_up(
         self,
-        forwarding: Forwarding,
+        forwarding: _forwarding.Forwarding,
         exchange_result: result.Result[
-            tuple[_ports.ResponseHeaders, Answer], web.UpstreamError
+            tuple[_ports.ResponseHeaders, _forwarding.Answer], web.UpstreamError
         ],
         was_alone: bool,
     ) -> None:
@@ -628,11 +519,11 @@
 
     async def _exchange(
         self,
-        forwarding: Forwarding,
+        forwarding: _forwarding.Forwarding,
         target: gateway.Announcement,
         req: web.UpstreamRequest,
     ) -> result.Result[
-        tuple[_ports.ResponseHeaders, Answer], web.UpstreamError
+        tuple[_ports.ResponseHeaders, _forwarding.Answer], web.UpstreamError
     ]:
         sent_at = self._clock.now()
         send_result = await self._endpoints.send(target, req)
@@ -640,7 +531,9 @@
             return send_result
         resp = send_result.unwrap()
         response_headers = self._wire.read_response_headers(resp)
-        mismatch = _find_mismatch(forwarding.req, resp.status, response_headers)
+        mismatch = _answer_check.find_mismatch(
+            forwarding.req, resp.status, response_headers
+        )
         if mismatch is not None:
             resp.cancel()
             return result.Failure(
@@ -658,22 +551,22 @@
         headers = tuple(
             (name, value)
             for name, value in resp.headers
-            if name not in HOP_BY_HOP and name != "content-length"
+            if name not in _forwarding.HOP_BY_HOP and name != "content-length"
         )
-        answer = Answer(
+        answer = _forwarding.Answer(
             resp.status, headers, body.unwrap(), response_headers.signature
         )
         return result.Success((response_headers, answer))
 
     def _evaluate_exchange(
         self,
-        forwarding: Forwarding,
+        forwarding: _forwarding.Forwarding,
         run: _attempt_pair.Run,
         exchange_result: result.Result[
-            tuple[_ports.ResponseHeaders, Answer], web.UpstreamError
+            tuple[_ports.ResponseHeaders, _forwarding.Answer], web.UpstreamError
         ],
         sent_at: float,
-    ) -> Answer | None:
+    ) -> _forwarding.Answer | None:
         now = self._clock.now()
         target = run.target
         if isinstance(exchange_result, result.Failure):
@@ -712,10 +605,10 @@
 
     def _record_not_run(
         self,
-        forwarding: Forwarding,
+        forwarding: _forwarding.Forwarding,
         target: gateway.Announcement,
         response_headers: _ports.ResponseHeaders,
-        answer: Answer,
+        answer: _forwarding.Answer,
     ) -> None:
         is_shared = self._return_attempt(forwarding, target)
         if answer.status != OTHER_ENDPOINT_STATUS:
@@ -730,7 +623,7 @@
         )
 
     def _return_attempt(
-        self, forwarding: Forwarding, target: gateway.Announcement
+        self, forwarding: _forwarding.Forwarding, target: gateway.Announcement
     ) -> bool:
         """Does not count an attempt that did not run at a shared service.
 
@@ -743,7 +636,7 @@
 
     def _log_attempt(
         self,
-        forwarding: Forwarding,
+        forwarding: _forwarding.Forwarding,
         target: gateway.Announcement,
         outcome: str,
         detail: str,
@@ -758,73 +651,3 @@
             tried=len(forwarding.tried),
             left_ms=round(1000 * (forwarding.deadline - self._clock.now())),
         )
-
-    def _make_refusal(self, forwarding: Forwarding) -> base.Refusal:
-        if forwarding.may_have_run_since is not None:
-            return base.Refusal(
-                base.RefusalReason.ENDPOINT_FAILED,
-                base.Outcome.MAY_HAVE_RUN,
-                "No endpoint answered completely; the request may have run.",
-            )
-        if forwarding.permit_expected_at is not None:
-            wait_s = forwarding.permit_expected_at - self._clock.now()
-            return base.Refusal(
-                base.RefusalReason.OVERLOADED,
-                base.Outcome.NOT_RUN,
-                "The endpoints limit the requests they take; try again.",
-                retry_after=round(max(wait_s, MIN_RETRY_AFTER_S), 3),
-            )
-        if forwarding.tried:
-            spread_s = self._shared.draw_retry_after(forwarding.route)
-            return base.Refusal(
-                base.RefusalReason.OVERLOADED,
-                base.Outcome.NOT_RUN,
-                "All endpoints that were tried are at capacity; try again.",
-                retry_after=OVERLOADED_RETRY_AFTER_S
-                if spread_s is None
-                else round(spread_s, 3),
-            )
-        if forwarding.has_only_evacuated:
-            return base.Refusal(
-                base.RefusalReason.NO_ENDPOINT,
-                base.Outcome.NOT_RUN,
-                "All endpoints of the service are in evacuated failure"
-                " domains.",
-                retry_after=EVACUATED_RETRY_AFTER_S,
-            )
-        return base.Refusal(
-            base.RefusalReason.NO_ENDPOINT,
-            base.Outcome.NOT_RUN,
-            "No endpoint of the service is available; try again.",
-            retry_after=NO_ENDPOINT_RETRY_AFTER_S,
-        )
-
-
-def _make_condemned_refusal(outcome: base.Outcome) -> base.Refusal:
-    return base.Refusal(
-        base.RefusalReason.ENDS_ENDPOINTS,
-        outcome,
-        "The connections to endpoints ended without an answer to this request,"
-        " each time; it is not sent again. Do not repeat it.",
-    )
-
-
-def _find_mismatch(
-    req: _ports.CallerRequest,
-    status: int,
-    response_headers: _ports.ResponseHeaders,
-) -> str | None:
-    """Returns why an answer is not a request's own, or None if it is.
-
-    An error status is accepted without a request id or signature. A success
-    without them is rejected: it may be a late answer to an earlier request on
-    the connection, or not the endpoint's own.
-    """
-    is_error = status >= MIN_ERROR_STATUS
-    named = response_headers.request_id
-    if named != req.request_id and (named or not is_error):
-        return f"the answer names request {named!r}"
-    is_success = MIN_SUCCESS_STATUS <= status < MIN_REDIRECT_STATUS
-    if is_success and not response_headers.signature:
-        return "the answer is a success without a signature"
-    return None
--- a/packages/node/src/banyanbank_node/_item_grading.py
+++ b/packages/node/src/banyanbank_node/_item_grading.py
@@ -11,6 +11,7 @@
 
 from banyanbank_node import _event_log
 from banyanbank_node import _forwarder
+from banyanbank_node import _forwarding
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _meters
 from banyanbank_node import _ports
@@ -66,7 +67,7 @@
                 self.clock.now() - gate.total_waited_s - began_at, "grade"
             )
             if (
-                isinstance(answer, _forwarder.Answer)
+                isinstance(answer, _forwarding.Answer)
                 and answer.status < FIRST_NON_SUCCESS_STATUS
                 and answer.signature
             ):
@@ -124,12 +125,12 @@
         call: jobs.ScorerCall,
         gate: _scorer_admission.ScorerGate,
         is_wanted: typing.Callable[[], bool],
-    ) -> _forwarder.Forwarding | None:
+    ) -> _forwarding.Forwarding | None:
         route = self._find_allowed_route(call, is_wanted)
         if route is None:
             return None
         deadline = self.clock.now() + min(SCORER_TIMEOUT_S, route.timeout_s)
-        return _forwarder.Forwarding(
+        return _forwarding.Forwarding(
             self.wire.grade(call, deadline),
             route,
             None,
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -13,6 +13,7 @@
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _forwarder
+from banyanbank_node import _forwarding
 from banyanbank_node import _permits
 from banyanbank_node import _ports
 from banyanbank_node import _shared_endpoints
@@ -103,7 +104,7 @@
     shared: _shared_endpoints.SharedEndpoints | None = None,
     clock: base.ManualClock | None = None,
     deadline: float = 20.0,
-) -> tuple[_forwarder.Answer | base.Refusal, int]:
+) -> tuple[_forwarding.Answer | base.Refusal, int]:
     """Returns the answer or refusal, and the number of endpoints tried.
 
     Each attempt takes `attempt_s`, or as long as its deadline allows, which is
@@ -192,7 +193,7 @@
     if split:
         targets = tuple(gateway.Target(service, 1.0) for service in split)
         route = attrs.evolve(route, targets=targets)
-    forwarding = _forwarder.Forwarding(
+    forwarding = _forwarding.Forwarding(
         req, route, None, deadline, follows_crashes=kind.is_repeatable
     )
     got: list[typing.Any] = []
@@ -266,7 +267,7 @@
                     split=services,
                 )
                 if is_served:
-                    assert isinstance(got, _forwarder.Answer), got
+                    assert isinstance(got, _forwarding.Answer), got
                     self.assertEqual(got.status, 200)
                 else:
                     assert isinstance(got, base.Refusal)
@@ -434,7 +435,7 @@
                 answer, count = send_request(
                     kind, *replies, limited=limited, permits=permits
                 )
-                if isinstance(answer, _forwarder.Answer):
+                if isinstance(answer, _forwarding.Answer):
                     got: object = answer.status
                 elif answer.outcome is base.Outcome.NOT_RUN:
                     got = answer.retry_after
@@ -470,7 +471,7 @@
                 )
                 got = (
                     answer.status
-                    if isinstance(answer, _forwarder.Answer)
+                    if isinstance(answer, _forwarding.Answer)
                     else answer.retry_after
                 )
                 self.assertEqual(got, want)
--- a/tests/node/test_second_attempts.py
+++ b/tests/node/test_second_attempts.py
@@ -17,6 +17,7 @@
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _figure_source
 from banyanbank_node import _forwarder
+from banyanbank_node import _forwarding
 from banyanbank_node import _messages
 from banyanbank_node import _meters
 from banyanbank_node import _ports
@@ -187,7 +188,7 @@
         route = attrs.evolve(
             test_forwarder.make_route(kind), max_attempts=max_attempts
         )
-        self.forwarding = _forwarder.Forwarding(
+        self.forwarding = _forwarding.Forwarding(
             req, route, None, deadline, follows_crashes=True, **changes
         )
         self.answers: list[tuple[typing.Any, float]] = []
--- a/tests/node/test_shared_endpoints.py
+++ b/tests/node/test_shared_endpoints.py
@@ -13,6 +13,7 @@
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _figure_source
 from banyanbank_node import _forwarder
+from banyanbank_node import _forwarding
 from banyanbank_node import _messages
 from banyanbank_node import _ports
 from banyanbank_node import _shared_endpoints
@@ -93,7 +94,7 @@
         kind: gateway.RouteKind,
         *replies: typing.Any,
         deadline: float = 20.0,
-    ) -> _forwarder.Answer | base.Refusal:
+    ) -> _forwarding.Answer | base.Refusal:
         """Sends a request that endpoints answer in this order."""
         answer, _ = test_forwarder.send_request(
             kind,
@@ -364,11 +365,11 @@
         self.assertEqual(decoded.samples[0].times, {37: 1})
 
 
-def _make_forwarding() -> _forwarder.Forwarding:
+def _make_forwarding() -> _forwarding.Forwarding:
     req = _ports.CallerRequest(
         "r-1", "POST", "host", "/0/", "/0/", (), b"", None, 20.0
     )
-    return _forwarder.Forwarding(
+    return _forwarding.Forwarding(
         req, test_forwarder.make_route(IDEMPOTENT), None, 20.0
     )
 
