Keep the measurement of starts with the platform's tests

It calls the platform's paths and starts its roles by their settings, and only platform/ and its tests may name those. Found by reading the change once more.

--- a/measurements/starts.py
+++ b/tests/platform/starts.py
@@ -1,7 +1,7 @@
 """Measures starts of entries, and losses of power of all processes.
 
     bash deploy/build.sh
-    uv run --no-sync python -m measurements.starts --runs 10
+    uv run --no-sync python -m tests.platform.starts --runs 10
 
 The processes run from the deployed tree, `target/deps`, and endpoints are
 stand-ins. Processor time is that of the whole process, from its start to the
@@ -9,7 +9,7 @@
 work on the machine changes all figures, so the load is printed, and another
 checkout that is built can be measured in turn with this one:
 
-    uv run --no-sync python -m measurements.starts --compare ../other
+    uv run --no-sync python -m tests.platform.starts --compare ../other
 """
 
 import argparse
@@ -32,7 +32,7 @@
 from tests.platform import deployment
 from tests.platform import fakes
 
-ROOT = pathlib.Path(__file__).parents[1]
+ROOT = pathlib.Path(__file__).parents[2]
 STORES = 3
 SERVERS = 10
 HEARTBEAT_S = 1.2
