Do not take withheld requests for failures of endpoints

Seen: a domain that was evacuated just before a request was sent, or a process that was paused for over 0.5 s between a permit for a cold endpoint and the request, left sound endpoints in backoff: the forwarder and the shared figures counted a failure, items excluded their engine, and callers were refused with "at capacity" after their attempts had been used up.

Cause: the sender and the guard of a request return an error with the outcome NOT_RUN, which looks like a refused connection.

Ruled out: deriving it from the outcome, since a refused connection does count against its endpoint.

Change: web.UpstreamError has a field `is_withheld`. The forwarder records nothing, gives the attempt back and goes on to another endpoint; a refusal states evacuation or an expired permit as its reason. Attempts of a pair keep the field when they are ended. Items wait without a delay or a counted failure. A withheld weight order is neither logged as lost nor delayed. The fake client of the tests of second attempts now reports a closed guard as `web.Upstream` does (not run) instead of as a lost answer.

Conclusion: an endpoint is blamed only for requests that were sent to it.

--- a/packages/node/src/banyanbank_node/_attempt_pair.py
+++ b/packages/node/src/banyanbank_node/_attempt_pair.py
@@ -70,7 +70,8 @@
     ) -> result.Result[ValueT, web.UpstreamError]:
         """Returns the outcome of an exchange, also if `end` cancelled it.
 
-        Whether the endpoint may have run the request is preserved.
+        Whether the endpoint may have run the request, and whether this process
+        withheld it, is preserved.
         """
         try:
             outcome = await exchange
@@ -87,6 +88,7 @@
                 outcome.failure().outcome,
                 f"The attempt was ended: {self.ending.value}.",
                 is_timeout=self.ending is Ending.OVERDUE,
+                is_withheld=outcome.failure().is_withheld,
             )
         )
 
--- a/packages/node/src/banyanbank_node/_endpoint_sender.py
+++ b/packages/node/src/banyanbank_node/_endpoint_sender.py
@@ -40,6 +40,7 @@
                 web.UpstreamError(
                     base.Outcome.NOT_RUN,
                     f"The failure domain {target.domain} is evacuated.",
+                    is_withheld=True,
                 )
             )
         return await self.upstream.send(req)
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -171,7 +171,8 @@
     _make_kind(
         "request.attempt",
         "request endpoint address outcome detail tried left_ms",
-        "An attempt did not succeed; `outcome` is lost, not-run or failed.",
+        "An attempt did not succeed; `outcome` is lost, not-run, failed, or"
+        " withheld if this process itself did not send it.",
     ),
     _make_kind(
         "request.second_attempt",
@@ -205,8 +206,8 @@
         "item.run",
         "job item endpoint outcome detail last_event age_ms",
         "A run ended: generated, lost, stale (its kept connection had ended),"
-        " other version, refused or moved. `detail` of a move: why, and to"
-        " which engine.",
+        " withheld (this process did not send it), other version, refused or"
+        " moved. `detail` of a move: why, and to which engine.",
     ),
     _make_kind(
         "item.restarted",
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -571,6 +571,9 @@
         target = run.target
         if isinstance(exchange_result, result.Failure):
             error = exchange_result.failure()
+            if error.is_withheld:
+                self._record_withheld(forwarding, run, error.detail)
+                return None
             if error.outcome is base.Outcome.NOT_RUN and not error.is_timeout:
                 self._return_attempt(forwarding, target)
             if error.outcome is not base.Outcome.NOT_RUN:
@@ -603,6 +606,19 @@
         )
         return None
 
+    def _record_withheld(
+        self,
+        forwarding: _forwarding.Forwarding,
+        run: _attempt_pair.Run,
+        detail: str,
+    ) -> None:
+        """Records nothing against an endpoint that was sent nothing."""
+        forwarding.note_withheld(
+            run.target.endpoint, not self._endpoints.may_send(run.target)
+        )
+        if not (forwarding.is_cancelled or run.is_superseded):
+            self._log_attempt(forwarding, run.target, "withheld", detail)
+
     def _record_not_run(
         self,
         forwarding: _forwarding.Forwarding,
--- a/packages/node/src/banyanbank_node/_forwarding.py
+++ b/packages/node/src/banyanbank_node/_forwarding.py
@@ -52,14 +52,20 @@
     deadline: float
     """Deadline of all attempts, on the monotonic clock."""
     tried: set[base.EndpointId] = attrs.Factory(set)
-    """Endpoints that the request was sent to, and may still run at."""
+    """Endpoints that the request was sent to, and may still run at, or that it
+    was withheld from."""
     rejected_by: set[base.EndpointId] = attrs.Factory(set)
     """Those of them that have rejected it for lack of room."""
     retryable: set[base.EndpointId] = attrs.Factory(set)
     """Those of them that may be asked again, after a wait."""
+    withheld: set[base.EndpointId] = attrs.Factory(set)
+    """Those of them that this process itself did not send it to."""
+    has_expired_permit: bool = False
+    """Whether it was withheld because its permit had become too old."""
     attempts_used: int = 0
     """Attempts that count against the route's maximum, running ones included;
-    at shared services, those that certainly did not run do not count."""
+    those that this process withheld do not count, nor, at shared services,
+    others that certainly did not run."""
     backoff: gateway.Backoff | None = None
     """Waits after all endpoints have rejected it; None before the first."""
     may_have_run_since: float | None = None
@@ -110,6 +116,20 @@
             sent_at if known is None else min(known, sent_at)
         )
 
+    def note_withheld(
+        self, endpoint: base.EndpointId, is_evacuated: bool
+    ) -> None:
+        """Records that this process did not send an attempt that had begun.
+
+        Args:
+            endpoint: Endpoint of the attempt.
+            is_evacuated: Whether its domain is evacuated; if not, the permit of
+                the attempt has expired.
+        """
+        self.attempts_used -= 1
+        self.withheld.add(endpoint)
+        self.has_expired_permit |= not is_evacuated
+
     @functools.cached_property
     def digest(self) -> bytes:
         """Identifies the request whoever repeats it."""
--- a/packages/node/src/banyanbank_node/_forwarding_refusals.py
+++ b/packages/node/src/banyanbank_node/_forwarding_refusals.py
@@ -42,14 +42,12 @@
             "The endpoints limit the requests they take; try again.",
             retry_after=round(max(wait_s, MIN_RETRY_AFTER_S), 3),
         )
-    if forwarding.tried:
+    if forwarding.tried - forwarding.withheld:
         return base.Refusal(
             base.RefusalReason.OVERLOADED,
             base.Outcome.NOT_RUN,
             "All endpoints that were tried are at capacity; try again.",
-            retry_after=OVERLOADED_RETRY_AFTER_S
-            if spread_s is None
-            else round(spread_s, 3),
+            retry_after=_find_overload_wait(spread_s),
         )
     if forwarding.has_only_evacuated:
         return base.Refusal(
@@ -58,6 +56,14 @@
             "All endpoints of the service are in evacuated failure domains.",
             retry_after=EVACUATED_RETRY_AFTER_S,
         )
+    if forwarding.has_expired_permit:
+        return base.Refusal(
+            base.RefusalReason.OVERLOADED,
+            base.Outcome.NOT_RUN,
+            "The permits for endpoints that limit the requests they take had"
+            " expired before the request was sent; try again.",
+            retry_after=_find_overload_wait(spread_s),
+        )
     return base.Refusal(
         base.RefusalReason.NO_ENDPOINT,
         base.Outcome.NOT_RUN,
@@ -66,6 +72,10 @@
     )
 
 
+def _find_overload_wait(spread_s: float | None) -> float:
+    return OVERLOADED_RETRY_AFTER_S if spread_s is None else round(spread_s, 3)
+
+
 def make_condemned_refusal(outcome: base.Outcome) -> base.Refusal:
     """Returns the refusal of a request that is taken to end its endpoints."""
     return base.Refusal(
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -276,7 +276,10 @@
     def _handle_unanswered(
         self, run: _run_reader.Run, error: web.UpstreamError
     ) -> None:
-        if error.is_stale_connection:
+        if error.is_withheld:
+            self._log_run(run, "withheld", error.detail)
+            self._requeue(run, 0.0)
+        elif error.is_stale_connection:
             self._log_run(run, "stale", error.detail)
             self._requeue(run, jobs.FAILED_RETRY_DELAY_S)
         else:
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -46,6 +46,10 @@
 MAX_REPORT_BYTES = 256 * 1024
 
 
+class _WithheldError(Exception):
+    """This process itself withheld a report request or an order."""
+
+
 class LoadDuty:
     """Plans and orders weight loads; implements `consensus.Duty`.
 
@@ -183,6 +187,8 @@
     ) -> None:
         try:
             outcome = await self._load_once(order, announcement)
+        except _WithheldError:
+            outcome = "withheld"
         finally:
             self._loads_in_flight.pop(order.endpoint, None)
             self._engines.end_load(announcement, order.model)
@@ -194,7 +200,8 @@
             fence=self._epoch,
             outcome=outcome,
         )
-        if outcome != "loaded":
+        # An engine that was sent nothing has not failed.
+        if outcome not in ("loaded", "withheld"):
             self._retry_not_before[order.endpoint] = (
                 self._clock.now() + RETRY_DELAY_S
             )
@@ -325,6 +332,8 @@
         self._limits.note_sent(announcement, _endpoint_limits.Purpose.ORDER)
         self._permits.charge_order(announcement)
         sent = await self._endpoints.send(announcement, req)
+        if isinstance(sent, result.Failure) and sent.failure().is_withheld:
+            raise _WithheldError(sent.failure().detail)
         if isinstance(sent, result.Success):
             resp = sent.unwrap()
             headers = self._wire.read_response_headers(resp)
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -56,6 +56,9 @@
     is_stale_connection: bool = False
     """Whether a kept connection was lost before any byte of the answer, which
     says nothing about the endpoint's health."""
+    is_withheld: bool = False
+    """Whether this process itself decided not to send the request, which says
+    nothing about the endpoint's health either."""
 
 
 @attrs.frozen
@@ -321,7 +324,9 @@
             if producer is not None and producer.is_withheld:
                 return result.Failure(
                     UpstreamError(
-                        base.Outcome.NOT_RUN, "The request was withheld."
+                        base.Outcome.NOT_RUN,
+                        "The request was withheld by its guard.",
+                        is_withheld=True,
                     )
                 )
             problem = _error_of(exc, is_timeout)
@@ -388,7 +393,9 @@
     ) -> defer.Deferred[None]:
         if self._guard is not None and not self._guard():
             self.is_withheld = True
-            return defer.fail(GuardClosedError("The lease is not held."))
+            return defer.fail(
+                GuardClosedError("The request was withheld by its guard.")
+            )
         consumer.write(self._body)
         if self._guard is not None:
             _flush(consumer)
--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -21,6 +21,9 @@
 STALE = "stale"
 """Detail of the loss of a kept connection that was idle before."""
 
+WITHHELD = "withheld"
+"""Detail of a request that the leader itself did not send."""
+
 
 @attrs.define(eq=False)
 class SentRequest:
@@ -97,9 +100,12 @@
         except ConnectionError as exc:
             return result.Failure(
                 web.UpstreamError(
-                    base.Outcome.MAY_HAVE_RUN,
+                    base.Outcome.NOT_RUN
+                    if str(exc) == WITHHELD
+                    else base.Outcome.MAY_HAVE_RUN,
                     str(exc),
                     is_stale_connection=str(exc) == STALE,
+                    is_withheld=str(exc) == WITHHELD,
                 )
             )
 
@@ -179,6 +185,10 @@
         """Commits the end of a job."""
         self._apply(jobs.EndJob(job.job, job.account))
 
+    def order(self, command: jobs.Command) -> None:
+        """Commits a command."""
+        self._apply(command)
+
     def _apply(self, command: jobs.Command) -> None:
         self.ledger.apply(1, jobs.COMMAND_CODEC.encode(command))
         self.runs.handle_committed(command)
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -106,6 +106,7 @@
                 self.assertEqual(sent, ["request"] * is_sent)
                 if not is_sent:
                     self.assertIs(got.failure().outcome, base.Outcome.NOT_RUN)
+                    self.assertTrue(got.failure().is_withheld)
 
     def test_only_listed_modules_use_the_http_client(self) -> None:
         """Guards against a new path that does not ask for evacuations."""
@@ -133,6 +134,8 @@
         self.directory = gateway.Directory()
         self.sent: list[tuple[str, str]] = []
         self.ordered = False
+        self.logged: list[str] = []
+        self.withholds = False
         engine = gateway.Service(
             "engines", 10, gateway.EngineShape(8, 1000, ()), None
         )
@@ -148,7 +151,9 @@
             table=gateway.RouteTable(document),
             node=types.SimpleNamespace(epoch=3),
         )
-        events: _Any = types.SimpleNamespace(write=lambda *_, **__: None)
+        events: _Any = types.SimpleNamespace(
+            write=lambda event, **_: self.logged.append(event)
+        )
         self.engines = _engine_table.EngineTable(self.directory, stored)
         guard: _Any = types.SimpleNamespace(
             may_act=lambda: True, make_permit=lambda epoch: lambda: True
@@ -188,6 +193,12 @@
 
     async def send(self, req: tuple[str, str]) -> _Any:
         self.sent.append(req)
+        if self.withholds and req[0] == "order":
+            return result.Failure(
+                web.UpstreamError(
+                    base.Outcome.NOT_RUN, "withheld", is_withheld=True
+                )
+            )
 
         async def read_all(limit: int) -> _Any:
             del limit
@@ -242,6 +253,23 @@
         self.duty.tick()
         self.assertEqual(self.sent[2:], [("report", "1"), ("order", "1")])
 
+    def test_order_that_the_leader_withholds(self) -> None:
+        """Guards against a delay for an engine that was sent no order.
+
+        Also against a log line by which the order may still be executed.
+        """
+        self.order(jobs.NameVersion("m", 2))
+        job = job_samples.make_job("j", model="m", due_at=200.0)
+        self.order(jobs.AcceptJob(attrs.evolve(job, least_version=2)))
+        self.order(jobs.EvacuateDomain(ZONE))
+        self.withholds = True
+        self.duty.tick()
+        self.assertEqual(self.sent, [("report", "2"), ("order", "2")])
+        self.withholds = False
+        self.duty.tick()
+        self.assertEqual(self.sent[2:], self.sent[:2])
+        self.assertEqual(self.logged, ["weights.load"])
+
 
 class LeaderTest(unittest.TestCase):
     """A leader takes orders, tells entries, and knows which act on them."""
--- a/tests/node/test_item_runs.py
+++ b/tests/node/test_item_runs.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import banyanbank_base as base
 import banyanbank_gateway as gateway
 import banyanbank_jobs as jobs
 
@@ -25,6 +26,7 @@
                 lambda leader: leader.runs.stop(),
                 False,
             ),
+            ("the leader withholds the requests", _withhold, False),
             ("the engine is silent", _exceed_idle_timeout, True),
             ("the engine resets the connection", _reset_connections, True),
         ):
@@ -83,6 +85,40 @@
         self.assertEqual(len(engines.waiting()), len(lost))
 
 
+class WithheldRunTest(unittest.TestCase):
+    """A request that the leader did not send is no failure of its engine."""
+
+    def test_items_run_again_at_once(self) -> None:
+        """Guards against items that wait longer each time."""
+        engines = running.FakeEngines("e")
+        leader = running.Leader(engines)
+        leader.runs.tick()
+        leader.accept(samples.make_job("j", due_at=200.0))
+        count = len(engines.waiting())
+        for _ in range(5):
+            _withhold(leader)
+            self.assertEqual(engines.waiting(), [])
+            leader.runs.tick()
+            self.assertEqual(len(engines.waiting()), count)
+        runs = [fields["outcome"] for _, fields in leader.events]
+        self.assertEqual(runs, ["withheld"] * 5 * count)
+
+    def test_evacuation(self) -> None:
+        """Guards against engines excluded after their domain is readmitted."""
+        engines = running.FakeEngines("e")
+        leader = running.Leader(engines)
+        leader.runs.tick()
+        zone = base.FailureDomain("zone")
+        leader.order(jobs.EvacuateDomain(zone))
+        leader.accept(samples.make_job("j", due_at=200.0))
+        for _ in range(3):
+            leader.runs.tick()
+        self.assertEqual(engines.sent, [])
+        leader.order(jobs.ReadmitDomain(zone, 1.0))
+        leader.runs.tick()
+        self.assertEqual(len(engines.waiting()), running.SLOTS)
+
+
 class RouteTest(unittest.TestCase):
     """Items run at the services that their route names now.
 
@@ -159,6 +195,11 @@
     leader.clock.advance(3.0)
 
 
+def _withhold(leader: running.Leader) -> None:
+    for sent in leader.engines.waiting():
+        sent.answered.errback(ConnectionError(running.WITHHELD))
+
+
 def _reset_connections(leader: running.Leader) -> None:
     for sent in leader.engines.waiting():
         sent.answered.errback(ConnectionError("reset"))
--- a/tests/node/test_second_attempts.py
+++ b/tests/node/test_second_attempts.py
@@ -247,7 +247,11 @@
         takes_s, reply = self.scripts.pop(0) if self.scripts else FAST
         left_s = req.deadline - self.clock.now()
         if req.guard is not None and not req.guard():
-            return result.Failure(attrs.evolve(LOST, detail="withheld"))
+            return result.Failure(
+                web.UpstreamError(
+                    base.Outcome.NOT_RUN, "withheld", is_withheld=True
+                )
+            )
         try:
             await task.deferLater(self.reactor, min(takes_s, left_s))
         except defer.CancelledError:
