Test the wait of a scorer call that was rejected

A scorer call that was rejected everywhere asks for room again after a short wait, without the endpoints that it may be sent to again.

The fake endpoints of the test can reject calls.

--- a/tests/node/test_scorer_admission.py
+++ b/tests/node/test_scorer_admission.py
@@ -44,6 +44,7 @@
     request_id: str
     status: int = 200
     headers: tuple[tuple[str, str], ...] = ()
+    has_not_run: bool = False
 
     async def read_all(
         self, max_bytes: int
@@ -154,6 +155,7 @@
             node=types.SimpleNamespace(epoch=1),
         )
         self.has_figures = has_figures
+        self.rejections: collections.Counter[str] = collections.Counter()
         self.is_shared = is_shared
         self.is_wanted = True
         self.configure()
@@ -341,6 +343,9 @@
         name, request_id, deadline = req
         self.sent.append((request_id, name))
         endpoint = self.endpoints[name]
+        if self.rejections[name]:
+            self.rejections[name] -= 1
+            return result.Success(Reply(request_id, 503, has_not_run=True))
         done = endpoint.call()
         timer = self.reactor.callLater(
             deadline - self.reactor.seconds(),
@@ -395,7 +400,9 @@
 
     def read_response_headers(self, resp: Reply) -> _ports.ResponseHeaders:
         """Implements `WireProtocol.read_response_headers`."""
-        return _ports.ResponseHeaders(resp.request_id, False, "signed", None)
+        return _ports.ResponseHeaders(
+            resp.request_id, resp.has_not_run, "signed", None
+        )
 
     def _tick(self) -> None:
         if self.stored.has_lease:
@@ -669,6 +676,32 @@
         self.assertEqual(len(world.graded), 6)
 
 
+class RejectedCallTest(unittest.TestCase):
+    """A call that was rejected waits for room as others do."""
+
+    def test_room_that_is_taken_meanwhile(self) -> None:
+        """Guards against calls that are refused rather than wait.
+
+        While the call waits after the rejection, others take all four places.
+        """
+        world = World((1.0,), has_figures=True)
+        world.rejections["e0"] = 1
+        world.end_items(1, "a")
+        world.end_items(4, "b")
+        self.assertEqual(world.in_flight(), 4)
+        world.run(0.1)
+        self.assertEqual(len(world.admission), 1)
+        world.run(CALL_S + CALL_S)
+        self.assertEqual(
+            [item for item, _ in world.sent],
+            ["a0", "b0", "b1", "b2", "b3", "a0"],
+        )
+        self.assertEqual(len(world.graded), 5)
+        self.assertEqual(world.most_calls(), 4)
+        events = [event for event, _ in world.events]
+        self.assertNotIn("item.not_graded", events)
+
+
 class WaitTest(unittest.TestCase):
     """Single calls wait, and what ends their wait."""
 
