Move the messages about permits to a module of their own

The module of all messages between entries and stores had 406 lines and is about to get more about permits.

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -15,6 +15,7 @@
 from banyanbank_node import _event_log
 from banyanbank_node import _messages
 from banyanbank_node import _near_stores
+from banyanbank_node import _permit_messages
 from banyanbank_node import _poll_paths
 from banyanbank_node import _ports
 from banyanbank_node import _shared_endpoints
@@ -364,7 +365,9 @@
     def _apply_limits(self, answer: _messages.SyncAnswer) -> None:
         """Applies rate limits and condemned requests."""
         if answer.limits is not None:
-            part: _messages.LimitsPart = _messages.CODEC.decode(answer.limits)
+            part: _permit_messages.LimitsPart = _messages.CODEC.decode(
+                answer.limits
+            )
             for observation in part.observations:
                 self._limits.apply(observation)
         self._limits_revision = answer.limits_revision
--- a/packages/node/src/banyanbank_node/_leader_permits.py
+++ b/packages/node/src/banyanbank_node/_leader_permits.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
+from banyanbank_node import _permit_messages
 from banyanbank_node import _permits
 from banyanbank_node import _store_calls
 
@@ -57,8 +58,8 @@
         self._limiter_epoch = 0
         self._next_spread_at = 0.0
         limits.on_observed = self._spread_change
-        calls.serve(_messages.TAKE_PERMIT, self._handle_take)
-        calls.serve(_messages.REPORT_LIMITS, self._handle_report)
+        calls.serve(_permit_messages.TAKE_PERMIT, self._handle_take)
+        calls.serve(_permit_messages.REPORT_LIMITS, self._handle_report)
 
     def tick(self) -> None:
         """Tells the other stores the limits in force."""
@@ -71,7 +72,8 @@
         observations = self._limits.known.all()
         if observations:
             self._calls.send_to_stores(
-                _messages.LIMITS, _messages.LimitsPart(observations)
+                _permit_messages.LIMITS,
+                _permit_messages.LimitsPart(observations),
             )
 
     def stop(self) -> None:
@@ -151,7 +153,7 @@
         del sender
         if not self._stored.has_lease:
             raise _leadership.NotLeaderError
-        req: _messages.PermitRequest = _messages.CODEC.decode(data)
+        req: _permit_messages.PermitRequest = _messages.CODEC.decode(data)
         self._apply(req.limits)
         targets = [
             announcement
@@ -160,13 +162,15 @@
         ]
         permit = self._take_first(targets)
         retry_after_s = max(0.0, permit.retry_at - self._clock.now())
-        return _messages.PermitAnswer(permit.endpoint or "", retry_after_s)
+        return _permit_messages.PermitAnswer(
+            permit.endpoint or "", retry_after_s
+        )
 
     async def _handle_report(
         self, sender: base.InstanceId, data: bytes
     ) -> object:
         del sender
-        part: _messages.LimitsPart = _messages.CODEC.decode(data)
+        part: _permit_messages.LimitsPart = _messages.CODEC.decode(data)
         self._apply(part.observations)
         return _messages.Accepted()
 
@@ -180,5 +184,5 @@
     def _spread_change(self, observation: gateway.LimitObservation) -> None:
         self._calls.changes.wake()
         self._calls.send_to_stores(
-            _messages.LIMITS, _messages.LimitsPart((observation,))
+            _permit_messages.LIMITS, _permit_messages.LimitsPart((observation,))
         )
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -7,6 +7,8 @@
 import banyanbank_gateway as gateway
 import banyanbank_jobs as jobs
 
+from banyanbank_node import _permit_messages
+
 SYNC = "store.sync"
 RELAY_SYNC = "store.relay_sync"
 AWAIT_ENTRIES = "store.await_entries"
@@ -19,8 +21,6 @@
 READ_BODY = "store.body"
 READ_LOG_POSITION = "store.log_position"
 READ_DOMAIN = "store.domain"
-TAKE_PERMIT = "store.permit"
-REPORT_LIMITS = "store.limits"
 REPORT_CONDEMNED = "store.condemned"
 JOIN = "store.join"
 RETIRE = "store.retire"
@@ -28,9 +28,6 @@
 HEARD = "store.heard"
 """Channel on which a store relays announcements to the other stores."""
 
-LIMITS = "store.known_limits"
-"""Channel on which the leader tells the other stores of rate limits."""
-
 
 @attrs.frozen
 class StoreAnswer:
@@ -123,7 +120,8 @@
     limits_revision: int = 0
     """Revision of the rate limits."""
     limits: bytes | None = None
-    """Encoded `LimitsPart`; None if the entry already has this revision."""
+    """Encoded `_permit_messages.LimitsPart`; None if the entry already has this
+    revision."""
     condemned_revision: int = 0
     """Revision of the condemned requests."""
     condemned: tuple[gateway.CondemnedRequest, ...] = ()
@@ -208,14 +206,6 @@
     """Revision of the evacuations that follows from it, or a later one."""
 
 
-@attrs.frozen
-class LimitsPart:
-    """Rate limits that endpoints state, or no longer state."""
-
-    observations: tuple[gateway.LimitObservation, ...]
-    """Newest observation of each endpoint."""
-
-
 @attrs.frozen
 class CondemnedPart:
     """Requests that are taken to end their endpoints."""
@@ -224,26 +214,6 @@
     """The requests."""
 
 
-@attrs.frozen
-class PermitRequest:
-    """Asks to send a request to one of several endpoints with a limit."""
-
-    endpoints: tuple[base.EndpointId, ...]
-    """Endpoints, in order of preference."""
-    limits: tuple[gateway.LimitObservation, ...]
-    """Rate limits of these endpoints, as the entry knows them."""
-
-
-@attrs.frozen
-class PermitAnswer:
-    """Grants or refuses to send a request."""
-
-    endpoint: str
-    """Endpoint that the request may be sent to; empty for none."""
-    retry_after_s: float
-    """If none: seconds after which to try again."""
-
-
 @attrs.frozen
 class Withdrawal:
     """Announces that an endpoint leaves immediately."""
@@ -366,7 +336,7 @@
     SyncRequest,
     SyncAnswer,
     DirectoryPart,
-    LimitsPart,
+    _permit_messages.LimitsPart,
     RelayedSync,
     AwaitEntries,
     EntriesStatus,
@@ -374,8 +344,8 @@
     EvacuationState,
     CondemnedPart,
     FiguresPart,
-    PermitRequest,
-    PermitAnswer,
+    _permit_messages.PermitRequest,
+    _permit_messages.PermitAnswer,
     gateway.Announcement,
     Withdrawal,
     Accepted,
--- /dev/null
+++ b/packages/node/src/banyanbank_node/_permit_messages.py
@@ -0,0 +1,38 @@
+"""Messages about permits and the limits of endpoints that they enforce."""
+
+import attrs
+import banyanbank_base as base
+import banyanbank_gateway as gateway
+
+TAKE_PERMIT = "store.permit"
+REPORT_LIMITS = "store.limits"
+LIMITS = "store.known_limits"
+"""Channel on which the leader tells the other stores of rate limits."""
+
+
+@attrs.frozen
+class LimitsPart:
+    """Rate limits that endpoints state, or no longer state."""
+
+    observations: tuple[gateway.LimitObservation, ...]
+    """Newest observation of each endpoint."""
+
+
+@attrs.frozen
+class PermitRequest:
+    """Asks to send a request to one of several endpoints with a limit."""
+
+    endpoints: tuple[base.EndpointId, ...]
+    """Endpoints, in order of preference."""
+    limits: tuple[gateway.LimitObservation, ...]
+    """Rate limits of these endpoints, as the entry knows them."""
+
+
+@attrs.frozen
+class PermitAnswer:
+    """Grants or refuses to send a request."""
+
+    endpoint: str
+    """Endpoint that the request may be sent to; empty for none."""
+    retry_after_s: float
+    """If none: seconds after which to try again."""
--- a/packages/node/src/banyanbank_node/_permits.py
+++ b/packages/node/src/banyanbank_node/_permits.py
@@ -11,7 +11,7 @@
 from returns import result
 
 from banyanbank_node import _endpoint_limits
-from banyanbank_node import _messages
+from banyanbank_node import _permit_messages
 from banyanbank_node import _store_client
 
 CALL_TIMEOUT_S = 0.3
@@ -98,13 +98,13 @@
     ) -> Permit:
         """Takes a permit from the leader."""
         known = (self._limits.known.get(target) for target in targets)
-        req = _messages.PermitRequest(
+        req = _permit_messages.PermitRequest(
             tuple(target.endpoint for target in targets),
             tuple(limit for limit in known if limit is not None),
         )
         # The leader grants it later, so its age is at most the time since now.
         expires_at = self._clock.now() + gateway.MAX_PERMIT_AGE_S
-        answer = await self._call(_messages.TAKE_PERMIT, req, deadline)
+        answer = await self._call(_permit_messages.TAKE_PERMIT, req, deadline)
         now = self._clock.now()
         if answer is None:
             return Permit(None, now + NO_LEADER_RETRY_AFTER_S)
@@ -120,7 +120,8 @@
     async def report(self, observation: gateway.LimitObservation) -> None:
         """Tells the leader of a limit that this process has observed."""
         await self._call(
-            _messages.REPORT_LIMITS, _messages.LimitsPart((observation,))
+            _permit_messages.REPORT_LIMITS,
+            _permit_messages.LimitsPart((observation,)),
         )
 
     async def _call(
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -19,6 +19,7 @@
 from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
+from banyanbank_node import _permit_messages
 from banyanbank_node import _result_reads
 from banyanbank_node import _store_client
 from banyanbank_node import _sync_part_cache
@@ -109,7 +110,7 @@
             reactor, clock, client, stored, self.results
         )
         transport.on_message(_messages.HEARD, self._handle_broadcast)
-        transport.on_message(_messages.LIMITS, self._handle_limits)
+        transport.on_message(_permit_messages.LIMITS, self._handle_limits)
         for method, handler in (
             (_messages.SYNC, self._handle_sync),
             (_messages.AWAIT_ENTRIES, self._handle_await_entries),
@@ -245,7 +246,7 @@
 
     def _handle_limits(self, sender: base.InstanceId, data: bytes) -> None:
         del sender
-        part: _messages.LimitsPart = _messages.CODEC.decode(data)
+        part: _permit_messages.LimitsPart = _messages.CODEC.decode(data)
         for observation in part.observations:
             self._limits.apply(observation)
 
--- a/packages/node/src/banyanbank_node/_sync_part_cache.py
+++ b/packages/node/src/banyanbank_node/_sync_part_cache.py
@@ -11,6 +11,7 @@
 import banyanbank_gateway as gateway
 
 from banyanbank_node import _messages
+from banyanbank_node import _permit_messages
 
 COMPRESSION_LEVEL = 1
 """Fastest level of zlib; names and keys are repetitive enough for it."""
@@ -82,7 +83,9 @@
         return self._get_or_encode(
             self._limits,
             (name, known.revision),
-            lambda: _messages.CODEC.encode(_messages.LimitsPart(known.all())),
+            lambda: _messages.CODEC.encode(
+                _permit_messages.LimitsPart(known.all())
+            ),
         )
 
     def _get_or_encode(
--- a/tests/node/test_cold_model.py
+++ b/tests/node/test_cold_model.py
@@ -20,6 +20,7 @@
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _leader_permits
 from banyanbank_node import _messages
+from banyanbank_node import _permit_messages
 from banyanbank_node import _permits
 import banyanbank_web as web
 from returns import result
@@ -241,12 +242,12 @@
             got: list[typing.Any] = []
             defer.ensureDeferred(handler(store, data)).addBoth(got.append)
             if self._is_lost() or not isinstance(
-                got[0], _messages.PermitAnswer
+                got[0], _permit_messages.PermitAnswer
             ):
                 return
             self._at(self._draw_delay_s(), lambda: reply(got[0]))
 
-        def reply(answer: _messages.PermitAnswer) -> None:
+        def reply(answer: _permit_messages.PermitAnswer) -> None:
             if not answered.called:
                 answered.callback(result.Success(answer))
 
--- a/tests/node/test_permits.py
+++ b/tests/node/test_permits.py
@@ -11,6 +11,7 @@
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _leader_permits
 from banyanbank_node import _messages
+from banyanbank_node import _permit_messages
 from banyanbank_node import _permits
 from returns import result
 from twisted.internet import defer
@@ -137,7 +138,7 @@
 
     def answer_permit_call(self, data: bytes) -> bytes:
         """Returns the leader's encoded answer to an encoded request."""
-        handler = self.handlers[_messages.TAKE_PERMIT]
+        handler = self.handlers[_permit_messages.TAKE_PERMIT]
         return _messages.CODEC.encode(_run(handler(LEADER, data)))
 
     def ask(self, entry: int, deadline: float = 1000.0) -> _permits.Permit:
