Let entries tell a new leader which endpoints are cold

What callers saw: a new leader that missed the announcement by which an endpoint became cold granted permits without a rate, up to 1.2 s long, and the endpoint got several times the requests that it tolerates.

Cause: the leader judged by its own directory alone, although the entries that asked had heard of the cold state from the leader before.

Ruled out: names alone in the request. A delayed announcement from before the cold state would then count as proof that the endpoint is warm. Applying the entry's whole announcement at the leader was ruled out, too: leader and entry would keep an endpoint alive for each other that no longer announces itself.

Change: `PermitRequest` names the endpoints that the entry takes for cold, each with the incarnation and number of the announcement that it knows. The leader marks them as cold in its directory unless it has received a newer announcement since its lease began, and takes announcements that are older than a report for cold. The rate, with nothing in the first second, holds for all requests from then on. `PermitAnswer` states whether the leader takes the endpoint for cold, so that the permit also expires at an entry that asked because of a stated limit. Both fields are left out at their defaults.

Items and scorer calls that a new leader sends by itself before any entry has asked remain without a rate until the next announcement.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -2,8 +2,10 @@
 
 from banyanbank_gateway._attempt_samples import AttemptSample
 from banyanbank_gateway._attempt_samples import SampleLog
+from banyanbank_gateway._cold_state import ColdReport
 from banyanbank_gateway._cold_state import find_cold_rate
 from banyanbank_gateway._cold_state import find_longest_cold_s
+from banyanbank_gateway._cold_state import is_refuted
 from banyanbank_gateway._cold_state import may_be_cold
 from banyanbank_gateway._crash_suspects import CondemnedRequest
 from banyanbank_gateway._crash_suspects import CrashSuspects
@@ -58,6 +60,7 @@
     "Announcement",
     "AttemptSample",
     "Backoff",
+    "ColdReport",
     "CondemnedRequest",
     "CrashSuspects",
     "Directory",
@@ -99,6 +102,7 @@
     "find_cold_rate",
     "find_longest_cold_s",
     "find_shared_services",
+    "is_refuted",
     "may_be_cold",
     "rank_services",
     "summarize_latencies",
--- a/packages/gateway/src/banyanbank_gateway/_cold_state.py
+++ b/packages/gateway/src/banyanbank_gateway/_cold_state.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 
+import attrs
 import banyanbank_base as base
 
 from banyanbank_gateway import _directory
@@ -52,6 +53,45 @@
     )
 
 
+@attrs.frozen
+class ColdReport:
+    """Endpoint that an entry takes for cold, as it tells the leader."""
+
+    endpoint: base.EndpointId
+    """Name of the endpoint."""
+    born_ms: int
+    """Start of the incarnation that the entry knows, as Unix time in
+    milliseconds."""
+    sequence: int
+    """Sequence number of the announcement that the entry knows."""
+
+    @property
+    def order_key(self) -> tuple[int, int]:
+        """Sort key, comparable to that of an announcement."""
+        return (self.born_ms, self.sequence)
+
+
+def is_refuted(
+    report: ColdReport, known: _directory.Announcement, is_heard_by_leader: bool
+) -> bool:
+    """Whether an announcement shows that a reported endpoint is warm by now.
+
+    Load addressed: callers' requests of entries that heard of a cold endpoint
+    from a former leader, while the new one missed its announcement.
+
+    Args:
+        report: What an entry knows.
+        known: Newest announcement that the leader knows.
+        is_heard_by_leader: Whether the leader has received it since its lease
+            began. An earlier one may predate the cold state.
+    """
+    return (
+        is_heard_by_leader
+        and not known.is_cold
+        and known.order_key > report.order_key
+    )
+
+
 def find_longest_cold_s(document: _documents.Document) -> float:
     """Returns how long an endpoint may be cold after it was known to be."""
     return COLD_REPORT_LAG_S + max(
--- a/packages/node/src/banyanbank_node/_cold_endpoints.py
+++ b/packages/node/src/banyanbank_node/_cold_endpoints.py
@@ -45,6 +45,7 @@
         self._meters = meters
         self._applied_readmissions: dict[base.FailureDomain, float] = {}
         self._cold_since: dict[base.EndpointId, float] = {}
+        self._reported: dict[base.EndpointId, gateway.ColdReport] = {}
         self._seen_revision = -1
 
     def find_rate(self, target: gateway.Announcement) -> float | None:
@@ -77,6 +78,8 @@
     def judge(self, announcement: gateway.Announcement) -> gateway.Announcement:
         """Returns a received announcement with the state that is assumed."""
         announcement = self._drop_without_rate(announcement)
+        if self._is_older_than_report(announcement):
+            return attrs.evolve(announcement, is_cold=True)
         readmissions = self._stored.ledger.evacuations.readmitted
         if (
             not readmissions
@@ -112,11 +115,49 @@
                 self._directory.mark_cold(announcement.endpoint)
         return self._directory.revision != old_revision
 
+    def apply_reports(
+        self,
+        reports: collections.abc.Iterable[gateway.ColdReport],
+        led_since: float,
+    ) -> bool:
+        """Takes the endpoints for cold that an entry knows to be.
+
+        Their next announcements that are newer than the reports decide again.
+
+        Args:
+            reports: What the entry knows.
+            led_since: When the lease of this store began, on the monotonic
+                clock.
+
+        Returns:
+            Whether the directory has changed.
+        """
+        old_revision = self._directory.revision
+        for report in reports:
+            known = self._directory.get(report.endpoint)
+            heard_at = self._directory.heard_at(report.endpoint)
+            if (
+                known is None
+                or heard_at is None
+                or self._find_service_rate(known) is None
+                or gateway.is_refuted(report, known, heard_at >= led_since)
+            ):
+                continue
+            newest = self._reported.get(report.endpoint, report)
+            self._reported[report.endpoint] = max(
+                newest, report, key=lambda one: one.order_key
+            )
+            self._directory.mark_cold(report.endpoint)
+        return self._directory.revision != old_revision
+
     def observe(self) -> collections.abc.Collection[base.EndpointId]:
         """Logs which endpoints became cold or warm; returns the cold ones."""
         if self._seen_revision == self._directory.revision:
             return self._cold_since.keys()
         self._seen_revision = self._directory.revision
+        for endpoint in list(self._reported):
+            if self._directory.get(endpoint) is None:
+                del self._reported[endpoint]
         now = self._clock.now()
         cold = {
             announcement.endpoint: announcement
@@ -146,6 +187,7 @@
         """Forgets what was logged; the next leader logs the cold endpoints."""
         self._meters.cold_endpoints.set(0)
         self._cold_since.clear()
+        self._reported.clear()
         self._seen_revision = -1
 
     def count_decision(
@@ -159,6 +201,16 @@
                 1, "granted" if is_granted else "refused"
             )
 
+    def _is_older_than_report(self, announcement: gateway.Announcement) -> bool:
+        """Whether an entry knows a newer announcement, of a cold endpoint."""
+        report = self._reported.get(announcement.endpoint)
+        if report is None:
+            return False
+        if announcement.order_key > report.order_key:
+            del self._reported[announcement.endpoint]
+            return False
+        return self._find_service_rate(announcement) is not None
+
     def _drop_without_rate(
         self, announcement: gateway.Announcement
     ) -> gateway.Announcement:
--- a/packages/node/src/banyanbank_node/_leader_permits.py
+++ b/packages/node/src/banyanbank_node/_leader_permits.py
@@ -56,6 +56,7 @@
         self._cold = cold
         self._limiter = gateway.RateLimiter(limits.known, cold.find_rate)
         self._limiter_epoch = 0
+        self._led_since = 0.0
         self._next_spread_at = 0.0
         limits.on_observed = self._spread_change
         calls.serve(_permit_messages.TAKE_PERMIT, self._handle_take)
@@ -112,7 +113,8 @@
     def _current_limiter(self) -> gateway.RateLimiter:
         epoch = self._stored.node.epoch
         if self._limiter_epoch != epoch:
-            self._limiter.reset(self._clock.now() + NEW_LEADER_PAUSE_S)
+            self._led_since = self._clock.now()
+            self._limiter.reset(self._led_since + NEW_LEADER_PAUSE_S)
             if self._stored.has_lease:
                 self._limiter_epoch = epoch
         return self._limiter
@@ -155,6 +157,9 @@
             raise _leadership.NotLeaderError
         req: _permit_messages.PermitRequest = _messages.CODEC.decode(data)
         self._apply(req.limits)
+        self._current_limiter()
+        if self._cold.apply_reports(req.cold, self._led_since):
+            self._calls.changes.wake()
         targets = [
             announcement
             for announcement in map(self._directory.get, req.endpoints)
@@ -163,7 +168,13 @@
         permit = self._take_first(targets)
         retry_after_s = max(0.0, permit.retry_at - self._clock.now())
         return _permit_messages.PermitAnswer(
-            permit.endpoint or "", retry_after_s
+            permit.endpoint or "",
+            retry_after_s,
+            is_cold=any(
+                target.endpoint == permit.endpoint
+                and self._cold.find_rate(target) is not None
+                for target in targets
+            ),
         )
 
     async def _handle_report(
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -371,6 +371,8 @@
         AwaitEntries,
         gateway.Announcement,
         FiguresPart,
+        _permit_messages.PermitRequest,
+        _permit_messages.PermitAnswer,
     ),
 )
 """Codec of all messages between entries and stores."""
--- a/packages/node/src/banyanbank_node/_permit_messages.py
+++ b/packages/node/src/banyanbank_node/_permit_messages.py
@@ -26,6 +26,8 @@
     """Endpoints, in order of preference."""
     limits: tuple[gateway.LimitObservation, ...]
     """Rate limits of these endpoints, as the entry knows them."""
+    cold: tuple[gateway.ColdReport, ...] = ()
+    """Those of the endpoints that the entry takes for cold."""
 
 
 @attrs.frozen
@@ -36,3 +38,6 @@
     """Endpoint that the request may be sent to; empty for none."""
     retry_after_s: float
     """If none: seconds after which to try again."""
+    is_cold: bool = False
+    """Whether the leader takes the endpoint for cold, so that the permit
+    expires also at an entry that takes it for warm."""
--- a/packages/node/src/banyanbank_node/_permits.py
+++ b/packages/node/src/banyanbank_node/_permits.py
@@ -101,6 +101,13 @@
         req = _permit_messages.PermitRequest(
             tuple(target.endpoint for target in targets),
             tuple(limit for limit in known if limit is not None),
+            tuple(
+                gateway.ColdReport(
+                    target.endpoint, target.born_ms, target.sequence
+                )
+                for target in targets
+                if target.is_cold
+            ),
         )
         # The leader grants it later, so its age is at most the time since now.
         expires_at = self._clock.now() + gateway.MAX_PERMIT_AGE_S
@@ -109,8 +116,8 @@
         if answer is None:
             return Permit(None, now + NO_LEADER_RETRY_AFTER_S)
         granted = answer.endpoint or None
-        if not any(
-            target.is_cold and target.endpoint == granted for target in targets
+        if not answer.is_cold and all(
+            report.endpoint != granted for report in req.cold
         ):
             return Permit(granted, now + answer.retry_after_s)
         if now >= expires_at:
--- a/tests/node/test_cold_endpoints.py
+++ b/tests/node/test_cold_endpoints.py
@@ -127,6 +127,52 @@
             self.directory.apply(self.cold.judge(later), self.clock.now())
             self.assertEqual(self.cold.find_rate(WARM), want)
 
+    def test_reports(self) -> None:
+        """Guards against endpoints that a new leader takes for warm.
+
+        The lease began at 100.0; the leader's announcement has number 4, and
+        another one arrives after the report.
+        """
+        for name, rate, heard_at, reported, next_key, want, want_next in (
+            ("heard before", 13.0, 99.0, (1_000, 3), (1_000, 5), 13.0, None),
+            ("newer", 13.0, 100.0, (1_000, 3), (1_000, 5), None, None),
+            ("the same", 13.0, 100.0, (1_000, 4), (1_000, 5), 13.0, None),
+            ("older", 13.0, 100.0, (1_000, 9), (1_000, 8), 13.0, 13.0),
+            ("life before", 13.0, 100.0, (1_001, 1), (1_000, 8), 13.0, 13.0),
+            ("life after", 13.0, 100.0, (999, 9), (1_000, 8), None, None),
+            ("no rate", 0.0, 99.0, (1_000, 9), (1_000, 8), None, None),
+            ("unknown", 13.0, None, (1_000, 3), (1_000, 5), None, None),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.configure(rate)
+                if heard_at is not None:
+                    self.directory.apply(self.cold.judge(WARM), heard_at)
+                report = gateway.ColdReport(WARM.endpoint, *reported)
+                for is_change in (want is not None, False):
+                    self.assertEqual(
+                        self.cold.apply_reports([report], 100.0), is_change
+                    )
+                self.assertEqual(self.cold.find_rate(WARM), want)
+                self.assertEqual(len(self.directory), heard_at is not None)
+                later = attrs.evolve(
+                    WARM, born_ms=next_key[0], sequence=next_key[1]
+                )
+                self.directory.apply(self.cold.judge(later), 100.5)
+                self.assertEqual(self.cold.find_rate(WARM), want_next)
+
+    def test_reports_of_several_entries(self) -> None:
+        """Guards against the older of two reports deciding."""
+        self.configure(13.0)
+        self.directory.apply(WARM, 99.0)
+        for sequence in (9, 7):
+            report = gateway.ColdReport(WARM.endpoint, WARM.born_ms, sequence)
+            self.cold.apply_reports([report], 100.0)
+        for sequence, want in ((8, 13.0), (10, None)):
+            later = attrs.evolve(WARM, sequence=sequence)
+            self.directory.apply(self.cold.judge(later), 100.5)
+            self.assertEqual(self.cold.find_rate(WARM), want)
+
     def test_log(self) -> None:
         self.configure(13.0)
         for announcement in (COLD, attrs.evolve(COLD, sequence=5)):
--- a/tests/node/test_cold_model.py
+++ b/tests/node/test_cold_model.py
@@ -102,6 +102,8 @@
         self._lead_counts = [0] * LEADER_COUNT
         self._handlers: list[dict[str, typing.Any]] = []
         self._stored: list[typing.Any] = []
+        self._directories: list[gateway.Directory] = []
+        self._colds: list[_cold_endpoints.ColdEndpoints] = []
         self.leaders = [self._make_leader() for _ in range(LEADER_COUNT)]
         self.leader = 0
         self._stored[0].has_lease = True
@@ -127,6 +129,7 @@
         )
         self._handlers.append(handlers)
         self._stored.append(stored)
+        self._directories.append(directory)
         cold = _cold_endpoints.ColdEndpoints(
             self.clock,
             gateway.SyncedClock(self.clock),
@@ -135,7 +138,12 @@
             _as_any(_NO_EVENTS),
             _as_any(_NO_METERS),
         )
-        calls = types.SimpleNamespace(serve=handlers.__setitem__)
+        self._colds.append(cold)
+        calls = types.SimpleNamespace(
+            serve=handlers.__setitem__,
+            changes=types.SimpleNamespace(wake=_ignore),
+            send_to_stores=_ignore,
+        )
         return _leader_permits.LeaderPermits(
             self.clock,
             _as_any(stored),
@@ -201,8 +209,11 @@
         if permit.endpoint is not None:
             self._dial(permit.expires_at)
 
-    def _dial(self, expires_at: float) -> None:
+    def _dial(
+        self, expires_at: float, arrived_at: list[float] | None = None
+    ) -> None:
         """Has a request arrive after a dial, unless it is withheld."""
+        log = self.arrived_at if arrived_at is None else arrived_at
         req = _permits.withhold_after(
             web.UpstreamRequest("POST", "", (), b"x", 100.0),
             expires_at,
@@ -212,7 +223,7 @@
         def arrive() -> None:
             assert req.guard is not None
             if req.guard():
-                self.arrived_at.append(self.clock.now())
+                log.append(self.clock.now())
 
         self._at(self._draw_dial_s(), arrive)
 
--- a/tests/node/test_permits.py
+++ b/tests/node/test_permits.py
@@ -1,9 +1,11 @@
 """Tests of permits that the leader hands out to all instances."""
 
+import math
 import types
 import typing
 import unittest
 
+import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 import banyanbank_jobs as jobs
@@ -17,6 +19,7 @@
 from twisted.internet import defer
 
 from tests.gateway import samples
+from tests.node import test_cold_model
 
 WINDOW_S = 4.0
 LEADER = base.InstanceId("leader")
@@ -60,6 +63,7 @@
             has_lease=True,
             node=types.SimpleNamespace(epoch=1),
             ledger=jobs.Ledger(),
+            table=None,
         )
         self.limits = self._make_limits()
         self.leader = _leader_permits.LeaderPermits(
@@ -77,7 +81,10 @@
                     types.SimpleNamespace(
                         cold_endpoints=types.SimpleNamespace(
                             set=lambda value: None
-                        )
+                        ),
+                        cold_permits=types.SimpleNamespace(
+                            add=lambda count, outcome: None
+                        ),
                     )
                 ),
             ),
@@ -198,6 +205,69 @@
                 if want is None:
                     self.assertGreater(permit.retry_at, cluster.clock.now())
 
+    def test_expiry(self) -> None:
+        """Guards against permits for cold endpoints that wait for long."""
+        for name, is_cold_here, is_cold_there, expires in (
+            ("warm", False, False, False),
+            ("known to the entry", True, False, True),
+            ("known to the leader", False, True, True),
+            ("known to both", True, True, True),
+        ):
+            with self.subTest(name):
+                cluster = Cluster(1, "e1")
+                cluster.stored.table = gateway.RouteTable(
+                    test_cold_model.make_document(13.0)
+                )
+                cluster.ask(0)
+                if is_cold_there:
+                    cluster.directory.mark_cold(cluster.targets[0].endpoint)
+                if is_cold_here:
+                    cluster.targets = [
+                        attrs.evolve(target, is_cold=True)
+                        for target in cluster.targets
+                    ]
+                cluster.ask(0)
+                cluster.clock.advance(2.0)
+                permit = cluster.ask(0)
+                self.assertEqual(permit.endpoint, "e1")
+                self.assertEqual(
+                    permit.expires_at,
+                    cluster.clock.now() + gateway.MAX_PERMIT_AGE_S
+                    if expires
+                    else math.inf,
+                )
+
+    def test_messages_without_cold_endpoints_are_as_before(self) -> None:
+        """Guards against messages that an earlier release cannot read."""
+        endpoint = base.EndpointId("e1")
+        limit = gateway.LimitObservation(endpoint, 5, 2.5, 7.0)
+        for name, message, expected in (
+            (
+                "request with a limit",
+                _permit_messages.PermitRequest(
+                    (endpoint, base.EndpointId("e2")), (limit,)
+                ),
+                "a369656e64706f696e747382626531626532666c696d69747381a468656e6470"
+                "6f696e7462653167626f726e5f6d73056a726174655f7065725f73fb40040000"
+                "000000006b6f627365727665645f6174fb401c000000000000625f746d506572"
+                "6d697452657175657374",
+            ),
+            (
+                "request without limits",
+                _permit_messages.PermitRequest((endpoint,), ()),
+                "a369656e64706f696e747381626531666c696d69747380625f746d5065726d69"
+                "7452657175657374",
+            ),
+            (
+                "answer",
+                _permit_messages.PermitAnswer("e1", 0.5),
+                "a368656e64706f696e746265316d72657472795f61667465725f73fb3fe0000000000000625f746c5065726d6974416e73776572",
+            ),
+        ):
+            with self.subTest(name):
+                data = _messages.CODEC.encode(message)
+                self.assertEqual(data.hex(), expected)
+
     def test_time_limit(self) -> None:
         """Guards against a request held past its deadline for a permit."""
         for name, left_s, expected_s in (
