Let entries adopt the evacuations of a newly formed cluster

What operators saw: after a cluster was formed anew, entries that had been in contact with the former one went on to act on its evacuations. Nobody could withdraw them, since the new cluster did not know them, and orders of the new cluster took no effect at these entries until its revision exceeded the former one, although they were acknowledged.

Cause: an entry ignored a revision that was not higher, and revisions of a new replicated log count from zero.

Ruled out: adopting any lower revision. An answer of a store that no longer leads would then bring back what was withdrawn. The epoch in the name of the directory does not tell the two apart, since a former leader has a lower one, too.

Change: an answer to a poll states the identity of the replicated log if the log or the entry knows evacuations. An entry adopts the evacuations of another log whatever their revision. Polls state the revision that the entry acts on, except after a failed poll, and a leader answers at once where it differs from its own. The evacuations of an entry move to a module of their own.

Conclusion: entries act on the orders of the cluster that acknowledges them. Not played with real processes that form a cluster anew.

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _background
 from banyanbank_node import _change_notifier
 from banyanbank_node import _endpoint_limits
+from banyanbank_node import _entry_evacuations
 from banyanbank_node import _event_log
 from banyanbank_node import _messages
 from banyanbank_node import _near_stores
@@ -60,7 +61,6 @@
     Attributes:
         table: Routes in force; None before the first document arrives.
         directory: Endpoints that are considered alive.
-        evacuations: Failure domains to whose endpoints nothing is sent.
         last_contact_at: Time of the last answer of a leader, on the monotonic
             clock; None before the first one.
         on_document: Called with each document that comes into force.
@@ -100,7 +100,7 @@
         self._events = events
         self._paths = paths
         self._answer_issued_at = 0.0
-        self._evacuation_revision = 0
+        self._evacuations = _entry_evacuations.EntryEvacuations(events)
         self._has_unreadable_document = False
         self._is_running = False
         self._directory_source = ""
@@ -109,7 +109,6 @@
         self._polling: defer.Deferred[None] | None = None
         self.table: gateway.RouteTable | None = None
         self.directory = gateway.Directory()
-        self.evacuations = gateway.Evacuations()
         self.last_contact_at: float | None = None
         self.answers = _change_notifier.ChangeNotifier(reactor)
         self.on_document: typing.Callable[[gateway.Document], None] = (
@@ -128,6 +127,11 @@
         if self._polling is not None:
             self._polling.cancel()
 
+    @property
+    def evacuations(self) -> gateway.Evacuations:
+        """Failure domains to whose endpoints nothing is sent."""
+        return self._evacuations.in_force
+
     @property
     def is_current(self) -> bool:
         """Whether a leader answered the last poll in time."""
@@ -185,7 +189,7 @@
         self._limits_revision = 0
         self._condemned_revision = 0
         self._answer_issued_at = 0.0
-        self._evacuation_revision = 0
+        self._evacuations.polled_revision = 0
         self._figures_revision = 0
         self._shared.note_lost_contact(self._contact_age_s)
         return False
@@ -217,7 +221,7 @@
             limits_revision=self._limits_revision,
             condemned_revision=self._condemned_revision,
             answer_issued_at=self._answer_issued_at,
-            evacuation_revision=self._evacuation_revision,
+            evacuation_revision=self._evacuations.polled_revision,
             figures_revision=self._figures_revision,
             samples=self._shared.take_samples()
             if self._figures_revision
@@ -303,7 +307,7 @@
         self.last_contact_at = now
         # Before the document, so that an entry that has just started does not
         # serve without them.
-        self._apply_evacuations(answer, contact_age_ms)
+        self._evacuations.apply(answer, contact_age_ms)
         # Before the rest, since nothing else in the answer may hold it up.
         if answer.document is not None:
             self._apply_document(
@@ -318,21 +322,6 @@
             self._answer_issued_at = answer.issued_at
         self.answers.wake()
 
-    def _apply_evacuations(
-        self, answer: _messages.SyncAnswer, contact_age_ms: int | None
-    ) -> None:
-        self._evacuation_revision = answer.evacuations.revision
-        if answer.evacuations.revision <= self.evacuations.revision:
-            return
-        self.evacuations = answer.evacuations
-        self._events.write(
-            "evacuation.in_force",
-            revision=answer.evacuations.revision,
-            evacuated=answer.evacuations.domains,
-            source=answer.directory_of,
-            contact_age_ms=contact_age_ms,
-        )
-
     def _learn_stores(
         self,
         path: _poll_paths.PollPath,
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -65,7 +65,7 @@
     """`SyncAnswer.issued_at` of the last answer that it received, likewise; 0
     for none."""
     evacuation_revision: int = 0
-    """Revision of the evacuations that it received last."""
+    """Revision of the evacuations that it acts on."""
     figures_revision: int = 0
     """Revision of the figures of endpoints that it received last, likewise."""
     samples: tuple[gateway.AttemptSample, ...] = ()
@@ -131,6 +131,9 @@
     returns it with its next poll, which proves that the answer arrived."""
     evacuations: gateway.Evacuations = attrs.Factory(gateway.Evacuations)
     """Evacuated failure domains and their revision."""
+    cluster: str = ""
+    """Identity of the replicated log that counts this revision; empty if both
+    the log and the entry know no evacuations."""
     figures_revision: int = 0
     """Revision of the figures of endpoints; 0 if the configuration has no
     shared services."""
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -386,8 +386,9 @@
         self._cold.apply_readmissions()
         return (
             req.document_number < self._stored.ledger.document_number
+            # It is higher if the cluster was formed anew.
             or req.evacuation_revision
-            < self._stored.ledger.evacuations.revision
+            != self._stored.ledger.evacuations.revision
             or req.directory_of != self._directory_id
             or req.directory_revision != self._directory.revision
             or req.limits_revision != self._limits.known.revision
@@ -415,9 +416,8 @@
             req.directory_of == self._directory_id
             and req.condemned_revision == self._suspects.revision
         )
-        figures_revision = (
-            0 if self._figures is None else self._figures.revision
-        )
+        revision = 0 if self._figures is None else self._figures.revision
+        status = self._stored.node.status()
         now = self._clock.now()
         self._contacts.record_answer(req.entry, now)
         return _messages.SyncAnswer(
@@ -435,9 +435,7 @@
                 self._directory_id, self._directory
             ),
             is_settled=self.knows_endpoints,
-            stores=tuple(
-                member.instance for member in self._stored.node.status().voters
-            ),
+            stores=tuple(member.instance for member in status.voters),
             true_time=self._true_time.now(),
             limits_revision=self._limits.known.revision,
             limits=None
@@ -451,8 +449,11 @@
             else self._suspects.condemned(self._true_time.now()),
             issued_at=now,
             evacuations=ledger.evacuations,
-            figures_revision=figures_revision,
-            figures=self._encode_figures(req, figures_revision),
+            cluster=status.cluster
+            if ledger.evacuations.revision or req.evacuation_revision
+            else "",
+            figures_revision=revision,
+            figures=self._encode_figures(req, revision),
         )
 
     def _encode_figures(
@@ -460,10 +461,8 @@
     ) -> bytes | None:
         """Returns the figures of endpoints if the entry lacks them."""
         is_same_source = req.directory_of == self._directory_id
-        if (
-            self._figures is None
-            or not revision
-            or (is_same_source and req.figures_revision == revision)
-        ):
+        if self._figures is None or not revision:
+            return None
+        if is_same_source and req.figures_revision == revision:
             return None
         return self._figures.encode(is_same_source)
--- a/tests/node/test_entry_sync.py
+++ b/tests/node/test_entry_sync.py
@@ -336,6 +336,51 @@
         revisions = [req.evacuation_revision for req in self.stores.requests]
         self.assertEqual(revisions, [0, 1, 1, 0, 2])
 
+    def test_evacuations_of_a_newly_formed_cluster(self) -> None:
+        """Guards against evacuations that nobody can withdraw any more."""
+        a, b = (base.FailureDomain(name) for name in ("zone-a", "zone-b"))
+        held = gateway.Evacuations().evacuate(a).evacuate(b)
+        ended = held.readmit(b, 1.0)
+        for name, held_cluster, received, cluster, is_adopted in (
+            ("none yet", "c1", gateway.Evacuations(), "c2", True),
+            ("lower", "c1", gateway.Evacuations().evacuate(b), "c2", True),
+            (
+                "as high",
+                "c1",
+                gateway.Evacuations().evacuate(b).readmit(b, 1.0),
+                "c2",
+                True,
+            ),
+            ("higher", "c1", ended, "c2", True),
+            ("cluster not known before", "", gateway.Evacuations(), "c2", True),
+            ("lower, same cluster", "c1", gateway.Evacuations(), "c1", False),
+            ("lower, not stated", "c1", gateway.Evacuations(), "", False),
+            ("higher, same cluster", "c1", ended, "c1", True),
+            ("higher, not stated", "c1", ended, "", True),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                for number, state, stated in (
+                    (7, held, held_cluster),
+                    (7, received, cluster),
+                ):
+                    self.stores.direct = result.Success(
+                        attrs.evolve(
+                            make_answer(number),
+                            evacuations=state,
+                            cluster=stated,
+                        )
+                    )
+                    self.poll()
+                want = received if is_adopted else held
+                self.assertEqual(self.sync.evacuations, want)
+                logged = [e for e, _ in self.events if e == IN_FORCE]
+                self.assertEqual(len(logged), 1 + is_adopted)
+                self.poll()
+                self.assertEqual(
+                    self.stores.requests[-1].evacuation_revision, want.revision
+                )
+
     def test_failed_poll_is_logged_with_its_path(self) -> None:
         self.relay(None)
         self.poll()
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -13,6 +13,7 @@
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _engine_table
+from banyanbank_node import _entry_evacuations
 from banyanbank_node import _evacuation_orders
 from banyanbank_node import _load_duty
 from banyanbank_node import _messages
@@ -261,7 +262,7 @@
             is_leader=True,
             leader=STORE,
             epoch=1,
-            status=lambda: nothing(voters=()),
+            status=lambda: nothing(voters=(), cluster="c1"),
         )
         stored = nothing(
             node=self.node,
@@ -417,6 +418,54 @@
         self.assertEqual(second.unwrap().evacuations.domains, (ZONE,))
         self.assertEqual(self.poll("e", second.unwrap()), [])
 
+    def test_newly_formed_cluster(self) -> None:
+        """Guards against an entry that keeps what an earlier cluster ordered.
+
+        Its first poll after a failed one states no revision, so that any
+        release can read it.
+        """
+        zone = base.FailureDomain("zone-c")
+        earlier = gateway.Evacuations().evacuate(zone).evacuate(ZONE)
+        for name, prepare, domains in (
+            ("no evacuations yet", lambda: None, ()),
+            ("its own", lambda: self.order(OTHER_ZONE, True), (OTHER_ZONE,)),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.regions[OTHER_ZONE] = "region"
+                prepare()
+                entry = _entry_evacuations.EntryEvacuations(
+                    typing.cast(
+                        _Any, types.SimpleNamespace(write=lambda *_, **__: None)
+                    )
+                )
+                (answer,) = self.poll("e", None)
+                held = attrs.evolve(
+                    answer.unwrap(), evacuations=earlier, cluster="c0"
+                )
+                entry.apply(held, None)
+                entry.polled_revision = 0
+                for _ in range(2):
+                    req = _messages.SyncRequest(
+                        "e",
+                        0,
+                        held.directory_of,
+                        held.directory_revision,
+                        (),
+                        evacuation_revision=entry.polled_revision,
+                        limits_revision=held.limits_revision,
+                        condemned_revision=held.condemned_revision,
+                    )
+                    waiting = start(self.call(_messages.SYNC, req, 0.0))
+                    self.advance(1.0)
+                    entry.apply(waiting[0].unwrap(), None)
+                self.assertEqual(entry.in_force.domains, domains)
+                # The next poll waits again, instead of returning at once.
+                req = attrs.evolve(
+                    req, evacuation_revision=entry.polled_revision
+                )
+                self.assertEqual(start(self.call(_messages.SYNC, req, 0.0)), [])
+
     def test_entries_that_hold_up_the_first_evacuation(self) -> None:
         """Guards against an acknowledgement that entries do not act on."""
         self.regions[ZONE] = "region"
@@ -461,6 +510,7 @@
             with self.subTest(type(message).__name__):
                 data = _messages.CODEC.encode(message)
                 self.assertNotIn(b"evacuation", data)
+                self.assertNotIn(b"cluster", data)
 
 
 if __name__ == "__main__":
