Refuse a setting of failure domains that is not a table

What operators saw: a store whose `zones` was a list or a text failed to start with "AttributeError: 'list' object has no attribute 'items'", which names no setting. With an empty list, an empty text, zero or false it started as if nothing was set, so that orders to evacuate a domain without endpoints got 404.

Cause: every false value counted as missing, and the others were used without a check.

Conclusion: a wrong table of failure domains is found at the start.

--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -93,6 +93,8 @@
                 {"zone-a": "north"},
             ),
             ("no zones", {}, lambda b: b.store().regions, {}),
+            ("zones null", {"zones": None}, lambda b: b.store().regions, {}),
+            ("zones empty", {"zones": {}}, lambda b: b.store().regions, {}),
             ("later start", {"bootstrap": False}, lambda b: b.may_form, False),
             (
                 "not a bool",
@@ -117,6 +119,12 @@
             ("no ports", {"internal-ports": []}, "IndexError"),
             ("port is not a number", {"seeds": ["10.1.0.11:x"]}, "ValueError"),
             ("zones without regions", {"zones": ["zone-a"]}, "list"),
+            ("zones a list", {"zones": ["a"]}, "'zones' must be a table"),
+            ("zones an empty list", {"zones": []}, "'zones' must be a table"),
+            ("zones false", {"zones": False}, "'zones' must be a table"),
+            ("zones zero", {"zones": 0}, "'zones' must be a table"),
+            ("zones an empty text", {"zones": ""}, "'zones' must be a table"),
+            ("zones a text", {"zones": "a"}, "maps failure domains to regions"),
             ("bad bound", {"bounds": {"grace-s": "soon"}}, "soon"),
         ):
             with self.subTest(name):
