Know announced failure domains beyond those that are remembered

What operators saw: an order to evacuate a failure domain got 404 although endpoints of the domain announced themselves, if the store had seen endpoints in 256 other domains.

Cause: the directory remembers 256 failure domains, and the order looked only there.

Ruled out: remembering all of them, as the memory would grow with whatever names are announced; accepting any name beyond the bound, which acknowledges orders for domains that do not exist.

Change: the domains of all known endpoints count, too. Once a domain could not be remembered, a domain that the store does not know gets 503 (has not taken effect) instead of 404, since its endpoints may be gone and forgotten; `zones` in the settings helps.

Evidence: without the change, two new cases of test_evacuations.test_which_domains_are_known fail with 404 (NotThere). tests.node.test_evacuations and tests.gateway.test_directory pass, 23 tests.

Conclusion: 404 is only for domains that no endpoint has announced to this store.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -14,6 +14,7 @@
 from banyanbank_gateway._directory import Directory
 from banyanbank_gateway._directory import EndpointState
 from banyanbank_gateway._directory import LoadedModel
+from banyanbank_gateway._directory import MAX_DOMAINS
 from banyanbank_gateway._documents import Document
 from banyanbank_gateway._documents import EngineShape
 from banyanbank_gateway._documents import InvalidDocumentError
@@ -54,6 +55,7 @@
 from banyanbank_gateway._usage import WindowCounts
 
 __all__ = [
+    "MAX_DOMAINS",
     "MAX_FIGURES_AGE_S",
     "MAX_PERMIT_AGE_S",
     "MAX_SECOND_ATTEMPT_SHARE",
--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -82,7 +82,8 @@
 
 
 MAX_DOMAINS = 256
-"""Number of failure domains that are remembered; further ones are not."""
+"""Number of failure domains that are remembered after their endpoints are gone;
+further ones are not."""
 
 MAX_REMEMBERED = 10_000
 """Number of departures, and of ended lives, that are remembered; the oldest are
@@ -101,12 +102,15 @@
     Attributes:
         revision: Increases with each change that entries have to receive.
         domains: Failure domains of all endpoints so far, also of those that are
-            gone.
+            gone; of more than `MAX_DOMAINS`, the first ones.
+        has_forgotten_domains: Whether there were more, so that a domain that is
+            not known may have had endpoints.
     """
 
     def __init__(self) -> None:
         self.revision = 0
         self.domains: set[base.FailureDomain] = set()
+        self.has_forgotten_domains = False
         self._known: dict[base.EndpointId, _KnownEndpoint] = {}
         self._tombstones: dict[base.EndpointId, tuple[int, float]] = {}
         self._departures: dict[base.EndpointId, tuple[int, float]] = {}
@@ -165,8 +169,16 @@
         self._known[announcement.endpoint] = _KnownEndpoint(announcement, now)
         if len(self.domains) < MAX_DOMAINS:
             self.domains.add(announcement.domain)
+        elif announcement.domain not in self.domains:
+            self.has_forgotten_domains = True
         return True
 
+    def knows_domain(self, domain: base.FailureDomain) -> bool:
+        """Whether an endpoint of a failure domain is, or was, known."""
+        return domain in self.domains or any(
+            announcement.domain == domain for announcement in self.all()
+        )
+
     def heard_at(self, endpoint: base.EndpointId) -> float | None:
         """Returns when an endpoint was last heard; None if it is unknown."""
         known = self._known.get(endpoint)
--- a/packages/node/src/banyanbank_node/_evacuation_orders.py
+++ b/packages/node/src/banyanbank_node/_evacuation_orders.py
@@ -106,8 +106,12 @@
         order: _messages.EvacuationOrder = _messages.CODEC.decode(data)
         if not self._is_known(order):
             await _leadership.ensure_current(self.stored)
-            if not self.calls.knows_endpoints:
-                # An endpoint that runs in this domain may not be known yet.
+            if (
+                not self.calls.knows_endpoints
+                or self.directory.has_forgotten_domains
+            ):
+                # An endpoint of this domain may not be known yet, or may have
+                # been forgotten.
                 raise _leadership.NotLeaderError
             return _messages.NotThere()
         command: typing.Any = (
@@ -124,7 +128,7 @@
         evacuations = self.stored.ledger.evacuations
         return (
             order.is_configured
-            or order.domain in self.directory.domains
+            or self.directory.knows_domain(order.domain)
             or order.domain in evacuations.domains
             or order.domain in evacuations.readmitted
         )
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -371,15 +371,42 @@
             announce()
             self.directory.withdraw(base.EndpointId("1"), 100.0, 200_000)
 
+        def announce_many() -> None:
+            for number in range(gateway.MAX_DOMAINS):
+                self.directory.apply(
+                    attrs.evolve(
+                        make_endpoint(str(number + 2)),
+                        domain=base.FailureDomain(f"other-{number}"),
+                        address=f"10.0.{number}.2:80",
+                    ),
+                    100.0,
+                )
+
+        def announce_after_many() -> None:
+            announce_many()
+            announce()
+
+        def announce_after_many_and_withdraw() -> None:
+            announce_many()
+            announce_and_withdraw()
+
         def start_leading() -> None:
             self.calls.led_since = 99.0
 
+        unknown = _messages.NotThere()
         for name, prepare, expected in (
-            ("nowhere", lambda: None, _messages.NotThere()),
+            ("nowhere", lambda: None, unknown),
             ("new leader", start_leading, base.Outcome.NOT_RUN),
             ("in the settings", lambda: self.regions.update({ZONE: "r"}), 1),
             ("announced", announce, 1),
             ("its endpoints are gone", announce_and_withdraw, 1),
+            ("as many domains as are remembered", announce_many, unknown),
+            ("announced after many domains", announce_after_many, 1),
+            (
+                "its endpoints are gone after many domains",
+                announce_after_many_and_withdraw,
+                base.Outcome.NOT_RUN,
+            ),
         ):
             with self.subTest(name):
                 self.setUp()
