Move the directory of an entry to a module of its own

What an entry does with the directories that it receives, and without contact, is one concept with its own state: source, revision, and the endpoints that the leader listed. Behaviour and events stay.

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -12,6 +12,7 @@
 from banyanbank_node import _background
 from banyanbank_node import _change_notifier
 from banyanbank_node import _endpoint_limits
+from banyanbank_node import _entry_directory
 from banyanbank_node import _entry_evacuations
 from banyanbank_node import _event_log
 from banyanbank_node import _messages
@@ -60,7 +61,6 @@
 
     Attributes:
         table: Routes in force; None before the first document arrives.
-        directory: Endpoints that are considered alive.
         last_contact_at: Time of the last answer of a leader, on the monotonic
             clock; None before the first one.
         on_document: Called with each document that comes into force.
@@ -103,12 +103,9 @@
         self._evacuations = _entry_evacuations.EntryEvacuations(events)
         self._has_unreadable_document = False
         self._is_running = False
-        self._directory_source = ""
-        self._directory_revision = 0
-        self._leader_endpoints: set[base.EndpointId] = set()
+        self._endpoints = _entry_directory.EntryDirectory(events)
         self._polling: defer.Deferred[None] | None = None
         self.table: gateway.RouteTable | None = None
-        self.directory = gateway.Directory()
         self.last_contact_at: float | None = None
         self.answers = _change_notifier.ChangeNotifier(reactor)
         self.on_document: typing.Callable[[gateway.Document], None] = (
@@ -127,6 +124,11 @@
         if self._polling is not None:
             self._polling.cancel()
 
+    @property
+    def directory(self) -> gateway.Directory:
+        """Endpoints that are considered alive."""
+        return self._endpoints.directory
+
     @property
     def evacuations(self) -> gateway.Evacuations:
         """Failure domains to whose endpoints nothing is sent."""
@@ -182,8 +184,11 @@
             evacuations=self.evacuations.revision,
             contact_age_ms=self.contact_age_ms,
         )
-        self.directory.renew_all(self._clock.now())
-        self._forget_old_cold_states()
+        self._endpoints.keep_without_contact(
+            self._clock.now(),
+            self.last_contact_at,
+            None if self.table is None else self.table.document,
+        )
         # A store of an earlier release cannot read what the next poll leaves
         # out.
         self._limits_revision = 0
@@ -194,29 +199,14 @@
         self._shared.note_lost_contact(self._contact_age_s)
         return False
 
-    def _forget_old_cold_states(self) -> None:
-        """Takes endpoints for warm once they cannot be cold since long ago.
-
-        Without contact, an endpoint that was cold would else stay unused, as
-        there are no permits.
-        """
-        if self.table is None or self.last_contact_at is None:
-            return
-        cold_until = self.last_contact_at + gateway.find_longest_cold_s(
-            self.table.document
-        )
-        if self._clock.now() > cold_until and self.directory.forget_cold():
-            # The leader sends the directory with its cold states again.
-            self._directory_revision = 0
-
     def _make_request(self) -> _messages.SyncRequest:
         return _messages.SyncRequest(
             entry=self._entry_name,
             document_number=0
             if self.table is None
             else self.table.document.number,
-            directory_of=self._directory_source,
-            directory_revision=self._directory_revision,
+            directory_of=self._endpoints.source,
+            directory_revision=self._endpoints.revision,
             usage=self._usage.report(self._true_time.now()),
             limits_revision=self._limits_revision,
             condemned_revision=self._condemned_revision,
@@ -315,7 +305,7 @@
             )
         self._true_time.set_time(answer.true_time)
         self._learn_stores(path, answer, now - sent_at)
-        self._renew_directory(answer, now)
+        self._endpoints.apply(answer, now)
         self._apply_limits(answer)
         self._apply_figures(answer)
         if not self._has_unreadable_document:
@@ -336,21 +326,6 @@
             self._near_stores.learn(answer.stores), "domains", self._events
         )
 
-    def _renew_directory(
-        self, answer: _messages.SyncAnswer, now: float
-    ) -> None:
-        if answer.directory_of != self._directory_source:
-            # A new leader may have received few announcements so far.
-            self.directory.renew_all(now)
-        if answer.directory is not None:
-            self._apply_directory(answer, answer.directory, now)
-        self.directory.renew(
-            self._leader_endpoints, keep_unlisted=not answer.is_settled, now=now
-        )
-        self.directory.expire(now)
-        self._directory_source = answer.directory_of
-        self._directory_revision = answer.directory_revision
-
     def _apply_limits(self, answer: _messages.SyncAnswer) -> None:
         """Applies rate limits and condemned requests."""
         if answer.limits is not None:
@@ -379,26 +354,6 @@
             () if part is None else part.latencies,
         )
 
-    def _apply_directory(
-        self, answer: _messages.SyncAnswer, encoded: bytes, now: float
-    ) -> None:
-        part: _messages.DirectoryPart = _messages.CODEC.decode(encoded)
-        for ended_life in part.ended:
-            self.directory.end_incarnation(
-                ended_life.endpoint, ended_life.born_ms, now
-            )
-        for announcement in part.announcements:
-            self.directory.apply(announcement, now)
-        self._leader_endpoints = {
-            announcement.endpoint for announcement in part.announcements
-        }
-        self._events.write(
-            "endpoints.changed",
-            source=answer.directory_of,
-            revision=answer.directory_revision,
-            known=len(self.directory),
-        )
-
     def _apply_document(
         self, compressed: bytes, source: str, contact_age_ms: int | None
     ) -> bool:
