Tell entries that an endpoint they report as cold is warm

What callers saw: nothing at once; an entry went on to ask for permits for a warm endpoint, and used it after all others, until anything else changed in the directory.

Cause: a new leader that missed the last announcement of the cold state sends entries the one before, which they ignore as older. The next announcement, of the warm endpoint, changes no routing at the leader, so no entry received it. The entry's reports of the cold endpoint do not change that, since the leader knows better.

Change: a report that is refuted has entries receive the directory again, once for each announcement that entries report.

Conclusion: entries stop to take an endpoint for cold with the poll after their report.

--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -197,6 +197,10 @@
         self.revision += 1
         return True
 
+    def send_again(self) -> None:
+        """Has entries receive all announcements, also without a change."""
+        self.revision += 1
+
     def forget_cold(self) -> bool:
         """Takes all endpoints for warm; returns whether any was cold."""
         cold = [
--- a/packages/node/src/banyanbank_node/_cold_endpoints.py
+++ b/packages/node/src/banyanbank_node/_cold_endpoints.py
@@ -46,6 +46,7 @@
         self._applied_readmissions: dict[base.FailureDomain, float] = {}
         self._cold_since: dict[base.EndpointId, float] = {}
         self._reported: dict[base.EndpointId, gateway.ColdReport] = {}
+        self._refuted: dict[base.EndpointId, gateway.ColdReport] = {}
         self._seen_revision = -1
 
     def find_rate(self, target: gateway.Announcement) -> float | None:
@@ -123,6 +124,8 @@
         """Takes the endpoints for cold that an entry knows to be.
 
         Their next announcements that are newer than the reports decide again.
+        If this store knows a newer one already, it has entries receive it; the
+        directory has not changed since they received one that was older.
 
         Args:
             reports: What the entry knows.
@@ -140,14 +143,13 @@
                 known is None
                 or heard_at is None
                 or self._find_service_rate(known) is None
-                or gateway.is_refuted(report, known, heard_at >= led_since)
             ):
                 continue
-            newest = self._reported.get(report.endpoint, report)
-            self._reported[report.endpoint] = max(
-                newest, report, key=lambda one: one.order_key
-            )
-            self._directory.mark_cold(report.endpoint)
+            if not gateway.is_refuted(report, known, heard_at >= led_since):
+                _keep_newest(self._reported, report)
+                self._directory.mark_cold(report.endpoint)
+            elif _keep_newest(self._refuted, report):
+                self._directory.send_again()
         return self._directory.revision != old_revision
 
     def observe(self) -> collections.abc.Collection[base.EndpointId]:
@@ -155,9 +157,10 @@
         if self._seen_revision == self._directory.revision:
             return self._cold_since.keys()
         self._seen_revision = self._directory.revision
-        for endpoint in list(self._reported):
-            if self._directory.get(endpoint) is None:
-                del self._reported[endpoint]
+        for reports in (self._reported, self._refuted):
+            for endpoint in list(reports):
+                if self._directory.get(endpoint) is None:
+                    del reports[endpoint]
         now = self._clock.now()
         cold = {
             announcement.endpoint: announcement
@@ -188,6 +191,7 @@
         self._meters.cold_endpoints.set(0)
         self._cold_since.clear()
         self._reported.clear()
+        self._refuted.clear()
         self._seen_revision = -1
 
     def count_decision(
@@ -229,3 +233,15 @@
         return gateway.find_cold_rate(
             None if table is None else table.document, announcement.service
         )
+
+
+def _keep_newest(
+    reports: dict[base.EndpointId, gateway.ColdReport],
+    report: gateway.ColdReport,
+) -> bool:
+    """Keeps a report unless one as new is kept; returns whether it does."""
+    kept = reports.get(report.endpoint)
+    if kept is not None and kept.order_key >= report.order_key:
+        return False
+    reports[report.endpoint] = report
+    return True
