--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -2,8 +2,10 @@
 
 from banyanbank_gateway._attempt_samples import AttemptSample
 from banyanbank_gateway._attempt_samples import SampleLog
+from banyanbank_gateway._cold_state import ColdReport
 from banyanbank_gateway._cold_state import find_cold_rate
 from banyanbank_gateway._cold_state import find_longest_cold_s
+from banyanbank_gateway._cold_state import is_refuted
 from banyanbank_gateway._cold_state import may_be_cold
 from banyanbank_gateway._crash_suspects import CondemnedRequest
 from banyanbank_gateway._crash_suspects import CrashSuspects
@@ -12,6 +14,7 @@
 from banyanbank_gateway._directory import Directory
 from banyanbank_gateway._directory import EndpointState
 from banyanbank_gateway._directory import LoadedModel
+from banyanbank_gateway._directory import MAX_DOMAINS
 from banyanbank_gateway._documents import Document
 from banyanbank_gateway._documents import EngineShape
 from banyanbank_gateway._documents import InvalidDocumentError
@@ -52,12 +55,14 @@
 from banyanbank_gateway._usage import WindowCounts
 
 __all__ = [
+    "MAX_DOMAINS",
     "MAX_FIGURES_AGE_S",
     "MAX_PERMIT_AGE_S",
     "MAX_SECOND_ATTEMPT_SHARE",
     "Announcement",
     "AttemptSample",
     "Backoff",
+    "ColdReport",
     "CondemnedRequest",
     "CrashSuspects",
     "Directory",
@@ -99,6 +104,7 @@
     "find_cold_rate",
     "find_longest_cold_s",
     "find_shared_services",
+    "is_refuted",
     "may_be_cold",
     "rank_services",
     "summarize_latencies",
--- a/packages/node/src/banyanbank_node/_cold_endpoints.py
+++ b/packages/node/src/banyanbank_node/_cold_endpoints.py
@@ -45,6 +45,8 @@
         self._meters = meters
         self._applied_readmissions: dict[base.FailureDomain, float] = {}
         self._cold_since: dict[base.EndpointId, float] = {}
+        self._reported: dict[base.EndpointId, gateway.ColdReport] = {}
+        self._refuted: dict[base.EndpointId, gateway.ColdReport] = {}
         self._seen_revision = -1
 
     def find_rate(self, target: gateway.Announcement) -> float | None:
@@ -77,6 +79,8 @@
     def judge(self, announcement: gateway.Announcement) -> gateway.Announcement:
         """Returns a received announcement with the state that is assumed."""
         announcement = self._drop_without_rate(announcement)
+        if self._is_older_than_report(announcement):
+            return attrs.evolve(announcement, is_cold=True)
         readmissions = self._stored.ledger.evacuations.readmitted
         if (
             not readmissions
@@ -112,11 +116,51 @@
                 self._directory.mark_cold(announcement.endpoint)
         return self._directory.revision != old_revision
 
+    def apply_reports(
+        self,
+        reports: collections.abc.Iterable[gateway.ColdReport],
+        led_since: float,
+    ) -> bool:
+        """Takes the endpoints for cold that an entry knows to be.
+
+        Their next announcements that are newer than the reports decide again.
+        If this store knows a newer one already, it has entries receive it; the
+        directory has not changed since they received one that was older.
+
+        Args:
+            reports: What the entry knows.
+            led_since: When the lease of this store began, on the monotonic
+                clock.
+
+        Returns:
+            Whether the directory has changed.
+        """
+        old_revision = self._directory.revision
+        for report in reports:
+            known = self._directory.get(report.endpoint)
+            heard_at = self._directory.heard_at(report.endpoint)
+            if (
+                known is None
+                or heard_at is None
+                or self._find_service_rate(known) is None
+            ):
+                continue
+            if not gateway.is_refuted(report, known, heard_at >= led_since):
+                _keep_newest(self._reported, report)
+                self._directory.mark_cold(report.endpoint)
+            elif _keep_newest(self._refuted, report):
+                self._directory.send_again()
+        return self._directory.revision != old_revision
+
     def observe(self) -> collections.abc.Collection[base.EndpointId]:
         """Logs which endpoints became cold or warm; returns the cold ones."""
         if self._seen_revision == self._directory.revision:
             return self._cold_since.keys()
         self._seen_revision = self._directory.revision
+        for reports in (self._reported, self._refuted):
+            for endpoint in list(reports):
+                if self._directory.get(endpoint) is None:
+                    del reports[endpoint]
         now = self._clock.now()
         cold = {
             announcement.endpoint: announcement
@@ -146,6 +190,8 @@
         """Forgets what was logged; the next leader logs the cold endpoints."""
         self._meters.cold_endpoints.set(0)
         self._cold_since.clear()
+        self._reported.clear()
+        self._refuted.clear()
         self._seen_revision = -1
 
     def count_decision(
@@ -159,6 +205,16 @@
                 1, "granted" if is_granted else "refused"
             )
 
+    def _is_older_than_report(self, announcement: gateway.Announcement) -> bool:
+        """Whether an entry knows a newer announcement, of a cold endpoint."""
+        report = self._reported.get(announcement.endpoint)
+        if report is None:
+            return False
+        if announcement.order_key > report.order_key:
+            del self._reported[announcement.endpoint]
+            return False
+        return self._find_service_rate(announcement) is not None
+
     def _drop_without_rate(
         self, announcement: gateway.Announcement
     ) -> gateway.Announcement:
@@ -177,3 +233,15 @@
         return gateway.find_cold_rate(
             None if table is None else table.document, announcement.service
         )
+
+
+def _keep_newest(
+    reports: dict[base.EndpointId, gateway.ColdReport],
+    report: gateway.ColdReport,
+) -> bool:
+    """Keeps a report unless one as new is kept; returns whether it does."""
+    kept = reports.get(report.endpoint)
+    if kept is not None and kept.order_key >= report.order_key:
+        return False
+    reports[report.endpoint] = report
+    return True
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -7,6 +7,8 @@
 import banyanbank_gateway as gateway
 import banyanbank_jobs as jobs
 
+from banyanbank_node import _permit_messages
+
 SYNC = "store.sync"
 RELAY_SYNC = "store.relay_sync"
 AWAIT_ENTRIES = "store.await_entries"
@@ -19,8 +21,6 @@
 READ_BODY = "store.body"
 READ_LOG_POSITION = "store.log_position"
 READ_DOMAIN = "store.domain"
-TAKE_PERMIT = "store.permit"
-REPORT_LIMITS = "store.limits"
 REPORT_CONDEMNED = "store.condemned"
 JOIN = "store.join"
 RETIRE = "store.retire"
@@ -28,9 +28,6 @@
 HEARD = "store.heard"
 """Channel on which a store relays announcements to the other stores."""
 
-LIMITS = "store.known_limits"
-"""Channel on which the leader tells the other stores of rate limits."""
-
 
 @attrs.frozen
 class StoreAnswer:
@@ -68,7 +65,7 @@
     """`SyncAnswer.issued_at` of the last answer that it received, likewise; 0
     for none."""
     evacuation_revision: int = 0
-    """Revision of the evacuations that it received last."""
+    """Revision of the evacuations that it acts on."""
     figures_revision: int = 0
     """Revision of the figures of endpoints that it received last, likewise."""
     samples: tuple[gateway.AttemptSample, ...] = ()
@@ -123,7 +120,8 @@
     limits_revision: int = 0
     """Revision of the rate limits."""
     limits: bytes | None = None
-    """Encoded `LimitsPart`; None if the entry already has this revision."""
+    """Encoded `_permit_messages.LimitsPart`; None if the entry already has this
+    revision."""
     condemned_revision: int = 0
     """Revision of the condemned requests."""
     condemned: tuple[gateway.CondemnedRequest, ...] = ()
@@ -133,6 +131,9 @@
     returns it with its next poll, which proves that the answer arrived."""
     evacuations: gateway.Evacuations = attrs.Factory(gateway.Evacuations)
     """Evacuated failure domains and their revision."""
+    cluster: str = ""
+    """Identity of the replicated log that counts this revision; empty if both
+    the log and the entry know no evacuations."""
     figures_revision: int = 0
     """Revision of the figures of endpoints; 0 if the configuration has no
     shared services."""
@@ -208,14 +209,6 @@
     """Revision of the evacuations that follows from it, or a later one."""
 
 
-@attrs.frozen
-class LimitsPart:
-    """Rate limits that endpoints state, or no longer state."""
-
-    observations: tuple[gateway.LimitObservation, ...]
-    """Newest observation of each endpoint."""
-
-
 @attrs.frozen
 class CondemnedPart:
     """Requests that are taken to end their endpoints."""
@@ -224,26 +217,6 @@
     """The requests."""
 
 
-@attrs.frozen
-class PermitRequest:
-    """Asks to send a request to one of several endpoints with a limit."""
-
-    endpoints: tuple[base.EndpointId, ...]
-    """Endpoints, in order of preference."""
-    limits: tuple[gateway.LimitObservation, ...]
-    """Rate limits of these endpoints, as the entry knows them."""
-
-
-@attrs.frozen
-class PermitAnswer:
-    """Grants or refuses to send a request."""
-
-    endpoint: str
-    """Endpoint that the request may be sent to; empty for none."""
-    retry_after_s: float
-    """If none: seconds after which to try again."""
-
-
 @attrs.frozen
 class Withdrawal:
     """Announces that an endpoint leaves immediately."""
@@ -366,7 +339,7 @@
     SyncRequest,
     SyncAnswer,
     DirectoryPart,
-    LimitsPart,
+    _permit_messages.LimitsPart,
     RelayedSync,
     AwaitEntries,
     EntriesStatus,
@@ -374,8 +347,8 @@
     EvacuationState,
     CondemnedPart,
     FiguresPart,
-    PermitRequest,
-    PermitAnswer,
+    _permit_messages.PermitRequest,
+    _permit_messages.PermitAnswer,
     gateway.Announcement,
     Withdrawal,
     Accepted,
@@ -401,6 +374,8 @@
         AwaitEntries,
         gateway.Announcement,
         FiguresPart,
+        _permit_messages.PermitRequest,
+        _permit_messages.PermitAnswer,
     ),
 )
 """Codec of all messages between entries and stores."""
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -19,6 +19,7 @@
 from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
 from banyanbank_node import _messages
+from banyanbank_node import _permit_messages
 from banyanbank_node import _result_reads
 from banyanbank_node import _store_client
 from banyanbank_node import _sync_part_cache
@@ -109,7 +110,7 @@
             reactor, clock, client, stored, self.results
         )
         transport.on_message(_messages.HEARD, self._handle_broadcast)
-        transport.on_message(_messages.LIMITS, self._handle_limits)
+        transport.on_message(_permit_messages.LIMITS, self._handle_limits)
         for method, handler in (
             (_messages.SYNC, self._handle_sync),
             (_messages.AWAIT_ENTRIES, self._handle_await_entries),
@@ -245,7 +246,7 @@
 
     def _handle_limits(self, sender: base.InstanceId, data: bytes) -> None:
         del sender
-        part: _messages.LimitsPart = _messages.CODEC.decode(data)
+        part: _permit_messages.LimitsPart = _messages.CODEC.decode(data)
         for observation in part.observations:
             self._limits.apply(observation)
 
@@ -385,8 +386,9 @@
         self._cold.apply_readmissions()
         return (
             req.document_number < self._stored.ledger.document_number
+            # It is higher if the cluster was formed anew.
             or req.evacuation_revision
-            < self._stored.ledger.evacuations.revision
+            != self._stored.ledger.evacuations.revision
             or req.directory_of != self._directory_id
             or req.directory_revision != self._directory.revision
             or req.limits_revision != self._limits.known.revision
@@ -414,9 +416,8 @@
             req.directory_of == self._directory_id
             and req.condemned_revision == self._suspects.revision
         )
-        figures_revision = (
-            0 if self._figures is None else self._figures.revision
-        )
+        revision = 0 if self._figures is None else self._figures.revision
+        status = self._stored.node.status()
         now = self._clock.now()
         self._contacts.record_answer(req.entry, now)
         return _messages.SyncAnswer(
@@ -434,9 +435,7 @@
                 self._directory_id, self._directory
             ),
             is_settled=self.knows_endpoints,
-            stores=tuple(
-                member.instance for member in self._stored.node.status().voters
-            ),
+            stores=tuple(member.instance for member in status.voters),
             true_time=self._true_time.now(),
             limits_revision=self._limits.known.revision,
             limits=None
@@ -450,8 +449,11 @@
             else self._suspects.condemned(self._true_time.now()),
             issued_at=now,
             evacuations=ledger.evacuations,
-            figures_revision=figures_revision,
-            figures=self._encode_figures(req, figures_revision),
+            cluster=status.cluster
+            if ledger.evacuations.revision or req.evacuation_revision
+            else "",
+            figures_revision=revision,
+            figures=self._encode_figures(req, revision),
         )
 
     def _encode_figures(
@@ -459,10 +461,8 @@
     ) -> bytes | None:
         """Returns the figures of endpoints if the entry lacks them."""
         is_same_source = req.directory_of == self._directory_id
-        if (
-            self._figures is None
-            or not revision
-            or (is_same_source and req.figures_revision == revision)
-        ):
+        if self._figures is None or not revision:
+            return None
+        if is_same_source and req.figures_revision == revision:
             return None
         return self._figures.encode(is_same_source)
