Revert the placement of items on unequal engines

Cause: moves needed a gain of 0.5 s and 30% of the rest beyond their cost, and none came within 2 s of another, so that items stayed on slow engines.

Change: revert merge.

Conclusion: single pauses still move items; a rule for that has to show its gain on a deployment.

--- a/packages/jobs/src/banyanbank_jobs/__init__.py
+++ b/packages/jobs/src/banyanbank_jobs/__init__.py
@@ -43,7 +43,6 @@
 from banyanbank_jobs._ledger import KeptText
 from banyanbank_jobs._ledger import Ledger
 from banyanbank_jobs._lengths import LengthEstimate
-from banyanbank_jobs._moves import MoveReason
 from banyanbank_jobs._records import expected_tokens
 from banyanbank_jobs._records import ItemOutcome
 from banyanbank_jobs._records import ItemResult
@@ -54,7 +53,6 @@
 from banyanbank_jobs._scheduler import FAILED_RETRY_DELAY_S
 from banyanbank_jobs._scheduler import MAX_BACKOFF_REJECTIONS
 from banyanbank_jobs._scheduler import MIN_RETRY_DELAY_S
-from banyanbank_jobs._scheduler import Move
 from banyanbank_jobs._scheduler import Placement
 from banyanbank_jobs._scheduler import Scheduler
 from banyanbank_jobs._scorer_queue import max_scorer_calls
@@ -108,8 +106,6 @@
     "ListResult",
     "LoadOrder",
     "MarkReported",
-    "Move",
-    "MoveReason",
     "NameVersion",
     "NotFound",
     "Placement",
--- a/packages/jobs/src/banyanbank_jobs/_engine_selection.py
+++ b/packages/jobs/src/banyanbank_jobs/_engine_selection.py
@@ -6,7 +6,6 @@
 
 from banyanbank_jobs import _engines
 from banyanbank_jobs import _item_progress
-from banyanbank_jobs import _moves
 
 LOAD_COST = 0.5
 """Cost of a fully loaded engine, in units of the shortest event interval."""
@@ -25,11 +24,6 @@
 """Time for which a text of one version waits for a suspect engine that could
 continue it, before it is begun anew elsewhere."""
 
-SHORT_TEXT_EVENTS = 30.0
-"""Texts up to this length weigh speed against load and prefix as above. For
-longer ones, speed counts in proportion, since the time on a slow engine adds up
-while the load and the prefix cost the same."""
-
 FindServices = collections.abc.Callable[
     [_item_progress.ItemProgress], collections.abc.Sequence[str]
 ]
@@ -124,28 +118,23 @@
         self,
         permitted: collections.abc.Sequence[_engines.EngineView],
         prefix_engine: base.EndpointId | None,
-        remaining_events: float = 0.0,
     ) -> _engines.EngineView | None:
         """Returns the best engine with a free slot, or None.
 
         Args:
             permitted: Engines that may run the item.
             prefix_engine: Engine that has cached the item's prompt prefix.
-            remaining_events: Events that its text is expected to lack.
         """
         healthy = self._healthy_with_slots(permitted)
         if not healthy:
             return self._choose_probe(permitted)
         shortest_interval_s = min(map(self._event_interval_s, healthy))
-        speed_weight = max(1.0, remaining_events / SHORT_TEXT_EVENTS)
 
         def cost(view: _engines.EngineView) -> float:
             used = 1 - self._free[view.endpoint] / max(1, view.slots)
             is_prefix_miss = view.endpoint != prefix_engine
             return (
-                speed_weight
-                * self._event_interval_s(view)
-                / shortest_interval_s
+                self._event_interval_s(view) / shortest_interval_s
                 + LOAD_COST * used
                 + PREFIX_MISS_COST * is_prefix_miss
                 + COLD_COST * view.is_cold
@@ -162,19 +151,15 @@
 
         Args:
             permitted: Engines that may run the item.
-            max_interval_s: Bound on the engine's time between events, which
-                also its error must not exceed.
+            max_interval_s: Bound on the engine's time between events.
         """
-
-        def interval_s(view: _engines.EngineView) -> float:
-            return _moves.cautious_interval_s(self._health.speed(view.endpoint))
-
         faster = [
             view
             for view in self._healthy_with_slots(permitted)
-            if interval_s(view) < max_interval_s and not view.is_cold
+            if self._event_interval_s(view) < max_interval_s
+            and not view.is_cold
         ]
-        return min(faster, key=interval_s, default=None)
+        return min(faster, key=self._event_interval_s, default=None)
 
     def _choose_probe(
         self, permitted: collections.abc.Sequence[_engines.EngineView]
@@ -208,7 +193,7 @@
         return not self._health.is_suspect(view.endpoint, self._now)
 
     def _event_interval_s(self, view: _engines.EngineView) -> float:
-        return self._health.speed(view.endpoint).event_interval_s
+        return self._health.mean_event_interval_s(view.endpoint)
 
 
 def may_run(
--- a/packages/jobs/src/banyanbank_jobs/_engines.py
+++ b/packages/jobs/src/banyanbank_jobs/_engines.py
@@ -5,7 +5,11 @@
 import attrs
 import banyanbank_base as base
 
-from banyanbank_jobs import _engine_speed
+NOMINAL_EVENT_INTERVAL_S = 0.04
+"""Time between two events of a stream, assumed before any is observed."""
+
+EVENT_INTERVAL_WEIGHT = 0.2
+"""Weight of the newest observation in the moving average."""
 
 SUSPECT_BACKOFF_S = 2.0
 """Time without new items after a failure; doubles with each further one."""
@@ -54,14 +58,14 @@
 @attrs.define
 class _EngineStats:
     born_ms: int = 0
-    speed: _engine_speed.SpeedWindow = attrs.Factory(_engine_speed.SpeedWindow)
+    event_interval_s: float = NOMINAL_EVENT_INTERVAL_S
     failed_at: float = -math.inf
     suspect_until: float = -math.inf
     consecutive_failures: int = 0
 
 
 class EngineHealth:
-    """Tracks the median event interval and the failures of engines.
+    """Tracks the average event interval and the failures of engines.
 
     One event, such as a reset of all connections, ends many runs at once. Runs
     that began before the last failure of their engine may have been ended by
@@ -89,7 +93,9 @@
             seconds: Time between the two events.
         """
         stats = self._stats.setdefault(endpoint, _EngineStats())
-        stats.speed.record(seconds)
+        stats.event_interval_s += EVENT_INTERVAL_WEIGHT * (
+            seconds - stats.event_interval_s
+        )
         stats.consecutive_failures = 0
 
     def record_first_event(
@@ -137,9 +143,11 @@
         stats = self._stats.get(endpoint)
         return stats is None or now >= stats.failed_at + PROBE_DELAY_S
 
-    def speed(self, endpoint: base.EndpointId) -> _engine_speed.SpeedEstimate:
-        """Returns the estimated time between events."""
+    def mean_event_interval_s(self, endpoint: base.EndpointId) -> float:
+        """Returns the average time between events."""
         stats = self._stats.get(endpoint)
-        if stats is None:
-            return _engine_speed.SpeedEstimate()
-        return stats.speed.estimate
+        return (
+            NOMINAL_EVENT_INTERVAL_S
+            if stats is None
+            else stats.event_interval_s
+        )
--- a/packages/jobs/src/banyanbank_jobs/_item_progress.py
+++ b/packages/jobs/src/banyanbank_jobs/_item_progress.py
@@ -1,7 +1,6 @@
 """Progress of the items of batch jobs that have no result yet."""
 
 import enum
-import math
 
 import attrs
 import banyanbank_base as base
@@ -50,8 +49,6 @@
     """Consecutive rejections by engines that did not run the item."""
     began_at: float = 0.0
     """Start time of the current run."""
-    moved_at: float = -math.inf
-    """Time of its last move to a faster engine."""
     is_spare: bool = False
     """Whether its trainer is expected to finish without its group."""
     has_restarted: bool = False
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -207,7 +207,7 @@
         "job item endpoint outcome detail last_event age_ms",
         "A run ended: generated, lost, stale (its kept connection had ended),"
         " withheld (this process did not send it), other version, refused or"
-        " moved. `detail` of a move: why, and to which engine.",
+        " moved.",
     ),
     _make_kind(
         "item.restarted",
--- a/packages/node/src/banyanbank_node/_item_runs.py
+++ b/packages/node/src/banyanbank_node/_item_runs.py
@@ -1,7 +1,6 @@
 """Runs the items of batch jobs on engines, on the leader only."""
 
 import contextlib
-import math
 import typing
 
 import attrs
@@ -41,10 +40,6 @@
 MEAN_RUN_WEIGHT = 0.02
 """Weight of the newest run in the average; a step has tens of items."""
 
-LEADER_START_WITHOUT_MOVES_S = 2.0
-"""Time after the start of a leader in which no item moves: it has nominal
-speeds at first and hears of few events."""
-
 UNPROCESSABLE = 422
 FAILED = 500
 
@@ -112,7 +107,6 @@
             jobs.ItemProgress, defer.Deferred[typing.Any]
         ] = {}
         self._has_loaded_jobs = False
-        self._moves_from = math.inf
         self.mean_run_s = INITIAL_MEAN_RUN_S
         self._partial_texts = _partial_texts.PartialTexts(clock, stored, events)
 
@@ -123,7 +117,6 @@
         """
         if not self._has_loaded_jobs:
             self._has_loaded_jobs = True
-            self._moves_from = self._clock.now() + LEADER_START_WITHOUT_MOVES_S
             for state in self._stored.ledger.jobs.values():
                 self._scheduler.add_job(state)
         self._cancel_silent_runs()
@@ -172,21 +165,14 @@
                 self._start_run(placement.item, announcement, now)
 
     def _move_slow_runs(self) -> None:
-        now = self._clock.now()
-        if now < self._moves_from or not self._stored.has_lease:
-            return
-        for move in self._scheduler.plan_moves(self._engine_views(), now):
-            run = self._runs.get(move.item)
-            announcement = self._engines.get(move.engine)
-            if run is None or run.task is None or announcement is None:
-                continue
-            self._log.write_end(
-                run, "moved", f"{move.reason.value}; to {move.engine}"
-            )
-            self._meters.item_moves.add(1, move.reason.value)
-            self._scheduler.mark_moved(move, now)
-            self._start_run(move.item, announcement, now)
-            run.task.cancel()
+        for item in self._scheduler.plan_moves(
+            self._engine_views(), self._clock.now()
+        ):
+            run = self._runs.get(item)
+            if run is not None and run.task is not None:
+                self._log.write_end(run, "moved", "engine has become slow")
+                self._requeue(run, 0.0)
+                run.task.cancel()
 
     def _engine_views(self) -> list[jobs.EngineView]:
         return [self._add_room(view) for view in self._engines.views()]
--- a/packages/node/src/banyanbank_node/_meters.py
+++ b/packages/node/src/banyanbank_node/_meters.py
@@ -20,7 +20,6 @@
         requests: Latency of requests in seconds, by part.
         items: Latency of batch job items in seconds, by part.
         leader_contact_age: Seconds since the last answer of a leader.
-        item_moves: Moves of running items to other engines, by reason.
         open_items: Batch job items without a result, by stage.
         evacuated_domains: Failure domains that this process holds evacuated.
         cold_endpoints: Endpoints that the leader takes for cold.
@@ -59,11 +58,6 @@
             "banyanbank_belief_age_seconds",
             "Seconds since the leader was heard.",
         )
-        self.item_moves = self.registry.counter(
-            "banyanbank_item_moves_total",
-            "Moves of running items to other engines, by reason.",
-            "reason",
-        )
         self.open_items = self.registry.gauge(
             "banyanbank_open_items",
             "Items of batch jobs without a result, by stage.",
