--- a/tests/platform/test_check_config.py
+++ b/tests/platform/test_check_config.py
@@ -409,7 +409,12 @@
             check=True,
         )
         self.assertIn(b"banyanbank_platform._document", done.stderr)
-        for name in (b"document_check", b"_check_", b"_document_errors"):
+        for name in (
+            b"document_check",
+            b"_check_",
+            b"_document_errors",
+            b"_zone_command",
+        ):
             self.assertNotIn(name, done.stderr)
 
 
