Move the polls of entries out of the module of a store's calls

_store_calls.py had 468 lines and held two concepts: how a call reaches its handler, and what entries are sent and known to act on.

_entry_polls.py now answers the polls of entries, passes them on, and answers which entries do not act on a change yet. StoreCalls keeps the dispatch of calls, the messages of endpoints, commits and its public members, and has 291 lines. Behaviour is unchanged.

Evidence: tests.node (185 tests), tests.platform.test_evacuations and tests.platform.test_configuration pass.

--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -12,8 +12,7 @@
 from banyanbank_node import _change_notifier
 from banyanbank_node import _cold_endpoints
 from banyanbank_node import _endpoint_limits
-from banyanbank_node import _entry_contacts
-from banyanbank_node import _entry_sync
+from banyanbank_node import _entry_polls
 from banyanbank_node import _event_log
 from banyanbank_node import _figure_source
 from banyanbank_node import _leadership
@@ -21,11 +20,6 @@
 from banyanbank_node import _messages
 from banyanbank_node import _result_reads
 from banyanbank_node import _store_client
-from banyanbank_node import _sync_part_cache
-
-MIN_RECHECK_S = 0.02
-"""Minimum delay between two checks which entries act on a change, unless one
-polls."""
 
 DIRECTORY_SETTLE_S = 3.0
 """Time after which a new leader knows every running endpoint."""
@@ -87,7 +81,6 @@
         figures: _figure_source.FigureSource | None = None,
     ) -> None:
         self._cold = cold
-        self._figures = figures
         self._domain = domain
         self._suspects = suspects
         self._limits = limits
@@ -96,23 +89,35 @@
         self._client = client
         self._stored = stored
         self._directory = directory
-        self._usage = usage
         self._true_time = true_time
         self._events = events
-        self._encoded_parts = _sync_part_cache.SyncPartCache()
-        self._contacts = _entry_contacts.EntryContacts()
-        self._polls = _change_notifier.ChangeNotifier(reactor)
         self.changes = _change_notifier.ChangeNotifier(reactor)
         self.results = _change_notifier.ChangeNotifier(reactor)
         self.led_since: float | None = None
+        self._polls = _entry_polls.EntryPolls(
+            reactor,
+            clock,
+            transport.instance,
+            client,
+            stored,
+            directory,
+            usage,
+            true_time,
+            limits,
+            suspects,
+            cold,
+            figures,
+            self.changes,
+            lambda: self.knows_endpoints,
+        )
         reads = _result_reads.ResultReads(
             reactor, clock, client, stored, self.results
         )
         transport.on_message(_messages.HEARD, self._handle_broadcast)
         transport.on_message(_messages.LIMITS, self._handle_limits)
         for method, handler in (
-            (_messages.SYNC, self._handle_sync),
-            (_messages.AWAIT_ENTRIES, self._handle_await_entries),
+            (_messages.SYNC, self._polls.answer_poll),
+            (_messages.AWAIT_ENTRIES, self._polls.await_entries),
             (_messages.ANNOUNCE, self._handle_announce),
             (_messages.WITHDRAW, self._handle_withdraw),
             (_messages.PROPOSE, self._handle_propose),
@@ -123,7 +128,7 @@
         ):
             self.serve(method, handler)
         self.serve(
-            _messages.RELAY_SYNC, self._handle_relay_sync, at_followers=True
+            _messages.RELAY_SYNC, self._polls.relay_poll, at_followers=True
         )
         self.serve(
             _messages.READ_RESULTS, reads.read_results, at_followers=True
@@ -204,17 +209,11 @@
 
     def note_document(self, number: int) -> None:
         """Records that this store applied a document, and answers polls."""
-        self._contacts.record_document(number, self._clock.now())
-        self.changes.wake()
-        self._polls.wake()
+        self._polls.note_document(number)
 
     def note_evacuations(self) -> None:
         """Records that this store applied an order, and answers polls."""
-        self._contacts.record_evacuations(
-            self._stored.ledger.evacuations.revision, self._clock.now()
-        )
-        self.changes.wake()
-        self._polls.wake()
+        self._polls.note_evacuations()
 
     @property
     def knows_endpoints(self) -> bool:
@@ -290,179 +289,3 @@
     ) -> object:
         del sender, data
         return _messages.StoreDomain(self._domain)
-
-    async def _handle_sync(
-        self, sender: base.InstanceId, data: bytes
-    ) -> object:
-        del sender
-        req: _messages.SyncRequest = _messages.CODEC.decode(data)
-        self._usage.replace_counts(req.entry, req.usage)
-        if self._figures is not None:
-            self._figures.add(req.entry, req.samples)
-        self._contacts.begin_epoch(self._directory_id, self._clock.now())
-        self._contacts.record_poll(
-            req.entry, req.directory_of, req.answer_issued_at
-        )
-        self._polls.wake()
-        deadline = self._clock.now() + _entry_sync.LONG_POLL_TIMEOUT_S
-        while not self._has_changes(req):
-            if not await self.changes.wait(deadline):
-                break
-        await _leadership.ensure_current(self._stored)
-        return self._make_sync_answer(req)
-
-    async def _handle_relay_sync(
-        self, sender: base.InstanceId, data: bytes
-    ) -> object:
-        del sender
-        req: _messages.SyncRequest = _messages.CODEC.decode(data)
-        timeout_s = (
-            _entry_sync.LONG_POLL_TIMEOUT_S + _entry_sync.RESPONSE_MARGIN_S
-        )
-        answered = await self._client.call_raw(
-            _messages.SYNC,
-            data,
-            self._clock.now() + timeout_s,
-            timeout_s,
-            is_relayed=True,
-        )
-        if isinstance(answered, result.Success):
-            return _messages.RelayedSync(answered.unwrap(), None)
-        return _messages.RelayedSync(None, self._find_newer_document(req))
-
-    def _find_newer_document(self, req: _messages.SyncRequest) -> bytes | None:
-        ledger = self._stored.ledger
-        if ledger.document_number <= req.document_number:
-            return None
-        return self._encoded_parts.document(
-            ledger.document_number, ledger.document
-        )
-
-    async def _handle_await_entries(
-        self, sender: base.InstanceId, data: bytes
-    ) -> object:
-        del sender
-        req: _messages.AwaitEntries = _messages.CODEC.decode(data)
-        deadline = self._clock.now() + req.wait_s
-        while True:
-            now = self._clock.now()
-            status = self._find_entries_status(req, now)
-            if status.is_settled or now >= deadline:
-                break
-            next_loss = self._contacts.find_next_loss(
-                req.document_number, now, req.evacuation_revision
-            )
-            await self._polls.wait(
-                min(deadline, max(next_loss, now + MIN_RECHECK_S))
-            )
-        await _leadership.ensure_current(self._stored)
-        return status
-
-    def _find_entries_status(
-        self, req: _messages.AwaitEntries, now: float
-    ) -> _messages.EntriesStatus:
-        ledger = self._stored.ledger
-        if (
-            ledger.document_number < req.document_number
-            or ledger.evacuations.revision < req.evacuation_revision
-        ):
-            return _messages.EntriesStatus((), is_counting=True)
-        # Entries without any document serve nothing, but those that have one
-        # do not wait for the first evacuation.
-        if not (req.evacuation_revision or ledger.has_replaced_document):
-            return _messages.EntriesStatus((), is_counting=False)
-        self._contacts.begin_epoch(self._directory_id, now)
-        return _messages.EntriesStatus(
-            tuple(
-                self._contacts.find_outdated(
-                    req.document_number, now, req.evacuation_revision
-                )
-            ),
-            is_counting=not self._contacts.is_complete(now),
-        )
-
-    def _has_changes(self, req: _messages.SyncRequest) -> bool:
-        self._cold.apply_readmissions()
-        return (
-            req.document_number < self._stored.ledger.document_number
-            or req.evacuation_revision
-            < self._stored.ledger.evacuations.revision
-            or req.directory_of != self._directory_id
-            or req.directory_revision != self._directory.revision
-            or req.limits_revision != self._limits.known.revision
-            or req.condemned_revision != self._suspects.revision
-        )
-
-    @property
-    def _directory_id(self) -> str:
-        return f"{self._mesh.instance}/{self._stored.node.epoch}"
-
-    def _make_sync_answer(
-        self, req: _messages.SyncRequest
-    ) -> _messages.SyncAnswer:
-        ledger = self._stored.ledger
-        needs_document = req.document_number < ledger.document_number
-        has_directory = (
-            req.directory_of == self._directory_id
-            and req.directory_revision == self._directory.revision
-        )
-        has_limits = not self._limits.known.all() or (
-            req.directory_of == self._directory_id
-            and req.limits_revision == self._limits.known.revision
-        )
-        has_condemned = (
-            req.directory_of == self._directory_id
-            and req.condemned_revision == self._suspects.revision
-        )
-        figures_revision = (
-            0 if self._figures is None else self._figures.revision
-        )
-        now = self._clock.now()
-        self._contacts.record_answer(req.entry, now)
-        return _messages.SyncAnswer(
-            document_number=ledger.document_number,
-            document=self._encoded_parts.document(
-                ledger.document_number, ledger.document
-            )
-            if needs_document
-            else None,
-            directory_of=self._directory_id,
-            directory_revision=self._directory.revision,
-            directory=None
-            if has_directory
-            else self._encoded_parts.directory(
-                self._directory_id, self._directory
-            ),
-            is_settled=self.knows_endpoints,
-            stores=tuple(
-                member.instance for member in self._stored.node.status().voters
-            ),
-            true_time=self._true_time.now(),
-            limits_revision=self._limits.known.revision,
-            limits=None
-            if has_limits
-            else self._encoded_parts.limits(
-                self._directory_id, self._limits.known
-            ),
-            condemned_revision=self._suspects.revision,
-            condemned=()
-            if has_condemned
-            else self._suspects.condemned(self._true_time.now()),
-            issued_at=now,
-            evacuations=ledger.evacuations,
-            figures_revision=figures_revision,
-            figures=self._encode_figures(req, figures_revision),
-        )
-
-    def _encode_figures(
-        self, req: _messages.SyncRequest, revision: int
-    ) -> bytes | None:
-        """Returns the figures of endpoints if the entry lacks them."""
-        is_same_source = req.directory_of == self._directory_id
-        if (
-            self._figures is None
-            or not revision
-            or (is_same_source and req.figures_revision == revision)
-        ):
-            return None
-        return self._figures.encode(is_same_source)
