Move the calls for batch jobs out of the entry's module

_entry.py had 517 lines; a third of them were the calls to the stores for batch jobs, beside the handling of requests.

_job_calls.py now submits and ends batch jobs and reads their results (`Entry.jobs`), and _entry_refusals.py holds the refusals that both use. The deadline of a request that has just arrived is a method of CallerRequest. _entry.py has 371 lines. Behaviour is unchanged.

Annotations of _job_calls.py are not evaluated: evaluated ones load the ledger and the scheduler at the start of each entry, and tests.platform.test_deferred_imports failed in a trial with them ('banyanbank_jobs._ledger' unexpectedly found).

tests.node.test_entry uses the new names; its checks are the same.

Evidence: tests.node (185 tests), tests.platform.test_deferred_imports, test_imports and test_warm_up (9 tests) pass.

--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -2,23 +2,21 @@
 
 from __future__ import annotations
 
-import math
 import typing
 
-import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-import banyanbank_jobs as jobs
-from returns import result
 
 from banyanbank_node import _background
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _endpoint_sender
+from banyanbank_node import _entry_refusals
 from banyanbank_node import _entry_sync
 from banyanbank_node import _event_log
 from banyanbank_node import _forwarder
 from banyanbank_node import _forwarding
+from banyanbank_node import _job_calls
 from banyanbank_node import _messages
 from banyanbank_node import _near_stores
 from banyanbank_node import _node
@@ -31,21 +29,12 @@
 from banyanbank_node import _shutdown
 from banyanbank_node import _startup_wait
 
-JOB_CALL_TIMEOUT_S = 2.5
-"""Time limit for the stores to accept or end a batch job."""
-
-READ_TIMEOUT_MARGIN_S = 1.0
-"""Time that a read of results may take in addition to its wait time."""
-
 REPORT_TIMEOUT_S = 1.0
 """Time limit for telling the leader of a request that ends its endpoints."""
 
 SHUTDOWN_RETRY_AFTER_S = 0.05
 """Retry-After of a refusal during a shutdown; other instances serve."""
 
-NO_LEADER_RETRY_AFTER_S = 0.5
-"""Retry-After of a refusal because no leader answered."""
-
 
 class Entry:
     """Serves callers with the configuration and directory of the leader.
@@ -55,6 +44,9 @@
         reactor: Twisted reactor for sockets and timers.
         wire: Adapter for header names and body formats.
         log_fd: File descriptor of the event log.
+
+    Attributes:
+        jobs: Calls to the stores for batch jobs.
     """
 
     def __init__(
@@ -78,12 +70,18 @@
             self.node.sleep,
             self.node.rng,
         )
-        self._near_stores = _near_stores.NearStores(
+        near_stores = _near_stores.NearStores(
             self.node.clock,
             self.node.client,
             settings.node.domain,
             self.node.rng,
         )
+        self.jobs = _job_calls.JobCalls(
+            self.node.clock,
+            self.node.client,
+            near_stores,
+            self.node.events,
+        )
         self.sync = _entry_sync.EntrySync(
             reactor,
             self.node.clock,
@@ -93,7 +91,7 @@
             self.node.true_time,
             self.usage,
             self.node.events,
-            self._near_stores,
+            near_stores,
             limits,
             suspects,
             _poll_paths.PollPaths(self.node.rng),
@@ -203,7 +201,7 @@
         """Returns the route and client account of a request, or a refusal."""
         table = self.sync.table
         if table is None:
-            return _make_no_leader_refusal(
+            return _entry_refusals.make_no_leader_refusal(
                 "this entry has no configuration yet; try again"
             )
         route = table.find(host, path)
@@ -217,7 +215,7 @@
             )
         account = table.account_of(key)
         if account is None and table.needs_key(route):
-            return self._deny(_make_unauthenticated_refusal())
+            return self._deny(_entry_refusals.make_unauthenticated_refusal())
         return route, account
 
     def find_priority(
@@ -235,14 +233,14 @@
         """Returns the client account of a key; empty if keys are not used."""
         table = self.sync.table
         if table is None:
-            return _make_no_leader_refusal(
+            return _entry_refusals.make_no_leader_refusal(
                 "this entry has no configuration yet; try again"
             )
         if table.document.accounts is None:
             return base.AccountId("")
         account = table.account_of(key)
         if account is None:
-            return self._deny(_make_unauthenticated_refusal())
+            return self._deny(_entry_refusals.make_unauthenticated_refusal())
         return account
 
     def _deny(self, refusal: base.Refusal) -> base.Refusal:
@@ -253,7 +251,7 @@
         """
         if self.sync.is_current:
             return refusal
-        return _make_no_leader_refusal(
+        return _entry_refusals.make_no_leader_refusal(
             "the configuration of this entry may be outdated; try again"
         )
 
@@ -270,7 +268,7 @@
         """
         is_counted = account is not None and not route.is_public
         now = self.node.clock.now()
-        deadline = self._find_deadline(req, route)
+        deadline = req.find_deadline(route.timeout_s, now)
         if self._shutdown is not None and not self._shutdown.may_accept(
             now, deadline
         ):
@@ -340,124 +338,6 @@
             table_age_ms=self.sync.contact_age_ms,
         )
 
-    async def submit(
-        self, job: jobs.Job, req: _ports.CallerRequest, route: gateway.Route
-    ) -> base.Refusal | None:
-        """Submits a batch job to the stores.
-
-        Args:
-            job: Job to submit.
-            req: Request of the caller that submits it.
-            route: Route that the request matched.
-
-        Returns:
-            None on success, otherwise the refusal.
-        """
-        reply = await self._propose(
-            jobs.AcceptJob(job), self._find_deadline(req, route)
-        )
-        self.events.write(
-            "job.submitted",
-            job=job.job,
-            account=job.account,
-            items=len(job.items),
-            outcome=str(getattr(reply, "outcome", "accepted")),
-        )
-        if isinstance(reply, base.Refusal):
-            return reply
-        if isinstance(reply, jobs.Applied):
-            return None
-        return base.Refusal(
-            base.RefusalReason.CONFLICT,
-            base.Outcome.NOT_RUN,
-            "The job id is in use by another client account; use another id.",
-        )
-
-    async def end(
-        self, job: str, account: base.AccountId
-    ) -> base.Refusal | None:
-        """Ends a batch job.
-
-        Returns:
-            None on success, otherwise the refusal.
-        """
-        reply = await self._propose(jobs.EndJob(job, account), math.inf)
-        if isinstance(reply, base.Refusal):
-            return reply
-        return (
-            None
-            if isinstance(reply, jobs.Applied)
-            else _make_not_found_refusal()
-        )
-
-    async def read_results(
-        self, req: _messages.ResultsRequest
-    ) -> _messages.ResultsPage | base.Refusal:
-        """Returns a page of results of a batch job, or a refusal."""
-        call_timeout_s = req.wait_s + READ_TIMEOUT_MARGIN_S
-        resp = await self._call_leader(
-            _messages.READ_RESULTS,
-            req,
-            call_timeout_s,
-            req.wait_s + 0.5,
-            first=self._near_stores.choose(self.node.client.leader),
-        )
-        if isinstance(resp, _messages.NotThere):
-            return _make_not_found_refusal()
-        return resp
-
-    async def read_body(
-        self, req: _messages.BodyRequest
-    ) -> bytes | base.Refusal:
-        """Returns the body of an item whose result is not listed yet."""
-        resp = await self._call_leader(
-            _messages.READ_BODY, req, READ_TIMEOUT_MARGIN_S, 0.5
-        )
-        if isinstance(resp, _messages.NotThere):
-            return _make_not_found_refusal()
-        return resp.data if isinstance(resp, _messages.Body) else resp
-
-    async def _call_leader(
-        self,
-        method: str,
-        req: typing.Any,
-        call_timeout_s: float,
-        attempt_timeout_s: float,
-        first: base.InstanceId | None = None,
-    ) -> typing.Any:
-        deadline = self.node.clock.now() + call_timeout_s
-        call_result = await self.node.client.call(
-            method, req, deadline, attempt_timeout_s, first
-        )
-        if isinstance(call_result, result.Failure):
-            return _make_no_leader_refusal(call_result.failure().detail)
-        return call_result.unwrap()
-
-    def _find_deadline(
-        self, req: _ports.CallerRequest, route: gateway.Route
-    ) -> float:
-        """Returns when a request that has just arrived must be answered."""
-        return min(req.deadline, self.node.clock.now() + route.timeout_s)
-
-    async def _propose(
-        self, command: jobs.Command, req_deadline: float
-    ) -> jobs.Reply | base.Refusal:
-        deadline = min(req_deadline, self.node.clock.now() + JOB_CALL_TIMEOUT_S)
-        reply = await self.node.client.call_raw(
-            _messages.PROPOSE, jobs.COMMAND_CODEC.encode(command), deadline
-        )
-        if isinstance(reply, result.Success):
-            return jobs.REPLY_CODEC.decode(reply.unwrap())
-        error = reply.failure()
-        refusal = _make_no_leader_refusal(error.detail)
-        if error.may_have_run:
-            return attrs.evolve(
-                refusal,
-                reason=base.RefusalReason.DEADLINE_EXCEEDED,
-                outcome=base.Outcome.MAY_HAVE_RUN,
-            )
-        return refusal
-
     def _report_limit(self, observation: gateway.LimitObservation) -> None:
         _background.run(
             self._permits.report(observation), "limit report", self.events
@@ -489,29 +369,3 @@
     def _document_number(self) -> int:
         table = self.sync.table
         return 0 if table is None else table.document.number
-
-
-def _make_no_leader_refusal(detail: str) -> base.Refusal:
-    """Returns the refusal of a call that no leader answered."""
-    return base.Refusal(
-        base.RefusalReason.NO_LEADER,
-        base.Outcome.NOT_RUN,
-        f"No leader answered: {detail}",
-        retry_after=NO_LEADER_RETRY_AFTER_S,
-    )
-
-
-def _make_unauthenticated_refusal() -> base.Refusal:
-    return base.Refusal(
-        base.RefusalReason.UNAUTHENTICATED,
-        base.Outcome.NOT_RUN,
-        "The request has no valid key; send the key of a client account.",
-    )
-
-
-def _make_not_found_refusal() -> base.Refusal:
-    return base.Refusal(
-        base.RefusalReason.NOT_FOUND,
-        base.Outcome.NOT_RUN,
-        "This client account has no such job or item.",
-    )
--- a/packages/node/src/banyanbank_node/_ports.py
+++ b/packages/node/src/banyanbank_node/_ports.py
@@ -40,6 +40,15 @@
     attempt_headers: frozenset[str] = frozenset()
     """Names of headers that change when the request is repeated."""
 
+    def find_deadline(self, timeout_s: float, now: float) -> float:
+        """Returns when the request must be answered if it has just arrived.
+
+        Args:
+            timeout_s: Timeout of its route.
+            now: Present time, on the monotonic clock.
+        """
+        return min(self.deadline, now + timeout_s)
+
 
 @attrs.frozen
 class StatedLimit:
--- a/tests/node/test_entry.py
+++ b/tests/node/test_entry.py
@@ -9,6 +9,7 @@
 import banyanbank_gateway as gateway
 import banyanbank_jobs as jobs
 from banyanbank_node import _entry
+from banyanbank_node import _job_calls
 from banyanbank_node import _messages
 from banyanbank_node import _ports
 from banyanbank_node import _settings
@@ -175,7 +176,7 @@
 
     def test_time_limit_of_a_submission(self) -> None:
         """Guards against a submission held past the time-out of its route."""
-        limit_s = _entry.JOB_CALL_TIMEOUT_S
+        limit_s = _job_calls.JOB_CALL_TIMEOUT_S
         for name, timeout_s, patience_s, expected_s in (
             ("patient caller", 10.0, FAR, limit_s),
             ("short time-out", 0.5, FAR, 0.5),
@@ -203,7 +204,7 @@
                 req = self.make_request(patience_s)
                 before = self.entry.node.clock.now()
                 done = defer.ensureDeferred(
-                    self.entry.submit(samples.make_job("j"), req, route)
+                    self.entry.jobs.submit(samples.make_job("j"), req, route)
                 )
                 after = self.entry.node.clock.now()
                 self.assertIsNone(done.result)
