Let the fault soak evacuate domains and return servers cold

Two kinds of faults are drawn by `--shared-load` and by one run of test_soak.py, beside kills, losses of power and of disks, pauses, cuts and jumps of the time of day. "evacuation" orders one of the domains and withdraws the order 8 to 11 s later; a call without a clear answer is sent again to another store. "cold return" has servers, or all of a domain, become cold, most of them by a new start.

The servers know their callers by the address that a process connects from. From 5 s after the 200 until the withdrawal, nothing may reach an evacuated domain; a cold server gets at most 1.5 times its rate and 5 requests in a second. Documents and batch jobs move from load.py to a module of their own.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from tests.soak import faults
 from tests.soak import run
+from tests.soak import shared_load_faults
 from tests.soak import world
 
 
@@ -21,6 +22,7 @@
     seconds: float = 20.0,
     keep: str = "",
     blackouts: bool = False,
+    shared_load: bool = False,
     entries: int = world.ENTRIES,
 ) -> None:
     """Plays runs with rising seeds and prints what broke.
@@ -31,11 +33,15 @@
         seconds: For how long each run injects faults.
         keep: Folder in which the logs of broken runs are kept.
         blackouts: Whether most faults are losses of power at all machines.
+        shared_load: Whether failure domains are evacuated and servers return
+            cold, beside faults of the processes and their links.
         entries: Number of entries.
     """
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
     failed = 0
     kinds = faults.BLACKOUT_KINDS if blackouts else faults.ALL_KINDS
+    if shared_load:
+        kinds = shared_load_faults.KINDS
     for number in range(first, first + runs):
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 import attrs
 
 from tests import support
+from tests.soak import arrivals
 from tests.soak import load
 from tests.soak import world
 
@@ -57,7 +58,9 @@
     wiped: world.Member | None = None
     """Store whose disk was lost and that may not vote again yet."""
     cuts: int = 0
-    """Cuts that have not healed yet."""
+    """Cuts that are not over; all heal with the last one."""
+    cut_off: list[arrivals.Disturbance] = attrs.Factory(list)
+    """What these cuts disturb."""
 
     async def run(self, until: float) -> None:
         """Injects faults, and returns when the last one is over."""
@@ -204,10 +207,12 @@
     member = faults.any_member()
     paused = member.running
     member.pauses += 1
+    pause = faults.there.records.disturb([member.name])
     member.signal(signal.SIGSTOP)
     await faults.wait(0.1, 4.0)
     if member.running is paused:
         member.signal(signal.SIGCONT)
+    pause.ended_at = faults.there.reactor.seconds()
     return member.name
 
 
@@ -233,7 +238,7 @@
 
 async def _isolate(faults: Faults) -> str:
     member = faults.any_member()
-    faults.cuts += 1
+    _begin_cut(faults, [member.name])
     faults.there.links.isolate(member.name)
     await faults.wait(0.3, 6.0)
     _heal(faults)
@@ -243,17 +248,26 @@
 async def _cut_one_way(faults: Faults) -> str:
     ones = faults.rng.sample(sorted(faults.there.members), 2)
     others = [name for name in faults.there.members if name not in ones]
-    faults.cuts += 1
+    # A leader whose answers reach one other store alone may keep its lease.
+    are_stores = not any(name.startswith("entry") for name in ones)
+    _begin_cut(faults, list(faults.there.members) if are_stores else ones)
     faults.there.links.cut(ones, others)
     await faults.wait(0.3, 4.0)
     _heal(faults)
     return ",".join(ones)
 
 
+def _begin_cut(faults: Faults, names: list[str]) -> None:
+    faults.cuts += 1
+    faults.cut_off.append(faults.there.records.disturb(names))
+
+
 def _heal(faults: Faults) -> None:
     faults.cuts -= 1
     if not faults.cuts:
         faults.there.links.heal()
+        while faults.cut_off:
+            faults.cut_off.pop().ended_at = faults.there.reactor.seconds()
 
 
 async def _delay(faults: Faults) -> str:
@@ -272,6 +286,8 @@
 
 async def _silence(faults: Faults) -> str:
     faults.there.links.silence()
+    silence = faults.there.records.disturb(faults.there.members)
+    silence.ended_at = silence.began_at
     return ""
 
 
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -1,6 +1,5 @@
 """Callers, trainers, servers and operators, and what they were promised."""
 
-import copy
 import json
 import random
 import time
@@ -9,15 +8,14 @@
 from twisted.internet import defer
 
 from tests import support
-from tests.platform import deployment
 from tests.platform import fakes
+from tests.soak import documents
 from tests.soak import http
 from tests.soak import servers
 from tests.soak import world
 
 BEAT_S = 1.0
 CALL_S = 1.0
-ITEMS = 4
 ACCEPT_S = 10.0
 """Seconds for which a batch job is offered."""
 MOST_ENDED = 2
@@ -28,22 +26,6 @@
 """Seconds after an answer that states a departure (`drain-ms`)."""
 INVALID_LEAD = 1_000
 """How far the number of an invalid document is above those of valid ones."""
-INVALID_CHANGES: tuple[dict[str, typing.Any], ...] = (
-    {"service": "none"},
-    {"timeout-ms": 0},
-    {"path-prefix": "/plain/"},
-    {"traffic-split": [{"service": "plain", "weight": 0}]},
-    {
-        "service": "none",
-        "traffic-split": [{"service": "plain", "weight": 1}],
-    },
-)
-"""Changes of a route that make its document invalid."""
-ODD_ANNOUNCEMENT = (
-    b'{"service": "\xed\xa0\x80", "address": "127.0.0.1:9", "zone": "zone-a",'
-    b' "slots": 4, "state": "ready", "sequence": 1, "born": 1}'
-)
-"""An announcement whose service is not Unicode text."""
 TEXT = "\n".join(f"piece {n + 1}" for n in range(fakes.EVENT_COUNT))
 
 
@@ -116,17 +98,36 @@
         sequence = 0
         while self.are_servers_up:
             sequence += 1
-            for name, body in self._there.farm.announcements(sequence):
-                self.start(self._announce(name, body))
+            for name in self._there.farm.servers:
+                self.start(self._announce(name, sequence))
             await support.next_turn(BEAT_S)
 
-    async def _announce(self, name: str, body: bytes) -> None:
+    async def _announce(self, name: str, sequence: int) -> None:
         for store in self._shuffled(self._there.stores):
-            url = self._there.control_url(store) + f"/-/instances/{name}"
-            reply = await self._caller.call("PUT", url, body, CALL_S)
+            sent_at = self._there.reactor.seconds()
+            body = self._there.farm.announcement(name, sequence)
+            reply = await self.call_store(
+                "PUT", store, f"instances/{name}", body
+            )
             if reply is not None and reply.status == 200:
+                now = self._there.reactor.seconds()
+                self._there.records.record_news(name, sent_at, now)
                 return
 
+    async def call_store(
+        self, method: str, store: world.Member, path: str, body: bytes = b""
+    ) -> http.Reply | None:
+        """Makes a call of operators or servers; None if it is unanswered."""
+        return await self.call(
+            method, f"{self._there.control_url(store)}/-/{path}", body
+        )
+
+    async def call(
+        self, method: str, url: str, body: bytes = b""
+    ) -> http.Reply | None:
+        """Makes a call; None if it is not answered in time."""
+        return await self._caller.call(method, url, body, CALL_S)
+
     async def operate(self) -> None:
         """Declares documents, and reads what is in force."""
         while self.is_running:
@@ -136,7 +137,7 @@
             await support.next_turn(self._rng.uniform(0.3, 1.5))
 
     async def _declare(self, number: int) -> None:
-        body = json.dumps(make_document(number)).encode()
+        body = json.dumps(documents.make_document(number)).encode()
         for _ in range(8):
             store = self._rng.choice(self._there.stores)
             url = self._there.control_url(store) + "/-/config"
@@ -145,6 +146,7 @@
                 self.promises.count("documents acknowledged")
                 self.acknowledged = max(self.acknowledged, number)
                 self._acknowledgements.append((time.monotonic(), number))
+                self._there.records.record_acknowledgement()
                 return
             self.promises.check(
                 reply is None or reply.status >= 500,
@@ -176,10 +178,10 @@
             await support.next_turn(rng.uniform(0.5, 2.0))
             store = rng.choice(self._there.stores)
             if rng.random() < 0.5:
-                path, body = "/-/instances/odd", ODD_ANNOUNCEMENT
+                path, body = "/-/instances/odd", documents.ODD_ANNOUNCEMENT
             else:
-                document = make_document(self.sent + INVALID_LEAD)
-                document["routes"][-1] |= rng.choice(INVALID_CHANGES)
+                document = documents.make_document(self.sent + INVALID_LEAD)
+                document["routes"][-1] |= rng.choice(documents.INVALID_CHANGES)
                 path, body = "/-/config", json.dumps(document).encode()
             url = self._there.control_url(store) + path
             reply = await self._caller.call("PUT", url, body, CALL_S)
@@ -327,7 +329,7 @@
 
     async def _run_job(self, job: str) -> None:
         route = self._routes[job] = self._rng.choice(list(JOB_ROUTES))
-        body = make_job(job, self.version, route)
+        body = documents.make_job(job, self.version, route)
         least = max(1, self.version - 1)
         until = self._there.reactor.seconds() + ACCEPT_S
         status = None
@@ -349,7 +351,7 @@
             return
         self.promises.count("jobs accepted")
         self._jobs[job] = []
-        while len(self._jobs[job]) < ITEMS:
+        while len(self._jobs[job]) < documents.ITEMS:
             await self._read_job(job, least)
             await support.next_turn(0.2)
         self.promises.count("jobs read to the end")
@@ -371,7 +373,9 @@
         if reply.status != 200:
             return
         page = reply.json()
-        self.promises.check(page["total"] == ITEMS, f"{job}: {page['total']}")
+        self.promises.check(
+            page["total"] == documents.ITEMS, f"{job}: {page['total']}"
+        )
         for position, one in enumerate(page["results"], after):
             if position < len(known):
                 self.promises.check(
@@ -423,7 +427,11 @@
         self._check_reports()
 
     def _unread(self) -> list[str]:
-        return [job for job, read in self._jobs.items() if len(read) < ITEMS]
+        return [
+            job
+            for job, read in self._jobs.items()
+            if len(read) < documents.ITEMS
+        ]
 
     async def _check_documents(self) -> None:
         newest = 0
@@ -483,40 +491,3 @@
 
     def _shuffled(self, members: list[world.Member]) -> list[world.Member]:
         return self._rng.sample(members, len(members))
-
-
-def make_document(number: int) -> dict[str, typing.Any]:
-    """Returns a document with a route that no other document has.
-
-    It has a second rollout route with engines of its own.
-    """
-    document = copy.deepcopy(deployment.DOCUMENT) | {"version": number}
-    for group, name, changes in (
-        ("services", "engines", {"name": "tuned"}),
-        (
-            "routes",
-            "jobs",
-            {
-                "name": "tuned",
-                "path-prefix": "/tuned/",
-                "service": "tuned",
-                "single-version": True,
-            },
-        ),
-    ):
-        (found,) = [one for one in document[group] if one["name"] == name]
-        document[group].append(copy.deepcopy(found) | changes)
-    mark = dict(document["routes"][0])
-    mark |= {"name": f"of-{number}", "path-prefix": f"/of-{number}/"}
-    document["routes"].append(mark)
-    return document
-
-
-def make_job(job: str, version: int, route: str) -> bytes:
-    """Returns a batch job whose items have ids of their own."""
-    made = json.loads(deployment.make_job(ITEMS, max(1, version - 1)))
-    for number, one in enumerate(made["requests"]):
-        one["id"] = f"{job}-{number}"
-        one["path"] = f"/{route}/x/{number}"
-        one["scorer"]["id"] = f"score-{one['id']}"
-    return json.dumps(made).encode()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import attrs
 
 from tests import support
+from tests.soak import arrivals
 from tests.soak import faults
 from tests.soak import load
 from tests.soak import world
@@ -76,6 +77,7 @@
         await trouble.run(there.reactor.seconds() + seconds)
         await _recover(there, people, promises)
         await people.settle(SETTLE_S)
+        arrivals.check(there, promises)
     finally:
         people.is_running = people.are_servers_up = False
         await support.next_turn(load.BEAT_S)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import math
 import random
 import typing
 
@@ -26,7 +27,40 @@
 """Share of the requests that a plain server says it has not run."""
 
 
-class PacedEngine(fakes.Engine):
+class ColdStarter(fakes.FakeServer):
+    """Server that is cold after a start, or becomes so at any moment.
+
+    Attributes:
+        born: Start of its life, as Unix time in milliseconds.
+        cold_until: When it is warm, on the reactor's clock.
+    """
+
+    def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
+        super().__init__(reactor, host, port)
+        self.born = 1_000
+        self.cold_until = 0.0
+
+    @property
+    def cold_ms(self) -> int:
+        """Milliseconds for which it stays cold."""
+        return max(
+            0, math.ceil(1000 * (self.cold_until - self._reactor.seconds()))
+        )
+
+    def _serve(self, request: server.Request) -> None:
+        """Does not record health checks: they come from the platform."""
+        if request.path != b"/health":
+            super()._serve(request)
+            return
+        request.setHeader("X-Banyanbank-Cold-Ms", str(self.cold_ms))
+        request.finish()
+
+    def reset(self) -> None:
+        """Resets the connections of all runs."""
+        raise NotImplementedError
+
+
+class PacedEngine(ColdStarter, fakes.Engine):
     """Generates events one after the other, and stops when it is left.
 
     Attributes:
@@ -108,18 +142,16 @@
     event_s = 0.25
 
 
-class BusyServer(fakes.PlainServer):
+class BusyServer(ColdStarter, fakes.PlainServer):
     """Takes its time, and is full now and then.
 
     Attributes:
-        born: Start of its life, as Unix time in milliseconds.
         crashes: How often each deadly request has ended it.
     """
 
     def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
         super().__init__(reactor, host, port)
         self._rng = random.Random(port)
-        self.born = 1_000
         self.crashes: collections.Counter[bytes] = collections.Counter()
         self._held: set[server.Request] = set()
 
@@ -129,8 +161,8 @@
         body = request.content.read()
         if body.startswith(DEADLY):
             self.crashes[body] += 1
-            for held in [request, *self._held]:
-                held.transport.abortConnection()
+            self._held.add(request)
+            self.reset()
             return
         self._held.add(request)
         request.notifyFinish().addBoth(lambda _: self._held.discard(request))
@@ -154,6 +186,12 @@
 
         work.addCallback(finish)
 
+    def reset(self) -> None:
+        """Resets the connections of all runs."""
+        for held in list(self._held):
+            held.transport.abortConnection()
+        self._held.clear()
+
 
 class Farm:
     """All servers behind the deployment.
@@ -175,6 +213,15 @@
             BusyServer(reactor, HOST, next(free)) for _ in range(PLAIN)
         ]
         self.api = fakes.PlatformApi(reactor, HOST, next(free))
+        self.servers: dict[str, ColdStarter] = {
+            f"{service}-{number}": one
+            for service, ones in (
+                ("engines", self.engines),
+                ("tuned", self.tuned),
+                ("plain", self.plain),
+            )
+            for number, one in enumerate(ones, 1)
+        }
 
     async def stop(self) -> None:
         """Closes all listeners."""
@@ -209,28 +256,28 @@
                 joined[number] |= versions
         return joined
 
-    def announcements(self, sequence: int) -> list[tuple[str, bytes]]:
-        """Returns the name and the next announcement of each server."""
-        said = []
-        for service, servers in (
-            ("engines", self.engines),
-            ("tuned", self.tuned),
-            ("plain", self.plain),
-        ):
-            for number, one in enumerate(servers, 1):
-                models = [
-                    {"name": model, "version": version, "adapters": []}
-                    for model, version in getattr(one, "versions", {}).items()
-                ]
-                body = {
-                    "service": service,
-                    "address": one.address,
-                    "zone": f"zone-{number}",
-                    "slots": 4,
-                    "state": "ready",
-                    "sequence": sequence,
-                    "born": getattr(one, "born", 1_000),
-                    "models": models,
-                }
-                said.append((f"{service}-{number}", json.dumps(body).encode()))
-        return said
+    def announcement(self, name: str, sequence: int) -> bytes:
+        """Returns the announcement of a server."""
+        one = self.servers[name]
+        models = [
+            {"name": model, "version": version, "adapters": []}
+            for model, version in getattr(one, "versions", {}).items()
+        ]
+        body = {
+            "service": name.partition("-")[0],
+            "address": one.address,
+            "zone": zone_of(name),
+            "slots": 4,
+            "state": "ready",
+            "sequence": sequence,
+            "born": one.born,
+            "models": models,
+        }
+        if one.cold_ms:
+            body["cold-remaining-ms"] = one.cold_ms
+        return json.dumps(body).encode()
+
+
+def zone_of(name: str) -> str:
+    """Returns the failure domain of a server."""
+    return "zone-" + name.partition("-")[2]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 
 from tests.soak import faults
 from tests.soak import run
+from tests.soak import shared_load_faults
 
 SHORT_S = 8.0
 
@@ -30,6 +31,12 @@
     def test_losses_of_power(self) -> None:
         self._play(122, SHORT_S, faults.BLACKOUT_KINDS)
 
+    def test_evacuations_and_cold_returns(self) -> None:
+        """Guards against requests that pass an order or a cold rate."""
+        counts = self._play(5097, SHORT_S, shared_load_faults.KINDS)
+        self.assertTrue(counts.get("requests during evacuations"))
+        self.assertTrue(counts.get("requests to cold servers"))
+
     def test_seeds_that_failed(self) -> None:
         for seed, seconds, kinds, why in SEEDS:
             with self.subTest(seed=seed, why=why):
@@ -40,7 +47,7 @@
         seed: int,
         seconds: float,
         kinds: dict[str, faults.Inject] = faults.KINDS,
-    ) -> None:
+    ) -> dict[str, int]:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         outcome = run.play(seed, seconds, folder, kinds)
         self.assertEqual(
@@ -48,3 +55,4 @@
         )
         shutil.rmtree(folder)
         self.assertTrue(outcome.counts.get("jobs read to the end"))
+        return outcome.counts
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,6 +15,7 @@
 
 from tests import links
 from tests import support
+from tests.soak import arrivals
 from tests.soak import role
 from tests.soak import servers
 
@@ -91,6 +92,7 @@
             "BANYANBANK_BOOT": str(path),
             "BANYANBANK_MESH_LISTEN_HOST": self.host,
             "BANYANBANK_MESH_SOURCE_HOST": self.host,
+            role.SOURCE_VARIABLE: self.host,
             role.STEP_VARIABLE: str(CLOCK_STEP_MS),
             role.AHEAD_VARIABLE: str(self.clock_ahead_ms),
         }
@@ -164,6 +166,7 @@
         self._mesh_port, self._control_port = ports[:2]
         self._front_port, self._ready_port = ports[2:4]
         self.farm = servers.Farm(reactor, ports[4:])
+        self.records = arrivals.Records(reactor.seconds)
         # The metrics port is fixed, so each run has addresses of its own.
         net = f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 256}"
         self._hosts = {
