Wait between polls of an entry with a higher evacuation revision

What operators saw: after stores were restored from copies of their disks, entries that knew a later revision of the evacuations polled the leader without a pause, each of them as often as the network allows, until an operator's orders exceeded that revision.

Cause: an entry adopts only a higher revision of the same replicated log, its polls stated the one held, and a leader answers at once where that differs from its own.

Ruled out: comparing revisions in the leader as before (lower only). A leader of a newly formed cluster would then state its log at the end of a poll only, and nothing tells it which entries have decided already.

Change: after an answer that states the log, a poll states the revision of that answer. An answer without it, also of an earlier release, still leads to the revision held.

Evidence: test_evacuations.test_log_that_lost_orders, with a real leader, fails without the change: all of four polls return at once, instead of the first alone.

Conclusion: such an entry sends its usual polls.

--- a/packages/node/src/banyanbank_node/_entry_evacuations.py
+++ b/packages/node/src/banyanbank_node/_entry_evacuations.py
@@ -39,8 +39,9 @@
 
     Attributes:
         in_force: Evacuations that the entry acts on.
-        polled_revision: Revision that the next poll states; 0 if a store of an
-            earlier release may receive it.
+        polled_revision: Revision that the next poll states: the one received
+            last if its cluster is known, else the one in force; 0 if a store of
+            an earlier release may receive it.
     """
 
     def __init__(self, events: _event_log.EventLog) -> None:
@@ -72,6 +73,9 @@
                 source=answer.directory_of,
                 contact_age_ms=contact_age_ms,
             )
-        # The revision held, which tells a leader of a newly formed cluster to
-        # state the cluster.
-        self.polled_revision = self.in_force.revision
+        # The revision held tells a leader of a newly formed cluster to state
+        # the cluster. Once it has, it would answer each poll with a revision
+        # other than its own at once.
+        self.polled_revision = (
+            received.revision if answer.cluster else self.in_force.revision
+        )
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -65,7 +65,8 @@
     """`SyncAnswer.issued_at` of the last answer that it received, likewise; 0
     for none."""
     evacuation_revision: int = 0
-    """Revision of the evacuations that it acts on."""
+    """Revision of the evacuations that it acts on; that of the leader if the
+    entry has decided not to adopt it."""
     figures_revision: int = 0
     """Revision of the figures of endpoints that it received last, likewise."""
     samples: tuple[gateway.AttemptSample, ...] = ()
--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -521,6 +521,42 @@
                 )
                 self.assertEqual(start(self.call(_messages.SYNC, req, 0.0)), [])
 
+    def test_log_that_lost_orders(self) -> None:
+        """Guards against polls without a pause, each answered at once.
+
+        Stores whose disks were restored from a copy count on from an earlier
+        revision of the same log, which entries do not adopt.
+        """
+        self.regions[ZONE] = "region"
+        self.order(ZONE, True)
+        (answer,) = self.poll("e", None)
+        received = answer.unwrap()
+        entry = _entry_evacuations.EntryEvacuations(
+            typing.cast(
+                _Any, types.SimpleNamespace(write=lambda *_, **__: None)
+            )
+        )
+        held = received.evacuations.evacuate(OTHER_ZONE)
+        entry.apply(attrs.evolve(received, evacuations=held), None)
+        waits = []
+        for _ in range(4):
+            req = _messages.SyncRequest(
+                "e",
+                0,
+                received.directory_of,
+                received.directory_revision,
+                (),
+                evacuation_revision=entry.polled_revision,
+                limits_revision=received.limits_revision,
+                condemned_revision=received.condemned_revision,
+            )
+            answers = start(self.call(_messages.SYNC, req, 0.0))
+            waits.append(not answers)
+            self.advance(1.0)
+            entry.apply(answers[0].unwrap(), None)
+        self.assertEqual(waits, [False, True, True, True])
+        self.assertEqual(entry.in_force, held)
+
     def test_entries_that_hold_up_the_first_evacuation(self) -> None:
         """Guards against an acknowledgement that entries do not act on."""
         self.regions[ZONE] = "region"
