Ask for the directory again while the leader lists a cold endpoint as warm

What callers saw: after a change of leader, an entry could take a warm endpoint for cold for good. While others had room it sent nothing there, and no second attempts, so that the others carried its load.

Cause: a new leader that missed the announcement by which an endpoint became cold sends entries the one before, which they ignore as older. Its next announcement, of the warm endpoint, changes nothing at the leader and is not sent. A request for a permit reveals this, but an entry that has warm endpoints asks for none.

Ruled out: having the leader send each endpoint's first announcement after an election to all entries, which costs a directory for each endpoint and entry just then.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from banyanbank_gateway._attempt_samples import AttemptSample
 from banyanbank_gateway._attempt_samples import SampleLog
+from banyanbank_gateway._cold_state import COLD_REPORT_LAG_S
 from banyanbank_gateway._cold_state import ColdReport
 from banyanbank_gateway._cold_state import find_cold_rate
 from banyanbank_gateway._cold_state import find_longest_cold_s
@@ -55,6 +56,7 @@
 from banyanbank_gateway._usage import WindowCounts
 
 __all__ = [
+    "COLD_REPORT_LAG_S",
     "MAX_DOMAINS",
     "MAX_FIGURES_AGE_S",
     "MAX_PERMIT_AGE_S",
--- a/packages/node/src/banyanbank_node/_entry_directory.py
+++ b/packages/node/src/banyanbank_node/_entry_directory.py
@@ -1,5 +1,7 @@
 """Directory of endpoints that an entry follows by the answers to its polls."""
 
+import math
+
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 
@@ -23,6 +25,7 @@
     def __init__(self, events: _event_log.EventLog) -> None:
         self._events = events
         self._leader_endpoints: set[base.EndpointId] = set()
+        self._outdated_until = math.inf
         self.directory = gateway.Directory()
         self.source = ""
         self.revision = 0
@@ -45,6 +48,9 @@
         self.directory.expire(now)
         self.source = answer.directory_of
         self.revision = answer.directory_revision
+        if now >= self._outdated_until:
+            self._outdated_until = math.inf
+            self.revision = 0
 
     def keep_without_contact(
         self,
@@ -81,6 +87,7 @@
             )
         for announcement in part.announcements:
             self.directory.apply(announcement, now)
+        self._note_outdated(part, now)
         self._leader_endpoints = {
             announcement.endpoint for announcement in part.announcements
         }
@@ -90,3 +97,21 @@
             revision=answer.directory_revision,
             known=len(self.directory),
         )
+
+    def _note_outdated(self, part: _messages.DirectoryPart, now: float) -> None:
+        """Notes when the leader knows whether cold endpoints are warm by now.
+
+        A new leader may have missed the announcement by which an endpoint
+        became cold. Its next one, of the warm endpoint, is no change there,
+        and would not be sent.
+        """
+        is_outdated = any(
+            known is not None and known.is_cold and not announcement.is_cold
+            for announcement in part.announcements
+            for known in (self.directory.get(announcement.endpoint),)
+        )
+        self._outdated_until = (
+            min(self._outdated_until, now + gateway.COLD_REPORT_LAG_S)
+            if is_outdated
+            else math.inf
+        )
