Ask leaders of an earlier release for permits without reports of cold endpoints

What callers saw: from the upgrade of the entries until that of the leader, cold endpoints were not used, and requests for services whose endpoints were all cold were refused.

Cause: a request for a permit names the endpoints that the entry takes for cold. A store of an earlier release does not know this field, and its handler fails. Entries are upgraded before stores, so this is the usual order.

Ruled out: leaving the reports out after any failed call. Calls fail just when the leader changes, which is when the reports are needed.

Change: the error of a call to one store tells how the store replied, as that of a call to the leader does. If the leader failed to handle a request with reports, it is asked again at once without them, and gets none for 5 s.

Evidence: test_permits.test_leader_of_an_earlier_release fails without the change (no permit); its fakes now fail with the error of the store client instead of a text, and so does that of test_cold_model. test_store_client.test_error_of_a_call_to_one_store fails without the field. tests.node.test_permits, test_store_client, test_cold_reports and test_cold_model pass, 25 tests. Not played with processes of two releases.

Conclusion: during an upgrade, permits for cold endpoints are granted as by the earlier release, at the cost of one failed call in 5 s for each entry.

--- a/packages/node/src/banyanbank_node/_permits.py
+++ b/packages/node/src/banyanbank_node/_permits.py
@@ -7,6 +7,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
+import banyanbank_mesh as mesh
 import banyanbank_web as web
 from returns import result
 
@@ -20,6 +21,10 @@
 NO_LEADER_RETRY_AFTER_S = 0.5
 """Time after which a caller is to return because no leader answered."""
 
+UNREADABLE_REPORTS_S = 5.0
+"""Time for which a leader that could not handle reports of cold endpoints gets
+none. Each of them costs a call; its successor may be of this release."""
+
 
 @attrs.frozen
 class Permit:
@@ -90,6 +95,8 @@
         self._clock = clock
         self._client = client
         self._limits = limits
+        self._no_reports_to: base.InstanceId | None = None
+        self._no_reports_until = -math.inf
 
     async def acquire(
         self,
@@ -98,26 +105,30 @@
     ) -> Permit:
         """Takes a permit from the leader."""
         known = (self._limits.known.get(target) for target in targets)
+        cold = tuple(
+            gateway.ColdReport(target.endpoint, target.born_ms, target.sequence)
+            for target in targets
+            if target.is_cold
+        )
         req = _permit_messages.PermitRequest(
             tuple(target.endpoint for target in targets),
             tuple(limit for limit in known if limit is not None),
-            tuple(
-                gateway.ColdReport(
-                    target.endpoint, target.born_ms, target.sequence
-                )
-                for target in targets
-                if target.is_cold
-            ),
+            cold if self._may_report() else (),
         )
         # The leader grants it later, so its age is at most the time since now.
         expires_at = self._clock.now() + gateway.MAX_PERMIT_AGE_S
         answer = await self._call(_permit_messages.TAKE_PERMIT, req, deadline)
+        if answer is None and req.cold and not self._may_report():
+            req = attrs.evolve(req, cold=())
+            answer = await self._call(
+                _permit_messages.TAKE_PERMIT, req, deadline
+            )
         now = self._clock.now()
         if answer is None:
             return Permit(None, now + NO_LEADER_RETRY_AFTER_S)
         granted = answer.endpoint or None
         if not answer.is_cold and all(
-            report.endpoint != granted for report in req.cold
+            report.endpoint != granted for report in cold
         ):
             return Permit(granted, now + answer.retry_after_s)
         if now >= expires_at:
@@ -131,6 +142,13 @@
             _permit_messages.LimitsPart((observation,)),
         )
 
+    def _may_report(self) -> bool:
+        """Whether the leader may be able to read which endpoints are cold."""
+        return (
+            self._client.leader != self._no_reports_to
+            or self._clock.now() >= self._no_reports_until
+        )
+
     async def _call(
         self, method: str, message: typing.Any, deadline: float = math.inf
     ) -> typing.Any:
@@ -143,6 +161,15 @@
             message,
             min(deadline, self._clock.now() + CALL_TIMEOUT_S),
         )
-        return (
-            answered.unwrap() if isinstance(answered, result.Success) else None
-        )
+        if isinstance(answered, result.Success):
+            return answered.unwrap()
+        reply = answered.failure().asked.get(leader)
+        if (
+            isinstance(message, _permit_messages.PermitRequest)
+            and message.cold
+            and reply == mesh.CallErrorKind.HANDLER_FAILED.value
+        ):
+            # A store of an earlier release cannot read the reports.
+            self._no_reports_to = leader
+            self._no_reports_until = self._clock.now() + UNREADABLE_REPORTS_S
+        return None
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -161,7 +161,9 @@
             error = called.failure()
             return result.Failure(
                 StoreCallError(
-                    error.outcome is not base.Outcome.NOT_RUN, error.detail
+                    error.outcome is not base.Outcome.NOT_RUN,
+                    error.detail,
+                    {store: error.kind.value},
                 )
             )
         payload = called.unwrap().payload
--- a/tests/node/test_cold_model.py
+++ b/tests/node/test_cold_model.py
@@ -22,6 +22,7 @@
 from banyanbank_node import _messages
 from banyanbank_node import _permit_messages
 from banyanbank_node import _permits
+from banyanbank_node import _store_client
 import banyanbank_web as web
 from returns import result
 from twisted.internet import defer
@@ -243,7 +244,9 @@
 
         def give_up() -> None:
             if not answered.called:
-                answered.callback(result.Failure("late"))
+                answered.callback(
+                    result.Failure(_store_client.StoreCallError(True, "late"))
+                )
 
         self._at(deadline - self.clock.now(), give_up)
         data = _messages.CODEC.encode(message)
--- a/tests/node/test_permits.py
+++ b/tests/node/test_permits.py
@@ -9,12 +9,14 @@
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 import banyanbank_jobs as jobs
+import banyanbank_mesh as mesh
 from banyanbank_node import _cold_endpoints
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _leader_permits
 from banyanbank_node import _messages
 from banyanbank_node import _permit_messages
 from banyanbank_node import _permits
+from banyanbank_node import _store_client
 from returns import result
 from twisted.internet import defer
 
@@ -57,6 +59,7 @@
                 now=10.0,
             )
         self.is_leader_reachable = True
+        self.reads_reports = True
         self.told_stores: list[typing.Any] = []
         self.handlers: dict[str, typing.Any] = {}
         self.stored = types.SimpleNamespace(
@@ -117,16 +120,30 @@
 
     async def _call_store(
         self, store: str, method: str, message: object, deadline: float
-    ) -> result.Result[typing.Any, str]:
-        del store
+    ) -> result.Result[typing.Any, _store_client.StoreCallError]:
+        leader = base.InstanceId(store)
         self.deadlines.append(deadline)
         if not self.is_leader_reachable:
-            return result.Failure("unreachable")
+            return result.Failure(
+                _store_client.StoreCallError(
+                    False,
+                    "unreachable",
+                    {leader: mesh.CallErrorKind.UNREACHABLE.value},
+                )
+            )
         data = _messages.CODEC.encode(message)
         try:
+            if getattr(message, "cold", ()) and not self.reads_reports:
+                raise base.CodecError("Not a known message")
             answer = await self.handlers[method](LEADER, data)
         except Exception as exc:
-            return result.Failure(repr(exc))
+            return result.Failure(
+                _store_client.StoreCallError(
+                    True,
+                    repr(exc),
+                    {leader: mesh.CallErrorKind.HANDLER_FAILED.value},
+                )
+            )
         return result.Success(
             _messages.CODEC.decode(_messages.CODEC.encode(answer))
         )
@@ -237,6 +254,36 @@
                     else math.inf,
                 )
 
+    def test_leader_of_an_earlier_release(self) -> None:
+        """Guards against cold endpoints that are unused during an upgrade."""
+        cluster = Cluster(1, "e1")
+        cluster.stored.table = gateway.RouteTable(
+            test_cold_model.make_document(13.0)
+        )
+        cluster.reads_reports = False
+        cluster.directory.mark_cold(cluster.targets[0].endpoint)
+        cluster.targets = [
+            attrs.evolve(target, is_cold=True) for target in cluster.targets
+        ]
+        cluster.ask(0)
+        for name, wait_s, is_reachable, is_granted, calls in (
+            ("without reports", 2.0, True, True, 1),
+            ("unreachable, asked once", 0.1, False, False, 1),
+            ("reports are tried again", 4.0, True, True, 2),
+        ):
+            with self.subTest(name):
+                cluster.clock.advance(wait_s)
+                cluster.is_leader_reachable = is_reachable
+                cluster.deadlines.clear()
+                permit = cluster.ask(0)
+                self.assertEqual(permit.endpoint, "e1" if is_granted else None)
+                self.assertEqual(len(cluster.deadlines), calls)
+                if is_granted:
+                    self.assertEqual(
+                        permit.expires_at,
+                        cluster.clock.now() + gateway.MAX_PERMIT_AGE_S,
+                    )
+
     def test_messages_without_cold_endpoints_are_as_before(self) -> None:
         """Guards against messages that an earlier release cannot read."""
         endpoint = base.EndpointId("e1")
--- a/tests/node/test_store_client.py
+++ b/tests/node/test_store_client.py
@@ -249,6 +249,18 @@
             },
         )
 
+    def test_error_of_a_call_to_one_store(self) -> None:
+        """Guards against callers that cannot tell why a store failed."""
+        running = defer.ensureDeferred(
+            self.client.call_store(FROZEN, "method", _messages.Accepted(), 0.5)
+        )
+        while not running.called:
+            self.clock.advance(STEP_S)
+        self.assertEqual(
+            typing.cast(typing.Any, running.result).failure().asked,
+            {FROZEN: "deadline"},
+        )
+
     def test_no_leader(self) -> None:
         answered, took_s = self.call(limit_s=2.0)
         self.assertFalse(answered)
