Explain the state of cold reports and clarify comments

Comments and docstrings that a reader of the withheld requests, the cold reports and the directory of an entry would stumble over: what the two maps of reports hold, when an entry takes endpoints for warm without contact, why the admission uses the figures of the forwarder, which load the recorder of attempts addresses, and that the head of a withheld request may have been sent. The time at which an entry asks for the directory again is named after that. Behaviour is unchanged.

--- a/packages/node/src/banyanbank_node/_attempt_recorder.py
+++ b/packages/node/src/banyanbank_node/_attempt_recorder.py
@@ -1,4 +1,4 @@
-"""Records how the attempts of requests ended, and what that tells."""
+"""Records how attempts ended, and what that tells of their endpoints."""
 
 import attrs
 import banyanbank_base as base
@@ -24,8 +24,9 @@
 class AttemptRecorder:
     """Decides what counts against endpoints, and which attempts are used up.
 
-    Addresses endpoints that fail or are full. Connections that were idle, and
-    requests that the caller or this process gave up, tell nothing of them.
+    Load addressed: callers' requests and scorer calls to endpoints that fail or
+    are full. Kept connections that had ended, and requests that the caller or
+    this process gave up, say nothing about an endpoint.
     """
 
     clock: base.Clock
--- a/packages/node/src/banyanbank_node/_cold_endpoints.py
+++ b/packages/node/src/banyanbank_node/_cold_endpoints.py
@@ -45,7 +45,9 @@
         self._meters = meters
         self._applied_readmissions: dict[base.FailureDomain, float] = {}
         self._cold_since: dict[base.EndpointId, float] = {}
+        # Reports in force, until a newer announcement arrives.
         self._reported: dict[base.EndpointId, gateway.ColdReport] = {}
+        # Newest reports that had entries receive the directory again.
         self._refuted: dict[base.EndpointId, gateway.ColdReport] = {}
         self._seen_revision = -1
 
--- a/packages/node/src/banyanbank_node/_entry_directory.py
+++ b/packages/node/src/banyanbank_node/_entry_directory.py
@@ -25,7 +25,7 @@
     def __init__(self, events: _event_log.EventLog) -> None:
         self._events = events
         self._leader_endpoints: set[base.EndpointId] = set()
-        self._outdated_until = math.inf
+        self._ask_again_at = math.inf
         self.directory = gateway.Directory()
         self.source = ""
         self.revision = 0
@@ -48,8 +48,8 @@
         self.directory.expire(now)
         self.source = answer.directory_of
         self.revision = answer.directory_revision
-        if now >= self._outdated_until:
-            self._outdated_until = math.inf
+        if now >= self._ask_again_at:
+            self._ask_again_at = math.inf
             self.revision = 0
 
     def keep_without_contact(
@@ -60,9 +60,9 @@
     ) -> None:
         """Keeps all endpoints after a poll that no leader answered.
 
-        Takes them for warm once they cannot be cold since long ago. Without
-        contact, an endpoint that was cold would else stay unused, as there are
-        no permits.
+        Takes them for warm once the cold states that the entry heard of must
+        have ended. Without contact there are no permits, so an endpoint that
+        was cold would otherwise stay unused.
 
         Args:
             now: Current time.
@@ -87,7 +87,7 @@
             )
         for announcement in part.announcements:
             self.directory.apply(announcement, now)
-        self._note_outdated(part, now)
+        self._plan_to_ask_again(part, now)
         self._leader_endpoints = {
             announcement.endpoint for announcement in part.announcements
         }
@@ -98,20 +98,23 @@
             known=len(self.directory),
         )
 
-    def _note_outdated(self, part: _messages.DirectoryPart, now: float) -> None:
-        """Notes when the leader knows whether cold endpoints are warm by now.
+    def _plan_to_ask_again(
+        self, part: _messages.DirectoryPart, now: float
+    ) -> None:
+        """Sets when to ask for the directory although nothing has changed.
 
         A new leader may have missed the announcement by which an endpoint
-        became cold. Its next one, of the warm endpoint, is no change there,
-        and would not be sent.
+        became cold. It lists the one before, which the entry ignores as older.
+        The next one, of the warm endpoint, is no change at the leader, so the
+        entry has to ask for it.
         """
-        is_outdated = any(
+        is_ignored = any(
             known is not None and known.is_cold and not announcement.is_cold
             for announcement in part.announcements
             for known in (self.directory.get(announcement.endpoint),)
         )
-        self._outdated_until = (
-            min(self._outdated_until, now + gateway.COLD_REPORT_LAG_S)
-            if is_outdated
+        self._ask_again_at = (
+            min(self._ask_again_at, now + gateway.COLD_REPORT_LAG_S)
+            if is_ignored
             else math.inf
         )
--- a/packages/node/src/banyanbank_node/_scorer_admission.py
+++ b/packages/node/src/banyanbank_node/_scorer_admission.py
@@ -186,7 +186,8 @@
     def _choose(self) -> jobs.WaitingScorerCall | None:
         now = self._clock.now()
         for service in self._queue.services():
-            # As for the choice that follows, which would else undo this one.
+            # The forwarder then ranks endpoints by the same figures. With
+            # others, it could choose one that a call should not wait for.
             view = self._shared.find_view(service)
             endpoints = [
                 self._describe(
--- a/packages/web/src/banyanbank_web/_upstream.py
+++ b/packages/web/src/banyanbank_web/_upstream.py
@@ -46,7 +46,8 @@
     """An endpoint gave no whole answer."""
 
     outcome: base.Outcome
-    """NOT_RUN only when no byte can have reached the endpoint."""
+    """NOT_RUN only when no byte can have reached the endpoint. Of a withheld
+    request, the head may have, which cannot run without the body."""
     detail: str
     """What happened, for the log and the caller."""
     is_timeout: bool = False
