--- a/packages/node/src/banyanbank_node/_entry_directory.py
+++ b/packages/node/src/banyanbank_node/_entry_directory.py
@@ -1,5 +1,7 @@
 """Directory of endpoints that an entry follows by the answers to its polls."""
 
+import math
+
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 
@@ -23,6 +25,7 @@
     def __init__(self, events: _event_log.EventLog) -> None:
         self._events = events
         self._leader_endpoints: set[base.EndpointId] = set()
+        self._ask_again_at = math.inf
         self.directory = gateway.Directory()
         self.source = ""
         self.revision = 0
@@ -45,6 +48,9 @@
         self.directory.expire(now)
         self.source = answer.directory_of
         self.revision = answer.directory_revision
+        if now >= self._ask_again_at:
+            self._ask_again_at = math.inf
+            self.revision = 0
 
     def keep_without_contact(
         self,
@@ -54,9 +60,9 @@
     ) -> None:
         """Keeps all endpoints after a poll that no leader answered.
 
-        Takes them for warm once they cannot be cold since long ago. Without
-        contact, an endpoint that was cold would else stay unused, as there are
-        no permits.
+        Takes them for warm once the cold states that the entry heard of must
+        have ended. Without contact there are no permits, so an endpoint that
+        was cold would otherwise stay unused.
 
         Args:
             now: Current time.
@@ -81,6 +87,7 @@
             )
         for announcement in part.announcements:
             self.directory.apply(announcement, now)
+        self._plan_to_ask_again(part, now)
         self._leader_endpoints = {
             announcement.endpoint for announcement in part.announcements
         }
@@ -90,3 +97,24 @@
             revision=answer.directory_revision,
             known=len(self.directory),
         )
+
+    def _plan_to_ask_again(
+        self, part: _messages.DirectoryPart, now: float
+    ) -> None:
+        """Sets when to ask for the directory although nothing has changed.
+
+        A new leader may have missed the announcement by which an endpoint
+        became cold. It lists the one before, which the entry ignores as older.
+        The next one, of the warm endpoint, is no change at the leader, so the
+        entry has to ask for it.
+        """
+        is_ignored = any(
+            known is not None and known.is_cold and not announcement.is_cold
+            for announcement in part.announcements
+            for known in (self.directory.get(announcement.endpoint),)
+        )
+        self._ask_again_at = (
+            min(self._ask_again_at, now + gateway.COLD_REPORT_LAG_S)
+            if is_ignored
+            else math.inf
+        )
