Measure the phases of a start after a loss of power

The measurement of starts reported events of the first process that logged them, so that it did not show what an election waits for, nor what the start of a store costs.

It now reads the log of each process once and reports when the first store, a quorum and all stores have read their disks and released their votes, when a leader is elected and holds the lease, and when an entry has a configuration. It also starts single stores beside the others and reports their processor time. The processes of the deployment and the phases are modules of their own. Readings with an interpreter that has further packages are misleading, since the libraries import those that they find; the docstring says so.

--- a/tests/platform/starts.py
+++ b/tests/platform/starts.py
@@ -1,11 +1,13 @@
-"""Measures starts of entries, and losses of power of all processes.
+"""Measures starts of processes, and losses of power of all processes.
 
     bash deploy/build.sh
     uv run --no-sync python -m tests.platform.starts --runs 10
 
 The processes run from the deployed tree, `target/deps`, and endpoints are
 stand-ins. Processor time is that of the whole process, from its start to the
-first whole answer of an endpoint, for which a caller asks all the time. Other
+first whole answer of an endpoint, for which a caller asks all the time, or to
+the log line with which a store takes part. `--python` names an interpreter
+without further packages, since the libraries import some that they find. Other
 work on the machine changes all figures, so the load is printed, and another
 checkout that is built can be measured in turn with this one:
 
@@ -19,18 +21,18 @@
 import os
 import pathlib
 import statistics
-import subprocess
 import sys
 import tempfile
 import time
 import typing
 
-import attrs
 from twisted.internet import defer
 
 from tests import support
 from tests.platform import deployment
 from tests.platform import fakes
+from tests.platform import members
+from tests.platform import phases
 
 ROOT = pathlib.Path(__file__).parents[2]
 STORES = 3
@@ -39,6 +41,8 @@
 """Interval between the announcements of an endpoint."""
 CALLER_PAUSE_S = 0.005
 """Pause of a caller after a refused connection or a refusal."""
+LOG_PAUSE_S = 0.002
+"""Pause between two looks at the log of a store that starts."""
 CALL_LIMIT_S = 2.0
 SETTLE_S = 3.5
 """Time after which a new leader knows all endpoints."""
@@ -70,6 +74,7 @@
     if options.compare is not None:
         trees["other"] = options.compare.resolve()
     starts: dict[str, list[dict[str, float]]] = {name: [] for name in trees}
+    stores: dict[str, list[dict[str, float]]] = {name: [] for name in trees}
     returns: dict[str, list[dict[str, float]]] = {name: [] for name in trees}
     with tempfile.TemporaryDirectory() as folder:
         world = _World(pathlib.Path(folder), options.python, options.entries)
@@ -77,6 +82,7 @@
             await world.start()
             for taken, measure, runs in (
                 (starts, _start_once, options.runs),
+                (stores, _start_store_once, options.runs),
                 (returns, _black_out, options.losses),
             ):
                 for _ in range(runs):
@@ -88,6 +94,7 @@
     return {
         "load_average": [round(load_before, 1), round(os.getloadavg()[0], 1)],
         "start": {name: _summarize(runs) for name, runs in starts.items()},
+        "store": {name: _summarize(runs) for name, runs in stores.items()},
         "power": {name: _summarize(runs) for name, runs in returns.items()},
     }
 
@@ -107,68 +114,6 @@
     }
 
 
-@attrs.define(eq=False)
-class _Member:
-    """One process of the deployment."""
-
-    role: str
-    """`entry` or `store`."""
-    settings: dict[str, typing.Any]
-    """Content of its settings file."""
-    folder: pathlib.Path
-    """Holds its settings, its data and its log."""
-    python: str
-    """Interpreter that runs it."""
-    tree: pathlib.Path
-    """Checkout that it runs from."""
-    running: subprocess.Popen[bytes] | None = None
-    """The process; None while it is off."""
-    log_offset: int = 0
-    """Length of the log before the latest start."""
-
-    def start(self) -> None:
-        """Starts the process, as the platform does."""
-        path = self.folder / "boot.json"
-        path.write_text(json.dumps(self.settings))
-        with (self.folder / "log.txt").open("ab") as log:
-            self.log_offset = log.tell()
-            self.running = subprocess.Popen(
-                [
-                    self.python,
-                    str(self.tree / "platform" / "serve.py"),
-                    self.role,
-                ],
-                env={
-                    "PATH": os.environ["PATH"],
-                    "PYTHONPATH": str(self.tree / "target" / "deps"),
-                    "BANYANBANK_BOOT": str(path),
-                },
-                stdout=log,
-                stderr=log,
-            )
-
-    def kill(self) -> None:
-        """Ends the process without warning."""
-        if self.running is not None:
-            self.running.kill()
-            self.running.wait()
-            self.running = None
-
-    def processor_s(self) -> float:
-        """Returns the processor time that the process has taken."""
-        assert self.running is not None
-        # The clock of another process, see clock_getcpuclockid(3).
-        return time.clock_gettime((~self.running.pid << 3) | 2)
-
-    def first_event(self, name: str) -> float | None:
-        """Returns when an event was logged first since the latest start."""
-        text = (self.folder / "log.txt").read_bytes()[self.log_offset :]
-        for line in text.splitlines():
-            if line.startswith(b"{") and f'"{name}"'.encode() in line:
-                return float(json.loads(line)["t"])
-        return None
-
-
 class _World:
     """Stores and entries as processes, and endpoints that announce themselves.
 
@@ -198,13 +143,13 @@
         self._announcing: list[defer.Deferred[None]] = []
 
     @property
-    def members(self) -> list[_Member]:
+    def all_members(self) -> list[members.Member]:
         return [*self.stores, *self.entries]
 
     def _host(self, role: str, number: int) -> str:
         return f"{self._net}.{number + (10 if role == 'entry' else 0)}"
 
-    def _make(self, role: str, number: int) -> _Member:
+    def _make(self, role: str, number: int) -> members.Member:
         folder = self._folder / f"{role}-{number}"
         folder.mkdir()
         host = self._host(role, number)
@@ -227,16 +172,16 @@
             "bounds": {"grace-s": 8, "window-s": 5},
             "cloud": {"address": "127.0.0.1:9", "duties": []},
         }
-        return _Member(role, settings, folder, self._python, ROOT)
+        return members.Member(role, settings, folder, self._python, ROOT)
 
     def use(self, tree: pathlib.Path) -> None:
         """Runs later starts from a checkout."""
-        for member in self.members:
+        for member in self.all_members:
             member.tree = tree
 
     async def start(self) -> None:
         """Starts all processes and serves a document."""
-        for member in self.members:
+        for member in self.all_members:
             member.start()
         while await self._control("PUT", "/-/config", deployment.DOCUMENT) != (
             200
@@ -254,12 +199,12 @@
         """Ends everything that was started."""
         for announcing in self._announcing:
             announcing.cancel()
-        for member in self.members:
+        for member in self.all_members:
             member.kill()
         for one in self._servers:
             await one.stop()
 
-    def front(self, entry: _Member) -> tuple[str, int]:
+    def front(self, entry: members.Member) -> tuple[str, int]:
         """Returns the address of an entry for callers."""
         return str(entry.settings["ip"]), self.front_port
 
@@ -324,21 +269,36 @@
     }
 
 
+async def _start_store_once(world: _World) -> dict[str, float]:
+    """Starts one store beside the others."""
+    store = world.stores[0]
+    store.kill()
+    began = time.monotonic()
+    store.start()
+    while "process.started" not in store.read_log().first_times:
+        await support.next_turn(LOG_PAUSE_S)
+    taken = store.processor_s()
+    return {
+        "processor_ms": MS * taken,
+        "started_ms": MS * (time.monotonic() - began),
+    }
+
+
 async def _black_out(world: _World) -> dict[str, float]:
     """Ends all processes at once and starts them together."""
-    for member in world.members:
+    for member in world.all_members:
         assert member.running is not None
         member.running.kill()
-    for member in world.members:
+    for member in world.all_members:
         member.kill()
     await support.next_turn(OFF_S)
     began, began_wall = time.monotonic(), time.time()
-    for member in world.members:
+    for member in world.all_members:
         member.start()
     taken: list[float] = []
     refused: list[int] = []
 
-    async def ask(entry: _Member) -> None:
+    async def ask(entry: members.Member) -> None:
         refused.append(await first_answer(world.front(entry)))
         taken.append(MS * (time.monotonic() - began))
 
@@ -351,23 +311,8 @@
         "last_answer_ms": max(taken),
         "refused": float(sum(refused)),
     }
-    for role, event in (
-        ("store", "process.started"),
-        ("store", "leader.elected"),
-        ("store", "lease.acquired"),
-        ("entry", "process.started"),
-        ("entry", "config.in_force"),
-        ("entry", "endpoints.changed"),
-    ):
-        times = [
-            at
-            for member in world.members
-            if member.role == role
-            for at in [member.first_event(event)]
-            if at is not None
-        ]
-        if times:
-            figures[f"{role} {event}"] = MS * (min(times) - began_wall)
+    logs = [member.read_log() for member in world.all_members]
+    figures.update(phases.split(logs, began_wall))
     return figures
 
 
