Run the charts of the log from tables

A store parsed the two state charts of its log from YAML at each start, which loads sismic, ruamel.yaml, schema and the reader of package files: 98 of 934 ms of a profiled start, before the store takes part in an election.

`_chart_tables` now holds the transitions, and `base.TableRunner` runs them. Pickled charts were ruled out, since nobody can read them, and so was the schema-free import of sismic, which still loads the parser.

--- a/packages/base/src/banyanbank_base/__init__.py
+++ b/packages/base/src/banyanbank_base/__init__.py
@@ -4,9 +4,12 @@
 time line events and the statechart interpreter. It knows no sockets.
 """
 
-from banyanbank_base._charts import ChartError
+from banyanbank_base._chart_table import ChartError
+from banyanbank_base._chart_table import ChartTable
+from banyanbank_base._chart_table import TableRunner
 from banyanbank_base._charts import ChartRunner
 from banyanbank_base._charts import load_chart
+from banyanbank_base._charts import load_table
 from banyanbank_base._clock import Clock
 from banyanbank_base._clock import ManualClock
 from banyanbank_base._clock import SystemClock
@@ -39,6 +42,7 @@
     "AccountId",
     "ChartError",
     "ChartRunner",
+    "ChartTable",
     "Clock",
     "Codec",
     "CodecError",
@@ -60,8 +64,10 @@
     "RefusalReason",
     "RequestId",
     "SystemClock",
+    "TableRunner",
     "TrainerId",
     "WeightVersion",
     "codec_preparations",
     "load_chart",
+    "load_table",
 ]
--- a/packages/consensus/src/banyanbank_consensus/_charts.py
+++ b/packages/consensus/src/banyanbank_consensus/_charts.py
@@ -1,26 +1,17 @@
-"""Loads the statecharts in `charts/`."""
-
-import functools
-import typing
+"""Runs the statecharts in `charts/` from their tables."""
 
 import banyanbank_base as base
 
-_PACKAGE = "banyanbank_consensus"
+from banyanbank_consensus import _chart_tables
 
 
-def make_chart_runner(name: str) -> base.ChartRunner:
+def make_chart_runner(name: str) -> base.TableRunner:
     """Returns a runner of a chart in its initial state.
 
     Args:
         name: Chart file name without `.yaml`.
 
     Raises:
-        ChartError: The file is missing or not a valid chart.
+        KeyError: There is no table of that name.
     """
-    return base.ChartRunner(_load_chart(name))
-
-
-@functools.cache
-def _load_chart(name: str) -> typing.Any:
-    """Loads a chart once; runners share it and do not modify it."""
-    return base.load_chart(_PACKAGE, name)
+    return base.TableRunner(_chart_tables.TABLES[name])
--- a/packages/consensus/src/banyanbank_consensus/_state.py
+++ b/packages/consensus/src/banyanbank_consensus/_state.py
@@ -146,7 +146,7 @@
     """When the process started."""
     incarnation: int
     """Random number that tells apart the queries of successive processes."""
-    chart: base.ChartRunner = attrs.field(
+    chart: base.TableRunner = attrs.field(
         factory=lambda: _charts.make_chart_runner("role")
     )
     """Validates changes of the role."""
