--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -109,7 +109,9 @@
         "alias R 1#; "
         + "lead 8; run 2; " * 12
         + "".join(
-            f"wipe R; cut_power R {operations}; run 30; mend; run 60;"
+            # The new store gets its snapshot once it replaces the lost one,
+            # after more than 1 s.
+            f"wipe R; cut_power R {operations}; run 100; mend; run 60;"
             "lead 8; run 10; black_out; mend; run 60; lead 8; run 10;"
             for operations in range(3, 13)
         ),
