Let a former leader campaign once it has answered a restarted voter

After a common loss of power the stores had no leader for up to 0.36 s after a quorum of them had started, and callers waited for it.

Cause: a restarted voter withholds its vote until its former leader answers that it does not lead. The former leader campaigns at its start, when the others are not up or still withhold their votes, is rejected, and tries again an election timeout (0.1 to 0.3 s) later, although each voter is free as soon as it has the answer.

The former leader now sends its request for a pre-vote right behind the answer. Safety rests on voters that withhold votes, which is unchanged, and on a candidate that counts itself only while no lease can rely on its own vote. So it campaigns only if it promised its vote to nobody else, does not withhold it, and is neither a candidate nor the leader. Taking its request for a vote as proof that it does not lead was ruled out: the request may be older than its leadership. The waits of a voter whose former leader does not answer, and that of the first lease, stay, since safety and the gap between outward writes rely on them.

--- a/packages/consensus/src/banyanbank_consensus/_promise.py
+++ b/packages/consensus/src/banyanbank_consensus/_promise.py
@@ -10,6 +10,13 @@
 The answer must be to a query of the present process: an answer to an earlier
 one may be older than the acknowledgement. A former leader that is suspended,
 unreachable or lost its disk does not answer, and the voter waits.
+
+The former leader campaigns as soon as it has answered: the voter that asked
+releases its vote with the answer, which the request for it follows. An earlier
+campaign was rejected by that voter, and the next one would be a timeout later.
+When a replica campaigns has no part in the safety of a lease; that voters
+grant no votes has, and also that a replica that withholds votes, or has voted
+for a rival, does not count itself.
 """
 
 import attrs
@@ -63,6 +70,12 @@
     _state.send(state, sender, answer)
 
 
+def campaign_after_answer(state: _state.State, now: float) -> None:
+    """Has a former leader campaign as soon as it has answered a query."""
+    if _may_campaign_at_once(state, now):
+        state.election_due_at = now
+
+
 def on_answer(
     state: _state.State,
     sender: base.InstanceId,
@@ -79,6 +92,19 @@
         _release(state, now)
 
 
+def _may_campaign_at_once(state: _state.State, now: float) -> bool:
+    """Whether this replica led last and nobody relies on its vote.
+
+    It must not be a candidate either: a majority has granted it a pre-vote,
+    and another epoch would void the votes that are on their way.
+    """
+    return (
+        state.hard_state.promised_to == state.identity
+        and now >= state.votes_withheld_until
+        and state.role in (_state.Role.FOLLOWER, _state.Role.PRE_CANDIDATE)
+    )
+
+
 def _is_of_this_process(
     state: _state.State, msg: _messages.LeadershipAnswer
 ) -> bool:
--- a/packages/consensus/src/banyanbank_consensus/_replica.py
+++ b/packages/consensus/src/banyanbank_consensus/_replica.py
@@ -116,6 +116,8 @@
                 _election.on_vote_response(self.state, sender, msg, now)
             case _messages.LeadershipQuery():
                 _promise.on_query(self.state, sender, msg)
+                _promise.campaign_after_answer(self.state, now)
+                _election.tick(self.state, now)
             case _messages.LeadershipAnswer():
                 _promise.on_answer(self.state, sender, msg, now)
             case _messages.AppendRequest():
--- a/tests/consensus/mutants.py
+++ b/tests/consensus/mutants.py
@@ -180,6 +180,10 @@
     _state.send(state, sender, answer)
 
 
+def _may_campaign_as_follower(state: _state.State, now: float) -> bool:
+    return state.role is not _state.Role.LEADER
+
+
 def _make_mutant(
     name: str,
     scenario: str,
@@ -268,6 +272,13 @@
         "on_query",
         _deny_leadership,
     ),
+    _make_mutant(
+        "campaign when asked although a leader is followed",
+        "a former leader that follows",
+        _promise,
+        "_may_campaign_at_once",
+        _may_campaign_as_follower,
+    ),
     _make_mutant(
         "hold the lease right after the election",
         "a voter restarts",
--- a/tests/consensus/scenarios.py
+++ b/tests/consensus/scenarios.py
@@ -46,6 +46,15 @@
         "a voter isolated for long campaigns as its neighbour restarts",
         "cut * 2#; cut 2# *; run 70; isolate *; restart 1#; run 70",
     ),
+    _parse_scenario(
+        "a former leader that follows is asked by a voter that missed it",
+        (
+            "alias F *; alias W 1#; alias L 2#; crash W; cut F L; run 90; heal;"
+            "run 60; alias L *; cut W L; cut L W; restart W; run 30; heal;"
+            "run 60;"
+        )
+        * 4,
+    ),
     _parse_scenario(
         "a disk is lost that held the only other copy",
         "cut * 2#; lead 8; run 3; isolate *; wipe 1#; run 150; lead 8; run 9",
