--- a/tests/node/test_evacuations.py
+++ b/tests/node/test_evacuations.py
@@ -76,6 +76,22 @@
     return got
 
 
+def make_poll(
+    answer: _messages.SyncAnswer, evacuation_revision: int
+) -> _messages.SyncRequest:
+    """Returns a poll that lacks nothing of an answer but its evacuations."""
+    return _messages.SyncRequest(
+        "e",
+        0,
+        answer.directory_of,
+        answer.directory_revision,
+        (),
+        evacuation_revision=evacuation_revision,
+        limits_revision=answer.limits_revision,
+        condemned_revision=answer.condemned_revision,
+    )
+
+
 class SenderTest(unittest.TestCase):
     """The decision is taken when a request is sent."""
 
@@ -501,16 +517,7 @@
                 entry.apply(held, None)
                 entry.polled_revision = 0
                 for _ in range(2):
-                    req = _messages.SyncRequest(
-                        "e",
-                        0,
-                        held.directory_of,
-                        held.directory_revision,
-                        (),
-                        evacuation_revision=entry.polled_revision,
-                        limits_revision=held.limits_revision,
-                        condemned_revision=held.condemned_revision,
-                    )
+                    req = make_poll(held, entry.polled_revision)
                     waiting = start(self.call(_messages.SYNC, req, 0.0))
                     self.advance(1.0)
                     entry.apply(waiting[0].unwrap(), None)
@@ -540,16 +547,7 @@
         entry.apply(attrs.evolve(received, evacuations=held), None)
         waits = []
         for _ in range(4):
-            req = _messages.SyncRequest(
-                "e",
-                0,
-                received.directory_of,
-                received.directory_revision,
-                (),
-                evacuation_revision=entry.polled_revision,
-                limits_revision=received.limits_revision,
-                condemned_revision=received.condemned_revision,
-            )
+            req = make_poll(received, entry.polled_revision)
             answers = start(self.call(_messages.SYNC, req, 0.0))
             waits.append(not answers)
             self.advance(1.0)
