--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -239,13 +239,17 @@
 
     async def stop(self) -> None:
         """Ends at once, with all connections."""
-        if self._beating is not None:
-            self._beating.cancel()
+        self.stop_beating()
         if self._listening is not None:
             self._listening.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def stop_beating(self) -> None:
+        """Sends no further heartbeat."""
+        if self._beating is not None:
+            self._beating.cancel()
+
     def describe(self) -> bytes:
         """Returns the next heartbeat."""
         self.sequence += 1
