--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -23,6 +23,7 @@
 import tempfile
 import time
 import tomllib
+import typing
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "host.example"
@@ -815,7 +816,7 @@
     case: collections.abc.Callable[[Lab], collections.abc.Awaitable[int]],
     folder: str,
     limit_s: float = 110.0,
-    **options: int,
+    **options: typing.Any,
 ) -> None:
     """Runs a case and exits with its verdict.
 
