--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=review/lab2 python3 -c "import lab" || exit 2
 exec python3 review/8/case.py
--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -23,6 +23,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import typing
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -831,14 +832,24 @@
     async def run() -> int:
         lab = Lab(pathlib.Path(folder).resolve(), **options)
         verdict = NOT_RUN
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 verdict = await case(lab)
-        except (CannotRunError, TimeoutError, OSError) as exc:
+        except Exception as exc:
+            # Only a verdict may say that the rule was broken.
             lab.record.write("could not run", why=repr(exc))
         finally:
             await lab.stop()
         lab.record.write("verdict", code=verdict)
         return verdict
 
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        code = NOT_RUN
+    sys.exit(code)
