Compose the headers of all requests to endpoints in one function

Cause: each builder of the adapter removed headers by itself. The one for callers' requests did, the one for items put the system's headers beside the item's. Ruled out: the HTTP client, which adds a length only, and a filter at submission, since committed jobs hold such items already.

Change: builders return `EndpointRequest`, with what was received and what this system states apart. `RequestComposer`, asked at each send, drops hop-by-hop, framing, reserved and invalid headers, what `Connection` names, and values with a key of the account, and logs unexpected ones by name.

--- a/packages/gateway/src/banyanbank_gateway/_routing.py
+++ b/packages/gateway/src/banyanbank_gateway/_routing.py
@@ -69,6 +69,17 @@
             return None
         return self.document.accounts.get(key)
 
+    def keys_of(self, account: base.AccountId) -> tuple[str, ...]:
+        """Returns the keys of a client account."""
+        return self._keys_by_account.get(account, ())
+
+    @functools.cached_property
+    def _keys_by_account(self) -> dict[base.AccountId, tuple[str, ...]]:
+        keys: dict[base.AccountId, tuple[str, ...]] = {}
+        for key, account in (self.document.accounts or {}).items():
+            keys[account] = (*keys.get(account, ()), key)
+        return keys
+
     def find_priority(
         self, route: _documents.Route, account: base.AccountId | None
     ) -> int:
--- a/packages/node/src/banyanbank_node/__init__.py
+++ b/packages/node/src/banyanbank_node/__init__.py
@@ -8,13 +8,13 @@
 import typing
 
 from banyanbank_node._action_guard import HandoverRules
+from banyanbank_node._endpoint_requests import HOP_BY_HOP
 from banyanbank_node._entry import Entry
 from banyanbank_node._event_catalogue import EventKind
 from banyanbank_node._event_catalogue import EVENTS
 from banyanbank_node._event_log import EventLog
 from banyanbank_node._forwarding import Answer
 from banyanbank_node._forwarding import Forwarding
-from banyanbank_node._forwarding import HOP_BY_HOP
 from banyanbank_node._messages import BodyRequest
 from banyanbank_node._messages import DocumentAnswer
 from banyanbank_node._messages import NotThere
@@ -24,6 +24,7 @@
 from banyanbank_node._messages import TooFew
 from banyanbank_node._ports import Authority
 from banyanbank_node._ports import CallerRequest
+from banyanbank_node._ports import EndpointRequest
 from banyanbank_node._ports import EngineReport
 from banyanbank_node._ports import ResponseHeaders
 from banyanbank_node._ports import StatedLimit
@@ -45,6 +46,7 @@
     "BodyRequest",
     "CallerRequest",
     "DocumentAnswer",
+    "EndpointRequest",
     "EngineReport",
     "Entry",
     "EntrySettings",
--- a/packages/node/src/banyanbank_node/_endpoint_sender.py
+++ b/packages/node/src/banyanbank_node/_endpoint_sender.py
@@ -8,6 +8,9 @@
 import banyanbank_web as web
 from returns import result
 
+from banyanbank_node import _endpoint_requests
+from banyanbank_node import _ports
+
 
 @attrs.frozen
 class EndpointSender:
@@ -21,19 +24,21 @@
     """HTTP client."""
     find_evacuations: collections.abc.Callable[[], gateway.Evacuations]
     """Returns the evacuations that this process knows."""
+    composer: _endpoint_requests.RequestComposer
+    """Decides which headers the endpoints get."""
 
     def may_send(self, target: gateway.Announcement) -> bool:
         """Whether an endpoint may be sent to now."""
         return self.find_evacuations().permits(target.domain)
 
     async def send(
-        self, target: gateway.Announcement, req: web.UpstreamRequest
+        self, target: gateway.Announcement, req: _ports.EndpointRequest
     ) -> result.Result[web.UpstreamResponse, web.UpstreamError]:
         """Sends a request and returns its answer once the headers are there.
 
         Args:
             target: Endpoint that the request is for.
-            req: Request to its address.
+            req: Request to it.
         """
         if not self.may_send(target):
             return result.Failure(
@@ -43,7 +48,7 @@
                     is_withheld=True,
                 )
             )
-        return await self.upstream.send(req)
+        return await self.upstream.send(self.composer.compose(target, req))
 
     def close_idle(self, target: gateway.Announcement) -> None:
         """Closes the idle connections to an endpoint."""
--- a/packages/node/src/banyanbank_node/_entry.py
+++ b/packages/node/src/banyanbank_node/_entry.py
@@ -10,6 +10,7 @@
 from banyanbank_node import _background
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
+from banyanbank_node import _endpoint_requests
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _entry_refusals
 from banyanbank_node import _entry_sync
@@ -106,7 +107,13 @@
         self.forwarder = _forwarder.Forwarder(
             self.node.clock,
             _endpoint_sender.EndpointSender(
-                self.node.upstream, lambda: self.sync.evacuations
+                self.node.upstream,
+                lambda: self.sync.evacuations,
+                _endpoint_requests.RequestComposer(
+                    wire,
+                    lambda: self.sync.table,
+                    self.node.events,
+                ),
             ),
             wire,
             picker,
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -125,6 +125,13 @@
         "endpoint address",
         "An endpoint expired without an announcement.",
     ),
+    _make_kind(
+        "request.headers_dropped",
+        "request account endpoint names",
+        "A caller or a batch job sent headers that its endpoint must not get;"
+        " the request was sent without them. `request` is the id of a request"
+        " or an item.",
+    ),
     _make_kind(
         "request.condemned",
         "request digest tried",
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -15,6 +15,7 @@
 from banyanbank_node import _crash_watch
 from banyanbank_node import _departures
 from banyanbank_node import _endpoint_limits
+from banyanbank_node import _endpoint_requests
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _event_log
 from banyanbank_node import _forwarding
@@ -351,7 +352,7 @@
         self,
         forwarding: _forwarding.Forwarding,
         target: gateway.Announcement,
-        req: web.UpstreamRequest,
+        req: _ports.EndpointRequest,
     ) -> result.Result[
         tuple[_ports.ResponseHeaders, _forwarding.Answer], web.UpstreamError
     ]:
@@ -381,7 +382,8 @@
         headers = tuple(
             (name, value)
             for name, value in resp.headers
-            if name not in _forwarding.HOP_BY_HOP and name != "content-length"
+            if name not in _endpoint_requests.HOP_BY_HOP
+            and name != "content-length"
         )
         answer = _forwarding.Answer(
             resp.status, headers, body.unwrap(), response_headers.signature
--- a/packages/node/src/banyanbank_node/_forwarding.py
+++ b/packages/node/src/banyanbank_node/_forwarding.py
@@ -11,19 +11,6 @@
 from banyanbank_node import _ports
 from banyanbank_node import _send_gate
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Hop-by-hop headers, which are not forwarded."""
-
 
 @attrs.frozen
 class Answer:
--- a/packages/node/src/banyanbank_node/_load_duty.py
+++ b/packages/node/src/banyanbank_node/_load_duty.py
@@ -326,7 +326,9 @@
             return None
 
     async def _send(
-        self, announcement: gateway.Announcement, req: web.UpstreamRequest
+        self,
+        announcement: gateway.Announcement,
+        req: _ports.EndpointRequest,
     ) -> result.Result[web.UpstreamResponse, web.UpstreamError]:
         sent_at = self._clock.now()
         self._limits.note_sent(announcement, _endpoint_limits.Purpose.ORDER)
--- a/packages/node/src/banyanbank_node/_permits.py
+++ b/packages/node/src/banyanbank_node/_permits.py
@@ -8,11 +8,11 @@
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 import banyanbank_mesh as mesh
-import banyanbank_web as web
 from returns import result
 
 from banyanbank_node import _endpoint_limits
 from banyanbank_node import _permit_messages
+from banyanbank_node import _ports
 from banyanbank_node import _store_client
 
 CALL_TIMEOUT_S = 0.3
@@ -41,8 +41,8 @@
 
 
 def withhold_after(
-    req: web.UpstreamRequest, expires_at: float, clock: base.Clock
-) -> web.UpstreamRequest:
+    req: _ports.EndpointRequest, expires_at: float, clock: base.Clock
+) -> _ports.EndpointRequest:
     """Returns a request that is not sent once its permit is too old.
 
     A connection may take seconds to establish, and a process may be stopped. A
--- a/packages/node/src/banyanbank_node/_ports.py
+++ b/packages/node/src/banyanbank_node/_ports.py
@@ -50,6 +50,40 @@
         return min(self.deadline, now + timeout_s)
 
 
+@attrs.frozen
+class EndpointRequest:
+    """Request to an endpoint, before it is decided which headers it gets.
+
+    `_endpoint_requests.RequestComposer` decides that, for all requests.
+    """
+
+    method: str
+    """HTTP method."""
+    uri: str
+    """Path and query."""
+    stated: tuple[tuple[str, str | None], ...]
+    """Headers that this system states, names in lower case; None states that
+    the request has no such header."""
+    deadline: float
+    """When to give up, on the monotonic clock."""
+    received: tuple[tuple[str, str], ...] = ()
+    """Headers that a caller or a batch job brought along."""
+    body: bytes = b""
+    """Body to send."""
+    request_id: str = ""
+    """Id of the request, for the log; empty for calls of this system."""
+    account: base.AccountId | None = None
+    """Client account that the request is made for; None for none."""
+    routine: frozenset[str] = frozenset()
+    """Names of received headers whose removal is not logged, in lower case:
+    each caller sends them."""
+    is_repeatable: bool = True
+    """False makes it use a connection of its own, never an idle one."""
+    guard: typing.Callable[[], bool] | None = None
+    """Asked immediately before the body is handed to the socket; False
+    withholds it."""
+
+
 @attrs.frozen
 class StatedLimit:
     """Rate limit in an endpoint's response."""
@@ -102,6 +136,11 @@
 class WireProtocol(typing.Protocol):
     """Adapter for the protocol of callers, endpoints and the platform."""
 
+    @property
+    def reserved_headers(self) -> frozenset[str]:
+        """Names, in lower case, of headers that only this system may state."""
+        ...
+
     def read_document(self, content: bytes) -> gateway.Document:
         """Parses a configuration document.
 
@@ -118,7 +157,7 @@
         deadline: float,
         now: float,
         is_repeatable: bool,
-    ) -> web.UpstreamRequest:
+    ) -> EndpointRequest:
         """Returns the request to an endpoint for a caller's request."""
         ...
 
@@ -129,7 +168,7 @@
         deadline: float,
         now: float,
         states_priority: bool,
-    ) -> web.UpstreamRequest:
+    ) -> EndpointRequest:
         """Returns the request that generates an item's text.
 
         Args:
@@ -158,7 +197,7 @@
 
     def build_report_request(
         self, target: gateway.Announcement, deadline: float
-    ) -> web.UpstreamRequest:
+    ) -> EndpointRequest:
         """Returns the request for an engine's state."""
         ...
 
@@ -178,7 +217,7 @@
         orders_accepted: int,
         may_send: typing.Callable[[], bool],
         deadline: float,
-    ) -> web.UpstreamRequest:
+    ) -> EndpointRequest:
         """Returns the request that orders an engine to load weights."""
         ...
 
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -15,6 +15,7 @@
 from banyanbank_node import _cold_endpoints
 from banyanbank_node import _endpoint_expiry
 from banyanbank_node import _endpoint_limits
+from banyanbank_node import _endpoint_requests
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _evacuation_orders
 from banyanbank_node import _event_log
@@ -148,7 +149,13 @@
     def _build_duties(self, usage: gateway.UsageTotals) -> _item_runs.ItemRuns:
         node = self.node
         endpoints = _endpoint_sender.EndpointSender(
-            node.upstream, lambda: self.stored.ledger.evacuations
+            node.upstream,
+            lambda: self.stored.ledger.evacuations,
+            _endpoint_requests.RequestComposer(
+                self.wire,
+                lambda: self.stored.table,
+                self.events,
+            ),
         )
         picker = gateway.EndpointPicker(node.settings.domain, node.rng)
         self._admission = _scorer_admission.ScorerAdmission(
--- a/tests/node/test_forwarder.py
+++ b/tests/node/test_forwarder.py
@@ -23,6 +23,7 @@
 from twisted.internet import defer
 
 from tests.gateway import samples
+from tests.node import running
 
 REQUEST_ID = "r-1"
 
@@ -160,6 +161,7 @@
         _endpoint_sender.EndpointSender(
             _as_any(types.SimpleNamespace(send=send)),
             lambda: gateway.Evacuations(1, evacuated),
+            running.COMPOSER,
         ),
         _as_any(
             types.SimpleNamespace(
--- a/tests/node/test_item_grading.py
+++ b/tests/node/test_item_grading.py
@@ -24,6 +24,7 @@
 
 from tests.gateway import samples as gateway_samples
 from tests.jobs import samples as jobs_samples
+from tests.node import running
 
 SCORER = jobs.ScorerCall("score-1", "host.example", "/score/1", b"")
 
@@ -70,6 +71,7 @@
             _endpoint_sender.EndpointSender(
                 _as_any(types.SimpleNamespace(send=self._send)),
                 gateway.Evacuations,
+                running.COMPOSER,
             ),
             _as_any(self),
             picker,
--- a/tests/node/test_second_attempts.py
+++ b/tests/node/test_second_attempts.py
@@ -29,6 +29,7 @@
 from twisted.internet import task
 
 from tests.gateway import samples
+from tests.node import running
 from tests.node import test_forwarder
 from tests.node import test_scorer_admission
 from tests.node import test_shared_endpoints
@@ -158,6 +159,7 @@
             _endpoint_sender.EndpointSender(
                 _as_any(types.SimpleNamespace(send=self._send)),
                 lambda: gateway.Evacuations(1, _as_any(evacuated)),
+                running.COMPOSER,
             ),
             _as_any(self),
             self.picker,
