End the life that a removal of an endpoint is about, not the newest

Cause: the body of DELETE, which states the life, was not read, and `Directory.withdraw` ended whatever life it knew. A store that knew none went by its own clock. Ruled out: late announcements, which are ordered by life.

Change: `Withdrawal` carries start and number, and `EndedLives` decides. A removal that states no life leaves the end of a life that is younger than a call may be late (10 s) in doubt: announcements up to two numbers above the known one are stale, a further one shows that it goes on. The number is part of the end, so stores and entries decide alike over a change of leader. The marks of stated departures moved to a module of their own.

--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -11,12 +11,12 @@
 import attrs
 import banyanbank_base as base
 
+from banyanbank_gateway import _ended_lives
+from banyanbank_gateway import _leaving_marks
+
 ANNOUNCEMENT_TTL_S = 5.0
 """An endpoint expires after four announcement intervals without renewal."""
 
-TOMBSTONE_TTL_S = 120.0
-"""Time for which delayed announcements of an ended incarnation are rejected."""
-
 
 class EndpointState(enum.Enum):
     """Announced state of an endpoint."""
@@ -85,10 +85,6 @@
 """Number of failure domains that are remembered after their endpoints are gone;
 further ones are not."""
 
-MAX_REMEMBERED = 10_000
-"""Number of departures, and of ended lives, that are remembered; the oldest are
-dropped."""
-
 
 @attrs.define
 class _KnownEndpoint:
@@ -112,8 +108,8 @@
         self.domains: set[base.FailureDomain] = set()
         self.has_forgotten_domains = False
         self._known: dict[base.EndpointId, _KnownEndpoint] = {}
-        self._tombstones: dict[base.EndpointId, tuple[int, float]] = {}
-        self._departures: dict[base.EndpointId, tuple[int, float]] = {}
+        self._ended = _ended_lives.EndedLives()
+        self._departures = _leaving_marks.LeavingMarks()
 
     def __len__(self) -> int:
         return len(self._known)
@@ -142,7 +138,11 @@
             False if the announcement is stale or a duplicate, or if its
             address belongs to an endpoint that started later.
         """
-        if self.has_ended(announcement):
+        endpoint, order_key = announcement.endpoint, announcement.order_key
+        if self._ended.covers(endpoint, order_key):
+            return False
+        if self._ended.settle_doubt(endpoint, order_key, now):
+            self.revision += 1
             return False
         known = self._known.get(announcement.endpoint)
         if (
@@ -218,7 +218,7 @@
     ) -> bool:
         """Takes an endpoint for draining, whatever is announced of its life.
 
-        The mark ends with a new life, or `TOMBSTONE_TTL_S` after the endpoint
+        The mark ends with a new life, or two minutes after the endpoint
         was last known.
 
         Args:
@@ -229,11 +229,8 @@
         Returns:
             False if this was known.
         """
-        marked = self._departures.get(endpoint)
-        if marked is not None and marked[0] >= born_ms:
+        if not self._departures.add(endpoint, born_ms, now):
             return False
-        self._departures[endpoint] = (born_ms, now + TOMBSTONE_TTL_S)
-        _drop_oldest(self._departures)
         known = self._known.get(endpoint)
         if known is not None and self._is_leaving(known.announcement):
             known.announcement = attrs.evolve(
@@ -243,28 +240,48 @@
         return True
 
     def withdraw(
-        self, endpoint: base.EndpointId, now: float, unix_ms: int
+        self,
+        endpoint: base.EndpointId,
+        now: float,
+        unix_ms: int,
+        born_ms: int | None = None,
+        sequence: int | None = None,
     ) -> bool:
         """Removes an endpoint that announced its shutdown.
 
-        The life of an unknown endpoint began before now, so delayed
-        announcements of such a life are rejected.
+        The removal may be late, and the endpoint may have started again
+        meanwhile. If it does not say which life it ends, that of a life which
+        has just begun is in doubt until further announcements of it arrive.
 
         Args:
             endpoint: Endpoint that shuts down.
             now: Current time.
             unix_ms: Current Unix time in milliseconds.
+            born_ms: Start of the life that ends, as Unix time in milliseconds;
+                None if the removal does not state it.
+            sequence: Number of the removal in its life; None if not stated.
 
         Returns:
             False if the endpoint is unknown.
         """
-        known = self._known.get(endpoint)
-        born_ms = unix_ms if known is None else known.announcement.born_ms
-        self.end_incarnation(endpoint, born_ms, now)
+        known = self.get(endpoint)
+        if born_ms is not None:
+            self.end_incarnation(endpoint, born_ms, now)
+        elif known is None:
+            self.revision += self._ended.add_unknown(endpoint, now, unix_ms)
+        elif sequence is not None and sequence < known.sequence:
+            # The removal is the last that a life says, so it was another life.
+            pass
+        elif known.state is EndpointState.READY and _has_just_begun(
+            known, unix_ms
+        ):
+            self._end(_ended_lives.doubt_end(endpoint, known.order_key), now)
+        else:
+            self.end_incarnation(endpoint, known.born_ms, now)
         return known is not None
 
     def expire(self, now: float) -> list[Announcement]:
-        """Removes and returns expired endpoints; drops old tombstones."""
+        """Removes and returns expired endpoints; forgets old ends of lives."""
         expired = [
             known.announcement
             for known in self._known.values()
@@ -274,10 +291,8 @@
             del self._known[announcement.endpoint]
         if expired:
             self.revision += 1
-        for endpoint, (_, expires_at) in list(self._tombstones.items()):
-            if expires_at < now:
-                del self._tombstones[endpoint]
-        self._expire_departures(now)
+        self._ended.expire(now)
+        self._departures.expire(self._find_start, now)
         return expired
 
     def renew_all(self, now: float) -> None:
@@ -286,25 +301,40 @@
             known.last_heard_at = now
 
     def end_incarnation(
-        self, endpoint: base.EndpointId, born_ms: int, now: float
+        self,
+        endpoint: base.EndpointId,
+        born_ms: int,
+        now: float,
+        last_sequence: int | None = None,
     ) -> None:
         """Removes an incarnation and rejects its announcements from now on.
 
         Announcements of earlier incarnations are rejected as well.
+
+        Args:
+            endpoint: Name of the endpoint.
+            born_ms: Start of the incarnation, as Unix time in milliseconds.
+            now: Current time.
+            last_sequence: Number up to which its announcements are rejected if
+                its end is in doubt; None for all.
         """
-        ended = self._tombstones.get(endpoint)
-        if ended is None or ended[0] < born_ms:
-            self._tombstones[endpoint] = (born_ms, now + TOMBSTONE_TTL_S)
-            _drop_oldest(self._tombstones)
-            self.revision += 1
-        known = self._known.get(endpoint)
-        if known is not None and known.announcement.born_ms <= born_ms:
-            del self._known[endpoint]
+        self._end(_ended_lives.EndedLife(endpoint, born_ms, last_sequence), now)
+
+    def _end(self, end: _ended_lives.EndedLife, now: float) -> None:
+        self.revision += self._ended.add(end, now)
+        known = self._known.get(end.endpoint)
+        if known is not None and end.covers(known.announcement.order_key):
+            del self._known[end.endpoint]
             self.revision += 1
 
-    def ended(self) -> list[tuple[base.EndpointId, int]]:
-        """Returns the ended incarnations: names and start times."""
-        return [(name, born) for name, (born, _) in self._tombstones.items()]
+    def ended(self) -> list[_ended_lives.EndedLife]:
+        """Returns the ended incarnations."""
+        return self._ended.all()
+
+    def is_end_in_doubt(self, endpoint: base.EndpointId) -> bool:
+        """Whether the latest life to end may go on, for all that is known."""
+        end = self._ended.get(endpoint)
+        return end is not None and end.last_sequence is not None
 
     def renew(
         self,
@@ -328,20 +358,16 @@
 
     def has_ended(self, announcement: Announcement) -> bool:
         """Whether the announced incarnation is known to have ended."""
-        ended = self._tombstones.get(announcement.endpoint)
-        return ended is not None and announcement.born_ms <= ended[0]
+        return self._ended.covers(announcement.endpoint, announcement.order_key)
 
     def _is_leaving(self, announcement: Announcement) -> bool:
-        marked = self._departures.get(announcement.endpoint)
-        return marked is not None and announcement.born_ms <= marked[0]
+        return self._departures.covers(
+            announcement.endpoint, announcement.born_ms
+        )
 
-    def _expire_departures(self, now: float) -> None:
-        for endpoint, (born_ms, expires_at) in list(self._departures.items()):
-            known = self._known.get(endpoint)
-            if known is not None and known.announcement.born_ms <= born_ms:
-                self._departures[endpoint] = (born_ms, now + TOMBSTONE_TTL_S)
-            elif known is not None or expires_at < now:
-                del self._departures[endpoint]
+    def _find_start(self, endpoint: base.EndpointId) -> int | None:
+        known = self.get(endpoint)
+        return None if known is None else known.born_ms
 
     def _claim_address(self, announcement: Announcement) -> bool:
         """Assigns the address to the endpoint that started last."""
@@ -358,7 +384,7 @@
         return True
 
 
-def _drop_oldest(lives: dict[base.EndpointId, tuple[int, float]]) -> None:
-    """Bounds remembered lives: start times and expiry times by endpoint."""
-    if len(lives) > MAX_REMEMBERED:
-        del lives[min(lives, key=lambda endpoint: lives[endpoint][1])]
+def _has_just_begun(announcement: Announcement, unix_ms: int) -> bool:
+    """Whether a removal that arrives now may have been sent before a life."""
+    age_ms = unix_ms - announcement.born_ms
+    return age_ms < 1000 * _ended_lives.MAX_CALL_DELAY_S
--- a/packages/node/src/banyanbank_node/__init__.py
+++ b/packages/node/src/banyanbank_node/__init__.py
@@ -22,6 +22,7 @@
 from banyanbank_node._messages import ResultsRequest
 from banyanbank_node._messages import Retiring
 from banyanbank_node._messages import TooFew
+from banyanbank_node._messages import Withdrawal
 from banyanbank_node._ports import Authority
 from banyanbank_node._ports import CallerRequest
 from banyanbank_node._ports import EndpointRequest
@@ -65,6 +66,7 @@
     "StoreSettings",
     "TooFew",
     "WireProtocol",
+    "Withdrawal",
 ]
 
 
--- a/packages/node/src/banyanbank_node/_entry_directory.py
+++ b/packages/node/src/banyanbank_node/_entry_directory.py
@@ -83,7 +83,10 @@
         part: _messages.DirectoryPart = _messages.CODEC.decode(encoded)
         for ended_life in part.ended:
             self.directory.end_incarnation(
-                ended_life.endpoint, ended_life.born_ms, now
+                ended_life.endpoint,
+                ended_life.born_ms,
+                now,
+                ended_life.last_sequence,
             )
         for announcement in part.announcements:
             self.directory.apply(announcement, now)
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -120,6 +120,14 @@
         "endpoint said revision",
         "An announcement or a withdrawal changed the directory.",
     ),
+    _make_kind(
+        "endpoint.withdrawn",
+        "endpoint born_ms sequence known_born_ms known_sequence effect",
+        "A removal of an endpoint arrived, for the life that it states (null if"
+        " it states none). The life that this store knew has ended, or its end"
+        " is in doubt until further announcements; or a former life had ended,"
+        " or the endpoint was unknown.",
+    ),
     _make_kind(
         "endpoint.silent",
         "endpoint address",
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -74,23 +74,13 @@
     unless the last answer had a revision of figures."""
 
 
-@attrs.frozen
-class EndedLife:
-    """Ended incarnation of an endpoint."""
-
-    endpoint: base.EndpointId
-    """Name of the endpoint."""
-    born_ms: int
-    """Start of the latest ended incarnation, as Unix time in milliseconds."""
-
-
 @attrs.frozen
 class DirectoryPart:
     """Directory of a leader: live endpoints and ended incarnations."""
 
     announcements: tuple[gateway.Announcement, ...]
     """Latest announcement of each endpoint considered alive."""
-    ended: tuple[EndedLife, ...]
+    ended: tuple[gateway.EndedLife, ...]
     """Incarnations whose announcements are stale."""
 
 
@@ -224,6 +214,11 @@
 
     endpoint: base.EndpointId
     """Name of the endpoint."""
+    born_ms: int | None = None
+    """Start of the life that ends, as Unix time in milliseconds; None if the
+    endpoint does not state it."""
+    sequence: int | None = None
+    """Number of the removal in that life; None if it is not stated."""
 
 
 @attrs.frozen
@@ -374,6 +369,8 @@
         SyncAnswer,
         AwaitEntries,
         gateway.Announcement,
+        gateway.EndedLife,
+        Withdrawal,
         FiguresPart,
         _permit_messages.PermitRequest,
         _permit_messages.PermitAnswer,
--- a/packages/node/src/banyanbank_node/_store.py
+++ b/packages/node/src/banyanbank_node/_store.py
@@ -321,11 +321,9 @@
             _messages.ANNOUNCE, self._cold.drop_unused(announcement)
         )
 
-    async def withdraw(self, endpoint: base.EndpointId) -> bool:
+    async def withdraw(self, withdrawal: _messages.Withdrawal) -> bool:
         """Withdraws an endpoint; returns False if no leader accepted it."""
-        return await self._send_to_leader(
-            _messages.WITHDRAW, _messages.Withdrawal(endpoint)
-        )
+        return await self._send_to_leader(_messages.WITHDRAW, withdrawal)
 
     async def read_document(self) -> _messages.DocumentAnswer | None:
         """Returns the document in force, or None if no leader confirms it."""
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -196,9 +196,7 @@
         if isinstance(message, gateway.Announcement):
             self._directory.apply(self._cold.judge(message), now)
         elif isinstance(message, _messages.Withdrawal):
-            self._directory.withdraw(
-                message.endpoint, now, round(1000 * self._true_time.now())
-            )
+            self._apply_withdrawal(message, now)
         if self._directory.revision != old_revision:
             self._events.write(
                 "endpoint.heard",
@@ -208,6 +206,35 @@
             )
             self.changes.wake()
 
+    def _apply_withdrawal(
+        self, withdrawal: _messages.Withdrawal, now: float
+    ) -> None:
+        known = self._directory.get(withdrawal.endpoint)
+        self._directory.withdraw(
+            withdrawal.endpoint,
+            now,
+            round(1000 * self._true_time.now()),
+            withdrawal.born_ms,
+            withdrawal.sequence,
+        )
+        if known is None:
+            effect = "unknown"
+        elif self._directory.get(withdrawal.endpoint) is not None:
+            effect = "former life"
+        elif self._directory.is_end_in_doubt(withdrawal.endpoint):
+            effect = "in doubt"
+        else:
+            effect = "ended"
+        self._events.write(
+            "endpoint.withdrawn",
+            endpoint=withdrawal.endpoint,
+            born_ms=withdrawal.born_ms,
+            sequence=withdrawal.sequence,
+            known_born_ms=None if known is None else known.born_ms,
+            known_sequence=None if known is None else known.sequence,
+            effect=effect,
+        )
+
     def note_document(self, number: int) -> None:
         """Records that this store applied a document, and answers polls."""
         self._polls.note_document(number)
--- a/packages/node/src/banyanbank_node/_sync_part_cache.py
+++ b/packages/node/src/banyanbank_node/_sync_part_cache.py
@@ -65,10 +65,7 @@
             lambda: _messages.CODEC.encode(
                 _messages.DirectoryPart(
                     tuple(directory.all()),
-                    tuple(
-                        _messages.EndedLife(endpoint, born_ms)
-                        for endpoint, born_ms in directory.ended()
-                    ),
+                    tuple(directory.ended()),
                 )
             ),
         )
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -13,6 +13,7 @@
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 import banyanbank_jobs as jobs
+import banyanbank_node as node
 from banyanbank_platform import _announcement
 from banyanbank_platform import _batch_job
 from banyanbank_platform import _document
@@ -174,6 +175,14 @@
             base.Codec(gateway.Announcement).encode,
         )
 
+    def test_removals(self) -> None:
+        self.check_each(
+            {"born": 1_000, "sequence": 4},
+            lambda content: _announcement.read_withdrawal("e1", content),
+            _fields.FieldError,
+            base.Codec(node.Withdrawal).encode,
+        )
+
     def test_addresses(self) -> None:
         for address, is_valid in (
             ("10.0.0.1:80", True),
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -1,6 +1,7 @@
 """Tests of endpoints that state in their answers that they leave."""
 
 import json
+import time
 import typing
 import unittest
 
@@ -172,5 +173,117 @@
         self.assertIsNone(directory.get(base.EndpointId("server-9")))
 
 
+class LateRemovalTest(unittest.TestCase):
+    """A late removal of a former life leaves the present one in use.
+
+    Guards against a server that is not used for two minutes after its restart.
+    """
+
+    BODIES: typing.ClassVar[dict[str, typing.Any]] = {
+        "with its life": {"born": 1_000, "sequence": 2},
+        "without a body": None,
+        "with fields of other types": {"born": "x", "sequence": []},
+        "with no object": [1],
+    }
+
+    async def check_life(
+        self, system: deployment.Deployment, born: int | None
+    ) -> None:
+        """Waits until all running processes know this life, or none."""
+        directories = [
+            store.directory for store in system.stores if store.stored.has_lease
+        ]
+        directories.append(system.entry.sync.directory)
+
+        def is_known(directory: gateway.Directory) -> bool:
+            found = directory.get(base.EndpointId("server-1"))
+            return born == (None if found is None else found.born_ms)
+
+        await support.until(lambda: all(map(is_known, directories)))
+
+    def test_removals(self) -> None:
+        for name, body in self.BODIES.items():
+            for late_at in range(1, deployment.STORE_COUNT + 1):
+
+                async def scenario(
+                    system: deployment.Deployment,
+                    body: typing.Any = body,
+                    late_at: int = late_at,
+                ) -> None:
+                    await self.restart_with_late_removal(system, body, late_at)
+
+                with self.subTest(name, store=late_at):
+                    deployment.run_scenario(scenario)
+
+    async def restart_with_late_removal(
+        self, system: deployment.Deployment, body: typing.Any, late_at: int
+    ) -> None:
+        await system.configure()
+        path, address = "/-/instances/server-1", system.server.address
+        await system.call_store("DELETE", path, body, 2)
+        await self.check_life(system, None)
+        born = round(1000 * time.time())
+        for sequence in (1, 2):
+            await system.announce("server-1", "plain", address, sequence, born)
+        await self.check_life(system, born)
+        reply = await system.call_store("DELETE", path, body, late_at)
+        self.assertEqual(reply.status, 200)
+        for sequence in (3, 4, 5):
+            await system.announce("server-1", "plain", address, sequence, born)
+        await self.check_life(system, born)
+        reply = await system.call_front("POST", "/plain/", b"x")
+        self.assertEqual(reply.status, 200)
+
+    def test_change_of_leader(self) -> None:
+        """Guards against a new leader that lists the former life's end."""
+
+        async def scenario(system: deployment.Deployment) -> None:
+            await self.restart_with_late_removal(system, None, 1)
+            await support.until(lambda: system.leader is not None)
+            leader = system.leader
+            assert leader is not None
+            known = leader.directory.get(base.EndpointId("server-1"))
+            assert known is not None
+            await leader.stop()
+            system.stores.remove(leader)
+            await support.until(lambda: system.leader is not None)
+            alive = int(system.stores[0].settings.node.name[-1])
+            body = {"born": known.born_ms, "sequence": 9}
+            for sequence in (6, 7):
+                await self.announce_at(system, alive, sequence, known.born_ms)
+            await self.check_life(system, known.born_ms)
+            reply = await system.call_front("POST", "/plain/", b"x")
+            self.assertEqual(reply.status, 200)
+            # A real departure stays one.
+            path = "/-/instances/server-1"
+            await system.call_store("DELETE", path, body, alive)
+            await self.announce_at(system, alive, 8, known.born_ms)
+            await self.check_life(system, None)
+
+        deployment.run_scenario(scenario)
+
+    async def announce_at(
+        self,
+        system: deployment.Deployment,
+        store: int,
+        sequence: int,
+        born: int,
+    ) -> None:
+        await system.call_store(
+            "PUT",
+            "/-/instances/server-1",
+            {
+                "service": "plain",
+                "address": system.server.address,
+                "zone": "zone-a",
+                "slots": 4,
+                "state": "ready",
+                "sequence": sequence,
+                "born": born,
+            },
+            store,
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
