Tell callers "not run" only of requests that no endpoint may have run

Cause: `AttemptRecorder.evaluate` noted that the request may have run and then went by the status alone; whether its caller may be told that status was decided nowhere. Ruled out: retries by the entry, and its own refusals.

Change: 408, 429 and 503 without that header count as a failed attempt, on each route. Repeatable requests go on to another endpoint, and get the answer as it is once none is left; others get 502 without the signature, since a signature demands the endpoint's status and that status would deny the run.

--- a/packages/node/src/banyanbank_node/_answer_check.py
+++ b/packages/node/src/banyanbank_node/_answer_check.py
@@ -6,6 +6,12 @@
 MIN_REDIRECT_STATUS = 300
 MIN_ERROR_STATUS = 400
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers are told that a request has not run and will not.
+
+An endpoint's own answer means this only if it states so besides.
+"""
+
 
 def find_mismatch(
     req: _ports.CallerRequest,
--- a/packages/node/src/banyanbank_node/_attempt_recorder.py
+++ b/packages/node/src/banyanbank_node/_attempt_recorder.py
@@ -6,6 +6,7 @@
 import banyanbank_web as web
 from returns import result
 
+from banyanbank_node import _answer_check
 from banyanbank_node import _attempt_pair
 from banyanbank_node import _endpoint_sender
 from banyanbank_node import _event_log
@@ -87,7 +88,10 @@
         self.shared.record_answer(
             target, forwarding.route, answer.status, now - sent_at
         )
-        if answer.status < MIN_SERVER_ERROR_STATUS:
+        if (
+            answer.status < MIN_SERVER_ERROR_STATUS
+            and answer.status not in _answer_check.NOT_RUN_STATUSES
+        ):
             return answer
         self._log_attempt(
             forwarding, target, "failed", f"status {answer.status}"
--- a/packages/node/src/banyanbank_node/_forwarder.py
+++ b/packages/node/src/banyanbank_node/_forwarder.py
@@ -110,7 +110,7 @@
         """Returns the answer of an endpoint, or a refusal.
 
         A request is retried only if its route is repeatable or if no endpoint
-        may have run it yet, such as after a reply that it was not run. Such a
+        may have run it yet, such as after a reply that states this. Such a
         reply uses up no attempt at a shared service, and once all endpoints
         have rejected the request it waits for room, briefly.
         """
@@ -143,7 +143,7 @@
             if forwarding.is_abandoned or not self._may_retry(forwarding):
                 break
         return (
-            forwarding.last_error_answer
+            forwarding.relayed_error_answer
             or _forwarding_refusals.make_refusal(
                 forwarding,
                 self._clock.now(),
@@ -336,11 +336,13 @@
         self._limits.note_sent(target, _endpoint_limits.Purpose.FORWARD)
         if is_suspect:
             self._crashes.suspects.enter(target.endpoint)
+        forwarding.running_attempts += 1
         try:
             exchange_result = await run.settle(
                 self._exchange(forwarding, target, req)
             )
         finally:
+            forwarding.running_attempts -= 1
             if is_suspect:
                 self._crashes.suspects.leave(target.endpoint)
             self._picker.ended(target.endpoint)
--- a/packages/node/src/banyanbank_node/_forwarding.py
+++ b/packages/node/src/banyanbank_node/_forwarding.py
@@ -8,6 +8,7 @@
 import banyanbank_base as base
 import banyanbank_gateway as gateway
 
+from banyanbank_node import _answer_check
 from banyanbank_node import _ports
 from banyanbank_node import _send_gate
 
@@ -58,7 +59,10 @@
     may_have_run_since: float | None = None
     """Start of the first attempt that may have run the request, or None."""
     last_error_answer: Answer | None = None
-    """Latest answer with a server error status."""
+    """Latest answer after which another endpoint may be tried; the request may
+    have run there."""
+    running_attempts: int = 0
+    """Number of attempts that are under way."""
     internal_error_count: int = 0
     """Number of answers with status 500."""
     permit_expected_at: float | None = None
@@ -91,6 +95,28 @@
             self.is_wanted is not None and not self.is_wanted()
         )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run it, or may be running it."""
+        return self.running_attempts > 0 or self.may_have_run_since is not None
+
+    @property
+    def relayed_error_answer(self) -> Answer | None:
+        """Latest answer with an error status, if its caller may get it.
+
+        A caller may take some statuses for the promise that the request has not
+        run, and send it again. Without that promise of the endpoint itself,
+        they are relayed only where another run does no harm.
+        """
+        answer = self.last_error_answer
+        if (
+            answer is not None
+            and answer.status in _answer_check.NOT_RUN_STATUSES
+            and not self.route.kind.is_repeatable
+        ):
+            return None
+        return answer
+
     @property
     def has_attempt_left(self) -> bool:
         """Whether it may be sent to a further endpoint."""
--- a/packages/node/src/banyanbank_node/_forwarding_refusals.py
+++ b/packages/node/src/banyanbank_node/_forwarding_refusals.py
@@ -29,10 +29,14 @@
         spread_s: Retry-After at a shared service; None at others.
     """
     if forwarding.may_have_run_since is not None:
+        answer = forwarding.last_error_answer
         return base.Refusal(
             base.RefusalReason.ENDPOINT_FAILED,
             base.Outcome.MAY_HAVE_RUN,
-            "No endpoint answered completely; the request may have run.",
+            "No endpoint answered completely; the request may have run."
+            if answer is None
+            else f"The endpoint answered with status {answer.status}, but did"
+            " not state that it has not run the request.",
         )
     if forwarding.permit_expected_at is not None:
         wait_s = forwarding.permit_expected_at - now
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -76,6 +76,8 @@
     Attributes:
         next_statuses: Statuses of the next responses; 200 if empty.
         is_silent: Whether it takes requests and never responds.
+        runs_all: Whether it runs requests whatever status it responds with.
+        signs_all: Whether it signs such responses, too.
         ran_request_ids: IDs of the requests that it ran.
     """
 
@@ -83,6 +85,8 @@
         super().__init__(reactor, host, port)
         self.next_statuses: collections.deque[int] = collections.deque()
         self.is_silent = False
+        self.runs_all = False
+        self.signs_all = True
         self.ran_request_ids: list[str] = []
 
     def answer(self, request: server.Request) -> None:
@@ -93,10 +97,13 @@
         request.setResponseCode(status)
         request_id = request.getHeader("x-banyanbank-request-id") or ""
         request.setHeader("x-banyanbank-request-id", request_id)
-        if status in (421, 503):
+        if status in (421, 503) and not self.runs_all:
             request.setHeader("x-banyanbank-not-executed", "1")
         else:
             self.ran_request_ids.append(request_id)
+        if request_id in self.ran_request_ids and (
+            status == 200 or self.signs_all
+        ):
             signature = f"signed.{request_id}"
             request.setHeader("x-banyanbank-response-signature", signature)
         request.write(b"answer to " + request_id.encode())
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -2,6 +2,7 @@
 
 import copy
 import functools
+import itertools
 import json
 import typing
 import unittest
@@ -90,6 +91,49 @@
         deployment.run_scenario(scenario)
 
 
+class NotRunStatusTest(unittest.TestCase):
+    """Callers are told "not run" only of requests that no endpoint ran.
+
+    Guards against an order that ran and was answered with 503, so that its
+    client sent it again.
+    """
+
+    def test_statuses_of_an_endpoint_that_runs_the_request(self) -> None:
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            (port,) = support.free_ports(1)
+            other = fakes.PlainServer(system.reactor, "127.0.0.1", port)
+            await system.announce("server-2", "plain", other.address)
+            await support.until(lambda: len(system.entry.sync.directory) == 3)
+            # Whichever is asked first gives the first answer.
+            other.next_statuses = system.server.next_statuses
+            other.ran_request_ids = system.server.ran_request_ids
+            for status, is_signed, (path, want, count) in itertools.product(
+                (408, 429, 503),
+                (True, False),
+                (("/once/", 502, 1), ("/plain/", 200, 2)),
+            ):
+                with self.subTest(path, status=status, signed=is_signed):
+                    for server in (system.server, other):
+                        server.runs_all = True
+                        server.signs_all = is_signed
+                        server.ran_request_ids.clear()
+                    system.server.next_statuses.append(status)
+                    reply = await system.call_front(
+                        "POST", path, b"x", x_banyanbank_request_id="r1"
+                    )
+                    self.assertEqual(reply.status, want)
+                    self.assertEqual(
+                        "x-banyanbank-response-signature" in reply.headers,
+                        want == 200,
+                    )
+                    ran = system.server.ran_request_ids
+                    self.assertEqual(ran, ["r1"] * count)
+            await other.stop()
+
+        deployment.run_scenario(scenario)
+
+
 class OddAnnouncementTest(unittest.TestCase):
     """An announcement of another writer names no endpoint, and others hold."""
 
