Drop the execution outcome that an endpoint states in banyanbankd

Change: it is dropped with the headers that are set anew. Result: ResponseHeadersTest failed before and passes.

--- a/packages/daemon/src/banyanbank_daemon/_entry/_headers.py
+++ b/packages/daemon/src/banyanbank_daemon/_entry/_headers.py
@@ -38,10 +38,12 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        "x-execution-outcome",
         "x-request-id",
     }
 )
-"""Response headers that are hop-by-hop or set anew for the caller."""
+"""Response headers that are hop-by-hop, set anew for the caller, or a promise
+that only this system may make."""
 
 KEY_QUERY_PARAMETERS = frozenset(
     {"access_token", "api-key", "api_key", "apikey", "key", "token"}
--- a/tests/daemon/test_service_calls.py
+++ b/tests/daemon/test_service_calls.py
@@ -8,6 +8,7 @@
 import banyanbank_base as base
 import banyanbank_control as control
 from banyanbank_daemon._entry import _active_requests
+from banyanbank_daemon._entry import _headers
 from banyanbank_daemon._entry import _intents
 from banyanbank_daemon._entry import _services
 import banyanbank_dispatch as dispatch
@@ -102,6 +103,19 @@
         self.refuse(refusal)
 
 
+class ResponseHeadersTest(unittest.TestCase):
+    """Callers believe what this system states of a request, and no endpoint."""
+
+    def test_outcome_that_an_endpoint_states(self) -> None:
+        """Guards against an endpoint that says "not run" in our name."""
+        for name in ("x-execution-outcome", "x-request-id", "connection"):
+            with self.subTest(name):
+                kept = _headers.filter_response_headers(
+                    ((name, "not run"), ("x-own", "1"))
+                )
+                self.assertEqual(kept, [(b"x-own", b"1")])
+
+
 class ServiceCallsTest(unittest.TestCase):
     """What callers are told of calls that fail or are ended."""
 
