Take no answer without an HTTP status line

Seen: the users saw another system pass on an answer whose status was 000. So did this one: a plain request got status 0 from the entry.

Cause: Twisted reads the status with `int`, which takes 000, -1, +200, 2_00 and 1000000, and any HTTP version; what lies between successes and errors was passed on. Ruled out: a check on one way only; all answers come through one client.

Change: the client's parser checks each status line (RFC 9112; statuses from 100 to 599, RFC 9110) and gives up the connection otherwise, also behind an interim answer and on a kept connection. The request then counts as lost.

--- a/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
+++ b/packages/mesh/src/banyanbank_mesh/_bounded_heads.py
@@ -1,5 +1,6 @@
-"""HTTP client connections: bounded heads of answers, and stale ones."""
+"""HTTP client connections: heads of answers that are valid and bounded."""
 
+import re
 import typing
 
 from twisted.internet import defer
@@ -21,6 +22,10 @@
 CLOSE_LIMIT_S = 1.0
 """Seconds for what is still to be sent on a connection that is closed."""
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: .*)?", re.DOTALL)
+"""Status line of RFC 9112; servers may leave the reason and its space out. A
+status is from 100 to 599 (RFC 9110, section 15)."""
+
 _DECODERS = {b"chunked": _chunks.JoiningDecoder}
 
 
@@ -28,6 +33,10 @@
     """A peer sent more than a head without ending it."""
 
 
+class StatusLineError(Exception):
+    """A peer sent something that begins with no HTTP status line."""
+
+
 class UnansweredError(Exception):
     """A connection was lost before any byte of an answer."""
 
@@ -40,8 +49,31 @@
     """
 
 
+class _StatusLineCheck:
+    """Checks the status line of each answer and interim answer.
+
+    Twisted takes any integer for a status, as Python reads integers.
+
+    Args:
+        parse: Parses a status line.
+    """
+
+    def __init__(self, parse: typing.Callable[[bytes], None]) -> None:
+        self._parse = parse
+
+    def __call__(self, line: bytes) -> None:
+        """Parses a status line.
+
+        Raises:
+            StatusLineError: It is none.
+        """
+        if not _STATUS_LINE.fullmatch(line):
+            raise StatusLineError(f"No HTTP status line: {line[:60]!r}")
+        self._parse(line)
+
+
 class _BoundedHeadProtocol(client.HTTP11ClientProtocol):
-    """Counts what comes before an answer's body; Twisted bounds only lines."""
+    """Checks what comes before an answer's body; Twisted bounds only lines."""
 
     _head_bytes: int | None = None
 
@@ -53,6 +85,7 @@
         if self._parser is not None:
             parser: typing.Any = self._parser
             parser._transferDecoders = _DECODERS
+            parser.statusReceived = _StatusLineCheck(parser.statusReceived)
         return answer.addBoth(self._end_head)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -39,6 +39,9 @@
         arrived_at: When each of them arrived, on the reactor's clock.
         rate_limit: Rate limit that its answers state; None for none.
         is_leaving: Whether its answers state that it leaves.
+        status_lines: By the beginning of a path, lines that begin the next
+            answers in place of a status line.
+        broken_count: Number of such answers so far.
     """
 
     def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
@@ -51,6 +54,8 @@
         self.arrived_at: list[float] = []
         self.rate_limit: str | None = None
         self.is_leaving = False
+        self.status_lines: dict[bytes, list[bytes]] = {}
+        self.broken_count = 0
 
     async def stop(self) -> None:
         """Closes the listener."""
@@ -63,8 +68,27 @@
             request.setHeader("server-limit", self.rate_limit)
         if self.is_leaving:
             request.setHeader(LEAVING_HEADER, "1")
+        for beginning, lines in self.status_lines.items():
+            if lines and (request.path or b"").startswith(beginning):
+                self._break(request, lines.pop(0))
+                return
         self.answer(request)
 
+    def _break(self, request: server.Request, status_line: bytes) -> None:
+        """Gives an answer that is sound but for its first line."""
+        self.broken_count += 1
+        request_id = request.getHeader("x-banyanbank-request-id") or ""
+        transport: typing.Any = request.transport
+        transport.write(
+            status_line
+            + b"\r\nX-Banyanbank-Request-Id: "
+            + request_id.encode()
+            + b"\r\nX-Banyanbank-Response-Signature: broken"
+            + b"\r\nX-Banyanbank-Weight-Versions: 9"
+            + b"\r\nContent-Type: application/json"
+            + b"\r\nContent-Length: 2\r\n\r\n{}"
+        )
+
     def answer(self, request: server.Request) -> None:
         """Responds to a request."""
         raise NotImplementedError
