--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -166,6 +166,38 @@
             lambda job: jobs.COMMAND_CODEC.encode(jobs.AcceptJob(job)),
         )
 
+    def test_control_paths(self) -> None:
+        """Guards against an item that is an order to its engine."""
+        for path, is_valid in (
+            ("/jobs/x", True),
+            ("/jobs/-/order", True),
+            ("/-x/order", True),
+            ("/-/order", False),
+            ("/-/report?x=1", False),
+            ("/%2D/order", False),
+            ("/%2d%2Forder", False),
+            ("%2F-/order", False),
+        ):
+            for place in ("item", "scorer"):
+                with self.subTest(path, place=place):
+                    job = copy.deepcopy(JOB)
+                    (spec,) = job["requests"]
+                    changed = spec if place == "item" else spec["scorer"]
+                    changed["path"] = path
+                    try:
+                        _batch_job.read_job(
+                            "job-1",
+                            json.dumps(job).encode(),
+                            ROUTE,
+                            base.AccountId("a"),
+                            0.0,
+                            0,
+                        )
+                    except _fields.FieldError:
+                        self.assertFalse(is_valid)
+                    else:
+                        self.assertTrue(is_valid)
+
     def test_announcements(self) -> None:
         """Guards against an entry that stops all readers of the directory."""
         self.check_each(
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -91,6 +91,39 @@
         deployment.run_scenario(scenario)
 
 
+class ControlPathTest(unittest.TestCase):
+    """Callers cannot make the calls that only this system may make."""
+
+    def test_route_for_all_paths(self) -> None:
+        """Guards against an order to an engine that a caller sent."""
+
+        async def scenario(system: deployment.Deployment) -> None:
+            await system.configure()
+            document = copy.deepcopy(deployment.DOCUMENT)
+            document["version"] += 1
+            document["routes"].append(
+                document["routes"][0]
+                | {"name": "all", "path-prefix": "/", "service": "engines"}
+            )
+            await system.call_store("PUT", "/-/config", document)
+            for path, status in (
+                ("/-/order", 404),
+                ("/%2D/order", 404),
+                ("/-/report", 404),
+                ("/other", 200),
+            ):
+                with self.subTest(path):
+                    count = len(system.engine.requests)
+                    reply = await system.call_front(
+                        "POST", path, b"{}", x_banyanbank_request_id="r1"
+                    )
+                    self.assertEqual(reply.status, status)
+                    sent = len(system.engine.requests) - count
+                    self.assertEqual(sent, status == 200)
+
+        deployment.run_scenario(scenario)
+
+
 class NotRunStatusTest(unittest.TestCase):
     """Callers are told "not run" only of requests that no endpoint ran.
 
--- a/tests/platform/test_endpoint_headers.py
+++ b/tests/platform/test_endpoint_headers.py
@@ -1,7 +1,9 @@
 """Tests of which received headers reach an endpoint, on each way there."""
 
+import collections
 import inspect
 import json
+import pathlib
 import types
 import typing
 import unittest
@@ -19,6 +21,8 @@
 from tests.gateway import samples
 from tests.platform import deployment
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
 KEY = "key-1234567890"
 OTHER_KEY = "key-0987654321"
 ACCOUNT = base.AccountId("account-1")
@@ -227,6 +231,17 @@
         covered = {way.builder for way in make_ways().values()}
         self.assertEqual(covered, builders)
 
+    def test_only_the_composer_makes_requests_to_endpoints(self) -> None:
+        """Guards against a request whose headers nobody has composed."""
+        found: collections.Counter[str] = collections.Counter()
+        for folder in ("packages/node/src", "platform/src"):
+            for path in (ROOT / folder).rglob("*.py"):
+                count = path.read_text("utf-8").count("UpstreamRequest(")
+                found.update({path.stem: count} if count else {})
+        # The wire protocol's are usage reports and orders of engines, which go
+        # to the platform.
+        self.assertEqual(found, {"_endpoint_requests": 1, "_wire_protocol": 2})
+
     def test_what_reaches_an_endpoint(self) -> None:
         for name, way in make_ways().items():
             sent, _ = compose(way.request)
