Call a run of an endpoint an incarnation in the new code

Names of modules, classes, tests, the note and texts change, nothing else; the log's effect "former life" is "former incarnation".

Result: tests.gateway, tests.platform.test_departures and test_decoders, and the test of the event catalogue pass.

--- a/packages/gateway/src/banyanbank_gateway/__init__.py
+++ b/packages/gateway/src/banyanbank_gateway/__init__.py
@@ -25,7 +25,7 @@
 from banyanbank_gateway._documents import Scaling
 from banyanbank_gateway._documents import Service
 from banyanbank_gateway._documents import Target
-from banyanbank_gateway._ended_lives import EndedLife
+from banyanbank_gateway._ended_incarnations import EndedIncarnation
 from banyanbank_gateway._endpoint_figures import EndpointFigure
 from banyanbank_gateway._endpoint_figures import KnownFigures
 from banyanbank_gateway._endpoint_figures import MAX_FIGURES_AGE_S
@@ -70,7 +70,7 @@
     "CrashSuspects",
     "Directory",
     "Document",
-    "EndedLife",
+    "EndedIncarnation",
     "EndpointFigure",
     "EndpointPicker",
     "EndpointState",
--- a/packages/gateway/src/banyanbank_gateway/_directory.py
+++ b/packages/gateway/src/banyanbank_gateway/_directory.py
@@ -11,7 +11,7 @@
 import attrs
 import banyanbank_base as base
 
-from banyanbank_gateway import _ended_lives
+from banyanbank_gateway import _ended_incarnations
 from banyanbank_gateway import _leaving_marks
 
 ANNOUNCEMENT_TTL_S = 5.0
@@ -108,7 +108,7 @@
         self.domains: set[base.FailureDomain] = set()
         self.has_forgotten_domains = False
         self._known: dict[base.EndpointId, _KnownEndpoint] = {}
-        self._ended = _ended_lives.EndedLives()
+        self._ended = _ended_incarnations.EndedIncarnations()
         self._departures = _leaving_marks.LeavingMarks()
 
     def __len__(self) -> int:
@@ -216,14 +216,14 @@
     def mark_leaving(
         self, endpoint: base.EndpointId, born_ms: int, now: float
     ) -> bool:
-        """Takes an endpoint for draining, whatever is announced of its life.
+        """Takes an endpoint for draining, whatever it announces.
 
-        The mark ends with a new life, or two minutes after the endpoint
+        The mark ends with a new incarnation, or two minutes after the endpoint
         was last known.
 
         Args:
             endpoint: Endpoint that states that it leaves.
-            born_ms: Start of its life, as Unix time in milliseconds.
+            born_ms: Start of its incarnation, as Unix time in milliseconds.
             now: Current time.
 
         Returns:
@@ -250,16 +250,17 @@
         """Removes an endpoint that announced its shutdown.
 
         The removal may be late, and the endpoint may have started again
-        meanwhile. If it does not say which life it ends, that of a life which
-        has just begun is in doubt until further announcements of it arrive.
+        meanwhile. If it does not say which incarnation it ends, the end of one
+        that has just begun is in doubt until it announces more, or does not.
 
         Args:
             endpoint: Endpoint that shuts down.
             now: Current time.
             unix_ms: Current Unix time in milliseconds.
-            born_ms: Start of the life that ends, as Unix time in milliseconds;
-                None if the removal does not state it.
-            sequence: Number of the removal in its life; None if not stated.
+            born_ms: Start of the incarnation that ends, as Unix time in
+                milliseconds; None if the removal does not state it.
+            sequence: Number of the removal in its incarnation; None if the
+                removal does not state it.
 
         Returns:
             False if the endpoint is unknown.
@@ -270,18 +271,20 @@
         elif known is None:
             self.revision += self._ended.add_unknown(endpoint, now, unix_ms)
         elif sequence is not None and sequence < known.sequence:
-            # The removal is the last that a life says, so it was another life.
+            # A removal has the highest number, so another incarnation sent it.
             pass
         elif known.state is EndpointState.READY and _has_just_begun(
             known, unix_ms
         ):
-            self._end(_ended_lives.doubt_end(endpoint, known.order_key), now)
+            self._end(
+                _ended_incarnations.doubt_end(endpoint, known.order_key), now
+            )
         else:
             self.end_incarnation(endpoint, known.born_ms, now)
         return known is not None
 
     def expire(self, now: float) -> list[Announcement]:
-        """Removes and returns expired endpoints; forgets old ends of lives."""
+        """Removes and returns expired endpoints; forgets old ends."""
         expired = [
             known.announcement
             for known in self._known.values()
@@ -318,21 +321,28 @@
             last_sequence: Number up to which its announcements are rejected if
                 its end is in doubt; None for all.
         """
-        self._end(_ended_lives.EndedLife(endpoint, born_ms, last_sequence), now)
+        self._end(
+            _ended_incarnations.EndedIncarnation(
+                endpoint, born_ms, last_sequence
+            ),
+            now,
+        )
 
-    def _end(self, end: _ended_lives.EndedLife, now: float) -> None:
+    def _end(
+        self, end: _ended_incarnations.EndedIncarnation, now: float
+    ) -> None:
         self.revision += self._ended.add(end, now)
         known = self._known.get(end.endpoint)
         if known is not None and end.covers(known.announcement.order_key):
             del self._known[end.endpoint]
             self.revision += 1
 
-    def ended(self) -> list[_ended_lives.EndedLife]:
+    def ended(self) -> list[_ended_incarnations.EndedIncarnation]:
         """Returns the ended incarnations."""
         return self._ended.all()
 
     def is_end_in_doubt(self, endpoint: base.EndpointId) -> bool:
-        """Whether the latest life to end may go on, for all that is known."""
+        """Whether the incarnation that ended last may turn out to go on."""
         end = self._ended.get(endpoint)
         return end is not None and end.last_sequence is not None
 
@@ -385,6 +395,6 @@
 
 
 def _has_just_begun(announcement: Announcement, unix_ms: int) -> bool:
-    """Whether a removal that arrives now may have been sent before a life."""
+    """Whether a removal that arrives now may have been sent before it began."""
     age_ms = unix_ms - announcement.born_ms
-    return age_ms < 1000 * _ended_lives.MAX_CALL_DELAY_S
+    return age_ms < 1000 * _ended_incarnations.MAX_CALL_DELAY_S
--- a/packages/gateway/src/banyanbank_gateway/_ended_lives.py
+++ b/packages/gateway/src/banyanbank_gateway/_ended_incarnations.py
@@ -1,7 +1,7 @@
-"""Lives of endpoints that have ended.
+"""Incarnations of endpoints that have ended.
 
-A removal may arrive seconds late, more than once, and without saying which life
-it ends, while the endpoint has started again under its name.
+A removal may arrive seconds late, more than once, and without saying which
+incarnation it ends, while the endpoint has started again under its name.
 """
 
 import math
@@ -11,36 +11,37 @@
 import banyanbank_base as base
 
 OrderKey = tuple[int, int]
-"""Start of a life in Unix milliseconds, and number of an announcement in it."""
+"""Start of an incarnation in Unix milliseconds, and number of its announcement.
+"""
 
 _ValueT = typing.TypeVar("_ValueT")
 
 TOMBSTONE_TTL_S = 120.0
-"""Time for which delayed announcements of an ended life are rejected."""
+"""Time for which delayed announcements of an ended incarnation are rejected."""
 
 MAX_CALL_DELAY_S = 10.0
 """Longest time that a call of an endpoint may take to arrive."""
 
 MAX_LATE_ANNOUNCEMENTS = 2
-"""Announcements of a life that may arrive after its removal; a further one
-shows that the life goes on."""
+"""Announcements of an incarnation that may arrive after its removal; a further
+one shows that it goes on."""
 
 MAX_REMEMBERED = 10_000
-"""Number of endpoints whose ended lives are remembered; the oldest are
+"""Number of endpoints whose ended incarnations are remembered; the oldest are
 dropped."""
 
 
 @attrs.frozen
-class EndedLife:
-    """End of a life of an endpoint, and of all its earlier lives."""
+class EndedIncarnation:
+    """End of an endpoint's incarnation, and of all earlier ones."""
 
     endpoint: base.EndpointId
     """Name of the endpoint."""
     born_ms: int
-    """Start of the life, as Unix time in milliseconds."""
+    """Start of the incarnation, as Unix time in milliseconds."""
     last_sequence: int | None = None
-    """Number of the life's last announcement if the end is in doubt: the life
-    goes on with a higher one. None if all announcements are stale."""
+    """Number of its last announcement if the end is in doubt: it goes on with a
+    higher one. None if all announcements are stale."""
 
     @property
     def order_key(self) -> tuple[int, float]:
@@ -53,27 +54,27 @@
         return order_key <= self.order_key
 
 
-class EndedLives:
+class EndedIncarnations:
     """The latest end of each endpoint that had one lately."""
 
     def __init__(self) -> None:
-        self._ends: dict[base.EndpointId, tuple[EndedLife, float]] = {}
+        self._ends: dict[base.EndpointId, tuple[EndedIncarnation, float]] = {}
         self._in_doubt: dict[base.EndpointId, tuple[int, float]] = {}
 
-    def all(self) -> list[EndedLife]:
+    def all(self) -> list[EndedIncarnation]:
         """Returns the ends."""
         return [end for end, _ in self._ends.values()]
 
-    def get(self, endpoint: base.EndpointId) -> EndedLife | None:
+    def get(self, endpoint: base.EndpointId) -> EndedIncarnation | None:
         """Returns the latest end of an endpoint, or None."""
         return self._ends.get(endpoint, (None, 0.0))[0]
 
     def covers(self, endpoint: base.EndpointId, order_key: OrderKey) -> bool:
-        """Whether an announcement is of a life that has ended."""
+        """Whether an announcement is of an incarnation that has ended."""
         end = self.get(endpoint)
         return end is not None and end.covers(order_key)
 
-    def add(self, end: EndedLife, now: float) -> bool:
+    def add(self, end: EndedIncarnation, now: float) -> bool:
         """Records an end; returns False if it, or a later one, is known."""
         known = self.get(end.endpoint)
         if known is not None and known.order_key >= end.order_key:
@@ -85,10 +86,10 @@
     def add_unknown(
         self, endpoint: base.EndpointId, now: float, unix_ms: int
     ) -> bool:
-        """Records the removal of an endpoint whose life is not known.
+        """Records the removal of an endpoint whose incarnation is not known.
 
-        Lives that began while the removal may have been on its way are in
-        doubt; all earlier ones have ended. A removal that closely follows an
+        Incarnations that began while the removal may have been on its way are
+        in doubt; all earlier ones have ended. A removal that closely follows an
         end is its repetition.
 
         Args:
@@ -105,12 +106,12 @@
         self._in_doubt[endpoint] = (unix_ms, now + TOMBSTONE_TTL_S)
         drop_oldest(self._in_doubt)
         earliest_ms = unix_ms - round(1000 * MAX_CALL_DELAY_S)
-        return self.add(EndedLife(endpoint, earliest_ms), now)
+        return self.add(EndedIncarnation(endpoint, earliest_ms), now)
 
     def settle_doubt(
         self, endpoint: base.EndpointId, order_key: OrderKey, now: float
     ) -> bool:
-        """Takes the first announcement of a life that is in doubt.
+        """Takes the first announcement of an incarnation that is in doubt.
 
         Returns:
             Whether it is one, and so may have been sent before the removal.
@@ -129,10 +130,14 @@
                     del remembered[endpoint]
 
 
-def doubt_end(endpoint: base.EndpointId, order_key: OrderKey) -> EndedLife:
-    """Returns the end of a life that its next announcements may refute."""
+def doubt_end(
+    endpoint: base.EndpointId, order_key: OrderKey
+) -> EndedIncarnation:
+    """Returns the end of an incarnation that may turn out to go on."""
     born_ms, sequence = order_key
-    return EndedLife(endpoint, born_ms, sequence + MAX_LATE_ANNOUNCEMENTS)
+    return EndedIncarnation(
+        endpoint, born_ms, sequence + MAX_LATE_ANNOUNCEMENTS
+    )
 
 
 def drop_oldest(
--- a/packages/node/src/banyanbank_node/_entry_directory.py
+++ b/packages/node/src/banyanbank_node/_entry_directory.py
@@ -81,12 +81,12 @@
         self, answer: _messages.SyncAnswer, encoded: bytes, now: float
     ) -> None:
         part: _messages.DirectoryPart = _messages.CODEC.decode(encoded)
-        for ended_life in part.ended:
+        for ended in part.ended:
             self.directory.end_incarnation(
-                ended_life.endpoint,
-                ended_life.born_ms,
+                ended.endpoint,
+                ended.born_ms,
                 now,
-                ended_life.last_sequence,
+                ended.last_sequence,
             )
         for announcement in part.announcements:
             self.directory.apply(announcement, now)
--- a/packages/node/src/banyanbank_node/_event_catalogue.py
+++ b/packages/node/src/banyanbank_node/_event_catalogue.py
@@ -123,10 +123,10 @@
     _make_kind(
         "endpoint.withdrawn",
         "endpoint born_ms sequence known_born_ms known_sequence effect",
-        "A removal of an endpoint arrived, for the life that it states (null if"
-        " it states none). The life that this store knew has ended, or its end"
-        " is in doubt until further announcements; or a former life had ended,"
-        " or the endpoint was unknown.",
+        "A removal of an endpoint arrived, for the incarnation that it states"
+        " (null if it states none). The one that this store knew has ended, or"
+        " its end is in doubt until further announcements; or a former one had"
+        " ended, or the endpoint was unknown.",
     ),
     _make_kind(
         "endpoint.silent",
--- a/packages/node/src/banyanbank_node/_messages.py
+++ b/packages/node/src/banyanbank_node/_messages.py
@@ -80,7 +80,7 @@
 
     announcements: tuple[gateway.Announcement, ...]
     """Latest announcement of each endpoint considered alive."""
-    ended: tuple[gateway.EndedLife, ...]
+    ended: tuple[gateway.EndedIncarnation, ...]
     """Incarnations whose announcements are stale."""
 
 
@@ -215,10 +215,10 @@
     endpoint: base.EndpointId
     """Name of the endpoint."""
     born_ms: int | None = None
-    """Start of the life that ends, as Unix time in milliseconds; None if the
-    endpoint does not state it."""
+    """Start of the incarnation that ends, as Unix time in milliseconds; None if
+    the endpoint does not state it."""
     sequence: int | None = None
-    """Number of the removal in that life; None if it is not stated."""
+    """Number of the removal in it; None if it is not stated."""
 
 
 @attrs.frozen
@@ -369,7 +369,7 @@
         SyncAnswer,
         AwaitEntries,
         gateway.Announcement,
-        gateway.EndedLife,
+        gateway.EndedIncarnation,
         Withdrawal,
         FiguresPart,
         _permit_messages.PermitRequest,
--- a/packages/node/src/banyanbank_node/_store_calls.py
+++ b/packages/node/src/banyanbank_node/_store_calls.py
@@ -220,7 +220,7 @@
         if known is None:
             effect = "unknown"
         elif self._directory.get(withdrawal.endpoint) is not None:
-            effect = "former life"
+            effect = "former incarnation"
         elif self._directory.is_end_in_doubt(withdrawal.endpoint):
             effect = "in doubt"
         else:
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -5,7 +5,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-from banyanbank_gateway import _ended_lives
+from banyanbank_gateway import _ended_incarnations
 
 from tests.gateway import samples
 
@@ -128,7 +128,7 @@
                 self.assertIs(self.list_announcements()[0].state, want)
 
     def test_number_of_remembered_departures(self) -> None:
-        count = _ended_lives.MAX_REMEMBERED + 1
+        count = _ended_incarnations.MAX_REMEMBERED + 1
         for number in range(count):
             name = base.EndpointId(f"e{number}")
             self.directory.mark_leaving(name, FIRST.born_ms, 0.001 * number)
@@ -177,7 +177,8 @@
         self.apply(DRAINING)
         self.assertEqual(self.list_announcements(), [])
         self.assertEqual(
-            self.directory.ended(), [gateway.EndedLife(FIRST.endpoint, 1_000)]
+            self.directory.ended(),
+            [gateway.EndedIncarnation(FIRST.endpoint, 1_000)],
         )
 
     def test_renewal_postpones_expiry(self) -> None:
--- a/tests/gateway/test_ended_lives.py
+++ b/tests/gateway/test_ended_incarnations.py
@@ -1,4 +1,4 @@
-"""Tests of lives that end while their endpoints start again."""
+"""Tests of incarnations that end while their endpoints start again."""
 
 import itertools
 import typing
@@ -7,7 +7,7 @@
 import attrs
 import banyanbank_base as base
 import banyanbank_gateway as gateway
-from banyanbank_gateway import _ended_lives
+from banyanbank_gateway import _ended_incarnations
 
 from tests.gateway import samples
 
@@ -15,17 +15,17 @@
 """Interval between the announcements of an endpoint."""
 
 FORMER = samples.make_announcement("e1", born_ms=40_000, sequence=50)
-"""Last announcement of a life that is removed 60 s after its start."""
+"""Last announcement of an incarnation that is removed 60 s after its start."""
 
 PRESENT = attrs.evolve(FORMER, born_ms=101_000, sequence=1)
-"""First announcement of the life that began 1 s after that removal."""
+"""First announcement of the incarnation that began 1 s after that removal."""
 
 FORMER_END = {"born_ms": FORMER.born_ms, "sequence": 51}
 PRESENT_END = {"born_ms": PRESENT.born_ms, "sequence": 4}
 
 
 class _Stated(typing.NamedTuple):
-    """Fields of the body of a removal that tell its life."""
+    """Fields of the body of a removal that tell its incarnation."""
 
     name: str
     names: tuple[str, ...]
@@ -39,8 +39,8 @@
 )
 
 
-def make_life(count: int) -> list[gateway.Announcement]:
-    """Returns the first announcements of the present life."""
+def announce_present(count: int) -> list[gateway.Announcement]:
+    """Returns the first announcements of the present incarnation."""
     return [
         attrs.evolve(PRESENT, sequence=number) for number in range(1, count + 1)
     ]
@@ -75,17 +75,17 @@
 
 
 class LateRemovalTest(unittest.TestCase):
-    """A removal of a former life does not end the present one.
+    """A removal of a former incarnation does not end the present one.
 
     Guards against an endpoint that starts again under its name and is not used
     for two minutes (LOST).
     """
 
     def check_goes_on(self, store: Store, is_at_once: bool) -> None:
-        """Checks that the present life is listed, or soon is."""
+        """Checks that the present incarnation is listed, or soon is."""
         if is_at_once:
             self.assertIsNotNone(store.known)
-        for announcement in make_life(9)[4:]:
+        for announcement in announce_present(9)[4:]:
             store.now += BEAT_S
             store.hear(announcement)
         assert store.known is not None
@@ -101,7 +101,7 @@
                 store.hear(FORMER)
                 store.remove(stated, FORMER_END)
                 store.now += 1.5
-                store.hear(*make_life(4))
+                store.hear(*announce_present(4))
                 store.remove(stated, FORMER_END, late_s)
                 for _ in range(times - 1):
                     store.remove(stated, FORMER_END, 0.1)
@@ -111,14 +111,16 @@
         """Also at a store that heard only some of it, in another order."""
         for stated in STATED:
             steps: dict[str, typing.Callable[[Store], None]] = {
-                "former life": lambda store: store.hear(FORMER),
+                "former incarnation": lambda store: store.hear(FORMER),
                 "removal": lambda store, stated=stated: store.remove(
                     stated, FORMER_END
                 ),
                 "its repetition": lambda store, stated=stated: store.remove(
                     stated, FORMER_END, 1.0
                 ),
-                "present life": lambda store: store.hear(*make_life(4)),
+                "present incarnation": lambda store: store.hear(
+                    *announce_present(4)
+                ),
             }
             for count in range(1, len(steps) + 1):
                 for names in itertools.permutations(steps, count):
@@ -129,7 +131,7 @@
                             steps[name](store)
                         self.check_goes_on(store, is_at_once=False)
 
-    def test_store_that_knows_neither_life(self) -> None:
+    def test_store_that_knows_neither(self) -> None:
         """Guards against a store that has just started, or a new leader."""
         for stated in STATED:
             with self.subTest(stated.name):
@@ -152,12 +154,12 @@
                     leader.hear(FORMER)
                     leader.remove(stated, FORMER_END)
                     leader.now += 1.5
-                    leader.hear(*make_life(4))
+                    leader.hear(*announce_present(4))
                     if is_heard:
                         leader.remove(stated, FORMER_END, 4.0)
                     leaders.append(leader)
                 follow(entry, leaders[0])
-                for announcement in make_life(9)[4:]:
+                for announcement in announce_present(9)[4:]:
                     leaders[1].now += BEAT_S
                     leaders[1].hear(announcement)
                 follow(entry, leaders[1])
@@ -166,7 +168,7 @@
 
 
 class DepartureTest(unittest.TestCase):
-    """A removal of the present life ends it, whatever arrives later.
+    """A removal of the present incarnation ends it, whatever arrives later.
 
     Guards against requests to an endpoint that has left (DRAIN).
     """
@@ -183,15 +185,20 @@
                 self.assertIsNone(store.known, name)
 
     def test_late_announcements(self) -> None:
-        life = make_life(3)
-        draining = attrs.evolve(life[2], state=gateway.EndpointState.DRAINING)
+        incarnation = announce_present(3)
+        draining = attrs.evolve(
+            incarnation[2], state=gateway.EndpointState.DRAINING
+        )
         for stated, age_s, heard, late in itertools.product(
-            STATED, (3.0, 60.0), (1, 3), (life, life[::-1], [draining])
+            STATED,
+            (3.0, 60.0),
+            (1, 3),
+            (incarnation, incarnation[::-1], [draining]),
         ):
             name = f"{stated.name}, {age_s} s, {heard} heard, {len(late)} late"
             with self.subTest(name):
                 store = Store()
-                store.hear(*life[:heard])
+                store.hear(*incarnation[:heard])
                 store.remove(stated, PRESENT_END, 1.0 + age_s)
                 self.check_stays_away(store, late, name)
                 # The removal is sent to the next store, too, and passed on.
@@ -204,7 +211,7 @@
             for stated in STATED:
                 with self.subTest(how, body=stated.name):
                     store = Store()
-                    *first, last = make_life(3)
+                    *first, last = announce_present(3)
                     if how == "announced":
                         draining = gateway.EndpointState.DRAINING
                         last = attrs.evolve(last, state=draining)
@@ -214,37 +221,37 @@
                             last.endpoint, last.born_ms, store.now
                         )
                     store.remove(stated, PRESENT_END, 3.0)
-                    self.check_stays_away(store, make_life(9), how)
+                    self.check_stays_away(store, announce_present(9), how)
 
     def test_store_that_did_not_know_it(self) -> None:
         for stated, age_s in itertools.product(STATED, (3.0, 60.0)):
             with self.subTest(stated.name, age_s=age_s):
                 store = Store()
                 store.remove(stated, PRESENT_END, 1.0 + age_s)
-                self.check_stays_away(store, make_life(3), stated.name)
+                self.check_stays_away(store, announce_present(3), stated.name)
 
     def test_former_endpoint_at_an_entry(self) -> None:
         """Guards against an end in doubt that entries never hear of."""
         for stated in STATED:
             with self.subTest(stated.name):
                 leader, entry = Store(), Store()
-                leader.hear(*make_life(3))
+                leader.hear(*announce_present(3))
                 follow(entry, leader)
                 self.assertIsNotNone(entry.known)
                 leader.remove(stated, PRESENT_END, 4.0)
                 follow(entry, leader)
-                self.check_stays_away(entry, make_life(3), stated.name)
+                self.check_stays_away(entry, announce_present(3), stated.name)
 
-    def test_statement_of_a_former_life(self) -> None:
-        """Guards against a late answer that marks the present life."""
+    def test_statement_of_a_former_incarnation(self) -> None:
+        """Guards against a late answer that marks the present incarnation."""
         store = Store()
-        store.hear(FORMER, *make_life(2))
+        store.hear(FORMER, *announce_present(2))
         store.directory.mark_leaving(FORMER.endpoint, FORMER.born_ms, 101.0)
         assert store.known is not None
         self.assertIs(store.known.state, gateway.EndpointState.READY)
 
 
-class EndedLivesTest(unittest.TestCase):
+class EndedIncarnationsTest(unittest.TestCase):
     """Ends are forgotten in time, and bounded in number."""
 
     def test_expiry(self) -> None:
@@ -252,7 +259,7 @@
             with self.subTest(stated.name):
                 store = Store()
                 store.remove(stated, PRESENT_END, 3.0)
-                last = store.now + _ended_lives.TOMBSTONE_TTL_S
+                last = store.now + _ended_incarnations.TOMBSTONE_TTL_S
                 store.directory.expire(last)
                 store.hear(PRESENT)
                 self.assertIsNone(store.known)
@@ -261,11 +268,11 @@
                 self.assertIsNotNone(store.known)
 
     def test_bound(self) -> None:
-        ended = _ended_lives.EndedLives()
-        count = _ended_lives.MAX_REMEMBERED + 1
+        ended = _ended_incarnations.EndedIncarnations()
+        count = _ended_incarnations.MAX_REMEMBERED + 1
         for number in range(count):
             name = base.EndpointId(f"e{number}")
-            ended.add(gateway.EndedLife(name, 1), 0.001 * number)
+            ended.add(gateway.EndedIncarnation(name, 1), 0.001 * number)
             ended.add_unknown(base.EndpointId(f"u{number}"), 60.0, 1)
         self.assertLessEqual(len(ended.all()), count - 1)
 
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -174,22 +174,22 @@
 
 
 class LateRemovalTest(unittest.TestCase):
-    """A late removal of a former life leaves the present one in use.
+    """A late removal of a former incarnation leaves the present one in use.
 
     Guards against a server that is not used for two minutes after its restart.
     """
 
     BODIES: typing.ClassVar[dict[str, typing.Any]] = {
-        "with its life": {"born": 1_000, "sequence": 2},
+        "with its incarnation": {"born": 1_000, "sequence": 2},
         "without a body": None,
         "with fields of other types": {"born": "x", "sequence": []},
         "with no object": [1],
     }
 
-    async def check_life(
+    async def check_incarnation(
         self, system: deployment.Deployment, born: int | None
     ) -> None:
-        """Waits until all running processes know this life, or none."""
+        """Waits until all running processes know this incarnation, or none."""
         directories = [
             store.directory for store in system.stores if store.stored.has_lease
         ]
@@ -221,21 +221,21 @@
         await system.configure()
         path, address = "/-/instances/server-1", system.server.address
         await system.call_store("DELETE", path, body, 2)
-        await self.check_life(system, None)
+        await self.check_incarnation(system, None)
         born = round(1000 * time.time())
         for sequence in (1, 2):
             await system.announce("server-1", "plain", address, sequence, born)
-        await self.check_life(system, born)
+        await self.check_incarnation(system, born)
         reply = await system.call_store("DELETE", path, body, late_at)
         self.assertEqual(reply.status, 200)
         for sequence in (3, 4, 5):
             await system.announce("server-1", "plain", address, sequence, born)
-        await self.check_life(system, born)
+        await self.check_incarnation(system, born)
         reply = await system.call_front("POST", "/plain/", b"x")
         self.assertEqual(reply.status, 200)
 
     def test_change_of_leader(self) -> None:
-        """Guards against a new leader that lists the former life's end."""
+        """Guards against a new leader that lists a former end."""
 
         async def scenario(system: deployment.Deployment) -> None:
             await self.restart_with_late_removal(system, None, 1)
@@ -251,14 +251,14 @@
             body = {"born": known.born_ms, "sequence": 9}
             for sequence in (6, 7):
                 await self.announce_at(system, alive, sequence, known.born_ms)
-            await self.check_life(system, known.born_ms)
+            await self.check_incarnation(system, known.born_ms)
             reply = await system.call_front("POST", "/plain/", b"x")
             self.assertEqual(reply.status, 200)
             # A real departure stays one.
             path = "/-/instances/server-1"
             await system.call_store("DELETE", path, body, alive)
             await self.announce_at(system, alive, 8, known.born_ms)
-            await self.check_life(system, None)
+            await self.check_incarnation(system, None)
 
         deployment.run_scenario(scenario)
 
