--- a/tests/soak/documents.py
+++ b/tests/soak/documents.py
@@ -24,6 +24,13 @@
     },
 )
 """Changes of a route that make its document invalid."""
+FORGED_HEADERS = {
+    "X-Banyanbank-Tenant": "account-2",
+    "AUTHORIZATION": "Token key-1",
+    "Transfer-Encoding": "chunked",
+    "Last-Event-Id": "2",
+}
+"""Headers of items that only the system may state."""
 ODD_ANNOUNCEMENT = (
     b'{"service": "\xed\xa0\x80", "address": "127.0.0.1:9", "zone": "zone-a",'
     b' "slots": 4, "state": "ready", "sequence": 1, "born": 1}'
@@ -67,4 +74,5 @@
         one["id"] = f"{job}-{number}"
         one["path"] = f"/{route}/x/{number}"
         one["scorer"]["id"] = f"score-{one['id']}"
+        one["headers"] |= FORGED_HEADERS
     return json.dumps(made).encode()
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -245,6 +245,7 @@
                 f"{name} got an answer that is not its own: {reply}",
             )
         else:
+            self.promises.check(reply.status >= 400, f"{name} got {reply}")
             self.promises.count(f"requests refused {reply.status}")
 
     async def _ask_deadly(self) -> None:
@@ -424,6 +425,8 @@
             await self._read_job(job, 1)
         await self._check_documents()
         self._check_requests()
+        forged = self._there.farm.forged
+        self.promises.check(not forged, f"items with forged headers: {forged}")
         self._check_reports()
 
     def _unread(self) -> list[str]:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -27,6 +27,12 @@
 """Share of the requests that a plain server says it has not run."""
 
 
+FAILING_SHARE = 0.02
+"""Share of the requests that a plain server runs and then denies."""
+FAILING_PATHS = (b"/once/", b"/plain/")
+"""Paths of such requests."""
+
+
 class ColdStarter(fakes.FakeServer):
     """Server that is cold after a start, or becomes so at any moment.
 
@@ -67,6 +73,7 @@
         event_s: Seconds between two events of a run.
         made: Versions under which each event of an item was made.
         open_runs: Runs under way; a non-empty list ends the run.
+        forged: Items whose requests did not have this system's headers alone.
     """
 
     event_s = EVENT_S
@@ -74,6 +81,7 @@
     def __init__(self, reactor: typing.Any, host: str, port: int) -> None:
         super().__init__(reactor, host, port)
         self.open_runs: dict[server.Request, list[typing.Any]] = {}
+        self.forged: set[str] = set()
         self.made: dict[str, dict[int, set[int]]] = collections.defaultdict(
             lambda: collections.defaultdict(set)
         )
@@ -82,6 +90,10 @@
         last = request.getHeader("last-event-id")
         item = str(request.getHeader("x-banyanbank-request-id"))
         first = int(str(last)) + 1 if last else 1
+        headers = request.requestHeaders
+        accounts = headers.getRawHeaders("x-banyanbank-tenant")
+        if accounts != ["account-1"] or headers.hasHeader("authorization"):
+            self.forged.add(item)
         request.setHeader("content-type", "text/event-stream")
         request.setHeader("x-banyanbank-request-id", item)
         request.setHeader("x-banyanbank-response-signature", f"signed.{item}")
@@ -143,7 +155,7 @@
 
 
 class BusyServer(ColdStarter, fakes.PlainServer):
-    """Takes its time, and is full now and then.
+    """Takes its time, is full now and then, and denies what it has run.
 
     Attributes:
         crashes: How often each deadly request has ended it.
@@ -169,6 +181,11 @@
         request.setHeader("x-life", f"{self.address}/{self.born}")
         if self._rng.random() < FULL_SHARE:
             self.next_statuses.append(503)
+        path = request.path or b""
+        is_failing = (
+            path.startswith(FAILING_PATHS)
+            and self._rng.random() < FAILING_SHARE
+        )
         is_left: list[typing.Any] = []
         request.notifyFinish().addBoth(is_left.append)
         # It runs whatever becomes of the connection.
@@ -178,14 +195,33 @@
         )
 
         def finish(_: object) -> None:
-            if is_left:
+            if is_left or is_failing:
                 name = request.getHeader("x-banyanbank-request-id")
                 self.ran_request_ids.append(str(name))
+            if is_left:
+                return
+            if is_failing:
+                self._fail(request)
             else:
                 super_answer(request)
 
         work.addCallback(finish)
 
+    def _fail(self, request: server.Request) -> None:
+        """Answers as if the request had not run, or with no HTTP status."""
+        status = self._rng.choice((0, 408, 429, 503))
+        if not status:
+            self._break(request, b"HTTP/1.1 000 OK")
+            return
+        request.setResponseCode(status)
+        name = str(request.getHeader("x-banyanbank-request-id"))
+        request.setHeader("x-banyanbank-request-id", name)
+        if self._rng.random() < 0.5:
+            request.setHeader(
+                "x-banyanbank-response-signature", f"signed.{name}"
+            )
+        request.finish()
+
     def reset(self) -> None:
         """Resets the connections of all runs."""
         for held in list(self._held):
@@ -248,6 +284,11 @@
         """Returns how often plain servers ran a request."""
         return sum(one.ran_request_ids.count(request_id) for one in self.plain)
 
+    @property
+    def forged(self) -> set[str]:
+        """Items that reached an engine with headers of their own making."""
+        return set().union(*(engine.forged for engine in self.all_engines))
+
     def versions_of(self, item: str) -> dict[int, set[int]]:
         """Returns the versions under which each event of an item was made."""
         joined: dict[int, set[int]] = collections.defaultdict(set)
