Read each field of a removal by itself

A body with a valid start and an invalid number counted as one that states no incarnation, which leaves the end of a young one in doubt for no reason.

--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -166,6 +166,23 @@
             lambda job: jobs.COMMAND_CODEC.encode(jobs.AcceptJob(job)),
         )
 
+    def test_fields_of_removals(self) -> None:
+        """Guards against a field that is lost with another, invalid one."""
+        for body, born_ms, sequence in (
+            ({"born": 1_000, "sequence": 4}, 1_000, 4),
+            ({"born": 1_000, "sequence": "4"}, 1_000, None),
+            ({"born": None, "sequence": 4}, None, 4),
+            ({"born": -1}, None, None),
+            ({}, None, None),
+        ):
+            with self.subTest(body=body):
+                read = _announcement.read_withdrawal(
+                    "e1", json.dumps(body).encode()
+                )
+                self.assertEqual(
+                    (read.born_ms, read.sequence), (born_ms, sequence)
+                )
+
     def test_control_paths(self) -> None:
         """Guards against an item that is an order to its engine."""
         for path, is_valid in (
