Repeat calls that a restarting store refuses in the tests' deployment

Cause: the task that announces the endpoints ended, since its call met a store whose listener was closed (ConnectionRefusedError in the output), so that all endpoints expired. Ruled out: the product; no announcement was sent any more.

Change: `call_store`, which repeats calls without a result, repeats those that are refused or get no answer, too.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -18,6 +18,7 @@
 from banyanbank_platform import _wire_protocol
 import banyanbank_web as web
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import task
 from twisted.web import client
 from twisted.web import http_headers
@@ -216,7 +217,12 @@
         url = f"http://127.0.1.{store}:{self.control_port}{path}"
         body = b"" if document is None else json.dumps(document).encode()
         while True:
-            reply = await self.call(method, url, body)
+            try:
+                reply = await self.call(method, url, body)
+            except (error.ConnectionRefusedError, client.ResponseNeverReceived):
+                # The store restarts.
+                await support.next_turn(0.1)
+                continue
             if reply.status not in (503, 504):
                 return reply
 
