Review: a batch job starts after its client has left and ended it

Case 13 submits a batch job at an entry that is frozen for 3.2 s. Its client closes the connection and ends the job elsewhere, where it is unknown (404). Awake, the entry submits the job, and all of its items run.

--- a/review/lab3/lab.py
+++ b/review/lab3/lab.py
@@ -318,6 +318,29 @@
             await asyncio.sleep(0.1)
         raise CannotRunError(f"{method} {path} got no clear answer")
 
+    def find_leader(self) -> Program:
+        """Returns the store that was elected last, by its log."""
+        elected: list[tuple[int, Program]] = []
+        for store in self.stores:
+            log = self.folder / store.name / "log.txt"
+            for line in log.read_text(errors="replace").splitlines():
+                if '"leader.elected"' in line:
+                    elected.append((json.loads(line)["epoch"], store))
+        return max(elected, key=lambda one: one[0])[1]
+
+    async def read_config(self, limit_s: float = 5.0) -> typing.Any:
+        """Reads the configuration; None if no store answers."""
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            for store in self.stores:
+                answer = await call(
+                    store.control, "GET", "/-/config", timeout=1.0
+                )
+                if answer.status == 200:
+                    return json.loads(answer.body)
+            await asyncio.sleep(0.2)
+        return None
+
     async def call_front(
         self,
         method: str,
@@ -567,7 +590,8 @@
         self.orders = []
         self.is_busy = False
         self.running = 0
-        self.loaded_at = None
+        self.loaded_at: typing.Any = None
+        self.began: list[tuple[str, float]] = []
 
     def models(self) -> typing.Any:
         """Returns the models as reports and heartbeats state them."""
@@ -671,6 +695,7 @@
             lines.append(f"X-Banyanbank-Weight-Versions: {self.version}")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         self.running += 1
+        self.began.append((item, time.monotonic()))
         stated = self.version
         begun_at = time.monotonic()
         try:
