--- a/review/lab3/lab.py
+++ b/review/lab3/lab.py
@@ -328,16 +328,6 @@
             await asyncio.sleep(0.1)
         raise CannotRunError(f"{method} {path} got no clear answer")
 
-    def find_leader(self) -> Program:
-        """Returns the store that was elected last, by its log."""
-        elected: list[tuple[int, Program]] = []
-        for store in self.stores:
-            log = self.folder / store.name / "log.txt"
-            for line in log.read_text(errors="replace").splitlines():
-                if '"leader.elected"' in line:
-                    elected.append((json.loads(line)["epoch"], store))
-        return max(elected, key=lambda one: one[0])[1]
-
     async def read_config(self, limit_s: float = 5.0) -> typing.Any:
         """Reads the configuration; None if no store answers."""
         until = time.monotonic() + limit_s
@@ -887,10 +877,16 @@
     lab = Lab(scratch, pathlib.Path(folder) / "record.txt", **options)
 
     async def run() -> typing.Any:
+        # Whoever ends the script also ends what it has started.
+        task: typing.Any = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         try:
             async with asyncio.timeout(110):
                 return await main(lab, trouble)
-        except (CannotRunError, TimeoutError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            # An error of the case itself must not look like a broken rule.
             lab.record.write(f"the case could not run: {exc!r}")
             return None
         finally:
