Replace a lost store as soon as another one is at its instance

Cause: the new store of a machine got the vote of the lost one only once that had been silent for 3 s, counted anew by each new leader; with an election and the copy of the log this exceeds catch-up-s (4.3 s).

A hello from another store at the instance shows that the old one is gone, as one instance runs one store. The leader now waits for election_min_s (0.6 s) of silence and for a hello that is newer than the last answer. A frozen, slow or cut off store sends no such hello and keeps its vote however long it is silent. The silence of the former leader counts from its last message, and a pause of the leader itself is no silence of others; NodeStatus.silences tells it.

Safety rests on neither: the entry that removes a vote needs a majority of those that stay, as before.

--- a/packages/consensus/src/banyanbank_consensus/__init__.py
+++ b/packages/consensus/src/banyanbank_consensus/__init__.py
@@ -26,6 +26,7 @@
 from banyanbank_consensus._ports import Scheduler
 from banyanbank_consensus._ports import StateMachine
 from banyanbank_consensus._state import Role
+from banyanbank_consensus._status import MemberSilence
 from banyanbank_consensus._status import NodeStatus
 from banyanbank_consensus._store import FileDisk
 from banyanbank_consensus._store import MemoryDisk
@@ -48,6 +49,7 @@
     "LogNode",
     "Member",
     "MemberRole",
+    "MemberSilence",
     "Members",
     "MemoryDisk",
     "MemoryFiles",
--- a/packages/consensus/src/banyanbank_consensus/_config.py
+++ b/packages/consensus/src/banyanbank_consensus/_config.py
@@ -47,8 +47,9 @@
     """Maximum rate error of any voter's monotonic clock, as a fraction."""
     propose_timeout_s: float = 5.0
     """Seconds after which an uncommitted proposal fails."""
-    repair_after_s: float = 3.0
-    """Seconds without a response before a lost store is replaced."""
+    repair_after_s: float = MIN_ELECTION_TIMEOUT_S
+    """Seconds without a response before a store is replaced by another one that
+    has said hello at the same instance."""
     snapshot_entries: int = 4096
     """Entries between snapshots, unless the state is larger than the log."""
     snapshot_bytes: int = 16 << 20
--- a/packages/consensus/src/banyanbank_consensus/_election.py
+++ b/packages/consensus/src/banyanbank_consensus/_election.py
@@ -7,6 +7,7 @@
 from banyanbank_consensus import _log
 from banyanbank_consensus import _members
 from banyanbank_consensus import _messages
+from banyanbank_consensus import _progress
 from banyanbank_consensus import _replication
 from banyanbank_consensus import _state
 
@@ -207,3 +208,4 @@
     )
     _replication.append_in_epoch(state, _log.EntryKind.NOOP, b"")
     _replication.start_heartbeat_round(state, now)
+    _progress.count_silence_of_former_leader(state)
--- a/packages/consensus/src/banyanbank_consensus/_membership.py
+++ b/packages/consensus/src/banyanbank_consensus/_membership.py
@@ -118,7 +118,7 @@
         if peer_hello.cluster not in ("", state.hard_state.cluster):
             continue
         if member.instance == state.own_instance or not _is_store_lost(
-            state, member, now
+            state, member, peer_hello, now
         ):
             continue
         role = member.role
@@ -130,15 +130,26 @@
 
 
 def _is_store_lost(
-    state: _state.State, member: _members.Member, now: float
+    state: _state.State,
+    member: _members.Member,
+    peer_hello: _state.PeerHello,
+    now: float,
 ) -> bool:
-    """Whether a store has not responded for long enough to count as lost."""
+    """Whether a store is lost, as another one says hello at its instance.
+
+    One instance runs one store at a time, so the store's silence need only
+    outlast its messages in flight. A store that is frozen, cut off or slow has
+    no other one at its instance.
+    """
     leadership = _state.require_leadership(state)
-    last_confirmed_at = leadership.elected_at
+    heard_at = leadership.elected_at
     progress = leadership.progress.get(member.instance)
     if progress is not None:
-        last_confirmed_at = max(last_confirmed_at, progress.confirmed_at)
-    return last_confirmed_at + state.cfg.repair_after_s < now
+        heard_at = progress.heard_at
+    return (
+        peer_hello.received_at > heard_at
+        and heard_at + state.cfg.repair_after_s < now
+    )
 
 
 def _is_unresponsive(
--- a/packages/consensus/src/banyanbank_consensus/_progress.py
+++ b/packages/consensus/src/banyanbank_consensus/_progress.py
@@ -8,8 +8,12 @@
 from banyanbank_consensus import _snapshot_send
 from banyanbank_consensus import _state
 
+MAX_TICK_DELAY_S = 0.3
+"""Seconds between two ticks beyond which a replica is taken to have been
+suspended."""
 
-def update_tracked_members(state: _state.State) -> None:
+
+def update_tracked_members(state: _state.State, now: float) -> None:
     """Tracks the progress of exactly the other members and their stores."""
     leadership = _state.require_leadership(state)
     wanted = {m.instance: m for m in state.members.members}
@@ -21,10 +25,40 @@
     for peer, member in wanted.items():
         if peer not in leadership.progress:
             leadership.progress[peer] = _state.Progress(
-                store=member.store, next_index=state.log.last_index + 1
+                store=member.store,
+                next_index=state.log.last_index + 1,
+                heard_at=now,
             )
 
 
+def count_silence_of_former_leader(state: _state.State) -> None:
+    """Counts the silence of the former leader from its last message on.
+
+    A new leader has heard nothing of the other members before its election.
+    """
+    leadership = _state.require_leadership(state)
+    for peer, progress in leadership.progress.items():
+        identity = _state.format_identity(peer, progress.store)
+        if identity == state.last_leader:
+            progress.heard_at = state.last_leader_heard_at
+    state.last_leader = ""
+
+
+def skip_own_pause(state: _state.State, now: float) -> None:
+    """Leaves the time for which this replica did not run out of all silences.
+
+    Frames that arrived meanwhile may still wait to be read.
+    """
+    last_tick_at, state.ticked_at = state.ticked_at, now
+    if last_tick_at is None or now < last_tick_at + MAX_TICK_DELAY_S:
+        return
+    pause_s = now - last_tick_at
+    state.last_leader_heard_at += pause_s
+    if state.leadership is not None:
+        for progress in state.leadership.progress.values():
+            progress.heard_at = min(now, progress.heard_at + pause_s)
+
+
 def get_match_index(
     leadership: _state.Leadership, member: _members.Member
 ) -> int:
@@ -56,6 +90,8 @@
     if sent_at > now:
         return None
     progress.confirmed_at = max(progress.confirmed_at, sent_at)
+    progress.heard_at = now
+    progress.has_responded = True
     return progress
 
 
--- a/packages/consensus/src/banyanbank_consensus/_replica.py
+++ b/packages/consensus/src/banyanbank_consensus/_replica.py
@@ -12,6 +12,7 @@
 from banyanbank_consensus import _log
 from banyanbank_consensus import _membership
 from banyanbank_consensus import _messages
+from banyanbank_consensus import _progress
 from banyanbank_consensus import _promise
 from banyanbank_consensus import _replication
 from banyanbank_consensus import _snapshot
@@ -61,6 +62,7 @@
 
     def tick(self, now: float) -> None:
         """Runs the time-based actions, such as heartbeats and elections."""
+        _progress.skip_own_pause(self.state, now)
         _formation.tick(self.state, now)
         _replication.tick(self.state, now)
         _promise.tick(self.state, now)
--- a/packages/consensus/src/banyanbank_consensus/_replication.py
+++ b/packages/consensus/src/banyanbank_consensus/_replication.py
@@ -31,7 +31,7 @@
     leadership.round_sent_at = now
     leadership.round_commit_index = state.commit
     leadership.next_round_at = now + state.cfg.heartbeat_interval_s
-    _progress.update_tracked_members(state)
+    _progress.update_tracked_members(state, now)
     for peer in leadership.progress:
         _progress.send_heartbeat(state, peer, now)
 
@@ -50,7 +50,7 @@
 def replicate_to_all(state: _state.State, now: float) -> None:
     """Sends new entries to every member that can accept them."""
     leadership = _state.require_leadership(state)
-    _progress.update_tracked_members(state)
+    _progress.update_tracked_members(state, now)
     for peer in leadership.progress:
         _progress.replicate_to(state, peer, now)
 
@@ -148,6 +148,8 @@
     ):
         _state.become_follower(state, head.epoch, sender, now)
         _promise.record(state, sender, head)
+    state.last_leader = _state.format_identity(sender, head.store)
+    state.last_leader_heard_at = now
     state.votes_withheld_until = now + state.cfg.election_min_s
     _state.reset_election_timer(state, now)
 
--- a/packages/consensus/src/banyanbank_consensus/_state.py
+++ b/packages/consensus/src/banyanbank_consensus/_state.py
@@ -60,6 +60,11 @@
     """Replication mode."""
     confirmed_at: float = DISTANT_PAST
     """Send time, on the leader's clock, of the latest answered round."""
+    heard_at: float = DISTANT_PAST
+    """When the store was heard last; when it became a member of this
+    leadership if it was not heard since."""
+    has_responded: bool = False
+    """Whether it has responded during this leadership."""
     resend_at: float = DISTANT_PAST
     """When to resend an unanswered probe or snapshot chunk."""
     in_flight: collections.deque[tuple[int, int]] = attrs.field(
@@ -154,6 +159,13 @@
     """Current role; changed only by `transition`."""
     leader: base.InstanceId | None = None
     """Leader of the epoch; None if unknown."""
+    last_leader: str = ""
+    """Identity of the leader that was followed last; empty if there was none
+    since this replica led."""
+    last_leader_heard_at: float = DISTANT_PAST
+    """When the latest message of that leader was received."""
+    ticked_at: float | None = None
+    """When the latest tick ran; None before the first."""
     commit: int = 0
     """Last index known to be committed."""
     votes_withheld_until: float = DISTANT_PAST
--- a/packages/consensus/src/banyanbank_consensus/_status.py
+++ b/packages/consensus/src/banyanbank_consensus/_status.py
@@ -8,6 +8,19 @@
 from banyanbank_consensus import _state
 
 
+@attrs.frozen
+class MemberSilence:
+    """How long a leader has heard nothing from another member."""
+
+    instance: base.InstanceId
+    """Instance of the member."""
+    since: float
+    """When its store was heard last, on the leader's clock; when it became a
+    member of this leadership if it was not heard since."""
+    has_responded: bool
+    """Whether it has responded during this leadership."""
+
+
 @attrs.frozen
 class NodeStatus:
     """A node's view of itself and the log at one point in time."""
@@ -42,6 +55,8 @@
     """Whether the latest membership change is known to be committed."""
     lease_deadline: float | None
     """When the lease ends on the node's clock; None if none is held."""
+    silences: tuple[MemberSilence, ...] = ()
+    """Silence of each other member; empty unless the node leads."""
 
 
 def make_status(
@@ -92,4 +107,15 @@
         ),
         members_committed=state.log.members_index <= state.commit,
         lease_deadline=deadline if deadline > now else None,
+        silences=_find_silences(state),
+    )
+
+
+def _find_silences(state: _state.State) -> tuple[MemberSilence, ...]:
+    leadership = state.leadership
+    if leadership is None:
+        return ()
+    return tuple(
+        MemberSilence(instance, progress.heard_at, progress.has_responded)
+        for instance, progress in leadership.progress.items()
     )
