Promote learners whose answers take longer than a heartbeat interval

Cause: a learner was promoted once it held all that was committed when the latest round was sent, also if it had not answered that round yet. Under a steady load one whose answers take more than 0.1 s never does.

What counts is now the latest round that it has answered. The bound on the age of that answer (election_min_s) stays.

--- a/packages/consensus/src/banyanbank_consensus/_membership.py
+++ b/packages/consensus/src/banyanbank_consensus/_membership.py
@@ -94,7 +94,7 @@
         if progress is None or _is_unresponsive(state, member, now):
             continue
         if progress.match >= max(
-            leadership.round_commit_index, leadership.noop_index
+            progress.confirmed_commit_index, leadership.noop_index
         ):
             voter = member.with_role(_members.MemberRole.VOTER)
             return state.members.with_member(voter)
--- a/packages/consensus/src/banyanbank_consensus/_progress.py
+++ b/packages/consensus/src/banyanbank_consensus/_progress.py
@@ -89,7 +89,12 @@
         return None
     if sent_at > now:
         return None
-    progress.confirmed_at = max(progress.confirmed_at, sent_at)
+    if sent_at > progress.confirmed_at:
+        progress.confirmed_at = sent_at
+        progress.confirmed_commit_index = max(
+            (c for at, c in leadership.round_commits if at <= sent_at),
+            default=progress.confirmed_commit_index,
+        )
     progress.heard_at = now
     progress.has_responded = True
     return progress
--- a/packages/consensus/src/banyanbank_consensus/_replication.py
+++ b/packages/consensus/src/banyanbank_consensus/_replication.py
@@ -29,7 +29,9 @@
     """Sends a heartbeat to each member, to be confirmed by a quorum."""
     leadership = _state.require_leadership(state)
     leadership.round_sent_at = now
-    leadership.round_commit_index = state.commit
+    leadership.round_commits.append((now, state.commit))
+    while leadership.round_commits[0][0] + state.cfg.election_min_s < now:
+        leadership.round_commits.popleft()
     leadership.next_round_at = now + state.cfg.heartbeat_interval_s
     _progress.update_tracked_members(state, now)
     for peer in leadership.progress:
--- a/packages/consensus/src/banyanbank_consensus/_state.py
+++ b/packages/consensus/src/banyanbank_consensus/_state.py
@@ -60,6 +60,8 @@
     """Replication mode."""
     confirmed_at: float = DISTANT_PAST
     """Send time, on the leader's clock, of the latest answered round."""
+    confirmed_commit_index: int = 0
+    """Commit index when that round was sent."""
     heard_at: float = DISTANT_PAST
     """When the store was heard last; when it became a member of this
     leadership if it was not heard since."""
@@ -91,8 +93,10 @@
     """When all leases of earlier leaders have expired, with a margin."""
     round_sent_at: float = DISTANT_PAST
     """When the latest heartbeat round was sent."""
-    round_commit_index: int = 0
-    """Commit index when the latest round was sent."""
+    round_commits: collections.deque[tuple[float, int]] = attrs.field(
+        factory=collections.deque
+    )
+    """Send time and commit index of each recent round, the oldest first."""
     next_round_at: float = DISTANT_PAST
     """When the next round is due."""
     synced_index: int = 0
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -91,6 +91,24 @@
         self.assertAlmostEqual(silent_s, self.world.now - ended_at, delta=0.2)
 
 
+class PromotionTest(test_node.WorldCase):
+    """A learner that keeps up with the load is promoted."""
+
+    names = "abcd"
+    initial = "abc"
+
+    def test_learner_whose_answers_are_late(self) -> None:
+        """Guards against a learner that lags a round and is never promoted."""
+        for (source, target), link in self.world.links.items():
+            if "d" in (source, target):
+                link.delay_s = 2 * consensus.HEARTBEAT_INTERVAL_S
+        self.change("add_voter", "d")
+        for number in range(300):
+            self.world.propose(self.leader, f"{number}".encode())
+            self.world.run(cluster.TICK_S)
+        self.assertEqual(self.voters(), "abcd")
+
+
 def _await_lease_holder(world: cluster.World) -> base.InstanceId:
     world.run_until(lambda: bool(world.lease_holders()))
     return world.lease_holders()[0]
