Tell a peer whose address refuses connections from a silent one

Mesh.refuses_connections says whether the latest dial found no process at the peer's address. A frozen process accepts connections, and a cut that swallows packets ends dials by their limit, so that neither counts.

--- a/packages/mesh/src/banyanbank_mesh/_connections.py
+++ b/packages/mesh/src/banyanbank_mesh/_connections.py
@@ -135,6 +135,11 @@
             if any(link.usable for link in peer.all_links())
         ]
 
+    def refuses_connections(self, instance: base.InstanceId) -> bool:
+        """Whether nothing listened at a peer's address at the latest dial."""
+        peer = self._peers.get(instance)
+        return peer is not None and peer.refuses_connections
+
     def submit(
         self,
         instance: base.InstanceId,
@@ -227,6 +232,7 @@
             _errors.HandshakeError,
         ) as exc:
             state.backoff.failed(self._clock.now())
+            peer.refuses_connections = isinstance(exc, ConnectionRefusedError)
             self._dial_ended(peer, lane, repr(exc)[:200])
             return
         except asyncio.CancelledError:
@@ -327,6 +333,7 @@
         )
         self._lives.note(identity.instance, identity.incarnation)
         peer.close_older(identity.incarnation)
+        peer.refuses_connections = False
         peer.lanes[lane].links.append(link)
         self._recorder.record(
             "mesh.connected",
--- a/packages/mesh/src/banyanbank_mesh/_mesh.py
+++ b/packages/mesh/src/banyanbank_mesh/_mesh.py
@@ -138,6 +138,14 @@
         """Returns the peers with an open connection."""
         return self._connections.connected_peers()
 
+    def refuses_connections(self, peer: base.InstanceId) -> bool:
+        """Whether the latest dial found no process at the peer's address.
+
+        A process that is frozen, or that its network cuts off in silence,
+        refuses nothing: dials of it time out or wait for its answer.
+        """
+        return self._connections.refuses_connections(peer)
+
     def send(self, peer: base.InstanceId, channel: str, data: bytes) -> None:
         """Sends a message that may get lost; never waits."""
         frame = _frames.Message(channel, data, self._hybrid_clock.tick())
--- a/packages/mesh/src/banyanbank_mesh/_peer.py
+++ b/packages/mesh/src/banyanbank_mesh/_peer.py
@@ -136,6 +136,8 @@
     def __init__(self, instance: base.InstanceId, rng: random.Random) -> None:
         self.instance = instance
         self.address: Address | None = None
+        self.refuses_connections = False
+        """Whether nothing listened at its address at the latest dial."""
         self.lanes = {lane: LaneState(Backoff(rng)) for lane in _frames.Lane}
 
     def all_links(self) -> list[_link.Link]:
@@ -155,6 +157,7 @@
         if address == self.address:
             return
         self.address = address
+        self.refuses_connections = False
         for link in self.all_links():
             if link.dialled:
                 link.close(_link.CODE_REPLACED, "The peer has moved.")
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import socket
 import time
 import typing
 import unittest
@@ -455,6 +456,32 @@
 
         self.run_case(case)
 
+    def test_process_that_has_ended_and_one_that_is_frozen(self) -> None:
+        """Guards against a frozen process that is taken for an ended one."""
+
+        async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
+            port = b.port
+            self.assertFalse(a.refuses_connections(B))
+            self.started.remove(b)
+            await b.stop()
+            await a.call(B, "echo", b"", self.soon())
+            self.assertTrue(a.refuses_connections(B))
+            again = await self.start_mesh(B, incarnation=2, port=port)
+            again.on_call("echo", echo)
+            while not a.connected_peers():
+                await a.call(B, "echo", b"", self.soon())
+                await support.next_turn(0.05)
+            self.assertFalse(a.refuses_connections(B))
+            with socket.socket() as frozen:
+                frozen.bind(("127.0.0.1", 0))
+                frozen.listen()
+                a.set_peer(B, *frozen.getsockname())
+                answer = await a.call(B, "echo", b"", self.soon())
+                self.expect_error(answer, KIND.UNREACHABLE, NOT_RUN)
+                self.assertFalse(a.refuses_connections(B))
+
+        self.run_case(case)
+
     def test_names_are_not_looked_up(self) -> None:
         async def case(a: mesh.Mesh, b: mesh.Mesh) -> None:
             for host, port in (("localhost", 1), ("127.0.0.1", 0)):
