Judge the silence of members by the log, and replace ended ones sooner

Cause: a member counted as gone 3 s after its last heartbeat to the leader, and each new leader, also one that had only lost its lease for a moment, counted from its own start; after the loss of a leader that made about 5 s without tolerance of a further loss. And a voter that came back while its replacement caught up left four voters for good, of which any two halves lack a majority; with two voters gone and one replacement none was removed.

Change: the leader goes by the answers of the log, which come ten times a second, and counts the silence of its predecessor from its last message. A member whose address refuses connections has no process any more and counts as gone after 1 s; a frozen, slow or silently cut off one still after 3 s. Whenever there are more voters than wanted, one that is gone or retired is removed, or else the one that was silent the longest; it returns as the standby.

The decision is a module of its own, _membership_changes.

--- a/packages/node/src/banyanbank_node/_leader_duties.py
+++ b/packages/node/src/banyanbank_node/_leader_duties.py
@@ -187,6 +187,7 @@
             self.calls,
             self.settings.voters_wanted,
             node.events,
+            node.mesh.refuses_connections,
         )
 
     def _build_loads(
--- a/packages/node/src/banyanbank_node/_member_duty.py
+++ b/packages/node/src/banyanbank_node/_member_duty.py
@@ -1,6 +1,6 @@
 """Adds stores to the log's members and removes them, on the leader only."""
 
-import enum
+import collections.abc
 
 import attrs
 import banyanbank_base as base
@@ -12,6 +12,7 @@
 from banyanbank_node import _event_log
 from banyanbank_node import _leadership
 from banyanbank_node import _ledger_replica
+from banyanbank_node import _membership_changes
 from banyanbank_node import _messages
 from banyanbank_node import _store_calls
 
@@ -19,83 +20,11 @@
 """Time since its last heartbeat for which a store is considered alive."""
 
 GONE_TIMEOUT_S = 3.0
-"""Time without a heartbeat after which another store replaces a member."""
+"""Silence after which a member is considered to have ended."""
 
-MAX_STANDBYS = 1
-"""Maximum number of non-voting members, kept to replace a voter at once."""
-
-
-class ChangeKind(enum.Enum):
-    """Kind of a membership change."""
-
-    ADD_VOTER = "add voter"
-    """Adds a member that votes once it has caught up."""
-    ADD_STANDBY = "add standby"
-    """Adds a member that receives the log without a vote."""
-    REMOVE = "remove"
-    """Removes a member."""
-
-
-@attrs.frozen
-class MemberChange:
-    """One membership change."""
-
-    kind: ChangeKind
-    """Kind of the change."""
-    instance: base.InstanceId
-    """Store that is added or removed."""
-
-
-@attrs.frozen
-class MembershipView:
-    """Members of the log and running stores at one moment."""
-
-    voters: tuple[base.InstanceId, ...]
-    """Members that vote."""
-    joining: tuple[base.InstanceId, ...]
-    """Members that will vote once they have caught up."""
-    standby: tuple[base.InstanceId, ...]
-    """Members without a vote."""
-    live: frozenset[base.InstanceId]
-    """Stores with a recent heartbeat."""
-    gone: frozenset[base.InstanceId]
-    """Members without a heartbeat for `GONE_TIMEOUT_S`."""
-    retired: frozenset[base.InstanceId]
-    """Stores that an operator removes."""
-    wanted: int
-    """Target number of voters; odd."""
-
-
-def next_change(view: MembershipView) -> MemberChange | None:
-    """Returns the next membership change, or None.
-
-    The number of voters is kept odd: one more voter would not tolerate more
-    failures, and a split into halves would leave neither half a quorum. A
-    voter that is gone or retired is removed only after its replacement votes.
-    """
-    healthy_voters = [
-        name
-        for name in view.voters
-        if name not in view.gone and name not in view.retired
-    ]
-    for name in view.voters:
-        if name not in healthy_voters and len(healthy_voters) >= view.wanted:
-            return MemberChange(ChangeKind.REMOVE, name)
-    for name in (*view.standby, *view.joining):
-        if name in view.gone or name in view.retired:
-            return MemberChange(ChangeKind.REMOVE, name)
-    members = {*view.voters, *view.joining, *view.standby}
-    live_standbys = [name for name in view.standby if name in view.live]
-    new_stores = sorted(view.live - members - view.retired)
-    if len(healthy_voters) + len(view.joining) < view.wanted and (
-        live_standbys or new_stores
-    ):
-        return MemberChange(
-            ChangeKind.ADD_VOTER, (live_standbys or new_stores)[0]
-        )
-    if len(view.standby) < MAX_STANDBYS and not view.joining and new_stores:
-        return MemberChange(ChangeKind.ADD_STANDBY, new_stores[0])
-    return None
+ENDED_TIMEOUT_S = 1.0
+"""The same for a member whose address refuses connections: its process has
+ended, while a frozen one accepts them. A process restarts about as fast."""
 
 
 @attrs.define
@@ -115,6 +44,7 @@
         calls: Registers the handlers for calls of stores and operators.
         voters_wanted: Target number of voters; odd.
         events: Event log.
+        refuses_connections: Whether nothing listens at a store's address.
     """
 
     def __init__(
@@ -124,8 +54,12 @@
         calls: _store_calls.StoreCalls,
         voters_wanted: int,
         events: _event_log.EventLog,
+        refuses_connections: collections.abc.Callable[
+            [base.InstanceId], bool
+        ] = lambda _: False,
     ) -> None:
         self._voters_wanted = voters_wanted
+        self._refuses_connections = refuses_connections
         self._clock = clock
         self._stored = stored
         self._calls = calls
@@ -146,7 +80,7 @@
         status = self._stored.node.status()
         if self._is_changing or not status.members_committed:
             return
-        step = next_change(self._view(status, now))
+        step = _membership_changes.next_change(self._view(status, now))
         if step is not None:
             self._is_changing = True
             _background.run(
@@ -159,27 +93,31 @@
         self._calls.led_since = None
         self._heartbeats.clear()
 
-    def _view(self, status: consensus.NodeStatus, now: float) -> MembershipView:
+    def _view(
+        self, status: consensus.NodeStatus, now: float
+    ) -> _membership_changes.MembershipView:
+        silences = {one.instance: one for one in status.silences}
         live = {name for name in self._heartbeats if self._is_live(name, now)}
         live.add(status.instance)
-        members = (*status.voters, *status.learners)
-        return MembershipView(
-            voters=tuple(m.instance for m in status.voters),
-            joining=tuple(
-                m.instance
-                for m in status.learners
-                if m.role is consensus.MemberRole.JOINING
-            ),
-            standby=tuple(
-                m.instance
-                for m in status.learners
-                if m.role is consensus.MemberRole.LEARNER
-            ),
+        live.update(
+            one.instance
+            for one in status.silences
+            if one.has_responded and one.since + LIVE_TIMEOUT_S > now
+        )
+        voters = sorted(
+            (m.instance for m in status.voters),
+            key=lambda name: silences[name].since if name in silences else now,
+            reverse=True,
+        )
+        return _membership_changes.MembershipView(
+            voters=tuple(voters),
+            joining=_select_learners(status, consensus.MemberRole.JOINING),
+            standby=_select_learners(status, consensus.MemberRole.LEARNER),
             live=frozenset(live),
             gone=frozenset(
-                m.instance
-                for m in members
-                if m.instance not in live and self._is_gone(m.instance, now)
+                one.instance
+                for one in status.silences
+                if self._is_gone(one, now)
             ),
             retired=frozenset(self._stored.ledger.retired),
             wanted=self._voters_wanted,
@@ -189,20 +127,21 @@
         heard = self._heartbeats.get(instance)
         return heard is not None and heard.received_at + LIVE_TIMEOUT_S > now
 
-    def _is_gone(self, instance: base.InstanceId, now: float) -> bool:
-        # Heartbeats before this store began to lead went to another leader.
-        since = self._led_since or now
-        heard = self._heartbeats.get(instance)
-        if heard is not None:
-            since = max(since, heard.received_at)
-        return since + GONE_TIMEOUT_S < now
+    def _is_gone(self, silence: consensus.MemberSilence, now: float) -> bool:
+        timeout_s = GONE_TIMEOUT_S
+        if self._refuses_connections(silence.instance):
+            timeout_s = ENDED_TIMEOUT_S
+        return silence.since + timeout_s < now
 
-    async def _apply_change(self, step: MemberChange) -> None:
+    async def _apply_change(
+        self, step: _membership_changes.MemberChange
+    ) -> None:
         node = self._stored.node
+        kinds = _membership_changes.ChangeKind
         methods = {
-            ChangeKind.ADD_VOTER: node.add_voter,
-            ChangeKind.ADD_STANDBY: node.add_learner,
-            ChangeKind.REMOVE: node.remove_voter,
+            kinds.ADD_VOTER: node.add_voter,
+            kinds.ADD_STANDBY: node.add_learner,
+            kinds.REMOVE: node.remove_voter,
         }
         try:
             changed = await methods[step.kind](step.instance)
@@ -221,7 +160,8 @@
         self, sender: base.InstanceId, data: bytes
     ) -> object:
         req = _messages.CODEC.decode(data)
-        self._heartbeats[sender] = _Heartbeat(req.node, self._clock.now())
+        now = self._clock.now()
+        self._heartbeats[sender] = _Heartbeat(req.node, now)
         return _messages.Accepted()
 
     def _find_instance(self, node: str) -> base.InstanceId | None:
@@ -236,12 +176,15 @@
         self._require_all_heard()
         return None
 
+    def _has_led_for(self, seconds: float) -> bool:
+        return (
+            self._led_since is not None
+            and self._clock.now() >= self._led_since + seconds
+        )
+
     def _require_all_heard(self) -> None:
         """Raises NotLeaderError unless each live store has been heard."""
-        if (
-            self._led_since is None
-            or self._clock.now() < self._led_since + LIVE_TIMEOUT_S
-        ):
+        if not self._has_led_for(LIVE_TIMEOUT_S):
             raise _leadership.NotLeaderError
 
     async def _handle_retire(
@@ -284,3 +227,9 @@
             and status.members_committed
         )
         return _messages.Retiring(is_over)
+
+
+def _select_learners(
+    status: consensus.NodeStatus, role: consensus.MemberRole
+) -> tuple[base.InstanceId, ...]:
+    return tuple(m.instance for m in status.learners if m.role is role)
--- /dev/null
+++ b/packages/node/src/banyanbank_node/_membership_changes.py
@@ -0,0 +1,99 @@
+"""Decides which store is added to the log's members or removed next."""
+
+import enum
+
+import attrs
+import banyanbank_base as base
+
+MAX_STANDBYS = 1
+"""Maximum number of non-voting members, kept to replace a voter at once."""
+
+
+class ChangeKind(enum.Enum):
+    """Kind of a membership change."""
+
+    ADD_VOTER = "add voter"
+    """Adds a member that votes once it has caught up."""
+    ADD_STANDBY = "add standby"
+    """Adds a member that receives the log without a vote."""
+    REMOVE = "remove"
+    """Removes a member."""
+
+
+@attrs.frozen
+class MemberChange:
+    """One membership change."""
+
+    kind: ChangeKind
+    """Kind of the change."""
+    instance: base.InstanceId
+    """Store that is added or removed."""
+
+
+@attrs.frozen
+class MembershipView:
+    """Members of the log and running stores at one moment."""
+
+    voters: tuple[base.InstanceId, ...]
+    """Members that vote, the longest silent last."""
+    joining: tuple[base.InstanceId, ...]
+    """Members that will vote once they have caught up."""
+    standby: tuple[base.InstanceId, ...]
+    """Members without a vote."""
+    live: frozenset[base.InstanceId]
+    """Stores with a recent heartbeat."""
+    gone: frozenset[base.InstanceId]
+    """Members that are considered to have ended."""
+    retired: frozenset[base.InstanceId]
+    """Stores that an operator removes."""
+    wanted: int
+    """Target number of voters; odd."""
+
+
+def next_change(view: MembershipView) -> MemberChange | None:
+    """Returns the next membership change, or None.
+
+    The number of voters is kept odd: one more voter would not tolerate more
+    failures, and a split into halves would leave neither half a quorum. A
+    voter that is gone or retired is removed only after its
+    replacement votes. One that stays although its replacement votes, as after
+    a restart, is a surplus voter.
+    """
+    healthy_voters = find_healthy_voters(view)
+    if len(view.voters) > view.wanted:
+        removable = _sort_unhealthy_voters(view) or healthy_voters[-1:]
+        return MemberChange(ChangeKind.REMOVE, removable[0])
+    for name in (*view.standby, *view.joining):
+        if name in view.gone or name in view.retired:
+            return MemberChange(ChangeKind.REMOVE, name)
+    candidates = find_candidates(view)
+    if len(healthy_voters) + len(view.joining) < view.wanted and candidates:
+        return MemberChange(ChangeKind.ADD_VOTER, candidates[0])
+    new_stores = [name for name in candidates if name not in view.standby]
+    if len(view.standby) < MAX_STANDBYS and not view.joining and new_stores:
+        return MemberChange(ChangeKind.ADD_STANDBY, new_stores[0])
+    return None
+
+
+def find_healthy_voters(view: MembershipView) -> list[base.InstanceId]:
+    """Returns the voters that are to stay, the longest silent last."""
+    return [
+        name
+        for name in view.voters
+        if name not in view.gone and name not in view.retired
+    ]
+
+
+def find_candidates(view: MembershipView) -> list[base.InstanceId]:
+    """Returns the stores that can become voters, the standbys first."""
+    available = view.live - view.retired
+    standbys = [name for name in view.standby if name in available]
+    members = {*view.voters, *view.joining, *view.standby}
+    return [*standbys, *sorted(available - members)]
+
+
+def _sort_unhealthy_voters(view: MembershipView) -> list[base.InstanceId]:
+    """Returns the voters to replace: those that are gone, then those that are retired."""
+    gone = [name for name in view.voters if name in view.gone]
+    retired = [name for name in view.voters if name in view.retired]
+    return list(dict.fromkeys([*gone, *retired]))
--- a/tests/node/test_members.py
+++ b/tests/node/test_members.py
@@ -8,17 +8,33 @@
 import banyanbank_consensus as consensus
 from banyanbank_node import _leadership
 from banyanbank_node import _member_duty
+from banyanbank_node import _membership_changes
 from banyanbank_node import _messages
 
-ADD = _member_duty.ChangeKind.ADD_VOTER
-STANDBY = _member_duty.ChangeKind.ADD_STANDBY
-REMOVE = _member_duty.ChangeKind.REMOVE
+ADD = _membership_changes.ChangeKind.ADD_VOTER
+STANDBY = _membership_changes.ChangeKind.ADD_STANDBY
+REMOVE = _membership_changes.ChangeKind.REMOVE
 
 
 def instance_ids(text: str) -> tuple[base.InstanceId, ...]:
     return tuple(base.InstanceId(name) for name in text.split())
 
 
+def make_view(
+    fields: dict[str, str],
+) -> _membership_changes.MembershipView:
+    """Returns a view of stores that are named by field, between spaces."""
+    return _membership_changes.MembershipView(
+        voters=instance_ids(fields.get("voters", "")),
+        joining=instance_ids(fields.get("joining", "")),
+        standby=instance_ids(fields.get("standby", "")),
+        live=frozenset(instance_ids(fields.get("live", ""))),
+        gone=frozenset(instance_ids(fields.get("gone", ""))),
+        retired=frozenset(instance_ids(fields.get("retired", ""))),
+        wanted=3,
+    )
+
+
 class NextChangeTest(unittest.TestCase):
     """The number of voters stays odd.
 
@@ -119,23 +135,85 @@
                 None,
                 "",
             ),
+            (
+                "a voter that returned beside its replacement is a surplus",
+                {"voters": "a b d c", "live": "a b c d"},
+                REMOVE,
+                "c",
+            ),
+            (
+                "one replacement replaces one of two that are gone",
+                {"voters": "a d c b", "live": "a d", "gone": "b c"},
+                REMOVE,
+                "c",
+            ),
         ):
             with self.subTest(name):
-                view = _member_duty.MembershipView(
-                    voters=instance_ids(fields.get("voters", "")),
-                    joining=instance_ids(fields.get("joining", "")),
-                    standby=instance_ids(fields.get("standby", "")),
-                    live=frozenset(instance_ids(fields.get("live", ""))),
-                    gone=frozenset(instance_ids(fields.get("gone", ""))),
-                    retired=frozenset(instance_ids(fields.get("retired", ""))),
-                    wanted=3,
-                )
+                view = make_view(fields)
                 expected = None
                 if kind is not None:
-                    expected = _member_duty.MemberChange(
+                    expected = _membership_changes.MemberChange(
                         kind, base.InstanceId(instance)
                     )
-                self.assertEqual(_member_duty.next_change(view), expected)
+                self.assertEqual(
+                    _membership_changes.next_change(view), expected
+                )
+
+
+class SilenceTest(unittest.TestCase):
+    """A silent member is replaced once it is sure to have ended.
+
+    Guards against a removal without SIGTERM that is noticed late, and against
+    a store that is frozen or slow and replaced needlessly.
+    """
+
+    def test_time_outs(self) -> None:
+        ended_s = _member_duty.ENDED_TIMEOUT_S
+        gone_s = _member_duty.GONE_TIMEOUT_S
+        for name, silent_s, refuses, is_gone in (
+            (
+                "an ended process might be restarting",
+                ended_s - 0.1,
+                True,
+                False,
+            ),
+            ("an ended process", ended_s + 0.1, True, True),
+            ("a frozen process, or none", gone_s - 0.1, False, False),
+            ("silence for too long", gone_s + 0.1, False, True),
+        ):
+            with self.subTest(name):
+                now = 100.0
+                stored = unittest.mock.Mock()
+                stored.ledger.retired = set()
+                status = unittest.mock.Mock(
+                    spec=consensus.NodeStatus,
+                    instance=base.InstanceId("a"),
+                    voters=tuple(map(_make_voter, "abc")),
+                    learners=(),
+                    silences=(
+                        _make_silence("b", now),
+                        _make_silence("c", now - silent_s),
+                    ),
+                )
+                duty = _member_duty.MemberDuty(
+                    base.ManualClock(),
+                    stored,
+                    unittest.mock.Mock(),
+                    3,
+                    unittest.mock.Mock(),
+                    lambda _, refuses=refuses: refuses,
+                )
+                view = duty._view(status, now)
+                self.assertEqual(view.gone, {"c"} if is_gone else set())
+                self.assertEqual(view.voters[-1], "c")
+
+
+def _make_voter(name: str) -> consensus.Member:
+    return consensus.Member(base.InstanceId(name), f"store of {name}")
+
+
+def _make_silence(name: str, since: float) -> consensus.MemberSilence:
+    return consensus.MemberSilence(base.InstanceId(name), since, True)
 
 
 class RemovalTest(unittest.TestCase):
