Soak planned replacements of stores, each with a loss after it

Nothing else goes wrong until then; kills, stops, pauses, cuts, resets and torn logs follow before and after. Other kinds draw as before.

A pause of a leader is left out of the silences only as far as it exceeds a late tick; otherwise a leader whose ticks are always late would find nobody silent.

--- a/packages/consensus/src/banyanbank_consensus/_progress.py
+++ b/packages/consensus/src/banyanbank_consensus/_progress.py
@@ -9,8 +9,7 @@
 from banyanbank_consensus import _state
 
 MAX_TICK_DELAY_S = 0.3
-"""Seconds between two ticks beyond which a replica is taken to have been
-suspended."""
+"""Seconds between two ticks beyond which a replica did not run."""
 
 
 def update_tracked_members(state: _state.State, now: float) -> None:
@@ -50,9 +49,11 @@
     Frames that arrived meanwhile may still wait to be read.
     """
     last_tick_at, state.ticked_at = state.ticked_at, now
-    if last_tick_at is None or now < last_tick_at + MAX_TICK_DELAY_S:
+    if last_tick_at is None:
+        return
+    pause_s = now - last_tick_at - MAX_TICK_DELAY_S
+    if pause_s <= 0:
         return
-    pause_s = now - last_tick_at
     state.last_leader_heard_at += pause_s
     if state.leadership is not None:
         for progress in state.leadership.progress.values():
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,7 @@
     keep: str = "",
     blackouts: bool = False,
     shared_load: bool = False,
+    replacements: bool = False,
     entries: int = world.ENTRIES,
 ) -> None:
     """Plays runs with rising seeds and prints what broke.
@@ -35,6 +36,8 @@
         blackouts: Whether most faults are losses of power at all machines.
         shared_load: Whether failure domains are evacuated and servers return
             cold, beside faults of the processes and their links.
+        replacements: Whether stores are replaced as planned, each time with
+            the loss of another one's disk right after.
         entries: Number of entries.
     """
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
@@ -42,6 +45,8 @@
     kinds = faults.BLACKOUT_KINDS if blackouts else faults.ALL_KINDS
     if shared_load:
         kinds = shared_load_faults.KINDS
+    if replacements:
+        kinds = faults.REPLACEMENT_KINDS
     for number in range(first, first + runs):
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None)
--- a/tests/soak/arrivals.py
+++ b/tests/soak/arrivals.py
@@ -145,7 +145,8 @@
 
 def check(there: "world.World", promises: "load.Promises") -> None:
     """Checks all requests that reached servers during a run."""
-    hosts = {member.host: member for member in there.members.values()}
+    members = (*there.members.values(), *there.removed)
+    hosts = {member.host: member for member in members}
     leases = _find_first_leases(there)
     for name, server in there.farm.servers.items():
         arrived = [
@@ -225,7 +226,7 @@
     """Returns when each leader took its first lease, from the stores' logs."""
     times: dict[int, float] = {}
     unix_offset_s = time.time() - there.reactor.seconds()
-    for store in there.stores:
+    for store in (*there.stores, *there.removed):
         for event in store.events():
             if event["event"] == "lease.acquired":
                 known = times.get(event["epoch"], math.inf)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,12 @@
 ACKNOWLEDGEMENT_S = 3.0
 """Seconds for which a loss of power waits for an acknowledgement."""
 
+STOP_S = 4.0
+"""`grace-s` of the deployment, after which a store that stops is killed."""
+
+REPLACE = "replace"
+"""Kind that waits until no other fault is under way and lets none begin."""
+
 TORN_SHARE = 0.5
 """Share of the stores that were writing when they lost power."""
 
@@ -68,10 +74,17 @@
         kinds = list(self.kinds)
         while self.there.reactor.seconds() < until:
             name = self.rng.choice(kinds)
+            if name == REPLACE:
+                await support.until(lambda: not self.under_way)
+                await self._await_replacement()
             self.under_way += 1
             at = self.there.reactor.seconds() - began_at
             self.done.append(f"{at:.1f} {name}")
-            self.work.start(self._inject(len(self.done) - 1, self.kinds[name]))
+            injecting = self._inject(len(self.done) - 1, self.kinds[name])
+            if name == REPLACE:
+                await injecting
+            else:
+                self.work.start(injecting)
             await self._pause()
         await support.until(lambda: not self.under_way)
 
@@ -164,6 +177,33 @@
     return store.name
 
 
+async def _replace(faults: Faults) -> str:
+    """Replaces a store as planned; another one loses its disk at once.
+
+    The successor has had `catch-up-s` when the old store is told to stop.
+    """
+    there = faults.there
+    if not there.unused:
+        return "not now"
+    old = faults.rng.choice(there.stores)
+    successor = there.add_successor()
+    until = there.reactor.seconds() + START_S
+    while not successor.has_served and there.reactor.seconds() < until:
+        await support.next_turn(0.1)
+    await support.next_turn(CALM_S)
+    old.signal(signal.SIGTERM)
+    until = there.reactor.seconds() + STOP_S
+    while old.is_up and there.reactor.seconds() < until:
+        await support.next_turn(0.01)
+    there.remove(old, successor)
+    lost = faults.lose_disk()
+    assert lost is not None
+    await faults.wait(0.0, 1.0)
+    lost.start()
+    faults.work.promises.count("planned replacements")
+    return f"{old.name} by {successor.name}, then {lost.name} loses its disk"
+
+
 async def _black_out(faults: Faults) -> str:
     """All lose power at once, right after an acknowledgement; one its disk.
 
@@ -347,6 +387,21 @@
 ALL_KINDS = KINDS | {"black out": _black_out}
 """What can go wrong, by name."""
 
+REPLACEMENT_KINDS = {
+    name: ALL_KINDS[name]
+    for name in (
+        "kill",
+        "kill all stores",
+        "tear",
+        "stop",
+        "pause",
+        "isolate",
+        "reset",
+    )
+} | {REPLACE: _replace}
+"""Planned replacements of stores with a loss after each, beside other faults of
+stores."""
+
 BLACKOUT_KINDS = {
     name: ALL_KINDS[name]
     for name in ("black out", "kill", "tear", "reset", "delay", "jump clock")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,9 @@
 SETTLE_S = 25.0
 """Seconds after the last fault by which all that was accepted must be done."""
 
+MAX_REPLACEMENTS = 6
+"""Stores that may be replaced during a run."""
+
 
 @attrs.frozen
 class Outcome:
@@ -48,6 +51,8 @@
         entries: Number of entries; there are three stores besides.
     """
     limit_s = START_S + 2 * seconds + RECOVER_S + 2 * SETTLE_S
+    if faults.REPLACE in kinds:
+        limit_s += faults.START_S + 3 * faults.CALM_S
     return support.run_async(
         lambda: _play(seed, seconds, folder, kinds, entries), limit_s
     )
@@ -60,7 +65,8 @@
     kinds: dict[str, faults.Inject],
     entries: int,
 ) -> Outcome:
-    there = world.World(folder, entries)
+    successors = MAX_REPLACEMENTS if faults.REPLACE in kinds else 0
+    there = world.World(folder, entries, successors)
     promises = load.Promises()
     people = load.Load(there, random.Random(f"load {seed}"), promises)
     rng = random.Random(f"faults {seed}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -37,6 +37,11 @@
         self.assertTrue(counts.get("requests during evacuations"))
         self.assertTrue(counts.get("requests to cold servers"))
 
+    def test_planned_replacements(self) -> None:
+        """Guards against a loss after a replacement that ends the log."""
+        counts = self._play(9, SHORT_S, faults.REPLACEMENT_KINDS)
+        self.assertTrue(counts.get("planned replacements"))
+
     def test_seeds_that_failed(self) -> None:
         for seed, seconds, kinds, why in SEEDS:
             with self.subTest(seed=seed, why=why):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,6 +20,7 @@
 from tests.soak import servers
 
 STORES = 3
+FIRST_STORES = [f"store-{n + 1}" for n in range(STORES)]
 ENTRIES = 2
 CLOCK_STEP_MS = 2500
 INTERPRETER_S = 1.0
@@ -156,9 +157,15 @@
     Args:
         folder: For settings, data and logs.
         entries: Number of entries.
+        successors: Number of machines that may replace a store.
     """
 
-    def __init__(self, folder: pathlib.Path, entries: int = ENTRIES) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        entries: int = ENTRIES,
+        successors: int = 0,
+    ) -> None:
         from twisted.internet import reactor
 
         self.reactor: typing.Any = reactor
@@ -172,14 +179,21 @@
         self._hosts = {
             name: f"{net}.{index + 1}"
             for index, name in enumerate(
-                [f"store-{n + 1}" for n in range(STORES)]
+                FIRST_STORES
                 + [f"entry-{n + 1}" for n in range(entries)]
+                + [f"store-{STORES + n + 1}" for n in range(successors)]
             )
         }
+        self._folder = folder
         self.links = links.Links(self._hosts, self._mesh_port)
+        names = list(self._hosts)
         self.members = {
-            name: self._member(folder, name) for name in self._hosts
+            name: self._member(name) for name in names[: STORES + entries]
         }
+        self.unused = names[STORES + entries :]
+        """Machines that may still replace a store."""
+        self.removed: list[Member] = []
+        """Stores that were replaced."""
 
     @property
     def stores(self) -> list[Member]:
@@ -191,6 +205,27 @@
         """Members that take callers' requests."""
         return [m for m in self.members.values() if m.role == "entry"]
 
+    def add_successor(self) -> Member:
+        """Starts a store on an unused machine, whose disk is empty."""
+        successor = self._member(self.unused.pop(0))
+        successor.settings["bootstrap"] = False
+        self.members[successor.name] = successor
+        successor.start()
+        return successor
+
+    def remove(self, store: Member, successor: Member) -> None:
+        """Takes a machine away with its disk; settings name its successor."""
+        store.kill()
+        store.wipe()
+        del self.members[store.name]
+        self.removed.append(store)
+        old, new = (one.settings["ip"] for one in (store, successor))
+        for member in self.members.values():
+            member.settings["seeds"] = [
+                seed.replace(f"{old}:", f"{new}:")
+                for seed in member.settings["seeds"]
+            ]
+
     def changes(self) -> list[list[str]]:
         """Returns the member sets that leaders logged, as `ip:port=store/role`.
 
@@ -198,7 +233,7 @@
         """
         logged = [
             (event["epoch"], position, event["detail"].split())
-            for store in self.stores
+            for store in (*self.stores, *self.removed)
             for position, event in enumerate(store.events())
             if event["event"] == "members.changing"
         ]
@@ -241,8 +276,8 @@
         await self.links.stop()
         await self.farm.stop()
 
-    def _member(self, folder: pathlib.Path, name: str) -> Member:
-        own = folder / name
+    def _member(self, name: str) -> Member:
+        own = self._folder / name
         own.mkdir()
         host = self._hosts[name]
         settings = {
@@ -258,7 +293,7 @@
             "seeds": [
                 f"{links.relayed(store)}:{self._control_port}"
                 for other, store in self._hosts.items()
-                if other.startswith("store")
+                if other in FIRST_STORES
             ],
             "bootstrap": True,
             "data-dir": str(own / "data"),
