--- a/tests/node/test_votes_of_stores.py
+++ b/tests/node/test_votes_of_stores.py
@@ -74,18 +74,19 @@
     stores.run(CATCH_UP_S)
 
 
-def remove_then_add(stores: Cluster) -> None:
-    stores.terminate(stores.follower)
+def remove_then_add(stores: Cluster, name: base.InstanceId) -> None:
+    stores.terminate(name)
     stores.run(START_S)
     stores.start("d")
     stores.run(CATCH_UP_S - START_S)
 
 
+def remove_follower_then_add(stores: Cluster) -> None:
+    remove_then_add(stores, stores.follower)
+
+
 def remove_leader_then_add(stores: Cluster) -> None:
-    stores.terminate(stores.leader)
-    stores.run(START_S)
-    stores.start("d")
-    stores.run(CATCH_UP_S - START_S)
+    remove_then_add(stores, stores.leader)
 
 
 def restart_with_spare(stores: Cluster) -> None:
@@ -186,7 +187,7 @@
         "planned removal, successor not known yet",
         remove_as_successor_starts,
     ),
-    ("planned removal, successor afterwards", remove_then_add),
+    ("planned removal, successor afterwards", remove_follower_then_add),
     (
         "planned removal of the leader, successor afterwards",
         remove_leader_then_add,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 import fire
 
 from tests.soak import faults
+from tests.soak import replacement_faults
 from tests.soak import run
 from tests.soak import shared_load_faults
 from tests.soak import world
@@ -46,7 +47,7 @@
     if shared_load:
         kinds = shared_load_faults.KINDS
     if replacements:
-        kinds = faults.REPLACEMENT_KINDS
+        kinds = replacement_faults.KINDS
     for number in range(first, first + runs):
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,9 +24,6 @@
 ACKNOWLEDGEMENT_S = 3.0
 """Seconds for which a loss of power waits for an acknowledgement."""
 
-STOP_S = 4.0
-"""`grace-s` of the deployment, after which a store that stops is killed."""
-
 REPLACE = "replace"
 """Kind that waits until no other fault is under way and lets none begin."""
 
@@ -177,33 +174,6 @@
     return store.name
 
 
-async def _replace(faults: Faults) -> str:
-    """Replaces a store as planned; another one loses its disk at once.
-
-    The successor has had `catch-up-s` when the old store is told to stop.
-    """
-    there = faults.there
-    if not there.unused:
-        return "not now"
-    old = faults.rng.choice(there.stores)
-    successor = there.add_successor()
-    until = there.reactor.seconds() + START_S
-    while not successor.has_served and there.reactor.seconds() < until:
-        await support.next_turn(0.1)
-    await support.next_turn(CALM_S)
-    old.signal(signal.SIGTERM)
-    until = there.reactor.seconds() + STOP_S
-    while old.is_up and there.reactor.seconds() < until:
-        await support.next_turn(0.01)
-    there.remove(old, successor)
-    lost = faults.lose_disk()
-    assert lost is not None
-    await faults.wait(0.0, 1.0)
-    lost.start()
-    faults.work.promises.count("planned replacements")
-    return f"{old.name} by {successor.name}, then {lost.name} loses its disk"
-
-
 async def _black_out(faults: Faults) -> str:
     """All lose power at once, right after an acknowledgement; one its disk.
 
@@ -387,21 +357,6 @@
 ALL_KINDS = KINDS | {"black out": _black_out}
 """What can go wrong, by name."""
 
-REPLACEMENT_KINDS = {
-    name: ALL_KINDS[name]
-    for name in (
-        "kill",
-        "kill all stores",
-        "tear",
-        "stop",
-        "pause",
-        "isolate",
-        "reset",
-    )
-} | {REPLACE: _replace}
-"""Planned replacements of stores with a loss after each, beside other faults of
-stores."""
-
 BLACKOUT_KINDS = {
     name: ALL_KINDS[name]
     for name in ("black out", "kill", "tear", "reset", "delay", "jump clock")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import unittest
 
 from tests.soak import faults
+from tests.soak import replacement_faults
 from tests.soak import run
 from tests.soak import shared_load_faults
 
@@ -39,7 +40,7 @@
 
     def test_planned_replacements(self) -> None:
         """Guards against a loss after a replacement that ends the log."""
-        counts = self._play(9, SHORT_S, faults.REPLACEMENT_KINDS)
+        counts = self._play(9, SHORT_S, replacement_faults.KINDS)
         self.assertTrue(counts.get("planned replacements"))
 
     def test_seeds_that_failed(self) -> None:
