Play the table of votes with five voters, too, and check every member set

Two of five voters may be lost after six of the rows, an operator's removal of the leader is a row, and each two sets in a row differ by one voter at most.

--- a/tests/node/store_votes.py
+++ b/tests/node/store_votes.py
@@ -4,6 +4,7 @@
 import contextlib
 import heapq
 import itertools
+import string
 import typing
 import unittest.mock
 
@@ -22,7 +23,8 @@
 DUTY_TICK_S = 0.05
 HEARTBEAT_INTERVAL_S = 0.7
 COMMAND_INTERVAL_S = 0.1
-VOTERS_WANTED = 3
+VOTERS = 3
+SUCCESSORS = 2
 SHUTDOWN_S = 5.5
 """Time that a store has to hand over its vote within `grace-s` of 8 s."""
 
@@ -64,6 +66,7 @@
     duty: _member_duty.MemberDuty
     heartbeat_at: float
     is_leaving: bool = False
+    checked_sets: int = 0
     has_duties: bool = False
 
 
@@ -72,19 +75,21 @@
 
     Args:
         seed: Seed of clocks, election timeouts and stores.
-        names: Stores that exist, in order of their start; the first
-            `VOTERS_WANTED` form the log.
+        voters: Number of voters that are wanted; as many stores form the log.
     """
 
-    def __init__(self, seed: int, names: str = "abcde") -> None:
-        self.world = cluster.World(
-            names, seed=seed, initial=names[:VOTERS_WANTED]
-        )
+    def __init__(self, seed: int, voters: int = VOTERS) -> None:
+        names = string.ascii_lowercase[: voters + SUCCESSORS]
+        self.successors = names[voters:]
+        self.wanted = voters
+        self.world = cluster.World(names, seed=seed, initial=names[:voters])
         self._oracle = oracle.Oracle(self.world, 0.0)
         self.world.on_step = self._on_step
         self.stores: dict[base.InstanceId, Store] = {}
         self.dark: set[base.InstanceId] = set()
         """Machines without power, which refuse no connections."""
+        self.retired: set[base.InstanceId] = set()
+        """Stores that an operator removes."""
         self.acknowledged: list[bytes] = []
         self.handovers: list[str] = []
         """Outcomes of all handovers, in order."""
@@ -92,7 +97,7 @@
         self._numbers = itertools.count()
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._duties_at = self._command_at = self.world.now
-        for name in names[:VOTERS_WANTED]:
+        for name in names[:voters]:
             self.start(name)
         self.run_until(lambda: bool(self.world.lease_holders()))
         # From then on, the leader has heard of each store that runs.
@@ -134,12 +139,12 @@
         calls = SimulatedCalls()
         clock = process.node._clock
         stored = unittest.mock.Mock(node=process.node)
-        stored.ledger.retired = set()
+        stored.ledger.retired = self.retired
         duty = _member_duty.MemberDuty(
             clock,
             stored,
             typing.cast(typing.Any, calls),
-            VOTERS_WANTED,
+            self.wanted,
             unittest.mock.Mock(),
             self._refuses_connections,
         )
@@ -220,6 +225,8 @@
 
     def _on_step(self) -> None:
         self._oracle.check()
+        for store in self.stores.values():
+            self._check_member_sets(store)
         while self._timers and self._timers[0][0] <= self.world.now:
             heapq.heappop(self._timers)[2]()
         if self.world.now >= self._duties_at:
@@ -230,6 +237,21 @@
             self._command_at = self.world.now + COMMAND_INTERVAL_S
             self._send_command()
 
+    def _check_member_sets(self, store: Store) -> None:
+        """Checks that any two sets in a row differ by one voter at most.
+
+        Then any two of their majorities have a voter in common.
+        """
+        runner = store.process.node._runner
+        sets = runner.replica.state.log.members_since(0)
+        if len(sets) == store.checked_sets:
+            return
+        store.checked_sets = len(sets)
+        for one, next_one in itertools.pairwise(sets):
+            changed = set(one.voters) ^ set(next_one.voters)
+            if one.voters and len(changed) > 1:
+                raise AssertionError(f"Several voters changed: {changed}")
+
     def _tick_duty(self, store: Store) -> None:
         if store.process.is_paused:
             return
--- a/tests/node/test_votes_of_stores.py
+++ b/tests/node/test_votes_of_stores.py
@@ -37,8 +37,8 @@
 Story = Callable[[Cluster], None]
 
 
-def add_successor(stores: Cluster, name: str = "d") -> None:
-    stores.start(name)
+def add_successor(stores: Cluster, number: int = 0) -> None:
+    stores.start(stores.successors[number])
     stores.run(CATCH_UP_S)
 
 
@@ -52,24 +52,32 @@
     stores.terminate(stores.leader)
 
 
+def retire_leader(stores: Cluster) -> None:
+    add_successor(stores)
+    name = stores.leader
+    stores.retired.add(name)
+    stores.run_until(lambda: name not in stores.voters())
+    stores.terminate(name)
+
+
 def remove_two(stores: Cluster) -> None:
     add_successor(stores)
-    add_successor(stores, "e")
+    add_successor(stores, 1)
     stores.terminate(stores.leader)
     stores.terminate(stores.follower)
 
 
 def remove_before_successor_has_caught_up(stores: Cluster) -> None:
-    stores.start("d")
+    stores.start(stores.successors[0])
     for (source, target), link in stores.world.links.items():
-        if "d" in (source, target):
+        if stores.successors[0] in (source, target):
             link.delay_s = 0.2
     stores.run_until(stores.learners)
     stores.terminate(stores.follower)
 
 
 def remove_as_successor_starts(stores: Cluster) -> None:
-    stores.start("d")
+    stores.start(stores.successors[0])
     stores.terminate(stores.follower)
     stores.run(CATCH_UP_S)
 
@@ -77,7 +85,7 @@
 def remove_then_add(stores: Cluster, name: base.InstanceId) -> None:
     stores.terminate(name)
     stores.run(START_S)
-    stores.start("d")
+    stores.start(stores.successors[0])
     stores.run(CATCH_UP_S - START_S)
 
 
@@ -146,7 +154,7 @@
 def kill_leader_then_add(stores: Cluster) -> None:
     stores.crash(stores.leader, dark=True)
     stores.run(START_S)
-    stores.start("d")
+    stores.start(stores.successors[0])
     stores.run(CATCH_UP_S - START_S)
 
 
@@ -179,6 +187,7 @@
     ("planned removal of a follower, successor caught up", remove_follower),
     ("planned removal of the leader, successor caught up", remove_leader),
     ("two planned removals, one after the other", remove_two),
+    ("leader emptied by an operator", retire_leader),
     (
         "planned removal, successor still catching up",
         remove_before_successor_has_caught_up,
@@ -213,6 +222,16 @@
     ("lost disk with a spare", lose_disk_with_spare),
 )
 
+FOR_FIVE_VOTERS = (
+    remove_follower,
+    remove_leader,
+    remove_two,
+    remove_leader_then_add,
+    kill_follower,
+    lose_disk_of_leader,
+)
+"""Stories after which two of five voters may be lost."""
+
 
 class NextLossTest(unittest.TestCase):
     """After each way of leaving or coming, the next loss is borne in time.
@@ -224,20 +243,31 @@
 
     def test_any_voter_may_lose_its_disk_next(self) -> None:
         for name, story in CASES:
-            for victim in range(store_votes.VOTERS_WANTED):
+            for victim in range(store_votes.VOTERS):
                 with self.subTest(name, victim=victim):
                     stores = Cluster(seed=victim)
                     story(stores)
                     self._check_next_loss(stores, victim)
 
-    def _check_next_loss(self, stores: Cluster, victim: int) -> None:
+    def test_two_of_five_voters_may_lose_their_disks_next(self) -> None:
+        for name, story in CASES:
+            if story in FOR_FIVE_VOTERS:
+                for victim in range(2):
+                    with self.subTest(name, victim=victim):
+                        stores = Cluster(seed=victim, voters=5)
+                        story(stores)
+                        self._check_next_loss(stores, victim, victim + 1)
+
+    def _check_next_loss(self, stores: Cluster, *victims: int) -> None:
         # The members as the last acknowledgement left them: no time passes.
         running = sorted(stores.stores)
         acknowledged = list(stores.acknowledged)
-        lost = running[victim % len(running)]
-        stores.lose_disk(lost)
+        lost = [running[victim % len(running)] for victim in victims]
+        for name in lost:
+            stores.lose_disk(name)
         stores.run(START_S)
-        stores.start(lost)
+        for name in lost:
+            stores.start(name)
         stores.run(RECOVER_S)
         [holder] = stores.world.lease_holders()
         applied = [
@@ -245,7 +275,7 @@
         ]
         self.assertLessEqual(set(acknowledged), set(applied))
         self.assertGreater(len(stores.acknowledged), len(acknowledged))
-        self.assertEqual(len(stores.voters()), store_votes.VOTERS_WANTED)
+        self.assertEqual(len(stores.voters()), stores.wanted)
 
 
 class VotesKeptTest(unittest.TestCase):
@@ -261,7 +291,7 @@
         stores.start(name)
         stores.run(CATCH_UP_S)
         self.assertEqual(stores.learners(), [name])
-        self.assertEqual(len(stores.voters()), store_votes.VOTERS_WANTED)
+        self.assertEqual(len(stores.voters()), store_votes.VOTERS)
 
     def test_store_without_successor_keeps_its_vote(self) -> None:
         stores = Cluster(seed=2)
@@ -276,6 +306,8 @@
         stores.start(name)
         stores.run(CATCH_UP_S)
         self.assertEqual(stores.changes(), changes)
+        add_successor(stores)
+        self.assertEqual(stores.voters(), voters, "it no longer leaves")
 
     def test_all_stores_that_stop_at_once_end_soon(self) -> None:
         stores = Cluster(seed=3)
@@ -292,10 +324,10 @@
 
     def test_successor_that_does_not_catch_up(self) -> None:
         stores = Cluster(seed=4)
-        stores.start("d")
-        stores.run(CATCH_UP_S)
+        add_successor(stores)
+        successor = stores.successors[0]
         for name in stores.voters():
-            stores.world.cut(f"{name}d", f"d{name}")
+            stores.world.cut(f"{name}{successor}", f"{successor}{name}")
         stores.run(1.0)
         began_at = stores.world.now
         stores.terminate(stores.follower)
@@ -303,18 +335,17 @@
             stores.world.now - began_at, store_votes.SHUTDOWN_S
         )
         self.assertNotEqual(stores.handovers, [_vote_handover.HANDED_OVER])
-        self.assertEqual(len(stores.voters()), store_votes.VOTERS_WANTED)
+        self.assertEqual(len(stores.voters()), store_votes.VOTERS)
 
     def test_returning_voter_does_not_leave_an_even_set(self) -> None:
         stores = Cluster(seed=5)
-        stores.start("d")
-        stores.run(CATCH_UP_S)
+        add_successor(stores)
         name = stores.follower
         stores.crash(name)
-        stores.run_until(lambda: "d" in stores.voters())
+        stores.run_until(lambda: stores.successors[0] in stores.voters())
         stores.start(name)
         stores.run(CATCH_UP_S)
-        self.assertEqual(len(stores.voters()), store_votes.VOTERS_WANTED)
+        self.assertEqual(len(stores.voters()), store_votes.VOTERS)
         self.assertEqual(len(stores.learners()), 1)
 
 
