Keep more healthy voters than wanted where their number is odd

A surplus voter that is healthy is now removed only from an even set. The test holds, unchanged, and a new row of NextChangeTest says which sets stay.

--- a/packages/node/src/banyanbank_node/_membership_changes.py
+++ b/packages/node/src/banyanbank_node/_membership_changes.py
@@ -59,12 +59,15 @@
     failures, and a split into halves would leave neither half a quorum. A
     voter that is gone, leaves or is retired is removed only after its
     replacement votes. One that stays although its replacement votes, as after
-    a restart, is a surplus voter.
+    a restart, is removed if it makes their number even.
     """
     healthy_voters = find_healthy_voters(view)
     if len(view.voters) > view.wanted:
-        removable = _sort_unhealthy_voters(view) or healthy_voters[-1:]
-        return MemberChange(ChangeKind.REMOVE, removable[0])
+        removable = _sort_unhealthy_voters(view)
+        if not removable and len(view.voters) % 2 == 0:
+            removable = healthy_voters[-1:]
+        if removable:
+            return MemberChange(ChangeKind.REMOVE, removable[0])
     for name in (*view.standby, *view.joining):
         if name in view.gone or name in view.retired:
             return MemberChange(ChangeKind.REMOVE, name)
--- a/tests/node/test_members.py
+++ b/tests/node/test_members.py
@@ -142,6 +142,12 @@
                 REMOVE,
                 "c",
             ),
+            (
+                "more voters than wanted stay if their number is odd",
+                {"voters": "a b c d e", "live": "a b c d e"},
+                None,
+                "",
+            ),
             (
                 "one replacement replaces one of two that are gone",
                 {"voters": "a d c b", "live": "a d", "gone": "b c"},
