--- a/tests/node/store_votes.py
+++ b/tests/node/store_votes.py
@@ -65,9 +65,12 @@
     calls: SimulatedCalls
     duty: _member_duty.MemberDuty
     heartbeat_at: float
+    """When its next heartbeat is due."""
     is_leaving: bool = False
     checked_sets: int = 0
+    """Number of member sets of its log that were checked."""
     has_duties: bool = False
+    """Whether its duty has ticked since it acquired the lease."""
 
 
 class StoreCluster:
@@ -126,7 +129,7 @@
         return [learner.instance for learner in status.learners]
 
     def changes(self) -> int:
-        """Number of member sets so far, as the commit index never falls."""
+        """Number of changes of members in the log of the leader."""
         log = self.world.node(self.leader)._runner.replica.state.log
         return len(log._member_changes)
 
--- a/tests/node/test_votes_of_stores.py
+++ b/tests/node/test_votes_of_stores.py
@@ -7,6 +7,7 @@
 import unittest
 
 import banyanbank_base as base
+import banyanbank_consensus as consensus
 from banyanbank_node import _member_duty
 from banyanbank_node import _vote_handover
 
@@ -24,10 +25,10 @@
 CHANGE_S = 0.25
 """Time for the entries that hand over a vote, a few ticks each."""
 
-ELECTION_S = 1.2 + 0.5
+ELECTION_S = consensus.MAX_ELECTION_TIMEOUT_S + consensus.LEASE_DURATION_S
 """Longest election timeout, and the wait for the first lease."""
 
-REPEATED_ELECTION_S = 2 * 1.2 + 0.5
+REPEATED_ELECTION_S = ELECTION_S + consensus.MAX_ELECTION_TIMEOUT_S
 """The same if the first candidates split the votes."""
 
 ENDED_S = _member_duty.ENDED_TIMEOUT_S + CHANGE_S
