--- a/packages/base/src/banyanbank_base/_codec.py
+++ b/packages/base/src/banyanbank_base/_codec.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import functools
+import io
 import typing
 import weakref
 
@@ -13,6 +14,12 @@
 TAG = "_t"
 """Key under which the class name of a message is written."""
 
+_BYTE_STRING, _ARRAY, _MAP = 2, 4, 5
+"""Major types of CBOR, from RFC 8949."""
+
+_SHORTEST_ARGUMENT, _LONGEST_ARGUMENT = 24, 27
+"""Additional information of a head whose length follows in 1 to 8 bytes."""
+
 T = typing.TypeVar("T")
 
 Preparation = collections.abc.Callable[[], object]
@@ -53,6 +60,44 @@
             fields[TAG] = member.__name__
         return cbor2.dumps(fields)
 
+    def encode_slices(
+        self,
+        message: T,
+        field: str,
+        items: collections.abc.Sequence[collections.abc.Callable[[], bytes]],
+    ) -> collections.abc.Iterator[bytes]:
+        """Yields the bytes of one message with a long list, part by part.
+
+        Args:
+            message: The message; its list is empty.
+            field: Name of the field with the list, of byte strings.
+            items: Each returns an item when its part is asked for.
+
+        Yields:
+            Consecutive parts of what `encode` returns for the whole message.
+        """
+        member = self._sole or type(message)
+        fields = (self._writers.get(member) or self._make_writer(member))(
+            message
+        )
+        if self._sole is None:
+            fields[TAG] = member.__name__
+        buffer = io.BytesIO()
+        encoder = cbor2.CBOREncoder(buffer)
+        encoder.encode_length(_MAP, len(fields))
+        for name, value in fields.items():
+            encoder.encode(name)
+            if name != field:
+                encoder.encode(value)
+                continue
+            encoder.encode_length(_ARRAY, len(items))
+            for make_item in items:
+                item = make_item()
+                encoder.encode_length(_BYTE_STRING, len(item))
+                yield _take(buffer)
+                yield item
+        yield _take(buffer)
+
     def decode(self, data: bytes) -> T:
         """Reads one message.
 
@@ -67,6 +112,48 @@
         except Exception as exc:
             raise CodecError(f"Not a known message: {exc!r}") from exc
 
+    def decode_slices(
+        self,
+        data: bytes,
+        field: str,
+        take_item: collections.abc.Callable[[bytes], None],
+    ) -> collections.abc.Generator[int, None, T]:
+        """Reads one message with a long list, item by item.
+
+        Args:
+            data: What `encode` or `encode_slices` wrote.
+            field: Name of the field with the list, of byte strings.
+            take_item: Called with each item.
+
+        Yields:
+            Size in bytes of each item, once it is read.
+
+        Returns:
+            The message; its list is empty.
+
+        Raises:
+            CodecError: The bytes are not a message of this codec.
+        """
+        try:
+            stream = io.BytesIO(data)
+            decoder = cbor2.CBORDecoder(stream)
+            fields = {}
+            for _ in range(_read_length(stream, _MAP)):
+                name = decoder.decode()
+                if name != field:
+                    fields[name] = decoder.decode()
+                    continue
+                for _ in range(_read_length(stream, _ARRAY)):
+                    item = decoder.decode()
+                    take_item(item)
+                    yield len(item)
+                fields[name] = ()
+            member = self._sole or self._members[fields.pop(TAG)]
+            read = self._readers.get(member) or self._make_reader(member)
+            return typing.cast(T, read(fields, member))
+        except Exception as exc:
+            raise CodecError(f"Not a known message: {exc!r}") from exc
+
     def preparations(self) -> collections.abc.Iterator[Preparation]:
         """Yields calls that generate what no message needed so far."""
         for member in self._members.values():
@@ -98,6 +185,30 @@
         yield from codec.preparations()
 
 
+def _read_length(stream: io.BytesIO, major_type: int) -> int:
+    """Reads the head of a CBOR value and returns its length.
+
+    Raises:
+        ValueError: The value has another type or no definite length.
+    """
+    [head] = stream.read(1)
+    info = head & 0x1F
+    if head >> 5 != major_type or info > _LONGEST_ARGUMENT:
+        raise ValueError(f"unexpected head {head:#04x} of a value")
+    if info < _SHORTEST_ARGUMENT:
+        return info
+    size = 1 << (info - _SHORTEST_ARGUMENT)
+    return int.from_bytes(stream.read(size), "big")
+
+
+def _take(buffer: io.BytesIO) -> bytes:
+    """Empties a buffer and returns what it held."""
+    data = buffer.getvalue()
+    buffer.seek(0)
+    buffer.truncate()
+    return data
+
+
 @functools.cache
 def _make_converter(sparse: frozenset[type]) -> cattrs.Converter:
     """Returns the converter of all codecs with these sparse members."""
--- a/packages/consensus/src/banyanbank_consensus/_applier.py
+++ b/packages/consensus/src/banyanbank_consensus/_applier.py
@@ -1,15 +1,16 @@
-"""Applies committed entries, and takes and installs snapshots."""
+"""Applies committed entries, and takes and restores snapshots in slices."""
 
 from collections.abc import Iterator
-import zlib
 
 import attrs
 
 from banyanbank_consensus import _disk
 from banyanbank_consensus import _effects
+from banyanbank_consensus import _errors
 from banyanbank_consensus import _log
 from banyanbank_consensus import _ports
 from banyanbank_consensus import _replica
+from banyanbank_consensus import _snapshot_taking
 from banyanbank_consensus import _state
 
 LARGE_STATE_FACTOR = 4
@@ -26,9 +27,25 @@
     """Reply of the state machine; empty unless the entry is a command."""
 
 
+@attrs.define
+class _Restoring:
+    """The latest snapshot, from which the state machine is being restored."""
+
+    index: int
+    """Index of the last entry included in it."""
+    size: int
+    """Size of its state in bytes."""
+    parts: Iterator[int] | None = None
+    """Restores a part with each step, and yields its size in bytes; None until
+    the first step."""
+
+
 class Applier:
     """Applies committed entries and manages snapshots.
 
+    A received snapshot counts as held as soon as it is durable. The state
+    machine is restored from it in slices, and applies no entries until then.
+
     Args:
         machine: State machine that committed commands are applied to.
         disk: Durable storage.
@@ -43,15 +60,29 @@
     ) -> None:
         self._machine = machine
         self._disk = disk
+        self._receiving: _disk.PendingSnapshot | None = None
+        self._restoring: _Restoring | None = None
+        self._taking: _snapshot_taking.SnapshotTaking | None = None
         self.index = 0
         """Index of the last applied entry."""
         if stored.snapshot is not None:
             machine.restore(stored.state)
             self.index = stored.snapshot.index
 
+    @property
+    def is_restoring(self) -> bool:
+        """Whether the state machine lacks a snapshot that is held."""
+        return self._restoring is not None
+
+    @property
+    def has_slices_left(self) -> bool:
+        """Whether the next turn has a slice to do without any event."""
+        is_taking = self._taking is not None and not self._taking.is_written
+        return self.is_restoring or is_taking
+
     def apply(self, state: _state.State) -> Iterator[Applied]:
         """Applies committed entries that are not applied yet, in log order."""
-        while self.index < state.commit:
+        while self.index < state.commit and not self.is_restoring:
             entry = state.log.get(self.index + 1)
             reply = b""
             if entry.kind is _log.EntryKind.COMMAND:
@@ -59,16 +90,51 @@
             self.index = entry.index
             yield Applied(entry, reply)
 
-    def install_snapshot(self, effect: _effects.InstallSnapshot) -> None:
-        """Saves a received snapshot and restores the state machine from it."""
+    def write_snapshot(self, effect: _effects.WriteSnapshot) -> None:
+        """Writes a part of a snapshot that is being received."""
+        if effect.offset == 0:
+            self._receiving = self._disk.begin_snapshot(
+                _disk.SnapshotOrigin.RECEIVED, effect.meta
+            )
+        self._disk.append_snapshot(self._require_receiving(), effect.data)
+
+    def install_snapshot(
+        self, effect: _effects.InstallSnapshot, slice_bytes: int
+    ) -> None:
+        """Saves a received snapshot and begins to restore the state machine.
+
+        A state of several slices is restored in later turns, so that the leader
+        hears at once that the snapshot is held.
+        """
         meta = effect.meta
-        self._disk.save_snapshot(meta, effect.state, effect.image)
+        self._disk.finish_snapshot(self._require_receiving(), effect.image)
+        self._receiving = self._taking = None
         if meta.index > self.index:
-            self._machine.restore(effect.state)
-            self.index = meta.index
+            self._restoring = _Restoring(meta.index, meta.size)
+            if meta.size <= slice_bytes:
+                self.restore_slice(slice_bytes)
+
+    def restore_slice(self, slice_bytes: int) -> None:
+        """Restores the next slice of the state machine, if it lacks one."""
+        restoring = self._restoring
+        if restoring is None:
+            return
+        if restoring.parts is None:
+            data = self._disk.read_snapshot(0, restoring.size)
+            restoring.parts = _ports.restore_slices(self._machine, data)
+        for size in restoring.parts:
+            slice_bytes -= size
+            if slice_bytes <= 0:
+                return
+        self.index = restoring.index
+        self._restoring = None
 
     def is_snapshot_due(self, state: _state.State) -> bool:
         """Whether the log has grown enough to take a snapshot."""
+        if self._taking is not None or self.is_restoring:
+            return False
+        if _snapshot_taking.is_postponed(state):
+            return False
         cfg = state.cfg
         last_snapshot = state.snapshot
         entries_since_snapshot = self.index - (
@@ -83,35 +149,35 @@
             state.log.size >= cfg.snapshot_bytes and entries_since_snapshot > 0
         )
 
-    def take_snapshot(self, replica: _replica.Replica) -> _disk.SnapshotMeta:
-        """Takes a snapshot and compacts the log, retaining recent entries."""
-        state = replica.state
-        data = self._machine.snapshot()
-        epoch = state.log.epoch_at(self.index)
-        meta = _disk.SnapshotMeta(
-            index=self.index,
-            epoch=epoch or 0,
-            members=state.log.members_at(self.index),
-            size=len(data),
-            crc=zlib.crc32(data),
+    def start_snapshot(self, state: _state.State, now: float) -> None:
+        """Starts to take a snapshot of the state machine."""
+        self._taking = _snapshot_taking.start(
+            self._machine, state, self.index, now
         )
-        replica.on_compacted(meta, _choose_base_index(state, self.index))
-        self._disk.save_snapshot(meta, data, _state.make_log_image(state))
-        return meta
 
-
-def _choose_base_index(state: _state.State, index: int) -> int:
-    """Returns the index up to which entries are dropped.
-
-    Lagging members are served from the retained entries: at most
-    `keep_entries`, and at most half of `snapshot_bytes` unless entries after
-    `index` alone exceed it.
-    """
-    base_index = max(index - state.cfg.keep_entries, state.log.base.index)
-    size = state.log.size
-    for entry in state.log.entries_from(state.log.base.index + 1):
-        if size < state.cfg.snapshot_bytes // 2 or entry.index > index:
-            break
-        size -= entry.size
-        base_index = max(base_index, entry.index)
-    return base_index
+    def run_snapshot_slice(
+        self, replica: _replica.Replica
+    ) -> _snapshot_taking.SnapshotTaking | None:
+        """Takes the next slice of a snapshot, and finishes it if it may.
+
+        Returns:
+            The snapshot once it has replaced the latest one, else None.
+        """
+        taking = self._taking
+        if taking is None:
+            return None
+        _snapshot_taking.run_slice(taking, self._disk, replica.state)
+        if not taking.is_written or _snapshot_taking.is_postponed(
+            replica.state
+        ):
+            return None
+        _snapshot_taking.finish(taking, self._disk, replica)
+        self._taking = None
+        return taking
+
+    def _require_receiving(self) -> _disk.PendingSnapshot:
+        if self._receiving is None:
+            raise _errors.ConsensusDefectError(
+                "A part of a snapshot was received before its first one."
+            )
+        return self._receiving
--- a/packages/consensus/src/banyanbank_consensus/_config.py
+++ b/packages/consensus/src/banyanbank_consensus/_config.py
@@ -24,6 +24,9 @@
 SNAPSHOT_CHUNK_BYTES = 256 << 10
 """Maximum snapshot data in one message, in bytes."""
 
+SNAPSHOT_SLICE_BYTES = 256 << 10
+"""Snapshot data that is encoded, written or decoded in one turn, in bytes."""
+
 
 @attrs.frozen
 class NodeConfig:
@@ -58,6 +61,11 @@
     """Maximum entries retained before a snapshot for lagging members."""
     chunk_bytes: int = SNAPSHOT_CHUNK_BYTES
     """Maximum snapshot data in one message, in bytes."""
+    slice_bytes: int = SNAPSHOT_SLICE_BYTES
+    """Snapshot data that is encoded, written or decoded in one turn, in bytes;
+    a record of the state machine may exceed it."""
+    snapshot_window_bytes: int = 2 << 20
+    """Bytes of a snapshot in flight to one member at which sending pauses."""
     append_bytes: int = 1 << 20
     """Maximum bytes of entries per append message; one entry may exceed it."""
     window_bytes: int = 4 << 20
--- a/packages/consensus/src/banyanbank_consensus/_disk.py
+++ b/packages/consensus/src/banyanbank_consensus/_disk.py
@@ -1,6 +1,7 @@
 """Storage interface of a log node and the data it stores."""
 
 from collections.abc import Sequence
+import enum
 import typing
 
 import attrs
@@ -43,6 +44,29 @@
     """CRC-32 of the state."""
 
 
+class SnapshotOrigin(enum.Enum):
+    """Where a snapshot that is being written comes from."""
+
+    TAKEN = "taken"
+    """The own state machine."""
+    RECEIVED = "received"
+    """The leader."""
+
+
+@attrs.define
+class PendingSnapshot:
+    """A snapshot that is being written, beside the latest one."""
+
+    origin: SnapshotOrigin
+    """Where it comes from; there is at most one of each origin."""
+    meta: SnapshotMeta
+    """Metadata of the complete snapshot."""
+    state_offset: int
+    """Offset of the state in the file."""
+    unsynced_bytes: int = 0
+    """Bytes written since the latest sync."""
+
+
 @attrs.frozen
 class LogImage:
     """Initial content of a log file."""
@@ -108,8 +132,18 @@
         """Makes all earlier writes durable."""
         ...
 
-    def save_snapshot(
-        self, meta: SnapshotMeta, state: bytes, image: LogImage
+    def begin_snapshot(
+        self, origin: SnapshotOrigin, meta: SnapshotMeta
+    ) -> PendingSnapshot:
+        """Begins a new snapshot; drops a pending one of the same origin."""
+        ...
+
+    def append_snapshot(self, pending: PendingSnapshot, data: bytes) -> None:
+        """Writes the next part of the state of a pending snapshot."""
+        ...
+
+    def finish_snapshot(
+        self, pending: PendingSnapshot, image: LogImage
     ) -> None:
         """Durably replaces the snapshot, then the log."""
         ...
--- a/packages/consensus/src/banyanbank_consensus/_effects.py
+++ b/packages/consensus/src/banyanbank_consensus/_effects.py
@@ -32,14 +32,24 @@
     """Entries to append."""
 
 
+@attrs.frozen
+class WriteSnapshot:
+    """Write a part of a snapshot that is being received."""
+
+    meta: _disk.SnapshotMeta
+    """Metadata of the complete snapshot."""
+    offset: int
+    """Offset of the part; 0 begins the snapshot anew."""
+    data: bytes
+    """The part."""
+
+
 @attrs.frozen
 class InstallSnapshot:
-    """Save a received snapshot and restore the state machine from it."""
+    """Save the snapshot that was written last and restore its state."""
 
     meta: _disk.SnapshotMeta
     """Metadata of the snapshot."""
-    state: bytes
-    """Serialized state of the state machine."""
     image: _disk.LogImage
     """Log content when the snapshot was complete."""
 
@@ -87,6 +97,7 @@
     SaveHardState
     | TruncateLog
     | AppendLog
+    | WriteSnapshot
     | InstallSnapshot
     | Send
     | SendChunk
--- a/packages/consensus/src/banyanbank_consensus/_membership.py
+++ b/packages/consensus/src/banyanbank_consensus/_membership.py
@@ -20,6 +20,15 @@
         append_members(state, new_members, now)
 
 
+def promote_caught_up(state: _state.State, now: float) -> None:
+    """Promotes a member whose answer shows that it has caught up."""
+    if state.role is not _state.Role.LEADER or get_change_refusal(state):
+        return
+    new_members = _plan_promotion(state, now)
+    if new_members is not None:
+        append_members(state, new_members, now)
+
+
 def get_change_refusal(state: _state.State) -> str:
     """Returns why members cannot change now; empty if they can."""
     if not _lease.may_serve_reads(state):
--- a/packages/consensus/src/banyanbank_consensus/_node.py
+++ b/packages/consensus/src/banyanbank_consensus/_node.py
@@ -260,6 +260,8 @@
         try:
             with self._fail_on_exception():
                 runner.run()
+                if runner.has_slices_left:
+                    self._schedule_flush()
         except _errors.StorageError:
             # `_fail` has recorded the failure, and `status` reports it.
             pass
--- a/packages/consensus/src/banyanbank_consensus/_progress.py
+++ b/packages/consensus/src/banyanbank_consensus/_progress.py
@@ -109,6 +109,7 @@
             (c for at, c in leadership.round_commits if at <= sent_at),
             default=progress.confirmed_commit_index,
         )
+    progress.answer_delay_s = now - sent_at
     progress.heard_at = now
     progress.has_responded = True
     return progress
@@ -166,7 +167,7 @@
     """Sends the message of a heartbeat round to one member."""
     progress = _state.require_leadership(state).progress[peer]
     if progress.mode is _state.ProgressMode.SNAPSHOT:
-        _snapshot_send.send_chunk(state, peer, now)
+        _snapshot_send.resend(state, peer, now)
         _send_append_request(state, peer, progress, progress.match, ())
     elif progress.next_index <= state.log.base.index:
         _snapshot_send.start(state, peer, now)
--- a/packages/consensus/src/banyanbank_consensus/_replica.py
+++ b/packages/consensus/src/banyanbank_consensus/_replica.py
@@ -126,6 +126,7 @@
                 _replication.on_append_request(self.state, sender, msg, now)
             case _messages.AppendResponse():
                 _replication.on_append_response(self.state, sender, msg, now)
+                _membership.promote_caught_up(self.state, now)
             case _messages.SnapshotChunk():
                 _snapshot.on_chunk(self.state, sender, msg, now)
             case _messages.SnapshotAck():
--- a/packages/consensus/src/banyanbank_consensus/_snapshot.py
+++ b/packages/consensus/src/banyanbank_consensus/_snapshot.py
@@ -19,7 +19,7 @@
     msg: _messages.SnapshotAck,
     now: float,
 ) -> None:
-    """Sends the next chunk after an acknowledgement."""
+    """Sends the next chunks after an acknowledgement."""
     if msg.head.epoch > state.epoch:
         _state.become_follower(state, msg.head.epoch, None, now)
         return
@@ -31,11 +31,9 @@
     if msg.index != progress.snapshot_index:
         return
     if msg.received == progress.snapshot_offset:
-        # A duplicate; if the chunk was lost, the next round sends it again.
+        # A duplicate; if a chunk was lost, a later round sends it again.
         return
-    progress.snapshot_offset = msg.received
-    progress.resend_at = _state.DISTANT_PAST
-    _snapshot_send.send_chunk(state, sender, now)
+    _snapshot_send.on_received(state, sender, msg.received, now)
 
 
 def on_chunk(
@@ -53,13 +51,13 @@
         _send_append_response(state, sender, msg, accepted=True)
         return
     inbound_snapshot = _get_or_create_inbound(state, sender, msg)
-    if msg.offset == len(inbound_snapshot.data):
-        inbound_snapshot.data += msg.data
-    if len(inbound_snapshot.data) < msg.size:
-        _send_ack(state, sender, msg, len(inbound_snapshot.data))
+    if msg.offset == inbound_snapshot.received:
+        _write(state, inbound_snapshot, msg.data)
+    if inbound_snapshot.received < msg.size:
+        _send_ack(state, sender, msg, inbound_snapshot.received)
         return
     state.inbound_snapshot = None
-    if zlib.crc32(inbound_snapshot.data) != msg.crc:
+    if inbound_snapshot.crc != msg.crc:
         _state.record_event(state, "snapshot.damaged", f"index={msg.index}")
         _send_ack(state, sender, msg, 0)
         return
@@ -95,15 +93,24 @@
     return current
 
 
+def _write(
+    state: _state.State, inbound_snapshot: _state.InboundSnapshot, data: bytes
+) -> None:
+    effect = _effects.WriteSnapshot(
+        inbound_snapshot.meta, inbound_snapshot.received, data
+    )
+    state.effects.append(effect)
+    inbound_snapshot.received += len(data)
+    inbound_snapshot.crc = zlib.crc32(data, inbound_snapshot.crc)
+
+
 def _install(
     state: _state.State, inbound_snapshot: _state.InboundSnapshot
 ) -> None:
     meta = inbound_snapshot.meta
     _replication.align_log_with_snapshot(state, meta)
     state.snapshot = meta
-    effect = _effects.InstallSnapshot(
-        meta, bytes(inbound_snapshot.data), _state.make_log_image(state)
-    )
+    effect = _effects.InstallSnapshot(meta, _state.make_log_image(state))
     state.effects.append(effect)
     _state.record_event(state, "snapshot.installed", f"index={meta.index}")
 
--- a/packages/consensus/src/banyanbank_consensus/_snapshot_file.py
+++ b/packages/consensus/src/banyanbank_consensus/_snapshot_file.py
@@ -33,12 +33,11 @@
     """Offset of the state in the file."""
 
 
-def pack(meta: _disk.SnapshotMeta, state: bytes) -> tuple[bytes, int]:
-    """Returns the content of a snapshot file and the offset of the state."""
+def pack_head(meta: _disk.SnapshotMeta) -> bytes:
+    """Returns what a snapshot file holds before the state."""
     head = _META_CODEC.encode(meta)
     crc = zlib.crc32(head)
-    prefix = _HEADER.pack(_MAGIC, FORMAT_VERSION, len(head), crc) + head
-    return prefix + state, len(prefix)
+    return _HEADER.pack(_MAGIC, FORMAT_VERSION, len(head), crc) + head
 
 
 def unpack(data: bytes, name: str) -> SnapshotFile:
--- a/packages/consensus/src/banyanbank_consensus/_state.py
+++ b/packages/consensus/src/banyanbank_consensus/_state.py
@@ -79,6 +79,10 @@
     """Index of the snapshot being sent; 0 if none."""
     snapshot_offset: int = 0
     """Bytes of that snapshot that the member has acknowledged."""
+    snapshot_sent: int = 0
+    """Bytes of that snapshot that were sent."""
+    answer_delay_s: float = 0.0
+    """Time from the latest answered round until the answer, in seconds."""
 
 
 @attrs.define
@@ -131,8 +135,10 @@
     """Epoch of the leader."""
     meta: _disk.SnapshotMeta
     """Metadata of the snapshot."""
-    data: bytearray = attrs.field(factory=bytearray)
-    """Data received so far."""
+    received: int = 0
+    """Bytes received so far."""
+    crc: int = 0
+    """CRC-32 of these bytes."""
 
 
 @attrs.define
--- a/packages/consensus/src/banyanbank_consensus/_store.py
+++ b/packages/consensus/src/banyanbank_consensus/_store.py
@@ -20,6 +20,9 @@
 SNAPSHOT_FILE_NAME = "snapshot"
 TEMPORARY_SUFFIX = ".new"
 
+SNAPSHOT_SYNC_BYTES = 1 << 20
+"""Snapshot data after which the file is synced, so that no sync takes long."""
+
 P = typing.ParamSpec("P")
 R = typing.TypeVar("R")
 
@@ -87,8 +90,9 @@
             FormatVersionError: The data has an unsupported format version.
             StorageError: The folder cannot be read or written.
         """
-        for name in (LOG_FILE_NAME, SNAPSHOT_FILE_NAME):
-            self.files.remove(name + TEMPORARY_SUFFIX)
+        self.files.remove(LOG_FILE_NAME + TEMPORARY_SUFFIX)
+        for origin in _disk.SnapshotOrigin:
+            self.files.remove(_name_pending(origin))
         content = self.files.read(LOG_FILE_NAME)
         snapshot = self._load_snapshot()
         if content is None:
@@ -137,25 +141,58 @@
         self._synced_size = self._file_size
 
     @_fail_stop
-    def save_snapshot(
-        self,
-        meta: _disk.SnapshotMeta,
-        state: bytes,
-        image: _disk.LogImage,
+    def begin_snapshot(
+        self, origin: _disk.SnapshotOrigin, meta: _disk.SnapshotMeta
+    ) -> _disk.PendingSnapshot:
+        """Begins a new snapshot; drops a pending one of the same origin.
+
+        Args:
+            origin: Where the snapshot comes from.
+            meta: Metadata of the complete snapshot.
+
+        Raises:
+            StorageError: The file cannot be written; the node must stop.
+        """
+        head = _snapshot_file.pack_head(meta)
+        self.files.remove(_name_pending(origin))
+        self.files.append(_name_pending(origin), head)
+        return _disk.PendingSnapshot(origin, meta, len(head), len(head))
+
+    @_fail_stop
+    def append_snapshot(
+        self, pending: _disk.PendingSnapshot, data: bytes
+    ) -> None:
+        """Writes the next part of the state of a pending snapshot.
+
+        Args:
+            pending: What `begin_snapshot` returned last for this origin.
+            data: The part.
+
+        Raises:
+            StorageError: The file cannot be written; the node must stop.
+        """
+        self.files.append(_name_pending(pending.origin), data)
+        pending.unsynced_bytes += len(data)
+        if pending.unsynced_bytes >= SNAPSHOT_SYNC_BYTES:
+            self._sync_snapshot(pending)
+
+    @_fail_stop
+    def finish_snapshot(
+        self, pending: _disk.PendingSnapshot, image: _disk.LogImage
     ) -> None:
         """Durably replaces the snapshot, then the log.
 
         Args:
-            meta: Metadata of the snapshot.
-            state: Serialized state of the state machine.
+            pending: A snapshot whose parts are all written.
             image: Initial content of the new log file.
 
         Raises:
             StorageError: The new snapshot may be stored with the old log. The
                 node must stop; the next start recovers from either state.
         """
-        content, self._state_offset = _snapshot_file.pack(meta, state)
-        self._replace_file(SNAPSHOT_FILE_NAME, content)
+        self._sync_snapshot(pending)
+        self._move_file(_name_pending(pending.origin), SNAPSHOT_FILE_NAME)
+        self._state_offset = pending.state_offset
         self._write_log_file(image)
 
     @_fail_stop
@@ -220,9 +257,17 @@
         temporary_name = name + TEMPORARY_SUFFIX
         self.files.append(temporary_name, content)
         self.files.sync(temporary_name)
-        self.files.replace(temporary_name, name)
-        self.files.sync_folder()
         self.bytes_synced += len(content)
+        self._move_file(temporary_name, name)
+
+    def _move_file(self, source: str, target: str) -> None:
+        self.files.replace(source, target)
+        self.files.sync_folder()
+
+    def _sync_snapshot(self, pending: _disk.PendingSnapshot) -> None:
+        self.files.sync(_name_pending(pending.origin))
+        self.bytes_synced += pending.unsynced_bytes
+        pending.unsynced_bytes = 0
 
     def _buffer_record(
         self,
@@ -241,6 +286,13 @@
         self._file_size += len(record)
 
 
+def _name_pending(origin: _disk.SnapshotOrigin) -> str:
+    """Returns the name of the file of a pending snapshot."""
+    is_received = origin is _disk.SnapshotOrigin.RECEIVED
+    infix = ".received" if is_received else ""
+    return f"{SNAPSHOT_FILE_NAME}{infix}{TEMPORARY_SUFFIX}"
+
+
 class FileDisk(LogStore):
     """Storage in a data folder, which stays locked until `close`.
 
--- a/packages/consensus/src/banyanbank_consensus/_turn.py
+++ b/packages/consensus/src/banyanbank_consensus/_turn.py
@@ -43,6 +43,7 @@
         Raises:
             StorageError: The node must fail permanently.
         """
+        self.applier.restore_slice(self._slice_bytes)
         self._append_queued()
         self._start_confirmation_round()
         while True:
@@ -56,7 +57,8 @@
                 break
         self.pending.confirm(self._get_confirmed_at())
         if self.applier.is_snapshot_due(self.replica.state):
-            self._take_snapshot()
+            self.applier.start_snapshot(self.replica.state, self.clock.now())
+        self._run_snapshot_slice()
 
     def make_error(
         self,
@@ -80,6 +82,15 @@
         """Whether the replica considers itself leader."""
         return self.replica.state.role is _state.Role.LEADER
 
+    @property
+    def has_slices_left(self) -> bool:
+        """Whether a turn is due without any event."""
+        return self.applier.has_slices_left
+
+    @property
+    def _slice_bytes(self) -> int:
+        return self.replica.state.cfg.slice_bytes
+
     def _append_queued(self) -> None:
         queued = self.pending.take_queued()
         for proposal in queued:
@@ -120,7 +131,7 @@
 
     def _get_confirmed_at(self) -> float:
         state = self.replica.state
-        if not _lease.may_serve_reads(state):
+        if not _lease.may_serve_reads(state) or self.applier.is_restoring:
             return _state.DISTANT_PAST
         return _lease.get_confirmed_at(state, self.clock.now())
 
@@ -141,8 +152,10 @@
 
     def _perform_local(self, effect: _effects.Effect) -> None:
         match effect:
+            case _effects.WriteSnapshot():
+                self.applier.write_snapshot(effect)
             case _effects.InstallSnapshot():
-                self.applier.install_snapshot(effect)
+                self.applier.install_snapshot(effect, self._slice_bytes)
             case _effects.FailPendingProposals():
                 self.fail_pending(_errors.ProposeErrorKind.LOST_LEADERSHIP)
             case _effects.RecordEvent():
@@ -152,15 +165,18 @@
                     detail=effect.detail,
                 )
 
-    def _take_snapshot(self) -> None:
+    def _run_snapshot_slice(self) -> None:
         began_at = self.clock.now()
-        meta = self.applier.take_snapshot(self.replica)
-        elapsed_ms = (self.clock.now() - began_at) * 1000
+        taken = self.applier.run_snapshot_slice(self.replica)
+        if taken is None:
+            return
+        now = self.clock.now()
         self.recorder.record(
             "snapshot.taken",
             epoch=self.replica.state.epoch,
-            detail=f"index={meta.index} bytes={meta.size} "
-            f"elapsed_ms={elapsed_ms:.0f}",
+            detail=f"index={taken.index} bytes={taken.size} "
+            f"elapsed_ms={(now - taken.started_at) * 1000:.0f} "
+            f"last_slice_ms={(now - began_at) * 1000:.0f}",
         )
 
     def _apply_committed(self) -> None:
--- a/packages/jobs/src/banyanbank_jobs/_ledger.py
+++ b/packages/jobs/src/banyanbank_jobs/_ledger.py
@@ -1,6 +1,7 @@
 """Replicated state machine: documents, versions, jobs, usage, evacuations."""
 
 import collections.abc
+import functools
 import typing
 
 import attrs
@@ -22,6 +23,10 @@
     versions: tuple[int, ...]
     """Weight versions that generated the events."""
 
+    def copy(self) -> "KeptText":
+        """Returns a copy that does not grow with this one."""
+        return attrs.evolve(self, pieces=list(self.pieces))
+
 
 @attrs.define
 class JobState:
@@ -39,6 +44,8 @@
     """Ids of the items that have a result."""
     encoded_record: bytes | None = attrs.field(default=None, eq=False)
     """Cached encoding for snapshots; None after a change."""
+    captured_record: "_JobRecord | None" = attrs.field(default=None, eq=False)
+    """Its copy for a snapshot that is being encoded; None after a change."""
 
     def __attrs_post_init__(self) -> None:
         self.listed = {result.item for result in self.results}
@@ -48,6 +55,31 @@
         """Whether the job still has items to run."""
         return not self.is_ended and len(self.listed) < len(self.job.items)
 
+    def drop_encoding(self) -> None:
+        """Forgets what was encoded or captured before a change."""
+        self.encoded_record = self.captured_record = None
+
+    def capture(self) -> collections.abc.Callable[[], bytes]:
+        """Returns a function that encodes the job as it is now.
+
+        Encodings are cached, since most jobs of a snapshot no longer change.
+        """
+        if self.encoded_record is not None:
+            encoded = self.encoded_record
+            return lambda: encoded
+        if self.captured_record is None:
+            kept = {item: text.copy() for item, text in self.kept.items()}
+            self.captured_record = _JobRecord(
+                self.job, tuple(self.results), self.is_ended, kept
+            )
+        return functools.partial(self._encode, self.captured_record)
+
+    def _encode(self, record: "_JobRecord") -> bytes:
+        data = _RECORD_CODEC.encode(record)
+        if self.captured_record is record:
+            self.encoded_record, self.captured_record = data, None
+        return data
+
 
 @attrs.frozen
 class _JobRecord:
@@ -118,18 +150,27 @@
 
     def snapshot(self) -> bytes:
         """Returns the encoded state."""
-        return _SNAPSHOT_CODEC.encode(
-            _Snapshot(
-                document_number=self.document_number,
-                document=self.document,
-                versions=dict(sorted(self.versions.items())),
-                jobs=tuple(_encode_job(state) for state in self.jobs.values()),
-                windows=self.windows,
-                reported=tuple(sorted(self.reported)),
-                retired=tuple(sorted(self.retired)),
-                evacuations=self.evacuations,
-            )
+        return b"".join(self.capture())
+
+    def capture(self) -> collections.abc.Iterator[bytes]:
+        """Yields the encoded state as it is now, part by part.
+
+        Commands that are applied meanwhile change nothing in it.
+        """
+        head = _Snapshot(
+            document_number=self.document_number,
+            document=self.document,
+            versions=dict(sorted(self.versions.items())),
+            jobs=(),
+            windows={
+                window: dict(counts) for window, counts in self.windows.items()
+            },
+            reported=tuple(sorted(self.reported)),
+            retired=tuple(sorted(self.retired)),
+            evacuations=self.evacuations,
         )
+        records = [state.capture() for state in self.jobs.values()]
+        return _SNAPSHOT_CODEC.encode_slices(head, "jobs", records)
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by that of a snapshot.
@@ -137,8 +178,35 @@
         Raises:
             CodecError: The bytes are not a snapshot; the state is unchanged.
         """
-        held = _SNAPSHOT_CODEC.decode(data)
-        records = [_RECORD_CODEC.decode(encoded) for encoded in held.jobs]
+        for _ in self.restore_slices(data):
+            pass
+
+    def restore_slices(self, data: bytes) -> collections.abc.Iterator[int]:
+        """Replaces the state by that of a snapshot, part by part.
+
+        The state is unchanged until the iterator ends.
+
+        Yields:
+            Number of bytes that were decoded since the previous part.
+
+        Raises:
+            CodecError: The bytes are not a snapshot; the state is unchanged.
+        """
+        jobs: list[JobState] = []
+
+        def add_job(encoded: bytes) -> None:
+            record = _RECORD_CODEC.decode(encoded)
+            jobs.append(
+                JobState(
+                    record.job,
+                    list(record.results),
+                    record.is_ended,
+                    record.kept,
+                    encoded_record=encoded,
+                )
+            )
+
+        held = yield from _SNAPSHOT_CODEC.decode_slices(data, "jobs", add_job)
         self._clear()
         self.has_replaced_document = True
         self.document_number = held.document_number
@@ -148,14 +216,7 @@
         self.reported.update(held.reported)
         self.retired.update(held.retired)
         self.evacuations = held.evacuations
-        for record, encoded in zip(records, held.jobs, strict=True):
-            self.jobs[record.job.job] = JobState(
-                record.job,
-                list(record.results),
-                record.is_ended,
-                record.kept,
-                encoded_record=encoded,
-            )
+        self.jobs.update((state.job.job, state) for state in jobs)
 
     def find(self, job: str, account: base.AccountId) -> JobState | None:
         """Returns a job; None if the client account has no such job."""
@@ -218,7 +279,7 @@
             return _commands.NotFound()
         if cmd.result.item in state.listed:
             return _commands.Applied(is_new=False)
-        state.encoded_record = None
+        state.drop_encoding()
         state.results.append(cmd.result)
         state.listed.add(cmd.result.item)
         state.kept.pop(cmd.result.item, None)
@@ -228,7 +289,7 @@
         state = self.jobs.get(cmd.job)
         if state is None or state.is_ended:
             return _commands.NotFound()
-        state.encoded_record = None
+        state.drop_encoding()
         for part in cmd.parts:
             if part.item in state.listed:
                 continue
@@ -250,11 +311,11 @@
             return _commands.NotFound()
         if state.is_ended:
             return _commands.Applied(is_new=False)
-        state.encoded_record = None
+        state.drop_encoding()
         state.is_ended = True
         state.kept.clear()
         # Encodes the job now to spread the cost of the next snapshot.
-        _encode_job(state)
+        state.capture()()
         return _commands.Applied(is_new=True)
 
     def _forget(self, cmd: _commands.ForgetJobs) -> _commands.Reply:
@@ -312,19 +373,5 @@
         return _commands.Applied(is_new)
 
 
-def _encode_job(state: JobState) -> bytes:
-    """Returns the encoding of a job for snapshots.
-
-    Cached, since most jobs of a snapshot no longer change.
-    """
-    if state.encoded_record is None:
-        state.encoded_record = _RECORD_CODEC.encode(
-            _JobRecord(
-                state.job, tuple(state.results), state.is_ended, state.kept
-            )
-        )
-    return state.encoded_record
-
-
 def _ignore(cmd: _commands.Command) -> None:
     """Default observer; does nothing."""
--- a/tests/base/test_codec.py
+++ b/tests/base/test_codec.py
@@ -31,6 +31,15 @@
     later: int = 0
 
 
+@attrs.frozen
+class Shelf:
+    """A message with a long list."""
+
+    name: str
+    books: tuple[bytes, ...]
+    length: int
+
+
 @attrs.frozen
 class Unknown:
     """A class that is no member of the test's union."""
@@ -38,6 +47,18 @@
     what: object
 
 
+def run_generator(
+    reading: typing.Generator[int, None, typing.Any],
+) -> tuple[tuple[int, ...], typing.Any]:
+    """Returns what a generator yielded, and what it returned."""
+    yielded = []
+    while True:
+        try:
+            yielded.append(next(reading))
+        except StopIteration as end:
+            return tuple(yielded), end.value
+
+
 class CodecTest(unittest.TestCase):
     """Messages survive a round trip; other bytes are refused."""
 
@@ -64,6 +85,36 @@
                 self.assertEqual(encoded, cbor2.dumps(fields))
                 self.assertEqual(codec.decode(encoded), message)
 
+    def test_slices_are_the_encoded_message(self) -> None:
+        """Guards against snapshots that other releases cannot read."""
+        sole: base.Codec[Shelf] = base.Codec(Shelf)
+        tagged: base.Codec[Shelf | Ping] = base.Codec(Shelf, Ping)
+        for name, codec in (("sole member", sole), ("tagged", tagged)):
+            for sizes in ((), (0,), (1, 23, 24, 255, 256, 70_000)):
+                with self.subTest(name, sizes=sizes):
+                    books = tuple(bytes(size) for size in sizes)
+                    head = Shelf("shelf", (), 7)
+                    items = [lambda book=book: book for book in books]
+                    slices = list(codec.encode_slices(head, "books", items))
+                    whole = codec.encode(attrs.evolve(head, books=books))
+                    self.assertEqual(b"".join(slices), whole)
+                    self.assertGreater(len(slices), len(books))
+                    read: list[bytes] = []
+                    reading = codec.decode_slices(whole, "books", read.append)
+                    self.assertEqual(run_generator(reading), (sizes, head))
+                    self.assertEqual(tuple(read), books)
+
+    def test_slices_of_foreign_bytes(self) -> None:
+        whole = self.codec.encode(Ping(7))
+        for name, data in (
+            ("empty", b""),
+            ("no map", b"\x81\x01"),
+            ("indefinite length", b"\xbf\xff"),
+            ("cut short", whole[:-1]),
+        ):
+            with self.subTest(name), self.assertRaises(base.CodecError):
+                run_generator(self.codec.decode_slices(data, "x", print))
+
     def test_foreign_classes(self) -> None:
         with self.assertRaises(TypeError):
             self.codec.encode(typing.cast(Ping, Unknown(1)))
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -1,6 +1,7 @@
 """Simulated cluster of log nodes with virtual time, disks and network."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import functools
 import heapq
 import random
@@ -11,6 +12,8 @@
 
 TICK_S = 0.02
 LINK_DELAY_S = 0.001
+PART_BYTES = 50
+"""Size of the parts in which a `ListMachine` is encoded and restored."""
 
 
 class DriftingClock:
@@ -88,7 +91,19 @@
         return STATE_CODEC.encode(MachineState(tuple(self.commands)))
 
     def restore(self, data: bytes) -> None:
-        self.commands = list(STATE_CODEC.decode(data).commands)
+        for _ in self.restore_slices(data):
+            pass
+
+    def capture(self) -> Iterator[bytes]:
+        data = self.snapshot()
+        return (
+            data[n : n + PART_BYTES] for n in range(0, len(data), PART_BYTES)
+        )
+
+    def restore_slices(self, data: bytes) -> Iterator[int]:
+        commands = list(STATE_CODEC.decode(data).commands)
+        yield from (PART_BYTES for _ in range(0, len(data), PART_BYTES))
+        self.commands = commands
         self.restores += 1
 
 
@@ -282,7 +297,8 @@
             self.now = max(self.now, at)
             self._deliver(source, target, data)
             self.on_step()
-        self.now = end
+        # Work of a process may have taken longer.
+        self.now = max(self.now, end)
         for process in self.running_processes():
             if not process.is_paused:
                 process.node.tick()
@@ -302,7 +318,8 @@
         return list(self.processes.values())
 
     def drain(self, process: Process) -> None:
-        while process.scheduled_calls:
+        # What a turn schedules runs in the next one.
+        for _ in range(len(process.scheduled_calls)):
             process.scheduled_calls.pop(0)()
 
     def propose(self, name: str, payload: bytes) -> list[object]:
--- a/tests/consensus/mutants.py
+++ b/tests/consensus/mutants.py
@@ -7,6 +7,7 @@
 
 import attrs
 import banyanbank_consensus as consensus
+from banyanbank_consensus import _disk
 from banyanbank_consensus import _election
 from banyanbank_consensus import _formation
 from banyanbank_consensus import _lease
@@ -18,7 +19,6 @@
 from banyanbank_consensus import _replica
 from banyanbank_consensus import _replication
 from banyanbank_consensus import _snapshot
-from banyanbank_consensus import _snapshot_file
 from banyanbank_consensus import _state
 from banyanbank_consensus import _store
 
@@ -93,11 +93,13 @@
 
 
 def _save_log_first(
-    self: _store.LogStore, meta: object, state: bytes, image: object
+    self: _store.LogStore, pending: _disk.PendingSnapshot, image: object
 ) -> None:
-    content, self._state_offset = _snapshot_file.pack(meta, state)
+    self._sync_snapshot(pending)
     self._write_log_file(image)
-    self._replace_file(_store.SNAPSHOT_FILE_NAME, content)
+    name = _store._name_pending(pending.origin)
+    self._move_file(name, _store.SNAPSHOT_FILE_NAME)
+    self._state_offset = pending.state_offset
 
 
 _UNGUARDED_SYNC = _store.LogStore.sync.__wrapped__  # type: ignore[attr-defined]
@@ -216,6 +218,13 @@
         "_replace_file",
         _replace_without_file_sync,
     ),
+    _make_mutant(
+        "skip the sync of a snapshot",
+        "power is cut while a snapshot is installed",
+        _store.LogStore,
+        "_sync_snapshot",
+        lambda self, pending: None,
+    ),
     _make_mutant(
         "retry a failed sync",
         "a sync fails",
@@ -366,7 +375,7 @@
         "replace the log before the snapshot",
         "power is cut while a snapshot is taken",
         _store.LogStore,
-        "save_snapshot",
+        "finish_snapshot",
         _save_log_first,
     ),
     _make_mutant(
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -37,6 +37,8 @@
     "propose_timeout_s": 2.0,
     "repair_after_s": 1.0,
     "snapshot_entries": 9,
+    "slice_bytes": 60,
+    "snapshot_window_bytes": 200,
     "keep_entries": 3,
     "window_bytes": 600,
 }
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -26,6 +26,19 @@
     return _disk.SnapshotMeta(index, 1, _members.Members(), len(state), crc)
 
 
+def save_snapshot(
+    disk: _disk.Disk,
+    meta: _disk.SnapshotMeta,
+    state: bytes,
+    image: _disk.LogImage,
+) -> None:
+    """Saves a snapshot that is written in two parts."""
+    pending = disk.begin_snapshot(_disk.SnapshotOrigin.TAKEN, meta)
+    for part in (state[:7], state[7:]):
+        disk.append_snapshot(pending, part)
+    disk.finish_snapshot(pending, image)
+
+
 class MemoryDiskTestCase(unittest.TestCase):
     """Base class of tests on an in-memory folder."""
 
@@ -105,7 +118,7 @@
         start = _log.LogBase(kept[0].index - 1, 1) if kept else _log.LogBase()
         image = _disk.LogImage(HARD_STATE, start, tuple(kept))
         state = b"state" * 100
-        self.disk.save_snapshot(make_snapshot(index, state), state, image)
+        save_snapshot(self.disk, make_snapshot(index, state), state, image)
 
     def test_snapshot_replaces_the_entries_before_it(self) -> None:
         self.write(make_entries(1, 20))
@@ -203,7 +216,7 @@
     def test_corruption_in_snapshot(self) -> None:
         state = b"state" * 100
         image = _disk.LogImage(HARD_STATE, _log.LogBase(15, 1), ())
-        self.disk.save_snapshot(make_snapshot(15, state), state, image)
+        save_snapshot(self.disk, make_snapshot(15, state), state, image)
         for offset in range(0, len(self.files.read("snapshot")), 7):
             with self.subTest(offset=offset):
                 self.files.corrupt_byte("snapshot", offset)
@@ -213,7 +226,7 @@
 
     def test_missing_file(self) -> None:
         image = _disk.LogImage(HARD_STATE, _log.LogBase(15, 1), ())
-        self.disk.save_snapshot(make_snapshot(15, b""), b"", image)
+        save_snapshot(self.disk, make_snapshot(15, b""), b"", image)
         for name in ("log", "snapshot"):
             with self.subTest(name=name):
                 content = self.files.read(name)
@@ -244,7 +257,7 @@
         image = _disk.LogImage(
             HARD_STATE, _log.LogBase(5, 1), tuple(make_entries(6, 9))
         )
-        disk.save_snapshot(make_snapshot(7, b"state"), b"state", image)
+        save_snapshot(disk, make_snapshot(7, b"state"), b"state", image)
         disk.append(make_entries(10, 12))
         disk.sync()
         disk.close()
--- a/tests/jobs/test_ledger.py
+++ b/tests/jobs/test_ledger.py
@@ -223,6 +223,47 @@
                 restored.restore(self.ledger.snapshot())
                 self.assertEqual(restored.jobs, self.ledger.jobs)
 
+    def test_capture_holds_nothing_of_later_commands(self) -> None:
+        """Guards against a snapshot that mixes the states of two moments."""
+        part = jobs.TextPart("i2", 1, 0, ("a", "b"), (3,))
+        later_part = jobs.TextPart("i2", 1, 2, ("c",), (3,))
+        for command in (
+            jobs.DeclareDocument(3, b"three"),
+            jobs.AcceptJob(samples.make_job("j", model="m")),
+            jobs.KeepParts("j", (part,)),
+            jobs.AcceptJob(samples.make_job("k", model="m")),
+            jobs.FreezeWindow(4, {samples.ACCOUNT: 3}),
+        ):
+            self.apply(command)
+        before = self.ledger.snapshot()
+        parts = self.ledger.capture()
+        encoded = next(parts)
+        for command in (
+            jobs.DeclareDocument(4, b"four"),
+            jobs.KeepParts("j", (later_part,)),
+            jobs.ListResult("j", samples.make_result("i1")),
+            jobs.EndJob("k", samples.ACCOUNT),
+            jobs.AcceptJob(samples.make_job("l", model="m")),
+            jobs.FreezeWindow(5, {samples.ACCOUNT: 3}),
+        ):
+            self.apply(command)
+        encoded += b"".join(parts)
+        self.assertEqual(encoded, before)
+        # What was encoded late is no cached encoding of the changed jobs.
+        restored = jobs.Ledger()
+        restored.restore(self.ledger.snapshot())
+        self.assertEqual(restored.jobs, self.ledger.jobs)
+        self.assertEqual(restored.document, b"four")
+
+    def test_state_is_unchanged_until_all_is_restored(self) -> None:
+        """Guards against a state of which a part is missing."""
+        for job in ("j", "k"):
+            self.apply(jobs.AcceptJob(samples.make_job(job)))
+        other = jobs.Ledger()
+        for _ in other.restore_slices(self.ledger.snapshot()):
+            self.assertEqual(other.jobs, {})
+        self.assertEqual(other.jobs, self.ledger.jobs)
+
     def test_snapshot_encodes_ended_jobs_once(self) -> None:
         self.apply(jobs.AcceptJob(samples.make_job("j")))
         self.apply(jobs.EndJob("j", samples.ACCOUNT))
