--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import fire
 
+from tests.soak import disk_loss_faults
 from tests.soak import faults
 from tests.soak import replacement_faults
 from tests.soak import run
@@ -25,6 +26,7 @@
     blackouts: bool = False,
     shared_load: bool = False,
     replacements: bool = False,
+    disk_losses: bool = False,
     entries: int = world.ENTRIES,
 ) -> None:
     """Plays runs with rising seeds and prints what broke.
@@ -39,6 +41,8 @@
             cold, beside faults of the processes and their links.
         replacements: Whether stores are replaced as planned, each time with
             the loss of another one's disk right after.
+        disk_losses: Whether disks of stores are lost in turn, each as soon as
+            it is allowed.
         entries: Number of entries.
     """
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
@@ -48,6 +52,8 @@
         kinds = shared_load_faults.KINDS
     if replacements:
         kinds = replacement_faults.KINDS
+    if disk_losses:
+        kinds = disk_loss_faults.KINDS
     for number in range(first, first + runs):
         folder = pathlib.Path(
             tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,7 +25,13 @@
 """Seconds for which a loss of power waits for an acknowledgement."""
 
 REPLACE = "replace"
-"""Kind that waits until no other fault is under way and lets none begin."""
+"""Planned replacements of stores, which need unused machines."""
+
+LOSE_IN_TURN = "lose disks in turn"
+"""Losses of several disks, each as soon as it is allowed."""
+
+SOLE = (REPLACE, LOSE_IN_TURN)
+"""Kinds that wait until no other fault is under way and let none begin."""
 
 TORN_SHARE = 0.5
 """Share of the stores that were writing when they lost power."""
@@ -71,14 +77,14 @@
         kinds = list(self.kinds)
         while self.there.reactor.seconds() < until:
             name = self.rng.choice(kinds)
-            if name == REPLACE:
+            if name in SOLE:
                 await support.until(lambda: not self.under_way)
                 await self._await_replacement()
             self.under_way += 1
             at = self.there.reactor.seconds() - began_at
             self.done.append(f"{at:.1f} {name}")
             injecting = self._inject(len(self.done) - 1, self.kinds[name])
-            if name == REPLACE:
+            if name in SOLE:
                 await injecting
             else:
                 self.work.start(injecting)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -51,7 +51,7 @@
         entries: Number of entries; there are three stores besides.
     """
     limit_s = START_S + 2 * seconds + RECOVER_S + 2 * SETTLE_S
-    if faults.REPLACE in kinds:
+    if any(name in kinds for name in faults.SOLE):
         limit_s += faults.START_S + 3 * faults.CALM_S
     return support.run_async(
         lambda: _play(seed, seconds, folder, kinds, entries), limit_s
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 
+from tests.soak import disk_loss_faults
 from tests.soak import faults
 from tests.soak import replacement_faults
 from tests.soak import run
@@ -43,6 +44,11 @@
         counts = self._play(9, SHORT_S, replacement_faults.KINDS)
         self.assertTrue(counts.get("planned replacements"))
 
+    def test_disks_lost_in_turn(self) -> None:
+        """Guards against a vote that comes back after the next loss."""
+        counts = self._play(21, SHORT_S, disk_loss_faults.KINDS)
+        self.assertTrue(counts.get("disks lost in turn"))
+
     def test_seeds_that_failed(self) -> None:
         for seed, seconds, kinds, why in SEEDS:
             with self.subTest(seed=seed, why=why):
