Relay polls through stores that answered, before those that were silent

Change: a store that did not answer a failed poll in time relays polls only after the others have failed, too.

Measured: test_store_that_was_silent_relays_last fails before (no such argument).

--- a/packages/node/src/banyanbank_node/_entry_sync.py
+++ b/packages/node/src/banyanbank_node/_entry_sync.py
@@ -174,7 +174,9 @@
         if error is None:
             # A document that cannot be read would be sent again at once.
             return not self._has_unreadable_document
-        self._paths.record_failure(path, leader, self._clock.now())
+        self._paths.record_failure(
+            path, leader, self._clock.now(), error.silent_stores
+        )
         self._events.write(
             "dep.leader_lost",
             why=error.detail,
--- a/packages/node/src/banyanbank_node/_poll_paths.py
+++ b/packages/node/src/banyanbank_node/_poll_paths.py
@@ -105,7 +105,11 @@
             self.restore_direct()
 
     def record_failure(
-        self, path: PollPath, leader: base.InstanceId | None, now: float
+        self,
+        path: PollPath,
+        leader: base.InstanceId | None,
+        now: float,
+        silent_stores: collections.abc.Collection[base.InstanceId] = (),
     ) -> None:
         """Records that a poll was not answered by a leader.
 
@@ -113,8 +117,11 @@
             path: Path of the poll.
             leader: Presumed leader before the poll, if any.
             now: Current time.
+            silent_stores: Stores that were asked and did not answer in time;
+                the others relay the next polls.
         """
         self._failure_count += 1
+        self._failed.update(silent_stores)
         if path.relay is not None:
             self._failed.add(path.relay)
             self._direct_again_at = now
--- a/packages/node/src/banyanbank_node/_store_client.py
+++ b/packages/node/src/banyanbank_node/_store_client.py
@@ -47,6 +47,14 @@
     asked: dict[base.InstanceId, str] = attrs.Factory(dict)
     """Latest reply of each store that was asked, or why there was none."""
 
+    @property
+    def silent_stores(self) -> frozenset[base.InstanceId]:
+        """Stores that had not answered when their time was over."""
+        silence = mesh.CallErrorKind.DEADLINE.value
+        return frozenset(
+            store for store, reply in self.asked.items() if reply == silence
+        )
+
 
 def find_outcome(error: StoreCallError) -> base.Outcome:
     """Returns whether a call that no leader answered may have taken effect."""
--- a/tests/node/test_poll_paths.py
+++ b/tests/node/test_poll_paths.py
@@ -46,6 +46,23 @@
         self.assertEqual({tried[1], tried[3]}, {FIRST, SECOND})
         self.assertEqual(self.paths.avoided_leader, LEADER)
 
+    def test_store_that_was_silent_relays_last(self) -> None:
+        """Guards against an entry that waits twice for a store that is dark.
+
+        Its time in the failed poll was too short to avoid it in all calls.
+        """
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.paths = _poll_paths.PollPaths(random.Random(seed))
+                path = self.choose()
+                self.paths.record_failure(path, LEADER, self.now, {SECOND})
+                path = self.choose()
+                self.assertEqual(path.relay, FIRST)
+                # It is tried once the other one has failed, too.
+                self.fail(path)
+                self.fail(self.choose())
+                self.assertIsNotNone(self.choose().relay)
+
     def test_store_that_relays_is_kept(self) -> None:
         for _ in range(3):
             self.fail(self.choose())
