--- a/tests/node/test_vote_budget.py
+++ b/tests/node/test_vote_budget.py
@@ -74,12 +74,7 @@
             with self.subTest(name, is_leader_lost=is_leader_lost, seed=seed):
                 stores = self._make_stores(seed, disturb)
                 disturb(stores, stores.follower)
-                lost = self._choose(stores, is_leader_lost)
-                self._lose_disk(stores, lost)
-                began_at = stores.world.now
-                stores.run(START_S)
-                stores.start(lost)
-                self._check_vote(stores, lost, began_at)
+                self._check_loss(stores, self._choose(stores, is_leader_lost))
 
     def test_just_before_another_disturbance(self) -> None:
         for (name, disturb), is_leader_lost, seed in itertools.product(
@@ -110,26 +105,24 @@
                 stores = Cluster(seed)
                 for link in stores.world.links.values():
                     link.delay_s = SLOW_LINK_S
-                lost = self._choose(stores, is_leader_lost)
-                self._lose_disk(stores, lost)
-                began_at = stores.world.now
-                stores.run(START_S)
-                stores.start(lost)
-                self._check_vote(stores, lost, began_at)
+                self._check_loss(stores, self._choose(stores, is_leader_lost))
 
     def test_two_of_five(self) -> None:
         for seed in range(3):
             with self.subTest(seed=seed):
                 stores = Cluster(seed, voters=5)
-                both = (stores.leader, stores.follower)
-                for lost in both:
-                    self._lose_disk(stores, lost)
-                began_at = stores.world.now
-                stores.run(START_S)
-                for lost in both:
-                    stores.start(lost)
-                for lost in both:
-                    self._check_vote(stores, lost, began_at)
+                self._check_loss(stores, stores.leader, stores.follower)
+
+    def _check_loss(self, stores: Cluster, *lost: base.InstanceId) -> None:
+        """Loses disks at once, whose machines are back after their start."""
+        for name in lost:
+            self._lose_disk(stores, name)
+        began_at = stores.world.now
+        stores.run(START_S)
+        for name in lost:
+            stores.start(name)
+        for name in lost:
+            self._check_vote(stores, name, began_at)
 
     def _make_stores(self, seed: int, disturb: Disturbance) -> Cluster:
         stores = Cluster(seed)
