--- a/tests/platform/disk_losses.py
+++ b/tests/platform/disk_losses.py
@@ -265,8 +265,9 @@
     if there.acknowledged <= acknowledged + 1:
         faults.append(f"no change was acknowledged for {RECOVER_S} s")
     for store in there.all:
+        least = there.acknowledged
         version = await there.read_version_of(store)
-        if version is None or version < acknowledged:
+        if version is None or version < least:
             faults.append(f"{store.name} reads version {version}")
     lost = await jobs.find_lost()
     if lost:
